Reap: free what a gone entry left at the home and at engines

cause: a killed entry's grants stayed at the home as jobs, so the running-list check took their engine requests for known ones (tests Orphans.OfKilledEntry and OfRestartedEntry: 1 request left in memory after 40 s).

--- a/src/ctl.c
+++ b/src/ctl.c
@@ -56,6 +56,7 @@
 Ctl_OnLinkDown(Board *board, const char *vm)
 {
     Mem_OnLinkDown(board, vm);
+    Plc_OnLinkDown(board, vm);
     Req_OnLinkDown(board, vm);
     Op_OnLinkDown(board, vm);
 }
--- a/src/plc.c
+++ b/src/plc.c
@@ -13,6 +13,8 @@
 #define PLC_FULL_US (100 * CLK_US_PER_MS)  /* After a refusal. */
 #define PLC_LEAVING_US (60 * CLK_US_PER_S) /* After "leaving". */
 #define PLC_AGING_US (2 * CLK_US_PER_S)    /* Raises a waiter by one step. */
+#define PLC_CHECK_US (5 * CLK_US_PER_S) /* Between checks of a grant's use.   \
+                                         */
 #define PLC_RATE_WEIGHT 0.2 /* Of the newest interval between releases. */
 #define PLC_RETRY_MIN_MS 100
 #define PLC_RETRY_MAX_MS 30000
@@ -44,6 +46,7 @@
     GPtrArray *avoid; /* char * */
     int64_t arrived_us;
     int64_t give_up_us; /* First token is of no use after this. */
+    int64_t check_us;   /* When its caller is asked about again. */
     bool granted;
     bool prefilling;
     struct PlcCell *cell;
@@ -69,6 +72,7 @@
     GHashTable *engines; /* id to PlcEngine */
     GHashTable *cells;   /* name to PlcCell */
     GHashTable *jobs;    /* key to PlcJob */
+    int64_t next_check_us;
 };
 
 static void free_engine(gpointer data);
@@ -285,6 +289,40 @@
     dispatch_cell(board, cell);
 }
 
+void
+Plc_DropJob(Board *board, const char *key)
+{
+    PlcJob *job = g_hash_table_lookup(board->plc->jobs, key);
+    PlcCell *cell;
+
+    if (job == NULL) {
+        return;
+    }
+    cell = job->cell;
+    free_job(board->plc, job);
+    dispatch_cell(board, cell);
+}
+
+void
+Plc_OnLinkDown(Board *board, const char *vm)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, board->plc->cells);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        PlcCell *cell = value;
+        PlcJob *job = TAILQ_FIRST(&cell->waiting);
+        while (job != NULL) {
+            PlcJob *next = TAILQ_NEXT(job, link);
+            if (strcmp(job->entry, vm) == 0) {
+                free_job(board->plc, job);
+            }
+            job = next;
+        }
+    }
+}
+
 void
 Plc_OnHold(Board *board, const char *entry, const Wire__Hold *hold)
 {
@@ -318,6 +356,33 @@
     }
 }
 
+/* Asks whether grants are still used: a release may have been lost. */
+static void
+check_jobs(Board *board, int64_t now)
+{
+    GPtrArray *due = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iter;
+    gpointer value;
+
+    if (now < board->plc->next_check_us) {
+        g_ptr_array_unref(due);
+        return;
+    }
+    board->plc->next_check_us = now + CLK_US_PER_S;
+    g_hash_table_iter_init(&iter, board->plc->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        PlcJob *job = value;
+        if (job->granted && now >= job->check_us) {
+            job->check_us = now + PLC_CHECK_US;
+            g_ptr_array_add(due, g_strdup(job->key));
+        }
+    }
+    for (guint i = 0; i < due->len; i++) {
+        Reap_CheckJob(board, due->pdata[i]);
+    }
+    g_ptr_array_unref(due);
+}
+
 void
 Plc_OnTick(Board *board)
 {
@@ -341,6 +406,7 @@
         }
         dispatch_cell(board, cell);
     }
+    check_jobs(board, now);
     Reap_OnTick(board);
 }
 
@@ -381,9 +447,9 @@
 }
 
 bool
-Plc_HasJob(const Plc *plc, const char *request, uint32_t attempt)
+Plc_HasJob(const Plc *plc, const char *key)
 {
-    return find_job(plc, request, attempt) != NULL;
+    return g_hash_table_contains(plc->jobs, key);
 }
 
 json_t *
@@ -701,6 +767,7 @@
 
     stop_waiting(job);
     job->granted = true;
+    job->check_us = now + PLC_CHECK_US;
     job->blocks = count_blocks(job, &job->decode->spec);
     job->decode->slots_used++;
     job->decode->blocks_used += job->blocks;
--- a/src/plc.h
+++ b/src/plc.h
@@ -41,6 +41,10 @@
                    const Wire__Reserve *reserve);
 void Plc_OnPrefillEnd(Board *board, const Wire__PrefillEnd *end);
 void Plc_OnRelease(Board *board, const Wire__Release *release);
+/* Forgets a job, "request/attempt", that has no caller any more. */
+void Plc_DropJob(Board *board, const char *key);
+/* The link to an entry failed: it asks again for what still waits here. */
+void Plc_OnLinkDown(Board *board, const char *vm);
 void Plc_OnHold(Board *board, const char *entry, const Wire__Hold *hold);
 /* The engine itself reported that it is leaving. */
 void Plc_OnUpstreamLeaving(Board *board, const char *upstream);
@@ -50,7 +54,8 @@
 /* Jobs granted or waiting at this home. */
 guint Plc_CountJobs(const Plc *plc);
 guint Plc_CountWaiting(const Plc *plc); /* Jobs without a grant. */
-bool Plc_HasJob(const Plc *plc, const char *request, uint32_t attempt);
+/* Whether "request/attempt" is a job of this home. */
+bool Plc_HasJob(const Plc *plc, const char *key);
 json_t *Plc_Describe(const Board *board); /* Engines, for status. */
 
 #endif
--- a/src/reap.c
+++ b/src/reap.c
@@ -14,6 +14,7 @@
     GPtrArray *requests; /* const char *, owned by the JSON list. */
 } Query;
 
+static void send_query(Board *board, const char *upstream, const Query *query);
 static void handle_list(Board *board, void *owner,
                         const BoardCallEvent *event);
 static void handle_cancel(Board *board, void *owner,
@@ -50,6 +51,40 @@
     return true;
 }
 
+/* Whether the process that holds a request's caller is gone for certain. An
+   entry that is merely unreachable may still hold its request, so only a
+   restart of its VM or the VM's removal from the list counts. */
+static bool
+is_entry_gone(Board *board, const char *vm, uint64_t incarnation)
+{
+    if (strcmp(vm, board->vm) == 0) {
+        return incarnation != board->incarnation;
+    }
+    return Mem_IsGone(board, vm) ||
+           Mem_GetIncarnation(board, vm) > incarnation;
+}
+
+void
+Reap_CheckJob(Board *board, const char *engine_request)
+{
+    char vm[CON_ID_MAX];
+    uint64_t incarnation;
+    Query query = {0};
+
+    if (!Reap_ParseRequest(engine_request, vm, sizeof(vm), &incarnation)) {
+        return;
+    }
+    if (is_entry_gone(board, vm, incarnation)) {
+        Plc_DropJob(board, engine_request);
+        return;
+    }
+    g_strlcpy(query.vm, vm, sizeof(query.vm));
+    query.requests = g_ptr_array_new();
+    g_ptr_array_add(query.requests, (gpointer)engine_request);
+    send_query(board, "", &query);
+    g_ptr_array_unref(query.requests);
+}
+
 /* Reads the running lists of the cells that this VM is home of. */
 void
 Reap_OnTick(Board *board)
@@ -83,6 +118,9 @@
             ? Con_FindUpstream(board->config, answer->upstream)
             : NULL;
 
+    for (size_t i = 0; i < answer->n_unclaimed; i++) {
+        Plc_DropJob(board, answer->unclaimed[i]);
+    }
     for (size_t i = 0; upstream != NULL && i < answer->n_unclaimed; i++) {
         Met_Add(MET_ORPHANS_CANCELLED, 1);
         Reap_CancelAtEngine(board, upstream, answer->unclaimed[i]);
@@ -193,36 +231,24 @@
     g_ptr_array_add(query->requests, (gpointer)engine_request);
 }
 
-/* Decides about one request on an engine's list: known here, to be asked
-   about, or without any entry. An entry that is merely unreachable may
-   still hold its request, so only a restart of its VM or the VM's removal
-   from the list counts as gone. */
+/* Decides about one request on an engine's list: without any entry, known
+   here, or to be asked about. */
 static void
 sort_request(Board *board, const ConUpstream *upstream,
              const char *engine_request, GPtrArray *queries)
 {
-    char request[BOARD_REQUEST_MAX];
     char vm[CON_ID_MAX];
     uint64_t incarnation;
-    const char *slash = strrchr(engine_request, '/');
-    bool gone;
 
-    if (slash == NULL || strlen(engine_request) >= sizeof(request)) {
+    if (strchr(engine_request, '/') == NULL ||
+        !Reap_ParseRequest(engine_request, vm, sizeof(vm), &incarnation)) {
         return; /* Not one of ours. */
     }
-    g_strlcpy(request, engine_request, (gsize)(slash - engine_request) + 1);
-    if (Plc_HasJob(board->plc, request, (uint32_t)atoi(slash + 1)) ||
-        !Reap_ParseRequest(request, vm, sizeof(vm), &incarnation)) {
-        return;
-    }
-    gone = strcmp(vm, board->vm) == 0
-               ? incarnation != board->incarnation
-               : Mem_IsGone(board, vm) ||
-                     Mem_GetIncarnation(board, vm) > incarnation;
-    if (gone) {
+    if (is_entry_gone(board, vm, incarnation)) {
         Met_Add(MET_ORPHANS_CANCELLED, 1);
         Reap_CancelAtEngine(board, upstream, engine_request);
-        return;
     }
-    add_to_query(queries, vm, engine_request);
+    else if (!Plc_HasJob(board->plc, engine_request)) {
+        add_to_query(queries, vm, engine_request);
+    }
 }
--- a/src/reap.h
+++ b/src/reap.h
@@ -17,6 +17,8 @@
 
 void Reap_OnTick(Board *board);
 void Reap_OnClaimAnswer(Board *board, const Wire__ClaimAnswer *answer);
+/* Checks that a job of this home, "request/attempt", still has its caller. */
+void Reap_CheckJob(Board *board, const char *engine_request);
 /* Tells an engine to drop a request, given as "request/attempt". */
 void Reap_CancelAtEngine(Board *board, const ConUpstream *upstream,
                          const char *engine_request);
--- a/src/req.c
+++ b/src/req.c
@@ -60,6 +60,7 @@
     GPtrArray *avoid;         /* char * */
     uint64_t call;
     int64_t arrived_us;
+    int64_t budget_us;   /* From when the first-token target counts. */
     int64_t stage_us;    /* When the stage began. */
     int64_t progress_us; /* When the upstream last moved on. */
     int64_t first_token_us;
@@ -80,6 +81,7 @@
 static void free_item(Board *board, ReqItem *item);
 static bool choose_cell(Board *board, ReqItem *item);
 static void send_reserve(Board *board, ReqItem *item);
+static void reserve_again(Board *board, ReqItem *item);
 static void send_release(Board *board, const ReqItem *item, PlcOutcome outcome,
                          const char *blamed);
 static void begin_prefill(Board *board, ReqItem *item);
@@ -159,6 +161,7 @@
     item->cells_refused = g_ptr_array_new_with_free_func(g_free);
     item->avoid = g_ptr_array_new_with_free_func(g_free);
     item->arrived_us = Board_Now(board);
+    item->budget_us = item->arrived_us;
     return item;
 }
 
@@ -288,7 +291,7 @@
     if (refuse->code == LS_ERR_HOME_LOST) {
         Mem_OnLinkDown(board, home);
         item->attempt++;
-        send_reserve(board, item);
+        reserve_again(board, item);
         return;
     }
     g_ptr_array_add(item->cells_refused, g_strdup(item->cell));
@@ -380,7 +383,7 @@
         if (item->stage == REQ_WAIT_GRANT && strcmp(item->home, vm) == 0) {
             Met_Add(MET_RESUBMITS, 1);
             item->attempt++;
-            send_reserve(board, item);
+            reserve_again(board, item);
         }
     }
 }
@@ -458,7 +461,7 @@
         Mem_OnLinkDown(board, item->home);
         item->attempt++;
         Met_Add(MET_RESUBMITS, 1);
-        send_reserve(board, item);
+        reserve_again(board, item);
         break;
     case REQ_PREFILL:
         fail_attempt(board, item, PLC_OUTCOME_FAILED, item->prefill,
@@ -494,7 +497,7 @@
         }
         else if (item->stage == REQ_BACKOFF) {
             if (now >= item->backoff_until_us) {
-                send_reserve(board, item);
+                reserve_again(board, item);
             }
         }
         else if (now - item->progress_us > get_stage_timeout(board, item)) {
@@ -616,8 +619,7 @@
 {
     Wire__Frame frame = WIRE__FRAME__INIT;
     Wire__Reserve reserve = WIRE__RESERVE__INIT;
-    int64_t used_us = Board_Now(board) - item->arrived_us;
-    bool first = item->failures == 0 && item->tokens == 0;
+    int64_t used_us = Board_Now(board) - item->budget_us;
 
     set_stage(board, item, REQ_WAIT_GRANT);
     item->resumed = false;
@@ -632,11 +634,8 @@
     reserve.context_tokens = item->prompt_tokens + item->tokens;
     reserve.output_tokens = item->max_tokens - item->tokens;
     reserve.priority = item->priority;
-    /* Work already begun may wait for its target anew: giving it up would
-       waste what was done. */
     reserve.first_token_budget_us =
-        first ? MAX(item->first_token_target_us - used_us, 0)
-              : item->first_token_target_us;
+        MAX(item->first_token_target_us - used_us, 0);
     reserve.n_prefix = item->prefixes->len;
     reserve.prefix = (uint64_t *)(void *)item->prefixes->data;
     reserve.n_avoid = item->avoid->len;
@@ -646,6 +645,15 @@
     Board_SendFrame(board, item->home, &frame);
 }
 
+/* Reserves anew after a failure that is not the caller's. The target counts
+   anew as well: an answer that is late is better than one that is lost. */
+static void
+reserve_again(Board *board, ReqItem *item)
+{
+    item->budget_us = Board_Now(board);
+    send_reserve(board, item);
+}
+
 static void
 send_release(Board *board, const ReqItem *item, PlcOutcome outcome,
              const char *blamed)
--- /dev/null
+++ b/tests/c_api.h
@@ -0,0 +1,20 @@
+/* C headers of the project for GoogleTest's C++. */
+#ifndef TESTS_C_API_H
+#define TESTS_C_API_H
+
+#include <jansson.h>
+#include <glib.h>
+
+extern "C" {
+#include "ctl.h"
+#include "mem.h"
+#include "op.h"
+#include "own.h"
+#include "quo.h"
+#include "req.h"
+#include "rig.h"
+#include "ring.h"
+#include "svc.h"
+}
+
+#endif
