--- a/fakes/fake_engine.c
+++ b/fakes/fake_engine.c
@@ -221,7 +221,8 @@
         g_mutex_unlock(&worker->lock);
         return Fake_Refuse(response, 503, "full");
     }
-    cached = MIN(use_cache(worker, prompt), tokens - 1);
+    cached = use_cache(worker, prompt);
+    cached = MIN(cached, tokens - 1);
     worker->cached += cached;
     worker->prefilled += tokens - cached;
     worker->prefill_free_us =
--- a/replay/rig.h
+++ b/replay/rig.h
@@ -24,7 +24,7 @@
     int64_t list_lag_us;   /* Of the VM list. */
     int64_t kv_life_us;    /* Of a prefill's result. */
     guint32 seed;
-    PlcPolicy policy;
+    PickPolicy policy;
 } RigOptions;
 
 /* Faults of an engine or of the booking service. */
--- a/src/plc.c
+++ b/src/plc.c
@@ -1,94 +1,34 @@
 #include "plc.h"
 
+#include "cell.h"
 #include "mem.h"
 #include "reap.h"
 #include "ring.h"
 
 #include <string.h>
-#include <sys/queue.h>
 
-#define PLC_PREFIXES_MAX 256 /* Prefixes remembered for each engine. */
-#define PLC_PREFILL_LEAD_US (60 * CLK_US_PER_MS)
 #define PLC_DOWN_US (2 * CLK_US_PER_S)     /* After a failure. */
 #define PLC_FULL_US (100 * CLK_US_PER_MS)  /* After a refusal. */
 #define PLC_LEAVING_US (60 * CLK_US_PER_S) /* After "leaving". */
-#define PLC_AGING_US (2 * CLK_US_PER_S)    /* Raises a waiter by one step. */
-#define PLC_CHECK_US                                                          \
-    (5 * CLK_US_PER_S)      /* Between checks of a grant's use.               \
-                             */
-#define PLC_RATE_WEIGHT 0.2 /* Of the newest interval between releases. */
+#define PLC_CHECK_US (5 * CLK_US_PER_S)    /* Between checks of a grant. */
 #define PLC_RETRY_MIN_MS 100
 #define PLC_RETRY_MAX_MS 30000
 
-typedef struct PlcEngine {
-    char id[CON_ID_MAX];
-    ConUpstream spec;
-    bool present; /* In the configuration in force. */
-    uint32_t slots_used;
-    uint32_t blocks_used;
-    uint32_t prefills;       /* Granted and not yet ended. */
-    int64_t prefill_free_us; /* When its prefill queue should be empty. */
-    int64_t link_free_us;    /* When its outgoing link should be free. */
-    int64_t down_until_us;
-    GHashTable *prefixes; /* Prefix hash set. */
-    GQueue *prefix_order; /* Oldest first. */
-} PlcEngine;
-
-typedef struct PlcJob {
-    TAILQ_ENTRY(PlcJob) link;
-    char key[BOARD_REQUEST_MAX]; /* "request/attempt" */
-    char request[BOARD_REQUEST_MAX];
-    char entry[CON_ID_MAX];
-    uint32_t attempt;
-    uint32_t context_tokens;
-    uint32_t output_tokens;
-    uint32_t priority;
-    GArray *prefixes; /* guint64, longest last. */
-    GPtrArray *avoid; /* char * */
-    int64_t arrived_us;
-    int64_t give_up_us; /* First token is of no use after this. */
-    int64_t check_us;   /* When its caller is asked about again. */
-    bool granted;
-    bool prefilling;
-    struct PlcCell *cell;
-    PlcEngine *prefill;
-    PlcEngine *decode;
-    uint32_t blocks;
-} PlcJob;
-
-typedef TAILQ_HEAD(PlcJobList, PlcJob) PlcJobList;
-
-typedef struct PlcCell {
-    char name[CON_ID_MAX * 2];
-    GPtrArray *engines; /* PlcEngine * of the configuration. */
-    PlcJobList waiting; /* By arrival. */
-    guint waiting_count;
-    double release_interval_us; /* Smoothed; 0 until known. */
-    int64_t released_us;
-    uint64_t turn; /* Of the round-robin baseline. */
-} PlcCell;
-
 struct Plc {
-    PlcPolicy policy;
-    GHashTable *engines; /* id to PlcEngine */
-    GHashTable *cells;   /* name to PlcCell */
-    GHashTable *jobs;    /* key to PlcJob */
+    PickPolicy policy;
+    GHashTable *engines; /* id to CellEngine */
+    GHashTable *cells;   /* name to Cell */
+    GHashTable *jobs;    /* key to CellJob */
     int64_t next_check_us;
 };
 
-static void free_engine(gpointer data);
-static void free_cell(gpointer data);
-static void free_job(Plc *plc, PlcJob *job);
-static PlcCell *get_cell(Plc *plc, const char *name);
-static PlcJob *find_job(const Plc *plc, const char *request, uint32_t attempt);
-static PlcJob *new_job(const char *entry, const char *request,
-                       uint32_t attempt);
-static void dispatch_cell(Board *board, PlcCell *cell);
-static bool place_job(Board *board, PlcJob *job);
-static void take_grant(Board *board, PlcJob *job);
-static void give_back_grant(PlcJob *job);
-static int64_t predict_wait(const Board *board, const PlcJob *job);
-static void refuse_job(Board *board, PlcJob *job, LsResult code,
+static void free_job(Plc *plc, CellJob *job);
+static Cell *get_cell(Plc *plc, const char *name);
+static CellJob *find_job(const Plc *plc, const char *request,
+                         uint32_t attempt);
+static void charge_job(Board *board, CellJob *job);
+static void dispatch_cell(Board *board, Cell *cell);
+static void refuse_job(Board *board, CellJob *job, LsResult code,
                        int64_t wait_us, const char *message);
 
 Plc *
@@ -96,10 +36,10 @@
 {
     Plc *plc = g_new0(Plc, 1);
 
-    plc->engines =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_engine);
-    plc->cells =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_cell);
+    plc->engines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                         (GDestroyNotify)Cell_FreeEngine);
+    plc->cells = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                       (GDestroyNotify)Cell_Free);
     plc->jobs = g_hash_table_new(g_str_hash, g_str_equal);
     return plc;
 }
@@ -120,12 +60,12 @@
 }
 
 void
-Plc_SetPolicy(Plc *plc, PlcPolicy policy)
+Plc_SetPolicy(Plc *plc, PickPolicy policy)
 {
     plc->policy = policy;
 }
 
-PlcPolicy
+PickPolicy
 Plc_GetPolicy(const Plc *plc)
 {
     return plc->policy;
@@ -138,30 +78,21 @@
     GHashTableIter iter;
     gpointer value;
 
-    g_hash_table_iter_init(&iter, plc->engines);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((PlcEngine *)value)->present = false;
-    }
     g_hash_table_iter_init(&iter, plc->cells);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        g_ptr_array_set_size(((PlcCell *)value)->engines, 0);
+        g_ptr_array_set_size(((Cell *)value)->engines, 0);
     }
     for (guint i = 0; i < board->config->upstreams->len; i++) {
         const ConUpstream *spec = board->config->upstreams->pdata[i];
-        PlcEngine *engine = g_hash_table_lookup(plc->engines, spec->id);
+        CellEngine *engine = g_hash_table_lookup(plc->engines, spec->id);
         if (spec->role == CON_ROLE_SERVICE) {
             continue;
         }
         if (engine == NULL) {
-            engine = g_new0(PlcEngine, 1);
-            g_strlcpy(engine->id, spec->id, sizeof(engine->id));
-            engine->prefixes = g_hash_table_new_full(
-                g_int64_hash, g_int64_equal, NULL, g_free);
-            engine->prefix_order = g_queue_new();
+            engine = Cell_NewEngine(spec->id);
             g_hash_table_insert(plc->engines, engine->id, engine);
         }
         engine->spec = *spec;
-        engine->present = true;
         g_ptr_array_add(get_cell(plc, spec->cell)->engines, engine);
     }
 }
@@ -170,16 +101,15 @@
 Plc_OnReserve(Board *board, const char *entry, const Wire__Reserve *reserve)
 {
     Plc *plc = board->plc;
-    PlcJob *job = find_job(plc, reserve->request, reserve->attempt);
-    PlcCell *cell;
+    CellJob *job = find_job(plc, reserve->request, reserve->attempt);
+    Cell *cell;
     int64_t wait_us;
 
     if (job != NULL) {
         return; /* A repeated frame: the first one is being served. */
     }
     cell = get_cell(plc, reserve->cell);
-    job = new_job(entry, reserve->request, reserve->attempt);
-    job->cell = cell;
+    job = Cell_NewJob(entry, reserve->request, reserve->attempt);
     job->context_tokens = MAX(reserve->context_tokens, 1);
     job->output_tokens = reserve->output_tokens;
     job->priority = reserve->priority;
@@ -191,8 +121,7 @@
         g_ptr_array_add(job->avoid, g_strdup(reserve->avoid[i]));
     }
     g_hash_table_insert(plc->jobs, job->key, job);
-    TAILQ_INSERT_TAIL(&cell->waiting, job, link);
-    cell->waiting_count++;
+    Cell_BeginWaiting(cell, job);
     if (board->stopping && strcmp(entry, board->vm) != 0) {
         refuse_job(board, job, LS_ERR_HOME_LOST, 0,
                    "the home is shutting down");
@@ -203,8 +132,9 @@
                    "the cell has no engine");
         return;
     }
-    wait_us = predict_wait(board, job);
-    if (job->arrived_us + wait_us > job->give_up_us) {
+    wait_us = Pick_PredictWait(job, job->arrived_us);
+    if (Pick_IsShedding(plc->policy) &&
+        job->arrived_us + wait_us > job->give_up_us) {
         refuse_job(board, job, LS_ERR_OVERLOAD,
                    wait_us - reserve->first_token_budget_us,
                    "the first token would come too late");
@@ -216,27 +146,19 @@
 void
 Plc_OnPrefillEnd(Board *board, const Wire__PrefillEnd *end)
 {
-    PlcJob *job = find_job(board->plc, end->request, end->attempt);
-    PlcEngine *engine;
-    int64_t now = Board_Now(board);
+    CellJob *job = find_job(board->plc, end->request, end->attempt);
 
-    if (job == NULL || !job->prefilling) {
-        return;
-    }
-    engine = job->prefill;
-    job->prefilling = false;
-    engine->prefills--;
-    if (engine->prefills == 0) {
-        engine->prefill_free_us = now;
+    if (job != NULL) {
+        Cell_EndPrefill(job, Board_Now(board));
+        dispatch_cell(board, job->cell);
     }
-    dispatch_cell(board, job->cell);
 }
 
 /* Takes an engine that an entry blamed out of use for a while. */
 static void
 blame_engine(Board *board, const Wire__Release *release)
 {
-    PlcEngine *engine =
+    CellEngine *engine =
         g_hash_table_lookup(board->plc->engines, release->blamed);
     int64_t pause_us = 0;
 
@@ -256,33 +178,18 @@
         MAX(engine->down_until_us, Board_Now(board) + pause_us);
 }
 
-/* Notes how often slots of the cell come free. */
-static void
-note_release(PlcCell *cell, int64_t now)
-{
-    if (cell->released_us != 0) {
-        double interval = (double)(now - cell->released_us);
-        cell->release_interval_us =
-            cell->release_interval_us > 0
-                ? cell->release_interval_us * (1 - PLC_RATE_WEIGHT) +
-                      interval * PLC_RATE_WEIGHT
-                : interval;
-    }
-    cell->released_us = now;
-}
-
 void
 Plc_OnRelease(Board *board, const Wire__Release *release)
 {
-    PlcJob *job = find_job(board->plc, release->request, release->attempt);
-    PlcCell *cell = get_cell(board->plc, release->cell);
+    CellJob *job = find_job(board->plc, release->request, release->attempt);
+    Cell *cell = get_cell(board->plc, release->cell);
 
     if (release->blamed[0] != '\0') {
         blame_engine(board, release);
     }
     if (job != NULL) {
         if (job->granted) {
-            note_release(job->cell, Board_Now(board));
+            Cell_NoteRelease(job->cell, Board_Now(board));
         }
         cell = job->cell;
         free_job(board->plc, job);
@@ -293,8 +200,8 @@
 void
 Plc_DropJob(Board *board, const char *key)
 {
-    PlcJob *job = g_hash_table_lookup(board->plc->jobs, key);
-    PlcCell *cell;
+    CellJob *job = g_hash_table_lookup(board->plc->jobs, key);
+    Cell *cell;
 
     if (job == NULL) {
         return;
@@ -312,10 +219,10 @@
 
     g_hash_table_iter_init(&iter, board->plc->cells);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        PlcCell *cell = value;
-        PlcJob *job = TAILQ_FIRST(&cell->waiting);
+        Cell *cell = value;
+        CellJob *job = TAILQ_FIRST(&cell->waiting);
         while (job != NULL) {
-            PlcJob *next = TAILQ_NEXT(job, link);
+            CellJob *next = TAILQ_NEXT(job, link);
             if (strcmp(job->entry, vm) == 0) {
                 free_job(board->plc, job);
             }
@@ -328,31 +235,34 @@
 Plc_OnHold(Board *board, const char *entry, const Wire__Hold *hold)
 {
     Plc *plc = board->plc;
-    PlcEngine *decode =
+    CellEngine *decode =
         g_hash_table_lookup(plc->engines, hold->decode_upstream);
-    PlcJob *job = find_job(plc, hold->request, hold->attempt);
+    CellJob *job = find_job(plc, hold->request, hold->attempt);
 
     if (job != NULL || decode == NULL) {
         return;
     }
-    job = new_job(entry, hold->request, hold->attempt);
-    job->cell = get_cell(plc, hold->cell);
+    job = Cell_NewJob(entry, hold->request, hold->attempt);
     job->context_tokens = hold->context_tokens;
     job->output_tokens = hold->output_tokens;
     job->arrived_us = Board_Now(board);
     job->decode = decode;
     g_hash_table_insert(plc->jobs, job->key, job);
-    TAILQ_INSERT_TAIL(&job->cell->waiting, job, link);
-    job->cell->waiting_count++;
-    take_grant(board, job);
+    Cell_BeginWaiting(get_cell(plc, hold->cell), job);
+    charge_job(board, job);
 }
 
 void
-Plc_OnUpstreamLeaving(Board *board, const char *upstream)
+Plc_OnReport(Board *board, const char *upstream, uint32_t requests,
+             bool leaving)
 {
-    PlcEngine *engine = g_hash_table_lookup(board->plc->engines, upstream);
+    CellEngine *engine = g_hash_table_lookup(board->plc->engines, upstream);
 
-    if (engine != NULL) {
+    if (engine == NULL) {
+        return;
+    }
+    engine->reported = requests;
+    if (leaving) {
         engine->down_until_us = Board_Now(board) + PLC_LEAVING_US;
     }
 }
@@ -372,7 +282,7 @@
     board->plc->next_check_us = now + CLK_US_PER_S;
     g_hash_table_iter_init(&iter, board->plc->jobs);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        PlcJob *job = value;
+        CellJob *job = value;
         if (job->granted && now >= job->check_us) {
             job->check_us = now + PLC_CHECK_US;
             g_ptr_array_add(due, g_strdup(job->key));
@@ -394,13 +304,13 @@
 
     g_hash_table_iter_init(&iter, plc->cells);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        PlcCell *cell = value;
-        PlcJob *job = TAILQ_FIRST(&cell->waiting);
+        Cell *cell = value;
+        CellJob *job = TAILQ_FIRST(&cell->waiting);
         while (job != NULL) {
-            PlcJob *next = TAILQ_NEXT(job, link);
+            CellJob *next = TAILQ_NEXT(job, link);
             if (now > job->give_up_us) {
                 refuse_job(board, job, LS_ERR_OVERLOAD,
-                           predict_wait(board, job),
+                           Pick_PredictWait(job, now),
                            "no engine came free in time");
             }
             job = next;
@@ -419,7 +329,7 @@
 
     g_hash_table_iter_init(&iter, board->plc->cells);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        PlcCell *cell = value;
+        Cell *cell = value;
         while (!TAILQ_EMPTY(&cell->waiting)) {
             refuse_job(board, TAILQ_FIRST(&cell->waiting), LS_ERR_HOME_LOST, 0,
                        "the home is shutting down");
@@ -442,7 +352,7 @@
 
     g_hash_table_iter_init(&iter, plc->cells);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        count += ((const PlcCell *)value)->waiting_count;
+        count += ((const Cell *)value)->waiting_count;
     }
     return count;
 }
@@ -462,7 +372,7 @@
 
     g_hash_table_iter_init(&iter, board->plc->engines);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const PlcEngine *engine = value;
+        const CellEngine *engine = value;
         json_array_append_new(
             array, json_pack("{s:s, s:s, s:i, s:i, s:i, s:b}", "upstream",
                              engine->id, "cell", engine->spec.cell,
@@ -474,39 +384,19 @@
     return array;
 }
 
-static void
-free_engine(gpointer data)
-{
-    PlcEngine *engine = data;
-    g_hash_table_unref(engine->prefixes);
-    g_queue_free(engine->prefix_order);
-    g_free(engine);
-}
-
-static void
-free_cell(gpointer data)
-{
-    PlcCell *cell = data;
-    g_ptr_array_unref(cell->engines);
-    g_free(cell);
-}
-
-static PlcCell *
+static Cell *
 get_cell(Plc *plc, const char *name)
 {
-    PlcCell *cell = g_hash_table_lookup(plc->cells, name);
+    Cell *cell = g_hash_table_lookup(plc->cells, name);
 
     if (cell == NULL) {
-        cell = g_new0(PlcCell, 1);
-        g_strlcpy(cell->name, name, sizeof(cell->name));
-        cell->engines = g_ptr_array_new();
-        TAILQ_INIT(&cell->waiting);
+        cell = Cell_New(name);
         g_hash_table_insert(plc->cells, cell->name, cell);
     }
     return cell;
 }
 
-static PlcJob *
+static CellJob *
 find_job(const Plc *plc, const char *request, uint32_t attempt)
 {
     char key[BOARD_REQUEST_MAX];
@@ -515,80 +405,37 @@
     return g_hash_table_lookup(plc->jobs, key);
 }
 
-static PlcJob *
-new_job(const char *entry, const char *request, uint32_t attempt)
-{
-    PlcJob *job = g_new0(PlcJob, 1);
-
-    g_snprintf(job->key, sizeof(job->key), "%s/%u", request, attempt);
-    g_strlcpy(job->request, request, sizeof(job->request));
-    g_strlcpy(job->entry, entry, sizeof(job->entry));
-    job->attempt = attempt;
-    job->prefixes = g_array_new(FALSE, FALSE, sizeof(guint64));
-    job->avoid = g_ptr_array_new_with_free_func(g_free);
-    return job;
-}
-
 static void
-stop_waiting(PlcJob *job)
+free_job(Plc *plc, CellJob *job)
 {
-    TAILQ_REMOVE(&job->cell->waiting, job, link);
-    job->cell->waiting_count--;
-}
-
-static void
-free_job(Plc *plc, PlcJob *job)
-{
-    if (job->granted) {
-        give_back_grant(job);
-    }
-    else {
-        stop_waiting(job);
-    }
     g_hash_table_remove(plc->jobs, job->key);
-    g_array_unref(job->prefixes);
-    g_ptr_array_unref(job->avoid);
-    g_free(job);
-}
-
-/* Priority of a waiting job; each PLC_AGING_US of waiting raises it one
-   step, so that low priorities can't starve for ever. */
-static int64_t
-get_rank(const PlcJob *job, int64_t now)
-{
-    return (int64_t)job->priority - (now - job->arrived_us) / PLC_AGING_US;
+    Cell_FreeJob(job);
 }
 
-static PlcJob *
-find_next_job(const PlcCell *cell, int64_t now)
+static void
+charge_job(Board *board, CellJob *job)
 {
-    PlcJob *best = NULL;
-    PlcJob *job;
+    int64_t now = Board_Now(board);
 
-    TAILQ_FOREACH(job, &cell->waiting, link)
-    {
-        if (best == NULL || get_rank(job, now) < get_rank(best, now)) {
-            best = job;
-        }
-    }
-    return best;
+    Cell_ChargeJob(job, now);
+    job->check_us = now + PLC_CHECK_US;
 }
 
 static void
-dispatch_cell(Board *board, PlcCell *cell)
+dispatch_cell(Board *board, Cell *cell)
 {
-    PlcJob *job;
+    CellJob *job;
 
     if (Mem_IsPictureStale(board)) {
         return;
     }
-    while ((job = find_next_job(cell, Board_Now(board))) != NULL) {
+    while ((job = Pick_NextJob(cell, Board_Now(board))) != NULL) {
         Wire__Frame frame = WIRE__FRAME__INIT;
         Wire__Grant grant = WIRE__GRANT__INIT;
-        if (!place_job(board, job)) {
+        if (!Pick_ChooseEngines(job, board->plc->policy, Board_Now(board))) {
             return;
         }
-        take_grant(board, job);
+        charge_job(board, job);
         grant.request = job->request;
         grant.attempt = job->attempt;
         grant.prefill_upstream = job->prefill->id;
@@ -602,247 +449,8 @@
     }
 }
 
-static bool
-is_avoided(const PlcJob *job, const PlcEngine *engine)
-{
-    for (guint i = 0; i < job->avoid->len; i++) {
-        if (strcmp(job->avoid->pdata[i], engine->id) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static bool
-is_usable(const Board *board, const PlcJob *job, const PlcEngine *engine,
-          ConRole role)
-{
-    return (engine->spec.role == role || engine->spec.role == CON_ROLE_BOTH) &&
-           !engine->spec.leaving &&
-           engine->down_until_us <= Board_Now(board) &&
-           !is_avoided(job, engine);
-}
-
-static uint32_t
-count_blocks(const PlcJob *job, const ConUpstream *spec)
-{
-    uint32_t tokens = job->context_tokens + job->output_tokens;
-    return (tokens + spec->block_tokens - 1) / spec->block_tokens;
-}
-
-/* Prompt tokens of the job that the engine's prefix cache should hold. */
-static uint32_t
-count_cached_tokens(const PlcJob *job, const PlcEngine *engine)
-{
-    uint32_t block = 1;
-    uint32_t cached = 0;
-
-    for (guint i = 0; i < job->prefixes->len; i++, block *= 2) {
-        guint64 prefix = g_array_index(job->prefixes, guint64, i);
-        if (!g_hash_table_contains(engine->prefixes, &prefix)) {
-            break;
-        }
-        cached = block * PLC_PREFIX_TOKENS;
-    }
-    return MIN(cached, job->context_tokens - 1);
-}
-
-static int64_t
-get_prefill_cost(const PlcJob *job, const PlcEngine *engine)
-{
-    int64_t tokens = job->context_tokens - count_cached_tokens(job, engine);
-    return tokens * CLK_US_PER_S / engine->spec.prefill_tokens_per_s;
-}
-
-/* The engine whose prefill would end first, if one may begin soon. */
-static PlcEngine *
-find_prefill(const Board *board, const PlcJob *job)
-{
-    int64_t now = Board_Now(board);
-    int64_t best_end = INT64_MAX;
-    PlcEngine *best = NULL;
-
-    for (guint i = 0; i < job->cell->engines->len; i++) {
-        PlcEngine *engine = job->cell->engines->pdata[i];
-        int64_t begin = MAX(engine->prefill_free_us, now);
-        int64_t end;
-        if (!is_usable(board, job, engine, CON_ROLE_PREFILL) ||
-            begin - now > PLC_PREFILL_LEAD_US) {
-            continue;
-        }
-        end = begin + get_prefill_cost(job, engine);
-        if (end < best_end) {
-            best = engine;
-            best_end = end;
-        }
-    }
-    return best;
-}
-
-static bool
-has_room(const PlcJob *job, const PlcEngine *engine)
-{
-    return engine->slots_used < engine->spec.slots &&
-           engine->blocks_used + count_blocks(job, &engine->spec) <=
-               engine->spec.memory_blocks;
-}
-
-/* The decode engine with the largest free part of its slots. */
-static PlcEngine *
-find_decode(const Board *board, const PlcJob *job)
-{
-    PlcEngine *best = NULL;
-    double best_load = 0;
-
-    for (guint i = 0; i < job->cell->engines->len; i++) {
-        PlcEngine *engine = job->cell->engines->pdata[i];
-        double load = (double)engine->slots_used / engine->spec.slots;
-        if (!is_usable(board, job, engine, CON_ROLE_DECODE) ||
-            !has_room(job, engine)) {
-            continue;
-        }
-        if (best == NULL || load < best_load) {
-            best = engine;
-            best_load = load;
-        }
-    }
-    return best;
-}
-
-/* The usable engine of the role whose turn it is. */
-static PlcEngine *
-find_in_turn(const Board *board, const PlcJob *job, ConRole role)
-{
-    PlcCell *cell = job->cell;
-
-    for (guint i = 0; i < cell->engines->len; i++) {
-        PlcEngine *engine =
-            cell->engines->pdata[cell->turn++ % cell->engines->len];
-        if (is_usable(board, job, engine, role)) {
-            return engine;
-        }
-    }
-    return NULL;
-}
-
-static bool
-place_job(Board *board, PlcJob *job)
-{
-    if (board->plc->policy == PLC_POLICY_ROUND_ROBIN) {
-        job->prefill = find_in_turn(board, job, CON_ROLE_PREFILL);
-        job->decode = find_in_turn(board, job, CON_ROLE_DECODE);
-    }
-    else {
-        job->decode = find_decode(board, job);
-        job->prefill = job->decode != NULL ? find_prefill(board, job) : NULL;
-    }
-    return job->prefill != NULL && job->decode != NULL;
-}
-
-static void
-remember_prefixes(PlcEngine *engine, const GArray *prefixes)
-{
-    for (guint i = 0; i < prefixes->len; i++) {
-        guint64 prefix = g_array_index(prefixes, guint64, i);
-        guint64 *key;
-        if (g_hash_table_contains(engine->prefixes, &prefix)) {
-            continue;
-        }
-        key = g_new(guint64, 1);
-        *key = prefix;
-        g_hash_table_insert(engine->prefixes, key, key);
-        g_queue_push_tail(engine->prefix_order, key);
-        if (g_queue_get_length(engine->prefix_order) > PLC_PREFIXES_MAX) {
-            g_hash_table_remove(engine->prefixes,
-                                g_queue_pop_head(engine->prefix_order));
-        }
-    }
-}
-
-/* Charges a placed job to its engines. A job without a prefill engine is
-   one taken over from another home after its prefill. */
-static void
-take_grant(Board *board, PlcJob *job)
-{
-    int64_t now = Board_Now(board);
-
-    stop_waiting(job);
-    job->granted = true;
-    job->check_us = now + PLC_CHECK_US;
-    job->blocks = count_blocks(job, &job->decode->spec);
-    job->decode->slots_used++;
-    job->decode->blocks_used += job->blocks;
-    if (job->prefill != NULL) {
-        job->prefilling = true;
-        job->prefill->prefills++;
-        job->prefill->prefill_free_us =
-            MAX(job->prefill->prefill_free_us, now) +
-            get_prefill_cost(job, job->prefill);
-        remember_prefixes(job->prefill, job->prefixes);
-    }
-}
-
-static void
-give_back_grant(PlcJob *job)
-{
-    job->decode->slots_used--;
-    job->decode->blocks_used -= job->blocks;
-    if (job->prefilling) {
-        job->prefill->prefills--;
-    }
-}
-
-/* Time until the job's first token if it joins the queue now: the prefill
-   work before it over the cell's prefill rate, or the wait for a decode
-   slot where that is longer, then its own prefill. */
-static int64_t
-predict_wait(const Board *board, const PlcJob *job)
-{
-    const PlcCell *cell = job->cell;
-    int64_t now = Board_Now(board);
-    double prefill_rate = 0;
-    double backlog = 0;
-    double slot_wait_us = 0;
-    uint32_t free_slots = 0;
-    int64_t own_us = INT64_MAX;
-    guint ahead = 0;
-    const PlcJob *other;
-
-    for (guint i = 0; i < cell->engines->len; i++) {
-        const PlcEngine *engine = cell->engines->pdata[i];
-        if (is_usable(board, job, engine, CON_ROLE_PREFILL)) {
-            double rate = engine->spec.prefill_tokens_per_s;
-            prefill_rate += rate;
-            own_us = MIN(own_us, get_prefill_cost(job, engine));
-            backlog += (double)MAX(engine->prefill_free_us - now, 0) * rate /
-                       (double)CLK_US_PER_S;
-        }
-        if (is_usable(board, job, engine, CON_ROLE_DECODE)) {
-            free_slots += engine->spec.slots -
-                          MIN(engine->slots_used, engine->spec.slots);
-        }
-    }
-    TAILQ_FOREACH(other, &cell->waiting, link)
-    {
-        if (other != job && get_rank(other, now) <= get_rank(job, now)) {
-            ahead++;
-            backlog += other->context_tokens;
-        }
-    }
-    if (prefill_rate <= 0) {
-        return job->give_up_us > now ? 0 : CLK_US_PER_S;
-    }
-    if (ahead >= free_slots && cell->release_interval_us > 0) {
-        slot_wait_us =
-            cell->release_interval_us * (double)(ahead - free_slots + 1);
-    }
-    return (int64_t)MAX(backlog / prefill_rate * (double)CLK_US_PER_S,
-                        slot_wait_us) +
-           own_us;
-}
-
 static void
-refuse_job(Board *board, PlcJob *job, LsResult code, int64_t wait_us,
+refuse_job(Board *board, CellJob *job, LsResult code, int64_t wait_us,
            const char *message)
 {
     Wire__Frame frame = WIRE__FRAME__INIT;
--- a/src/plc.h
+++ b/src/plc.h
@@ -7,10 +7,7 @@
 #ifndef LS_PLC_H
 #define LS_PLC_H
 
-#include "board.h"
-
-#define PLC_PREFIX_TOKENS 512 /* Prefixes end at 1, 2, 4, ... of these. */
-#define PLC_PREFIX_COUNT 7
+#include "pick.h"
 
 /* How the use of a grant ended, as the entry reports it. */
 typedef enum PlcOutcome {
@@ -21,19 +18,12 @@
     PLC_OUTCOME_LEAVING,   /* An engine takes no new work. */
 } PlcOutcome;
 
-typedef enum PlcPolicy {
-    PLC_POLICY_RESERVE,     /* Reserve decode before prefill. */
-    PLC_POLICY_NO_RESERVE,  /* Home places, but reserves no decode slot. */
-    PLC_POLICY_ROUND_ROBIN, /* Baseline: engines in turn. */
-    PLC_POLICY_LEAST_LOAD,  /* Baseline: each entry by lagged reports. */
-} PlcPolicy;
-
 typedef struct Plc Plc;
 
 Plc *Plc_New(void);
 void Plc_Free(Plc *plc);
-void Plc_SetPolicy(Plc *plc, PlcPolicy policy);
-PlcPolicy Plc_GetPolicy(const Plc *plc);
+void Plc_SetPolicy(Plc *plc, PickPolicy policy);
+PickPolicy Plc_GetPolicy(const Plc *plc);
 
 void Plc_OnConfig(Board *board);
 /* A request to place work, from the VM `entry`. */
@@ -46,8 +36,9 @@
 /* The link to an entry failed: it asks again for what still waits here. */
 void Plc_OnLinkDown(Board *board, const char *vm);
 void Plc_OnHold(Board *board, const char *entry, const Wire__Hold *hold);
-/* The engine itself reported that it is leaving. */
-void Plc_OnUpstreamLeaving(Board *board, const char *upstream);
+/* An engine's running list: its length, and whether it is leaving. */
+void Plc_OnReport(Board *board, const char *upstream, uint32_t requests,
+                  bool leaving);
 /* Sends the waiting jobs back, for their entries to find another home. */
 void Plc_HandOn(Board *board);
 void Plc_OnTick(Board *board);
--- a/src/reap.c
+++ b/src/reap.c
@@ -85,6 +85,15 @@
     g_ptr_array_unref(query.requests);
 }
 
+/* Baselines without homes need the reports of all engines at each entry. */
+static bool
+reads_lists_of(Board *board, const ConUpstream *upstream)
+{
+    return Pick_IsLocal(Plc_GetPolicy(board->plc)) ||
+           strcmp(Mem_FindHome(board, upstream->cell, upstream->region),
+                  board->vm) == 0;
+}
+
 /* Reads the running lists of the cells that this VM is home of. */
 void
 Reap_OnTick(Board *board)
@@ -99,8 +108,7 @@
         const ConUpstream *upstream = board->config->upstreams->pdata[i];
         BoardCall call = {0};
         if (upstream->role == CON_ROLE_SERVICE ||
-            strcmp(Mem_FindHome(board, upstream->cell, upstream->region),
-                   board->vm) != 0) {
+            !reads_lists_of(board, upstream)) {
             continue;
         }
         call.method = "GET";
@@ -191,8 +199,11 @@
             sort_request(board, upstream, json_string_value(item), queries);
         }
     }
-    if (json_is_true(json_object_get(root, "leaving"))) {
-        Plc_OnUpstreamLeaving(board, id);
+    if (root != NULL) {
+        Plc_OnReport(
+            board, id,
+            (uint32_t)json_array_size(json_object_get(root, "requests")),
+            json_is_true(json_object_get(root, "leaving")));
     }
     for (guint q = 0; q < queries->len; q++) {
         send_query(board, id, queries->pdata[q]);
--- a/src/req.c
+++ b/src/req.c
@@ -130,9 +130,9 @@
 {
     GArray *prefixes = g_array_new(FALSE, FALSE, sizeof(guint64));
     size_t size = strlen(prompt);
-    size_t block = (size_t)PLC_PREFIX_TOKENS * ENG_BYTES_PER_TOKEN;
+    size_t block = (size_t)CELL_PREFIX_TOKENS * ENG_BYTES_PER_TOKEN;
 
-    for (int i = 0; i < PLC_PREFIX_COUNT && block <= size; i++, block *= 2) {
+    for (int i = 0; i < CELL_PREFIX_COUNT && block <= size; i++, block *= 2) {
         guint64 hash = XXH64(prompt, block, 0);
         g_array_append_val(prefixes, hash);
     }
@@ -606,9 +606,7 @@
 static const char *
 find_home(Board *board, const ReqItem *item)
 {
-    PlcPolicy policy = Plc_GetPolicy(board->plc);
-
-    if (policy == PLC_POLICY_ROUND_ROBIN || policy == PLC_POLICY_LEAST_LOAD) {
+    if (Pick_IsLocal(Plc_GetPolicy(board->plc))) {
         return board->vm;
     }
     return Mem_FindHome(board, item->cell, item->cell_region);
--- a/src/set.c
+++ b/src/set.c
@@ -245,7 +245,7 @@
         break;
     case SET_TYPE_PLACEMENT:
         index = find_name(policies, G_N_ELEMENTS(policies), value);
-        settings->placement = (PlcPolicy)MAX(index, 0);
+        settings->placement = (PickPolicy)MAX(index, 0);
         break;
     default:
         index = -1;
--- a/src/set.h
+++ b/src/set.h
@@ -31,7 +31,7 @@
     uint32_t body_max; /* Bytes of a caller's body. */
     uint32_t shutdown_s;
     LogLevel log_level;
-    PlcPolicy placement;
+    PickPolicy placement;
     bool check_only;
 } SetSettings;
 
--- a/tools/bench.c
+++ b/tools/bench.c
@@ -441,7 +441,7 @@
     Wire__Frame frame = WIRE__FRAME__INIT;
     Wire__Reserve reserve = WIRE__RESERVE__INIT;
     Wire__Release release = WIRE__RELEASE__INIT;
-    uint64_t prefixes[PLC_PREFIX_COUNT] = {0};
+    uint64_t prefixes[CELL_PREFIX_COUNT] = {0};
     LsError err;
 
     Board_SetConfig(board, load_config(parts), &err);
@@ -453,7 +453,7 @@
     reserve.context_tokens = 20000;
     reserve.output_tokens = 240;
     reserve.first_token_budget_us = 1300000;
-    reserve.n_prefix = PLC_PREFIX_COUNT;
+    reserve.n_prefix = CELL_PREFIX_COUNT;
     reserve.prefix = prefixes;
     frame.body_case = WIRE__FRAME__BODY_RESERVE;
     frame.reserve = &reserve;
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -30,12 +30,12 @@
 EOF
 }
 
-# Workers $1 to $2 of model $3, a third of them for prefill.
+# Workers $1 to $2 of model $3; PREFILL_OF_THREE of each three are for prefill.
 engines_json() {
     local i role
     for ((i = $1; i <= $2; i++)); do
         role=decode
-        if (((i - $1) % 3 == 0)); then role=prefill; fi
+        if (((i - $1) % 3 < ${PREFILL_OF_THREE:-1})); then role=prefill; fi
         cat <<EOF
 {"id":"$3-$i","address":"127.0.0.1:$(engine_port "$i")","serves":"$3",
  "zone":"lj-1","region":"ljubljana","role":"$role","slots":20,
--- /dev/null
+++ b/tools/loadgen.c
@@ -0,0 +1,318 @@
+/* loadgen: open-loop load against daemons on loopback. Requests arrive by a
+   Poisson process whatever the answers do, so that queues show.
+
+   loadgen --targets HOST:PORT[,...] --key KEY --model MODEL --rate R
+           --seconds S [--mix zupan|festplass] [--seed N]
+           [--tokens-low N] [--tokens-high N] [--first-token-ms N]
+   [--per-token-ms N] [--output FILE.json]
+           [--quiet 1]
+
+   Prints one table row and, with --output, the same as JSON. */
+#include "fake.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#define LOAD_TARGETS_MAX 64
+#define LOAD_DRAIN_S 20
+#define LOAD_BYTES_PER_TOKEN 4
+#define LOAD_RULES 5           /* Festivals, each with shared rules. */
+#define LOAD_RULES_TOKENS 4096 /* Of one festival's rules. */
+#define LOAD_SHORT_SHARE 0.3   /* Of Zupan's requests: short checks. */
+
+typedef struct Load {
+    CURLM *multi;
+    char **targets;
+    guint target_count;
+    const char *key;
+    const char *model;
+    bool festplass;
+    gint32 tokens_low; /* Of the answers. */
+    gint32 tokens_high;
+    GRand *rand;
+    gint64 first_token_us;
+    gint64 per_token_us;
+    guint sent;
+    guint running;
+    guint answered;
+    guint good;
+    guint refused;
+    guint failed;
+    guint64 prompt_tokens;
+    GArray *first_us; /* double */
+    GArray *gap_us;   /* double */
+} Load;
+
+typedef struct Ask {
+    Load *load;
+    CURL *easy;
+    struct curl_slist *headers;
+    char *body;
+    gint64 begun_us;
+    gint64 first_us;
+    gint64 last_us;
+    guint tokens;
+    guint wanted;
+    bool done;
+    GString *line;
+} Ask;
+
+static void
+take_line(Ask *ask, const char *line)
+{
+    if (!g_str_has_prefix(line, "data:")) {
+        return;
+    }
+    if (strstr(line, "[DONE]") != NULL) {
+        ask->done = true;
+        return;
+    }
+    if (strstr(line, "\"finish_reason\":null") != NULL) {
+        ask->last_us = g_get_monotonic_time();
+        ask->first_us = ask->first_us == 0 ? ask->last_us : ask->first_us;
+        ask->tokens++;
+    }
+}
+
+static size_t
+take_data(char *data, size_t size, size_t count, void *context)
+{
+    Ask *ask = context;
+    char *end;
+
+    g_string_append_len(ask->line, data, (gssize)(size * count));
+    while ((end = strchr(ask->line->str, '\n')) != NULL) {
+        *end = '\0';
+        take_line(ask, ask->line->str);
+        g_string_erase(ask->line, 0, end - ask->line->str + 1);
+    }
+    return size * count;
+}
+
+static void
+append_filler(GString *text, GRand *rand, long tokens)
+{
+    while (tokens-- > 0) {
+        g_string_append_printf(text, "%03x ", g_rand_int(rand) & 0xfff);
+    }
+}
+
+/* A prompt of the mix, and how many tokens are to be generated for it. */
+static GString *
+make_prompt(Load *load, guint *wanted)
+{
+    GString *text = g_string_new(NULL);
+    bool is_short =
+        !load->festplass && g_rand_double(load->rand) < LOAD_SHORT_SHARE;
+    double low = is_short ? 50 : 1000;
+    double high = is_short ? 500 : 12000;
+
+    if (load->festplass) {
+        GRand *rules = g_rand_new_with_seed(
+            (guint32)g_rand_int_range(load->rand, 0, LOAD_RULES));
+        append_filler(text, rules, LOAD_RULES_TOKENS);
+        g_rand_free(rules);
+        low = 500;
+        high = 4000;
+    }
+    append_filler(text, load->rand,
+                  (long)(low * pow(high / low, g_rand_double(load->rand))));
+    *wanted = (guint)g_rand_int_range(load->rand, load->tokens_low,
+                                      load->tokens_high);
+    return text;
+}
+
+static void
+begin_ask(Load *load)
+{
+    Ask *ask = g_new0(Ask, 1);
+    GString *prompt = make_prompt(load, &ask->wanted);
+    const char *target = load->targets[load->sent++ % load->target_count];
+    char *url = g_strdup_printf("http://%s/v1/completions", target);
+    char *auth = g_strdup_printf("Authorization: Bearer %s", load->key);
+
+    load->prompt_tokens += prompt->len / LOAD_BYTES_PER_TOKEN;
+    load->running++;
+    ask->load = load;
+    ask->line = g_string_new(NULL);
+    ask->body = g_strdup_printf("{\"model\":\"%s\",\"prompt\":\"%s\","
+                                "\"max_tokens\":%u,\"stream\":true}",
+                                load->model, prompt->str, ask->wanted);
+    ask->headers = curl_slist_append(NULL, auth);
+    ask->headers = curl_slist_append(ask->headers, "Expect:");
+    ask->easy = curl_easy_init();
+    ask->begun_us = g_get_monotonic_time();
+    curl_easy_setopt(ask->easy, CURLOPT_URL, url);
+    curl_easy_setopt(ask->easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(ask->easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(ask->easy, CURLOPT_HTTPHEADER, ask->headers);
+    curl_easy_setopt(ask->easy, CURLOPT_POSTFIELDS, ask->body);
+    curl_easy_setopt(ask->easy, CURLOPT_WRITEFUNCTION, take_data);
+    curl_easy_setopt(ask->easy, CURLOPT_WRITEDATA, ask);
+    curl_easy_setopt(ask->easy, CURLOPT_PRIVATE, ask);
+    curl_multi_add_handle(load->multi, ask->easy);
+    g_string_free(prompt, TRUE);
+    g_free(url);
+    g_free(auth);
+}
+
+static void
+count_answer(Load *load, const Ask *ask, long status)
+{
+    double first_us = (double)(ask->first_us - ask->begun_us);
+    double gap_us = ask->tokens > 1 ? (double)(ask->last_us - ask->first_us) /
+                                          (ask->tokens - 1)
+                                    : 0;
+
+    if (!ask->done || ask->tokens != ask->wanted) {
+        if (status == 503 || status == 429) {
+            load->refused++;
+        }
+        else {
+            load->failed++;
+        }
+        return;
+    }
+    load->answered++;
+    g_array_append_val(load->first_us, first_us);
+    g_array_append_val(load->gap_us, gap_us);
+    if (first_us <= (double)load->first_token_us &&
+        gap_us <= (double)load->per_token_us) {
+        load->good++;
+    }
+}
+
+static void
+end_asks(Load *load)
+{
+    CURLMsg *message;
+    int left;
+
+    while ((message = curl_multi_info_read(load->multi, &left)) != NULL) {
+        Ask *ask = NULL;
+        long status = 0;
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &ask);
+        curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE,
+                          &status);
+        count_answer(load, ask, status);
+        curl_multi_remove_handle(load->multi, ask->easy);
+        curl_easy_cleanup(ask->easy);
+        curl_slist_free_all(ask->headers);
+        g_string_free(ask->line, TRUE);
+        g_free(ask->body);
+        g_free(ask);
+        load->running--;
+    }
+}
+
+static void
+run_load(Load *load, double rate, double seconds, bool quiet)
+{
+    gint64 begin_us = g_get_monotonic_time();
+    gint64 end_us = begin_us + (gint64)(seconds * 1e6);
+    gint64 last_us = end_us + LOAD_DRAIN_S * G_USEC_PER_SEC;
+    gint64 report_us = begin_us;
+    double next_us = (double)begin_us;
+    gint64 now = begin_us;
+
+    while (now < end_us || (load->running > 0 && now < last_us)) {
+        int running;
+        while (next_us <= (double)now && next_us < (double)end_us) {
+            begin_ask(load);
+            next_us -= log(1 - g_rand_double(load->rand)) / rate * 1e6;
+        }
+        curl_multi_perform(load->multi, &running);
+        end_asks(load);
+        curl_multi_poll(load->multi, NULL, 0, 2, NULL);
+        now = g_get_monotonic_time();
+        if (!quiet && now >= report_us) {
+            fprintf(stderr, "\r%5.1f s: %u sent, %u running, %u good ",
+                    (double)(now - begin_us) / 1e6, load->sent, load->running,
+                    load->good);
+            report_us = now + G_USEC_PER_SEC;
+        }
+    }
+}
+
+static gint
+compare_doubles(gconstpointer a, gconstpointer b)
+{
+    double left = *(const double *)a;
+    double right = *(const double *)b;
+    return left < right ? -1 : left > right;
+}
+
+static double
+get_percentile(GArray *values, double share)
+{
+    if (values->len == 0) {
+        return 0;
+    }
+    g_array_sort(values, compare_doubles);
+    return g_array_index(values, double, (guint)(share * (values->len - 1)));
+}
+
+static void
+report(Load *load, double rate, double seconds, const char *output)
+{
+    json_t *result = json_pack(
+        "{s:f, s:f, s:i, s:i, s:i, s:i, s:i, s:i, s:I, s:f, s:f, s:f, s:f}",
+        "rate", rate, "seconds", seconds, "sent", (int)load->sent, "answered",
+        (int)load->answered, "good", (int)load->good, "refused",
+        (int)load->refused, "failed", (int)load->failed, "unfinished",
+        (int)load->running, "prompt_tokens", (json_int_t)load->prompt_tokens,
+        "first_ms_p50", get_percentile(load->first_us, 0.5) / 1000,
+        "first_ms_p95", get_percentile(load->first_us, 0.95) / 1000,
+        "gap_ms_p50", get_percentile(load->gap_us, 0.5) / 1000, "gap_ms_p95",
+        get_percentile(load->gap_us, 0.95) / 1000);
+
+    if (output != NULL) {
+        json_dump_file(result, output, JSON_INDENT(1));
+    }
+    printf("rate %.1f/s sent %u answered %u good %u (%.2f/s) refused %u "
+           "failed %u first p50 %.0f p95 %.0f ms gap p95 %.1f ms\n",
+           rate, load->sent, load->answered, load->good, load->good / seconds,
+           load->refused, load->failed,
+           get_percentile(load->first_us, 0.5) / 1000,
+           get_percentile(load->first_us, 0.95) / 1000,
+           get_percentile(load->gap_us, 0.95) / 1000);
+    json_decref(result);
+}
+
+int
+main(int argc, char **argv)
+{
+    Load load = {0};
+    double rate = g_strtod(Fake_GetFlag(argc, argv, "rate", "1"), NULL);
+    double seconds = g_strtod(Fake_GetFlag(argc, argv, "seconds", "5"), NULL);
+
+    load.targets =
+        g_strsplit(Fake_GetFlag(argc, argv, "targets", "127.0.0.1:8080"), ",",
+                   LOAD_TARGETS_MAX);
+    load.target_count = g_strv_length(load.targets);
+    load.key = Fake_GetFlag(argc, argv, "key", "");
+    load.model = Fake_GetFlag(argc, argv, "model", "lens-assist");
+    load.festplass =
+        strcmp(Fake_GetFlag(argc, argv, "mix", "zupan"), "festplass") == 0;
+    load.rand =
+        g_rand_new_with_seed((guint32)Fake_GetNumber(argc, argv, "seed", 1));
+    load.tokens_low = (gint32)Fake_GetNumber(argc, argv, "tokens-low", 20);
+    load.tokens_high = (gint32)Fake_GetNumber(argc, argv, "tokens-high", 80);
+    load.first_token_us =
+        Fake_GetNumber(argc, argv, "first-token-ms", 1300) * 1000;
+    load.per_token_us = Fake_GetNumber(argc, argv, "per-token-ms", 36) * 1000;
+    load.first_us = g_array_new(FALSE, FALSE, sizeof(double));
+    load.gap_us = g_array_new(FALSE, FALSE, sizeof(double));
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    load.multi = curl_multi_init();
+    run_load(&load, rate, seconds,
+             Fake_GetNumber(argc, argv, "quiet", 0) != 0);
+    report(&load, rate, seconds, Fake_GetFlag(argc, argv, "output", NULL));
+    return load.failed > 0 ? 1 : 0;
+}
