--- /dev/null
+++ b/ctl/lavenderspoolctl.c
@@ -0,0 +1,339 @@
+/* lavenderspoolctl: asks daemons, checks contracts offline. It changes
+   nothing: operators act by contracts and by starting and stopping upstreams.
+
+   Exit codes: 0 all well, 1 a check failed or a budget burns too fast, 2 some
+   VM did not answer, 64 wrong usage. */
+#include "burn.h"
+#include "con.h"
+#include "set.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <ulfius.h>
+
+#ifndef LS_VERSION
+#define LS_VERSION "0.0.0"
+#endif
+
+#define CTL_EXIT_BAD 1
+#define CTL_EXIT_SILENT 2
+#define CTL_TIMEOUT_S 3
+#define CTL_VMS_MAX 1024
+#define CTL_FILES_MAX 256
+#define CTL_VMS_DEFAULT "127.0.0.1:8081"
+
+/* What the command line asks for. */
+typedef struct CtlOrder {
+    char **vms; /* Operator addresses, "IP:port". */
+    bool json;
+    const char **operands;
+    int operand_count;
+} CtlOrder;
+
+/* Answer of one VM's operator address as JSON, or NULL. */
+static json_t *
+ask_vm(const char *vm, const char *path)
+{
+    struct _u_request request;
+    struct _u_response response;
+    char *url = g_strdup_printf("http://%s%s", vm, path);
+    json_t *answer = NULL;
+
+    ulfius_init_request(&request);
+    ulfius_init_response(&response);
+    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "GET",
+                                  U_OPT_HTTP_URL, url, U_OPT_TIMEOUT,
+                                  (unsigned long)CTL_TIMEOUT_S, U_OPT_NONE);
+    if (ulfius_send_http_request(&request, &response) == U_OK &&
+        response.status == 200) {
+        answer = json_loadb(response.binary_body, response.binary_body_length,
+                            0, NULL);
+    }
+    ulfius_clean_request(&request);
+    ulfius_clean_response(&response);
+    g_free(url);
+    return answer;
+}
+
+/* Collects the answers of all VMs in an object; *silent gets the others. */
+static json_t *
+ask_vms(const CtlOrder *order, const char *path, json_t *silent)
+{
+    json_t *answers = json_object();
+
+    for (int i = 0; order->vms[i] != NULL; i++) {
+        json_t *answer = ask_vm(order->vms[i], path);
+        if (answer != NULL) {
+            json_object_set_new(answers, order->vms[i], answer);
+        }
+        else {
+            json_array_append_new(silent, json_string(order->vms[i]));
+        }
+    }
+    return answers;
+}
+
+/* Names the VMs that did not answer. Returns the exit code for that. */
+static int
+report_silent(const json_t *silent)
+{
+    size_t i;
+    const json_t *vm;
+
+    json_array_foreach(silent, i, vm)
+    {
+        fprintf(stderr, "no answer from %s\n", json_string_value(vm));
+    }
+    return json_array_size(silent) > 0 ? CTL_EXIT_SILENT : SET_EXIT_OK;
+}
+
+static void
+print_json(const json_t *value)
+{
+    json_dumpf(value, stdout, JSON_INDENT(1));
+    printf("\n");
+}
+
+static int
+run_status(const CtlOrder *order)
+{
+    json_t *silent = json_array();
+    json_t *answers = ask_vms(order, "/v1/status", silent);
+    const char *address;
+    json_t *status;
+    int code;
+
+    if (order->json) {
+        print_json(answers);
+    }
+    else {
+        printf("%-22s %-16s %8s %9s %12s %8s %s\n", "address", "vm", "config",
+               "stopping", "completions", "jobs", "config error");
+    }
+    json_object_foreach(answers, address, status)
+    {
+        if (!order->json) {
+            printf("%-22s %-16s %8d %9s %12d %8d %s\n", address,
+                   json_string_value(json_object_get(status, "vm")),
+                   (int)json_integer_value(
+                       json_object_get(status, "config_version")),
+                   json_is_true(json_object_get(status, "stopping")) ? "yes"
+                                                                     : "no",
+                   (int)json_integer_value(
+                       json_object_get(status, "completions")),
+                   (int)json_integer_value(json_object_get(status, "jobs")),
+                   json_string_value(json_object_get(status, "config_error")));
+        }
+    }
+    code = report_silent(silent);
+    json_decref(answers);
+    json_decref(silent);
+    return code;
+}
+
+static int
+run_explain(const CtlOrder *order)
+{
+    json_t *silent = json_array();
+    char *path;
+    json_t *answers;
+    const char *address;
+    json_t *rows;
+    int code;
+
+    if (order->operand_count != 1) {
+        fprintf(stderr, "explain needs one request identifier\n");
+        json_decref(silent);
+        return SET_EXIT_USAGE;
+    }
+    path = g_strdup_printf("/v1/explain/%s", order->operands[0]);
+    answers = ask_vms(order, path, silent);
+    json_object_foreach(answers, address, rows)
+    {
+        size_t i;
+        const json_t *row;
+        json_array_foreach(rows, i, row)
+        {
+            printf("%-22s %14.3f s  %s\n", address,
+                   (double)json_integer_value(json_object_get(row, "at_us")) /
+                       1e6,
+                   json_string_value(json_object_get(row, "decision")));
+        }
+    }
+    code = report_silent(silent);
+    json_decref(answers);
+    json_decref(silent);
+    g_free(path);
+    return code;
+}
+
+static int
+run_burn(const CtlOrder *order)
+{
+    json_t *silent = json_array();
+    json_t *answers = ask_vms(order, "/v1/burn", silent);
+    json_t *merged = json_object();
+    json_t *rows;
+    const char *address;
+    json_t *counts;
+    int code;
+
+    json_object_foreach(answers, address, counts)
+    {
+        Burn_Merge(merged, counts);
+    }
+    rows = Burn_ListRows(merged);
+    if (order->json) {
+        json_t *report =
+            json_pack("{s:O, s:O}", "rows", rows, "silent", silent);
+        print_json(report);
+        json_decref(report);
+    }
+    else {
+        Burn_PrintRows(rows);
+    }
+    code = report_silent(silent);
+    if (Burn_IsAlert(rows)) {
+        code = CTL_EXIT_BAD;
+    }
+    json_decref(rows);
+    json_decref(merged);
+    json_decref(answers);
+    json_decref(silent);
+    return code;
+}
+
+/* Reads the files as parts and writes the manifest that names them. */
+static GString *
+load_parts(const CtlOrder *order, GPtrArray *parts, LsError *err)
+{
+    GString *manifest = g_string_new("{\"version\":1,\"parts\":[");
+
+    for (int i = 0; i < order->operand_count; i++) {
+        char *value;
+        char *name;
+        char *digest;
+        gsize size;
+        if (!g_file_get_contents(order->operands[i], &value, &size, NULL)) {
+            Err_Set(err, LS_ERR_CONFIG_PARSE, LS_RUN_NOT_RUN,
+                    "%s: can't be read", order->operands[i]);
+            g_string_free(manifest, TRUE);
+            return NULL;
+        }
+        name = g_path_get_basename(order->operands[i]);
+        digest = Con_GetDigest(value, size);
+        g_string_append_printf(manifest,
+                               "%s{\"name\":\"%s\",\"sha256\":\"%s\"}",
+                               i > 0 ? "," : "", name, digest);
+        g_ptr_array_add(parts, Con_NewPart(name, value, size));
+        g_free(value);
+        g_free(name);
+        g_free(digest);
+    }
+    g_string_append(manifest, "]}");
+    return manifest;
+}
+
+static int
+run_check(const CtlOrder *order)
+{
+    GPtrArray *parts =
+        g_ptr_array_new_with_free_func((GDestroyNotify)Con_FreePart);
+    LsError err = {0};
+    GString *manifest = load_parts(order, parts, &err);
+    ConConfig *config =
+        manifest != NULL
+            ? Con_LoadConfig(manifest->str, manifest->len, parts, &err)
+            : NULL;
+
+    if (config == NULL) {
+        printf("error %d: %s\n", err.code, err.message);
+    }
+    else {
+        printf("valid: %u customers, %u upstreams, %u models\n",
+               config->customers->len, config->upstreams->len,
+               config->models->len);
+        Con_UnloadConfig(config);
+    }
+    if (manifest != NULL) {
+        g_string_free(manifest, TRUE);
+    }
+    g_ptr_array_unref(parts);
+    return config != NULL ? SET_EXIT_OK : CTL_EXIT_BAD;
+}
+
+static int
+run_command(const char *command, const CtlOrder *order)
+{
+    if (strcmp(command, "status") == 0) {
+        return run_status(order);
+    }
+    if (strcmp(command, "check") == 0 && order->operand_count > 0) {
+        return run_check(order);
+    }
+    if (strcmp(command, "explain") == 0) {
+        return run_explain(order);
+    }
+    if (strcmp(command, "burn") == 0) {
+        return run_burn(order);
+    }
+    fprintf(stderr, "error %d: unknown command or missing operand: %s\n",
+            LS_ERR_SETTING, command);
+    return SET_EXIT_USAGE;
+}
+
+static void
+print_help(void **table)
+{
+    printf("Usage: lavenderspoolctl");
+    arg_print_syntax(stdout, table, "\n\n");
+    printf("  status             each VM's state\n"
+           "  check FILE...      checks configuration parts, offline\n"
+           "  explain REQUEST    why a request went where it did\n"
+           "  burn               service-level burn over 5 min, 1 h, 6 h\n\n");
+    arg_print_glossary(stdout, table, "  %-24s %s\n");
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_str *vms = arg_str0(NULL, "vms", "<IP:port,...>",
+                                   "operator addresses of the VMs");
+    struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
+    struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
+    struct arg_lit *version = arg_lit0(NULL, "version", "print the version");
+    struct arg_str *operands =
+        arg_strn(NULL, NULL, "<command>", 0, CTL_FILES_MAX, "see above");
+    struct arg_end *end = arg_end(4);
+    void *table[] = {vms, json, help, version, operands, end};
+    int errors = arg_parse(argc, argv, table);
+    const char *variable = getenv("LAVENDERSPOOL_VMS");
+    CtlOrder order = {0};
+    int code = SET_EXIT_OK;
+
+    if (help->count > 0) {
+        print_help(table);
+    }
+    else if (version->count > 0) {
+        printf("lavenderspoolctl %s\n", LS_VERSION);
+    }
+    else if (errors > 0 || operands->count == 0) {
+        arg_print_errors(stderr, end, "lavenderspoolctl");
+        fprintf(stderr, "error %d: see --help\n", LS_ERR_SETTING);
+        code = SET_EXIT_USAGE;
+    }
+    else {
+        const char *list = variable != NULL ? variable : CTL_VMS_DEFAULT;
+        order.vms =
+            g_strsplit(vms->count > 0 ? vms->sval[0] : list, ",", CTL_VMS_MAX);
+        order.json = json->count > 0;
+        order.operands = operands->sval + 1;
+        order.operand_count = operands->count - 1;
+        code = run_command(operands->sval[0], &order);
+        g_strfreev(order.vms);
+    }
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return code;
+}
--- /dev/null
+++ b/examples/quota_shares.c
@@ -0,0 +1,33 @@
+/* Quotas under a paused clock: each VM spends its share of a customer's rate;
+   the shares never add up to more than the contract. */
+#include "lavenderspool.h"
+
+#include <stdio.h>
+
+#define VM_COUNT 9
+#define CONTRACT_PER_S 45.0
+#define SECONDS 10
+
+int
+main(void)
+{
+    Clk clk = Clk_Default();
+    QuoBucket buckets[VM_COUNT] = {0};
+    double share = CONTRACT_PER_S / VM_COUNT;
+    int admitted = 0;
+
+    Clk_Pause(&clk, 1);
+    for (int ms = 0; ms < SECONDS * 1000; ms++) {
+        for (int vm = 0; vm < VM_COUNT; vm++) {
+            Quo_FillBucket(&buckets[vm], share, share, Clk_Now(&clk));
+            if (Quo_TakeFromBucket(&buckets[vm], 1) == 0) {
+                admitted++;
+            }
+        }
+        Clk_Advance(&clk, CLK_US_PER_MS);
+    }
+    printf("%d requests admitted in %d s; contract %.0f/s and one second's "
+           "burst\n",
+           admitted, SECONDS, CONTRACT_PER_S);
+    return admitted <= (SECONDS + 1) * (int)CONTRACT_PER_S ? 0 : 1;
+}
--- a/replay/rig.c
+++ b/replay/rig.c
@@ -1,4 +1,4 @@
-#include "rig.h"
+#include "rig_up.h"
 
 #include "ctl.h"
 #include "mem.h"
@@ -6,105 +6,6 @@
 #include "req.h"
 
 #include <string.h>
-#include <xxhash.h>
-
-#define RIG_CELL "lens@region"
-#define RIG_MODEL "lens"
-#define RIG_SERVICE "booking"
-#define RIG_PATH "/holds"
-#define RIG_LIST_US (5 * CLK_US_PER_S)
-#define RIG_LINK_SILENT_US (2500 * CLK_US_PER_MS)
-#define RIG_VIOLATION_MAX 256
-#define RIG_VMS_MAX 64
-#define RIG_GONE_US CLK_US_PER_S /* For memory of a caller that left. */
-
-typedef struct RigVm {
-    Rig *rig;
-    int index;
-    char id[16];
-    Board *board; /* NULL while dead. */
-    bool paused;
-    bool listed;
-    int64_t unlist_us; /* When the lagging list drops it. */
-    uint64_t incarnation;
-    GQueue *held; /* RigEvent * that wait for the process to wake. */
-} RigVm;
-
-typedef struct RigEngine {
-    char id[CON_ID_MAX];
-    char address[CON_ADDRESS_MAX];
-    bool prefill;
-    RigFault fault;
-    bool leaving;         /* By configuration. */
-    GHashTable *requests; /* id held in memory */
-    GHashTable *results;  /* id to expiry of a prefill's result */
-    GHashTable *faulted;  /* id that the fault has hit once */
-    int64_t prefill_free_us;
-    int64_t last_work_us;
-} RigEngine;
-
-typedef enum RigEventType {
-    RIG_EVENT_FRAME,
-    RIG_EVENT_ARRIVE, /* A call reaches its upstream. */
-    RIG_EVENT_PREFILLED,
-    RIG_EVENT_TOKEN,
-    RIG_EVENT_REPLY, /* An event of a call reaches its VM. */
-    RIG_EVENT_LINK_DOWN,
-    RIG_EVENT_CONFIG,
-} RigEventType;
-
-/* A call as its upstream sees it. */
-typedef struct RigCall {
-    int vm;
-    uint64_t incarnation; /* Of the calling process. */
-    uint64_t id;
-    char address[CON_ADDRESS_MAX];
-    char *path;
-    char *request;
-    char *key;
-    json_t *body;
-    bool closed; /* The VM gave it up. */
-    uint64_t seed;
-    uint32_t next;
-    uint32_t end;
-    bool cut;
-} RigCall;
-
-typedef struct RigEvent {
-    int64_t at_us;
-    uint64_t order;
-    RigEventType type;
-    int vm; /* At which it happens. */
-    int from;
-    uint64_t incarnation;
-    GBytes *frame;
-    RigCall *call;
-    BoardCallEventType reply;
-    int status;
-    char *data;
-    bool sent;
-    ConConfig *config;
-} RigEvent;
-
-struct Rig {
-    RigOptions options;
-    int64_t now_us;
-    uint64_t order;
-    GSequence *events;
-    GRand *rand;
-    RigVm vms[RIG_VMS_MAX];
-    bool cut[RIG_VMS_MAX][RIG_VMS_MAX];
-    GPtrArray *engines; /* RigEngine * */
-    GPtrArray *callers; /* RigCaller * */
-    GPtrArray *calls;   /* RigCall * */
-    GHashTable *runs;   /* key to count */
-    GHashTable *worked; /* request that reached an engine */
-    RigFault booking_fault;
-    uint64_t version;
-    uint64_t prefilled;
-    int64_t next_list_us;
-    char violation[RIG_VIOLATION_MAX];
-};
 
 static void start_process(Rig *rig, RigVm *vm);
 static void send_frame(void *context, const char *id,
@@ -150,8 +51,8 @@
     return left->order < right->order ? -1 : 1;
 }
 
-static RigEvent *
-add_event(Rig *rig, RigEventType type, int vm, int64_t delay_us)
+RigEvent *
+Rig_AddEvent(Rig *rig, RigEventType type, int vm, int64_t delay_us)
 {
     RigEvent *event = g_new0(RigEvent, 1);
 
@@ -420,7 +321,7 @@
 {
     for (int i = 0; i < rig->options.vm_count; i++) {
         if (i != vm) {
-            add_event(rig, RIG_EVENT_LINK_DOWN, i, delay_us)->from = vm;
+            Rig_AddEvent(rig, RIG_EVENT_LINK_DOWN, i, delay_us)->from = vm;
         }
     }
 }
@@ -494,9 +395,9 @@
 Rig_CutLink(Rig *rig, int from, int to, bool cut)
 {
     if (cut && !rig->cut[from][to]) {
-        add_event(rig, RIG_EVENT_LINK_DOWN, from, RIG_LINK_SILENT_US)->from =
-            to;
-        add_event(rig, RIG_EVENT_LINK_DOWN, to, RIG_LINK_SILENT_US)->from =
+        Rig_AddEvent(rig, RIG_EVENT_LINK_DOWN, from, RIG_LINK_SILENT_US)
+            ->from = to;
+        Rig_AddEvent(rig, RIG_EVENT_LINK_DOWN, to, RIG_LINK_SILENT_US)->from =
             from;
     }
     rig->cut[from][to] = cut;
@@ -531,7 +432,7 @@
     ((RigEngine *)rig->engines->pdata[engine])->leaving = true;
     rig->version++;
     for (int i = 0; i < rig->options.vm_count; i++) {
-        add_event(rig, RIG_EVENT_CONFIG, i, i * stagger_us)->config =
+        Rig_AddEvent(rig, RIG_EVENT_CONFIG, i, i * stagger_us)->config =
             load_config(rig);
     }
 }
@@ -578,127 +479,6 @@
 {
     return rig->prefilled;
 }
-
-static uint64_t
-get_seed(const char *prompt)
-{
-    return XXH64(prompt, strlen(prompt), 7);
-}
-
-static void
-append_token(GString *text, uint64_t seed, uint32_t number)
-{
-    g_string_append_printf(
-        text, "%03x ",
-        (unsigned)(XXH64(&number, sizeof(number), seed) & 0xfff));
-}
-
-static bool
-set_violation(Rig *rig, const RigCaller *caller, const char *what)
-{
-    g_snprintf(rig->violation, sizeof(rig->violation),
-               "caller %lu at vm-%d (%s): %s", (unsigned long)caller->number,
-               caller->vm, caller->key != NULL ? caller->key : caller->request,
-               what);
-    return false;
-}
-
-/* Checks that an answer is the beginning, or all, of the right one. */
-static bool
-check_text(Rig *rig, const RigCaller *caller)
-{
-    GString *whole = g_string_new(NULL);
-    bool ended = caller->terminals > 0 && caller->type == BOARD_ANSWER_END;
-    bool ok;
-
-    for (uint32_t i = 0; i < caller->max_tokens; i++) {
-        append_token(whole, get_seed(caller->prompt), i);
-    }
-    ok = ended ? strcmp(whole->str, caller->text->str) == 0
-               : g_str_has_prefix(whole->str, caller->text->str);
-    g_string_free(whole, TRUE);
-    return ok || set_violation(rig, caller, "the answer is not its request's");
-}
-
-static guint
-count_calls_of_key(const Rig *rig, const char *key)
-{
-    guint count = 0;
-
-    for (guint i = 0; i < rig->callers->len; i++) {
-        const RigCaller *caller = rig->callers->pdata[i];
-        count += g_strcmp0(caller->key, key) == 0 ? 1 : 0;
-    }
-    return count;
-}
-
-/* Checks that "not run" is said only of what was not run. */
-static bool
-check_not_run(Rig *rig, const RigCaller *caller)
-{
-    bool refused = caller->terminals > 0 &&
-                   caller->type == BOARD_ANSWER_ERROR &&
-                   caller->err.run == LS_RUN_NOT_RUN;
-
-    if (!refused) {
-        return true;
-    }
-    if (caller->key != NULL && count_calls_of_key(rig, caller->key) == 1 &&
-        Rig_CountRuns(rig, caller->key) > 0) {
-        return set_violation(rig, caller, "\"not run\", but it ran");
-    }
-    if (caller->request[0] != '\0' &&
-        g_hash_table_contains(rig->worked, caller->request)) {
-        return set_violation(rig, caller, "\"not run\", but work left");
-    }
-    return true;
-}
-
-static bool
-check_caller(Rig *rig, const RigCaller *caller, bool settled)
-{
-    if (caller->terminals > 1) {
-        return set_violation(rig, caller, "answered twice");
-    }
-    if (settled && caller->terminals == 0 && !caller->gone && !caller->lost) {
-        return set_violation(rig, caller, "not answered");
-    }
-    if (caller->prompt != NULL && !check_text(rig, caller)) {
-        return false;
-    }
-    return check_not_run(rig, caller);
-}
-
-const char *
-Rig_FindViolation(Rig *rig, bool settled)
-{
-    GHashTableIter iter;
-    gpointer key;
-    gpointer value;
-
-    for (guint i = 0; i < rig->callers->len; i++) {
-        if (!check_caller(rig, rig->callers->pdata[i], settled)) {
-            return rig->violation;
-        }
-    }
-    g_hash_table_iter_init(&iter, rig->runs);
-    while (g_hash_table_iter_next(&iter, &key, &value)) {
-        if (GPOINTER_TO_UINT(value) > 1) {
-            g_snprintf(rig->violation, sizeof(rig->violation),
-                       "operation %s ran %u times", (const char *)key,
-                       GPOINTER_TO_UINT(value));
-            return rig->violation;
-        }
-    }
-    if (settled && Rig_CountHeld(rig) > 0) {
-        g_snprintf(rig->violation, sizeof(rig->violation),
-                   "%u requests are left in engines' memory",
-                   Rig_CountHeld(rig));
-        return rig->violation;
-    }
-    return NULL;
-}
-
 static char *
 format_upstreams(const Rig *rig)
 {
@@ -841,7 +621,7 @@
         delay +=
             g_rand_int_range(rig->rand, 0, (gint32)rig->options.jitter_us);
     }
-    RigEvent *event = add_event(rig, RIG_EVENT_FRAME, to, delay);
+    RigEvent *event = Rig_AddEvent(rig, RIG_EVENT_FRAME, to, delay);
     event->from = from->index;
     event->frame = g_bytes_ref(bytes);
 }
@@ -866,12 +646,12 @@
     wire__frame__pack(frame, data);
     bytes = g_bytes_new_take(data, size);
     if (to >= 0 && rig->vms[to].board == NULL) {
-        add_event(rig, RIG_EVENT_LINK_DOWN, from->index,
-                  rig->options.latency_us)
+        Rig_AddEvent(rig, RIG_EVENT_LINK_DOWN, from->index,
+                     rig->options.latency_us)
             ->from = to;
     }
     else if (to >= 0 && (rig->cut[from->index][to] || is_dropped(rig))) {
-        add_event(rig, RIG_EVENT_LINK_DOWN, from->index, RIG_LINK_SILENT_US)
+        Rig_AddEvent(rig, RIG_EVENT_LINK_DOWN, from->index, RIG_LINK_SILENT_US)
             ->from = to;
     }
     else if (to >= 0) {
@@ -902,7 +682,7 @@
                      ? json_loadb(request->body, request->body_size, 0, NULL)
                      : NULL;
     g_ptr_array_add(rig->calls, call);
-    add_event(rig, RIG_EVENT_ARRIVE, vm->index, rig->options.latency_us)
+    Rig_AddEvent(rig, RIG_EVENT_ARRIVE, vm->index, rig->options.latency_us)
         ->call = call;
 }
 
@@ -947,344 +727,6 @@
     }
 }
 
-static void
-reply(Rig *rig, RigCall *call, BoardCallEventType type, int status,
-      const char *data, bool sent)
-{
-    RigEvent *event =
-        add_event(rig, RIG_EVENT_REPLY, call->vm, rig->options.latency_us);
-
-    event->incarnation = call->incarnation;
-    event->call = call;
-    event->reply = type;
-    event->status = status;
-    event->data = g_strdup(data);
-    event->sent = sent;
-}
-
-static void
-refuse(Rig *rig, RigCall *call, const char *code)
-{
-    char *body = g_strdup_printf("{\"error\":{\"code\":\"%s\"}}", code);
-    reply(rig, call, BOARD_CALL_END, 503, body, true);
-    g_free(body);
-}
-
-static RigEngine *
-find_engine(const Rig *rig, const char *address)
-{
-    for (guint i = 0; i < rig->engines->len; i++) {
-        RigEngine *engine = rig->engines->pdata[i];
-        if (strcmp(engine->address, address) == 0) {
-            return engine;
-        }
-    }
-    return NULL;
-}
-
-static void
-run_booking(Rig *rig, RigCall *call)
-{
-    guint runs = Rig_CountRuns(rig, call->key) + 1;
-
-    if (rig->booking_fault == RIG_FAULT_DOWN) {
-        reply(rig, call, BOARD_CALL_FAILED, 0, "", false);
-        return;
-    }
-    if (rig->booking_fault == RIG_FAULT_REFUSE) {
-        refuse(rig, call, "full");
-        return;
-    }
-    g_hash_table_replace(rig->runs, g_strdup(call->key),
-                         GUINT_TO_POINTER(runs));
-    if (rig->booking_fault == RIG_FAULT_LOSE) {
-        reply(rig, call, BOARD_CALL_FAILED, 0, "", true);
-    }
-    else if (rig->booking_fault != RIG_FAULT_SILENT) {
-        reply(rig, call, BOARD_CALL_END, 200, "{\"run\":1}", true);
-    }
-}
-
-static void
-list_requests(Rig *rig, RigCall *call, const RigEngine *engine)
-{
-    GString *text = g_string_new("{\"requests\":[");
-    GHashTableIter iter;
-    gpointer key;
-
-    g_hash_table_iter_init(&iter, engine->requests);
-    while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        g_string_append_printf(text, "%s\"%s\"",
-                               text->str[text->len - 1] == '[' ? "" : ",",
-                               (const char *)key);
-    }
-    g_string_append_printf(text, "],\"leaving\":%s}",
-                           engine->fault == RIG_FAULT_LEAVING ? "true"
-                                                              : "false");
-    reply(rig, call, BOARD_CALL_END, 200, text->str, true);
-    g_string_free(text, TRUE);
-}
-
-static void
-cancel_request(RigEngine *engine, const char *path)
-{
-    char *unescaped =
-        g_uri_unescape_string(path + strlen("/v1/requests/"), NULL);
-    char *end = g_strrstr(unescaped, "/cancel");
-
-    *end = '\0';
-    g_hash_table_remove(engine->requests, unescaped);
-    g_hash_table_remove(engine->results, unescaped);
-    g_free(unescaped);
-}
-
-static bool
-is_text_true(const json_t *body, const char *field)
-{
-    return json_is_true(
-        json_object_get(json_object_get(body, "kv_transfer_params"), field));
-}
-
-static void
-begin_prefill(Rig *rig, RigCall *call, RigEngine *engine)
-{
-    const char *prompt =
-        json_string_value(json_object_get(call->body, "prompt"));
-    int64_t tokens = (int64_t)strlen(prompt) / 4 + 1;
-
-    engine->prefill_free_us =
-        MAX(engine->prefill_free_us, rig->now_us) +
-        tokens * CLK_US_PER_S / rig->options.prefill_tokens_per_s;
-    rig->prefilled += (uint64_t)tokens;
-    add_event(rig, RIG_EVENT_PREFILLED, call->vm,
-              engine->prefill_free_us - rig->now_us)
-        ->call = call;
-}
-
-static RigEngine *
-find_result(const Rig *rig, const char *id)
-{
-    for (guint i = 0; i < rig->engines->len; i++) {
-        RigEngine *engine = rig->engines->pdata[i];
-        const int64_t *expiry = g_hash_table_lookup(engine->results, id);
-        if (expiry != NULL && *expiry >= rig->now_us) {
-            return engine;
-        }
-    }
-    return NULL;
-}
-
-static void
-begin_stream(Rig *rig, RigCall *call, uint32_t offset, uint32_t count,
-             const char *prompt)
-{
-    call->seed = get_seed(prompt);
-    call->next = offset;
-    call->end = offset + count;
-    add_event(rig, RIG_EVENT_TOKEN, call->vm, rig->options.token_interval_us)
-        ->call = call;
-}
-
-static uint32_t
-get_count(const RigCall *call, const char *field)
-{
-    return (uint32_t)json_integer_value(json_object_get(call->body, field));
-}
-
-static void
-begin_decode(Rig *rig, RigCall *call, RigEngine *engine)
-{
-    RigEngine *source = find_result(rig, call->request);
-
-    if (source != NULL && engine->fault == RIG_FAULT_FORGET &&
-        g_hash_table_add(engine->faulted, g_strdup(call->request))) {
-        engine->fault = RIG_FAULT_NONE;
-        source = NULL;
-    }
-    if (source == NULL) {
-        g_hash_table_remove(engine->requests, call->request);
-        refuse(rig, call, "kv_missing");
-        return;
-    }
-    g_hash_table_remove(source->results, call->request);
-    g_hash_table_remove(source->requests, call->request);
-    begin_stream(rig, call, get_count(call, "resume_offset"),
-                 get_count(call, "max_tokens"),
-                 json_string_value(json_object_get(call->body, "prompt")));
-}
-
-/* Goes on with a request that is still held, from an earlier call. */
-static void
-resume_stream(Rig *rig, RigCall *call, const RigEngine *engine)
-{
-    for (guint i = 0; i < rig->calls->len; i++) {
-        const RigCall *earlier = rig->calls->pdata[i];
-        if (earlier != call && earlier->end > 0 &&
-            g_strcmp0(earlier->request, call->request) == 0 &&
-            strcmp(earlier->address, call->address) == 0 &&
-            g_hash_table_contains(engine->requests, call->request)) {
-            call->seed = earlier->seed;
-            call->next = get_count(call, "resume_offset");
-            call->end = earlier->end;
-            call->cut = true;
-            add_event(rig, RIG_EVENT_TOKEN, call->vm,
-                      rig->options.token_interval_us)
-                ->call = call;
-            return;
-        }
-    }
-    refuse(rig, call, "no_such_request");
-}
-
-static void
-note_work(Rig *rig, const RigCall *call, RigEngine *engine)
-{
-    char *request = g_strdup(call->request);
-    char *slash = strrchr(request, '/');
-
-    if (slash != NULL) {
-        *slash = '\0';
-    }
-    g_hash_table_add(rig->worked, request);
-    engine->last_work_us = rig->now_us;
-}
-
-static void
-run_engine(Rig *rig, RigCall *call, RigEngine *engine)
-{
-    bool resume = json_is_true(json_object_get(call->body, "resume"));
-
-    if (engine->fault == RIG_FAULT_SILENT) {
-        return;
-    }
-    if (engine->fault == RIG_FAULT_DOWN) {
-        reply(rig, call, BOARD_CALL_FAILED, 0, "", false);
-    }
-    else if (strcmp(call->path, "/v1/requests") == 0) {
-        list_requests(rig, call, engine);
-    }
-    else if (g_str_has_suffix(call->path, "/cancel")) {
-        cancel_request(engine, call->path);
-        reply(rig, call, BOARD_CALL_END, 200, "{}", true);
-    }
-    else if (resume) {
-        resume_stream(rig, call, engine);
-    }
-    else if (engine->fault == RIG_FAULT_LEAVING) {
-        refuse(rig, call, "leaving");
-    }
-    else if (engine->fault == RIG_FAULT_REFUSE ||
-             g_hash_table_size(engine->requests) >= rig->options.slots) {
-        refuse(rig, call, "full");
-    }
-    else {
-        note_work(rig, call, engine);
-        g_hash_table_add(engine->requests, g_strdup(call->request));
-        if (is_text_true(call->body, "do_remote_decode")) {
-            begin_prefill(rig, call, engine);
-        }
-        else {
-            begin_decode(rig, call, engine);
-        }
-    }
-}
-
-static void
-end_prefill(Rig *rig, RigCall *call)
-{
-    RigEngine *engine = find_engine(rig, call->address);
-    int64_t *expiry;
-
-    if (!g_hash_table_contains(engine->requests, call->request)) {
-        return; /* Cancelled. */
-    }
-    expiry = g_new(int64_t, 1);
-    *expiry = rig->now_us + rig->options.kv_life_us;
-    g_hash_table_replace(engine->results, g_strdup(call->request), expiry);
-    if (engine->fault != RIG_FAULT_SILENT) {
-        reply(rig, call, BOARD_CALL_END, 200,
-              "{\"kv_transfer_params\":{\"remote_engine_id\":0}}", true);
-    }
-}
-
-static void
-expire_results(Rig *rig)
-{
-    for (guint i = 0; i < rig->engines->len; i++) {
-        RigEngine *engine = rig->engines->pdata[i];
-        GHashTableIter iter;
-        gpointer key;
-        gpointer value;
-        g_hash_table_iter_init(&iter, engine->results);
-        while (g_hash_table_iter_next(&iter, &key, &value)) {
-            if (*(int64_t *)value < rig->now_us) {
-                g_hash_table_remove(engine->requests, key);
-                g_hash_table_iter_remove(&iter);
-            }
-        }
-    }
-}
-
-/* Generates one token. A stream whose call was closed stops, and its request
-   stays in memory until it is cancelled or resumed. */
-static void
-generate_token(Rig *rig, RigCall *call)
-{
-    RigEngine *engine = find_engine(rig, call->address);
-    GString *text = g_string_new(NULL);
-    bool last = call->next + 1 >= call->end;
-    char *data;
-
-    if (call->closed || engine->fault == RIG_FAULT_SILENT ||
-        !g_hash_table_contains(engine->requests, call->request)) {
-        g_string_free(text, TRUE);
-        return;
-    }
-    if (engine->fault == RIG_FAULT_DOWN ||
-        (engine->fault == RIG_FAULT_CUT && !call->cut && call->next >= 2)) {
-        reply(rig, call, BOARD_CALL_FAILED, 200, "", true);
-        g_string_free(text, TRUE);
-        return;
-    }
-    append_token(text, call->seed, call->next);
-    data = g_strdup_printf(
-        "{\"offset\":%u,\"tokens\":1,\"choices\":[{\"text\":\"%s\","
-        "\"finish_reason\":%s}]}",
-        call->next, text->str, last ? "\"length\"" : "null");
-    if (engine->fault != RIG_FAULT_SKIP || call->next != 2) {
-        reply(rig, call, BOARD_CALL_DATA, 200, data, true);
-    }
-    if (engine->fault == RIG_FAULT_REPEAT) {
-        reply(rig, call, BOARD_CALL_DATA, 200, data, true);
-    }
-    g_free(data);
-    g_string_free(text, TRUE);
-    call->next++;
-    if (last) {
-        g_hash_table_remove(engine->requests, call->request);
-        reply(rig, call, BOARD_CALL_DATA, 200, "[DONE]", true);
-        reply(rig, call, BOARD_CALL_END, 200, "", true);
-        return;
-    }
-    add_event(rig, RIG_EVENT_TOKEN, call->vm, rig->options.token_interval_us)
-        ->call = call;
-}
-
-static void
-arrive(Rig *rig, RigCall *call)
-{
-    RigEngine *engine = find_engine(rig, call->address);
-
-    /* A call that its sender gave up on the way arrives all the same. */
-    expire_results(rig);
-    if (engine != NULL) {
-        run_engine(rig, call, engine);
-    }
-    else {
-        run_booking(rig, call);
-    }
-}
-
 static void
 deliver_reply(Board *board, const RigEvent *event)
 {
@@ -1348,13 +790,13 @@
     RigVm *vm = &rig->vms[event->vm];
 
     if (event->type == RIG_EVENT_ARRIVE) {
-        arrive(rig, event->call);
+        RigUp_Arrive(rig, event->call);
     }
     else if (event->type == RIG_EVENT_PREFILLED) {
-        end_prefill(rig, event->call);
+        RigUp_EndPrefill(rig, event->call);
     }
     else if (event->type == RIG_EVENT_TOKEN) {
-        generate_token(rig, event->call);
+        RigUp_GenerateToken(rig, event->call);
     }
     else if (vm->board != NULL && (event->type == RIG_EVENT_CONFIG ||
                                    event->incarnation == vm->incarnation)) {
--- /dev/null
+++ b/src/att.c
@@ -0,0 +1,357 @@
+#include "att.h"
+
+#include "eng.h"
+#include "plc.h"
+#include "reap.h"
+#include "req.h"
+
+#include <string.h>
+
+#define ATT_GRANT_SLACK_US (2 * CLK_US_PER_S) /* Beyond the home's own. */
+#define ATT_PREFILL_SLACK_US CLK_US_PER_S
+#define ATT_PREFILL_FACTOR 4 /* Of the time the prefill should take. */
+#define ATT_FIRST_CHUNK_SLACK_US (2 * CLK_US_PER_S)
+#define ATT_GAP_MIN_US (2 * CLK_US_PER_S)
+#define ATT_GAP_TOKENS 20 /* Token intervals without a token. */
+
+static int64_t get_prefill_us(const Board *board, const AttCompletion *item);
+static int64_t get_transfer_us(const Board *board, const AttCompletion *item);
+static EngWork get_work(const AttCompletion *item);
+static void begin_engine_call(Board *board, AttCompletion *item,
+                              const char *upstream, char *body, bool stream,
+                              BoardCallHandler handler);
+static bool check_upstream(Board *board, AttCompletion *item,
+                           const char *upstream);
+static void begin_decode(Board *board, AttCompletion *item,
+                         const json_t *params);
+static void send_prefill_end(Board *board, const AttCompletion *item);
+static void handle_engine_failure(Board *board, AttCompletion *item,
+                                  const char *upstream,
+                                  const BoardCallEvent *event);
+static void handle_prefill(Board *board, void *owner,
+                           const BoardCallEvent *event);
+static bool deliver_chunk(Board *board, AttCompletion *item,
+                          const EngChunk *chunk);
+static void handle_decode(Board *board, void *owner,
+                          const BoardCallEvent *event);
+
+bool
+Att_HasGrant(const AttCompletion *item)
+{
+    return item->stage == ATT_PREFILL || item->stage == ATT_DECODE;
+}
+
+void
+Att_SetStage(Board *board, AttCompletion *item, AttStage stage)
+{
+    item->stage = stage;
+    item->progress_us = Board_Now(board);
+    item->recheck_us = item->progress_us + REQ_RECHECK_US;
+}
+
+/* Longest time without progress that the present stage allows. */
+int64_t
+Att_GetTimeout(const Board *board, const AttCompletion *item)
+{
+    const ConUpstream *spec = Con_FindUpstream(board->config, item->decode);
+    int64_t interval = spec != NULL ? spec->token_interval_us : 0;
+
+    switch (item->stage) {
+    case ATT_WAIT_GRANT:
+        return item->first_token_target_us + ATT_GRANT_SLACK_US;
+    case ATT_PREFILL:
+        return ATT_PREFILL_SLACK_US +
+               ATT_PREFILL_FACTOR * get_prefill_us(board, item);
+    case ATT_DECODE:
+        if (!item->kv_used) {
+            return ATT_FIRST_CHUNK_SLACK_US +
+                   ATT_PREFILL_FACTOR * get_transfer_us(board, item);
+        }
+        return MAX(ATT_GAP_MIN_US, ATT_GAP_TOKENS * interval);
+    case ATT_BACKOFF:
+        break;
+    }
+    return REQ_DEADLINE_US;
+}
+
+void
+Att_BeginPrefill(Board *board, AttCompletion *item)
+{
+    EngWork work = get_work(item);
+
+    Att_SetStage(board, item, ATT_PREFILL);
+    if (!check_upstream(board, item, item->prefill)) {
+        return;
+    }
+    Met_Add(MET_PREFILLS, 1);
+    Met_Add(MET_PREFILL_TOKENS, item->prompt_tokens + item->tokens);
+    begin_engine_call(board, item, item->prefill, Eng_FormatPrefill(&work),
+                      false, handle_prefill);
+}
+
+/* Asks the present decode engine to go on from the last token received. */
+void
+Att_BeginResume(Board *board, AttCompletion *item)
+{
+    EngWork work = get_work(item);
+
+    item->resumed = true;
+    Board_EndCall(board, item->call);
+    Att_SetStage(board, item, ATT_DECODE);
+    if (!check_upstream(board, item, item->decode)) {
+        return;
+    }
+    Met_Add(MET_UPSTREAM_RETRIES, 1);
+    begin_engine_call(board, item, item->decode, Eng_FormatResume(&work), true,
+                      handle_decode);
+}
+
+/* Gives up what the attempt holds at engines; their cancels are sent even
+   where a call seems dead, since the engine may not have noticed. */
+void
+Att_Drop(Board *board, AttCompletion *item)
+{
+    const char *const upstreams[] = {item->prefill, item->decode};
+    char engine_request[BOARD_REQUEST_MAX];
+
+    if (item->call != 0) {
+        /* Without its end, nobody can tell that nothing left. */
+        item->sent = true;
+        Board_EndCall(board, item->call);
+        item->call = 0;
+    }
+    if (!Att_HasGrant(item)) {
+        return;
+    }
+    if (!item->kv_used) {
+        Met_Add(MET_PREFILL_TOKENS_WASTED, item->prompt_tokens + item->tokens);
+    }
+    g_snprintf(engine_request, sizeof(engine_request), "%s/%u", item->id,
+               item->attempt);
+    for (size_t i = 0; i < G_N_ELEMENTS(upstreams); i++) {
+        const ConUpstream *spec =
+            Con_FindUpstream(board->config, upstreams[i]);
+        bool reached = i == 0 || item->stage == ATT_DECODE;
+        if (spec != NULL && reached) {
+            Reap_CancelAtEngine(board, spec, engine_request);
+        }
+    }
+}
+
+/* Expected time of the prefill on the upstream of the grant. */
+static int64_t
+get_prefill_us(const Board *board, const AttCompletion *item)
+{
+    const ConUpstream *spec = Con_FindUpstream(board->config, item->prefill);
+    uint32_t rate = spec != NULL ? spec->prefill_tokens_per_s : 1000;
+    return (int64_t)item->prompt_tokens * CLK_US_PER_S / rate;
+}
+
+/* Expected time of the KV transfer on the decode upstream's link. */
+static int64_t
+get_transfer_us(const Board *board, const AttCompletion *item)
+{
+    const ConUpstream *spec = Con_FindUpstream(board->config, item->decode);
+    const ConModel *model = Con_FindModel(board->config, item->model);
+
+    if (spec == NULL || model == NULL) {
+        return CLK_US_PER_S;
+    }
+    return (int64_t)((double)item->prompt_tokens * model->kv_bytes_per_token /
+                     (double)spec->link_bytes_per_s * (double)CLK_US_PER_S);
+}
+
+static EngWork
+get_work(const AttCompletion *item)
+{
+    EngWork work = {0};
+
+    work.model = item->model;
+    work.prompt = item->prompt;
+    work.resume_text = item->text->str;
+    work.resume_offset = item->tokens;
+    work.max_tokens = item->max_tokens - item->tokens;
+    work.priority = item->priority;
+    return work;
+}
+
+/* Posts one body to an engine under the attempt's identifier. */
+static void
+begin_engine_call(Board *board, AttCompletion *item, const char *upstream,
+                  char *body, bool stream, BoardCallHandler handler)
+{
+    const ConUpstream *spec = Con_FindUpstream(board->config, upstream);
+    char engine_request[BOARD_REQUEST_MAX];
+    BoardCall call = {0};
+
+    g_snprintf(engine_request, sizeof(engine_request), "%s/%u", item->id,
+               item->attempt);
+    call.method = "POST";
+    call.address = spec->address;
+    call.path = "/v1/completions";
+    call.body = body;
+    call.body_size = strlen(body);
+    call.request = engine_request;
+    call.stream = stream;
+    call.fresh = item->resumed;
+    item->call = Board_BeginCall(board, &call, handler, item);
+    free(body);
+}
+
+/* Fails the attempt if the upstream left the configuration. */
+static bool
+check_upstream(Board *board, AttCompletion *item, const char *upstream)
+{
+    const ConUpstream *spec = Con_FindUpstream(board->config, upstream);
+
+    if (spec != NULL) {
+        return true;
+    }
+    Req_FailAttempt(board, item, PLC_OUTCOME_LEAVING, upstream,
+                    LS_ERR_NO_UPSTREAM, "the upstream left the configuration");
+    return false;
+}
+
+static void
+begin_decode(Board *board, AttCompletion *item, const json_t *params)
+{
+    EngWork work = get_work(item);
+
+    Att_SetStage(board, item, ATT_DECODE);
+    if (!check_upstream(board, item, item->decode)) {
+        return;
+    }
+    begin_engine_call(board, item, item->decode,
+                      Eng_FormatDecode(&work, params), true, handle_decode);
+}
+
+static void
+send_prefill_end(Board *board, const AttCompletion *item)
+{
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    Wire__PrefillEnd end = WIRE__PREFILL_END__INIT;
+
+    end.cell = (char *)item->cell;
+    end.request = (char *)item->id;
+    end.attempt = item->attempt;
+    frame.body_case = WIRE__FRAME__BODY_PREFILL_END;
+    frame.prefill_end = &end;
+    Board_SendFrame(board, item->home, &frame);
+}
+
+/* Fails an attempt by what an engine's answer says. */
+static void
+handle_engine_failure(Board *board, AttCompletion *item, const char *upstream,
+                      const BoardCallEvent *event)
+{
+    EngRefusal refusal = ENG_REFUSAL_OTHER;
+
+    if (event->type == BOARD_CALL_END && event->status != 200) {
+        refusal = Eng_ParseRefusal(event->data, event->size);
+    }
+    switch (refusal) {
+    case ENG_REFUSAL_FULL:
+        Req_FailAttempt(board, item, PLC_OUTCOME_REFUSED, upstream,
+                        LS_ERR_OVERLOAD, "the engine was full");
+        return;
+    case ENG_REFUSAL_LEAVING:
+        Req_FailAttempt(board, item, PLC_OUTCOME_LEAVING, upstream,
+                        LS_ERR_NO_UPSTREAM, "the engine is leaving");
+        return;
+    case ENG_REFUSAL_KV_MISSING:
+        Req_FailAttempt(board, item, PLC_OUTCOME_DONE, "",
+                        LS_ERR_UPSTREAM_FAILED, "the prefill result was gone");
+        return;
+    case ENG_REFUSAL_OTHER:
+        break;
+    }
+    Req_FailAttempt(board, item, PLC_OUTCOME_FAILED, upstream,
+                    LS_ERR_UPSTREAM_FAILED, "the engine failed");
+}
+
+static void
+handle_prefill(Board *board, void *owner, const BoardCallEvent *event)
+{
+    AttCompletion *item = owner;
+    json_t *params = NULL;
+
+    if (event->type == BOARD_CALL_DATA) {
+        return;
+    }
+    item->call = 0;
+    item->sent = item->sent || event->sent;
+    if (event->type == BOARD_CALL_END && event->status == 200) {
+        params = Eng_ParsePrefill(event->data, event->size);
+    }
+    if (params == NULL) {
+        handle_engine_failure(board, item, item->prefill, event);
+        return;
+    }
+    send_prefill_end(board, item);
+    begin_decode(board, item, params);
+    json_decref(params);
+}
+
+/* Passes a chunk on if it continues the answer exactly. */
+static bool
+deliver_chunk(Board *board, AttCompletion *item, const EngChunk *chunk)
+{
+    BoardAnswer answer = {0};
+
+    if (chunk->offset + chunk->tokens <= item->tokens && chunk->tokens > 0) {
+        Met_Add(MET_CHUNKS_DROPPED, 1);
+        return true;
+    }
+    if (chunk->offset != item->tokens) {
+        return false;
+    }
+    if (item->first_token_us == 0) {
+        item->first_token_us = Board_Now(board);
+    }
+    answer.type = BOARD_ANSWER_CHUNK;
+    answer.offset = item->tokens;
+    answer.text = chunk->text;
+    answer.size = strlen(chunk->text);
+    item->tokens += chunk->tokens;
+    g_string_append(item->text, chunk->text);
+    if (chunk->finish_reason != NULL) {
+        g_strlcpy(item->finish_reason, chunk->finish_reason,
+                  sizeof(item->finish_reason));
+    }
+    Board_Answer(board, item->caller, &answer);
+    return true;
+}
+
+static void
+handle_decode(Board *board, void *owner, const BoardCallEvent *event)
+{
+    AttCompletion *item = owner;
+    EngChunk chunk;
+    bool ok;
+
+    item->sent = item->sent || event->sent;
+    if (event->type == BOARD_CALL_DATA) {
+        ok = Eng_ParseChunk(event->data, event->size, &chunk);
+        item->progress_us = Board_Now(board);
+        item->kv_used = true;
+        if (ok && !chunk.done) {
+            ok = deliver_chunk(board, item, &chunk);
+        }
+        Eng_ClearChunk(&chunk);
+        if (!ok) {
+            Req_FailAttempt(board, item, PLC_OUTCOME_FAILED, item->decode,
+                            LS_ERR_UPSTREAM_FAILED, "the stream had a gap");
+        }
+        return;
+    }
+    item->call = 0;
+    if (item->finish_reason[0] != '\0') {
+        Req_Finish(board, item);
+        return;
+    }
+    if (item->kv_used && !item->resumed) {
+        Att_BeginResume(board, item);
+        return;
+    }
+    handle_engine_failure(board, item, item->decode, event);
+}
--- a/src/board.c
+++ b/src/board.c
@@ -6,6 +6,7 @@
 #include "quo.h"
 #include "req.h"
 #include "ring.h"
+#include "slo.h"
 #include "svc.h"
 
 #include <string.h>
@@ -55,6 +56,7 @@
     board->svc = Svc_New();
     board->quo = Quo_New();
     board->ring = Ring_New();
+    board->slo = Slo_New();
     return board;
 }
 
@@ -68,6 +70,7 @@
     Quo_Free(board->quo);
     Mem_Free(board->mem);
     Ring_Free(board->ring);
+    Slo_Free(board->slo);
     Con_UnloadConfig(board->config);
     g_hash_table_unref(board->calls);
     g_queue_free_full(board->local, (GDestroyNotify)g_bytes_unref);
--- a/src/board.h
+++ b/src/board.h
@@ -117,6 +117,7 @@
     struct Svc *svc;
     struct Quo *quo;
     struct Ring *ring;
+    struct Slo *slo;
 };
 
 BoardOptions Board_DefaultOptions(void);
--- a/src/node.c
+++ b/src/node.c
@@ -9,6 +9,7 @@
 #include "quo.h"
 #include "req.h"
 #include "ring.h"
+#include "slo.h"
 #include "svc.h"
 #include "up.h"
 #include "web.h"
@@ -147,8 +148,9 @@
 
     g_array_set_size(node->fds, 0);
     Peer_AddPollFds(node->peer, node->fds);
-    Up_Run(node->up, (struct pollfd *)(void *)node->fds->data, node->fds->len,
-           (int)(CLAMP(wait_us, 0, BOARD_TICK_US) / CLK_US_PER_MS));
+    Up_Run(node->up, node->fds,
+           (int)((CLAMP(wait_us, 0, BOARD_TICK_US) + CLK_US_PER_MS - 1) /
+                 CLK_US_PER_MS));
     if (Board_Now(node->board) >= node->next_tick_us) {
         /* The tick goes first: after a pause it is what marks the picture
            stale, before any frame is acted on. */
@@ -506,6 +508,9 @@
     case WEB_INTENT_STATUS:
         answer_status(node, intent);
         break;
+    case WEB_INTENT_BURN:
+        answer_json(node, intent->caller, 200, Slo_Describe(node->board));
+        break;
     case WEB_INTENT_EXPLAIN:
         answer_json(node, intent->caller, 200,
                     Ring_Find(node->board, intent->path));
--- a/src/req.h
+++ b/src/req.h
@@ -4,7 +4,8 @@
 #ifndef LS_REQ_H
 #define LS_REQ_H
 
-#include "board.h"
+#include "att.h"
+#include "plc.h"
 
 #define REQ_DEADLINE_US (120 * CLK_US_PER_S)
 #define REQ_ATTEMPTS_MAX 4
@@ -38,6 +39,13 @@
 /* The link to a VM failed: requests that wait for its grant go elsewhere. */
 void Req_OnLinkDown(Board *board, const char *vm);
 void Req_OnTick(Board *board);
+/* Ends the present attempt and plans the next one, or answers with the error
+   when the attempts or the retry budget are used up. `blamed` names the
+   upstream at fault, if any. */
+void Req_FailAttempt(Board *board, AttCompletion *item, PlcOutcome outcome,
+                     const char *blamed, LsResult code, const char *message);
+/* The answer is whole: tells caller and home. */
+void Req_Finish(Board *board, AttCompletion *item);
 guint Req_Count(const Req *req); /* Completions in progress. */
 
 #endif
--- /dev/null
+++ b/src/slo.c
@@ -0,0 +1,122 @@
+#include "slo.h"
+
+#define SLO_WINDOW_COUNT 3
+#define SLO_HOUR_BUCKETS 12 /* Long buckets in an hour. */
+
+static const char *const target_names[SLO_TARGET_COUNT] = {
+    "answered", "first_token", "per_token"};
+
+/* Counts of one bucket; `number` says which stretch of time it is of. */
+typedef struct SloBucket {
+    int64_t number;
+    uint32_t total[SLO_TARGET_COUNT];
+    uint32_t bad[SLO_TARGET_COUNT];
+} SloBucket;
+
+typedef struct SloCustomer {
+    SloBucket shorts[SLO_SHORT_COUNT];
+    SloBucket longs[SLO_LONG_COUNT];
+} SloCustomer;
+
+struct Slo {
+    GHashTable *customers; /* id to SloCustomer */
+};
+
+static void count_in(SloBucket *ring, int size, int64_t number,
+                     SloTarget target, bool met);
+static json_t *sum_ring(const SloBucket *ring, int size, int64_t newest,
+                        int wanted, SloTarget target);
+
+Slo *
+Slo_New(void)
+{
+    Slo *slo = g_new0(Slo, 1);
+    slo->customers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return slo;
+}
+
+void
+Slo_Free(Slo *slo)
+{
+    g_hash_table_unref(slo->customers);
+    g_free(slo);
+}
+
+void
+Slo_Count(Board *board, const char *customer, SloTarget target, bool met)
+{
+    SloCustomer *counts = g_hash_table_lookup(board->slo->customers, customer);
+    int64_t now = Board_Now(board);
+
+    if (counts == NULL) {
+        counts = g_new0(SloCustomer, 1);
+        g_hash_table_insert(board->slo->customers, g_strdup(customer), counts);
+    }
+    count_in(counts->shorts, SLO_SHORT_COUNT, now / SLO_SHORT_US, target, met);
+    count_in(counts->longs, SLO_LONG_COUNT, now / SLO_LONG_US, target, met);
+}
+
+json_t *
+Slo_Describe(const Board *board)
+{
+    json_t *all = json_object();
+    int64_t now = Board_Now(board);
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, board->slo->customers);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const SloCustomer *counts = value;
+        json_t *customer = json_object();
+        for (int t = 0; t < SLO_TARGET_COUNT; t++) {
+            SloTarget target = (SloTarget)t;
+            json_object_set_new(
+                customer, target_names[t],
+                json_pack(
+                    "{s:o, s:o, s:o}", "300",
+                    sum_ring(counts->shorts, SLO_SHORT_COUNT,
+                             now / SLO_SHORT_US, SLO_SHORT_COUNT, target),
+                    "3600",
+                    sum_ring(counts->longs, SLO_LONG_COUNT, now / SLO_LONG_US,
+                             SLO_HOUR_BUCKETS, target),
+                    "21600",
+                    sum_ring(counts->longs, SLO_LONG_COUNT, now / SLO_LONG_US,
+                             SLO_LONG_COUNT, target)));
+        }
+        json_object_set_new(all, key, customer);
+    }
+    return all;
+}
+
+static void
+count_in(SloBucket *ring, int size, int64_t number, SloTarget target, bool met)
+{
+    SloBucket *bucket = &ring[number % size];
+
+    if (bucket->number != number) {
+        SloBucket empty = {0};
+        *bucket = empty;
+        bucket->number = number;
+    }
+    bucket->total[target]++;
+    bucket->bad[target] += met ? 0 : 1;
+}
+
+/* Total and bad of the `wanted` newest buckets. */
+static json_t *
+sum_ring(const SloBucket *ring, int size, int64_t newest, int wanted,
+         SloTarget target)
+{
+    json_int_t total = 0;
+    json_int_t bad = 0;
+
+    for (int i = 0; i < size; i++) {
+        if (ring[i].number > newest - wanted && ring[i].number <= newest) {
+            total += ring[i].total[target];
+            bad += ring[i].bad[target];
+        }
+    }
+    return json_pack("[I, I]", total, bad);
+}
--- a/src/up.c
+++ b/src/up.c
@@ -2,9 +2,14 @@
 
 #include <poll.h>
 #include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #define UP_EVENT_PREFIX "data:"
 #define UP_CONNECTIONS_MAX 512L
+#define UP_BUFFER_BYTES 4096L /* Of one read; held by each call. */
+#define UP_EVENTS_MAX 256     /* Descriptors handled in one round. */
 
 typedef struct UpCall {
     Up *up;
@@ -15,16 +20,24 @@
     char *body;
     GString *answer; /* Body, or the present line of a stream. */
     int status;
+    bool is_dirty; /* Stands in the list of calls with new lines. */
 } UpCall;
 
 struct Up {
     UpOptions options;
     CURLM *multi;
+    int epoll;         /* Of libcurl's sockets. */
+    int wake;          /* Eventfd of Up_Wake. */
+    int64_t timer_us;  /* When libcurl wants to be called; 0 for never. */
     GHashTable *calls; /* id to UpCall */
+    GArray *dirty;     /* gint64 ids of streams with new lines. */
 };
 
 static size_t write_answer(char *data, size_t size, size_t count,
                            void *context);
+static int watch_socket(CURL *easy, curl_socket_t fd, int what, void *context,
+                        void *present);
+static int set_timer(CURLM *multi, long timeout_ms, void *context);
 static void free_call(gpointer data);
 static void finish_calls(Up *up);
 
@@ -43,7 +56,14 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
     up->options = *options;
     up->multi = curl_multi_init();
+    up->epoll = epoll_create1(EPOLL_CLOEXEC);
+    up->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    up->dirty = g_array_new(FALSE, FALSE, sizeof(gint64));
     curl_multi_setopt(up->multi, CURLMOPT_MAXCONNECTS, UP_CONNECTIONS_MAX);
+    curl_multi_setopt(up->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+    curl_multi_setopt(up->multi, CURLMOPT_SOCKETDATA, up);
+    curl_multi_setopt(up->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+    curl_multi_setopt(up->multi, CURLMOPT_TIMERDATA, up);
     up->calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_call);
     return up;
@@ -54,6 +74,9 @@
 {
     g_hash_table_unref(up->calls);
     curl_multi_cleanup(up->multi);
+    g_array_unref(up->dirty);
+    close(up->epoll);
+    close(up->wake);
     g_free(up);
 }
 
@@ -111,6 +134,7 @@
     curl_easy_setopt(call->easy, CURLOPT_PROXY, "");
     curl_easy_setopt(call->easy, CURLOPT_CONNECTTIMEOUT_MS, UP_CONNECT_MS);
     curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, UP_TOTAL_MS);
+    curl_easy_setopt(call->easy, CURLOPT_BUFFERSIZE, UP_BUFFER_BYTES);
     curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, write_answer);
     curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
     curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
@@ -133,33 +157,102 @@
     g_hash_table_remove(up->calls, &key);
 }
 
-void
-Up_Run(Up *up, struct pollfd *extra, guint count, int timeout_ms)
+/* Time to wait: the caller's, or less when libcurl's timer comes first. */
+static int
+get_timeout(const Up *up, int timeout_ms)
+{
+    int64_t left_us;
+
+    if (up->timer_us == 0) {
+        return timeout_ms;
+    }
+    left_us = MAX(up->timer_us - g_get_monotonic_time(), 0);
+    return (int)MIN((left_us + CLK_US_PER_MS - 1) / CLK_US_PER_MS, timeout_ms);
+}
+
+/* Lets libcurl handle its sockets that are ready, and its timer. */
+static void
+run_sockets(Up *up)
 {
-    struct curl_waitfd *fds = g_newa(struct curl_waitfd, count + 1);
+    struct epoll_event events[UP_EVENTS_MAX];
     int running;
+    int count = epoll_wait(up->epoll, events, UP_EVENTS_MAX, 0);
 
-    for (guint i = 0; i < count; i++) {
-        fds[i].fd = extra[i].fd;
-        fds[i].events = 0;
-        fds[i].events |= (extra[i].events & POLLIN) ? CURL_WAIT_POLLIN : 0;
-        fds[i].events |= (extra[i].events & POLLOUT) ? CURL_WAIT_POLLOUT : 0;
-        fds[i].revents = 0;
+    for (int i = 0; i < count; i++) {
+        int mask = 0;
+        mask |= (events[i].events & EPOLLIN) ? CURL_CSELECT_IN : 0;
+        mask |= (events[i].events & EPOLLOUT) ? CURL_CSELECT_OUT : 0;
+        mask |=
+            (events[i].events & (EPOLLERR | EPOLLHUP)) ? CURL_CSELECT_ERR : 0;
+        curl_multi_socket_action(up->multi, events[i].data.fd, mask, &running);
     }
-    curl_multi_poll(up->multi, fds, count, timeout_ms, NULL);
-    for (guint i = 0; i < count; i++) {
-        extra[i].revents = 0;
-        extra[i].revents |= (fds[i].revents & CURL_WAIT_POLLIN) ? POLLIN : 0;
-        extra[i].revents |= (fds[i].revents & CURL_WAIT_POLLOUT) ? POLLOUT : 0;
+    if (up->timer_us != 0 && g_get_monotonic_time() >= up->timer_us) {
+        up->timer_us = 0;
+        curl_multi_socket_action(up->multi, CURL_SOCKET_TIMEOUT, 0, &running);
     }
-    curl_multi_perform(up->multi, &running);
+}
+
+void
+Up_Run(Up *up, GArray *fds, int timeout_ms)
+{
+    struct pollfd own[] = {{up->epoll, POLLIN, 0}, {up->wake, POLLIN, 0}};
+    uint64_t count;
+
+    g_array_append_vals(fds, own, G_N_ELEMENTS(own));
+    poll((struct pollfd *)(void *)fds->data, fds->len,
+         get_timeout(up, timeout_ms));
+    g_array_set_size(fds, fds->len - G_N_ELEMENTS(own));
+    while (read(up->wake, &count, sizeof(count)) > 0) {
+        continue;
+    }
+    run_sockets(up);
     finish_calls(up);
 }
 
 void
 Up_Wake(Up *up)
 {
-    curl_multi_wakeup(up->multi);
+    uint64_t one = 1;
+    ssize_t put = write(up->wake, &one, sizeof(one));
+
+    (void)put; /* A full counter wakes the loop as well. */
+}
+
+/* libcurl tells which of its sockets to watch, and for what. */
+static int
+watch_socket(CURL *easy, curl_socket_t fd, int what, void *context,
+             void *present)
+{
+    Up *up = context;
+    struct epoll_event event = {0};
+
+    (void)easy;
+    event.data.fd = fd;
+    event.events |= (what & CURL_POLL_IN) ? EPOLLIN : 0;
+    event.events |= (what & CURL_POLL_OUT) ? EPOLLOUT : 0;
+    if (what == CURL_POLL_REMOVE) {
+        epoll_ctl(up->epoll, EPOLL_CTL_DEL, fd, NULL);
+    }
+    else if (present != NULL) {
+        epoll_ctl(up->epoll, EPOLL_CTL_MOD, fd, &event);
+    }
+    else {
+        epoll_ctl(up->epoll, EPOLL_CTL_ADD, fd, &event);
+        curl_multi_assign(up->multi, fd, up);
+    }
+    return 0;
+}
+
+static int
+set_timer(CURLM *multi, long timeout_ms, void *context)
+{
+    Up *up = context;
+
+    (void)multi;
+    up->timer_us = timeout_ms < 0
+                       ? 0
+                       : g_get_monotonic_time() + timeout_ms * CLK_US_PER_MS;
+    return 0;
 }
 
 static void
@@ -216,30 +309,31 @@
         return 0;
     }
     g_string_append_len(call->answer, data, (gssize)(size * count));
+    if (call->stream && call->status == 200 && !call->is_dirty) {
+        gint64 id = (gint64)call->id;
+        call->is_dirty = true;
+        g_array_append_val(call->up->dirty, id);
+    }
     return size * count;
 }
 
-/* Delivers the lines that curl_multi_perform gathered. This happens outside
-   libcurl's callbacks, where calls may be given up. */
+/* Delivers the lines that came in. This happens outside libcurl's callbacks,
+   where calls may be given up. */
 static void
 deliver_lines(Up *up)
 {
-    GList *ids = g_hash_table_get_keys(up->calls);
-    GArray *copies = g_array_new(FALSE, FALSE, sizeof(gint64));
+    GArray *dirty = up->dirty;
 
-    for (GList *item = ids; item != NULL; item = item->next) {
-        g_array_append_vals(copies, item->data, 1);
-    }
-    g_list_free(ids);
-    for (guint i = 0; i < copies->len; i++) {
-        gint64 id = g_array_index(copies, gint64, i);
+    up->dirty = g_array_new(FALSE, FALSE, sizeof(gint64));
+    for (guint i = 0; i < dirty->len; i++) {
+        gint64 id = g_array_index(dirty, gint64, i);
         UpCall *call = g_hash_table_lookup(up->calls, &id);
-        if (call != NULL && call->stream && call->status == 200 &&
-            call->answer->len > 0) {
+        if (call != NULL) {
+            call->is_dirty = false;
             take_lines(call);
         }
     }
-    g_array_unref(copies);
+    g_array_unref(dirty);
 }
 
 static void
--- a/src/up.h
+++ b/src/up.h
@@ -8,7 +8,6 @@
 #include "board.h"
 
 #include <curl/curl.h>
-#include <poll.h>
 
 #define UP_CONNECT_MS 1000L
 #define UP_TOTAL_MS 150000L             /* Upper bound of any call. */
@@ -26,8 +25,9 @@
 void Up_Free(Up *up);
 void Up_BeginCall(Up *up, const BoardCall *call);
 void Up_EndCall(Up *up, uint64_t call);
-/* Waits for the calls, the extra descriptors or Up_Wake, then runs. */
-void Up_Run(Up *up, struct pollfd *extra, guint count, int timeout_ms);
+/* Waits for the calls, the descriptors of an array of struct pollfd, or
+   Up_Wake, then handles the calls' events. */
+void Up_Run(Up *up, GArray *fds, int timeout_ms);
 void Up_Wake(Up *up); /* From any thread: makes Up_Run return. */
 
 #endif
--- a/src/web.c
+++ b/src/web.c
@@ -543,6 +543,9 @@
     if (strcmp(request->url_path, "/v1/status") == 0) {
         intent->type = WEB_INTENT_STATUS;
     }
+    else if (strcmp(request->url_path, "/v1/burn") == 0) {
+        intent->type = WEB_INTENT_BURN;
+    }
     else if (id != NULL) {
         intent->type = WEB_INTENT_EXPLAIN;
         intent->path = g_strdup(id);
@@ -687,6 +690,8 @@
                                handle_metrics, web);
     ulfius_add_endpoint_by_val(instance, "GET", "/v1/status", NULL, 0,
                                handle_operator, web);
+    ulfius_add_endpoint_by_val(instance, "GET", "/v1/burn", NULL, 0,
+                               handle_operator, web);
     ulfius_add_endpoint_by_val(instance, "GET", "/v1/explain/:request", NULL,
                                0, handle_operator, web);
     ulfius_set_default_endpoint(instance, handle_unknown, web);
--- a/src/web.h
+++ b/src/web.h
@@ -20,6 +20,7 @@
     WEB_INTENT_READY,
     WEB_INTENT_STATUS,
     WEB_INTENT_EXPLAIN,
+    WEB_INTENT_BURN,
 } WebIntentType;
 
 /* What a caller or operator asked for. Strings are NULL where unused. */
--- a/tools/loadgen.c
+++ b/tools/loadgen.c
@@ -2,7 +2,7 @@
    Poisson process whatever the answers do, so that queues show.
 
    loadgen --targets HOST:PORT[,...] --key KEY --model MODEL --rate R
-           --seconds S [--mix zupan|festplass] [--seed N]
+           --seconds S [--mix zupan|festplass|short] [--seed N]
            [--tokens-low N] [--tokens-high N] [--first-token-ms N]
    [--per-token-ms N] [--output FILE.json]
            [--quiet 1]
@@ -30,6 +30,7 @@
     const char *key;
     const char *model;
     bool festplass;
+    bool only_short;
     gint32 tokens_low; /* Of the answers. */
     gint32 tokens_high;
     GRand *rand;
@@ -106,7 +107,8 @@
 {
     GString *text = g_string_new(NULL);
     bool is_short =
-        !load->festplass && g_rand_double(load->rand) < LOAD_SHORT_SHARE;
+        load->only_short ||
+        (!load->festplass && g_rand_double(load->rand) < LOAD_SHORT_SHARE);
     double low = is_short ? 50 : 1000;
     double high = is_short ? 500 : 12000;
 
