--- a/src/att.c
+++ b/src/att.c
@@ -152,13 +152,9 @@
 get_transfer_us(const Board *board, const AttCompletion *item)
 {
     const ConUpstream *spec = Con_FindUpstream(board->config, item->decode);
-    const ConModel *model = Con_FindModel(board->config, item->model);
 
-    if (spec == NULL || model == NULL) {
-        return CLK_US_PER_S;
-    }
-    return (int64_t)((double)item->prompt_tokens * model->kv_bytes_per_token /
-                     (double)spec->link_bytes_per_s * (double)CLK_US_PER_S);
+    return spec != NULL ? Con_GetTransferTime(spec, item->prompt_tokens)
+                        : CLK_US_PER_S;
 }
 
 static EngWork
--- a/src/cfg.c
+++ b/src/cfg.c
@@ -31,6 +31,7 @@
     GPtrArray *parts; /* ConPart *, read so far. */
     uint64_t list_call;
     int64_t next_list_us;
+    int64_t list_rows; /* Of the last VM list. */
     int64_t next_peer_us;
     char last_error[ERR_MESSAGE_MAX];
 };
@@ -372,9 +373,12 @@
 static void
 read_list(Cfg *cfg, Board *board)
 {
+    /* A long list is read more seldom, so that its bytes a second stay. */
+    int64_t interval_us = MAX(CFG_LIST_US, cfg->list_rows * CFG_LIST_ROW_US);
+
     cfg->next_list_us =
         Board_Now(board) + (int64_t)((0.75 + g_rand_double(board->rand) / 2) *
-                                     (double)CFG_LIST_US);
+                                     (double)interval_us);
     if (cfg->list_call != 0) {
         Board_EndCall(board, cfg->list_call);
     }
@@ -423,6 +427,7 @@
             g_array_append_val(rows, row);
         }
     }
+    cfg->list_rows = rows->len;
     Mem_SetList(board, rows);
     g_array_unref(rows);
     json_decref(root);
--- a/src/cfg.h
+++ b/src/cfg.h
@@ -12,7 +12,8 @@
 #define CFG_PART_US (3 * CLK_US_PER_S)    /* Of one part's read. */
 #define CFG_RETRY_US CLK_US_PER_S         /* After a failure, jittered. */
 #define CFG_PEER_US (500 * CLK_US_PER_MS) /* Between asks of peers. */
-#define CFG_LIST_US (5 * CLK_US_PER_S)    /* Between reads of VM lists. */
+#define CFG_LIST_US (5 * CLK_US_PER_S)    /* Between reads of VM lists... */
+#define CFG_LIST_ROW_US (100 * CLK_US_PER_MS) /* ...and for each row. */
 
 typedef struct CfgOptions {
     const char *service_address; /* "IP:port", or NULL for none. */
--- a/src/con.c
+++ b/src/con.c
@@ -6,6 +6,7 @@
 #define CON_FIRST_TOKEN_MS_MAX 600000
 #define CON_PER_TOKEN_MS_MAX 60000
 #define CON_SLOTS_MAX 4096
+#define CON_US_PER_S 1e6
 
 /* The part being read, for messages, and where its error goes. */
 typedef struct Reader {
@@ -27,7 +28,7 @@
                           ConConfig *config);
 static bool read_customer(const Reader *reader, const json_t *item,
                           ConConfig *config);
-static bool check_references(const ConConfig *config, LsError *err);
+static bool resolve_references(const ConConfig *config, LsError *err);
 static void free_customer(gpointer data);
 
 ConManifest *
@@ -152,7 +153,7 @@
                         Con_NewPart(part->name, part->value, part->size));
         ok = read_part(part, config, err);
     }
-    if (!ok || !check_references(config, err)) {
+    if (!ok || !resolve_references(config, err)) {
         Con_UnloadConfig(config);
         return NULL;
     }
@@ -251,6 +252,14 @@
     return best;
 }
 
+int64_t
+Con_GetTransferTime(const ConUpstream *upstream, uint32_t tokens)
+{
+    double bytes = (double)tokens * upstream->kv_bytes_per_token;
+    return (int64_t)(bytes / (double)upstream->link_bytes_per_s *
+                     CON_US_PER_S);
+}
+
 static bool
 has_string(const GPtrArray *strings, const char *wanted)
 {
@@ -631,9 +640,9 @@
            add_key_digests(reader, customer, config);
 }
 
-/* Checks that what one section names stands in another. */
+/* Finds what one section names in another, or refuses. */
 static bool
-check_references(const ConConfig *config, LsError *err)
+resolve_references(const ConConfig *config, LsError *err)
 {
     for (guint i = 0; i < config->customers->len; i++) {
         const ConCustomer *customer = config->customers->pdata[i];
@@ -648,9 +657,12 @@
         }
     }
     for (guint i = 0; i < config->upstreams->len; i++) {
-        const ConUpstream *upstream = config->upstreams->pdata[i];
-        if (upstream->role != CON_ROLE_SERVICE &&
-            Con_FindModel(config, upstream->serves) == NULL) {
+        ConUpstream *upstream = config->upstreams->pdata[i];
+        const ConModel *model = Con_FindModel(config, upstream->serves);
+        if (model != NULL) {
+            upstream->kv_bytes_per_token = model->kv_bytes_per_token;
+        }
+        else if (upstream->role != CON_ROLE_SERVICE) {
             Err_Set(err, LS_ERR_CONFIG_FIELD, LS_RUN_NOT_RUN,
                     "upstream %s: serves: model %s is not defined",
                     upstream->id, upstream->serves);
--- a/src/con.h
+++ b/src/con.h
@@ -44,8 +44,9 @@
     uint32_t memory_blocks; /* Pieces of engine memory. */
     uint32_t block_tokens;  /* Tokens in one piece. */
     uint32_t prefill_tokens_per_s;
-    uint32_t token_interval_us; /* Between output tokens of one request. */
-    uint64_t link_bytes_per_s;  /* Rate of the transfer link. */
+    uint32_t token_interval_us;  /* Between output tokens of one request. */
+    uint64_t link_bytes_per_s;   /* Rate of the transfer link. */
+    uint32_t kv_bytes_per_token; /* Of its model. */
 } ConUpstream;
 
 /* A service path that a contract allows. */
@@ -122,6 +123,8 @@
 /* The longest route of the contract that covers the path, or NULL. */
 const ConRoute *Con_FindRoute(const ConCustomer *customer, const char *service,
                               const char *path);
+/* Time to move a prompt's KV cache over the upstream's link, microseconds. */
+int64_t Con_GetTransferTime(const ConUpstream *upstream, uint32_t tokens);
 bool Con_IsModelAllowed(const ConCustomer *customer, const char *model);
 bool Con_IsRegionAllowed(const ConCustomer *customer, const char *region);
 
--- a/src/node.c
+++ b/src/node.c
@@ -62,6 +62,9 @@
     peer.incarnation = node->board->incarnation;
     peer.bind_address = settings->bind;
     peer.port = settings->peer_port;
+    if (strcmp(settings->peer_key, SET_NO_KEY) != 0) {
+        peer.key_hex = settings->peer_key;
+    }
     peer.context = node;
     peer.find_address = find_address;
     peer.on_frame = handle_frame;
--- a/src/peer.c
+++ b/src/peer.c
@@ -2,6 +2,7 @@
 
 #include "clk.h"
 #include "met.h"
+#include "tls.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -15,6 +16,7 @@
 #define PEER_HEADER_BYTES 4
 #define PEER_VM_MAX 48
 #define PEER_BACKLOG 64
+#define PEER_LOOPBACK "127."
 #define PEER_LINKS_MAX 4096
 #define PEER_READ_BYTES 65536
 #define PEER_CONNECT_US CLK_US_PER_S
@@ -27,6 +29,7 @@
 typedef struct PeerLink {
     TAILQ_ENTRY(PeerLink) link;
     int fd;
+    TlsSession *tls;      /* NULL without a key. */
     char vm[PEER_VM_MAX]; /* Empty until the first frame came. */
     bool outgoing;
     bool connecting;
@@ -48,13 +51,14 @@
     char vm[PEER_VM_MAX];
     int listener;
     uint16_t port;
+    Tls *tls; /* NULL without a key. */
     PeerLinkList links;
     guint link_count;
     GHashTable *by_vm; /* vm to the PeerLink to send on */
     int64_t now_us;
 };
 
-static PeerLink *add_link(Peer *peer, int fd);
+static PeerLink *add_link(Peer *peer, int fd, bool outgoing);
 static void close_link(Peer *peer, PeerLink *link);
 static PeerLink *open_link(Peer *peer, const char *vm);
 static void queue_frame(Peer *peer, PeerLink *link, const Wire__Frame *frame);
@@ -103,20 +107,49 @@
     return fd;
 }
 
+/* Without a key nobody but this machine may connect. */
+static bool
+check_key(const PeerOptions *options, LsError *err)
+{
+    if (options->key_hex == NULL &&
+        !g_str_has_prefix(options->bind_address, PEER_LOOPBACK)) {
+        Err_Set(err, LS_ERR_SETTING, LS_RUN_NOT_RUN,
+                "peer address %s: needs a peer key outside loopback",
+                options->bind_address);
+        return false;
+    }
+    return true;
+}
+
 Peer *
 Peer_New(const PeerOptions *options, LsError *err)
 {
     Peer *peer;
+    Tls *tls = NULL;
     uint16_t port = 0;
-    int listener = open_listener(options, &port, err);
+    int listener;
 
+    if (!check_key(options, err)) {
+        return NULL;
+    }
+    if (options->key_hex != NULL) {
+        tls = Tls_New(options->key_hex, err);
+        if (tls == NULL) {
+            return NULL;
+        }
+    }
+    listener = open_listener(options, &port, err);
     if (listener < 0) {
+        if (tls != NULL) {
+            Tls_Free(tls);
+        }
         return NULL;
     }
     peer = g_new0(Peer, 1);
     peer->options = *options;
     g_strlcpy(peer->vm, options->vm, sizeof(peer->vm));
     peer->listener = listener;
+    peer->tls = tls;
     peer->port = port;
     peer->by_vm = g_hash_table_new(g_str_hash, g_str_equal);
     peer->now_us = g_get_monotonic_time();
@@ -129,6 +162,9 @@
 {
     TAILQ_REMOVE(&peer->links, link, link);
     peer->link_count--;
+    if (link->tls != NULL) {
+        Tls_EndSession(link->tls);
+    }
     close(link->fd);
     g_byte_array_unref(link->in);
     g_byte_array_unref(link->out);
@@ -142,6 +178,9 @@
         free_link(peer, TAILQ_FIRST(&peer->links));
     }
     g_hash_table_unref(peer->by_vm);
+    if (peer->tls != NULL) {
+        Tls_Free(peer->tls);
+    }
     close(peer->listener);
     g_free(peer);
 }
@@ -193,6 +232,20 @@
     }
 }
 
+/* Whether the link is ready for frames, with TLS where there is a key. */
+static bool
+shake_link(PeerLink *link)
+{
+    TlsState state =
+        link->tls != NULL ? Tls_Shake(link->tls) : TLS_STATE_READY;
+
+    if (state == TLS_STATE_FAILED) {
+        Met_Add(MET_PEER_FRAMES_BAD, 1);
+        link->dead = true;
+    }
+    return state == TLS_STATE_READY;
+}
+
 /* Moves one link on by what poll said of its descriptor. */
 static void
 run_link(Peer *peer, PeerLink *link, short events)
@@ -208,10 +261,13 @@
         }
         link->connecting = false;
     }
+    if (link->connecting || !shake_link(link)) {
+        return;
+    }
     if ((events & (POLLIN | POLLERR | POLLHUP)) != 0) {
         read_link(peer, link);
     }
-    if (!link->dead && !link->connecting && link->out->len > 0) {
+    if (!link->dead && link->out->len > 0) {
         write_link(peer, link);
     }
 }
@@ -256,13 +312,17 @@
 }
 
 static PeerLink *
-add_link(Peer *peer, int fd)
+add_link(Peer *peer, int fd, bool outgoing)
 {
     PeerLink *link = g_new0(PeerLink, 1);
     int on = 1;
 
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     link->fd = fd;
+    link->outgoing = outgoing;
+    if (peer->tls != NULL) {
+        link->tls = Tls_BeginSession(peer->tls, fd, outgoing);
+    }
     link->in = g_byte_array_new();
     link->out = g_byte_array_new();
     link->opened_us = peer->now_us;
@@ -324,8 +384,7 @@
         return NULL;
     }
     Met_Add(MET_PEER_CONNECTS, 1);
-    link = add_link(peer, fd);
-    link->outgoing = true;
+    link = add_link(peer, fd, true);
     link->connecting = true;
     g_strlcpy(link->vm, vm, sizeof(link->vm));
     if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0 &&
@@ -379,7 +438,7 @@
             close(fd);
             continue;
         }
-        queue_hello(peer, add_link(peer, fd));
+        queue_hello(peer, add_link(peer, fd, false));
     }
 }
 
@@ -473,14 +532,20 @@
     }
 }
 
+static ssize_t
+receive(PeerLink *link, void *data, size_t size)
+{
+    return link->tls != NULL ? Tls_Read(link->tls, data, size)
+                             : recv(link->fd, data, size, 0);
+}
+
 static void
 read_link(Peer *peer, PeerLink *link)
 {
     guint8 buffer[PEER_READ_BYTES];
     ssize_t got;
 
-    while (!link->dead &&
-           (got = recv(link->fd, buffer, sizeof(buffer), 0)) != 0) {
+    while (!link->dead && (got = receive(link, buffer, sizeof(buffer))) != 0) {
         if (got < 0) {
             link->dead = errno != EAGAIN && errno != EINTR;
             return;
@@ -490,9 +555,6 @@
         link->pinged_us = 0;
         g_byte_array_append(link->in, buffer, (guint)got);
         take_frames(peer, link);
-        if ((size_t)got < sizeof(buffer)) {
-            return;
-        }
     }
     link->dead = true;
 }
@@ -501,7 +563,9 @@
 write_link(Peer *peer, PeerLink *link)
 {
     ssize_t put =
-        send(link->fd, link->out->data, link->out->len, MSG_NOSIGNAL);
+        link->tls != NULL
+            ? Tls_Write(link->tls, link->out->data, link->out->len)
+            : send(link->fd, link->out->data, link->out->len, MSG_NOSIGNAL);
 
     (void)peer;
     if (put < 0) {
--- a/src/peer.h
+++ b/src/peer.h
@@ -19,6 +19,7 @@
     uint64_t incarnation;
     const char *bind_address; /* IP number. */
     uint16_t port;            /* 0 takes any free port. */
+    const char *key_hex;      /* Pre-shared key; NULL allows loopback only. */
     void *context;
     /* Address "IP:port" of a VM, or NULL. */
     const char *(*find_address)(void *context, const char *vm);
--- a/src/pick.c
+++ b/src/pick.c
@@ -174,18 +174,35 @@
     return job->prefill != NULL && job->decode != NULL;
 }
 
+/* Time from the end of the prefill to the first token. */
+static int64_t
+get_tail_us(const CellJob *job, const CellEngine *decode)
+{
+    return Con_GetTransferTime(&decode->spec, job->context_tokens) +
+           decode->spec.token_interval_us;
+}
+
+int64_t
+Pick_PredictFirstToken(const CellJob *job, int64_t now_us)
+{
+    return MAX(job->prefill->prefill_free_us - now_us, 0) +
+           Cell_GetPrefillCost(job, job->prefill) +
+           get_tail_us(job, job->decode);
+}
+
 /* What the cell's engines offer a job. */
 typedef struct Supply {
     double prefill_tokens_per_us;
     double backlog_tokens; /* Granted and not yet prefilled. */
     int64_t own_us;        /* The job's prefill on its best engine. */
+    int64_t tail_us;       /* From there to its first token. */
     uint32_t free_slots;
 } Supply;
 
 static Supply
 sum_supply(const CellJob *job, int64_t now_us)
 {
-    Supply supply = {0, 0, INT64_MAX, 0};
+    Supply supply = {0, 0, INT64_MAX, INT64_MAX, 0};
 
     for (guint i = 0; i < job->cell->engines->len; i++) {
         const CellEngine *engine = job->cell->engines->pdata[i];
@@ -199,6 +216,7 @@
                 MIN(supply.own_us, Cell_GetPrefillCost(job, engine));
         }
         if (is_usable(job, engine, CON_ROLE_DECODE, now_us)) {
+            supply.tail_us = MIN(supply.tail_us, get_tail_us(job, engine));
             supply.free_slots += engine->spec.slots -
                                  MIN(engine->slots_used, engine->spec.slots);
         }
@@ -206,8 +224,20 @@
     return supply;
 }
 
+int64_t
+Pick_PredictAlone(const CellJob *job, int64_t now_us)
+{
+    Supply supply = sum_supply(job, now_us);
+
+    if (supply.own_us == INT64_MAX || supply.tail_us == INT64_MAX) {
+        return 0;
+    }
+    return supply.own_us + supply.tail_us;
+}
+
 /* The prefill work before the job over the cell's prefill rate, or the wait
-   for a decode slot where that is longer, then its own prefill. */
+   for a decode slot where that is longer, then its own prefill, transfer and
+   first step. */
 int64_t
 Pick_PredictWait(const CellJob *job, int64_t now_us)
 {
@@ -218,7 +248,7 @@
     guint ahead = 0;
     const CellJob *other;
 
-    if (supply.prefill_tokens_per_us <= 0) {
+    if (supply.own_us == INT64_MAX || supply.tail_us == INT64_MAX) {
         return 0; /* Engines that are down may come back in time. */
     }
     TAILQ_FOREACH(other, &cell->waiting, link)
@@ -233,5 +263,5 @@
         slot_us = cell->release_interval_us *
                   (double)(ahead - supply.free_slots + 1);
     }
-    return (int64_t)MAX(queue_us, slot_us) + supply.own_us;
+    return (int64_t)MAX(queue_us, slot_us) + supply.own_us + supply.tail_us;
 }
--- a/src/pick.h
+++ b/src/pick.h
@@ -21,6 +21,10 @@
 CellJob *Pick_NextJob(const Cell *cell, int64_t now_us);
 /* Chooses the job's engines. Returns false when it must wait. */
 bool Pick_ChooseEngines(CellJob *job, PickPolicy policy, int64_t now_us);
+/* Time until the job's first token if nothing else had to be done. */
+int64_t Pick_PredictAlone(const CellJob *job, int64_t now_us);
+/* Time until the first token on the engines chosen, if granted now. */
+int64_t Pick_PredictFirstToken(const CellJob *job, int64_t now_us);
 /* Time until the job's first token if it joins the queue now. */
 int64_t Pick_PredictWait(const CellJob *job, int64_t now_us);
 
--- a/src/plc.c
+++ b/src/plc.c
@@ -97,12 +97,24 @@
     }
 }
 
+/* Time that the job's first token may take. A prompt too long for its target
+   even on idle engines is served all the same, and may wait as long as any
+   other: refusing it would refuse it for ever. */
+static int64_t
+get_budget(const CellJob *job, int64_t target_us)
+{
+    int64_t alone_us = Pick_PredictAlone(job, job->arrived_us);
+
+    return alone_us > target_us ? alone_us + target_us : target_us;
+}
+
 void
 Plc_OnReserve(Board *board, const char *entry, const Wire__Reserve *reserve)
 {
     Plc *plc = board->plc;
     CellJob *job = find_job(plc, reserve->request, reserve->attempt);
     Cell *cell;
+    int64_t budget_us;
     int64_t wait_us;
 
     if (job != NULL) {
@@ -114,7 +126,6 @@
     job->output_tokens = reserve->output_tokens;
     job->priority = reserve->priority;
     job->arrived_us = Board_Now(board);
-    job->give_up_us = job->arrived_us + reserve->first_token_budget_us;
     g_array_append_vals(job->prefixes, reserve->prefix,
                         (guint)reserve->n_prefix);
     for (size_t i = 0; i < reserve->n_avoid; i++) {
@@ -132,11 +143,12 @@
                    "the cell has no engine");
         return;
     }
+    budget_us = get_budget(job, reserve->first_token_budget_us);
+    job->give_up_us = job->arrived_us + budget_us;
     wait_us = Pick_PredictWait(job, job->arrived_us);
     if (Pick_IsShedding(plc->policy) &&
         job->arrived_us + wait_us > job->give_up_us) {
-        refuse_job(board, job, LS_ERR_OVERLOAD,
-                   wait_us - reserve->first_token_budget_us,
+        refuse_job(board, job, LS_ERR_OVERLOAD, wait_us - budget_us,
                    "the first token would come too late");
         return;
     }
@@ -421,31 +433,44 @@
     job->check_us = now + PLC_CHECK_US;
 }
 
+static void
+send_grant(Board *board, const CellJob *job)
+{
+    Wire__Frame frame = WIRE__FRAME__INIT;
+    Wire__Grant grant = WIRE__GRANT__INIT;
+
+    grant.request = (char *)job->request;
+    grant.attempt = job->attempt;
+    grant.prefill_upstream = job->prefill->id;
+    grant.decode_upstream = job->decode->id;
+    frame.body_case = WIRE__FRAME__BODY_GRANT;
+    frame.grant = &grant;
+    Ring_Add(board, job->request, "granted %s > %s after %ld us",
+             job->prefill->id, job->decode->id,
+             (long)(Board_Now(board) - job->arrived_us));
+    Board_SendFrame(board, job->entry, &frame);
+}
+
 static void
 dispatch_cell(Board *board, Cell *cell)
 {
+    PickPolicy policy = board->plc->policy;
+    int64_t now = Board_Now(board);
     CellJob *job;
 
     if (Mem_IsPictureStale(board)) {
         return;
     }
-    while ((job = Pick_NextJob(cell, Board_Now(board))) != NULL) {
-        Wire__Frame frame = WIRE__FRAME__INIT;
-        Wire__Grant grant = WIRE__GRANT__INIT;
-        if (!Pick_ChooseEngines(job, board->plc->policy, Board_Now(board))) {
-            return;
+    while ((job = Pick_NextJob(cell, now)) != NULL &&
+           Pick_ChooseEngines(job, policy, now)) {
+        if (Pick_IsShedding(policy) &&
+            now + Pick_PredictFirstToken(job, now) > job->give_up_us) {
+            refuse_job(board, job, LS_ERR_OVERLOAD, Pick_PredictWait(job, now),
+                       "the first token would come too late");
+            continue;
         }
         charge_job(board, job);
-        grant.request = job->request;
-        grant.attempt = job->attempt;
-        grant.prefill_upstream = job->prefill->id;
-        grant.decode_upstream = job->decode->id;
-        frame.body_case = WIRE__FRAME__BODY_GRANT;
-        frame.grant = &grant;
-        Ring_Add(board, job->request, "granted %s > %s after %ld us",
-                 job->prefill->id, job->decode->id,
-                 (long)(Board_Now(board) - job->arrived_us));
-        Board_SendFrame(board, job->entry, &frame);
+        send_grant(board, job);
     }
 }
 
--- a/src/set.h
+++ b/src/set.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #define SET_TEXT_MAX 128
+#define SET_NO_KEY "none"
 #define SET_EXIT_OK 0
 #define SET_EXIT_USAGE 64 /* A setting is unknown or out of range. */
 #define SET_EXIT_START 69 /* An address could not be bound. */
@@ -24,8 +25,9 @@
     char config_service[SET_TEXT_MAX];
     char vm_list[SET_TEXT_MAX];
     char config_prefix[SET_TEXT_MAX];
-    uint16_t port;          /* Callers. */
-    uint16_t operator_port; /* Health, metrics, status. */
+    char peer_key[SET_TEXT_MAX]; /* Hex digits, or SET_NO_KEY. */
+    uint16_t port;               /* Callers. */
+    uint16_t operator_port;      /* Health, metrics, status. */
     uint16_t peer_port;
     uint32_t vm_count_max;
     uint32_t body_max; /* Bytes of a caller's body. */
--- a/tests/test_completion.cc
+++ b/tests/test_completion.cc
@@ -285,6 +285,17 @@
     EXPECT_STREQ(Rig_FindViolation(rig_, true), nullptr);
 }
 
+// A prompt too long for its target even on idle engines is served late, not
+// refused for ever.
+TEST_F(CompletionTest, LongPromptIsServed)
+{
+    RigCaller *caller =
+        Rig_SendCompletion(rig_, entry_, Prompt(1, 160000).c_str(), 10);
+    Rig_Run(rig_, 20 * kSecond);
+    EXPECT_EQ(caller->type, BOARD_ANSWER_END) << caller->err.message;
+    EXPECT_STREQ(Rig_FindViolation(rig_, true), nullptr);
+}
+
 // Overload: each request is answered at once or in time, none is dropped,
 // and a refusal tells when to come back.
 TEST(Overload, RefusesEarlyAndNotRun)
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -5,6 +5,8 @@
 CLUSTER_PIDS=()
 CLUSTER_SECONDS=${CLUSTER_SECONDS:-120}
 
+# The peer links' key of the stand-in deployment.
+export LAVENDERSPOOL_PEER_KEY=${LAVENDERSPOOL_PEER_KEY:-6c6176656e64657273706f6f6c2d64656d6f}
 ZUPAN_KEY=zupan-demo-key
 FESTPLASS_KEY=festplass-demo-key
 
