Orders to engines: targets fenced by the configuration's version

Retries: prefilled tokens within 1.1 times those asked for when half the engines die. conclusion: kept.

--- a/replay/rig.c
+++ b/replay/rig.c
@@ -25,6 +25,7 @@
 {
     RigOptions options = {0};
 
+    options.regions = 1;
     options.vm_count = 3;
     options.prefill_count = 2;
     options.decode_count = 3;
@@ -72,6 +73,7 @@
     g_hash_table_unref(engine->requests);
     g_hash_table_unref(engine->results);
     g_hash_table_unref(engine->faulted);
+    g_string_free(engine->history, TRUE);
     g_free(engine);
 }
 
@@ -96,12 +98,16 @@
     g_snprintf(engine->address, sizeof(engine->address), "10.0.0.%u:1",
                number + 1);
     engine->prefill = prefill;
+    engine->region =
+        (prefill ? (int)number : (int)number - rig->options.prefill_count) %
+        rig->options.regions;
     engine->requests =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     engine->results =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engine->faulted =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    engine->history = g_string_new(NULL);
     g_ptr_array_add(rig->engines, engine);
 }
 
@@ -129,6 +135,8 @@
         vm->index = i;
         vm->held = g_queue_new();
         g_snprintf(vm->id, sizeof(vm->id), "vm-%d", i);
+        g_snprintf(vm->region, sizeof(vm->region), "region-%d",
+                   i % options->regions);
         start_process(rig, vm);
     }
     Rig_Run(rig, 2 * CLK_US_PER_S);
@@ -437,10 +445,44 @@
     }
 }
 
+void
+Rig_SetLoad(Rig *rig, const char *load, unsigned vm_mask)
+{
+    g_strlcpy(rig->load, load, sizeof(rig->load));
+    rig->version++;
+    for (int i = 0; i < rig->options.vm_count; i++) {
+        if ((vm_mask & (1U << i)) != 0) {
+            Rig_AddEvent(rig, RIG_EVENT_CONFIG, i, 0)->config =
+                load_config(rig);
+        }
+    }
+}
+
+void
+Rig_SetFencingCheck(Rig *rig, bool checks_fencing)
+{
+    rig->checks_fencing = checks_fencing;
+}
+
+void
+Rig_RestartEngine(Rig *rig, int index)
+{
+    RigEngine *engine = rig->engines->pdata[index];
+
+    engine->loaded[0] = '\0';
+    engine->fencing = 0;
+}
+
+const char *
+Rig_GetLoads(const Rig *rig, int engine)
+{
+    return ((const RigEngine *)rig->engines->pdata[engine])->history->str;
+}
+
 int
 Rig_FindHome(Rig *rig, int vm)
 {
-    const char *home = Mem_FindHome(rig->vms[vm].board, RIG_CELL, "region");
+    const char *home = Mem_FindHome(rig->vms[vm].board, RIG_CELL, "region-0");
 
     for (int i = 0; i < rig->options.vm_count; i++) {
         if (strcmp(rig->vms[i].id, home) == 0) {
@@ -474,6 +516,18 @@
     return ((const RigEngine *)rig->engines->pdata[engine])->last_work_us;
 }
 
+uint64_t
+Rig_GetWorkOf(const Rig *rig, int region)
+{
+    uint64_t tokens = 0;
+
+    for (guint i = 0; i < rig->engines->len; i++) {
+        const RigEngine *engine = rig->engines->pdata[i];
+        tokens += engine->region == region ? engine->prefilled : 0;
+    }
+    return tokens;
+}
+
 uint64_t
 Rig_GetPrefilled(const Rig *rig)
 {
@@ -489,13 +543,17 @@
         g_string_append_printf(
             text,
             "{\"id\":\"%s\",\"address\":\"%s\",\"serves\":\"" RIG_MODEL
-            "\",\"zone\":\"z\",\"region\":\"region\",\"role\":\"%s\","
-            "\"state\":\"%s\",\"slots\":%u,\"memory_blocks\":100,"
+            "\",\"zone\":\"z\",\"region\":\"region-%d\",\"role\":\"%s\","
+            "\"state\":\"%s\",%s%s%s\"checks_fencing\":%s,\"slots\":%u,"
+            "\"memory_blocks\":100,"
             "\"block_tokens\":2000,\"prefill_tokens_per_s\":%u,"
             "\"token_interval_us\":%u,\"link_bytes_per_s\":1e10},",
-            engine->id, engine->address,
+            engine->id, engine->address, engine->region,
             engine->prefill ? "prefill" : "decode",
-            engine->leaving ? "leaving" : "active", rig->options.slots,
+            engine->leaving ? "leaving" : "active",
+            rig->load[0] != '\0' ? "\"load\":\"" : "", rig->load,
+            rig->load[0] != '\0' ? "\"," : "",
+            rig->checks_fencing ? "true" : "false", rig->options.slots,
             rig->options.prefill_tokens_per_s, rig->options.token_interval_us);
     }
     return g_string_free(text, FALSE);
@@ -511,15 +569,15 @@
         "\",\"kv_bytes_per_token\":100000}],"
         "\"upstreams\":[%s{\"id\":\"booking-1\",\"address\":\"10.0.1.1:1\","
         "\"serves\":\"" RIG_SERVICE
-        "\",\"zone\":\"z\",\"region\":\"region\",\"role\":\"service\"}],"
+        "\",\"zone\":\"z\",\"region\":\"region-0\",\"role\":\"service\"}],"
         "\"customers\":[{\"id\":\"zupan\",\"key_sha256\":[\"%s\"],"
         "\"priority\":1,\"requests_per_s\":100000,\"tokens_per_s\":1e9,"
-        "\"concurrency\":100000,\"cross_region_tokens_per_s\":0,"
-        "\"regions\":[\"region\"],\"models\":[\"" RIG_MODEL
-        "\"],\"first_token_ms\":1300,\"per_token_ms\":36,"
+        "\"concurrency\":100000,\"cross_region_tokens_per_s\":%g,"
+        "\"regions\":[\"region-0\",\"region-1\",\"region-2\"],\"models\":["
+        "\"" RIG_MODEL "\"],\"first_token_ms\":1300,\"per_token_ms\":36,"
         "\"wasted_prefill_weight\":1,\"routes\":[{\"service\":\"" RIG_SERVICE
         "\",\"path\":\"" RIG_PATH "\",\"idempotent\":false}]}]}",
-        upstreams, digest);
+        upstreams, digest, rig->options.cross_region_tokens_per_s);
     char *part_digest = Con_GetDigest(text, strlen(text));
     char *manifest = g_strdup_printf(
         "{\"version\":%lu,\"parts\":[{\"name\":\"all\",\"sha256\":\"%s\"}]}",
@@ -553,7 +611,7 @@
     options.vm = vm->id;
     options.incarnation = vm->incarnation;
     options.zone = "z";
-    options.region = "region";
+    options.region = vm->region;
     options.vm_count_max = (uint32_t)rig->options.vm_count;
     options.seed = rig->options.seed + (guint32)vm->index;
     options.io.context = vm;
@@ -589,7 +647,7 @@
             g_strlcpy(row.vm, vm->id, sizeof(row.vm));
             g_strlcpy(row.address, vm->id, sizeof(row.address));
             g_strlcpy(row.zone, "z", sizeof(row.zone));
-            g_strlcpy(row.region, "region", sizeof(row.region));
+            g_strlcpy(row.region, vm->region, sizeof(row.region));
             g_array_append_val(rows, row);
         }
     }
--- a/replay/rig.h
+++ b/replay/rig.h
@@ -11,9 +11,11 @@
 #define RIG_KEY "rig-key" /* The customer's bearer key. */
 
 typedef struct RigOptions {
+    int regions; /* VMs and engines are spread over them in turn. */
     int vm_count;
-    int prefill_count;
+    int prefill_count; /* In all regions. */
     int decode_count;
+    double cross_region_tokens_per_s; /* Of the customer's contract. */
     uint32_t slots;
     uint32_t prefill_tokens_per_s;
     uint32_t token_interval_us;
@@ -93,7 +95,16 @@
    after i times `stagger_us`. */
 void Rig_SetLeaving(Rig *rig, int engine, int64_t stagger_us);
 
+/* Publishes a target for all engines to the VMs of a mask; the others get it
+   with the next call that includes them. */
+void Rig_SetLoad(Rig *rig, const char *load, unsigned vm_mask);
+/* Whether engines refuse orders with an old fencing number. */
+void Rig_SetFencingCheck(Rig *rig, bool checks_fencing);
+void Rig_RestartEngine(Rig *rig, int engine); /* Forgets what it loaded. */
+
 /* Readings. */
+const char *Rig_GetLoads(const Rig *rig, int engine); /* "v1 v2 " */
+uint64_t Rig_GetWorkOf(const Rig *rig, int region);   /* Tokens prefilled. */
 int Rig_FindHome(Rig *rig, int vm);  /* Home of the cell as a VM sees it. */
 guint Rig_CountHeld(const Rig *rig); /* Requests in engines' memory. */
 guint Rig_CountRuns(const Rig *rig, const char *key); /* At the booking. */
--- a/replay/rig_up.c
+++ b/replay/rig_up.c
@@ -88,9 +88,9 @@
                                text->str[text->len - 1] == '[' ? "" : ",",
                                (const char *)key);
     }
-    g_string_append_printf(text, "],\"leaving\":%s}",
-                           engine->fault == RIG_FAULT_LEAVING ? "true"
-                                                              : "false");
+    g_string_append_printf(
+        text, "],\"loaded\":\"%s\",\"leaving\":%s}", engine->loaded,
+        engine->fault == RIG_FAULT_LEAVING ? "true" : "false");
     reply(rig, call, BOARD_CALL_END, 200, text->str, true);
     g_string_free(text, TRUE);
 }
@@ -125,6 +125,7 @@
     engine->prefill_free_us =
         MAX(engine->prefill_free_us, rig->now_us) +
         tokens * CLK_US_PER_S / rig->options.prefill_tokens_per_s;
+    engine->prefilled += (uint64_t)tokens;
     rig->prefilled += (uint64_t)tokens;
     Rig_AddEvent(rig, RIG_EVENT_PREFILLED, call->vm,
                  engine->prefill_free_us - rig->now_us)
@@ -220,6 +221,24 @@
     engine->last_work_us = rig->now_us;
 }
 
+/* Takes an order, or refuses one with an old number if the engine checks. */
+static void
+take_order(Rig *rig, RigCall *call, RigEngine *engine)
+{
+    uint64_t fencing =
+        (uint64_t)json_integer_value(json_object_get(call->body, "fencing"));
+    const char *load = json_string_value(json_object_get(call->body, "load"));
+
+    if (rig->checks_fencing && fencing < engine->fencing) {
+        reply(rig, call, BOARD_CALL_END, 409, "{}", true);
+        return;
+    }
+    engine->fencing = MAX(engine->fencing, fencing);
+    g_strlcpy(engine->loaded, load, sizeof(engine->loaded));
+    g_string_append_printf(engine->history, "%s ", load);
+    reply(rig, call, BOARD_CALL_END, 200, "{}", true);
+}
+
 static void
 run_engine(Rig *rig, RigCall *call, RigEngine *engine)
 {
@@ -234,6 +253,9 @@
     else if (strcmp(call->path, "/v1/requests") == 0) {
         list_requests(rig, call, engine);
     }
+    else if (strcmp(call->path, "/v1/orders") == 0) {
+        take_order(rig, call, engine);
+    }
     else if (g_str_has_suffix(call->path, "/cancel")) {
         cancel_request(engine, call->path);
         reply(rig, call, BOARD_CALL_END, 200, "{}", true);
--- a/replay/rig_up.h
+++ b/replay/rig_up.h
@@ -5,7 +5,7 @@
 
 #include "rig.h"
 
-#define RIG_CELL "lens@region"
+#define RIG_CELL "lens@region-0"
 #define RIG_MODEL "lens"
 #define RIG_SERVICE "booking"
 #define RIG_PATH "/holds"
@@ -19,6 +19,7 @@
     Rig *rig;
     int index;
     char id[16];
+    char region[16];
     Board *board; /* NULL while dead. */
     bool paused;
     bool listed;
@@ -31,6 +32,7 @@
     char id[CON_ID_MAX];
     char address[CON_ADDRESS_MAX];
     bool prefill;
+    int region;
     RigFault fault;
     bool leaving;         /* By configuration. */
     GHashTable *requests; /* id held in memory */
@@ -38,6 +40,10 @@
     GHashTable *faulted;  /* id that the fault has hit once */
     int64_t prefill_free_us;
     int64_t last_work_us;
+    uint64_t prefilled; /* Tokens. */
+    char loaded[CON_ID_MAX];
+    uint64_t fencing; /* Highest of the orders taken. */
+    GString *history; /* Targets loaded, one after another. */
 } RigEngine;
 
 typedef enum RigEventType {
@@ -98,6 +104,8 @@
     GHashTable *worked; /* request that reached an engine */
     RigFault booking_fault;
     uint64_t version;
+    bool checks_fencing;
+    char load[CON_ID_MAX]; /* Target of all engines; empty for none. */
     uint64_t prefilled;
     int64_t next_list_us;
     char violation[RIG_VIOLATION_MAX];
--- a/src/board.c
+++ b/src/board.c
@@ -2,6 +2,7 @@
 
 #include "mem.h"
 #include "op.h"
+#include "ord.h"
 #include "plc.h"
 #include "quo.h"
 #include "req.h"
@@ -57,6 +58,7 @@
     board->quo = Quo_New();
     board->ring = Ring_New();
     board->slo = Slo_New();
+    board->ord = Ord_New();
     return board;
 }
 
@@ -71,6 +73,7 @@
     Mem_Free(board->mem);
     Ring_Free(board->ring);
     Slo_Free(board->slo);
+    Ord_Free(board->ord);
     Con_UnloadConfig(board->config);
     g_hash_table_unref(board->calls);
     g_queue_free_full(board->local, (GDestroyNotify)g_bytes_unref);
--- a/src/board.h
+++ b/src/board.h
@@ -118,6 +118,7 @@
     struct Quo *quo;
     struct Ring *ring;
     struct Slo *slo;
+    struct Ord *ord;
 };
 
 BoardOptions Board_DefaultOptions(void);
--- a/src/con.c
+++ b/src/con.c
@@ -8,6 +8,9 @@
 #define CON_SLOTS_MAX 4096
 #define CON_US_PER_S 1e6
 
+static const char *const role_names[] = {"prefill", "decode", "both",
+                                         "service"};
+
 /* The part being read, for messages, and where its error goes. */
 typedef struct Reader {
     const char *part;
@@ -252,6 +255,12 @@
     return best;
 }
 
+const char *
+Con_GetRoleName(ConRole role)
+{
+    return role_names[role];
+}
+
 int64_t
 Con_GetTransferTime(const ConUpstream *upstream, uint32_t tokens)
 {
@@ -435,12 +444,10 @@
 static bool
 read_role(const Reader *reader, const json_t *item, ConUpstream *upstream)
 {
-    static const char *const names[] = {"prefill", "decode", "both",
-                                        "service"};
     const char *role = json_string_value(json_object_get(item, "role"));
 
-    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-        if (g_strcmp0(role, names[i]) == 0) {
+    for (size_t i = 0; i < G_N_ELEMENTS(role_names); i++) {
+        if (g_strcmp0(role, role_names[i]) == 0) {
             upstream->role = (ConRole)i;
             return true;
         }
@@ -511,6 +518,12 @@
         return refuse_field(reader, "state", "needs active or leaving");
     }
     upstream->leaving = g_strcmp0(state, "leaving") == 0;
+    upstream->checks_fencing =
+        json_is_true(json_object_get(item, "checks_fencing"));
+    if (json_object_get(item, "load") != NULL &&
+        !read_id(reader, item, "load", upstream->load)) {
+        return false;
+    }
     if (!g_hash_table_insert(config->upstream_by_id, upstream->id, upstream)) {
         return refuse_field(reader, "id", "stands twice");
     }
--- a/src/con.h
+++ b/src/con.h
@@ -40,6 +40,8 @@
     char cell[CON_ID_MAX * 2]; /* "model@region"; empty for a service. */
     ConRole role;
     bool leaving;
+    char load[CON_ID_MAX];  /* Model version to load; empty for no orders. */
+    bool checks_fencing;    /* Refuses orders with an old number. */
     uint32_t slots;         /* Requests held at once. */
     uint32_t memory_blocks; /* Pieces of engine memory. */
     uint32_t block_tokens;  /* Tokens in one piece. */
@@ -125,6 +127,7 @@
                               const char *path);
 /* Time to move a prompt's KV cache over the upstream's link, microseconds. */
 int64_t Con_GetTransferTime(const ConUpstream *upstream, uint32_t tokens);
+const char *Con_GetRoleName(ConRole role);
 bool Con_IsModelAllowed(const ConCustomer *customer, const char *model);
 bool Con_IsRegionAllowed(const ConCustomer *customer, const char *region);
 
--- a/src/ctl.c
+++ b/src/ctl.c
@@ -2,6 +2,7 @@
 
 #include "mem.h"
 #include "op.h"
+#include "ord.h"
 #include "plc.h"
 #include "reap.h"
 #include "req.h"
@@ -77,6 +78,7 @@
     Req_OnTick(board);
     Svc_OnTick(board);
     Op_OnTick(board);
+    Ord_OnTick(board);
 }
 
 void
--- a/src/met.c
+++ b/src/met.c
@@ -32,6 +32,7 @@
                                  "Answered from the table."},
     [MET_OPERATIONS_UNKNOWN] = {"operations_unknown",
                                 "Answered outcome unknown."},
+    [MET_ORDERS_SENT] = {"orders_sent", "Orders sent to engines."},
     [MET_PEER_BYTES_SENT] = {"peer_bytes_sent", "Bytes sent to peers."},
     [MET_PEER_BYTES_RECEIVED] = {"peer_bytes_received",
                                  "Bytes received from peers."},
--- /dev/null
+++ b/src/ord.c
@@ -0,0 +1,176 @@
+#include "ord.h"
+
+#include "mem.h"
+
+#include <string.h>
+
+/* What this home knows of one engine's target. */
+typedef struct OrdItem {
+    char loaded[CON_ID_MAX];   /* By its last report. */
+    char ordered[CON_ID_MAX];  /* By this home, last. */
+    char target[CON_ID_MAX];   /* Of the configuration in force. */
+    char previous[CON_ID_MAX]; /* Of the configuration before. */
+    bool is_reported;
+    bool is_fenced;        /* A newer order was given by somebody else. */
+    uint64_t version;      /* Of the configuration that `target` is of. */
+    int64_t home_since_us; /* 0 while another VM is home. */
+    uint64_t call;
+} OrdItem;
+
+struct Ord {
+    GHashTable *items; /* upstream to OrdItem */
+    int64_t next_us;
+};
+
+static void check_engine(Board *board, const ConUpstream *upstream);
+static void send_order(Board *board, const ConUpstream *upstream,
+                       OrdItem *item);
+static void handle_order(Board *board, void *owner,
+                         const BoardCallEvent *event);
+
+Ord *
+Ord_New(void)
+{
+    Ord *ord = g_new0(Ord, 1);
+    ord->items =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return ord;
+}
+
+void
+Ord_Free(Ord *ord)
+{
+    g_hash_table_unref(ord->items);
+    g_free(ord);
+}
+
+static OrdItem *
+get_item(Ord *ord, const char *upstream)
+{
+    OrdItem *item = g_hash_table_lookup(ord->items, upstream);
+
+    if (item == NULL) {
+        item = g_new0(OrdItem, 1);
+        g_hash_table_insert(ord->items, g_strdup(upstream), item);
+    }
+    return item;
+}
+
+void
+Ord_OnReport(Board *board, const char *upstream, const char *loaded)
+{
+    OrdItem *item = get_item(board->ord, upstream);
+
+    g_strlcpy(item->loaded, loaded, sizeof(item->loaded));
+    item->is_reported = true;
+}
+
+void
+Ord_OnTick(Board *board)
+{
+    int64_t now = Board_Now(board);
+
+    if (board->config == NULL || board->stopping ||
+        now < board->ord->next_us) {
+        return;
+    }
+    board->ord->next_us = now + ORD_CHECK_US;
+    for (guint i = 0; i < board->config->upstreams->len; i++) {
+        const ConUpstream *upstream = board->config->upstreams->pdata[i];
+        if (upstream->load[0] != '\0') {
+            check_engine(board, upstream);
+        }
+    }
+}
+
+/* Follows the target as configurations change. */
+static void
+follow_target(OrdItem *item, const ConUpstream *upstream, uint64_t version)
+{
+    if (item->version == version) {
+        return;
+    }
+    item->version = version;
+    item->is_fenced = false;
+    if (strcmp(item->target, upstream->load) != 0) {
+        g_strlcpy(item->previous, item->target, sizeof(item->previous));
+        g_strlcpy(item->target, upstream->load, sizeof(item->target));
+    }
+}
+
+/* Whether somebody else ordered an engine that ignores fencing numbers: what
+   it has loaded is neither nothing, nor what this home ordered, nor the target
+   before. A home that knows neither can't tell, and orders. */
+static bool
+is_ordered_by_other(const OrdItem *item)
+{
+    bool knows = item->ordered[0] != '\0' || item->previous[0] != '\0';
+
+    return knows && item->loaded[0] != '\0' &&
+           strcmp(item->loaded, item->ordered) != 0 &&
+           strcmp(item->loaded, item->previous) != 0;
+}
+
+static void
+check_engine(Board *board, const ConUpstream *upstream)
+{
+    OrdItem *item = get_item(board->ord, upstream->id);
+    int64_t now = Board_Now(board);
+    const char *home = Mem_FindHome(board, upstream->cell, upstream->region);
+
+    follow_target(item, upstream, board->config->version);
+    if (strcmp(home, board->vm) != 0) {
+        item->home_since_us = 0;
+        item->is_reported = false;
+        return;
+    }
+    if (item->home_since_us == 0) {
+        item->home_since_us = now;
+    }
+    if (!item->is_reported || item->call != 0 || item->is_fenced ||
+        strcmp(item->loaded, item->target) == 0 || Mem_IsPictureStale(board)) {
+        return;
+    }
+    if (!upstream->checks_fencing &&
+        (now - item->home_since_us < ORD_WAIT_US ||
+         is_ordered_by_other(item))) {
+        return;
+    }
+    send_order(board, upstream, item);
+}
+
+static void
+send_order(Board *board, const ConUpstream *upstream, OrdItem *item)
+{
+    BoardCall call = {0};
+    json_t *order = json_pack(
+        "{s:I, s:s, s:s}", "fencing", (json_int_t)board->config->version,
+        "load", item->target, "role", Con_GetRoleName(upstream->role));
+    char *body = json_dumps(order, JSON_COMPACT);
+
+    call.method = "POST";
+    call.address = upstream->address;
+    call.path = "/v1/orders";
+    call.body = body;
+    call.body_size = strlen(body);
+    call.fresh = true;
+    g_strlcpy(item->ordered, item->target, sizeof(item->ordered));
+    Met_Add(MET_ORDERS_SENT, 1);
+    item->call = Board_BeginCall(board, &call, handle_order, item);
+    free(body);
+    json_decref(order);
+}
+
+static void
+handle_order(Board *board, void *owner, const BoardCallEvent *event)
+{
+    OrdItem *item = owner;
+
+    (void)board;
+    if (event->type == BOARD_CALL_DATA) {
+        return;
+    }
+    item->call = 0;
+    item->is_reported = false; /* The next report tells what came of it. */
+    item->is_fenced = event->type == BOARD_CALL_END && event->status == 409;
+}
--- a/src/reap.c
+++ b/src/reap.c
@@ -1,6 +1,7 @@
 #include "reap.h"
 
 #include "mem.h"
+#include "ord.h"
 #include "plc.h"
 
 #include <stdlib.h>
@@ -175,6 +176,15 @@
     g_free(query);
 }
 
+/* Engines that take orders report what they have loaded. */
+static void
+report_loaded(Board *board, const char *upstream, const json_t *loaded)
+{
+    if (json_is_string(loaded)) {
+        Ord_OnReport(board, upstream, json_string_value(loaded));
+    }
+}
+
 static void
 handle_list(Board *board, void *owner, const BoardCallEvent *event)
 {
@@ -204,6 +214,7 @@
             board, id,
             (uint32_t)json_array_size(json_object_get(root, "requests")),
             json_is_true(json_object_get(root, "leaving")));
+        report_loaded(board, id, json_object_get(root, "loaded"));
     }
     for (guint q = 0; q < queries->len; q++) {
         send_query(board, id, queries->pdata[q]);
--- /dev/null
+++ b/tests/test_regions.cc
@@ -0,0 +1,158 @@
+// Work across regions, as contracts allow; and priorities, retries and slow
+// engines under load.
+#include "c_api.h"
+
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+namespace {
+
+const int64_t kSecond = CLK_US_PER_S;
+const int64_t kMs = CLK_US_PER_MS;
+
+std::string
+Prompt(int number, size_t bytes = 8000)
+{
+    std::string text = "application " + std::to_string(number) + ": ";
+    text.resize(bytes, 'x');
+    return text;
+}
+
+RigOptions
+ThreeRegions()
+{
+    RigOptions options = Rig_DefaultOptions();
+    options.regions = 3;
+    options.vm_count = 9;
+    options.prefill_count = 6;
+    options.decode_count = 6;
+    options.latency_us = 10 * kMs;
+    return options;
+}
+
+// Work stays in its region while that can do it in time.
+TEST(Regions, WorkStaysNear)
+{
+    RigOptions options = ThreeRegions();
+    options.cross_region_tokens_per_s = 1e6;
+    Rig *rig = Rig_New(&options);
+    for (int i = 0; i < 50; i++) {
+        Rig_SendCompletion(rig, 1 + 3 * (i % 3), Prompt(i).c_str(), 5);
+        Rig_Run(rig, 100 * kMs);
+    }
+    Rig_Run(rig, 5 * kSecond);
+    EXPECT_STREQ(Rig_FindViolation(rig, true), nullptr);
+    EXPECT_EQ(Rig_GetWorkOf(rig, 0), 0u);
+    EXPECT_GT(Rig_GetWorkOf(rig, 1), 50u * 1900);
+    EXPECT_EQ(Rig_GetWorkOf(rig, 2), 0u);
+    Rig_Free(rig);
+}
+
+// What goes to other regions never exceeds the contract's volume, and with
+// none nothing goes, though work must be refused.
+TEST(Regions, SpillKeepsToTheVolume)
+{
+    for (double volume : {0.0, 9000.0, 1e6}) {
+        RigOptions options = ThreeRegions();
+        options.cross_region_tokens_per_s = volume;
+        Rig *rig = Rig_New(&options);
+        std::vector<RigCaller *> callers;
+        for (int i = 0; i < 400; i++) {
+            callers.push_back(
+                Rig_SendCompletion(rig, 3 * (i % 3), Prompt(i).c_str(), 5));
+            Rig_Run(rig, 20 * kMs);
+        }
+        Rig_Run(rig, 10 * kSecond);
+        int answered = 0;
+        for (const RigCaller *caller : callers) {
+            answered += caller->type == BOARD_ANSWER_END ? 1 : 0;
+        }
+        uint64_t spilled = Rig_GetWorkOf(rig, 1) + Rig_GetWorkOf(rig, 2);
+        EXPECT_STREQ(Rig_FindViolation(rig, true), nullptr);
+        // Eight seconds of sending, one second's burst, and one prompt of
+        // debt at each of the three VMs.
+        EXPECT_LE(static_cast<double>(spilled), volume * 9 + 3 * 2001)
+            << volume;
+        if (volume == 0.0) {
+            EXPECT_EQ(spilled, 0u);
+            EXPECT_LT(answered, 400);
+        }
+        if (volume > 1e5) {
+            EXPECT_EQ(answered, 400);
+        }
+        Rig_Free(rig);
+    }
+}
+
+// A region that is cut off goes on alone, and so does the rest.
+TEST(Regions, ApartTheyGoOnAlone)
+{
+    RigOptions options = ThreeRegions();
+    options.cross_region_tokens_per_s = 1e6;
+    Rig *rig = Rig_New(&options);
+    for (int inside : {2, 5, 8}) {
+        for (int outside : {0, 1, 3, 4, 6, 7}) {
+            Rig_CutLink(rig, inside, outside, true);
+            Rig_CutLink(rig, outside, inside, true);
+        }
+    }
+    Rig_Run(rig, 10 * kSecond);
+    std::vector<RigCaller *> callers;
+    for (int i = 0; i < 18; i++) {
+        callers.push_back(
+            Rig_SendCompletion(rig, i % 9, Prompt(i).c_str(), 5));
+        Rig_Run(rig, 50 * kMs);
+    }
+    Rig_Run(rig, 10 * kSecond);
+    for (const RigCaller *caller : callers) {
+        EXPECT_EQ(caller->type, BOARD_ANSWER_END) << caller->err.message;
+        EXPECT_LE(caller->first_us - caller->begun_us, 1300 * kMs);
+    }
+    EXPECT_STREQ(Rig_FindViolation(rig, true), nullptr);
+    Rig_Free(rig);
+}
+
+// When half of the engines die at once, retries do not amplify the load:
+// prefills stay within 1.1 times the requests.
+TEST(Retries, NoStormWhenAZoneDies)
+{
+    RigOptions options = Rig_DefaultOptions();
+    options.vm_count = 9;
+    options.prefill_count = 6;
+    options.decode_count = 6;
+    Rig *rig = Rig_New(&options);
+    uint64_t asked = 0;
+    for (int i = 0; i < 600; i++) {
+        if (i == 200) {
+            for (int engine : {0, 1, 2, 6, 7, 8}) {
+                Rig_SetEngineFault(rig, engine, RIG_FAULT_DOWN);
+            }
+        }
+        Rig_SendCompletion(rig, i % 9, Prompt(i).c_str(), 10);
+        asked += 2001;
+        Rig_Run(rig, 25 * kMs);
+    }
+    Rig_Run(rig, 20 * kSecond);
+    double amplification = static_cast<double>(Rig_GetPrefilled(rig)) /
+                           static_cast<double>(asked);
+    RecordProperty("amplification", std::to_string(amplification));
+    EXPECT_LE(amplification, 1.1);
+    EXPECT_STREQ(Rig_FindViolation(rig, false), nullptr);
+    Rig_Free(rig);
+}
+
+// Slow is not dead: an engine with long gaps between tokens is left alone.
+TEST(Silence, SlowEngineIsNotGivenUp)
+{
+    RigOptions options = Rig_DefaultOptions();
+    options.token_interval_us = 1900 * kMs;
+    Rig *rig = Rig_New(&options);
+    RigCaller *caller = Rig_SendCompletion(rig, 0, Prompt(1).c_str(), 10);
+    Rig_Run(rig, 30 * kSecond);
+    EXPECT_EQ(caller->type, BOARD_ANSWER_END) << caller->err.message;
+    EXPECT_EQ(Rig_GetPrefilled(rig), 2001u);
+    Rig_Free(rig);
+}
+
+} // namespace
