--- a/fakes/fake_booking.c
+++ b/fakes/fake_booking.c
@@ -48,9 +48,10 @@
               void *context)
 {
     (void)context;
-    return Fake_Answer(
-        response, 200,
-        json_pack("{s:s, s:b}", "path", request->url_path, "available", 1));
+    return Fake_Answer(response, 200,
+                       json_pack("{s:s, s:s?, s:b}", "path", request->url_path,
+                                 "query", u_map_get(request->map_url, "lens"),
+                                 "available", 1));
 }
 
 static int
--- a/replay/rig.c
+++ b/replay/rig.c
@@ -1,4 +1,4 @@
-#include "rig_up.h"
+#include "rig_state.h"
 
 #include "ctl.h"
 #include "mem.h"
@@ -7,16 +7,13 @@
 
 #include <string.h>
 
-static void start_process(Rig *rig, RigVm *vm);
 static void send_frame(void *context, const char *id,
                        const Wire__Frame *frame);
 static void begin_call(void *context, const BoardCall *call);
 static void end_call(void *context, uint64_t call);
 static void take_answer(void *context, uint64_t caller,
                         const BoardAnswer *answer);
-static ConConfig *load_config(Rig *rig);
 static void give_list(Rig *rig);
-static void handle_event(Rig *rig, RigEvent *event);
 static void free_event(RigEvent *event);
 static void free_call(gpointer data);
 
@@ -137,7 +134,7 @@
         g_snprintf(vm->id, sizeof(vm->id), "vm-%d", i);
         g_snprintf(vm->region, sizeof(vm->region), "region-%d",
                    i % options->regions);
-        start_process(rig, vm);
+        Rig_StartProcess(rig, vm);
     }
     Rig_Run(rig, 2 * CLK_US_PER_S);
     return rig;
@@ -216,7 +213,7 @@
             g_sequence_move(first, g_sequence_get_begin_iter(taken));
             g_sequence_free(taken);
             rig->now_us = MAX(rig->now_us, event->at_us);
-            handle_event(rig, event);
+            Rig_HandleEvent(rig, event);
         }
         rig->now_us = step_end;
         tick_vms(rig);
@@ -259,7 +256,7 @@
     order.max_tokens = max_tokens;
     if (Req_Begin(board, &order, caller->request, sizeof(caller->request),
                   &err) != LS_OK) {
-        Board_AnswerError(board, caller->number, &err);
+        Board_AnswerError(board, caller->number, NULL, &err);
     }
     Ctl_RunLocal(board);
     return caller;
@@ -312,167 +309,6 @@
     }
 }
 
-/* Marks the calls of a VM's present process as closed. */
-static void
-close_calls(Rig *rig, const RigVm *vm)
-{
-    for (guint i = 0; i < rig->calls->len; i++) {
-        RigCall *call = rig->calls->pdata[i];
-        call->closed = call->closed || (call->vm == vm->index &&
-                                        call->incarnation == vm->incarnation);
-    }
-}
-
-/* Tells the other VMs that their links to a VM broke. */
-static void
-break_links(Rig *rig, int vm, int64_t delay_us)
-{
-    for (int i = 0; i < rig->options.vm_count; i++) {
-        if (i != vm) {
-            Rig_AddEvent(rig, RIG_EVENT_LINK_DOWN, i, delay_us)->from = vm;
-        }
-    }
-}
-
-void
-Rig_KillVm(Rig *rig, int index)
-{
-    RigVm *vm = &rig->vms[index];
-
-    if (vm->board == NULL) {
-        return;
-    }
-    close_calls(rig, vm);
-    for (guint i = 0; i < rig->callers->len; i++) {
-        RigCaller *caller = rig->callers->pdata[i];
-        caller->lost = caller->lost || caller->vm == index;
-    }
-    Board_Free(vm->board);
-    vm->board = NULL;
-    vm->paused = false;
-    vm->unlist_us = rig->now_us + rig->options.list_lag_us;
-    break_links(rig, index, rig->options.latency_us);
-}
-
-void
-Rig_StartVm(Rig *rig, int index)
-{
-    if (rig->vms[index].board == NULL) {
-        start_process(rig, &rig->vms[index]);
-    }
-}
-
-void
-Rig_PauseVm(Rig *rig, int vm)
-{
-    rig->vms[vm].paused = true;
-    break_links(rig, vm, RIG_LINK_SILENT_US);
-}
-
-void
-Rig_ResumeVm(Rig *rig, int index)
-{
-    RigVm *vm = &rig->vms[index];
-    RigEvent *event;
-
-    if (!vm->paused) {
-        return;
-    }
-    vm->paused = false;
-    if (vm->board == NULL) {
-        return;
-    }
-    /* The loop's tick comes before what the kernel kept for the process. */
-    Clk_Pause(&vm->board->clk, rig->now_us);
-    Ctl_OnTick(vm->board);
-    Ctl_RunLocal(vm->board);
-    while ((event = g_queue_pop_head(vm->held)) != NULL) {
-        handle_event(rig, event);
-    }
-}
-
-void
-Rig_StopVm(Rig *rig, int vm)
-{
-    if (rig->vms[vm].board != NULL) {
-        Ctl_Stop(rig->vms[vm].board);
-    }
-}
-
-void
-Rig_CutLink(Rig *rig, int from, int to, bool cut)
-{
-    if (cut && !rig->cut[from][to]) {
-        Rig_AddEvent(rig, RIG_EVENT_LINK_DOWN, from, RIG_LINK_SILENT_US)
-            ->from = to;
-        Rig_AddEvent(rig, RIG_EVENT_LINK_DOWN, to, RIG_LINK_SILENT_US)->from =
-            from;
-    }
-    rig->cut[from][to] = cut;
-}
-
-void
-Rig_IsolateVm(Rig *rig, int vm, bool isolated)
-{
-    for (int i = 0; i < rig->options.vm_count; i++) {
-        if (i != vm) {
-            Rig_CutLink(rig, vm, i, isolated);
-            Rig_CutLink(rig, i, vm, isolated);
-        }
-    }
-}
-
-void
-Rig_SetEngineFault(Rig *rig, int engine, RigFault fault)
-{
-    ((RigEngine *)rig->engines->pdata[engine])->fault = fault;
-}
-
-void
-Rig_SetBookingFault(Rig *rig, RigFault fault)
-{
-    rig->booking_fault = fault;
-}
-
-void
-Rig_SetLeaving(Rig *rig, int engine, int64_t stagger_us)
-{
-    ((RigEngine *)rig->engines->pdata[engine])->leaving = true;
-    rig->version++;
-    for (int i = 0; i < rig->options.vm_count; i++) {
-        Rig_AddEvent(rig, RIG_EVENT_CONFIG, i, i * stagger_us)->config =
-            load_config(rig);
-    }
-}
-
-void
-Rig_SetLoad(Rig *rig, const char *load, unsigned vm_mask)
-{
-    g_strlcpy(rig->load, load, sizeof(rig->load));
-    rig->version++;
-    for (int i = 0; i < rig->options.vm_count; i++) {
-        if ((vm_mask & (1U << i)) != 0) {
-            Rig_AddEvent(rig, RIG_EVENT_CONFIG, i, 0)->config =
-                load_config(rig);
-        }
-    }
-}
-
-void
-Rig_SetFencingCheck(Rig *rig, bool checks_fencing)
-{
-    rig->checks_fencing = checks_fencing;
-}
-
-void
-Rig_RestartEngine(Rig *rig, int index)
-{
-    RigEngine *engine = rig->engines->pdata[index];
-
-    engine->loaded[0] = '\0';
-    engine->fencing = 0;
-}
-
 const char *
 Rig_GetLoads(const Rig *rig, int engine)
 {
@@ -559,8 +395,8 @@
     return g_string_free(text, FALSE);
 }
 
-static ConConfig *
-load_config(Rig *rig)
+ConConfig *
+Rig_LoadConfig(Rig *rig)
 {
     char *digest = Con_GetDigest(RIG_KEY, strlen(RIG_KEY));
     char *upstreams = format_upstreams(rig);
@@ -599,8 +435,8 @@
     return config;
 }
 
-static void
-start_process(Rig *rig, RigVm *vm)
+void
+Rig_StartProcess(Rig *rig, RigVm *vm)
 {
     BoardOptions options = Board_DefaultOptions();
     LsError err;
@@ -622,7 +458,7 @@
     vm->board = Board_New(&options);
     Clk_Pause(&vm->board->clk, rig->now_us);
     Plc_SetPolicy(vm->board->plc, rig->options.policy);
-    Board_SetConfig(vm->board, load_config(rig), &err);
+    Board_SetConfig(vm->board, Rig_LoadConfig(rig), &err);
     give_list(rig);
     for (int i = 0; i < rig->options.vm_count; i++) {
         if (rig->vms[i].board != NULL && i != vm->index) {
@@ -842,8 +678,8 @@
     Ctl_RunLocal(board);
 }
 
-static void
-handle_event(Rig *rig, RigEvent *event)
+void
+Rig_HandleEvent(Rig *rig, RigEvent *event)
 {
     RigVm *vm = &rig->vms[event->vm];
 
--- a/replay/rig_check.c
+++ b/replay/rig_check.c
@@ -1,5 +1,5 @@
 /* The checks of the promises that must always hold. */
-#include "rig_up.h"
+#include "rig_state.h"
 
 #include <string.h>
 
--- a/replay/rig_up.h
+++ b/replay/rig_state.h
@@ -1,7 +1,6 @@
-/* RigUp: the rig's state, and its fakes of engines and of the booking
-   service. Only the rig's own files include this. */
-#ifndef RIG_UP_H
-#define RIG_UP_H
+/* The rig's state, and what its own files share; no others include this. */
+#ifndef RIG_STATE_H
+#define RIG_STATE_H
 
 #include "rig.h"
 
@@ -113,6 +112,9 @@
 
 /* Adds an event that happens at a VM after a delay. */
 RigEvent *Rig_AddEvent(Rig *rig, RigEventType type, int vm, int64_t delay_us);
+void Rig_StartProcess(Rig *rig, RigVm *vm);      /* With empty memory. */
+void Rig_HandleEvent(Rig *rig, RigEvent *event); /* And frees it. */
+ConConfig *Rig_LoadConfig(Rig *rig); /* Of the rig's present version. */
 /* A call reaches its upstream. */
 void RigUp_Arrive(Rig *rig, RigCall *call);
 void RigUp_EndPrefill(Rig *rig, RigCall *call);
--- a/replay/rig_up.c
+++ b/replay/rig_up.c
@@ -1,4 +1,4 @@
-#include "rig_up.h"
+#include "rig_state.h"
 
 #include <string.h>
 #include <xxhash.h>
--- a/src/api.c
+++ b/src/api.c
@@ -83,12 +83,15 @@
 }
 
 char *
-Api_FormatError(const LsError *err)
+Api_FormatError(const LsError *err, const char *request)
 {
     json_t *error = json_pack("{s:i, s:s, s:s, s:s}", "number", (int)err->code,
                               "code", Err_GetName(err->code), "message",
                               err->message, "run", Err_GetRunName(err->run));
 
+    if (request != NULL) {
+        json_object_set_new(error, "request", json_string(request));
+    }
     if (err->retry_after_ms > 0) {
         json_object_set_new(error, "retry_after_ms",
                             json_integer(err->retry_after_ms));
@@ -96,31 +99,31 @@
     return dump_and_free(json_pack("{s:o}", "error", error));
 }
 
+/* The parts that chunks and whole answers share. */
+static json_t *
+format_completion(const char *model, const char *text, const BoxItem *item)
+{
+    return json_pack("{s:s?, s:s, s:s, s:o}", "id", item->request, "object",
+                     "text_completion", "model", model, "choices",
+                     format_choice(text, item->finish_reason));
+}
+
 char *
-Api_FormatChunk(const char *model, const char *text)
+Api_FormatChunk(const char *model, const BoxItem *chunk)
 {
-    return dump_and_free(json_pack("{s:s, s:s, s:o}", "object",
-                                   "text_completion", "model", model,
-                                   "choices", format_choice(text, NULL)));
+    return dump_and_free(format_completion(model, chunk->text, chunk));
 }
 
 char *
 Api_FormatEnd(const char *model, const BoxItem *end)
 {
-    json_t *object =
-        json_pack("{s:s, s:s, s:o}", "object", "text_completion", "model",
-                  model, "choices", format_choice("", end->finish_reason));
-
-    add_usage(object, end);
-    return dump_and_free(object);
+    return Api_FormatAnswer(model, "", end);
 }
 
 char *
 Api_FormatAnswer(const char *model, const char *text, const BoxItem *end)
 {
-    json_t *object =
-        json_pack("{s:s, s:s, s:o}", "object", "text_completion", "model",
-                  model, "choices", format_choice(text, end->finish_reason));
+    json_t *object = format_completion(model, text, end);
 
     add_usage(object, end);
     return dump_and_free(object);
--- a/src/att.c
+++ b/src/att.c
@@ -306,6 +306,7 @@
     }
     answer.type = BOARD_ANSWER_CHUNK;
     answer.offset = item->tokens;
+    answer.request = item->id;
     answer.text = chunk->text;
     answer.size = strlen(chunk->text);
     item->tokens += chunk->tokens;
--- a/src/board.c
+++ b/src/board.c
@@ -194,10 +194,12 @@
 }
 
 void
-Board_AnswerError(Board *board, uint64_t caller, const LsError *err)
+Board_AnswerError(Board *board, uint64_t caller, const char *request,
+                  const LsError *err)
 {
     BoardAnswer answer = {0};
 
+    answer.request = request;
     answer.type = BOARD_ANSWER_ERROR;
     answer.err = err;
     Met_Add(err->run == LS_RUN_NOT_RUN ? MET_ANSWERS_REFUSED
--- a/src/board.h
+++ b/src/board.h
@@ -71,7 +71,8 @@
     const char *finish_reason;
     uint32_t prompt_tokens;
     uint32_t output_tokens;
-    const char *path; /* "entry>home:prefill>decode" of a completion. */
+    const char *request; /* Identifier of a completion, or NULL. */
+    const char *path;    /* "entry>home:prefill>decode" of a completion. */
     const LsError *err;
 } BoardAnswer;
 
@@ -145,6 +146,8 @@
 void Board_HandleCallEvent(Board *board, const BoardCallEvent *event);
 
 void Board_Answer(Board *board, uint64_t caller, const BoardAnswer *answer);
-void Board_AnswerError(Board *board, uint64_t caller, const LsError *err);
+/* Gives the final answer that is an error; `request` may be NULL. */
+void Board_AnswerError(Board *board, uint64_t caller, const char *request,
+                       const LsError *err);
 
 #endif
--- a/src/box.c
+++ b/src/box.c
@@ -67,6 +67,7 @@
         g_strndup(answer->text != NULL ? answer->text : "", answer->size);
     item->finish_reason = g_strdup(answer->finish_reason);
     item->path = g_strdup(answer->path);
+    item->request = g_strdup(answer->request);
     if (answer->err != NULL) {
         item->err = *answer->err;
     }
@@ -100,6 +101,7 @@
     g_free(item->text);
     g_free(item->finish_reason);
     g_free(item->path);
+    g_free(item->request);
     g_free(item);
 }
 
--- a/src/box.h
+++ b/src/box.h
@@ -23,6 +23,7 @@
     LsError err;
     char *text;
     char *finish_reason;
+    char *request;
     char *path;
 } BoxItem;
 
--- a/src/con.c
+++ b/src/con.c
@@ -247,7 +247,7 @@
         size_t size = strlen(route->path);
         bool covers = strcmp(route->service, service) == 0 &&
                       strncmp(route->path, path, size) == 0 &&
-                      (path[size] == '\0' || path[size] == '/');
+                      strchr("/?", path[size]) != NULL;
         if (covers && (best == NULL || size > strlen(best->path))) {
             best = route;
         }
--- a/src/con.h
+++ b/src/con.h
@@ -122,7 +122,8 @@
                                         const char *id);
 const ConModel *Con_FindModel(const ConConfig *config, const char *name);
 const ConUpstream *Con_FindUpstream(const ConConfig *config, const char *id);
-/* The longest route of the contract that covers the path, or NULL. */
+/* The longest route of the contract that covers the path, which may have a
+   query, or NULL. */
 const ConRoute *Con_FindRoute(const ConCustomer *customer, const char *service,
                               const char *path);
 /* Time to move a prompt's KV cache over the upstream's link, microseconds. */
--- a/src/node.c
+++ b/src/node.c
@@ -305,14 +305,14 @@
         Err_Set(&err, LS_ERR_NOT_READY, LS_RUN_NOT_RUN,
                 "no configuration has been read yet");
         err.retry_after_ms = 1000;
-        Board_AnswerError(node->board, intent->caller, &err);
+        Board_AnswerError(node->board, intent->caller, NULL, &err);
         return NULL;
     }
     customer = Con_FindCustomer(config, intent->key);
     if (customer == NULL) {
         Err_Set(&err, LS_ERR_UNKNOWN_CUSTOMER, LS_RUN_NOT_RUN,
                 "no contract has this key");
-        Board_AnswerError(node->board, intent->caller, &err);
+        Board_AnswerError(node->board, intent->caller, NULL, &err);
     }
     return customer;
 }
@@ -344,7 +344,7 @@
     if (Req_Begin(node->board, &order, request, sizeof(request), &err) !=
         LS_OK) {
         log_request("completion_refused", request, customer->id, &err);
-        Board_AnswerError(node->board, intent->caller, &err);
+        Board_AnswerError(node->board, intent->caller, NULL, &err);
         return;
     }
     log_request("completion_begun", request, customer->id, NULL);
@@ -376,7 +376,7 @@
         return;
     }
     if (Op_IssueKey(node->board, customer, key, sizeof(key), &err) != LS_OK) {
-        Board_AnswerError(node->board, intent->caller, &err);
+        Board_AnswerError(node->board, intent->caller, NULL, &err);
         return;
     }
     answer_json(node, intent->caller, 201,
@@ -394,7 +394,7 @@
         Err_Set(&err, LS_ERR_OPERATION_KEY_NEEDED, LS_RUN_NOT_RUN,
                 "this call may run only once: get a key by POST "
                 "/v1/operations and send it as Idempotency-Key");
-        Board_AnswerError(node->board, intent->caller, &err);
+        Board_AnswerError(node->board, intent->caller, NULL, &err);
         return;
     }
     order.caller = intent->caller;
@@ -426,7 +426,7 @@
                 route == NULL ? "the contract has no route %s%s"
                               : "shutting down: %s%s was not run",
                 intent->service, intent->path);
-        Board_AnswerError(node->board, intent->caller, &err);
+        Board_AnswerError(node->board, intent->caller, NULL, &err);
         return;
     }
     if (!route->idempotent) {
--- a/src/op.c
+++ b/src/op.c
@@ -1,6 +1,7 @@
 #include "op.h"
 
 #include "mem.h"
+#include "quo.h"
 #include "svc.h"
 
 #include <string.h>
@@ -104,6 +105,10 @@
         return Err_Set(err, LS_ERR_SHUTTING_DOWN, LS_RUN_NOT_RUN,
                        "this VM is shutting down");
     }
+    if (Quo_Admit(board, customer, 0, err) != LS_OK) {
+        return err->code;
+    }
+    Quo_Release(board, customer->id);
     if (g_hash_table_size(op->by_key) >= OP_KEYS_MAX) {
         Err_Set(err, LS_ERR_OPERATION_TABLE_FULL, LS_RUN_NOT_RUN,
                 "too many operation keys are open");
@@ -196,9 +201,14 @@
     if (!parse_key(order->key, vm, sizeof(vm), &incarnation)) {
         Err_Set(&err, LS_ERR_OPERATION_KEY_BAD, LS_RUN_NOT_RUN,
                 "the Idempotency-Key was not issued by POST /v1/operations");
-        Board_AnswerError(board, order->caller, &err);
+        Board_AnswerError(board, order->caller, NULL, &err);
+        return;
+    }
+    if (Quo_Admit(board, order->customer, 0, &err) != LS_OK) {
+        Board_AnswerError(board, order->caller, NULL, &err);
         return;
     }
+    Quo_Release(board, order->customer->id);
     waiter.caller = order->caller;
     if (strcmp(vm, board->vm) == 0 && incarnation == board->incarnation) {
         run_local(board, order, &waiter, Board_Now(board) + OP_DEADLINE_US);
@@ -207,7 +217,7 @@
     if (strcmp(vm, board->vm) == 0 || Mem_IsGone(board, vm) ||
         Mem_GetIncarnation(board, vm) > incarnation) {
         set_unknown(&err, "the process that issued the key is gone");
-        Board_AnswerError(board, order->caller, &err);
+        Board_AnswerError(board, order->caller, NULL, &err);
         return;
     }
     send_remote(board, order, vm);
@@ -309,7 +319,8 @@
     for (guint i = 0; i < callers->len; i++) {
         set_unknown(&err, message);
         err.retry_after_ms = 1000;
-        Board_AnswerError(board, g_array_index(callers, uint64_t, i), &err);
+        Board_AnswerError(board, g_array_index(callers, uint64_t, i), NULL,
+                          &err);
     }
     g_array_unref(callers);
 }
@@ -527,7 +538,7 @@
 
     if (waiter->vm[0] == '\0') {
         if (err != NULL) {
-            Board_AnswerError(board, waiter->caller, err);
+            Board_AnswerError(board, waiter->caller, NULL, err);
             return;
         }
         local.type = BOARD_ANSWER_BODY;
--- a/src/req.c
+++ b/src/req.c
@@ -608,6 +608,7 @@
     answer.prompt_tokens = item->prompt_tokens;
     answer.output_tokens = item->tokens;
     answer.path = path;
+    answer.request = item->id;
     Ring_Add(board, item->id, "done by %s", path);
     Board_Answer(board, item->caller, &answer);
     g_free(path);
@@ -625,6 +626,6 @@
     err.retry_after_ms = retry_after_ms;
     Ring_Add(board, item->id, "refused %s: %s", Err_GetName(code), message);
     Slo_Count(board, item->customer, SLO_ANSWERED, false);
-    Board_AnswerError(board, item->caller, &err);
+    Board_AnswerError(board, item->caller, item->id, &err);
     free_item(board, item);
 }
--- a/src/svc.c
+++ b/src/svc.c
@@ -66,7 +66,7 @@
     LsError err;
 
     if (Quo_Admit(board, order->customer, 0, &err) != LS_OK) {
-        Board_AnswerError(board, order->caller, &err);
+        Board_AnswerError(board, order->caller, NULL, &err);
         return;
     }
     item = g_new0(SvcItem, 1);
@@ -205,7 +205,7 @@
                 item->sent ? LS_RUN_UNKNOWN : LS_RUN_NOT_RUN,
                 "no worker of service %s", item->service);
         err.retry_after_ms = 1000;
-        Board_AnswerError(board, item->caller, &err);
+        Board_AnswerError(board, item->caller, NULL, &err);
         free_item(board, item);
         return;
     }
@@ -235,7 +235,7 @@
     Err_Set(&err, LS_ERR_UPSTREAM_FAILED,
             item->sent ? LS_RUN_UNKNOWN : LS_RUN_NOT_RUN, "%s", message);
     err.retry_after_ms = 1000;
-    Board_AnswerError(board, item->caller, &err);
+    Board_AnswerError(board, item->caller, NULL, &err);
     free_item(board, item);
 }
 
--- a/src/web.c
+++ b/src/web.c
@@ -1,11 +1,9 @@
 #include "web.h"
 
 #include "api.h"
-#include "log.h"
+#include "sock.h"
 
 #include <arpa/inet.h>
-#include <poll.h>
-#include <pthread.h>
 #include <string.h>
 #include <ulfius.h>
 
@@ -13,6 +11,8 @@
 #define WEB_BEARER "Bearer "
 #define WEB_CONTENT_LENGTH "Content-Length"
 #define WEB_OPERATOR_WAIT_US (2 * CLK_US_PER_S)
+#define WEB_SERVICES "/v1/services/"
+#define WEB_EXPLAIN "/v1/explain/"
 #define WEB_COMMENT ": \n\n"
 
 struct Web {
@@ -24,8 +24,7 @@
     bool operators_started;
     GAsyncQueue *intents;
     BoxTable *boxes;
-    pthread_mutex_t lock;
-    GHashTable *sockets; /* Client "IP:port" key to descriptor. */
+    Sock *sockets; /* Of callers and operators. */
 };
 
 /* A streamed answer being written to its caller. */
@@ -73,8 +72,7 @@
     web->intents = g_async_queue_new_full((GDestroyNotify)Web_FreeIntent);
     web->boxes = Box_NewTable();
     web->addresses = g_ptr_array_new_with_free_func(g_free);
-    pthread_mutex_init(&web->lock, NULL);
-    web->sockets = g_hash_table_new(g_int64_hash, g_int64_equal);
+    web->sockets = Sock_New();
     if (!start_callers(web, err) || !start_operators(web, err)) {
         Web_Free(web);
         return NULL;
@@ -95,9 +93,8 @@
     }
     g_async_queue_unref(web->intents);
     Box_FreeTable(web->boxes);
-    g_hash_table_unref(web->sockets);
+    Sock_Free(web->sockets);
     g_ptr_array_unref(web->addresses);
-    pthread_mutex_destroy(&web->lock);
     g_free(web);
 }
 
@@ -156,78 +153,6 @@
     post_intent(web, intent);
 }
 
-static gint64
-get_socket_key(const struct sockaddr_in *address)
-{
-    return ((gint64)ntohl(address->sin_addr.s_addr) << 16) |
-           ntohs(address->sin_port);
-}
-
-/* Keeps the descriptor of each open connection by its client's address, so
-   that a request's thread can watch its caller. */
-static void
-track_socket(void *context, struct MHD_Connection *connection,
-             void **socket_context, enum MHD_ConnectionNotificationCode code)
-{
-    Web *web = context;
-    const union MHD_ConnectionInfo *info;
-    const union MHD_ConnectionInfo *peer;
-    gint64 *key;
-
-    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-        key = *socket_context;
-        if (key != NULL) {
-            pthread_mutex_lock(&web->lock);
-            g_hash_table_remove(web->sockets, key);
-            pthread_mutex_unlock(&web->lock);
-            g_free(key);
-        }
-        return;
-    }
-    info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    peer = MHD_get_connection_info(connection,
-                                   MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-    if (info == NULL || peer == NULL) {
-        return;
-    }
-    key = g_new(gint64, 1);
-    *key = get_socket_key((const struct sockaddr_in *)peer->client_addr);
-    pthread_mutex_lock(&web->lock);
-    g_hash_table_insert(web->sockets, key,
-                        GINT_TO_POINTER(info->connect_fd + 1));
-    pthread_mutex_unlock(&web->lock);
-    *socket_context = key;
-}
-
-/* Descriptor of the request's connection, or -1. */
-static int
-find_socket(Web *web, const struct _u_request *request)
-{
-    gint64 key;
-    int fd;
-
-    if (request->client_address == NULL) {
-        return -1;
-    }
-    key = get_socket_key(
-        (const struct sockaddr_in *)(const void *)request->client_address);
-    pthread_mutex_lock(&web->lock);
-    fd = GPOINTER_TO_INT(g_hash_table_lookup(web->sockets, &key)) - 1;
-    pthread_mutex_unlock(&web->lock);
-    return fd;
-}
-
-/* Whether the caller closed its connection, or its sending half. */
-static bool
-is_caller_gone(int fd)
-{
-    struct pollfd row = {fd, POLLRDHUP, 0};
-
-    return fd >= 0 && poll(&row, 1, 0) > 0 &&
-           (row.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
-
 static void
 set_json(struct _u_response *response, unsigned int status, char *body)
 {
@@ -237,7 +162,8 @@
 }
 
 static int
-set_error(struct _u_response *response, const LsError *err)
+set_error(struct _u_response *response, const LsError *err,
+          const char *request)
 {
     char seconds[16];
 
@@ -247,7 +173,7 @@
         u_map_put(response->map_header, "Retry-After", seconds);
     }
     set_json(response, (unsigned int)Err_GetHttpStatus(err->code),
-             Api_FormatError(err));
+             Api_FormatError(err, request));
     return U_CALLBACK_COMPLETE;
 }
 
@@ -283,7 +209,7 @@
 
     /* The look comes first: chunks may follow each other so fast that the
        wait never ends without one. */
-    while (item == NULL && !is_caller_gone(fd)) {
+    while (item == NULL && !Sock_IsClosed(fd)) {
         item = Box_Take(box, WEB_CHECK_US);
     }
     return item;
@@ -300,19 +226,19 @@
         BoxItem *item = Box_Take(stream->box, WEB_CHECK_US);
         char *text = NULL;
         if (item == NULL) {
-            if (is_caller_gone(stream->fd)) {
+            if (Sock_IsClosed(stream->fd)) {
                 return U_STREAM_ERROR;
             }
             g_string_append(stream->pending, WEB_COMMENT);
         }
         else if (item->answer.type == BOARD_ANSWER_CHUNK) {
-            text = Api_FormatChunk(stream->model, item->text);
+            text = Api_FormatChunk(stream->model, item);
             g_string_append_printf(stream->pending, "data: %s\n\n", text);
         }
         else {
             text = item->answer.type == BOARD_ANSWER_END
                        ? Api_FormatEnd(stream->model, item)
-                       : Api_FormatError(&item->err);
+                       : Api_FormatError(&item->err, item->request);
             g_string_append_printf(stream->pending, "data: %s\n\n%s", text,
                                    item->answer.type == BOARD_ANSWER_END
                                        ? "data: [DONE]\n\n"
@@ -354,7 +280,7 @@
 {
     WebStream *stream = g_new0(WebStream, 1);
     char *text = first->answer.type == BOARD_ANSWER_CHUNK
-                     ? Api_FormatChunk(model, first->text)
+                     ? Api_FormatChunk(model, first)
                      : Api_FormatEnd(model, first);
 
     stream->web = web;
@@ -393,7 +319,7 @@
         result = U_CALLBACK_ERROR;
     }
     else if (item->answer.type == BOARD_ANSWER_ERROR) {
-        set_error(response, &item->err);
+        set_error(response, &item->err, item->request);
         Box_FreeItem(item);
     }
     else {
@@ -417,7 +343,7 @@
     Box *box;
     BoxItem *item;
     LsError err;
-    int fd = find_socket(web, request);
+    int fd = Sock_Find(web->sockets, request->client_address);
     int result;
 
     intent->type = WEB_INTENT_COMPLETION;
@@ -425,7 +351,7 @@
         Api_ParseCompletion(request->binary_body, request->binary_body_length,
                             intent, &stream, &err) != LS_OK) {
         Web_FreeIntent(intent);
-        return set_error(response, &err);
+        return set_error(response, &err, NULL);
     }
     model = g_strdup(intent->model);
     box = Box_Open(web->boxes, &caller);
@@ -459,7 +385,7 @@
         return U_CALLBACK_ERROR;
     }
     if (item->answer.type == BOARD_ANSWER_ERROR) {
-        set_error(response, &item->err);
+        set_error(response, &item->err, item->request);
     }
     else {
         ulfius_set_binary_body_response(response,
@@ -483,19 +409,20 @@
     intent->type = WEB_INTENT_ISSUE_KEY;
     if (check_request(web, request, intent, &err) != LS_OK) {
         Web_FreeIntent(intent);
-        return set_error(response, &err);
+        return set_error(response, &err, NULL);
     }
-    return answer_body(web, response, intent, find_socket(web, request));
+    return answer_body(web, response, intent,
+                       Sock_Find(web->sockets, request->client_address));
 }
 
-/* Splits /v1/services/{service}/{path}. */
+/* Splits /v1/services/{service}/{path}; the path keeps its query. */
 static LsResult
 parse_service_path(const char *url, WebIntent *intent, LsError *err)
 {
-    const char *service = url + strlen("/v1/services/");
+    const char *service = url + strlen(WEB_SERVICES);
     const char *path = strchr(service, '/');
 
-    if (!g_str_has_prefix(url, "/v1/services/") || path == NULL ||
+    if (!g_str_has_prefix(url, WEB_SERVICES) || path == NULL ||
         path == service || strstr(path, "..") != NULL) {
         return Err_Set(err, LS_ERR_UNKNOWN_ROUTE, LS_RUN_NOT_RUN,
                        "needs /v1/services/{service}/{path}");
@@ -515,9 +442,9 @@
 
     intent->type = WEB_INTENT_SERVICE;
     if (check_request(web, request, intent, &err) != LS_OK ||
-        parse_service_path(request->url_path, intent, &err) != LS_OK) {
+        parse_service_path(request->http_url, intent, &err) != LS_OK) {
         Web_FreeIntent(intent);
-        return set_error(response, &err);
+        return set_error(response, &err, NULL);
     }
     intent->method = g_strdup(request->http_verb);
     intent->idempotency_key =
@@ -525,7 +452,8 @@
     intent->body =
         g_memdup2(request->binary_body, request->binary_body_length);
     intent->body_size = request->binary_body_length;
-    return answer_body(web, response, intent, find_socket(web, request));
+    return answer_body(web, response, intent,
+                       Sock_Find(web->sockets, request->client_address));
 }
 
 static int
@@ -537,7 +465,6 @@
     uint64_t caller;
     Box *box = Box_Open(web->boxes, &caller);
     BoxItem *item;
-    const char *id = u_map_get(request->map_url, "request");
 
     intent->type = WEB_INTENT_READY;
     if (strcmp(request->url_path, "/v1/status") == 0) {
@@ -546,9 +473,9 @@
     else if (strcmp(request->url_path, "/v1/burn") == 0) {
         intent->type = WEB_INTENT_BURN;
     }
-    else if (id != NULL) {
+    else if (g_str_has_prefix(request->url_path, WEB_EXPLAIN)) {
         intent->type = WEB_INTENT_EXPLAIN;
-        intent->path = g_strdup(id);
+        intent->path = g_strdup(request->url_path + strlen(WEB_EXPLAIN));
     }
     intent->caller = caller;
     post_intent(web, intent);
@@ -600,7 +527,7 @@
     (void)context;
     Err_Set(&err, LS_ERR_UNKNOWN_ROUTE, LS_RUN_NOT_RUN, "no route %s %s",
             request->http_verb, request->url_path);
-    return set_error(response, &err);
+    return set_error(response, &err, NULL);
 }
 
 static bool
@@ -637,7 +564,7 @@
         {MHD_OPTION_CONNECTION_TIMEOUT, WEB_IDLE_S, NULL},
         {MHD_OPTION_CONNECTION_MEMORY_LIMIT, WEB_HEADER_BYTES, NULL},
         {MHD_OPTION_THREAD_STACK_SIZE, WEB_STACK_BYTES, NULL},
-        {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)track_socket, web},
+        {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)Sock_Notify, web->sockets},
         {MHD_OPTION_END, 0, NULL},
     };
 
@@ -692,8 +619,8 @@
                                handle_operator, web);
     ulfius_add_endpoint_by_val(instance, "GET", "/v1/burn", NULL, 0,
                                handle_operator, web);
-    ulfius_add_endpoint_by_val(instance, "GET", "/v1/explain/:request", NULL,
-                               0, handle_operator, web);
+    ulfius_add_endpoint_by_val(instance, "GET", "/v1/explain/*", NULL, 0,
+                               handle_operator, web);
     ulfius_set_default_endpoint(instance, handle_unknown, web);
     web->operators_started =
         start_instance(web, instance, web->options.operator_port, err);
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -90,6 +90,15 @@
 answer=$(complete "$entry" 40 false)
 check "unstreamed answer is the same" "$whole" "$answer"
 check "another VM is home" "vm-$entry>vm-$home:lens-assist" "$answer"
+request=$(grep -oE '"id":"[^"]*"' <<<"$answer" | cut -d'"' -f4)
+check "the home explains its decision" "granted lens-assist" \
+    "$("$BUILD/lavenderspoolctl" explain "$request" --vms \
+        "127.0.0.1:$(operator_port "$home")")"
+check "the burn report counts" "zupan +first_token +300 +2 +0" \
+    "$("$BUILD/lavenderspoolctl" burn --vms \
+        "127.0.0.1:$(operator_port "$entry")")"
+check "contracts are checked offline" "valid: 2 customers" \
+    "$("$BUILD/lavenderspoolctl" check "$WORK"/kv/lavenderspool/parts/*)"
 
 echo "--- ${SECONDS}s: bad input"
 post() { curl -s -X POST -H "Authorization: Bearer ${KEY:-$ZUPAN_KEY}" \
@@ -111,6 +120,9 @@
 check "body too large" '"number":102.*not_run' "$(curl -s -X POST \
     -H "Authorization: Bearer $ZUPAN_KEY" --data-binary @"$WORK/large" \
     "$(url "$entry" /v1/completions)")"
+check "a query reaches the service" '"query": *"50mm"' "$(curl -s \
+    -H "Authorization: Bearer $ZUPAN_KEY" \
+    "$(url "$entry" '/v1/services/booking-app/stock?lens=50mm')")"
 check "look-up of a service" '"available"' "$(curl -s \
     -H "Authorization: Bearer $ZUPAN_KEY" \
     "$(url "$entry" /v1/services/booking-app/stock/50mm)")"
