--- a/src/att.c
+++ b/src/att.c
@@ -10,7 +10,7 @@
 #define ATT_GRANT_SLACK_US (2 * CLK_US_PER_S) /* Beyond the home's own. */
 #define ATT_PREFILL_SLACK_US CLK_US_PER_S
 #define ATT_PREFILL_FACTOR 4 /* Of the time the prefill should take. */
-#define ATT_FIRST_CHUNK_SLACK_US (2 * CLK_US_PER_S)
+#define ATT_FIRST_CHUNK_SLACK_US CLK_US_PER_S
 #define ATT_GAP_MIN_US (2 * CLK_US_PER_S)
 #define ATT_GAP_TOKENS 20 /* Token intervals without a token. */
 
@@ -65,7 +65,8 @@
     case ATT_DECODE:
         if (!item->kv_used) {
             return ATT_FIRST_CHUNK_SLACK_US +
-                   ATT_PREFILL_FACTOR * get_transfer_us(board, item);
+                   ATT_PREFILL_FACTOR *
+                       (get_transfer_us(board, item) + interval);
         }
         return MAX(ATT_GAP_MIN_US, ATT_GAP_TOKENS * interval);
     case ATT_BACKOFF:
--- a/src/cell.c
+++ b/src/cell.c
@@ -3,7 +3,10 @@
 #include <string.h>
 
 #define CELL_PREFIXES_MAX 256 /* Prefixes remembered for each engine. */
-#define CELL_RATE_WEIGHT 0.2  /* Of the newest interval of releases. */
+#define CELL_DOWN_US (2 * CLK_US_PER_S)     /* After a first failure. */
+#define CELL_STRIKES_MAX 5                  /* That double the time. */
+#define CELL_BLAME_US (500 * CLK_US_PER_MS) /* Failures this near are one. */
+#define CELL_RATE_WEIGHT 0.2 /* Of the newest interval of releases. */
 
 static void stop_waiting(CellJob *job);
 static uint32_t count_cached_tokens(const CellJob *job,
@@ -120,6 +123,27 @@
     }
 }
 
+void
+Cell_BlameEngine(CellEngine *engine, int64_t now_us)
+{
+    if (engine->blamed_us == 0 || now_us - engine->blamed_us > CELL_BLAME_US) {
+        engine->strikes = MIN(engine->strikes + 1, CELL_STRIKES_MAX);
+    }
+    engine->blamed_us = now_us;
+    engine->down_until_us =
+        MAX(engine->down_until_us,
+            now_us + (CELL_DOWN_US << (engine->strikes - 1)));
+}
+
+void
+Cell_ClearBlame(CellJob *job)
+{
+    job->decode->strikes = 0;
+    if (job->prefill != NULL) {
+        job->prefill->strikes = 0;
+    }
+}
+
 void
 Cell_NoteRelease(Cell *cell, int64_t now_us)
 {
--- a/src/cell.h
+++ b/src/cell.h
@@ -20,6 +20,8 @@
     uint32_t reported;       /* Requests in its last running list. */
     int64_t prefill_free_us; /* When its prefill queue should be empty. */
     int64_t down_until_us;
+    int64_t blamed_us;    /* Of the last failure. */
+    uint32_t strikes;     /* Failures since it last worked. */
     GHashTable *prefixes; /* Prefix hash set. */
     GQueue *prefix_order; /* Oldest first. */
 } CellEngine;
@@ -56,7 +58,9 @@
     guint waiting_count;
     double release_interval_us; /* Smoothed; 0 until known. */
     int64_t released_us;
-    uint64_t turn; /* Of the round-robin baseline. */
+    int64_t learn_until_us; /* A new home hears of grants in use first. */
+    bool is_home;           /* As of the last look. */
+    uint64_t turn;          /* Of the round-robin baseline. */
 } Cell;
 
 Cell *Cell_New(const char *name);
@@ -73,6 +77,11 @@
 void Cell_ChargeJob(CellJob *job, int64_t now_us);
 /* The job's prefill ended. */
 void Cell_EndPrefill(CellJob *job, int64_t now_us);
+/* Notes that an engine failed: it is left alone for a time that doubles with
+   each failure, then tried with one job at a time until one is done. */
+void Cell_BlameEngine(CellEngine *engine, int64_t now_us);
+/* Notes that the job's engines worked. */
+void Cell_ClearBlame(CellJob *job);
 /* Notes that a place of the cell came free. */
 void Cell_NoteRelease(Cell *cell, int64_t now_us);
 
--- a/src/pick.c
+++ b/src/pick.c
@@ -52,13 +52,21 @@
     return false;
 }
 
+/* Whether an engine that failed has a job already that tries it out. */
+static bool
+is_on_trial(const CellEngine *engine)
+{
+    return engine->strikes > 0 &&
+           (engine->slots_used > 0 || engine->prefills > 0);
+}
+
 static bool
 is_usable(const CellJob *job, const CellEngine *engine, ConRole role,
           int64_t now_us)
 {
     return (engine->spec.role == role || engine->spec.role == CON_ROLE_BOTH) &&
            !engine->spec.leaving && engine->down_until_us <= now_us &&
-           !is_avoided(job, engine);
+           !is_on_trial(engine) && !is_avoided(job, engine);
 }
 
 /* The engine whose prefill would end first, if one may begin within `lead`
--- a/src/plc.c
+++ b/src/plc.c
@@ -7,7 +7,7 @@
 
 #include <string.h>
 
-#define PLC_DOWN_US (2 * CLK_US_PER_S)     /* After a failure. */
+#define PLC_LEARN_US (300 * CLK_US_PER_MS) /* Before a new home grants. */
 #define PLC_FULL_US (100 * CLK_US_PER_MS)  /* After a refusal. */
 #define PLC_LEAVING_US (60 * CLK_US_PER_S) /* After "leaving". */
 #define PLC_CHECK_US (5 * CLK_US_PER_S)    /* Between checks of a grant. */
@@ -108,6 +108,17 @@
     return alone_us > target_us ? alone_us + target_us : target_us;
 }
 
+/* A home that is new to a cell grants nothing until the entries have told it
+   of the grants in use. */
+static void
+begin_home(Board *board, Cell *cell)
+{
+    if (!cell->is_home && !Pick_IsLocal(board->plc->policy)) {
+        cell->is_home = true;
+        cell->learn_until_us = Board_Now(board) + PLC_LEARN_US;
+    }
+}
+
 void
 Plc_OnReserve(Board *board, const char *entry, const Wire__Reserve *reserve)
 {
@@ -121,6 +132,7 @@
         return; /* A repeated frame: the first one is being served. */
     }
     cell = get_cell(plc, reserve->cell);
+    begin_home(board, cell);
     job = Cell_NewJob(entry, reserve->request, reserve->attempt);
     job->context_tokens = MAX(reserve->context_tokens, 1);
     job->output_tokens = reserve->output_tokens;
@@ -172,22 +184,22 @@
 {
     CellEngine *engine =
         g_hash_table_lookup(board->plc->engines, release->blamed);
+    int64_t now = Board_Now(board);
     int64_t pause_us = 0;
 
     if (engine == NULL) {
         return;
     }
-    if (release->outcome == PLC_OUTCOME_REFUSED) {
-        pause_us = PLC_FULL_US;
+    if (release->outcome == PLC_OUTCOME_FAILED) {
+        Cell_BlameEngine(engine, now);
     }
-    else if (release->outcome == PLC_OUTCOME_FAILED) {
-        pause_us = PLC_DOWN_US;
+    else if (release->outcome == PLC_OUTCOME_REFUSED) {
+        pause_us = PLC_FULL_US;
     }
     else if (release->outcome == PLC_OUTCOME_LEAVING) {
         pause_us = PLC_LEAVING_US;
     }
-    engine->down_until_us =
-        MAX(engine->down_until_us, Board_Now(board) + pause_us);
+    engine->down_until_us = MAX(engine->down_until_us, now + pause_us);
 }
 
 void
@@ -200,6 +212,10 @@
         blame_engine(board, release);
     }
     if (job != NULL) {
+        if (job->granted && release->outcome == PLC_OUTCOME_DONE &&
+            release->blamed[0] == '\0') {
+            Cell_ClearBlame(job);
+        }
         if (job->granted) {
             Cell_NoteRelease(job->cell, Board_Now(board));
         }
@@ -279,6 +295,26 @@
     }
 }
 
+/* Notes whether this VM is still home of the cell. */
+static void
+follow_home(Board *board, Cell *cell)
+{
+    const ConUpstream *first =
+        cell->engines->len > 0
+            ? &((const CellEngine *)cell->engines->pdata[0])->spec
+            : NULL;
+    bool is_home =
+        first != NULL &&
+        strcmp(Mem_FindHome(board, cell->name, first->region), board->vm) == 0;
+
+    if (is_home) {
+        begin_home(board, cell);
+    }
+    else if (cell->waiting_count == 0) {
+        cell->is_home = false;
+    }
+}
+
 /* Asks whether grants are still used: a release may have been lost. */
 static void
 check_jobs(Board *board, int64_t now)
@@ -327,6 +363,7 @@
             }
             job = next;
         }
+        follow_home(board, cell);
         dispatch_cell(board, cell);
     }
     check_jobs(board, now);
@@ -458,7 +495,7 @@
     int64_t now = Board_Now(board);
     CellJob *job;
 
-    if (Mem_IsPictureStale(board)) {
+    if (Mem_IsPictureStale(board) || now < cell->learn_until_us) {
         return;
     }
     while ((job = Pick_NextJob(cell, now)) != NULL &&
--- a/src/req.c
+++ b/src/req.c
@@ -29,6 +29,8 @@
 static bool choose_cell(Board *board, AttCompletion *item);
 static void send_reserve(Board *board, AttCompletion *item);
 static void reserve_again(Board *board, AttCompletion *item);
+static void follow_home(Board *board, AttCompletion *item);
+static const char *find_home(Board *board, const AttCompletion *item);
 static void send_release(Board *board, const AttCompletion *item,
                          PlcOutcome outcome, const char *blamed);
 static void refuse_item(Board *board, AttCompletion *item, LsResult code,
@@ -310,26 +312,27 @@
 
     TAILQ_FOREACH(item, &board->req->items, link)
     {
-        if (item->stage == ATT_WAIT_GRANT && strcmp(item->home, vm) == 0) {
+        if (strcmp(item->home, vm) != 0) {
+            continue;
+        }
+        if (item->stage == ATT_WAIT_GRANT) {
             Met_Add(MET_RESUBMITS, 1);
             item->attempt++;
             reserve_again(board, item);
         }
+        else {
+            follow_home(board, item);
+        }
     }
 }
 
-/* Follows a cell whose home has changed with the grant in use. */
+/* Tells a cell's new home of the grant in use. */
 static void
-recheck_home(Board *board, AttCompletion *item, int64_t now)
+follow_home(Board *board, AttCompletion *item)
 {
-    const char *home;
+    const char *home = find_home(board, item);
 
-    if (!Att_HasGrant(item) || now < item->recheck_us) {
-        return;
-    }
-    item->recheck_us = now + REQ_RECHECK_US;
-    home = Mem_FindHome(board, item->cell, item->cell_region);
-    if (strcmp(home, item->home) != 0) {
+    if (Att_HasGrant(item) && strcmp(home, item->home) != 0) {
         g_strlcpy(item->home, home, sizeof(item->home));
         send_hold(board, item);
     }
@@ -386,7 +389,10 @@
             handle_silence(board, item);
         }
         else {
-            recheck_home(board, item, now);
+            if (now >= item->recheck_us) {
+                item->recheck_us = now + REQ_RECHECK_US;
+                follow_home(board, item);
+            }
         }
         item = next;
     }
