--- a/src/board.h
+++ b/src/board.h
@@ -109,8 +109,9 @@
     ConConfig *config;    /* NULL until the first one is accepted. */
     bool stopping;        /* No new work is taken. */
     int64_t next_reap_us; /* When running lists are read again. */
-    GHashTable *calls;    /* Call id to BoardCallOwner. */
-    GQueue *local;        /* Frames to this VM itself: GBytes. */
+    int64_t last_reap_us;
+    GHashTable *calls; /* Call id to BoardCallOwner. */
+    GQueue *local;     /* Frames to this VM itself: GBytes. */
     struct Mem *mem;
     struct Plc *plc;
     struct Req *req;
--- a/src/cell.h
+++ b/src/cell.h
@@ -16,8 +16,9 @@
     ConUpstream spec;
     uint32_t slots_used;
     uint32_t blocks_used;
-    uint32_t prefills;       /* Granted and not yet ended. */
-    uint32_t reported;       /* Requests in its last running list. */
+    uint32_t prefills; /* Granted and not yet ended. */
+    uint32_t reported; /* Requests in its last running list... */
+    uint32_t foreign;  /* ...and those of them that this home did not grant. */
     int64_t prefill_free_us; /* When its prefill queue should be empty. */
     int64_t down_until_us;
     int64_t blamed_us;    /* Of the last failure. */
--- a/src/pick.c
+++ b/src/pick.c
@@ -97,7 +97,7 @@
 static bool
 has_room(const CellJob *job, const CellEngine *engine)
 {
-    return engine->slots_used < engine->spec.slots &&
+    return engine->slots_used + engine->foreign < engine->spec.slots &&
            engine->blocks_used + Cell_CountBlocks(job, &engine->spec) <=
                engine->spec.memory_blocks;
 }
@@ -225,8 +225,9 @@
         }
         if (is_usable(job, engine, CON_ROLE_DECODE, now_us)) {
             supply.tail_us = MIN(supply.tail_us, get_tail_us(job, engine));
-            supply.free_slots += engine->spec.slots -
-                                 MIN(engine->slots_used, engine->spec.slots);
+            supply.free_slots +=
+                engine->spec.slots -
+                MIN(engine->slots_used + engine->foreign, engine->spec.slots);
         }
     }
     return supply;
--- a/src/plc.c
+++ b/src/plc.c
@@ -194,7 +194,9 @@
         Cell_BlameEngine(engine, now);
     }
     else if (release->outcome == PLC_OUTCOME_REFUSED) {
+        /* Something holds places that this home knows nothing of. */
         pause_us = PLC_FULL_US;
+        Reap_Hasten(board);
     }
     else if (release->outcome == PLC_OUTCOME_LEAVING) {
         pause_us = PLC_LEAVING_US;
@@ -282,7 +284,7 @@
 
 void
 Plc_OnReport(Board *board, const char *upstream, uint32_t requests,
-             bool leaving)
+             uint32_t foreign, bool leaving)
 {
     CellEngine *engine = g_hash_table_lookup(board->plc->engines, upstream);
 
@@ -290,6 +292,7 @@
         return;
     }
     engine->reported = requests;
+    engine->foreign = foreign;
     if (leaving) {
         engine->down_until_us = Board_Now(board) + PLC_LEAVING_US;
     }
--- a/src/plc.h
+++ b/src/plc.h
@@ -36,9 +36,10 @@
 /* The link to an entry failed: it asks again for what still waits here. */
 void Plc_OnLinkDown(Board *board, const char *vm);
 void Plc_OnHold(Board *board, const char *entry, const Wire__Hold *hold);
-/* An engine's running list: its length, and whether it is leaving. */
+/* An engine's running list: its length, how many of these requests are not of
+   this home's grants, and whether the engine is leaving. */
 void Plc_OnReport(Board *board, const char *upstream, uint32_t requests,
-                  bool leaving);
+                  uint32_t foreign, bool leaving);
 /* Sends the waiting jobs back, for their entries to find another home. */
 void Plc_HandOn(Board *board);
 void Plc_OnTick(Board *board);
--- a/src/reap.c
+++ b/src/reap.c
@@ -104,6 +104,7 @@
     if (board->config == NULL || now < board->next_reap_us) {
         return;
     }
+    board->last_reap_us = now;
     board->next_reap_us = now + REAP_POLL_US;
     for (guint i = 0; i < board->config->upstreams->len; i++) {
         const ConUpstream *upstream = board->config->upstreams->pdata[i];
@@ -120,6 +121,13 @@
     }
 }
 
+void
+Reap_Hasten(Board *board)
+{
+    board->next_reap_us =
+        MIN(board->next_reap_us, board->last_reap_us + REAP_HASTE_US);
+}
+
 void
 Reap_OnClaimAnswer(Board *board, const Wire__ClaimAnswer *answer)
 {
@@ -192,6 +200,7 @@
     const ConUpstream *upstream = Con_FindUpstream(board->config, id);
     json_t *root = NULL;
     GPtrArray *queries;
+    uint32_t foreign = 0;
     size_t i;
     const json_t *item;
 
@@ -206,6 +215,7 @@
     json_array_foreach(json_object_get(root, "requests"), i, item)
     {
         if (json_is_string(item)) {
+            foreign += Plc_HasJob(board->plc, json_string_value(item)) ? 0 : 1;
             sort_request(board, upstream, json_string_value(item), queries);
         }
     }
@@ -213,7 +223,7 @@
         Plc_OnReport(
             board, id,
             (uint32_t)json_array_size(json_object_get(root, "requests")),
-            json_is_true(json_object_get(root, "leaving")));
+            foreign, json_is_true(json_object_get(root, "leaving")));
         report_loaded(board, id, json_object_get(root, "loaded"));
     }
     for (guint q = 0; q < queries->len; q++) {
--- a/src/reap.h
+++ b/src/reap.h
@@ -7,6 +7,7 @@
 #include "board.h"
 
 #define REAP_POLL_US (2 * CLK_US_PER_S)
+#define REAP_HASTE_US (200 * CLK_US_PER_MS)
 
 /* A request identifier is "vm.incarnation.sequence", incarnation in hex. */
 void Reap_FormatRequest(const Board *board, uint64_t sequence, char *target,
@@ -16,6 +17,8 @@
                        uint64_t *incarnation);
 
 void Reap_OnTick(Board *board);
+/* Has the lists read soon, at most every REAP_HASTE_US. */
+void Reap_Hasten(Board *board);
 void Reap_OnClaimAnswer(Board *board, const Wire__ClaimAnswer *answer);
 /* Checks that a job of this home, "request/attempt", still has its caller. */
 void Reap_CheckJob(Board *board, const char *engine_request);
--- a/tests/test_completion.cc
+++ b/tests/test_completion.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 #include <string>
+#include <vector>
 
 namespace {
 
@@ -154,6 +155,77 @@
     EXPECT_STREQ(Rig_FindViolation(rig_, true), nullptr);
 }
 
+// The next home hears of the grants in use before it grants, so it overfills
+// no engine and no prefill is wasted on refusals.
+TEST(HomeKilled, NextHomeOverfillsNoEngine)
+{
+    RigOptions options = Rig_DefaultOptions();
+    options.vm_count = 5;
+    options.prefill_count = 4;
+    options.decode_count = 2;
+    options.slots = 10;
+    options.token_interval_us = 30000;
+    Rig *rig = Rig_New(&options);
+    int home = Rig_FindHome(rig, 0);
+    std::vector<RigCaller *> callers;
+    uint64_t asked = 0;
+    for (int i = 0; i < 200; i++) {
+        int entry = (home + 1 + i % 4) % 5;
+        if (i == 60) {
+            Rig_KillVm(rig, home);
+        }
+        callers.push_back(
+            Rig_SendCompletion(rig, entry, Prompt(i, 2000).c_str(), 40));
+        Rig_Run(rig, 40 * kMs);
+    }
+    Rig_Run(rig, 20 * kSecond);
+    for (const RigCaller *caller : callers) {
+        asked += caller->type == BOARD_ANSWER_END
+                     ? strlen(caller->prompt) / 4 + 1
+                     : 0;
+    }
+    EXPECT_EQ(Rig_GetPrefilled(rig), asked);
+    EXPECT_STREQ(Rig_FindViolation(rig, true), nullptr);
+    Rig_Free(rig);
+}
+
+// A killed home that was an entry too leaves requests in engines' memory until
+// the platform drops it from its list. The next home sees them in the running
+// lists and places around them: less than 3% of the prefill is wasted.
+TEST(HomeKilled, NextHomePlacesAroundWhatItLeft)
+{
+    RigOptions options = Rig_DefaultOptions();
+    options.vm_count = 5;
+    options.prefill_count = 4;
+    options.decode_count = 2;
+    options.slots = 10;
+    options.token_interval_us = 30000;
+    options.list_lag_us = 600 * kSecond;
+    Rig *rig = Rig_New(&options);
+    int home = Rig_FindHome(rig, 0);
+    std::vector<RigCaller *> callers;
+    uint64_t asked = 0;
+    for (int i = 0; i < 400; i++) {
+        int entry = (home + (i < 60 ? 0 : 1) + i % 3) % 5;
+        if (i == 60) {
+            Rig_KillVm(rig, home);
+        }
+        callers.push_back(
+            Rig_SendCompletion(rig, entry, Prompt(i, 2000).c_str(), 40));
+        Rig_Run(rig, 55 * kMs);
+    }
+    Rig_Run(rig, 20 * kSecond);
+    for (const RigCaller *caller : callers) {
+        asked += caller->type == BOARD_ANSWER_END || caller->lost
+                     ? strlen(caller->prompt) / 4 + 1
+                     : 0;
+    }
+    EXPECT_LE(static_cast<double>(Rig_GetPrefilled(rig)),
+              1.03 * static_cast<double>(asked));
+    EXPECT_STREQ(Rig_FindViolation(rig, false), nullptr);
+    Rig_Free(rig);
+}
+
 // No engine memory stays held by a request whose caller is gone.
 TEST(CallerGone, MemoryIsFree)
 {
--- a/tests/test_parts.cc
+++ b/tests/test_parts.cc
@@ -9,6 +9,7 @@
 extern "C" {
 #include "api.h"
 #include "eng.h"
+#include "pick.h"
 #include "set.h"
 #include "slo.h"
 }
@@ -258,6 +259,60 @@
     Rig_Free(rig);
 }
 
+// Urgent work goes first, but a waiter of any priority gets its turn.
+TEST(Priority, UrgentFirstAndNobodyStarves)
+{
+    struct Case {
+        const char *name;
+        int64_t waited_s; // By the job of priority 9, when one of 0 comes.
+        bool urgent_first;
+    };
+    for (const Case &row :
+         {Case{"both new", 0, true}, Case{"waited a little", 10, true},
+          Case{"waited long", 20, false}}) {
+        Cell *cell = Cell_New("m@r");
+        CellJob *late = Cell_NewJob("vm", "late", 0);
+        CellJob *urgent = Cell_NewJob("vm", "urgent", 0);
+        int64_t now = 100 * CLK_US_PER_S;
+        late->priority = 9;
+        late->arrived_us = now - row.waited_s * CLK_US_PER_S;
+        urgent->arrived_us = now;
+        Cell_BeginWaiting(cell, late);
+        Cell_BeginWaiting(cell, urgent);
+        EXPECT_EQ(Pick_NextJob(cell, now), row.urgent_first ? urgent : late)
+            << row.name;
+        Cell_FreeJob(late);
+        Cell_FreeJob(urgent);
+        Cell_Free(cell);
+    }
+}
+
+// An engine that failed is left alone for a time that doubles, then tried
+// with one job, and trusted again once that is done.
+TEST(Blame, TimeDoublesAndOneJobTriesTheEngineOut)
+{
+    CellEngine *engine = Cell_NewEngine("e");
+    int64_t now = 100 * CLK_US_PER_S;
+    int64_t pause_s = 2;
+    for (int i = 0; i < 7; i++) {
+        Cell_BlameEngine(engine, now);
+        Cell_BlameEngine(engine, now + CLK_US_PER_MS); // The same failure.
+        EXPECT_EQ((engine->down_until_us - now) / CLK_US_PER_S, pause_s);
+        pause_s = MIN(pause_s * 2, 32);
+        now = engine->down_until_us;
+    }
+    CellJob *job = Cell_NewJob("vm", "r", 0);
+    job->decode = engine;
+    Cell_ClearBlame(job);
+    Cell_BlameEngine(engine, now + CLK_US_PER_S);
+    EXPECT_EQ(engine->strikes, 1u);
+    Cell *cell = Cell_New("m@r");
+    Cell_BeginWaiting(cell, job);
+    Cell_FreeJob(job);
+    Cell_Free(cell);
+    Cell_FreeEngine(engine);
+}
+
 TEST(Engine, ReadsChunksAndRefusals)
 {
     struct Case {
