--- a/ctl/burn.c
+++ b/ctl/burn.c
@@ -2,6 +2,7 @@
 
 #include "slo.h"
 
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -97,8 +98,9 @@
     json_t *targets;
     json_t *windows;
     json_t *pair;
-    size_t count;
-    json_t **order;
+    GPtrArray *order;
+    json_t *row;
+    size_t i;
 
     json_object_foreach((json_t *)merged, customer, targets)
     {
@@ -111,16 +113,16 @@
             }
         }
     }
-    count = json_array_size(rows);
-    order = calloc(count + 1, sizeof(*order));
-    for (size_t i = 0; i < count; i++) {
-        order[i] = json_array_get(rows, i);
+    order = g_ptr_array_new();
+    json_array_foreach(rows, i, row)
+    {
+        g_ptr_array_add(order, row);
     }
-    qsort(order, count, sizeof(*order), compare_rows);
-    for (size_t i = 0; i < count; i++) {
-        json_array_append(sorted, order[i]);
+    g_ptr_array_sort(order, compare_rows);
+    for (guint k = 0; k < order->len; k++) {
+        json_array_append(sorted, order->pdata[k]);
     }
-    free(order);
+    g_ptr_array_unref(order);
     json_decref(rows);
     return sorted;
 }
--- a/src/up.c
+++ b/src/up.c
@@ -202,8 +202,8 @@
     poll((struct pollfd *)(void *)fds->data, fds->len,
          get_timeout(up, timeout_ms));
     g_array_set_size(fds, fds->len - G_N_ELEMENTS(own));
-    while (read(up->wake, &count, sizeof(count)) > 0) {
-        continue;
+    if (read(up->wake, &count, sizeof(count)) < 0) {
+        count = 0; /* Nobody woke the loop. */
     }
     run_sockets(up);
     finish_calls(up);
