--- a/fakes/fake_engine.c
+++ b/fakes/fake_engine.c
@@ -7,6 +7,8 @@
 
    POST /v1/completions   prefill, decode or resume
    POST /v1/requests/ID/cancel, GET /v1/requests, GET /load
+   POST /v1/orders        {"fencing": N, "load": TARGET}; with --checks 1 an
+                          older number is refused
    POST /switch {"stall": b, "silent": b, "refuse": b, "leaving": b,
                  "cut_after": N}
    GET /counts            tokens prefilled, cached and wasted
@@ -38,6 +40,7 @@
     double link_bytes_per_s;
     gint64 kv_life_us;
     gint64 lag_us;
+    bool checks_fencing;
 } Limits;
 
 /* A request that holds memory of a worker. */
@@ -65,6 +68,8 @@
     bool refuse;
     bool leaving;
     long cut_after;
+    json_int_t fencing; /* Highest of the orders taken. */
+    char loaded[64];
     gint64 report_us;
     long reported_slots;
     long prefilled;
@@ -520,10 +525,35 @@
     }
     g_mutex_unlock(&worker->lock);
     return Fake_Answer(response, 200,
-                       json_pack("{s:o, s:b}", "requests", ids, "leaving",
+                       json_pack("{s:o, s:s, s:b}", "requests", ids, "loaded",
+                                 worker->loaded, "leaving",
                                  (int)worker->leaving));
 }
 
+/* Takes an order, unless its number is old and the engine checks. */
+static int
+handle_order(const struct _u_request *request, struct _u_response *response,
+             void *context)
+{
+    Worker *worker = context;
+    json_t *body = Fake_LoadBody(request);
+    json_int_t fencing = json_integer_value(json_object_get(body, "fencing"));
+    const char *load = json_string_value(json_object_get(body, "load"));
+    bool taken;
+
+    g_mutex_lock(&worker->lock);
+    taken = load != NULL &&
+            (!worker->limits->checks_fencing || fencing >= worker->fencing);
+    if (taken) {
+        worker->fencing = fencing;
+        g_strlcpy(worker->loaded, load, sizeof(worker->loaded));
+    }
+    g_mutex_unlock(&worker->lock);
+    json_decref(body);
+    return taken ? Fake_Answer(response, 200, json_object())
+                 : Fake_Refuse(response, 409, "fenced");
+}
+
 /* The load report lags: it is taken anew only every so often. */
 static int
 handle_load(const struct _u_request *request, struct _u_response *response,
@@ -603,6 +633,8 @@
                                handle_requests, worker);
     ulfius_add_endpoint_by_val(instance, "POST", "/v1/requests/*", NULL, 0,
                                handle_cancel, worker);
+    ulfius_add_endpoint_by_val(instance, "POST", "/v1/orders", NULL, 0,
+                               handle_order, worker);
     ulfius_add_endpoint_by_val(instance, "GET", "/load", NULL, 0, handle_load,
                                worker);
     ulfius_add_endpoint_by_val(instance, "GET", "/counts", NULL, 0,
@@ -631,6 +663,7 @@
         (double)Fake_GetNumber(argc, argv, "link-bytes-per-s", 10000000000L);
     limits.kv_life_us = Fake_GetNumber(argc, argv, "kv-life-ms", 800) * 1000;
     limits.lag_us = Fake_GetNumber(argc, argv, "lag-ms", 500) * 1000;
+    limits.checks_fencing = Fake_GetNumber(argc, argv, "checks", 0) != 0;
     for (long i = 0; i < worker_count; i++) {
         start_worker(&workers[i], (int)i, &limits, (uint16_t)(port + i));
     }
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -75,6 +75,7 @@
 PROMPT=$(head -c 6000 /dev/zero | tr '\0' 'x')
 write_config 1
 write_vm_list 3
+ENGINE_FLAGS="--checks 1"
 start_standins
 for i in 0 1 2; do start_vm "$i"; done
 wait_ready 0 1 2
@@ -203,6 +204,18 @@
 write_config 4
 eventually "version 4 is in force" '"config_version":4' status "$entry"
 
+echo "--- ${SECONDS}s: orders to engines"
+loaded() { curl -s "http://127.0.0.1:$(engine_port "$1")/v1/requests"; }
+check "nothing is loaded without an order" '"loaded":""' "$(loaded 0)"
+LOAD=lens-assist-v2 write_config 5
+for i in 0 5 11; do
+    eventually "engine $i has the version ordered" \
+        '"loaded":"lens-assist-v2"' loaded "$i"
+done
+check "an old fencing number is refused" '"fenced"' "$(curl -s -d \
+    '{"fencing":4,"load":"lens-assist-v1"}' \
+    "http://127.0.0.1:$(engine_port 0)/v1/orders")"
+
 echo "--- ${SECONDS}s: graceful shutdown"
 pid=$(eval "echo \$VM_PID_$entry")
 complete "$entry" 150 true >"$WORK/answer" &
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -41,6 +41,7 @@
         cat <<EOF
 {"id":"$3-$i","address":"127.0.0.1:$(engine_port "$i")","serves":"$3",
  "zone":"lj-1","region":"ljubljana","role":"$role","slots":20,
+ ${LOAD:+\"load\":\"$LOAD\",\"checks_fencing\":true,}
  "memory_blocks":60,"block_tokens":2000,"prefill_tokens_per_s":20000,
  "token_interval_us":20000,"link_bytes_per_s":10000000000},
 EOF
