--- a/src/mem.c
+++ b/src/mem.c
@@ -29,10 +29,17 @@
     uint32_t news_sends; /* Times its news is still to be passed on. */
 } MemVm;
 
+/* A kept answer to Mem_IsHome. */
+typedef struct MemHome {
+    bool is_home;
+    int64_t until_us;
+} MemHome;
+
 struct Mem {
     MemVm *self;
-    GHashTable *vms; /* id to MemVm */
-    GPtrArray *ring; /* MemVm * that are not dead, by position. */
+    GHashTable *homes; /* key to MemHome */
+    GHashTable *vms;   /* id to MemVm */
+    GPtrArray *ring;   /* MemVm * that are not dead, by position. */
     int64_t last_tick_us;
     int64_t next_heartbeat_us;
     int64_t next_probe_us;
@@ -56,6 +63,8 @@
     Mem *mem = g_new0(Mem, 1);
 
     mem->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    mem->homes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     mem->ring = g_ptr_array_new();
     mem->self = add_vm(mem, vm);
     mem->self->incarnation = incarnation;
@@ -69,6 +78,7 @@
 {
     g_ptr_array_unref(mem->ring);
     g_hash_table_unref(mem->vms);
+    g_hash_table_unref(mem->homes);
     g_free(mem);
 }
 
@@ -247,6 +257,24 @@
     return best != NULL ? best->id : board->vm;
 }
 
+bool
+Mem_IsHome(Board *board, const char *key, const char *region)
+{
+    MemHome *home = g_hash_table_lookup(board->mem->homes, key);
+    int64_t now = Board_Now(board);
+
+    if (home == NULL) {
+        home = g_new0(MemHome, 1);
+        g_hash_table_insert(board->mem->homes, g_strdup(key), home);
+    }
+    if (now >= home->until_us) {
+        home->is_home =
+            strcmp(Mem_FindHome(board, key, region), board->vm) == 0;
+        home->until_us = now + MEM_HOME_US;
+    }
+    return home->is_home;
+}
+
 const char *
 Mem_FindAddress(const Board *board, const char *id)
 {
--- a/src/mem.h
+++ b/src/mem.h
@@ -13,6 +13,7 @@
 #define MEM_DEAD_US (3 * CLK_US_PER_S)
 #define MEM_PAUSE_US (2 * CLK_US_PER_S)      /* A longer gap is a pause. */
 #define MEM_LINK_RETRY_US (2 * CLK_US_PER_S) /* Before a home is retried. */
+#define MEM_HOME_US (100 * CLK_US_PER_MS)    /* An answer's life. */
 #define MEM_WATCHERS 2                       /* Successors that watch a VM. */
 
 typedef enum MemState {
@@ -50,6 +51,9 @@
 /* The VM that is home of a key: in the region if one is usable there, else
    anywhere. This VM itself is always usable, unless it is leaving. */
 const char *Mem_FindHome(Board *board, const char *key, const char *region);
+/* Whether this VM is home of a key. The answer for a key is kept for
+   MEM_HOME_US, for loops over the members of cells. */
+bool Mem_IsHome(Board *board, const char *key, const char *region);
 const char *Mem_FindAddress(const Board *board, const char *vm);
 MemState Mem_GetState(const Board *board, const char *vm);
 /* Whether the VM is dead and no longer on the platform's list. */
--- a/src/op.c
+++ b/src/op.c
@@ -26,6 +26,7 @@
 
 typedef struct OpItem {
     TAILQ_ENTRY(OpItem) link; /* By issue. */
+    TAILQ_ENTRY(OpItem) sent; /* While it is sent and not answered. */
     char key[OP_KEY_MAX];
     char customer[CON_ID_MAX];
     char service[CON_ID_MAX];
@@ -57,7 +58,8 @@
     OpList items;
     GHashTable *by_key;  /* key to OpItem */
     GHashTable *remotes; /* call to OpRemote */
-    guint running;
+    OpList sent;         /* Sent and not answered. */
+    guint running;       /* Their number. */
 };
 
 static void run_local(Board *board, const OpOrder *order,
@@ -77,6 +79,7 @@
     Op *op = g_new0(Op, 1);
 
     TAILQ_INIT(&op->items);
+    TAILQ_INIT(&op->sent);
     op->by_key = g_hash_table_new(g_str_hash, g_str_equal);
     op->remotes =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -230,7 +233,8 @@
     GHashTableIter iter;
     gpointer value;
 
-    TAILQ_FOREACH(item, &board->op->items, link)
+    /* Only operations that are sent have waiters. */
+    TAILQ_FOREACH(item, &board->op->sent, sent)
     {
         for (guint i = item->waiters->len; i > 0; i--) {
             if (g_array_index(item->waiters, OpWaiter, i - 1).caller ==
@@ -331,23 +335,30 @@
     fail_remotes(board, vm, 0, "the VM that issued the key is unreachable");
 }
 
+static void
+stop_running(Op *op, OpItem *item)
+{
+    TAILQ_REMOVE(&op->sent, item, sent);
+    op->running--;
+}
+
 /* Ends a running operation whose answer did not come in time. */
 static void
 expire_running(Board *board, int64_t now)
 {
-    OpItem *item;
+    OpItem *item = TAILQ_FIRST(&board->op->sent);
     LsError err;
 
-    TAILQ_FOREACH(item, &board->op->items, link)
-    {
-        if (item->state != OP_SENT || now <= item->deadline_us) {
-            continue;
+    while (item != NULL) {
+        OpItem *next = TAILQ_NEXT(item, sent);
+        if (now > item->deadline_us) {
+            Board_EndCall(board, item->call);
+            item->state = OP_UNKNOWN;
+            stop_running(board->op, item);
+            set_unknown(&err, "the service did not answer in time");
+            answer_all(board, item, &err);
         }
-        Board_EndCall(board, item->call);
-        item->state = OP_UNKNOWN;
-        board->op->running--;
-        set_unknown(&err, "the service did not answer in time");
-        answer_all(board, item, &err);
+        item = next;
     }
 }
 
@@ -358,9 +369,7 @@
     OpItem *item = TAILQ_FIRST(&board->op->items);
 
     fail_remotes(board, NULL, now, "no answer came in time");
-    if (board->op->running > 0) {
-        expire_running(board, now);
-    }
+    expire_running(board, now);
     while (item != NULL && now - item->issued_us > OP_KEEP_US) {
         OpItem *next = TAILQ_NEXT(item, link);
         if (item->state != OP_SENT) {
@@ -479,6 +488,7 @@
     }
     item->state = OP_SENT;
     item->tries++;
+    TAILQ_INSERT_TAIL(&board->op->sent, item, sent);
     board->op->running++;
     Met_Add(MET_OPERATIONS_SENT, 1);
     call.method = "POST";
@@ -501,7 +511,7 @@
     if (event->type == BOARD_CALL_DATA) {
         return;
     }
-    board->op->running--;
+    stop_running(board->op, item);
     if (event->type == BOARD_CALL_END) {
         item->state = OP_DONE;
         item->status = event->status;
--- a/src/ord.c
+++ b/src/ord.c
@@ -116,10 +116,9 @@
 {
     OrdItem *item = get_item(board->ord, upstream->id);
     int64_t now = Board_Now(board);
-    const char *home = Mem_FindHome(board, upstream->cell, upstream->region);
 
     follow_target(item, upstream, board->config->version);
-    if (strcmp(home, board->vm) != 0) {
+    if (!Mem_IsHome(board, upstream->cell, upstream->region)) {
         item->home_since_us = 0;
         item->is_reported = false;
         return;
--- a/src/plc.c
+++ b/src/plc.c
@@ -307,8 +307,7 @@
             ? &((const CellEngine *)cell->engines->pdata[0])->spec
             : NULL;
     bool is_home =
-        first != NULL &&
-        strcmp(Mem_FindHome(board, cell->name, first->region), board->vm) == 0;
+        first != NULL && Mem_IsHome(board, cell->name, first->region);
 
     if (is_home) {
         begin_home(board, cell);
--- a/src/reap.c
+++ b/src/reap.c
@@ -86,13 +86,13 @@
     g_ptr_array_unref(query.requests);
 }
 
-/* Baselines without homes need the reports of all engines at each entry. */
+/* Whether this VM reads the lists of a cell's engines. Baselines without homes
+   need the reports of all engines at each entry. */
 static bool
 reads_lists_of(Board *board, const ConUpstream *upstream)
 {
     return Pick_IsLocal(Plc_GetPolicy(board->plc)) ||
-           strcmp(Mem_FindHome(board, upstream->cell, upstream->region),
-                  board->vm) == 0;
+           Mem_IsHome(board, upstream->cell, upstream->region);
 }
 
 /* Reads the running lists of the cells that this VM is home of. */
--- a/tools/bench.c
+++ b/tools/bench.c
@@ -1,7 +1,7 @@
 /* bench: measures the slopes behind docs/CAPACITY.md, in one process and
    without a network.
 
-   bench decision|membership|config|wire */
+   bench decision|tick|membership|config|wire */
 #include "board.h"
 #include "ctl.h"
 #include "mem.h"
@@ -21,6 +21,7 @@
 #define BENCH_TCP_IP_BYTES 52 /* Headers of one TCP segment. */
 #define BENCH_FRAME_BYTES 4
 #define BENCH_MEMBER_S 60
+#define BENCH_TICK_S 4 /* Before silent VMs are suspected. */
 
 /* Boards that reach each other by a queue. */
 typedef struct Net {
@@ -299,6 +300,58 @@
     }
 }
 
+/* Lists VMs spread over four regions. */
+static void
+list_vms(Board *board, int count)
+{
+    GArray *rows = g_array_new(FALSE, TRUE, sizeof(MemListRow));
+
+    for (int i = 0; i < count; i++) {
+        MemListRow row = {0};
+        g_snprintf(row.vm, sizeof(row.vm), "vm-%d", i);
+        g_snprintf(row.region, sizeof(row.region), "region-%d", i % 4);
+        g_array_append_val(rows, row);
+    }
+    Mem_SetList(board, rows);
+    g_array_unref(rows);
+}
+
+/* Processor time of the controllers' ticks of one VM, for a second. */
+static void
+measure_tick(void)
+{
+    const int sizes[][2] = {{9, 12}, {140, 400}, {280, 800}, {560, 1600}};
+
+    printf("  vms upstreams us_per_second(median of %d)\n", BENCH_RUNS);
+    for (size_t s = 0; s < G_N_ELEMENTS(sizes); s++) {
+        GPtrArray *parts = format_parts(sizes[s][1], 2500);
+        double runs[BENCH_RUNS];
+        for (int run = 0; run < BENCH_RUNS; run++) {
+            Net net = {0};
+            NetNode node = {&net, 0};
+            Board *board = new_board(&node, (uint32_t)sizes[s][0]);
+            int64_t now_us = 1000 * CLK_US_PER_S;
+            int64_t begin_us;
+            LsError err;
+            Board_SetConfig(board, load_config(parts), &err);
+            list_vms(board, sizes[s][0]);
+            begin_us = g_get_monotonic_time();
+            for (int i = 0; i < BENCH_TICK_S * 50; i++) {
+                now_us += BOARD_TICK_US;
+                Clk_Pause(&board->clk, now_us);
+                Ctl_OnTick(board);
+                Ctl_RunLocal(board);
+            }
+            runs[run] =
+                (double)(g_get_monotonic_time() - begin_us) / BENCH_TICK_S;
+            Board_Free(board);
+        }
+        printf("%5d %9d %.0f\n", sizes[s][0], sizes[s][1],
+               get_median(runs, BENCH_RUNS));
+        g_ptr_array_unref(parts);
+    }
+}
+
 static void
 deliver_all(Net *net)
 {
@@ -477,6 +530,9 @@
     if (strcmp(what, "decision") == 0) {
         measure_decision();
     }
+    else if (strcmp(what, "tick") == 0) {
+        measure_tick();
+    }
     else if (strcmp(what, "membership") == 0) {
         measure_membership();
     }
@@ -487,7 +543,7 @@
         measure_wire();
     }
     else {
-        fprintf(stderr, "usage: bench decision|membership|config|wire\n");
+        fprintf(stderr, "usage: bench decision|tick|membership|config|wire\n");
         return 64;
     }
     return 0;
