--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -79,7 +79,7 @@
 start_standins
 for i in 0 1 2; do start_vm "$i"; done
 wait_ready 0 1 2
-sleep 1
+wait_agreed 0 1 2
 home=$(status 0 | grep -oE '"lens-assist@ljubljana": *"vm-[0-9]"' |
     grep -oE '[0-9]"' | tr -d '"')
 entry=$(((home + 1) % 3))
@@ -146,6 +146,7 @@
     "$(complete "$entry" 5 false)"
 start_vm "$home"
 wait_ready "$home"
+wait_agreed 0 1 2
 eventually "memory is free" "held=0" held
 
 echo "--- ${SECONDS}s: the home is paused before an answer"
@@ -172,7 +173,7 @@
     "http://127.0.0.1:$(booking_port)/switch" >/dev/null
 start_vm "$home"
 wait_ready "$home"
-sleep 1
+wait_agreed 0 1 2
 check "issuer replaced: still unknown" '"number":302.*unknown' \
     "$(hold "$entry" "$key")"
 check "no key ran twice" '^[^2-9]*$' "$(curl -s \
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -145,6 +145,20 @@
     done
 }
 
+wait_agreed() { # Until the VMs given see the same homes of all cells.
+    local i try homes
+    for ((try = 0; try < 150; try++)); do
+        homes=$(for i in "$@"; do
+            curl -s "http://127.0.0.1:$(operator_port "$i")/v1/status" |
+                grep -oE '"homes":\{[^}]*\}'
+        done | sort -u)
+        if [ "$(wc -l <<<"$homes")" -eq 1 ] && [ -n "$homes" ]; then
+            return
+        fi
+        sleep 0.1
+    done
+}
+
 stop_cluster() {
     local pid
     for pid in "${CLUSTER_PIDS[@]}"; do kill -9 "$pid" 2>/dev/null; done
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -14,7 +14,7 @@
 start_standins
 for i in 0 1 2; do start_vm "$i"; done
 wait_ready 0 1 2
-sleep 3 # For the first links, and the retry of those that came too early.
+wait_agreed 0 1 2
 
 homes=$(curl -s "http://127.0.0.1:$(operator_port 0)/v1/status" |
     grep -o '"homes":{[^}]*}')
