--- a/src/node.c
+++ b/src/node.c
@@ -246,9 +246,25 @@
     Up_EndCall(((Node *)context)->up, call);
 }
 
+/* Logs how a completion ended; its first line names the customer. */
+static void
+log_outcome(const BoardAnswer *answer)
+{
+    if (answer->request == NULL || answer->type == BOARD_ANSWER_CHUNK) {
+        return;
+    }
+    Log_Write(LOG_LEVEL_INFO, "completion_ended", "request", answer->request,
+              "outcome",
+              answer->err != NULL ? Err_GetName(answer->err->code) : "whole",
+              "run",
+              answer->err != NULL ? Err_GetRunName(answer->err->run) : "ran",
+              "path", answer->path, NULL);
+}
+
 static void
 answer_caller(void *context, uint64_t caller, const BoardAnswer *answer)
 {
+    log_outcome(answer);
     Web_Answer(((Node *)context)->web, caller, answer);
 }
 
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -95,6 +95,11 @@
 check "the home explains its decision" "granted lens-assist" \
     "$("$BUILD/lavenderspoolctl" explain "$request" --vms \
         "127.0.0.1:$(operator_port "$home")")"
+check "the log tells the outcome, but no prompt" \
+    '"outcome":"whole","run":"ran","path":"vm-' \
+    "$(grep completion_ended "$WORK/vm-$entry.log")"
+check "no key or prompt is in a log" "^0$" "$(cat "$WORK"/vm-*.log |
+    grep -cE "$ZUPAN_KEY|xxxxxxxx")"
 check "the burn report counts" "zupan +first_token +300 +2 +0" \
     "$("$BUILD/lavenderspoolctl" burn --vms \
         "127.0.0.1:$(operator_port "$entry")")"
