--- a/src/att.c
+++ b/src/att.c
@@ -127,8 +127,8 @@
     if (!item->kv_used) {
         Met_Add(MET_PREFILL_TOKENS_WASTED, item->prompt_tokens + item->tokens);
     }
-    g_snprintf(engine_request, sizeof(engine_request), "%s/%u", item->id,
-               item->attempt);
+    Eng_FormatRequest(engine_request, sizeof(engine_request), item->id,
+                      item->attempt);
     for (size_t i = 0; i < G_N_ELEMENTS(upstreams); i++) {
         const ConUpstream *spec =
             Con_FindUpstream(board->config, upstreams[i]);
@@ -181,8 +181,8 @@
     char engine_request[BOARD_REQUEST_MAX];
     BoardCall call = {0};
 
-    g_snprintf(engine_request, sizeof(engine_request), "%s/%u", item->id,
-               item->attempt);
+    Eng_FormatRequest(engine_request, sizeof(engine_request), item->id,
+                      item->attempt);
     call.method = "POST";
     call.address = spec->address;
     call.path = "/v1/completions";
--- a/src/cell.c
+++ b/src/cell.c
@@ -1,5 +1,7 @@
 #include "cell.h"
 
+#include "eng.h"
+
 #include <string.h>
 
 #define CELL_PREFIXES_MAX 256 /* Prefixes remembered for each engine. */
@@ -56,7 +58,7 @@
 {
     CellJob *job = g_new0(CellJob, 1);
 
-    g_snprintf(job->key, sizeof(job->key), "%s/%u", request, attempt);
+    Eng_FormatRequest(job->key, sizeof(job->key), request, attempt);
     g_strlcpy(job->request, request, sizeof(job->request));
     g_strlcpy(job->entry, entry, sizeof(job->entry));
     job->attempt = attempt;
--- a/src/eng.c
+++ b/src/eng.c
@@ -1,11 +1,19 @@
 #include "eng.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 static json_t *format_common(const EngWork *work);
 static char *dump_and_free(json_t *body);
 
+void
+Eng_FormatRequest(char *target, size_t size, const char *request,
+                  uint32_t attempt)
+{
+    snprintf(target, size, "%s/%u", request, attempt);
+}
+
 uint32_t
 Eng_CountTokens(size_t bytes)
 {
--- a/src/eng.h
+++ b/src/eng.h
@@ -35,6 +35,9 @@
     ENG_REFUSAL_LEAVING,    /* The engine takes no new work. */
 } EngRefusal;
 
+/* A request's identifier at engines: "request/attempt". */
+void Eng_FormatRequest(char *target, size_t size, const char *request,
+                       uint32_t attempt);
 /* Estimates the tokens of a text of this many bytes. */
 uint32_t Eng_CountTokens(size_t bytes);
 char *Eng_FormatPrefill(const EngWork *work); /* Body; free() it. */
--- a/src/plc.c
+++ b/src/plc.c
@@ -1,6 +1,7 @@
 #include "plc.h"
 
 #include "cell.h"
+#include "eng.h"
 #include "mem.h"
 #include "reap.h"
 #include "ring.h"
@@ -208,7 +209,7 @@
 Plc_OnRelease(Board *board, const Wire__Release *release)
 {
     CellJob *job = find_job(board->plc, release->request, release->attempt);
-    Cell *cell = get_cell(board->plc, release->cell);
+    Cell *cell = g_hash_table_lookup(board->plc->cells, release->cell);
 
     if (release->blamed[0] != '\0') {
         blame_engine(board, release);
@@ -224,7 +225,9 @@
         cell = job->cell;
         free_job(board->plc, job);
     }
-    dispatch_cell(board, cell);
+    if (cell != NULL) {
+        dispatch_cell(board, cell);
+    }
 }
 
 void
@@ -452,7 +455,7 @@
 {
     char key[BOARD_REQUEST_MAX];
 
-    g_snprintf(key, sizeof(key), "%s/%u", request, attempt);
+    Eng_FormatRequest(key, sizeof(key), request, attempt);
     return g_hash_table_lookup(plc->jobs, key);
 }
 
--- a/src/set.h
+++ b/src/set.h
@@ -34,7 +34,6 @@
     uint32_t shutdown_s;
     LogLevel log_level;
     PickPolicy placement;
-    bool check_only;
 } SetSettings;
 
 typedef enum SetAction {
--- a/src/web.c
+++ b/src/web.c
@@ -13,6 +13,7 @@
 #define WEB_OPERATOR_WAIT_US (2 * CLK_US_PER_S)
 #define WEB_SERVICES "/v1/services/"
 #define WEB_EXPLAIN "/v1/explain/"
+#define WEB_DONE "data: [DONE]\n\n"
 #define WEB_COMMENT ": \n\n"
 
 struct Web {
@@ -215,6 +216,31 @@
     return item;
 }
 
+/* Queues an answer as a server-sent event, and takes it over. */
+static void
+append_event(WebStream *stream, BoxItem *item)
+{
+    const char *marker = "";
+    char *text;
+
+    switch (item->answer.type) {
+    case BOARD_ANSWER_CHUNK:
+        text = Api_FormatChunk(stream->model, item);
+        break;
+    case BOARD_ANSWER_END:
+        text = Api_FormatEnd(stream->model, item);
+        marker = WEB_DONE;
+        break;
+    default:
+        text = Api_FormatError(&item->err, item->request);
+        break;
+    }
+    g_string_append_printf(stream->pending, "data: %s\n\n%s", text, marker);
+    stream->finished = item->answer.type != BOARD_ANSWER_CHUNK;
+    free(text);
+    Box_FreeItem(item);
+}
+
 static ssize_t
 write_stream(void *context, uint64_t offset, char *buffer, size_t max)
 {
@@ -224,30 +250,14 @@
     (void)offset;
     if (stream->pending->len == 0 && !stream->finished) {
         BoxItem *item = Box_Take(stream->box, WEB_CHECK_US);
-        char *text = NULL;
-        if (item == NULL) {
-            if (Sock_IsClosed(stream->fd)) {
-                return U_STREAM_ERROR;
-            }
-            g_string_append(stream->pending, WEB_COMMENT);
+        if (item != NULL) {
+            append_event(stream, item);
         }
-        else if (item->answer.type == BOARD_ANSWER_CHUNK) {
-            text = Api_FormatChunk(stream->model, item);
-            g_string_append_printf(stream->pending, "data: %s\n\n", text);
+        else if (Sock_IsClosed(stream->fd)) {
+            return U_STREAM_ERROR;
         }
         else {
-            text = item->answer.type == BOARD_ANSWER_END
-                       ? Api_FormatEnd(stream->model, item)
-                       : Api_FormatError(&item->err, item->request);
-            g_string_append_printf(stream->pending, "data: %s\n\n%s", text,
-                                   item->answer.type == BOARD_ANSWER_END
-                                       ? "data: [DONE]\n\n"
-                                       : "");
-            stream->finished = true;
-        }
-        free(text);
-        if (item != NULL) {
-            Box_FreeItem(item);
+            g_string_append(stream->pending, WEB_COMMENT);
         }
     }
     if (stream->pending->len == 0) {
@@ -279,9 +289,6 @@
              int fd, const char *model, BoxItem *first)
 {
     WebStream *stream = g_new0(WebStream, 1);
-    char *text = first->answer.type == BOARD_ANSWER_CHUNK
-                     ? Api_FormatChunk(model, first)
-                     : Api_FormatEnd(model, first);
 
     stream->web = web;
     stream->box = box;
@@ -289,11 +296,7 @@
     stream->fd = fd;
     stream->model = g_strdup(model);
     stream->pending = g_string_new(NULL);
-    stream->finished = first->answer.type != BOARD_ANSWER_CHUNK;
-    g_string_append_printf(stream->pending, "data: %s\n\n%s", text,
-                           stream->finished ? "data: [DONE]\n\n" : "");
-    free(text);
-    Box_FreeItem(first);
+    append_event(stream, first);
     u_map_put(response->map_header, "Content-Type", "text/event-stream");
     u_map_put(response->map_header, "Cache-Control", "no-store");
     ulfius_set_stream_response(response, 200, write_stream, free_stream,
