Reserve room for a stream before its prompt is read, with a third of its answer

Change: room is always reserved first, for the prompt and a third of the expected answer; the state 'crowded' that chose the order is gone. Tests: WaitsForRoomBeforeThePromptIsRead, ReservesRoomForPartOfTheAnswer, RoomOfACallerWhoLeftIsFreed failed before; WaitsForRoomWithThePromptRead is replaced by the first, which asks more.

--- a/src/gate/gen.c
+++ b/src/gate/gen.c
@@ -137,9 +137,9 @@
     Room_Unbook(task, true);
 }
 
-/* Takes the next step: the prompt at a prefill worker, room at a decode
-   worker, and the run. Room comes first while prompts that were read find
-   none before they lapse: it is then lost for a while, but no prompt is. */
+/* Takes the next step: room at a decode worker, the prompt at a prefill
+   worker, and the run. Room comes first, since a prompt that is read and finds
+   none lapses. */
 static void
 advance(GateTask *task)
 {
@@ -148,7 +148,6 @@
     FltWorker *prefill;
 
     if (task->kept.handle[0] != '\0' && !Room_HasHandle(task)) {
-        task->gate->lapsed_us = Task_Now(task);
         Room_DropHandle(task, true);
     }
     if (!Room_HasLease(task)) {
@@ -162,8 +161,7 @@
             return;
         }
         Room_Book(task, decode);
-        if (can_reserve(task) &&
-            (Room_HasHandle(task) || Room_IsCrowded(task))) {
+        if (can_reserve(task)) {
             task->now.expected_us = whole_us;
             begin_reserve(task);
             return;
@@ -178,12 +176,7 @@
         return;
     }
     task->now.expected_us = whole_us;
-    if (can_reserve(task) && task->lease[0] == '\0') {
-        begin_reserve(task);
-    }
-    else {
-        begin_run(task);
-    }
+    begin_run(task);
 }
 
 /* Whether the booked worker knows reservations. */
@@ -264,8 +257,7 @@
     }
     ttl_ms = MIN(ttl_ms, task->service->lease_max_ms);
     codec->encode_reserve(codec->context, worker->entry.id,
-                          task->request.prompt_tokens, (uint32_t)ttl_ms,
-                          &side);
+                          Room_GetLeaseTokens(task), (uint32_t)ttl_ms, &side);
     Task_BeginSide(task, worker, &side, on_reserve_end);
     Hdr_Free(side.headers);
     task->lease_until_us =
--- a/src/gate/room.c
+++ b/src/gate/room.c
@@ -11,21 +11,21 @@
 /* A prompt is not read while all decode workers are filled to this share: an
    estimate, which counts memory before it is in use. */
 #define ROOM_FILL 1.05
-/* After a prompt lapsed for want of room, room is reserved first. */
-#define ROOM_CROWDED_US (1500 * CLK_US_PER_MS)
+/* Part of the expected answer that a reservation covers. Without it streams
+   outgrow the worker and one is preempted; with the whole answer, room for
+   every seventh stream stands empty (docs/MEASUREMENTS.md). */
+#define ROOM_ANSWER_SHARE (1.0 / 3)
 
 static int64_t get_room_cost(const GateTask *task, const FltWorker *worker,
                              const RankWorker *rank, const void *context);
 static int64_t get_split_cost(const GateTask *task, const FltWorker *worker,
                               const RankWorker *rank, const void *context);
 
-/* Whether prompts that are read may find no room in time. */
-bool
-Room_IsCrowded(const GateTask *task)
+uint32_t
+Room_GetLeaseTokens(const GateTask *task)
 {
-    return task->prefilled ||
-           (task->gate->lapsed_us != 0 &&
-            Task_Now(task) - task->gate->lapsed_us < ROOM_CROWDED_US);
+    return task->request.prompt_tokens +
+           (uint32_t)(ROOM_ANSWER_SHARE * task->request.output_tokens);
 }
 
 /* Whether there is room at a worker that may still be used. */
--- a/src/gate/room.h
+++ b/src/gate/room.h
@@ -4,7 +4,9 @@
 
    Answers: a burst that fills the decode workers' memory. A prompt that is
    read while none has room lapses within half a second and is read in vain;
-   so requests wait before that, and reserve room first once prompts lapse. */
+   so room is reserved first. A stream that outgrows its worker's memory pushes
+   the newest one out, whose prompt is read again; so the reservation covers
+   part of the answer too. */
 #ifndef LS_ROOM_H
 #define LS_ROOM_H
 
@@ -31,7 +33,7 @@
 void Room_Unbook(GateTask *task, bool tell);
 /* Whether room is reserved at a worker that may still be used. */
 bool Room_HasLease(GateTask *task);
-/* Whether prompts that are read may find no room in time. */
-bool Room_IsCrowded(const GateTask *task);
+/* Tokens to reserve: the prompt's and some of the answer's. */
+uint32_t Room_GetLeaseTokens(const GateTask *task);
 
 #endif
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -102,7 +102,6 @@
     double pace_us;      /* From event to event of a stream, moving mean. */
     GRand *rand;
     double mean_tokens; /* Memory of a stream's request, moving. */
-    int64_t lapsed_us;  /* When a prompt that was read last found no room. */
     bool stopping;
 };
 
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -142,8 +142,9 @@
     std::vector<std::string> requests; /* Heads and bodies, as read. */
     int closed = 0;                    /* Connections that the gate closed. */
     int accepted = 0;
-    int refusals = 0;     /* Reservations to be refused first. */
-    int reservations = 0; /* Taken. */
+    int refusals = 0;        /* Reservations to be refused first. */
+    int reservations = 0;    /* Taken. */
+    std::string reservation; /* The last that was asked for. */
 
   private:
     static void
@@ -182,6 +183,7 @@
         text.resize(head + 4 + body);
         if (text.find("POST /v1/hold-take ") == 0) {
             std::string answer = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+            self->reservation = text;
             if (self->refusals > 0) {
                 self->refusals--;
             }
