Requests without room wait only while they can be in time; late ones ask rarely

Ruled out: coordination (660 to 680 streams ran at once, which is all the memory there is). Change: Adm_GetTurn decides how long a request waits and how often it asks: until it can't be in time any more; one that came back late asks every 0.2 s, for 1.5 s. Who is turned away since all is full comes back after 1.5 to 3.5 s, not within the same burst. What binds is the decode workers' memory.

--- a/src/decide/adm.c
+++ b/src/decide/adm.c
@@ -11,10 +11,34 @@
 static const AdmSpread spreads[ADM_CAUSE_COUNT] = {
     [ADM_NO_CONFIG] = {200, 300}, /* A read of the configuration. */
     [ADM_NO_WORKER] = {300, 700}, /* A worker's restart, a block's end. */
-    [ADM_FULL] = {100, 400},      /* A few calls' work. */
+    [ADM_FULL] = {1500, 2000},    /* Half a stream's time, to all of it. */
     [ADM_STOPPING] = {50, 50},    [ADM_FAULT] = {50, 150},
 };
 
+AdmTurn
+Adm_GetTurn(const AdmWait *wait)
+{
+    int64_t half_us = (wait->waiting_us + wait->deadline_us) / 2;
+    int64_t in_time_us = wait->first_us + wait->slo_us - ADM_FIRST_US;
+    AdmTurn turn = {.pause_us = ADM_PAUSE_US};
+
+    if (wait->is_read || wait->is_begun) {
+        turn.until_us = wait->waiting_us + ADM_WAIT_MAX_US;
+        turn.pause_us = wait->is_read ? ADM_PAUSE_READ_US : ADM_PAUSE_US;
+    }
+    else if (wait->arrived_us < in_time_us) {
+        turn.until_us = in_time_us;
+    }
+    else {
+        turn.until_us = wait->waiting_us + ADM_WAIT_LATE_US;
+        turn.pause_us = ADM_PAUSE_LATE_US;
+    }
+    if (turn.until_us > half_us) {
+        turn.until_us = half_us;
+    }
+    return turn;
+}
+
 uint32_t
 Adm_GetRetryAfter(AdmCause cause, int64_t left_ms, int64_t wait_ms,
                   uint32_t ticket)
--- a/src/decide/adm.h
+++ b/src/decide/adm.h
@@ -1,13 +1,31 @@
-/* Adm: when a caller who was turned away should come back.
+/* Adm: how long a request waits for room, and when a caller who was turned
+   away should come back.
 
-   Answers: a burst, or a fault, that turns many callers away at once. If all
+   Answers: a burst, or a fault, that leaves no room for many requests at
+   once. Whoever waits past the objective is late, and takes the room from one
+   that could still be in time; so requests wait only while they can be in
+   time, and those that came back late ask rarely. If all who were turned away
    came back together they would make the next burst; so their returns are
    spread over as long as the cause is likely to last. */
 #ifndef LS_ADM_H
 #define LS_ADM_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
+/* Reading a prompt and the way to the first event: 5,200 tokens at 55 a
+   millisecond, 31 ms for the first token, ways between regions (the sheets),
+   and as much again for queues. */
+#define ADM_FIRST_US 250000
+/* Between questions for room, from one to two of these. */
+#define ADM_PAUSE_US 30000
+#define ADM_PAUSE_READ_US 20000  /* A prompt that was read lapses soon. */
+#define ADM_PAUSE_LATE_US 200000 /* One that is late lets others go first. */
+/* Callers leave a stream that is silent for four objectives, 3.6 s on the
+   sheets; what is left then must do for a slow first event. */
+#define ADM_WAIT_LATE_US 1500000
+#define ADM_WAIT_MAX_US 2000000 /* Of one that has something to lose. */
+
 #define ADM_LEFT_SHARE 0.33 /* Of their time left that callers will wait. */
 #define ADM_RETRY_MIN_MS 50 /* One round trip between regions, and a call. */
 
@@ -21,6 +39,25 @@
     ADM_CAUSE_COUNT,
 } AdmCause;
 
+/* A request without room. Times are the runtime clock's. */
+typedef struct AdmWait {
+    int64_t waiting_us;  /* Since when it waits. */
+    int64_t first_us;    /* When its caller first asked, as far as is known. */
+    int64_t arrived_us;  /* When this attempt came. */
+    int64_t slo_us;      /* Latency objective, from first_us on. */
+    int64_t deadline_us; /* Of the caller and of the route. */
+    bool is_read;        /* Its prompt is read. */
+    bool is_begun;       /* Its caller has a part of the answer. */
+} AdmWait;
+
+/* Until when to wait, and after how long to ask again at the earliest. */
+typedef struct AdmTurn {
+    int64_t until_us;
+    int64_t pause_us;
+} AdmTurn;
+
+AdmTurn Adm_GetTurn(const AdmWait *wait);
+
 /* Milliseconds after which to return. `wait_ms` is the expected wait for
    room, 0 if unknown; `ticket` is a random number. 0: not at all. */
 uint32_t Adm_GetRetryAfter(AdmCause cause, int64_t left_ms, int64_t wait_ms,
--- a/src/gate/gen.c
+++ b/src/gate/gen.c
@@ -25,12 +25,10 @@
    kept one would leave the outcome unknown, and a stream is worth more. */
 #define GEN_IDLE_ONCE_MS 0
 /* A worker without room is not asked again for as long as a stream's end is
-   likely to take; a request without a worker asks again after it. */
+   likely to take. */
 #define GEN_FULL_US (60 * CLK_US_PER_MS)
-#define GEN_OFFER_US (20 * CLK_US_PER_MS) /* The same, with a prompt read. */
 /* The same for a prefill worker: it refuses while it changes its phase. */
 #define GEN_CHANGE_US (1500 * CLK_US_PER_MS)
-#define GEN_WAIT_MAX_US (2000 * CLK_US_PER_MS) /* Then it is refused. */
 /* Weight of one request in the mean of their memory. */
 #define GEN_MEAN_WEIGHT 0.05
 /* The time from event to event before any was seen. */
@@ -44,6 +42,7 @@
 static bool can_reserve(const GateTask *task);
 static bool can_afford(GateTask *task);
 static void wait_a_moment(GateTask *task, const char *cause);
+static AdmTurn get_turn(const GateTask *task);
 static void begin_prefill(GateTask *task, FltWorker *worker);
 static void begin_reserve(GateTask *task);
 static void on_reserve_end(void *context, CliOutcome outcome);
@@ -202,25 +201,44 @@
 wait_a_moment(GateTask *task, const char *cause)
 {
     int64_t now_us = Task_Now(task);
-    int64_t wait_us = Room_HasHandle(task) ? GEN_OFFER_US : GEN_FULL_US / 2;
-    int64_t limit_us;
+    AdmTurn turn;
 
     if (task->waiting_us == 0) {
         task->waiting_us = now_us;
     }
-    limit_us = MIN(task->waiting_us + GEN_WAIT_MAX_US,
-                   (task->waiting_us + task->deadline_us) / 2);
-    if (now_us >= limit_us || task->gate->stopping) {
+    turn = get_turn(task);
+    if (now_us >= turn.until_us || task->gate->stopping) {
         g_strlcpy(task->cause, cause, sizeof(task->cause));
         Task_GiveUp(task, ADM_FULL, LS_ERR_UPSTREAM_FAILED);
         return;
     }
     task->waiting = true;
-    task->patience_us = now_us + wait_us +
-                        g_rand_int_range(task->gate->rand, 0, (gint32)wait_us);
+    task->patience_us =
+        now_us + turn.pause_us +
+        g_rand_int_range(task->gate->rand, 0, (gint32)turn.pause_us);
     Task_SetTimer(task);
 }
 
+static AdmTurn
+get_turn(const GateTask *task)
+{
+    int64_t left_ms = task->request.left_ms;
+    /* Callers say what is left of their time, which is the route's. */
+    int64_t gone_ms =
+        left_ms > 0 ? MAX(0, (int64_t)task->route->timeout_ms - left_ms) : 0;
+    AdmWait wait = {
+        .waiting_us = task->waiting_us,
+        .first_us = task->began_us - gone_ms * CLK_US_PER_MS,
+        .arrived_us = task->began_us,
+        .slo_us = (int64_t)task->route->slo_ms * CLK_US_PER_MS,
+        .deadline_us = task->deadline_us,
+        .is_read = Room_HasHandle(task),
+        .is_begun = task->streaming,
+    };
+
+    return Adm_GetTurn(&wait);
+}
+
 static void
 begin_prefill(GateTask *task, FltWorker *worker)
 {
