A fault soak: real gates on loopback under faults drawn from a seed

make soak SEEDS=n plays the kept seeds and fresh ones; docs/SOAK.md says what is harmed and what is checked. Tests: test_soak (ledger, proxy); ctest plays 3 short seeds and the kept ones.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 # make build   builds everything into build/
 # make demo    runs the main job on the embedded stand-ins
 # make test    checks and tests everything
+# make soak    plays SEEDS fresh seeds of the fault soak, and the kept ones
 # make install installs the library, header and programs
 
 BUILD ?= build
@@ -9,7 +10,10 @@
 PREFIX ?= /usr/local
 PACKAGES = $(shell cat .ci/packages)
 
-.PHONY: setup build demo test check install clean
+SEEDS ?= 50
+FIRST ?= $(shell date +%s)
+
+.PHONY: setup build demo test check soak install clean
 
 setup:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
@@ -32,6 +36,11 @@
 	@cmake --build build-tsan -j $(JOBS) -- --no-print-directory
 	@tools/run_tests.sh $(BUILD)
 
+soak: build
+	@soak/run.sh $(BUILD) kept 0
+	@echo "fresh seeds from $(FIRST)"
+	@soak/run.sh $(BUILD) $(FIRST) $(SEEDS)
+
 install: build
 	@cmake --install $(BUILD)
 
--- /dev/null
+++ b/soak/lod.c
@@ -0,0 +1,290 @@
+#include "lod.h"
+
+#include "wld.h"
+
+#include "gate/sse.h"
+#include "io/cli.h"
+#include "io/loop.h"
+
+#include <string.h>
+#include <sys/queue.h>
+
+#define LOD_TICK_MS 10
+#define LOD_IDLE_MS 10000 /* Age at which a kept connection is given up. */
+#define LOD_LEAVE_MAX_MS 400
+#define LOD_NO_EVENT (-1)
+
+typedef struct LodCall {
+    LIST_ENTRY(LodCall) links;
+    Lod *lod;
+    CliCall *call;
+    struct event *leave; /* NULL: this caller stays. */
+    char id[48];
+    LedKind kind;
+    guint vm;
+    int status;
+    bool has_receipt;
+    bool is_bad; /* A finding was written. */
+    Sse sse;
+    int64_t last; /* Event. */
+    GByteArray *body;
+} LodCall;
+
+struct Lod {
+    LodOptions options;
+    Cli *cli;
+    struct event *timer;
+    uint32_t number;
+    double due;
+    LIST_HEAD(LodCallList, LodCall) open;
+    guint open_count;
+    bool counting;
+    guint served[LOD_VMS_MAX][LED_KIND_COUNT];
+};
+
+static void on_tick(evutil_socket_t fd, short what, void *context);
+static void begin_call(Lod *lod);
+static void on_leave(evutil_socket_t fd, short what, void *context);
+static void on_head(void *context, int status, const HdrList *headers);
+static void on_data(void *context, const void *data, size_t size);
+static void on_end(void *context, CliOutcome outcome);
+static void check_events(LodCall *call);
+static void check_whole(LodCall *call);
+static void free_call(LodCall *call);
+
+Lod *
+Lod_New(const LodOptions *options)
+{
+    Lod *lod = g_new0(Lod, 1);
+
+    lod->options = *options;
+    lod->cli = Cli_New(options->base, options->clk);
+    LIST_INIT(&lod->open);
+    lod->timer = evtimer_new(options->base, on_tick, lod);
+    Loop_ArmTimer(lod->timer, LOD_TICK_MS);
+    return lod;
+}
+
+void
+Lod_Free(Lod *lod)
+{
+    while (!LIST_EMPTY(&lod->open)) {
+        LodCall *call = LIST_FIRST(&lod->open);
+        Cli_EndCall(call->call);
+        free_call(call);
+    }
+    event_free(lod->timer);
+    Cli_Free(lod->cli);
+    g_free(lod);
+}
+
+void
+Lod_Stop(Lod *lod)
+{
+    event_del(lod->timer);
+}
+
+guint
+Lod_CountOpen(const Lod *lod)
+{
+    return lod->open_count;
+}
+
+void
+Lod_BeginCount(Lod *lod)
+{
+    lod->counting = true;
+    memset(lod->served, 0, sizeof(lod->served));
+}
+
+bool
+Lod_IsAllServed(const Lod *lod)
+{
+    for (guint vm = 0; vm < lod->options.vms; vm++) {
+        for (guint kind = 0; kind < LED_KIND_COUNT; kind++) {
+            if (lod->served[vm][kind] == 0) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *context)
+{
+    Lod *lod = context;
+
+    (void)fd;
+    (void)what;
+    lod->due += lod->options.per_s * LOD_TICK_MS / 1000.0;
+    for (; lod->due >= 1; lod->due -= 1) {
+        begin_call(lod);
+    }
+    Loop_ArmTimer(lod->timer, LOD_TICK_MS);
+}
+
+static void
+begin_call(Lod *lod)
+{
+    const LodOptions *options = &lod->options;
+    LodCall *call = g_new0(LodCall, 1);
+    char target[64];
+    HdrList *headers = Hdr_New();
+    CliCallOptions how = {
+        .method = "POST",
+        .target = target,
+        .headers = headers,
+        .body = "{}",
+        .body_size = 2,
+        .idle_max_ms = LOD_IDLE_MS,
+        .context = call,
+        .on_head = on_head,
+        .on_data = on_data,
+        .on_end = on_end,
+    };
+
+    call->lod = lod;
+    call->kind = (LedKind)(g_rand_int(options->rand) % LED_KIND_COUNT);
+    call->vm = g_rand_int(options->rand) % options->vms;
+    call->last = LOD_NO_EVENT;
+    call->body = g_byte_array_new();
+    Sse_Init(&call->sse);
+    g_snprintf(call->id, sizeof(call->id), "r%u", lod->number++);
+    g_snprintf(target, sizeof(target), "/%s/%s", Led_GetKindName(call->kind),
+               call->id);
+    how.address = options->addresses[call->vm];
+    Hdr_Add(headers, "Host", WLD_HOST);
+    Hdr_Add(headers, "X-Request-Id", call->id);
+    Hdr_Add(headers, "X-Deadline-Ms",
+            call->kind < LED_STREAM ? "3000" : "14000");
+    if (call->kind >= LED_STREAM) {
+        Hdr_Add(headers, "X-Token-Usage", "5000,800");
+    }
+    Led_AddRequest(options->led, call->id, call->kind, call->vm);
+    LIST_INSERT_HEAD(&lod->open, call, links);
+    lod->open_count++;
+    if (g_rand_double(options->rand) < options->leaving) {
+        call->leave = evtimer_new(options->base, on_leave, call);
+        Loop_ArmTimer(call->leave, (uint32_t)g_rand_int_range(
+                                       options->rand, 1, LOD_LEAVE_MAX_MS));
+    }
+    call->call = Cli_BeginCall(lod->cli, &how);
+    Hdr_Free(headers);
+}
+
+static void
+on_leave(evutil_socket_t fd, short what, void *context)
+{
+    LodCall *call = context;
+
+    (void)fd;
+    (void)what;
+    Cli_EndCall(call->call);
+    free_call(call);
+}
+
+static void
+on_head(void *context, int status, const HdrList *headers)
+{
+    LodCall *call = context;
+    const char *id = Hdr_Find(headers, "X-Request-Id");
+
+    call->status = status;
+    call->has_receipt = Hdr_Find(headers, "X-Response-Stamp") != NULL;
+    if (id != NULL && strcmp(id, call->id) != 0) {
+        Led_AddFinding(call->lod->options.led,
+                       "MIXED: %s gets the answer of %s", call->id, id);
+        call->is_bad = true;
+    }
+}
+
+static void
+on_data(void *context, const void *data, size_t size)
+{
+    LodCall *call = context;
+
+    if (call->status == 200 && call->kind >= LED_STREAM) {
+        Sse_Feed(&call->sse, data, size);
+        check_events(call);
+    }
+    else {
+        g_byte_array_append(call->body, data, (guint)size);
+    }
+}
+
+static void
+on_end(void *context, CliOutcome outcome)
+{
+    LodCall *call = context;
+    Lod *lod = call->lod;
+    LedRow *row = Led_Find(lod->options.led, call->id);
+
+    row->status = call->status;
+    row->whole = outcome == CLI_WHOLE;
+    if (outcome == CLI_MALFORMED) {
+        Led_AddFinding(lod->options.led,
+                       "MIXED: %s gets bytes that are no answer", call->id);
+    }
+    else if (outcome == CLI_WHOLE && call->status < 300) {
+        check_whole(call);
+        lod->served[call->vm][call->kind] += !call->is_bad;
+    }
+    free_call(call);
+}
+
+static void
+check_events(LodCall *call)
+{
+    size_t offset = 0;
+    SseEvent event;
+
+    while (Sse_Next(&call->sse, &offset, &event)) {
+        if (event.has_id && event.id != call->last + 1 && !call->is_bad) {
+            Led_AddFinding(call->lod->options.led,
+                           "ORDER: %s gets event %lld after %lld", call->id,
+                           (long long)event.id, (long long)call->last);
+            call->is_bad = true;
+        }
+        call->last = event.has_id ? event.id : call->last;
+    }
+    Sse_Drop(&call->sse, offset);
+}
+
+/* An answer that ended as a whole success. */
+static void
+check_whole(LodCall *call)
+{
+    Led *led = call->lod->options.led;
+
+    if (!call->has_receipt) {
+        Led_AddFinding(led, "MIXED: %s succeeds without a receipt", call->id);
+        call->is_bad = true;
+    }
+    else if (call->kind >= LED_STREAM) {
+        if (call->last + 1 != Wld_CountEvents(call->id)) {
+            Led_AddFinding(led, "ORDER: %s ends whole after event %lld of %u",
+                           call->id, (long long)call->last,
+                           Wld_CountEvents(call->id));
+            call->is_bad = true;
+        }
+    }
+    else if (call->body->len != strlen(call->id) ||
+             memcmp(call->body->data, call->id, call->body->len) != 0) {
+        Led_AddFinding(led, "MIXED: %s gets another body", call->id);
+        call->is_bad = true;
+    }
+}
+
+static void
+free_call(LodCall *call)
+{
+    call->lod->open_count--;
+    LIST_REMOVE(call, links);
+    if (call->leave != NULL) {
+        event_free(call->leave);
+    }
+    Sse_Clear(&call->sse);
+    g_byte_array_free(call->body, TRUE);
+    g_free(call);
+}
--- /dev/null
+++ b/soak/prx.c
@@ -0,0 +1,219 @@
+#include "prx.h"
+
+#include "io/loop.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+
+typedef struct PrxLink {
+    LIST_ENTRY(PrxLink) links;
+    Prx *prx;
+    struct bufferevent *ends[2]; /* The caller's and the server's. */
+    bool ended[2];               /* This end has closed. */
+    struct event *timer;
+} PrxLink;
+
+struct Prx {
+    struct event_base *base;
+    struct evconnlistener *listener;
+    uint16_t port;
+    uint16_t to_port;
+    PrxMode mode;
+    LIST_HEAD(PrxLinkList, PrxLink) all;
+};
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+                      struct sockaddr *from, int size, void *context);
+static void on_read(struct bufferevent *end, void *context);
+static void on_written(struct bufferevent *end, void *context);
+static void on_event(struct bufferevent *end, short what, void *context);
+static void on_timer(evutil_socket_t fd, short what, void *context);
+static void pass(PrxLink *link);
+static void drop(PrxLink *link, bool reset);
+static void fill_address(struct sockaddr_in *at, uint16_t port);
+
+Prx *
+Prx_New(struct event_base *base, uint16_t to_port)
+{
+    Prx *prx = g_new0(Prx, 1);
+    struct sockaddr_in at;
+    socklen_t size = sizeof(at);
+
+    prx->base = base;
+    prx->to_port = to_port;
+    LIST_INIT(&prx->all);
+    fill_address(&at, 0);
+    prx->listener = evconnlistener_new_bind(
+        base, on_accept, prx, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 64,
+        (struct sockaddr *)&at, sizeof(at));
+    getsockname(evconnlistener_get_fd(prx->listener), (struct sockaddr *)&at,
+                &size);
+    prx->port = ntohs(at.sin_port);
+    return prx;
+}
+
+void
+Prx_Free(Prx *prx)
+{
+    Prx_ResetAll(prx);
+    evconnlistener_free(prx->listener);
+    g_free(prx);
+}
+
+uint16_t
+Prx_GetPort(const Prx *prx)
+{
+    return prx->port;
+}
+
+void
+Prx_SetTarget(Prx *prx, uint16_t to_port)
+{
+    prx->to_port = to_port;
+}
+
+void
+Prx_SetMode(Prx *prx, PrxMode mode)
+{
+    PrxLink *link = LIST_FIRST(&prx->all);
+
+    prx->mode = mode;
+    while (link != NULL) {
+        PrxLink *next = LIST_NEXT(link, links);
+        pass(link);
+        link = next;
+    }
+}
+
+void
+Prx_ResetAll(Prx *prx)
+{
+    while (!LIST_EMPTY(&prx->all)) {
+        drop(LIST_FIRST(&prx->all), true);
+    }
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *from, int size, void *context)
+{
+    Prx *prx = context;
+    PrxLink *link = g_new0(PrxLink, 1);
+    struct sockaddr_in to;
+
+    (void)listener;
+    (void)from;
+    (void)size;
+    link->prx = prx;
+    link->timer = evtimer_new(prx->base, on_timer, link);
+    LIST_INSERT_HEAD(&prx->all, link, links);
+    link->ends[0] =
+        bufferevent_socket_new(prx->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    link->ends[1] =
+        bufferevent_socket_new(prx->base, -1, BEV_OPT_CLOSE_ON_FREE);
+    for (int i = 0; i < 2; i++) {
+        bufferevent_setcb(link->ends[i], on_read, on_written, on_event, link);
+        bufferevent_enable(link->ends[i], EV_READ | EV_WRITE);
+    }
+    fill_address(&to, prx->to_port);
+    bufferevent_socket_connect(link->ends[1], (struct sockaddr *)&to,
+                               sizeof(to));
+}
+
+static void
+on_read(struct bufferevent *end, void *context)
+{
+    PrxLink *link = context;
+
+    (void)end;
+    if (link->prx->mode == PRX_SLOW) {
+        if (!event_pending(link->timer, EV_TIMEOUT, NULL)) {
+            Loop_ArmTimer(link->timer, PRX_SLOW_MS);
+        }
+        return;
+    }
+    pass(link);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    pass(context);
+}
+
+static void
+on_event(struct bufferevent *end, short what, void *context)
+{
+    PrxLink *link = context;
+
+    if (what & BEV_EVENT_ERROR) {
+        drop(link, true);
+    }
+    else if (what & BEV_EVENT_EOF) {
+        link->ended[end == link->ends[1]] = true;
+        on_read(end, link);
+    }
+}
+
+static void
+on_written(struct bufferevent *end, void *context)
+{
+    (void)end;
+    pass(context);
+}
+
+/* Passes on what the mode lets through, and an end once all before it has
+   left. */
+static void
+pass(PrxLink *link)
+{
+    PrxMode mode = link->prx->mode;
+
+    for (int i = 0; i < 2; i++) {
+        struct evbuffer *out = bufferevent_get_output(link->ends[1 - i]);
+        if (mode == PRX_SILENT || (mode == PRX_MUTE && i == 1)) {
+            continue;
+        }
+        evbuffer_add_buffer(out, bufferevent_get_input(link->ends[i]));
+        if (link->ended[i] && evbuffer_get_length(out) == 0) {
+            drop(link, false);
+            return;
+        }
+    }
+}
+
+static void
+drop(PrxLink *link, bool reset)
+{
+    struct linger hard = {1, 0};
+
+    for (int i = 0; i < 2; i++) {
+        evutil_socket_t fd = bufferevent_getfd(link->ends[i]);
+        if (reset && fd >= 0) {
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+        }
+        bufferevent_free(link->ends[i]);
+    }
+    event_free(link->timer);
+    LIST_REMOVE(link, links);
+    g_free(link);
+}
+
+static void
+fill_address(struct sockaddr_in *at, uint16_t port)
+{
+    memset(at, 0, sizeof(*at));
+    at->sin_family = AF_INET;
+    at->sin_port = htons(port);
+    at->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+}
--- /dev/null
+++ b/soak/run.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Plays seeds of the soak, a few at a time, and keeps the output of each that
+# has findings. Usage: soak/run.sh BUILD FIRST COUNT [soak's own flags]
+# FIRST "kept" plays those of soak/seeds.txt, which have failed before.
+set -uo pipefail
+build=$1 first=$2 count=$3
+shift 3
+out=$build/soak-out jobs=${SOAK_JOBS:-$(($(nproc) / 2 + 1))}
+mkdir -p "$out"
+if [ "$first" = kept ]; then
+    seeds=$(sed -n 's/^\([0-9][0-9]*\).*/\1/p' soak/seeds.txt)
+else
+    seeds=$(seq "$first" $((first + count - 1)))
+fi
+play() {
+    timeout 120 "$1/soak" --gate "$1/lavenderspool-gate" --out "$2/$3" \
+        --seed "$3" "${@:4}" >"$2/$3.txt" 2>&1
+    status=$?
+    [ $status -eq 0 ] && rm -rf "${2:?}/$3" "$2/$3.txt" && return
+    echo "seed $3: status $status, output in $2/$3.txt"
+    grep FINDING "$2/$3.txt" | head -5
+}
+export -f play
+failed=$(echo "$seeds" |
+    xargs -P "$jobs" -I{} bash -c 'play "$@"' _ "$build" "$out" {} "$@")
+echo "$failed"
+echo "soak: $(echo "$seeds" | grep -c .) seeds, $(grep -c '^seed' <<<"$failed") with findings"
+! grep -q '^seed' <<<"$failed"
--- /dev/null
+++ b/soak/soak.c
@@ -0,0 +1,692 @@
+/* A soak of the gate: real processes on loopback, a stand-in of the platform,
+   callers, and faults from outside, all drawn from a seed. Ends with 0 if
+   every promise held, with 1 if not. */
+#include "lod.h"
+#include "wld.h"
+
+#include "io/loop.h"
+
+#include <argtable2.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define SOAK_PER_S 120        /* Requests a second. */
+#define SOAK_LEAVING 0.05     /* Share of callers who leave early. */
+#define SOAK_START_MS 2500    /* Until the VMs know the configuration. */
+#define SOAK_FAULT_MIN_MS 100 /* Between the beginnings of faults. */
+#define SOAK_FAULT_MAX_MS 900
+#define SOAK_LAST_MIN_MS 200 /* How long a fault lasts. */
+#define SOAK_LAST_MAX_MS 2500
+/* A worker that leaves serves on for longer than it must be avoided. */
+#define SOAK_DRAINED_MS 4000
+#define SOAK_GRACE_MS 8000    /* The sheets' grace-s. */
+#define SOAK_RECOVER_MS 12000 /* The sheets' recovery-s. */
+#define SOAK_DOWN_MS 300      /* From a process's end to its restart. */
+#define SOAK_LOST 0.03        /* Share of runs whose answer is lost, */
+#define SOAK_FAILED 0.03      /* and of those that fail, in a fault. */
+
+typedef struct Soak Soak;
+
+/* One VM: a process, its settings file and its log. */
+typedef struct SoakVm {
+    Soak *soak;
+    guint number;
+    pid_t pid; /* 0: none. */
+    char settings[256];
+    char log[256];
+    char address[32];
+    struct event *timer; /* Restarts it, or kills it after its grace. */
+    bool is_stopping;    /* Its end is wanted. */
+    bool is_paused;
+} SoakVm;
+
+typedef void (*SoakAct)(Soak *soak, guint pick);
+
+/* A kind of fault; `end` may be NULL. */
+typedef struct SoakFault {
+    const char *name;
+    guint weight;
+    guint extra_ms;  /* It lasts longer than others by this. */
+    bool is_trouble; /* VMs may not hear of a worker's leaving meanwhile. */
+    SoakAct begin;
+    SoakAct end;
+} SoakFault;
+
+/* A fault that lasts. */
+typedef struct SoakSpell {
+    Soak *soak;
+    const SoakFault *fault;
+    guint pick;
+    struct event *timer;
+} SoakSpell;
+
+struct Soak {
+    struct event_base *base;
+    Clk clk;
+    Led led;
+    GRand *rand;
+    Wld *wld;
+    Lod *lod;
+    const char *gate;
+    const char *out;
+    uint16_t port;
+    guint vms;
+    SoakVm vm[LOD_VMS_MAX];
+    struct event *child;
+    struct event *timer; /* The next fault. */
+    GPtrArray *spells;   /* Faults that last. */
+    bool ending;         /* No process is started again. */
+};
+
+static int soak(const char *gate, const char *out, guint seed, guint vms,
+                guint seconds);
+static void open_soak(Soak *self, guint seed);
+static void close_soak(Soak *self);
+static void write_settings(Soak *self, SoakVm *vm);
+static void start_vm(SoakVm *vm);
+static void signal_vm(SoakVm *vm, int number);
+static void on_child(evutil_socket_t fd, short what, void *context);
+static void on_vm_timer(evutil_socket_t fd, short what, void *context);
+static const SoakFault *draw_fault(GRand *rand);
+static void on_fault(evutil_socket_t fd, short what, void *context);
+static void on_spell_end(evutil_socket_t fd, short what, void *context);
+static void end_spell(SoakSpell *spell);
+static guint count_running(const Soak *self);
+static void run_for(Soak *self, guint ms);
+static void print(const Soak *self, const char *what, const char *name,
+                  guint pick);
+
+static void kill_vm(Soak *self, guint pick);
+static void stop_vm(Soak *self, guint pick);
+static void pause_vm(Soak *self, guint pick);
+static void resume_vm(Soak *self, guint pick);
+static void reload_vm(Soak *self, guint pick);
+static void kill_all(Soak *self, guint pick);
+static void crash_worker(Soak *self, guint pick);
+static void start_worker(Soak *self, guint pick);
+static void drain_worker(Soak *self, guint pick);
+static void replace_worker(Soak *self, guint pick);
+static void slow_worker(Soak *self, guint pick);
+static void silence_worker(Soak *self, guint pick);
+static void mute_worker(Soak *self, guint pick);
+static void free_worker(Soak *self, guint pick);
+static void reset_worker(Soak *self, guint pick);
+static void stop_store(Soak *self, guint pick);
+static void slow_store(Soak *self, guint pick);
+static void wipe_store(Soak *self, guint pick);
+static void mend_store(Soak *self, guint pick);
+static void silence_store(Soak *self, guint pick);
+static void free_store(Soak *self, guint pick);
+static void lose_answers(Soak *self, guint pick);
+static void keep_answers(Soak *self, guint pick);
+static void change_config(Soak *self, guint pick);
+
+static const SoakFault faults[] = {
+    {"vm_kill", 3, 0, false, kill_vm, NULL},
+    {"vm_stop", 3, 0, false, stop_vm, NULL},
+    {"vm_pause", 2, 0, true, pause_vm, resume_vm},
+    {"vm_reload", 2, 0, false, reload_vm, NULL},
+    {"vm_kill_all", 1, 0, true, kill_all, NULL},
+    {"worker_crash", 4, 0, false, crash_worker, start_worker},
+    {"worker_drain", 2, SOAK_DRAINED_MS, false, drain_worker, replace_worker},
+    {"worker_slow", 2, 0, false, slow_worker, free_worker},
+    {"worker_silent", 2, 0, false, silence_worker, free_worker},
+    {"worker_mute", 2, 0, false, mute_worker, free_worker},
+    {"worker_reset", 2, 0, false, reset_worker, NULL},
+    {"store_down", 1, 0, true, stop_store, mend_store},
+    {"store_slow", 1, 0, true, slow_store, mend_store},
+    {"store_forgets", 1, 0, true, wipe_store, mend_store},
+    {"store_silent", 1, 0, true, silence_store, free_store},
+    {"answers_lost", 2, 0, false, lose_answers, keep_answers},
+    {"config", 3, 0, false, change_config, NULL},
+};
+
+int
+main(int argc, char **argv)
+{
+    struct arg_str *gate = arg_str1(NULL, "gate", "FILE", "the program");
+    struct arg_str *out = arg_str1(NULL, "out", "DIR", "settings and logs");
+    struct arg_int *seed = arg_int0(NULL, "seed", "N", "default: 1");
+    struct arg_int *vms = arg_int0(NULL, "vms", "N", "default: 3");
+    struct arg_int *seconds = arg_int0(NULL, "seconds", "N", "default: 10");
+    struct arg_lit *help = arg_lit0(NULL, "help", "prints this");
+    struct arg_end *end = arg_end(8);
+    void *table[] = {gate, out, seed, vms, seconds, help, end};
+    int errors;
+    int status = 2;
+
+    seed->ival[0] = 1;
+    vms->ival[0] = 3;
+    seconds->ival[0] = 10;
+    errors = arg_parse(argc, argv, table);
+    if (help->count > 0) {
+        printf("Usage: %s", argv[0]);
+        arg_print_syntax(stdout, table, "\n");
+        arg_print_glossary(stdout, table, "  %-16s %s\n");
+        status = 0;
+    }
+    else if (errors > 0 || vms->ival[0] < 1 || vms->ival[0] > LOD_VMS_MAX ||
+             seconds->ival[0] < 1) {
+        arg_print_errors(stderr, end, argv[0]);
+        fprintf(stderr,
+                "error 500 setting: --vms is 1 to %d, --seconds 1 or "
+                "more\n",
+                LOD_VMS_MAX);
+    }
+    else {
+        status = soak(gate->sval[0], out->sval[0], (guint)seed->ival[0],
+                      (guint)vms->ival[0], (guint)seconds->ival[0]);
+    }
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return status;
+}
+
+static int
+soak(const char *gate, const char *out, guint seed, guint vms, guint seconds)
+{
+    Soak self = {.gate = gate, .out = out, .vms = vms};
+    int64_t end_us;
+    guint served;
+    guint all;
+    int status;
+
+    open_soak(&self, seed);
+    Loop_ArmTimer(self.timer, SOAK_FAULT_MIN_MS);
+    run_for(&self, seconds * 1000);
+
+    event_del(self.timer);
+    while (self.spells->len > 0) {
+        end_spell(g_ptr_array_index(self.spells, 0));
+    }
+    Lod_BeginCount(self.lod);
+    end_us = Clk_Now(&self.clk) + SOAK_RECOVER_MS * CLK_US_PER_MS;
+    while (!Lod_IsAllServed(self.lod) && Clk_Now(&self.clk) < end_us) {
+        run_for(&self, 50);
+    }
+    if (!Lod_IsAllServed(self.lod)) {
+        Led_AddFinding(&self.led,
+                       "RECOVER: not all VMs serve all kinds of request %d ms "
+                       "after the last fault",
+                       SOAK_RECOVER_MS);
+    }
+
+    /* A shutdown under load: each request that was read gets its end. */
+    Lod_Stop(self.lod);
+    self.ending = true;
+    for (guint i = 0; i < vms; i++) {
+        signal_vm(&self.vm[i], SIGTERM);
+    }
+    while (count_running(&self) > 0) {
+        run_for(&self, 50);
+    }
+    Led_Check(&self.led);
+    for (int kind = 0; kind < LED_KIND_COUNT; kind++) {
+        Led_Count(&self.led, (LedKind)kind, &served, &all);
+        printf("%-7s %5u sent, %5u served\n", Led_GetKindName((LedKind)kind),
+               all, served);
+    }
+    for (guint i = 0; i < self.led.findings->len; i++) {
+        printf("FINDING %s\n",
+               (const char *)g_ptr_array_index(self.led.findings, i));
+    }
+    printf("seed %u: %u findings\n", seed, self.led.findings->len);
+    status = self.led.findings->len > 0;
+    close_soak(&self);
+    return status;
+}
+
+static void
+open_soak(Soak *self, guint seed)
+{
+    LodOptions load = {0};
+
+    signal(SIGPIPE, SIG_IGN);
+    mkdir(self->out, 0755);
+    self->base = event_base_new();
+    self->clk = Clk_Default();
+    self->rand = g_rand_new_with_seed(seed);
+    self->spells = g_ptr_array_new();
+    Led_Init(&self->led);
+    self->wld = Wld_New(self->base, &self->clk, &self->led, self->rand);
+    self->timer = evtimer_new(self->base, on_fault, self);
+    self->child = evsignal_new(self->base, SIGCHLD, on_child, self);
+    event_add(self->child, NULL);
+    load.base = self->base;
+    load.clk = &self->clk;
+    load.led = &self->led;
+    load.rand = self->rand;
+    load.vms = self->vms;
+    load.per_s = SOAK_PER_S;
+    load.leaving = SOAK_LEAVING;
+    /* Three ports in a row; VMs differ by their loopback address. */
+    self->port = (uint16_t)(20000 + (guint)getpid() % 4000 * 3);
+    for (guint i = 0; i < self->vms; i++) {
+        SoakVm *vm = &self->vm[i];
+        vm->soak = self;
+        vm->number = i;
+        vm->timer = evtimer_new(self->base, on_vm_timer, vm);
+        g_snprintf(vm->settings, sizeof(vm->settings), "%s/vm%u.json",
+                   self->out, i);
+        g_snprintf(vm->log, sizeof(vm->log), "%s/vm%u.log", self->out, i);
+        g_snprintf(vm->address, sizeof(vm->address), "127.0.1.%u:%u", i + 1,
+                   self->port);
+        load.addresses[i] = vm->address;
+        unlink(vm->log);
+        write_settings(self, vm);
+        start_vm(vm);
+    }
+    run_for(self, SOAK_START_MS);
+    self->lod = Lod_New(&load);
+}
+
+static void
+close_soak(Soak *self)
+{
+    for (guint i = 0; i < self->vms; i++) {
+        signal_vm(&self->vm[i], SIGKILL);
+    }
+    for (guint i = 0; i < self->vms; i++) {
+        if (self->vm[i].pid != 0) {
+            waitpid(self->vm[i].pid, NULL, 0);
+        }
+        event_free(self->vm[i].timer);
+    }
+    Lod_Free(self->lod);
+    Wld_Free(self->wld);
+    event_free(self->child);
+    event_free(self->timer);
+    Led_Clear(&self->led);
+    g_ptr_array_free(self->spells, TRUE);
+    g_rand_free(self->rand);
+    event_base_free(self->base);
+}
+
+static void
+write_settings(Soak *self, SoakVm *vm)
+{
+    char *text = g_strdup_printf(
+        "{\"node\":\"vm%u\",\"zone\":\"zone-%c\",\"ip\":\"127.0.1.%u\","
+        "\"listen\":{\"front\":\"127.0.1.%u:%u\",\"ready\":"
+        "\"127.0.1.%u:%u\",\"control\":\"127.0.1.%u:%u\"},"
+        "\"zones\":{\"zone-a\":\"r\",\"zone-b\":\"r\"},"
+        "\"seed-addrs\":[\"127.0.1.1:%u\"],"
+        "\"platform\":{\"addr\":\"127.0.0.1:%u\"},"
+        "\"bounds\":{\"drain-ms\":%d,\"grace-s\":%d,\"lease-ms\":3000,"
+        "\"budget-ratio\":0.2,\"budget-slack\":58,"
+        "\"budget-window-s\":10}}\n",
+        vm->number, 'a' + (int)(vm->number % 2), vm->number + 1,
+        vm->number + 1, self->port, vm->number + 1, self->port + 1,
+        vm->number + 1, self->port + 2, self->port + 2,
+        Prx_GetPort(Wld_GetStoreProxy(self->wld)), WLD_DRAIN_MS,
+        SOAK_GRACE_MS / 1000);
+
+    if (!g_file_set_contents(vm->settings, text, -1, NULL)) {
+        g_error("soak: %s can't be written", vm->settings);
+    }
+    g_free(text);
+}
+
+static void
+start_vm(SoakVm *vm)
+{
+    char *argv[] = {(char *)vm->soak->gate, (char *)"--settings", vm->settings,
+                    NULL};
+    char *envp[] = {NULL};
+    posix_spawn_file_actions_t files;
+
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, vm->log,
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    if (posix_spawn(&vm->pid, argv[0], &files, NULL, argv, envp) != 0) {
+        g_error("soak: %s can't be started", argv[0]);
+    }
+    posix_spawn_file_actions_destroy(&files);
+    vm->is_stopping = false;
+    vm->is_paused = false;
+}
+
+/* SIGTERM is followed by SIGKILL after the grace time, as on the platform. */
+static void
+signal_vm(SoakVm *vm, int number)
+{
+    if (vm->pid == 0) {
+        return;
+    }
+    if (number == SIGTERM || number == SIGKILL) {
+        if (vm->is_paused) {
+            kill(vm->pid, SIGCONT);
+        }
+        if (!vm->is_stopping) {
+            Loop_ArmTimer(vm->timer, SOAK_GRACE_MS);
+        }
+        vm->is_stopping = true;
+    }
+    kill(vm->pid, number);
+}
+
+static void
+on_child(evutil_socket_t fd, short what, void *context)
+{
+    Soak *self = context;
+
+    (void)fd;
+    (void)what;
+    for (guint i = 0; i < self->vms; i++) {
+        SoakVm *vm = &self->vm[i];
+        int status;
+        if (vm->pid == 0 || waitpid(vm->pid, &status, WNOHANG) != vm->pid) {
+            continue;
+        }
+        if (!vm->is_stopping) {
+            Led_AddFinding(&self->led, "EXIT: VM %u ended by itself, %s %d", i,
+                           WIFSIGNALED(status) ? "signal" : "status",
+                           WIFSIGNALED(status) ? WTERMSIG(status)
+                                               : WEXITSTATUS(status));
+        }
+        vm->pid = 0;
+        event_del(vm->timer);
+        if (!self->ending) {
+            Loop_ArmTimer(vm->timer, SOAK_DOWN_MS);
+        }
+    }
+}
+
+static void
+on_vm_timer(evutil_socket_t fd, short what, void *context)
+{
+    SoakVm *vm = context;
+
+    (void)fd;
+    (void)what;
+    if (vm->pid != 0) {
+        Led_AddFinding(&vm->soak->led,
+                       "STOP: VM %u runs %d ms after its signal", vm->number,
+                       SOAK_GRACE_MS);
+        kill(vm->pid, SIGKILL);
+    }
+    else if (!vm->soak->ending) {
+        start_vm(vm);
+    }
+}
+
+static const SoakFault *
+draw_fault(GRand *rand)
+{
+    const SoakFault *fault = faults;
+    guint sum = 0;
+    guint pick;
+
+    for (guint i = 0; i < G_N_ELEMENTS(faults); i++) {
+        sum += faults[i].weight;
+    }
+    for (pick = g_rand_int(rand) % sum; pick >= fault->weight; fault++) {
+        pick -= fault->weight;
+    }
+    return fault;
+}
+
+/* Begins the next fault; faults come in series and overlap. */
+static void
+on_fault(evutil_socket_t fd, short what, void *context)
+{
+    Soak *self = context;
+    const SoakFault *fault = draw_fault(self->rand);
+    guint pick = g_rand_int(self->rand);
+
+    (void)fd;
+    (void)what;
+    print(self, "begins", fault->name, pick);
+    if (fault->is_trouble) {
+        Wld_NoteTrouble(self->wld);
+    }
+    fault->begin(self, pick);
+    if (fault->end != NULL) {
+        SoakSpell *spell = g_new0(SoakSpell, 1);
+        spell->soak = self;
+        spell->fault = fault;
+        spell->pick = pick;
+        spell->timer = evtimer_new(self->base, on_spell_end, spell);
+        g_ptr_array_add(self->spells, spell);
+        Loop_ArmTimer(spell->timer,
+                      fault->extra_ms +
+                          (uint32_t)g_rand_int_range(
+                              self->rand, SOAK_LAST_MIN_MS, SOAK_LAST_MAX_MS));
+    }
+    Loop_ArmTimer(self->timer,
+                  (uint32_t)g_rand_int_range(self->rand, SOAK_FAULT_MIN_MS,
+                                             SOAK_FAULT_MAX_MS));
+}
+
+static void
+on_spell_end(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    end_spell(context);
+}
+
+static void
+end_spell(SoakSpell *spell)
+{
+    Soak *self = spell->soak;
+
+    print(self, "ends", spell->fault->name, spell->pick);
+    spell->fault->end(self, spell->pick);
+    if (spell->fault->is_trouble) {
+        Wld_NoteTrouble(self->wld);
+    }
+    event_free(spell->timer);
+    g_ptr_array_remove_fast(self->spells, spell);
+    g_free(spell);
+}
+
+static guint
+count_running(const Soak *self)
+{
+    guint count = 0;
+
+    for (guint i = 0; i < self->vms; i++) {
+        count += self->vm[i].pid != 0;
+    }
+    return count;
+}
+
+static void
+run_for(Soak *self, guint ms)
+{
+    struct timeval time = {ms / 1000, (suseconds_t)(ms % 1000) * 1000};
+
+    event_base_loopexit(self->base, &time);
+    event_base_dispatch(self->base);
+}
+
+static void
+print(const Soak *self, const char *what, const char *name, guint pick)
+{
+    gint64 now_us = g_get_real_time();
+
+    printf("%lld.%03d %s %s (VM %u, worker %u)\n",
+           (long long)(now_us / CLK_US_PER_S),
+           (int)(now_us / CLK_US_PER_MS % 1000), name, what, pick % self->vms,
+           pick % WLD_WORKER_COUNT);
+}
+
+static void
+kill_vm(Soak *self, guint pick)
+{
+    signal_vm(&self->vm[pick % self->vms], SIGKILL);
+}
+
+static void
+stop_vm(Soak *self, guint pick)
+{
+    signal_vm(&self->vm[pick % self->vms], SIGTERM);
+}
+
+static void
+pause_vm(Soak *self, guint pick)
+{
+    SoakVm *vm = &self->vm[pick % self->vms];
+
+    if (!vm->is_stopping) {
+        vm->is_paused = true;
+        signal_vm(vm, SIGSTOP);
+    }
+}
+
+static void
+resume_vm(Soak *self, guint pick)
+{
+    SoakVm *vm = &self->vm[pick % self->vms];
+
+    vm->is_paused = false;
+    signal_vm(vm, SIGCONT);
+}
+
+static void
+reload_vm(Soak *self, guint pick)
+{
+    write_settings(self, &self->vm[pick % self->vms]);
+    signal_vm(&self->vm[pick % self->vms], SIGHUP);
+}
+
+static void
+kill_all(Soak *self, guint pick)
+{
+    (void)pick;
+    for (guint i = 0; i < self->vms; i++) {
+        signal_vm(&self->vm[i], SIGKILL);
+    }
+}
+
+static void
+crash_worker(Soak *self, guint pick)
+{
+    Wld_CrashWorker(self->wld, pick % WLD_WORKER_COUNT);
+}
+
+static void
+start_worker(Soak *self, guint pick)
+{
+    Wld_StartWorker(self->wld, pick % WLD_WORKER_COUNT);
+}
+
+static void
+drain_worker(Soak *self, guint pick)
+{
+    Wld_DrainWorker(self->wld, pick % WLD_WORKER_COUNT);
+}
+
+/* The drained worker ends, later than it would on the platform at times, and
+   another takes its address. */
+static void
+replace_worker(Soak *self, guint pick)
+{
+    Wld_CrashWorker(self->wld, pick % WLD_WORKER_COUNT);
+    Wld_StartWorker(self->wld, pick % WLD_WORKER_COUNT);
+}
+
+static void
+slow_worker(Soak *self, guint pick)
+{
+    Prx_SetMode(Wld_GetWorkerProxy(self->wld, pick % WLD_WORKER_COUNT),
+                PRX_SLOW);
+}
+
+static void
+silence_worker(Soak *self, guint pick)
+{
+    Prx_SetMode(Wld_GetWorkerProxy(self->wld, pick % WLD_WORKER_COUNT),
+                PRX_SILENT);
+}
+
+static void
+mute_worker(Soak *self, guint pick)
+{
+    Prx_SetMode(Wld_GetWorkerProxy(self->wld, pick % WLD_WORKER_COUNT),
+                PRX_MUTE);
+}
+
+static void
+free_worker(Soak *self, guint pick)
+{
+    Prx_SetMode(Wld_GetWorkerProxy(self->wld, pick % WLD_WORKER_COUNT),
+                PRX_PASS);
+}
+
+static void
+reset_worker(Soak *self, guint pick)
+{
+    Prx_ResetAll(Wld_GetWorkerProxy(self->wld, pick % WLD_WORKER_COUNT));
+}
+
+static void
+stop_store(Soak *self, guint pick)
+{
+    (void)pick;
+    Wld_SetStore(self->wld, WLD_STORE_DOWN);
+}
+
+static void
+slow_store(Soak *self, guint pick)
+{
+    (void)pick;
+    Wld_SetStore(self->wld, WLD_STORE_LAGGING);
+}
+
+static void
+wipe_store(Soak *self, guint pick)
+{
+    (void)pick;
+    Wld_SetStore(self->wld, WLD_STORE_FORGETFUL);
+}
+
+static void
+mend_store(Soak *self, guint pick)
+{
+    (void)pick;
+    Wld_SetStore(self->wld, WLD_STORE_SOUND);
+}
+
+static void
+silence_store(Soak *self, guint pick)
+{
+    (void)pick;
+    Prx_SetMode(Wld_GetStoreProxy(self->wld), PRX_SILENT);
+}
+
+static void
+free_store(Soak *self, guint pick)
+{
+    (void)pick;
+    Prx_SetMode(Wld_GetStoreProxy(self->wld), PRX_PASS);
+}
+
+static void
+lose_answers(Soak *self, guint pick)
+{
+    (void)pick;
+    Wld_SetFailures(self->wld, SOAK_LOST, SOAK_FAILED);
+}
+
+static void
+keep_answers(Soak *self, guint pick)
+{
+    (void)pick;
+    Wld_SetFailures(self->wld, 0, 0);
+}
+
+static void
+change_config(Soak *self, guint pick)
+{
+    (void)pick;
+    Wld_ChangeConfig(self->wld);
+}
