Tell callers who came back from those with less time

Change: only who has less than 0.8 of the route's time has been here before; who was turned away comes back after 1.5 s and more, which is below that.

--- a/src/decide/adm.c
+++ b/src/decide/adm.c
@@ -19,14 +19,17 @@
 Adm_GetTurn(const AdmWait *wait)
 {
     int64_t half_us = (wait->waiting_us + wait->deadline_us) / 2;
-    int64_t in_time_us = wait->first_us + wait->slo_us - ADM_FIRST_US;
+    int64_t in_time_us = wait->arrived_us + wait->slo_us - ADM_FIRST_US;
+    bool is_back =
+        wait->left_us > 0 &&
+        (double)wait->left_us < ADM_NEW_SHARE * (double)wait->timeout_us;
     AdmTurn turn = {.pause_us = ADM_PAUSE_US};
 
     if (wait->is_read || wait->is_begun) {
         turn.until_us = wait->waiting_us + ADM_WAIT_MAX_US;
         turn.pause_us = wait->is_read ? ADM_PAUSE_READ_US : ADM_PAUSE_US;
     }
-    else if (wait->arrived_us < in_time_us) {
+    else if (!is_back) {
         turn.until_us = in_time_us;
     }
     else {
--- a/src/decide/adm.h
+++ b/src/decide/adm.h
@@ -24,6 +24,9 @@
 /* Callers leave a stream that is silent for four objectives, 3.6 s on the
    sheets; what is left then must do for a slow first event. */
 #define ADM_WAIT_LATE_US 1500000
+/* Callers of a route differ in their time; one that has less than this share
+   of the route's has been here before. */
+#define ADM_NEW_SHARE 0.8
 #define ADM_WAIT_MAX_US 2000000 /* Of one that has something to lose. */
 
 #define ADM_LEFT_SHARE 0.33 /* Of their time left that callers will wait. */
@@ -41,10 +44,11 @@
 
 /* A request without room. Times are the runtime clock's. */
 typedef struct AdmWait {
-    int64_t waiting_us;  /* Since when it waits. */
-    int64_t first_us;    /* When its caller first asked, as far as is known. */
-    int64_t arrived_us;  /* When this attempt came. */
-    int64_t slo_us;      /* Latency objective, from first_us on. */
+    int64_t waiting_us; /* Since when it waits. */
+    int64_t arrived_us;
+    int64_t left_us;     /* Of its caller's time, on arrival; 0: not told. */
+    int64_t timeout_us;  /* Of the route: a caller's time, about. */
+    int64_t slo_us;      /* Latency objective, from the caller's first try. */
     int64_t deadline_us; /* Of the caller and of the route. */
     bool is_read;        /* Its prompt is read. */
     bool is_begun;       /* Its caller has a part of the answer. */
--- a/src/gate/gen.c
+++ b/src/gate/gen.c
@@ -222,14 +222,11 @@
 static AdmTurn
 get_turn(const GateTask *task)
 {
-    int64_t left_ms = task->request.left_ms;
-    /* Callers say what is left of their time, which is the route's. */
-    int64_t gone_ms =
-        left_ms > 0 ? MAX(0, (int64_t)task->route->timeout_ms - left_ms) : 0;
     AdmWait wait = {
         .waiting_us = task->waiting_us,
-        .first_us = task->began_us - gone_ms * CLK_US_PER_MS,
         .arrived_us = task->began_us,
+        .left_us = task->request.left_ms * CLK_US_PER_MS,
+        .timeout_us = (int64_t)task->route->timeout_ms * CLK_US_PER_MS,
         .slo_us = (int64_t)task->route->slo_ms * CLK_US_PER_MS,
         .deadline_us = task->deadline_us,
         .is_read = Room_HasHandle(task),
