Reserve no more than a worker has; short objectives leave time to wait; soak: faults as one table

Found on reading the change again: a prompt that fills a worker, with a third of its answer, asked for more than any worker has and so was never granted room, though it could run; with an objective under 250 ms no request would have waited at all. Change: the reservation is cut at the worker's memory; at least half of the objective is for waiting. Soak: modes stand in the table of faults instead of seven functions. Tests: ReservesNoMoreThanAWorkerHas, ShortObjectiveStillLeavesTimeToWait.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -47,17 +47,19 @@
     bool is_paused;
 } SoakVm;
 
-typedef void (*SoakAct)(Soak *soak, guint pick);
+typedef struct SoakFault SoakFault;
+typedef void (*SoakAct)(Soak *soak, const SoakFault *fault, guint pick);
 
 /* A kind of fault; `end` may be NULL. */
-typedef struct SoakFault {
+struct SoakFault {
     const char *name;
     guint weight;
     guint extra_ms;  /* It lasts longer than others by this. */
     bool is_trouble; /* VMs may not hear of a worker's leaving meanwhile. */
     SoakAct begin;
     SoakAct end;
-} SoakFault;
+    int mode; /* PrxMode or WldStore, where the fault is one. */
+};
 
 /* A fault that lasts. */
 typedef struct SoakSpell {
@@ -103,49 +105,46 @@
 static void print(const Soak *self, const char *what, const char *name,
                   guint pick);
 
-static void kill_vm(Soak *self, guint pick);
-static void stop_vm(Soak *self, guint pick);
-static void pause_vm(Soak *self, guint pick);
-static void resume_vm(Soak *self, guint pick);
-static void reload_vm(Soak *self, guint pick);
-static void kill_all(Soak *self, guint pick);
-static void crash_worker(Soak *self, guint pick);
-static void start_worker(Soak *self, guint pick);
-static void drain_worker(Soak *self, guint pick);
-static void replace_worker(Soak *self, guint pick);
-static void slow_worker(Soak *self, guint pick);
-static void silence_worker(Soak *self, guint pick);
-static void mute_worker(Soak *self, guint pick);
-static void free_worker(Soak *self, guint pick);
-static void reset_worker(Soak *self, guint pick);
-static void stop_store(Soak *self, guint pick);
-static void slow_store(Soak *self, guint pick);
-static void wipe_store(Soak *self, guint pick);
-static void mend_store(Soak *self, guint pick);
-static void silence_store(Soak *self, guint pick);
-static void free_store(Soak *self, guint pick);
-static void lose_answers(Soak *self, guint pick);
-static void keep_answers(Soak *self, guint pick);
-static void change_config(Soak *self, guint pick);
+static void kill_vm(Soak *self, const SoakFault *fault, guint pick);
+static void stop_vm(Soak *self, const SoakFault *fault, guint pick);
+static void pause_vm(Soak *self, const SoakFault *fault, guint pick);
+static void resume_vm(Soak *self, const SoakFault *fault, guint pick);
+static void reload_vm(Soak *self, const SoakFault *fault, guint pick);
+static void kill_all(Soak *self, const SoakFault *fault, guint pick);
+static void crash_worker(Soak *self, const SoakFault *fault, guint pick);
+static void start_worker(Soak *self, const SoakFault *fault, guint pick);
+static void drain_worker(Soak *self, const SoakFault *fault, guint pick);
+static void replace_worker(Soak *self, const SoakFault *fault, guint pick);
+static void harm_worker(Soak *self, const SoakFault *fault, guint pick);
+static void free_worker(Soak *self, const SoakFault *fault, guint pick);
+static void reset_worker(Soak *self, const SoakFault *fault, guint pick);
+static void harm_store(Soak *self, const SoakFault *fault, guint pick);
+static void mend_store(Soak *self, const SoakFault *fault, guint pick);
+static void cut_store(Soak *self, const SoakFault *fault, guint pick);
+static void free_store(Soak *self, const SoakFault *fault, guint pick);
+static void lose_answers(Soak *self, const SoakFault *fault, guint pick);
+static void keep_answers(Soak *self, const SoakFault *fault, guint pick);
+static void change_config(Soak *self, const SoakFault *fault, guint pick);
 
 static const SoakFault faults[] = {
-    {"vm_kill", 3, 0, false, kill_vm, NULL},
-    {"vm_stop", 3, 0, false, stop_vm, NULL},
-    {"vm_pause", 2, 0, true, pause_vm, resume_vm},
-    {"vm_reload", 2, 0, false, reload_vm, NULL},
-    {"vm_kill_all", 1, 0, true, kill_all, NULL},
-    {"worker_crash", 4, 0, false, crash_worker, start_worker},
-    {"worker_drain", 2, SOAK_DRAINED_MS, false, drain_worker, replace_worker},
-    {"worker_slow", 2, 0, false, slow_worker, free_worker},
-    {"worker_silent", 2, 0, false, silence_worker, free_worker},
-    {"worker_mute", 2, 0, false, mute_worker, free_worker},
-    {"worker_reset", 2, 0, false, reset_worker, NULL},
-    {"store_down", 1, 0, true, stop_store, mend_store},
-    {"store_slow", 1, 0, true, slow_store, mend_store},
-    {"store_forgets", 1, 0, true, wipe_store, mend_store},
-    {"store_silent", 1, 0, true, silence_store, free_store},
-    {"answers_lost", 2, 0, false, lose_answers, keep_answers},
-    {"config", 3, 0, false, change_config, NULL},
+    {"vm_kill", 3, 0, false, kill_vm, NULL, 0},
+    {"vm_stop", 3, 0, false, stop_vm, NULL, 0},
+    {"vm_pause", 2, 0, true, pause_vm, resume_vm, 0},
+    {"vm_reload", 2, 0, false, reload_vm, NULL, 0},
+    {"vm_kill_all", 1, 0, true, kill_all, NULL, 0},
+    {"worker_crash", 4, 0, false, crash_worker, start_worker, 0},
+    {"worker_drain", 2, SOAK_DRAINED_MS, false, drain_worker, replace_worker,
+     0},
+    {"worker_slow", 2, 0, false, harm_worker, free_worker, PRX_SLOW},
+    {"worker_silent", 2, 0, false, harm_worker, free_worker, PRX_SILENT},
+    {"worker_mute", 2, 0, false, harm_worker, free_worker, PRX_MUTE},
+    {"worker_reset", 2, 0, false, reset_worker, NULL, 0},
+    {"store_down", 1, 0, true, harm_store, mend_store, WLD_STORE_DOWN},
+    {"store_slow", 1, 0, true, harm_store, mend_store, WLD_STORE_LAGGING},
+    {"store_forgets", 1, 0, true, harm_store, mend_store, WLD_STORE_FORGETFUL},
+    {"store_silent", 1, 0, true, cut_store, free_store, PRX_SILENT},
+    {"answers_lost", 2, 0, false, lose_answers, keep_answers, 0},
+    {"config", 3, 0, false, change_config, NULL, 0},
 };
 
 int
@@ -447,7 +446,7 @@
     if (fault->is_trouble) {
         Wld_NoteTrouble(self->wld);
     }
-    fault->begin(self, pick);
+    fault->begin(self, fault, pick);
     if (fault->end != NULL) {
         SoakSpell *spell = g_new0(SoakSpell, 1);
         spell->soak = self;
@@ -479,7 +478,7 @@
     Soak *self = spell->soak;
 
     print(self, "ends", spell->fault->name, spell->pick);
-    spell->fault->end(self, spell->pick);
+    spell->fault->end(self, spell->fault, spell->pick);
     if (spell->fault->is_trouble) {
         Wld_NoteTrouble(self->wld);
     }
@@ -520,20 +519,23 @@
 }
 
 static void
-kill_vm(Soak *self, guint pick)
+kill_vm(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     signal_vm(&self->vm[pick % self->vms], SIGKILL);
 }
 
 static void
-stop_vm(Soak *self, guint pick)
+stop_vm(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     signal_vm(&self->vm[pick % self->vms], SIGTERM);
 }
 
 static void
-pause_vm(Soak *self, guint pick)
+pause_vm(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     SoakVm *vm = &self->vm[pick % self->vms];
 
     if (!vm->is_stopping) {
@@ -543,8 +545,9 @@
 }
 
 static void
-resume_vm(Soak *self, guint pick)
+resume_vm(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     SoakVm *vm = &self->vm[pick % self->vms];
 
     vm->is_paused = false;
@@ -552,15 +555,17 @@
 }
 
 static void
-reload_vm(Soak *self, guint pick)
+reload_vm(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     write_settings(self, &self->vm[pick % self->vms]);
     signal_vm(&self->vm[pick % self->vms], SIGHUP);
 }
 
 static void
-kill_all(Soak *self, guint pick)
+kill_all(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     (void)pick;
     for (guint i = 0; i < self->vms; i++) {
         signal_vm(&self->vm[i], SIGKILL);
@@ -568,125 +573,108 @@
 }
 
 static void
-crash_worker(Soak *self, guint pick)
+crash_worker(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     Wld_CrashWorker(self->wld, pick % WLD_WORKER_COUNT);
 }
 
 static void
-start_worker(Soak *self, guint pick)
+start_worker(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     Wld_StartWorker(self->wld, pick % WLD_WORKER_COUNT);
 }
 
 static void
-drain_worker(Soak *self, guint pick)
+drain_worker(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     Wld_DrainWorker(self->wld, pick % WLD_WORKER_COUNT);
 }
 
 /* The drained worker ends, later than it would on the platform at times, and
    another takes its address. */
 static void
-replace_worker(Soak *self, guint pick)
+replace_worker(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     Wld_CrashWorker(self->wld, pick % WLD_WORKER_COUNT);
     Wld_StartWorker(self->wld, pick % WLD_WORKER_COUNT);
 }
 
 static void
-slow_worker(Soak *self, guint pick)
-{
-    Prx_SetMode(Wld_GetWorkerProxy(self->wld, pick % WLD_WORKER_COUNT),
-                PRX_SLOW);
-}
-
-static void
-silence_worker(Soak *self, guint pick)
-{
-    Prx_SetMode(Wld_GetWorkerProxy(self->wld, pick % WLD_WORKER_COUNT),
-                PRX_SILENT);
-}
-
-static void
-mute_worker(Soak *self, guint pick)
+harm_worker(Soak *self, const SoakFault *fault, guint pick)
 {
     Prx_SetMode(Wld_GetWorkerProxy(self->wld, pick % WLD_WORKER_COUNT),
-                PRX_MUTE);
+                (PrxMode)fault->mode);
 }
 
 static void
-free_worker(Soak *self, guint pick)
+free_worker(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     Prx_SetMode(Wld_GetWorkerProxy(self->wld, pick % WLD_WORKER_COUNT),
                 PRX_PASS);
 }
 
 static void
-reset_worker(Soak *self, guint pick)
+reset_worker(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     Prx_ResetAll(Wld_GetWorkerProxy(self->wld, pick % WLD_WORKER_COUNT));
 }
 
 static void
-stop_store(Soak *self, guint pick)
-{
-    (void)pick;
-    Wld_SetStore(self->wld, WLD_STORE_DOWN);
-}
-
-static void
-slow_store(Soak *self, guint pick)
-{
-    (void)pick;
-    Wld_SetStore(self->wld, WLD_STORE_LAGGING);
-}
-
-static void
-wipe_store(Soak *self, guint pick)
+harm_store(Soak *self, const SoakFault *fault, guint pick)
 {
     (void)pick;
-    Wld_SetStore(self->wld, WLD_STORE_FORGETFUL);
+    Wld_SetStore(self->wld, (WldStore)fault->mode);
 }
 
 static void
-mend_store(Soak *self, guint pick)
+mend_store(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     (void)pick;
     Wld_SetStore(self->wld, WLD_STORE_SOUND);
 }
 
 static void
-silence_store(Soak *self, guint pick)
+cut_store(Soak *self, const SoakFault *fault, guint pick)
 {
     (void)pick;
-    Prx_SetMode(Wld_GetStoreProxy(self->wld), PRX_SILENT);
+    Prx_SetMode(Wld_GetStoreProxy(self->wld), (PrxMode)fault->mode);
 }
 
 static void
-free_store(Soak *self, guint pick)
+free_store(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     (void)pick;
     Prx_SetMode(Wld_GetStoreProxy(self->wld), PRX_PASS);
 }
 
 static void
-lose_answers(Soak *self, guint pick)
+lose_answers(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     (void)pick;
     Wld_SetFailures(self->wld, SOAK_LOST, SOAK_FAILED);
 }
 
 static void
-keep_answers(Soak *self, guint pick)
+keep_answers(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     (void)pick;
     Wld_SetFailures(self->wld, 0, 0);
 }
 
 static void
-change_config(Soak *self, guint pick)
+change_config(Soak *self, const SoakFault *fault, guint pick)
 {
+    (void)fault;
     (void)pick;
     Wld_ChangeConfig(self->wld);
 }
--- a/src/decide/adm.c
+++ b/src/decide/adm.c
@@ -19,7 +19,7 @@
 Adm_GetTurn(const AdmWait *wait)
 {
     int64_t half_us = (wait->waiting_us + wait->deadline_us) / 2;
-    int64_t in_time_us = wait->arrived_us + wait->slo_us - ADM_FIRST_US;
+    int64_t spare_us = wait->slo_us - ADM_FIRST_US;
     bool is_back =
         wait->left_us > 0 &&
         (double)wait->left_us < ADM_NEW_SHARE * (double)wait->timeout_us;
@@ -30,7 +30,10 @@
         turn.pause_us = wait->is_read ? ADM_PAUSE_READ_US : ADM_PAUSE_US;
     }
     else if (!is_back) {
-        turn.until_us = in_time_us;
+        /* Under a short objective, what time there is is shared. */
+        turn.until_us =
+            wait->arrived_us +
+            (spare_us > wait->slo_us / 2 ? spare_us : wait->slo_us / 2);
     }
     else {
         turn.until_us = wait->waiting_us + ADM_WAIT_LATE_US;
--- a/src/decide/adm.h
+++ b/src/decide/adm.h
@@ -24,10 +24,10 @@
 /* Callers leave a stream that is silent for four objectives, 3.6 s on the
    sheets; what is left then must do for a slow first event. */
 #define ADM_WAIT_LATE_US 1500000
-/* Callers of a route differ in their time; one that has less than this share
-   of the route's has been here before. */
-#define ADM_NEW_SHARE 0.8
 #define ADM_WAIT_MAX_US 2000000 /* Of one that has something to lose. */
+/* Callers of a route differ in their time, by 15% on the sheets; one that has
+   less than this share of the route's has been here before. */
+#define ADM_NEW_SHARE 0.8
 
 #define ADM_LEFT_SHARE 0.33 /* Of their time left that callers will wait. */
 #define ADM_RETRY_MIN_MS 50 /* One round trip between regions, and a call. */
--- a/src/gate/room.c
+++ b/src/gate/room.c
@@ -13,7 +13,7 @@
 #define ROOM_FILL 1.05
 /* Part of the expected answer that a reservation covers. Without it streams
    outgrow the worker and one is preempted; with the whole answer, room for
-   every seventh stream stands empty (docs/MEASUREMENTS.md). */
+   every seventh stream stands empty (docs/design/007). */
 #define ROOM_ANSWER_SHARE (1.0 / 3)
 
 static int64_t get_room_cost(const GateTask *task, const FltWorker *worker,
@@ -24,8 +24,13 @@
 uint32_t
 Room_GetLeaseTokens(const GateTask *task)
 {
-    return task->request.prompt_tokens +
-           (uint32_t)(ROOM_ANSWER_SHARE * task->request.output_tokens);
+    uint32_t tokens =
+        task->request.prompt_tokens +
+        (uint32_t)(ROOM_ANSWER_SHARE * task->request.output_tokens);
+
+    /* More than all of its memory a worker would never grant. */
+    return task->service->kv_tokens > 0 ? MIN(tokens, task->service->kv_tokens)
+                                        : tokens;
 }
 
 /* Whether there is room at a worker that may still be used. */
--- a/tests/test_decide.cc
+++ b/tests/test_decide.cc
@@ -270,6 +270,15 @@
     }
 }
 
+/* An objective below what a first event takes: half of it is for waiting. */
+TEST(Decide, ShortObjectiveStillLeavesTimeToWait)
+{
+    AdmWait wait = {};
+    wait.slo_us = 200 * CLK_US_PER_MS;
+    wait.timeout_us = wait.deadline_us = 14 * CLK_US_PER_S;
+    EXPECT_EQ(Adm_GetTurn(&wait).until_us, 100 * CLK_US_PER_MS);
+}
+
 /* Who is turned away since all is full comes back when the streams that fill
    the workers have ended, 3 s on average, not within the same burst. */
 TEST(Decide, ReturnsAfterFullWorkersComeWhenStreamsHaveEnded)
--- a/tests/test_gate_streams.cc
+++ b/tests/test_gate_streams.cc
@@ -190,6 +190,18 @@
     EXPECT_NE(decode->reservation.find("\"tokens\":1100"), std::string::npos);
 }
 
+/* A prompt that fills a worker: no more is asked for than a worker has. */
+TEST(GateStreams, ReservesNoMoreThanAWorkerHas)
+{
+    GateRig rig;
+    rig.SetRoute(single, true);
+    rig.AddWorker({Prefilled("abc")}, FLT_PHASE_PREFILL);
+    Worker *decode = rig.AddWorker({Stream(0, 2)}, FLT_PHASE_DECODE);
+    rig.Call(Request("POST", "X-Token-Usage: 59900,1200\r\n"));
+    ASSERT_TRUE(rig.Until([&] { return !decode->reservation.empty(); }));
+    EXPECT_NE(decode->reservation.find("\"tokens\":60000"), std::string::npos);
+}
+
 TEST(GateStreams, RunThatGoesOnNamesTheLastEvent)
 {
     GateRig rig;
