Read the change again: workers by hash, one body callback, the cost of one worker

Found: each use that another VM tells was looked for by a scan of all workers, though the fleet has tables of them; three callbacks only called Task_TakeBody; the cost of a run at the booked worker was found by a second choice among all workers, with a flag that ruled the others out. Behaviour is as before but for one case: a booked worker that begins to change its phase while room is held there now has its cost, where the choice gave 'never'.

--- a/src/gate/call.c
+++ b/src/gate/call.c
@@ -25,7 +25,6 @@
 static const char *get_stage_name(TaskStage stage);
 static void log_call(const GateTask *task);
 static void on_side_head(void *context, int status, const HdrList *headers);
-static void on_side_data(void *context, const void *data, size_t size);
 static bool is_own(void *context, const HdrList *headers);
 static void on_head(void *context, int status, const HdrList *headers);
 
@@ -80,6 +79,16 @@
     return best;
 }
 
+int64_t
+Task_GetCost(const GateTask *task, const FltWorker *worker, TaskCost cost,
+             const void *context)
+{
+    RankWorker rank;
+
+    fill_rank(task, worker, Task_Now(task), &rank);
+    return cost(task, worker, &rank, context);
+}
+
 void
 Task_NoteRequest(GateTask *task)
 {
@@ -155,7 +164,7 @@
         .idle_max_ms = UINT32_MAX,
         .context = task,
         .on_head = on_side_head,
-        .on_data = on_side_data,
+        .on_data = Task_TakeBody,
         .on_end = on_end,
     };
 
@@ -238,8 +247,10 @@
 }
 
 void
-Task_TakeBody(GateTask *task, const void *data, size_t size)
+Task_TakeBody(void *context, const void *data, size_t size)
 {
+    GateTask *task = context;
+
     if (task->now.body->len + size <= TASK_BODY_MAX) {
         g_byte_array_append(task->now.body, data, (guint)size);
     }
@@ -487,12 +498,6 @@
     task->now.reply.status = status;
 }
 
-static void
-on_side_data(void *context, const void *data, size_t size)
-{
-    Task_TakeBody(context, data, size);
-}
-
 static bool
 is_own(void *context, const HdrList *headers)
 {
--- a/src/gate/flt.c
+++ b/src/gate/flt.c
@@ -9,6 +9,7 @@
     Flt *flt = g_new0(Flt, 1);
 
     flt->workers = g_hash_table_new(g_str_hash, g_str_equal);
+    flt->hashes = g_hash_table_new(g_int64_hash, g_int64_equal);
     flt->rows = g_ptr_array_new();
     return flt;
 }
@@ -20,6 +21,7 @@
         return;
     }
     g_hash_table_destroy(flt->workers);
+    g_hash_table_destroy(flt->hashes);
     for (guint i = 0; i < flt->rows->len; i++) {
         Flt_Unref(g_ptr_array_index(flt->rows, i));
     }
@@ -33,6 +35,12 @@
     return g_hash_table_lookup(flt->workers, id);
 }
 
+FltWorker *
+Flt_FindHash(const Flt *flt, uint64_t hash)
+{
+    return g_hash_table_lookup(flt->hashes, &hash);
+}
+
 FltWorker *
 Flt_Set(Flt *flt, const FltEntry *entry)
 {
@@ -49,6 +57,7 @@
         worker->hash = XXH3_64bits(entry->id, strlen(entry->id));
         g_strlcpy(worker->entry.id, entry->id, sizeof(worker->entry.id));
         g_hash_table_insert(flt->workers, worker->entry.id, worker);
+        g_hash_table_insert(flt->hashes, &worker->hash, worker);
         g_ptr_array_add(flt->rows, worker);
     }
     else if (worker->entry.born_ms != entry->born_ms ||
@@ -113,6 +122,7 @@
             continue;
         }
         g_hash_table_remove(flt->workers, worker->entry.id);
+        g_hash_table_remove(flt->hashes, &worker->hash);
         g_ptr_array_remove_index_fast(flt->rows, i);
         Flt_Unref(worker);
     }
--- a/src/gate/flt.h
+++ b/src/gate/flt.h
@@ -54,7 +54,7 @@
     uint32_t peer_inflight; /* Other VMs' calls, as they last said. */
     uint64_t peer_reading;
     uint64_t peer_held;
-    uint32_t peer_silent;   /* Other VMs that can\'t reach it. */
+    uint32_t peer_silent;   /* Other VMs that can't reach it. */
     uint32_t peer_changing; /* Other VMs that know it to change its phase. */
     int64_t changing_until_us; /* This VM ordered it to. */
     uint32_t load_running;     /* Its own word. */
@@ -68,6 +68,7 @@
 
 typedef struct Flt {
     GHashTable *workers; /* Id to FltWorker. */
+    GHashTable *hashes;  /* Hash of the id to the same. */
     GPtrArray *rows;     /* The same, for loops. */
 } Flt;
 
@@ -75,6 +76,7 @@
 void Flt_Free(Flt *flt);
 
 FltWorker *Flt_Find(const Flt *flt, const char *id);
+FltWorker *Flt_FindHash(const Flt *flt, uint64_t hash);
 /* Adds the worker or takes over its entry. An older revision is ignored;
    returns NULL for it. */
 FltWorker *Flt_Set(Flt *flt, const FltEntry *entry);
--- a/src/gate/gen.c
+++ b/src/gate/gen.c
@@ -47,7 +47,6 @@
 static void begin_reserve(GateTask *task);
 static void on_reserve_end(void *context, CliOutcome outcome);
 static void begin_run(GateTask *task);
-static void on_prefill_data(void *context, const void *data, size_t size);
 static void on_prefill_end(void *context, CliOutcome outcome);
 static void on_run_data(void *context, const void *data, size_t size);
 static void on_run_end(void *context, CliOutcome outcome);
@@ -150,7 +149,7 @@
         Room_DropHandle(task, true);
     }
     if (!Room_HasLease(task)) {
-        FltWorker *decode = Room_ChooseDecode(task, NULL, &whole_us);
+        FltWorker *decode = Room_ChooseDecode(task, &whole_us);
         if (decode == NULL) {
             wait_a_moment(task, "no room at any worker");
             return;
@@ -166,7 +165,7 @@
             return;
         }
     }
-    Room_ChooseDecode(task, task->booking.worker, &whole_us);
+    whole_us = Room_GetRunCost(task);
     prefill =
         Room_HasHandle(task) ? NULL : Room_ChoosePrefill(task, &split_us);
     if (prefill != NULL && split_us < whole_us) {
@@ -248,7 +247,7 @@
 
     Met_Add(MET_PREFILLS, 1);
     Met_Add(MET_PREFILL_TOKENS, task->request.prompt_tokens);
-    Task_BeginCall(task, worker, &options, UINT32_MAX, on_prefill_data,
+    Task_BeginCall(task, worker, &options, UINT32_MAX, Task_TakeBody,
                    on_prefill_end);
     task->patience_us =
         task->now.began_us + MAX(GEN_PREFILL_PATIENCE_US,
@@ -346,12 +345,6 @@
     Task_SetTimer(task);
 }
 
-static void
-on_prefill_data(void *context, const void *data, size_t size)
-{
-    Task_TakeBody(context, data, size);
-}
-
 static void
 on_prefill_end(void *context, CliOutcome outcome)
 {
--- a/src/gate/gos.c
+++ b/src/gate/gos.c
@@ -98,7 +98,6 @@
                             bool near_only, uint32_t *count);
 static void add_demand(const GArray *rows, uint64_t service, GosDemand *sum);
 static uint64_t parse_address(const char *text);
-static FltWorker *find_worker(const Gos *gos, uint64_t hash);
 static uint64_t hash_text(const char *text);
 
 GosOptions
@@ -403,7 +402,7 @@
     drop_uses(peer);
     for (size_t i = 0; i < news->n_uses; i++) {
         const Gossip__Use *from = news->uses[i];
-        FltWorker *worker = find_worker(gos, from->worker);
+        FltWorker *worker = Flt_FindHash(gos->options.fleet, from->worker);
         GosUse use = {worker,     from->inflight, from->reading,
                       from->held, from->silent,   from->changing};
 
@@ -652,20 +651,6 @@
            (strtoul(colon + 1, NULL, 10) & UINT16_MAX);
 }
 
-static FltWorker *
-find_worker(const Gos *gos, uint64_t hash)
-{
-    const GPtrArray *rows = gos->options.fleet->rows;
-
-    for (guint i = 0; i < rows->len; i++) {
-        FltWorker *worker = g_ptr_array_index(rows, i);
-        if (worker->hash == hash) {
-            return worker;
-        }
-    }
-    return NULL;
-}
-
 static uint64_t
 hash_text(const char *text)
 {
--- a/src/gate/pln.c
+++ b/src/gate/pln.c
@@ -14,7 +14,6 @@
 static int64_t get_cost(const GateTask *task, const FltWorker *worker,
                         const RankWorker *rank, const void *context);
 static void begin_call(GateTask *task, FltWorker *worker);
-static void on_data(void *context, const void *data, size_t size);
 static void on_end(void *context, CliOutcome outcome);
 static void go_on(GateTask *task, LsRun run, bool has_answer, bool arrived);
 
@@ -77,17 +76,12 @@
             PLN_PATIENCE_MIN_MS);
 
     Task_BeginCall(task, worker, &options,
-                   once ? PLN_IDLE_ONCE_MS : UINT32_MAX, on_data, on_end);
+                   once ? PLN_IDLE_ONCE_MS : UINT32_MAX, Task_TakeBody,
+                   on_end);
     task->patience_us = task->now.began_us + patience_ms * CLK_US_PER_MS;
     Task_SetTimer(task);
 }
 
-static void
-on_data(void *context, const void *data, size_t size)
-{
-    Task_TakeBody(context, data, size);
-}
-
 static void
 on_end(void *context, CliOutcome outcome)
 {
--- a/src/gate/room.c
+++ b/src/gate/room.c
@@ -18,6 +18,8 @@
 
 static int64_t get_room_cost(const GateTask *task, const FltWorker *worker,
                              const RankWorker *rank, const void *context);
+static int64_t get_run_cost(const GateTask *task, const FltWorker *worker,
+                            const RankWorker *rank, const void *context);
 static int64_t get_split_cost(const GateTask *task, const FltWorker *worker,
                               const RankWorker *rank, const void *context);
 
@@ -49,17 +51,21 @@
     return false;
 }
 
-/* The best decode worker that may have room, or NULL; with `only`, that one.
- *cost_us is that of the whole run there. */
 FltWorker *
-Room_ChooseDecode(GateTask *task, const FltWorker *only, int64_t *cost_us)
+Room_ChooseDecode(GateTask *task, int64_t *cost_us)
 {
     FltWorker *best = Task_ChooseWorker(task, FLT_PHASE_DECODE, get_room_cost,
-                                        only, cost_us);
+                                        NULL, cost_us);
 
     return best != NULL && *cost_us < RANK_NEVER_US ? best : NULL;
 }
 
+int64_t
+Room_GetRunCost(const GateTask *task)
+{
+    return Task_GetCost(task, task->booking.worker, get_run_cost, NULL);
+}
+
 bool
 Room_HasCandidate(GateTask *task)
 {
@@ -92,29 +98,32 @@
            (double)age_us <= ROOM_HANDLE_SHARE * (double)life_us;
 }
 
-/* Cost of a run at a worker that may have room: from the memory that was
-   read, or whole. */
+/* Cost of a run at a worker, if it may have room. */
 static int64_t
 get_room_cost(const GateTask *task, const FltWorker *worker,
               const RankWorker *rank, const void *context)
 {
-    const RankWeights *weights = &task->gate->options.weights;
-    uint32_t tokens = task->request.prompt_tokens;
     bool is_read = task->kept.handle[0] != '\0';
-    bool excluded;
 
-    if (context != NULL) {
-        excluded = worker != context;
-    }
-    else {
-        excluded = Task_Now(task) < worker->full_until_us ||
-                   (!is_read && rank->memory > 0 &&
-                    rank->held + tokens > ROOM_FILL * (double)rank->memory);
-    }
-    if (excluded) {
+    if (Task_Now(task) < worker->full_until_us ||
+        (!is_read && rank->memory > 0 &&
+         rank->held + task->request.prompt_tokens >
+             ROOM_FILL * (double)rank->memory)) {
         return RANK_NEVER_US;
     }
-    if (is_read) {
+    return get_run_cost(task, worker, rank, context);
+}
+
+/* Cost of a run at a worker: from the memory that was read, or whole. */
+static int64_t
+get_run_cost(const GateTask *task, const FltWorker *worker,
+             const RankWorker *rank, const void *context)
+{
+    const RankWeights *weights = &task->gate->options.weights;
+    uint32_t tokens = task->request.prompt_tokens;
+
+    (void)context;
+    if (task->kept.handle[0] != '\0') {
         return Rank_GetDecodeCost(weights, rank,
                                   Task_GetNear(task->gate,
                                                task->kept.worker->entry.zone,
--- a/src/gate/room.h
+++ b/src/gate/room.h
@@ -12,10 +12,11 @@
 
 #include "task.h"
 
-/* The best decode worker that may have room, or NULL; with `only`, that one.
- *cost_us is that of the whole run there. */
-FltWorker *Room_ChooseDecode(GateTask *task, const FltWorker *only,
-                             int64_t *cost_us);
+/* The best decode worker that may have room, or NULL. *cost_us is that of the
+   whole run there. */
+FltWorker *Room_ChooseDecode(GateTask *task, int64_t *cost_us);
+/* Cost of the whole run at the booked worker. */
+int64_t Room_GetRunCost(const GateTask *task);
 /* Whether any decode worker could take it, full for the moment or not. */
 bool Room_HasCandidate(GateTask *task);
 /* The best prefill worker for going on at the booked decode worker, or NULL;
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -111,6 +111,9 @@
                             const RankWorker *rank, const void *context);
 FltWorker *Task_ChooseWorker(GateTask *task, FltPhase phase, TaskCost cost,
                              const void *context, int64_t *best_us);
+/* The same of one worker, whatever its state. */
+int64_t Task_GetCost(const GateTask *task, const FltWorker *worker,
+                     TaskCost cost, const void *context);
 RankNear Task_GetNear(const Gate *gate, const char *from, const char *to);
 
 int64_t Task_Now(const GateTask *task);
@@ -140,7 +143,7 @@
 /* Whether the answer is one that may be passed on. */
 bool Task_HasAnswer(const GateTask *task, CliOutcome outcome);
 /* Keeps what comes of an answer's body, up to a bound. */
-void Task_TakeBody(GateTask *task, const void *data, size_t size);
+void Task_TakeBody(void *task, const void *data, size_t size);
 /* Why a call did not end well, in a word for logs and callers. */
 const char *Task_GetCause(const GateTask *task, CliOutcome outcome, LsRun run);
 /* Takes a failed call's lesson for the worker's health, and logs it. */
