--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -97,6 +97,96 @@
   assert(message->base.descriptor == &gossip__demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gossip__hub__init
+                     (Gossip__Hub         *message)
+{
+  static const Gossip__Hub init_value = GOSSIP__HUB__INIT;
+  *message = init_value;
+}
+size_t gossip__hub__get_packed_size
+                     (const Gossip__Hub *message)
+{
+  assert(message->base.descriptor == &gossip__hub__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__hub__pack
+                     (const Gossip__Hub *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__hub__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__hub__pack_to_buffer
+                     (const Gossip__Hub *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__hub__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Hub *
+       gossip__hub__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Hub *)
+     protobuf_c_message_unpack (&gossip__hub__descriptor,
+                                allocator, len, data);
+}
+void   gossip__hub__free_unpacked
+                     (Gossip__Hub *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__hub__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gossip__table__init
+                     (Gossip__Table         *message)
+{
+  static const Gossip__Table init_value = GOSSIP__TABLE__INIT;
+  *message = init_value;
+}
+size_t gossip__table__get_packed_size
+                     (const Gossip__Table *message)
+{
+  assert(message->base.descriptor == &gossip__table__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__table__pack
+                     (const Gossip__Table *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__table__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__table__pack_to_buffer
+                     (const Gossip__Table *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__table__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Table *
+       gossip__table__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Table *)
+     protobuf_c_message_unpack (&gossip__table__descriptor,
+                                allocator, len, data);
+}
+void   gossip__table__free_unpacked
+                     (Gossip__Table *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__table__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gossip__news__init
                      (Gossip__News         *message)
 {
@@ -425,7 +515,252 @@
   (ProtobufCMessageInit) gossip__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__news__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gossip__hub__field_descriptors[4] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Hub, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Hub, region),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Hub, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Hub, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__hub__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  3,   /* field[3] = age_ms */
+  2,   /* field[2] = capacity */
+  1,   /* field[1] = region */
+};
+static const ProtobufCIntRange gossip__hub__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gossip__hub__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Hub",
+  "Hub",
+  "Gossip__Hub",
+  "gossip",
+  sizeof(Gossip__Hub),
+  4,
+  gossip__hub__field_descriptors,
+  gossip__hub__field_indices_by_name,
+  1,  gossip__hub__number_ranges,
+  (ProtobufCMessageInit) gossip__hub__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__table__field_descriptors[11] =
+{
+  {
+    "region",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Table, region),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Table, members),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Table, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Table, parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workers",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gossip__Table, n_workers),
+    offsetof(Gossip__Table, workers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "inflight",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gossip__Table, n_inflight),
+    offsetof(Gossip__Table, inflight),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reading",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gossip__Table, n_reading),
+    offsetof(Gossip__Table, reading),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gossip__Table, n_held),
+    offsetof(Gossip__Table, held),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "silent",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gossip__Table, n_silent),
+    offsetof(Gossip__Table, silent),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changing",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gossip__Table, n_changing),
+    offsetof(Gossip__Table, changing),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demands",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gossip__Table, n_demands),
+    offsetof(Gossip__Table, demands),
+    &gossip__demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__table__field_indices_by_name[] = {
+  9,   /* field[9] = changing */
+  10,   /* field[10] = demands */
+  7,   /* field[7] = held */
+  5,   /* field[5] = inflight */
+  1,   /* field[1] = members */
+  2,   /* field[2] = part */
+  3,   /* field[3] = parts */
+  6,   /* field[6] = reading */
+  0,   /* field[0] = region */
+  8,   /* field[8] = silent */
+  4,   /* field[4] = workers */
+};
+static const ProtobufCIntRange gossip__table__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor gossip__table__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Table",
+  "Table",
+  "Gossip__Table",
+  "gossip",
+  sizeof(Gossip__Table),
+  11,
+  gossip__table__field_descriptors,
+  gossip__table__field_indices_by_name,
+  1,  gossip__table__number_ranges,
+  (ProtobufCMessageInit) gossip__table__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[16] =
 {
   {
     "vm",
@@ -547,23 +882,101 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "capacity",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, vms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hub",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, hub),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seeking",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, seeking),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hubs",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gossip__News, n_hubs),
+    offsetof(Gossip__News, hubs),
+    &gossip__hub__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, table),
+    &gossip__table__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__news__field_indices_by_name[] = {
   3,   /* field[3] = address */
+  10,   /* field[10] = capacity */
   5,   /* field[5] = config_version */
   9,   /* field[9] = demands */
+  12,   /* field[12] = hub */
+  14,   /* field[14] = hubs */
   1,   /* field[1] = incarnation */
   2,   /* field[2] = number */
   8,   /* field[8] = peers */
   4,   /* field[4] = region */
   6,   /* field[6] = revision */
+  13,   /* field[13] = seeking */
+  15,   /* field[15] = table */
   7,   /* field[7] = uses */
   0,   /* field[0] = vm */
+  11,   /* field[11] = vms */
 };
 static const ProtobufCIntRange gossip__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor gossip__news__descriptor =
 {
@@ -573,7 +986,7 @@
   "Gossip__News",
   "gossip",
   sizeof(Gossip__News),
-  10,
+  16,
   gossip__news__field_descriptors,
   gossip__news__field_indices_by_name,
   1,  gossip__news__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -17,6 +17,8 @@
 
 typedef struct Gossip__Use Gossip__Use;
 typedef struct Gossip__Demand Gossip__Demand;
+typedef struct Gossip__Hub Gossip__Hub;
+typedef struct Gossip__Table Gossip__Table;
 typedef struct Gossip__News Gossip__News;
 typedef struct Gossip__Entry Gossip__Entry;
 typedef struct Gossip__Picture Gossip__Picture;
@@ -92,6 +94,90 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * A VM that may distribute load tables in its region.
+ */
+struct  Gossip__Hub
+{
+  ProtobufCMessage base;
+  uint64_t address;
+  /*
+   * Hash of its region.
+   */
+  uint32_t region;
+  /*
+   * As in News.
+   */
+  uint32_t capacity;
+  /*
+   * Time since any VM last heard it directly.
+   */
+  uint32_t age_ms;
+};
+#define GOSSIP__HUB__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__hub__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * The load that the VMs of one region cause at the workers, one part of it.
+ * The fields `workers`, `inflight`, `reading` and `held` are parallel.
+ */
+struct  Gossip__Table
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the region.
+   */
+  uint32_t region;
+  /*
+   * VMs whose load is included.
+   */
+  uint32_t members;
+  /*
+   * Number of this part, from 0 on.
+   */
+  uint32_t part;
+  /*
+   * Number of parts.
+   */
+  uint32_t parts;
+  /*
+   * Hashes of the workers' identifiers.
+   */
+  size_t n_workers;
+  uint64_t *workers;
+  size_t n_inflight;
+  uint32_t *inflight;
+  /*
+   * As in Use.
+   */
+  size_t n_reading;
+  uint32_t *reading;
+  /*
+   * As in Use.
+   */
+  size_t n_held;
+  uint32_t *held;
+  /*
+   * Workers that a VM can't reach or ordered to change their phase, once for
+   * each such VM.
+   */
+  size_t n_silent;
+  uint64_t *silent;
+  size_t n_changing;
+  uint64_t *changing;
+  /*
+   * Sums; in part 0 only.
+   */
+  size_t n_demands;
+  Gossip__Demand **demands;
+};
+#define GOSSIP__TABLE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__table__descriptor) \
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
 /*
  * Content of one datagram: the sender's load and versions.
  */
@@ -129,10 +215,32 @@
   uint64_t *peers;
   size_t n_demands;
   Gossip__Demand **demands;
+  /*
+   * Processor share of the sender's VM, permille.
+   */
+  uint32_t capacity;
+  /*
+   * Live VMs that the sender knows, itself included.
+   */
+  uint32_t vms;
+  /*
+   * VM from which the sender wants each table; 0: none.
+   */
+  uint64_t hub;
+  /*
+   * The sender wants an answer that names hubs.
+   */
+  protobuf_c_boolean seeking;
+  size_t n_hubs;
+  Gossip__Hub **hubs;
+  /*
+   * In messages of hubs; they have no uses.
+   */
+  Gossip__Table *table;
 };
 #define GOSSIP__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL }
 
 
 /*
@@ -209,6 +317,44 @@
 void   gossip__demand__free_unpacked
                      (Gossip__Demand *message,
                       ProtobufCAllocator *allocator);
+/* Gossip__Hub methods */
+void   gossip__hub__init
+                     (Gossip__Hub         *message);
+size_t gossip__hub__get_packed_size
+                     (const Gossip__Hub   *message);
+size_t gossip__hub__pack
+                     (const Gossip__Hub   *message,
+                      uint8_t             *out);
+size_t gossip__hub__pack_to_buffer
+                     (const Gossip__Hub   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Hub *
+       gossip__hub__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__hub__free_unpacked
+                     (Gossip__Hub *message,
+                      ProtobufCAllocator *allocator);
+/* Gossip__Table methods */
+void   gossip__table__init
+                     (Gossip__Table         *message);
+size_t gossip__table__get_packed_size
+                     (const Gossip__Table   *message);
+size_t gossip__table__pack
+                     (const Gossip__Table   *message,
+                      uint8_t             *out);
+size_t gossip__table__pack_to_buffer
+                     (const Gossip__Table   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Table *
+       gossip__table__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__table__free_unpacked
+                     (Gossip__Table *message,
+                      ProtobufCAllocator *allocator);
 /* Gossip__News methods */
 void   gossip__news__init
                      (Gossip__News         *message);
@@ -274,6 +420,12 @@
 typedef void (*Gossip__Demand_Closure)
                  (const Gossip__Demand *message,
                   void *closure_data);
+typedef void (*Gossip__Hub_Closure)
+                 (const Gossip__Hub *message,
+                  void *closure_data);
+typedef void (*Gossip__Table_Closure)
+                 (const Gossip__Table *message,
+                  void *closure_data);
 typedef void (*Gossip__News_Closure)
                  (const Gossip__News *message,
                   void *closure_data);
@@ -291,6 +443,8 @@
 
 extern const ProtobufCMessageDescriptor gossip__use__descriptor;
 extern const ProtobufCMessageDescriptor gossip__demand__descriptor;
+extern const ProtobufCMessageDescriptor gossip__hub__descriptor;
+extern const ProtobufCMessageDescriptor gossip__table__descriptor;
 extern const ProtobufCMessageDescriptor gossip__news__descriptor;
 extern const ProtobufCMessageDescriptor gossip__entry__descriptor;
 extern const ProtobufCMessageDescriptor gossip__picture__descriptor;
--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -237,6 +237,7 @@
     gossip.region =
         g_hash_table_lookup(edge->options.regions, edge->options.zone);
     gossip.region = gossip.region != NULL ? gossip.region : "";
+    gossip.capacity = edge->options.capacity;
     gossip.seed = edge->options.seed;
     gossip.incarnation = (uint64_t)g_random_int() << 32 | g_random_int();
     gossip.seed_count = edge->options.seed_count;
@@ -279,7 +280,7 @@
     BudgetPeerUsage peer_usage = {.vm_count = 1};
 
     if (edge->gossip != NULL) {
-        GosDemand sum =
+        ReportDemand sum =
             Gos_SumNearDemand(edge->gossip, service, &peer_usage.peer_count);
         peer_usage.vm_count = Gos_CountVms(edge->gossip);
         peer_usage.requests = sum.requests;
@@ -295,7 +296,7 @@
     Edge *edge = context;
 
     if (edge->gossip != NULL) {
-        GosDemand row = Gos_GetDemand(edge->gossip, service);
+        ReportDemand row = Gos_GetDemand(edge->gossip, service);
         row.requests = requests;
         row.extras = extras;
         Gos_SetDemand(edge->gossip, service, &row);
--- a/src/gate/edge.h
+++ b/src/gate/edge.h
@@ -22,6 +22,7 @@
     const char *vm;
     const char *zone;
     GHashTable *regions;  /* Zone to region; owned by the caller. */
+    uint32_t capacity;    /* Processor share of the VM, permille. */
     EdgeEndpoint callers; /* Listens for callers' requests. */
     EdgeEndpoint health;  /* Answers `ready_path` with 200 or 503. */
     const char *ready_path;
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -1,16 +1,16 @@
+/* Gossip: sends and receives the messages between VMs. See gossip.h. */
 #include "gossip.h"
 
 #include "../io/loop.h"
 #include "../log.h"
 #include "../metrics.h"
-#include "../ownership.h"
 #include "gossip.pb-c.h"
+#include "peers.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <xxhash.h>
@@ -19,97 +19,90 @@
 #define GOS_INTERVAL_MS 250
 /* Time from a change to the message about it. */
 #define GOS_UPDATE_DELAY_MS 30
-/* Mean number of VMs of other regions that one message is sent to. */
+/* In a mesh, mean number of VMs of other regions that one message goes to. */
 #define GOS_REMOTE_FANOUT 8
-/* A near peer counts as live until eight intervals passed without a message
-   from it. */
-#define GOS_LIVE_TIMEOUT_US (2 * CLK_US_PER_S)
-/* The use of workers that a near peer reported is dropped at this age. */
-#define GOS_USE_TIMEOUT_US (1200 * CLK_US_PER_MS)
-/* A peer that is not near has the time of a near peer, and in addition the
-   time in which this many messages are expected from it. */
-#define GOS_REMOTE_ROUNDS 4
-/* A peer that no message came from or mentioned for this long is removed; the
-   VM count remembers its peak for as long. */
-#define GOS_FORGET_US (60 * CLK_US_PER_S)
-#define GOS_SEED_INTERVALS 8 /* Intervals between messages to all seeds. */
-/* Lowest VM count to assume; it holds before any message came, too. */
-#define GOS_VMS_MIN 6
+#define GOS_SEED_INTERVALS 8   /* Intervals between messages to all seeds. */
 #define GOS_MAJORITY_RATIO 0.6 /* Share of the VMs that is a majority. */
 #define GOS_USES_MAX 48        /* Workers in one message. */
 #define GOS_PEERS_MAX 6        /* Addresses of other VMs in one message. */
 #define GOS_DEMANDS_MAX 8      /* Services in one message. */
+#define GOS_TABLE_ROWS_MAX 80  /* Workers in one part of a table. */
+#define GOS_HUBS_MAX 8         /* Hubs of all regions in one message. */
 /* Largest message; a datagram of this size fits the usual networks without
    fragmentation. */
 #define GOS_MESSAGE_MAX_BYTES 1400
 
-/* A peer's calls at one worker, as its last message reported them. */
-typedef struct GosUse {
-    FleetWorker *worker;
-    uint32_t inflight;
-    uint64_t prefill_tokens;
-    uint64_t kv_tokens;
-    bool unreachable;  /* The peer can't reach the worker. */
-    bool phase_change; /* The peer ordered the worker to change its phase. */
-} GosUse;
-
-typedef struct GosDemandRow {
-    uint64_t service; /* Hash of the service's name. */
-    GosDemand demand;
-} GosDemandRow;
-
-typedef struct GosPeer {
-    LIST_ENTRY(GosPeer) links;
-    uint64_t address;
-    uint64_t incarnation;
-    uint64_t previous_incarnation; /* Late messages of it are ignored. */
-    uint32_t sequence;             /* Number of the last message. */
-    uint32_t region;               /* Hash of the region's name. */
-    int64_t received_us;  /* Time of the last message from it; 0: none yet. */
-    int64_t mentioned_us; /* Last time that any message named it. */
-    char vm[FLEET_NAME_MAX];
-    GArray *uses;    /* GosUse elements. */
-    GArray *demands; /* GosDemandRow elements. */
-} GosPeer;
+/* A message with the arrays that it refers to. */
+typedef struct GosMessage {
+    Gossip__News news;
+    Gossip__Use use_rows[GOS_USES_MAX];
+    Gossip__Use *uses[GOS_USES_MAX];
+    Gossip__Demand demand_rows[GOS_DEMANDS_MAX];
+    Gossip__Demand *demands[GOS_DEMANDS_MAX];
+    Gossip__Hub hub_rows[GOS_HUBS_MAX];
+    Gossip__Hub *hubs[GOS_HUBS_MAX];
+    uint64_t peers[GOS_PEERS_MAX];
+    uint8_t data[GOS_MESSAGE_MAX_BYTES];
+    size_t size; /* Of the packed message in `data`. */
+} GosMessage;
+
+/* One part of a region's table with the arrays that it refers to. */
+typedef struct GosTablePart {
+    Gossip__Table table;
+    Gossip__Demand demand_rows[GOS_DEMANDS_MAX];
+    Gossip__Demand *demands[GOS_DEMANDS_MAX];
+    uint64_t workers[GOS_TABLE_ROWS_MAX];
+    uint32_t inflight[GOS_TABLE_ROWS_MAX];
+    uint32_t reading[GOS_TABLE_ROWS_MAX];
+    uint32_t held[GOS_TABLE_ROWS_MAX];
+    uint64_t silent[GOS_TABLE_ROWS_MAX];
+    uint64_t changing[GOS_TABLE_ROWS_MAX];
+} GosTablePart;
 
 struct Gos {
     GosOptions options;
     int fd;
-    uint64_t address;   /* IPv4 address << 16 | port. */
-    uint32_t region;    /* Hash of the region's name. */
-    uint32_t sequence;  /* Number of the last message sent. */
-    uint32_t intervals; /* Regular messages sent. */
-    guint remote_count; /* Peers of other regions or of an unknown region. */
+    uint64_t address;              /* IPv4 address << 16 | port. */
+    uint32_t sequence;             /* Number of the last message sent. */
+    uint32_t intervals;            /* Regular messages sent. */
+    uint32_t periods;              /* Tables sent. */
     uint64_t seeds[GOS_SEEDS_MAX]; /* Addresses; 0 for none. */
     GRand *rand;
-    GArray *demands; /* GosDemandRow elements of this VM. */
+    Report own; /* Demands of this VM; its uses are those of the fleet. */
+    Peers peers;
     struct event *readable;
     struct event *timer;
-    bool update_pending; /* The timer is set for a change. */
-    LIST_HEAD(GosPeerList, GosPeer) peers;
-    uint32_t peak_vms; /* Highest recent VM count, this VM included. */
-    int64_t peak_us;   /* Time of that count. */
+    struct event *table_timer; /* Pending while other VMs want tables. */
+    bool update_pending;       /* The timer is set for a change. */
 };
 
 static void on_readable(evutil_socket_t fd, short what, void *context);
 static void on_timer(evutil_socket_t fd, short what, void *context);
-static void handle_message(Gos *gos, const Gossip__News *message);
-static void replace_uses(Gos *gos, GosPeer *peer, const Gossip__News *message);
-static void drop_uses(GosPeer *peer);
-static void free_peer(GosPeer *peer);
-static void send_message(Gos *gos, bool is_regular);
-static void send_to(Gos *gos, uint64_t address, const uint8_t *data,
-                    size_t size);
-static size_t pack_message(Gos *gos, uint8_t *data);
-static bool is_near(const Gos *gos, const GosPeer *peer);
-static int64_t get_timeout_us(const Gos *gos, const GosPeer *peer,
-                              int64_t near_us);
-static bool is_live(const Gos *gos, const GosPeer *peer, int64_t now_us);
-static GosPeer *get_or_add_peer(Gos *gos, uint64_t address);
-static void expire_peers(Gos *gos);
-static GosDemand sum_demand(const Gos *gos, const char *service,
-                            bool near_only, uint32_t *count);
-static void add_demand(const GArray *rows, uint64_t service, GosDemand *sum);
+static void on_table_timer(evutil_socket_t fd, short what, void *context);
+static void handle_message(Gos *gos, const Gossip__News *news);
+static void store_report(Gos *gos, Peer *peer, const Gossip__News *news);
+static void store_table(Gos *gos, const Gossip__News *news);
+static void check_versions(Gos *gos, const Gossip__News *news);
+static void send_report(Gos *gos, bool is_regular);
+static void send_to_seeds(Gos *gos, const GosMessage *message);
+static void send_tables(Gos *gos);
+static void send_table(Gos *gos, uint32_t region, uint32_t members,
+                       const Report *report, bool is_own);
+static void send_table_part(Gos *gos, const GosMessage *message, bool is_own);
+static void send_to(Gos *gos, uint64_t address, const GosMessage *message);
+static void begin_message(Gos *gos, GosMessage *message);
+static void add_uses(Gos *gos, GosMessage *message);
+static void add_peers(Gos *gos, GosMessage *message);
+static void add_hubs(Gos *gos, GosMessage *message);
+static void pack_message(GosMessage *message);
+static void fill_part(GosTablePart *part, const Report *report,
+                      uint32_t number, uint32_t count);
+static guint fill_demands(const Report *report, Gossip__Demand *rows,
+                          Gossip__Demand **demands);
+static bool get_own_use(const FleetWorker *worker, int64_t now_us,
+                        ReportUse *use);
+static ReportDemand sum_demand(const Gos *gos, const char *service,
+                               bool near_only, uint32_t *count);
 static uint64_t parse_address(const char *text);
 static uint64_t hash_text(const char *text);
 
@@ -127,6 +120,12 @@
     struct sockaddr_in local = {.sin_family = AF_INET,
                                 .sin_port = htons(options->port)};
     socklen_t size = sizeof(local);
+    PeersOptions peers = {
+        .clk = options->clk,
+        .fleet = options->fleet,
+        .capacity = options->capacity,
+        .vm = options->vm,
+    };
 
     gos->options = *options;
     gos->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -144,17 +143,17 @@
     getsockname(gos->fd, (struct sockaddr *)&local, &size);
     gos->address = (uint64_t)ntohl(local.sin_addr.s_addr) << 16 |
                    (uint64_t)ntohs(local.sin_port);
-    gos->region = (uint32_t)hash_text(options->region);
     gos->rand = g_rand_new_with_seed(options->seed);
     Gos_SetSeeds(gos, options->seeds, options->seed_count);
-    gos->demands = g_array_new(FALSE, FALSE, sizeof(GosDemandRow));
-    gos->peak_vms = GOS_VMS_MIN;
-    gos->peak_us = Clk_Now(options->clk);
-    LIST_INIT(&gos->peers);
+    Report_Init(&gos->own);
+    peers.address = gos->address;
+    peers.region = (uint32_t)hash_text(options->region);
+    Peers_Init(&gos->peers, &peers);
     gos->readable = event_new(options->base, gos->fd, EV_READ | EV_PERSIST,
                               on_readable, gos);
     event_add(gos->readable, NULL);
     gos->timer = evtimer_new(options->base, on_timer, gos);
+    gos->table_timer = evtimer_new(options->base, on_table_timer, gos);
     Loop_ArmTimer(gos->timer, 0);
     return gos;
 }
@@ -165,14 +164,11 @@
     if (gos == NULL) {
         return;
     }
-    while (!LIST_EMPTY(&gos->peers)) {
-        GosPeer *peer = LIST_FIRST(&gos->peers);
-        drop_uses(peer);
-        free_peer(peer);
-    }
-    g_array_free(gos->demands, TRUE);
+    Peers_Clear(&gos->peers);
+    Report_Clear(&gos->own);
     event_free(gos->readable);
     event_free(gos->timer);
+    event_free(gos->table_timer);
     g_rand_free(gos->rand);
     close(gos->fd);
     g_free(gos);
@@ -199,42 +195,39 @@
 guint
 Gos_CountLivePeers(const Gos *gos)
 {
-    int64_t now_us = Clk_Now(gos->options.clk);
-    const GosPeer *peer;
-    guint count = 0;
+    return Peers_CountLive(&gos->peers);
+}
 
-    LIST_FOREACH(peer, &gos->peers, links)
-    {
-        count += is_live(gos, peer, now_us);
-    }
-    return count;
+uint32_t
+Gos_CountVms(const Gos *gos)
+{
+    return Peers_CountVms(&gos->peers);
 }
 
 void
-Gos_SetDemand(Gos *gos, const char *service, const GosDemand *demand)
+Gos_SetDemand(Gos *gos, const char *service, const ReportDemand *demand)
 {
-    GosDemandRow row = {hash_text(service), *demand};
-
-    for (guint i = 0; i < gos->demands->len; i++) {
-        GosDemandRow *old = &g_array_index(gos->demands, GosDemandRow, i);
-        if (old->service == row.service) {
-            *old = row;
-            return;
-        }
-    }
-    g_array_append_val(gos->demands, row);
+    Report_SetDemand(&gos->own, hash_text(service), demand);
 }
 
-GosDemand
+ReportDemand
 Gos_GetDemand(const Gos *gos, const char *service)
 {
-    GosDemand demand = {0};
+    ReportDemand demand = {0};
 
-    add_demand(gos->demands, hash_text(service), &demand);
+    Report_SumDemand(&gos->own, hash_text(service), &demand);
     return demand;
 }
 
-GosDemand
+ReportDemand
+Gos_SumPeerDemand(const Gos *gos, const char *service)
+{
+    uint32_t count;
+
+    return sum_demand(gos, service, false, &count);
+}
+
+ReportDemand
 Gos_SumNearDemand(const Gos *gos, const char *service, uint32_t *count)
 {
     return sum_demand(gos, service, true, count);
@@ -247,71 +240,20 @@
            GOS_MAJORITY_RATIO * Gos_CountVms(gos);
 }
 
-GosDemand
-Gos_SumPeerDemand(const Gos *gos, const char *service)
-{
-    uint32_t count;
-
-    return sum_demand(gos, service, false, &count);
-}
-
 bool
 Gos_IsHome(const Gos *gos, const char *key)
 {
-    int64_t now_us = Clk_Now(gos->options.clk);
-    uint64_t own_weight = Own_GetWeight(key, gos->options.vm);
-    const GosPeer *peer;
-
-    LIST_FOREACH(peer, &gos->peers, links)
-    {
-        if (is_live(gos, peer, now_us) &&
-            Own_GetWeight(key, peer->vm) > own_weight) {
-            return false;
-        }
-    }
-    return true;
+    return Peers_IsHome(&gos->peers, key);
 }
 
-/* Sums the demand of the live peers, or only of the near ones among them, and
-   stores the number of peers in the sum in *count. */
-static GosDemand
+static ReportDemand
 sum_demand(const Gos *gos, const char *service, bool near_only,
            uint32_t *count)
 {
-    uint64_t hash = hash_text(service);
-    int64_t now_us = Clk_Now(gos->options.clk);
-    GosDemand sum = {0};
-    const GosPeer *peer;
+    ReportDemand own = Gos_GetDemand(gos, service);
 
-    *count = 0;
-    LIST_FOREACH(peer, &gos->peers, links)
-    {
-        if (is_live(gos, peer, now_us) && (!near_only || is_near(gos, peer))) {
-            add_demand(peer->demands, hash, &sum);
-            (*count)++;
-        }
-    }
-    return sum;
-}
-
-static void
-add_demand(const GArray *rows, uint64_t service, GosDemand *sum)
-{
-    for (guint i = 0; i < rows->len; i++) {
-        const GosDemandRow *row = &g_array_index(rows, GosDemandRow, i);
-        if (row->service == service) {
-            sum->prompt_per_us += row->demand.prompt_per_us;
-            sum->kv_tokens += row->demand.kv_tokens;
-            sum->requests += row->demand.requests;
-            sum->extras += row->demand.extras;
-        }
-    }
-}
-
-uint32_t
-Gos_CountVms(const Gos *gos)
-{
-    return MAX(gos->peak_vms, Gos_CountLivePeers(gos) + 1);
+    return Peers_SumDemand(&gos->peers, hash_text(service), near_only, &own,
+                           count);
 }
 
 static void
@@ -323,14 +265,14 @@
 
     (void)what;
     while ((size = recv(fd, data, sizeof(data), 0)) >= 0) {
-        Gossip__News *message = gossip__news__unpack(NULL, (size_t)size, data);
+        Gossip__News *news = gossip__news__unpack(NULL, (size_t)size, data);
         Met_Add(MET_PEER_BYTES_RECEIVED, (uint64_t)size);
-        if (message == NULL) {
+        if (news == NULL) {
             Met_Add(MET_PEER_FRAMES_BAD, 1);
             continue;
         }
-        handle_message(gos, message);
-        gossip__news__free_unpacked(message, NULL);
+        handle_message(gos, news);
+        gossip__news__free_unpacked(news, NULL);
     }
 }
 
@@ -343,158 +285,367 @@
     (void)fd;
     (void)what;
     gos->update_pending = false;
-    expire_peers(gos);
-    send_message(gos, is_regular);
+    Peers_Refresh(&gos->peers);
+    send_report(gos, is_regular);
     Loop_ArmTimer(gos->timer, GOS_INTERVAL_MS);
 }
 
 static void
-handle_message(Gos *gos, const Gossip__News *message)
+on_table_timer(evutil_socket_t fd, short what, void *context)
 {
-    const GosOptions *options = &gos->options;
-    int64_t now_us = Clk_Now(options->clk);
-    GosPeer *peer;
+    (void)fd;
+    (void)what;
+    send_tables(context);
+}
 
-    if (message->address == 0 || message->address == gos->address) {
+static void
+handle_message(Gos *gos, const Gossip__News *news)
+{
+    int64_t now_us = Clk_Now(gos->options.clk);
+    Peer *peer;
+
+    if (news->address == 0 || news->address == gos->address) {
         return;
     }
-    peer = get_or_add_peer(gos, message->address);
-    if (message->incarnation == peer->previous_incarnation ||
-        (message->incarnation == peer->incarnation &&
-         message->number <= peer->sequence)) {
+    peer = Peers_GetOrAdd(&gos->peers, news->address);
+    if (news->incarnation == peer->previous_incarnation ||
+        (news->incarnation == peer->incarnation &&
+         news->number <= peer->sequence)) {
         return; /* The message is late or a duplicate. */
     }
-    if (message->incarnation != peer->incarnation) {
+    if (news->incarnation != peer->incarnation) {
         peer->previous_incarnation = peer->incarnation;
-        peer->incarnation = message->incarnation;
+        peer->incarnation = news->incarnation;
     }
-    if (!is_live(gos, peer, now_us)) {
+    if (!Peers_IsLive(&gos->peers, peer)) {
         Log_WriteJson(LOG_LEVEL_INFO, "peer_heard",
-                      json_pack("{s:s,s:I}", "peer", message->vm, "silent_us",
+                      json_pack("{s:s,s:I}", "peer", news->vm, "silent_us",
                                 (json_int_t)(peer->received_us != 0
                                                  ? now_us - peer->received_us
                                                  : 0)));
     }
-    peer->sequence = message->number;
-    peer->region = message->region;
-    g_strlcpy(peer->vm, message->vm, sizeof(peer->vm));
-    g_array_set_size(peer->demands, 0);
-    for (size_t i = 0; i < message->n_demands; i++) {
-        const Gossip__Demand *from = message->demands[i];
-        GosDemandRow row = {
-            from->service,
-            {from->prompt_per_us, from->held, from->requests, from->extras}};
-        g_array_append_val(peer->demands, row);
-    }
+    peer->sequence = news->number;
+    peer->region = news->region;
+    peer->capacity = news->capacity;
+    g_strlcpy(peer->vm, news->vm, sizeof(peer->vm));
     peer->received_us = now_us;
     peer->mentioned_us = now_us;
-    replace_uses(gos, peer, message);
-    for (size_t i = 0; i < message->n_peers; i++) {
-        if (message->peers[i] != gos->address) {
-            get_or_add_peer(gos, message->peers[i])->mentioned_us = now_us;
+    peer->heard_us = now_us;
+    peer->suspect_until_us = 0;
+    Peers_NoteFleetSize(&gos->peers, news->vms);
+    for (size_t i = 0; i < news->n_peers; i++) {
+        if (news->peers[i] != gos->address) {
+            Peers_GetOrAdd(&gos->peers, news->peers[i])->mentioned_us = now_us;
         }
     }
-    if (options->on_newer_peer != NULL &&
-        (message->config_version >
-             options->get_config_version(options->context) ||
-         message->revision > options->get_revision(options->context))) {
-        struct in_addr ip = {.s_addr =
-                                 htonl((uint32_t)(message->address >> 16))};
-        char ip_text[INET_ADDRSTRLEN];
-        char address[FLEET_ADDRESS_MAX];
-
-        inet_ntop(AF_INET, &ip, ip_text, sizeof(ip_text));
-        g_snprintf(address, sizeof(address), "%s:%u", ip_text,
-                   (unsigned)(message->address & UINT16_MAX));
-        options->on_newer_peer(options->context, address,
-                               message->config_version, message->revision);
+    for (size_t i = 0; i < news->n_hubs; i++) {
+        const Gossip__Hub *hub = news->hubs[i];
+        Peers_NoteCandidate(&gos->peers, hub->address, hub->region,
+                            hub->capacity, hub->age_ms);
     }
+    if (news->table != NULL) {
+        peer->table_us = now_us;
+        store_table(gos, news);
+    }
+    else {
+        store_report(gos, peer, news);
+    }
+    check_versions(gos, news);
 }
 
 static void
-replace_uses(Gos *gos, GosPeer *peer, const Gossip__News *message)
+store_report(Gos *gos, Peer *peer, const Gossip__News *news)
 {
-    drop_uses(peer);
-    for (size_t i = 0; i < message->n_uses; i++) {
-        const Gossip__Use *from = message->uses[i];
-        FleetWorker *worker =
-            Fleet_FindByHash(gos->options.fleet, from->worker);
-        GosUse use = {worker,     from->inflight, from->reading,
-                      from->held, from->silent,   from->changing};
+    bool is_small = news->vms <= HUBS_MESH_VMS_MAX;
+
+    peer->reported_us = Clk_Now(gos->options.clk);
+    if (news->hub == gos->address) {
+        peer->subscribed_us = peer->reported_us;
+    }
+    Report_DropDemands(&peer->report);
+    for (size_t i = 0; i < news->n_demands; i++) {
+        const Gossip__Demand *from = news->demands[i];
+        ReportDemand demand = {from->prompt_per_us, from->held, from->requests,
+                               from->extras};
+        Report_SetDemand(&peer->report, from->service, &demand);
+    }
+    Report_DropUses(&peer->report);
+    for (size_t i = 0; i < news->n_uses; i++) {
+        const Gossip__Use *from = news->uses[i];
+        ReportUse use = {
+            Fleet_FindByHash(gos->options.fleet, from->worker),
+            from->inflight,
+            from->reading,
+            from->held,
+            from->silent,
+            from->changing,
+        };
+        if (use.worker != NULL) {
+            Report_AddUse(&peer->report, &use);
+        }
+    }
+    if (gos->peers.is_mesh) {
+        return;
+    }
+    if (news->seeking || is_small) {
+        GosMessage message;
+        begin_message(gos, &message);
+        add_hubs(gos, &message);
+        pack_message(&message);
+        send_to(gos, peer->address, &message);
+    }
+    if (Peers_IsMember(&gos->peers, peer) &&
+        !event_pending(gos->table_timer, EV_TIMEOUT, NULL)) {
+        Loop_ArmTimer(gos->table_timer, HUBS_PERIOD_MIN_MS);
+    }
+}
 
-        if (worker == NULL) {
+static void
+store_table(Gos *gos, const Gossip__News *news)
+{
+    const Gossip__Table *table = news->table;
+    int64_t now_us = Clk_Now(gos->options.clk);
+    bool is_own = table->region == gos->peers.options.region;
+    size_t count = MIN(MIN(table->n_workers, table->n_inflight),
+                       MIN(table->n_reading, table->n_held));
+    Report *report =
+        Peers_BeginTablePart(&gos->peers, table->region, news->address,
+                             table->members, table->part, table->parts);
+
+    if (report == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < count; i++) {
+        ReportUse use = {
+            .worker = Fleet_FindByHash(gos->options.fleet, table->workers[i]),
+            .inflight = table->inflight[i],
+            .prefill_tokens = table->reading[i],
+            .kv_tokens = table->held[i],
+        };
+        ReportUse own;
+        if (use.worker == NULL) {
             continue;
         }
-        Fleet_Ref(worker);
-        worker->peer_inflight += use.inflight;
-        worker->peer_prefill_tokens += use.prefill_tokens;
-        worker->peer_kv_tokens += use.kv_tokens;
-        worker->peer_unreachable += use.unreachable;
-        worker->peer_phase_changes += use.phase_change;
-        g_array_append_val(peer->uses, use);
+        for (size_t k = 0; k < table->n_silent; k++) {
+            use.unreachable += table->silent[k] == table->workers[i];
+        }
+        for (size_t k = 0; k < table->n_changing; k++) {
+            use.phase_changes += table->changing[k] == table->workers[i];
+        }
+        if (is_own && get_own_use(use.worker, now_us, &own)) {
+            /* The table includes what this VM reported some 100 ms ago, which
+               is close to what it has now. */
+            use.inflight -= MIN(use.inflight, own.inflight);
+            use.prefill_tokens -= MIN(use.prefill_tokens, own.prefill_tokens);
+            use.kv_tokens -= MIN(use.kv_tokens, own.kv_tokens);
+            use.unreachable -= MIN(use.unreachable, own.unreachable);
+            use.phase_changes -= MIN(use.phase_changes, own.phase_changes);
+        }
+        Report_AddUse(report, &use);
+    }
+    for (size_t i = 0; i < table->n_demands; i++) {
+        const Gossip__Demand *from = table->demands[i];
+        ReportDemand demand = {from->prompt_per_us, from->held, from->requests,
+                               from->extras};
+        Report_SetDemand(report, from->service, &demand);
     }
 }
 
 static void
-drop_uses(GosPeer *peer)
+check_versions(Gos *gos, const Gossip__News *news)
 {
-    for (guint i = 0; i < peer->uses->len; i++) {
-        GosUse *use = &g_array_index(peer->uses, GosUse, i);
-        use->worker->peer_inflight -= use->inflight;
-        use->worker->peer_prefill_tokens -= use->prefill_tokens;
-        use->worker->peer_kv_tokens -= use->kv_tokens;
-        use->worker->peer_unreachable -= use->unreachable;
-        use->worker->peer_phase_changes -= use->phase_change;
-        Fleet_Unref(use->worker);
+    const GosOptions *options = &gos->options;
+    struct in_addr ip = {.s_addr = htonl((uint32_t)(news->address >> 16))};
+    char ip_text[INET_ADDRSTRLEN];
+    char address[FLEET_ADDRESS_MAX];
+
+    if (options->on_newer_peer == NULL ||
+        (news->config_version <=
+             options->get_config_version(options->context) &&
+         news->revision <= options->get_revision(options->context))) {
+        return;
     }
-    g_array_set_size(peer->uses, 0);
+    inet_ntop(AF_INET, &ip, ip_text, sizeof(ip_text));
+    g_snprintf(address, sizeof(address), "%s:%u", ip_text,
+               (unsigned)(news->address & UINT16_MAX));
+    options->on_newer_peer(options->context, address, news->config_version,
+                           news->revision);
 }
 
+/* Sends this VM's load: in a mesh to all peers of this region and to a random
+   share of the others, and else to the hubs of this region. One in
+   GOS_SEED_INTERVALS regular messages of a mesh or of a hub, and each one of a
+   VM that knows no others or no hub, goes to all seeds as well, so that VMs
+   find each other at the start and again after a network partition. */
 static void
-free_peer(GosPeer *peer)
+send_report(Gos *gos, bool is_regular)
 {
-    LIST_REMOVE(peer, links);
-    g_array_free(peer->uses, TRUE);
-    g_array_free(peer->demands, TRUE);
-    g_free(peer);
+    const Peers *peers = &gos->peers;
+    HubsChoice hubs = Peers_GetHubs(peers);
+    bool is_lost =
+        peers->is_mesh ? Peers_CountLive(peers) == 0 : !Peers_HasView(peers);
+    bool is_turn = is_regular && gos->intervals++ % GOS_SEED_INTERVALS == 0;
+    GosMessage message;
+    const Peer *peer;
+
+    begin_message(gos, &message);
+    message.news.seeking = is_lost || !peers->is_mesh;
+    add_uses(gos, &message);
+    if (peers->is_mesh) {
+        add_peers(gos, &message);
+    }
+    else {
+        uint64_t primary = Hubs_GetPrimary(&hubs, gos->address);
+        for (uint32_t i = 0; i < hubs.count && primary == gos->address; i++) {
+            primary = hubs.hubs[i].address;
+        }
+        message.news.hub = peers->is_direct ? 0 : primary;
+        message.news.seeking = false;
+    }
+    pack_message(&message);
+    LIST_FOREACH(peer, &peers->list, links)
+    {
+        bool is_receiver =
+            peers->is_mesh
+                ? (peer->received_us != 0 && Peers_IsNear(peers, peer)) ||
+                      g_rand_double(gos->rand) * peers->remote_count <
+                          GOS_REMOTE_FANOUT
+                : Hubs_Contains(&hubs, peer->address);
+        if (is_receiver) {
+            send_to(gos, peer->address, &message);
+        }
+    }
+    if (is_regular &&
+        (is_lost || (is_turn && (peers->is_mesh || peers->is_direct)))) {
+        message.news.number = ++gos->sequence;
+        message.news.seeking = is_lost || !peers->is_mesh;
+        pack_message(&message);
+        send_to_seeds(gos, &message);
+    }
 }
 
-/* Sends to all peers of this region and to a random share of the others. One
-   in GOS_SEED_INTERVALS regular messages, and each one while no peer is known,
-   goes to all seeds as well, so that VMs find each other at the start and
-   again after a network partition. */
 static void
-send_message(Gos *gos, bool is_regular)
+send_to_seeds(Gos *gos, const GosMessage *message)
 {
-    uint8_t data[GOS_MESSAGE_MAX_BYTES];
-    size_t size = pack_message(gos, data);
-    GosPeer *peer;
+    for (guint i = 0; i < GOS_SEEDS_MAX; i++) {
+        if (gos->seeds[i] != 0 && gos->seeds[i] != gos->address) {
+            send_to(gos, gos->seeds[i], message);
+        }
+    }
+}
 
-    gos->remote_count = 0;
-    LIST_FOREACH(peer, &gos->peers, links)
+/* Sends the tables that are due: this region's to all VMs that report to this
+   one, and those of other regions. */
+static void
+send_tables(Gos *gos)
+{
+    Peers *peers = &gos->peers;
+    Report sum;
+    uint32_t members;
+    uint32_t reporting = 0;
+    uint32_t subscribers = 0;
+    const Peer *peer;
+
+    Peers_Refresh(peers);
+    LIST_FOREACH(peer, &peers->list, links)
     {
-        gos->remote_count +=
-            peer->region != gos->region || peer->received_us == 0;
+        reporting += Peers_IsMember(peers, peer);
+        subscribers += Peers_IsSubscriber(peers, peer);
     }
-    LIST_FOREACH(peer, &gos->peers, links)
-    {
-        if ((peer->received_us != 0 && peer->region == gos->region) ||
-            g_rand_double(gos->rand) * gos->remote_count < GOS_REMOTE_FANOUT) {
-            send_to(gos, peer->address, data, size);
+    if (peers->is_mesh || reporting == 0) {
+        return;
+    }
+    Report_Init(&sum);
+    members = Peers_SumRegion(peers, &sum) + 1;
+    for (guint i = 0; i < gos->options.fleet->rows->len; i++) {
+        Report own;
+        ReportUse use;
+        if (get_own_use(g_ptr_array_index(gos->options.fleet->rows, i),
+                        Clk_Now(gos->options.clk), &use)) {
+            Report_Init(&own);
+            Report_AddUse(&own, &use);
+            Report_Merge(&sum, &own);
+            Report_Clear(&own);
+        }
+    }
+    Report_Merge(&sum, &gos->own);
+    send_table(gos, peers->options.region, members, &sum, true);
+    Report_Clear(&sum);
+    for (guint i = 0;
+         i < peers->regions->len && gos->periods % HUBS_REMOTE_PERIODS == 0;
+         i++) {
+        const PeersRegion *row = g_ptr_array_index(peers->regions, i);
+        if (row->region == peers->options.region ||
+            Peers_FindRegion(peers, row->region) == NULL) {
+            continue;
+        }
+        Report_Init(&sum);
+        for (uint32_t k = 0; k < row->part_count; k++) {
+            Report_Merge(&sum, &row->parts[k]);
+        }
+        send_table(gos, row->region, row->members, &sum, false);
+        Report_Clear(&sum);
+    }
+    gos->periods++;
+    Loop_ArmTimer(gos->table_timer, Hubs_GetPeriodMs(subscribers));
+}
+
+/* Sends a region's table, in parts by the workers' hashes. */
+static void
+send_table(Gos *gos, uint32_t region, uint32_t members, const Report *report,
+           bool is_own)
+{
+    /* Half of the room stays free, as the hashes fill the parts unevenly. */
+    uint32_t parts = 1 + report->uses->len * 3 / 2 / GOS_TABLE_ROWS_MAX;
+
+    parts = report->uses->len <= GOS_TABLE_ROWS_MAX ? 1 : parts;
+    for (uint32_t i = 0; i < MIN(parts, PEERS_PARTS_MAX); i++) {
+        GosMessage message;
+        GosTablePart part;
+
+        gossip__table__init(&part.table);
+        part.table.region = region;
+        part.table.members = members;
+        fill_part(&part, report, i, MIN(parts, PEERS_PARTS_MAX));
+        begin_message(gos, &message);
+        message.news.n_demands = 0;
+        message.news.table = &part.table;
+        if (i == 0) {
+            add_hubs(gos, &message);
         }
+        pack_message(&message);
+        send_table_part(gos, &message, is_own);
     }
-    if (is_regular && (gos->intervals++ % GOS_SEED_INTERVALS == 0 ||
-                       LIST_EMPTY(&gos->peers))) {
-        for (guint i = 0; i < GOS_SEEDS_MAX; i++) {
-            if (gos->seeds[i] != 0 && gos->seeds[i] != gos->address) {
-                send_to(gos, gos->seeds[i], data, size);
-            }
+}
+
+static void
+send_table_part(Gos *gos, const GosMessage *message, bool is_own)
+{
+    const Peers *peers = &gos->peers;
+    const Peer *peer;
+
+    LIST_FOREACH(peer, &peers->list, links)
+    {
+        bool is_due = Peers_IsSubscriber(peers, peer);
+        if (!is_due && is_own && peer->region == peers->options.region) {
+            is_due = Peers_IsMember(peers, peer) &&
+                     gos->periods % HUBS_STANDBY_PERIODS == 0;
+        }
+        for (guint i = 0; i < peers->hubs_count && is_own && !is_due; i++) {
+            is_due = peers->is_direct &&
+                     peer->region != peers->options.region &&
+                     gos->periods % HUBS_REMOTE_PERIODS == 0 &&
+                     peers->hubs[i].region == peer->region &&
+                     Hubs_Contains(&peers->hubs[i].choice, peer->address);
+        }
+        if (is_due) {
+            send_to(gos, peer->address, message);
         }
     }
 }
 
 static void
-send_to(Gos *gos, uint64_t address, const uint8_t *data, size_t size)
+send_to(Gos *gos, uint64_t address, const GosMessage *message)
 {
     struct sockaddr_in to = {
         .sin_family = AF_INET,
@@ -504,162 +655,216 @@
 
     /* A datagram that can't be sent now is dropped, as if the network had lost
        it: the next message carries the full state again. */
-    if (sendto(gos->fd, data, size, 0, (struct sockaddr *)&to, sizeof(to)) >
-        0) {
-        Met_Add(MET_PEER_BYTES_SENT, size);
+    if (message->size > 0 && sendto(gos->fd, message->data, message->size, 0,
+                                    (struct sockaddr *)&to, sizeof(to)) > 0) {
+        Met_Add(MET_PEER_BYTES_SENT, message->size);
     }
 }
 
-static size_t
-pack_message(Gos *gos, uint8_t *data)
+/* Starts a message with what each one carries: this VM, its versions, and its
+   demand on the services. */
+static void
+begin_message(Gos *gos, GosMessage *message)
 {
     const GosOptions *options = &gos->options;
-    int64_t now_us = Clk_Now(options->clk);
-    Gossip__News message = GOSSIP__NEWS__INIT;
-    Gossip__Use rows[GOS_USES_MAX];
-    Gossip__Use *uses[GOS_USES_MAX];
-    Gossip__Demand demand_rows[GOS_DEMANDS_MAX];
-    Gossip__Demand *demands[GOS_DEMANDS_MAX];
-    uint64_t peers[GOS_PEERS_MAX];
-    GosPeer *peer;
-
-    message.vm = (char *)options->vm;
-    message.incarnation = options->incarnation;
-    message.number = ++gos->sequence;
-    message.address = gos->address;
-    message.region = gos->region;
+    Gossip__News *news = &message->news;
+
+    gossip__news__init(news);
+    news->vm = (char *)options->vm;
+    news->incarnation = options->incarnation;
+    news->number = ++gos->sequence;
+    news->address = gos->address;
+    news->region = gos->peers.options.region;
+    news->capacity = options->capacity;
+    news->vms = Peers_CountLive(&gos->peers) + 1;
     if (options->get_config_version != NULL) {
-        message.config_version = options->get_config_version(options->context);
-        message.revision = options->get_revision(options->context);
-    }
-    message.uses = uses;
-    for (guint i = 0;
-         i < options->fleet->rows->len && message.n_uses < GOS_USES_MAX; i++) {
-        const FleetWorker *worker = g_ptr_array_index(options->fleet->rows, i);
-        bool unreachable = Health_IsBlocked(&worker->health, now_us);
-        Gossip__Use *row = &rows[message.n_uses];
-        bool phase_change = now_us < worker->phase_change_until_us;
-        if (worker->inflight == 0 && worker->kv_tokens == 0 && !unreachable &&
-            !phase_change) {
+        news->config_version = options->get_config_version(options->context);
+        news->revision = options->get_revision(options->context);
+    }
+    news->uses = message->uses;
+    news->peers = message->peers;
+    news->hubs = message->hubs;
+    news->demands = message->demands;
+    news->n_demands =
+        fill_demands(&gos->own, message->demand_rows, message->demands);
+}
+
+/* Adds this VM's use of the workers. */
+static void
+add_uses(Gos *gos, GosMessage *message)
+{
+    const GPtrArray *rows = gos->options.fleet->rows;
+    int64_t now_us = Clk_Now(gos->options.clk);
+
+    for (guint i = 0; i < rows->len && message->news.n_uses < GOS_USES_MAX;
+         i++) {
+        Gossip__Use *row = &message->use_rows[message->news.n_uses];
+        ReportUse use;
+        if (!get_own_use(g_ptr_array_index(rows, i), now_us, &use)) {
             continue;
         }
         gossip__use__init(row);
-        row->worker = worker->hash;
-        row->inflight = worker->inflight;
-        row->reading = (uint32_t)worker->prefill_tokens;
-        row->held = (uint32_t)worker->kv_tokens;
-        row->silent = unreachable;
-        row->changing = phase_change;
-        uses[message.n_uses++] = row;
-    }
-    message.peers = peers;
-    LIST_FOREACH(peer, &gos->peers, links)
+        row->worker = use.worker->hash;
+        row->inflight = use.inflight;
+        row->reading = (uint32_t)use.prefill_tokens;
+        row->held = (uint32_t)use.kv_tokens;
+        row->silent = use.unreachable > 0;
+        row->changing = use.phase_changes > 0;
+        message->uses[message->news.n_uses++] = row;
+    }
+}
+
+/* Adds the addresses of some live peers. */
+static void
+add_peers(Gos *gos, GosMessage *message)
+{
+    Gossip__News *news = &message->news;
+    const Peer *peer;
+
+    LIST_FOREACH(peer, &gos->peers.list, links)
     {
         /* The message holds a random few: once it is full, a later peer may
            replace an earlier one. */
         guint at =
-            message.n_peers < GOS_PEERS_MAX
-                ? (guint)message.n_peers
+            news->n_peers < GOS_PEERS_MAX
+                ? (guint)news->n_peers
                 : (guint)g_rand_int_range(gos->rand, 0, 2 * GOS_PEERS_MAX);
-        if (is_live(gos, peer, now_us) && at < GOS_PEERS_MAX) {
-            peers[at] = peer->address;
-            message.n_peers = MAX(message.n_peers, at + 1);
+        if (Peers_IsLive(&gos->peers, peer) && at < GOS_PEERS_MAX) {
+            message->peers[at] = peer->address;
+            news->n_peers = MAX(news->n_peers, at + 1);
         }
     }
-    message.demands = demands;
-    for (guint i = 0; i < gos->demands->len && i < GOS_DEMANDS_MAX; i++) {
-        const GosDemandRow *from =
-            &g_array_index(gos->demands, GosDemandRow, i);
-        gossip__demand__init(&demand_rows[i]);
-        demand_rows[i].service = from->service;
-        demand_rows[i].prompt_per_us = (float)from->demand.prompt_per_us;
-        demand_rows[i].held = (float)from->demand.kv_tokens;
-        demand_rows[i].requests = (float)from->demand.requests;
-        demand_rows[i].extras = (float)from->demand.extras;
-        demands[message.n_demands++] = &demand_rows[i];
-    }
-    /* Uses are dropped until the message fits. */
-    while (gossip__news__get_packed_size(&message) > GOS_MESSAGE_MAX_BYTES &&
-           message.n_uses > 0) {
-        message.n_uses--;
-    }
-    return gossip__news__pack(&message, data);
 }
 
-/* Whether the peer gets every message of this VM, and this VM every message
-   of the peer. */
-static bool
-is_near(const Gos *gos, const GosPeer *peer)
+/* Adds the hubs of all regions, as this VM knows them. */
+static void
+add_hubs(Gos *gos, GosMessage *message)
 {
-    return peer->region == gos->region ||
-           gos->remote_count <= GOS_REMOTE_FANOUT;
-}
+    const Peers *peers = &gos->peers;
+    int64_t now_us = Clk_Now(gos->options.clk);
+    Gossip__News *news = &message->news;
+    const Peer *peer;
 
-/* Returns how long the peer may be silent, given the time `near_us` for a near
-   peer. A peer that gets only a share of the messages has more time. */
-static int64_t
-get_timeout_us(const Gos *gos, const GosPeer *peer, int64_t near_us)
-{
-    if (is_near(gos, peer)) {
-        return near_us;
+    LIST_FOREACH(peer, &peers->list, links)
+    {
+        bool is_hub = false;
+        Gossip__Hub *row = &message->hub_rows[news->n_hubs];
+        for (guint i = 0; i < peers->hubs_count && !is_hub; i++) {
+            is_hub = peers->hubs[i].region == peer->region &&
+                     Hubs_Contains(&peers->hubs[i].choice, peer->address);
+        }
+        if (!is_hub) {
+            continue;
+        }
+        gossip__hub__init(row);
+        row->address = peer->address;
+        row->region = peer->region;
+        row->capacity = peer->capacity;
+        row->age_ms = (uint32_t)((now_us - peer->heard_us) / CLK_US_PER_MS);
+        message->hubs[news->n_hubs++] = row;
+        if (news->n_hubs == GOS_HUBS_MAX) {
+            return;
+        }
     }
-    return near_us + (int64_t)GOS_REMOTE_ROUNDS * gos->remote_count /
-                         GOS_REMOTE_FANOUT * GOS_INTERVAL_MS * CLK_US_PER_MS;
 }
 
-static bool
-is_live(const Gos *gos, const GosPeer *peer, int64_t now_us)
-{
-    return peer->received_us != 0 &&
-           now_us - peer->received_us <
-               get_timeout_us(gos, peer, GOS_LIVE_TIMEOUT_US);
-}
-
-static GosPeer *
-get_or_add_peer(Gos *gos, uint64_t address)
+/* Packs the message; uses are dropped until it fits. */
+static void
+pack_message(GosMessage *message)
 {
-    GosPeer *peer;
+    Gossip__News *news = &message->news;
 
-    LIST_FOREACH(peer, &gos->peers, links)
-    {
-        if (peer->address == address) {
-            return peer;
-        }
+    while (gossip__news__get_packed_size(news) > GOS_MESSAGE_MAX_BYTES &&
+           news->n_uses > 0) {
+        news->n_uses--;
     }
-    peer = g_new0(GosPeer, 1);
-    peer->address = address;
-    peer->uses = g_array_new(FALSE, FALSE, sizeof(GosUse));
-    peer->demands = g_array_new(FALSE, FALSE, sizeof(GosDemandRow));
-    LIST_INSERT_HEAD(&gos->peers, peer, links);
-    return peer;
+    message->size =
+        gossip__news__get_packed_size(news) <= GOS_MESSAGE_MAX_BYTES
+            ? gossip__news__pack(news, message->data)
+            : 0;
 }
 
-/* Updates the VM count, drops the use that silent peers reported, and removes
-   peers that have been silent for long. */
+/* Fills in the workers whose hashes belong to this part of the table. */
 static void
-expire_peers(Gos *gos)
+fill_part(GosTablePart *part, const Report *report, uint32_t number,
+          uint32_t count)
 {
-    int64_t now_us = Clk_Now(gos->options.clk);
-    uint32_t count = Gos_CountLivePeers(gos) + 1;
-    GosPeer *peer = LIST_FIRST(&gos->peers);
-
-    if (count >= gos->peak_vms || now_us - gos->peak_us > GOS_FORGET_US) {
-        gos->peak_vms = MAX(count, GOS_VMS_MIN);
-        gos->peak_us = now_us;
-    }
-    while (peer != NULL) {
-        GosPeer *next = LIST_NEXT(peer, links);
-        if (now_us - peer->received_us >
-            get_timeout_us(gos, peer, GOS_USE_TIMEOUT_US)) {
-            drop_uses(peer);
+    Gossip__Table *table = &part->table;
+    size_t n = 0;
+
+    table->part = number;
+    table->parts = count;
+    table->workers = part->workers;
+    table->inflight = part->inflight;
+    table->reading = part->reading;
+    table->held = part->held;
+    table->silent = part->silent;
+    table->changing = part->changing;
+    table->demands = part->demands;
+    for (guint i = 0; i < report->uses->len && n < GOS_TABLE_ROWS_MAX; i++) {
+        const ReportUse *use = &g_array_index(report->uses, ReportUse, i);
+        if (use->worker->hash % count != number) {
+            continue;
         }
-        if (now_us - peer->mentioned_us > GOS_FORGET_US) {
-            free_peer(peer);
+        part->workers[n] = use->worker->hash;
+        part->inflight[n] = use->inflight;
+        part->reading[n] = (uint32_t)use->prefill_tokens;
+        part->held[n] = (uint32_t)use->kv_tokens;
+        n++;
+        if (use->unreachable > 0) {
+            part->silent[table->n_silent++] = use->worker->hash;
         }
-        peer = next;
+        if (use->phase_changes > 0) {
+            part->changing[table->n_changing++] = use->worker->hash;
+        }
+    }
+    table->n_workers = n;
+    table->n_inflight = n;
+    table->n_reading = n;
+    table->n_held = n;
+    if (number == 0) {
+        table->n_demands =
+            fill_demands(report, part->demand_rows, part->demands);
     }
 }
 
+/* Fills in the demands of a report, and returns their number. */
+static guint
+fill_demands(const Report *report, Gossip__Demand *rows,
+             Gossip__Demand **demands)
+{
+    guint count = 0;
+    uint64_t service;
+    ReportDemand demand;
+
+    while (count < GOS_DEMANDS_MAX &&
+           Report_GetDemand(report, count, &service, &demand)) {
+        gossip__demand__init(&rows[count]);
+        rows[count].service = service;
+        rows[count].prompt_per_us = (float)demand.prompt_per_us;
+        rows[count].held = (float)demand.kv_tokens;
+        rows[count].requests = (float)demand.requests;
+        rows[count].extras = (float)demand.extras;
+        demands[count] = &rows[count];
+        count++;
+    }
+    return count;
+}
+
+/* Stores this VM's use of the worker; false if there is none. */
+static bool
+get_own_use(const FleetWorker *worker, int64_t now_us, ReportUse *use)
+{
+    use->worker = (FleetWorker *)worker;
+    use->inflight = worker->inflight;
+    use->prefill_tokens = worker->prefill_tokens;
+    use->kv_tokens = worker->kv_tokens;
+    use->unreachable = Health_IsBlocked(&worker->health, now_us);
+    use->phase_changes = now_us < worker->phase_change_until_us;
+    return use->inflight > 0 || use->kv_tokens > 0 || use->unreachable > 0 ||
+           use->phase_changes > 0;
+}
+
 /* Parses "IP:port" to IPv4 address << 16 | port; 0 if there is no address. */
 static uint64_t
 parse_address(const char *text)
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -1,15 +1,16 @@
 /* Gossip (Gos_): exchanges load hints between the VMs of a deployment by
-   datagram. Each VM sends its neighbours the calls that it has running at
-   each worker, so that every VM's choice of a worker counts the calls of all
-   VMs, and the version of its configuration. All of it is a hint: a VM that
-   receives no message still works correctly. VMs find each other through
-   seed addresses. */
+   datagram. Each VM sends the calls that it has running at each worker, so
+   that every VM's choice of a worker counts the calls of all VMs, and the
+   version of its configuration. In a small fleet it sends them to all VMs, in
+   a larger one to the hubs of its region, which return tables (peers.h). All
+   of it is a hint: a VM that receives no message still works correctly. VMs
+   find each other through seed addresses. */
 #ifndef LS_GOSSIP_H
 #define LS_GOSSIP_H
 
 #include "../clock.h"
 #include "../errors.h"
-#include "fleet.h"
+#include "load_report.h"
 
 #include <event2/event.h>
 
@@ -24,7 +25,9 @@
     uint16_t port; /* UDP; 0 takes any free port. */
     const char *vm;
     const char *region;
-    uint64_t incarnation;             /* Random; differs with each start. */
+    uint32_t capacity;    /* Processor share of the VM, permille: VMs with more
+                             of it are preferred as hubs. */
+    uint64_t incarnation; /* Random; differs with each start. */
     const char *seeds[GOS_SEEDS_MAX]; /* "IP:port"; copied. */
     guint seed_count;
     Fleet *fleet; /* Its workers' peer_* fields are set to the use that other
@@ -40,15 +43,6 @@
                           uint64_t config_version, uint64_t revision);
 } GosOptions;
 
-/* The load of one VM, or of several, on a service. */
-typedef struct GosDemand {
-    double prompt_per_us; /* Prompt tokens per microsecond. */
-    double kv_tokens;     /* KV memory in use for decoding, tokens. */
-    double requests;      /* Requests in the retry budget's last window. */
-    double extras;        /* Repeated calls in that window: those beyond the
-                             first of each request. */
-} GosDemand;
-
 typedef struct Gos Gos;
 
 GosOptions Gos_DefaultOptions(void);
@@ -67,21 +61,23 @@
 uint32_t Gos_CountVms(const Gos *gos);
 /* This VM's load on a service, which is sent to the other VMs. All values are
    0 until it is set. */
-void Gos_SetDemand(Gos *gos, const char *service, const GosDemand *demand);
-GosDemand Gos_GetDemand(const Gos *gos, const char *service);
+void Gos_SetDemand(Gos *gos, const char *service, const ReportDemand *demand);
+ReportDemand Gos_GetDemand(const Gos *gos, const char *service);
 /* Sums the load that all live peers reported for a service. */
-GosDemand Gos_SumPeerDemand(const Gos *gos, const char *service);
-/* The same sum over those live peers with which this VM exchanges every
-   message: all peers in a small deployment, those of its region in a large
+ReportDemand Gos_SumPeerDemand(const Gos *gos, const char *service);
+/* The same sum over those live peers whose load this VM knows within some
+   100 ms: all peers in a small deployment, those of its region in a large
    one. Stores the number of those peers in *count. */
-GosDemand Gos_SumNearDemand(const Gos *gos, const char *service,
-                            uint32_t *count);
+ReportDemand Gos_SumNearDemand(const Gos *gos, const char *service,
+                               uint32_t *count);
 /* Whether a majority of the VMs that Gos_CountVms() counts are live. */
 bool Gos_HasMajority(const Gos *gos);
 /* Whether this VM is the key's home: the one with the highest rendezvous
-   weight for the key among itself and its live peers. */
+   weight for the key among itself and its live peers; in a large deployment
+   among the hubs of all regions. */
 bool Gos_IsHome(const Gos *gos, const char *key);
-/* Returns the number of other VMs from which messages arrive. */
+/* Returns the number of other VMs from which messages arrive, or whose load is
+   included in a hub's table. */
 guint Gos_CountLivePeers(const Gos *gos);
 
 #endif
--- /dev/null
+++ b/src/gate/load_report.c
@@ -0,0 +1,176 @@
+/* Load report: load that other VMs cause. See load_report.h. */
+#include "load_report.h"
+
+typedef struct DemandRow {
+    uint64_t service; /* Hash of the service's name. */
+    ReportDemand demand;
+} DemandRow;
+
+static void add_to_worker(const ReportUse *use);
+static void subtract_from_worker(const ReportUse *use);
+static DemandRow *find_demand(const Report *report, uint64_t service);
+
+void
+Report_Init(Report *report)
+{
+    report->uses = g_array_new(FALSE, FALSE, sizeof(ReportUse));
+    report->demands = g_array_new(FALSE, FALSE, sizeof(DemandRow));
+    report->is_applied = false;
+}
+
+void
+Report_Clear(Report *report)
+{
+    Report_DropUses(report);
+    g_array_free(report->uses, TRUE);
+    g_array_free(report->demands, TRUE);
+}
+
+void
+Report_DropUses(Report *report)
+{
+    for (guint i = 0; i < report->uses->len; i++) {
+        ReportUse *use = &g_array_index(report->uses, ReportUse, i);
+        if (report->is_applied) {
+            subtract_from_worker(use);
+        }
+        Fleet_Unref(use->worker);
+    }
+    g_array_set_size(report->uses, 0);
+}
+
+void
+Report_AddUse(Report *report, const ReportUse *use)
+{
+    Fleet_Ref(use->worker);
+    if (report->is_applied) {
+        add_to_worker(use);
+    }
+    g_array_append_val(report->uses, *use);
+}
+
+void
+Report_SetApplied(Report *report, bool applied)
+{
+    if (report->is_applied == applied) {
+        return;
+    }
+    for (guint i = 0; i < report->uses->len; i++) {
+        const ReportUse *use = &g_array_index(report->uses, ReportUse, i);
+        if (applied) {
+            add_to_worker(use);
+        }
+        else {
+            subtract_from_worker(use);
+        }
+    }
+    report->is_applied = applied;
+}
+
+void
+Report_DropDemands(Report *report)
+{
+    g_array_set_size(report->demands, 0);
+}
+
+void
+Report_SetDemand(Report *report, uint64_t service, const ReportDemand *demand)
+{
+    DemandRow row = {service, *demand};
+    DemandRow *known = find_demand(report, service);
+
+    if (known != NULL) {
+        *known = row;
+    }
+    else {
+        g_array_append_val(report->demands, row);
+    }
+}
+
+void
+Report_SumDemand(const Report *report, uint64_t service, ReportDemand *sum)
+{
+    const DemandRow *row = find_demand(report, service);
+
+    if (row != NULL) {
+        sum->prompt_per_us += row->demand.prompt_per_us;
+        sum->kv_tokens += row->demand.kv_tokens;
+        sum->requests += row->demand.requests;
+        sum->extras += row->demand.extras;
+    }
+}
+
+bool
+Report_GetDemand(const Report *report, guint i, uint64_t *service,
+                 ReportDemand *demand)
+{
+    const DemandRow *row;
+
+    if (i >= report->demands->len) {
+        return false;
+    }
+    row = &g_array_index(report->demands, DemandRow, i);
+    *service = row->service;
+    *demand = row->demand;
+    return true;
+}
+
+void
+Report_Merge(Report *report, const Report *from)
+{
+    for (guint i = 0; i < from->uses->len; i++) {
+        const ReportUse *use = &g_array_index(from->uses, ReportUse, i);
+        ReportUse *sum = NULL;
+        for (guint k = 0; k < report->uses->len && sum == NULL; k++) {
+            ReportUse *row = &g_array_index(report->uses, ReportUse, k);
+            sum = row->worker == use->worker ? row : NULL;
+        }
+        if (sum == NULL) {
+            Report_AddUse(report, use);
+            continue;
+        }
+        sum->inflight += use->inflight;
+        sum->prefill_tokens += use->prefill_tokens;
+        sum->kv_tokens += use->kv_tokens;
+        sum->unreachable += use->unreachable;
+        sum->phase_changes += use->phase_changes;
+    }
+    for (guint i = 0; i < from->demands->len; i++) {
+        const DemandRow *row = &g_array_index(from->demands, DemandRow, i);
+        ReportDemand sum = row->demand;
+        Report_SumDemand(report, row->service, &sum);
+        Report_SetDemand(report, row->service, &sum);
+    }
+}
+
+static void
+add_to_worker(const ReportUse *use)
+{
+    use->worker->peer_inflight += use->inflight;
+    use->worker->peer_prefill_tokens += use->prefill_tokens;
+    use->worker->peer_kv_tokens += use->kv_tokens;
+    use->worker->peer_unreachable += use->unreachable;
+    use->worker->peer_phase_changes += use->phase_changes;
+}
+
+static void
+subtract_from_worker(const ReportUse *use)
+{
+    use->worker->peer_inflight -= use->inflight;
+    use->worker->peer_prefill_tokens -= use->prefill_tokens;
+    use->worker->peer_kv_tokens -= use->kv_tokens;
+    use->worker->peer_unreachable -= use->unreachable;
+    use->worker->peer_phase_changes -= use->phase_changes;
+}
+
+static DemandRow *
+find_demand(const Report *report, uint64_t service)
+{
+    for (guint i = 0; i < report->demands->len; i++) {
+        DemandRow *row = &g_array_index(report->demands, DemandRow, i);
+        if (row->service == service) {
+            return row;
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/gate/load_report.h
@@ -0,0 +1,54 @@
+/* Load report (Report_): the load that one VM, or all VMs of a region, cause
+   at the workers and services, as a message told it. While a report is
+   applied, its load is added to the workers' peer_* fields. */
+#ifndef LS_LOAD_REPORT_H
+#define LS_LOAD_REPORT_H
+
+#include "fleet.h"
+
+/* Load at one worker. */
+typedef struct ReportUse {
+    FleetWorker *worker;
+    uint32_t inflight;
+    uint64_t prefill_tokens;
+    uint64_t kv_tokens;
+    uint32_t unreachable;   /* VMs that can't reach the worker. */
+    uint32_t phase_changes; /* VMs that ordered it to change its phase. */
+} ReportUse;
+
+/* Load on a service. */
+typedef struct ReportDemand {
+    double prompt_per_us; /* Prompt tokens per microsecond. */
+    double kv_tokens;     /* KV memory in use for decoding, tokens. */
+    double requests;      /* Requests in the retry budget's last window. */
+    double extras;        /* Repeated calls in that window: those beyond the
+                             first of each request. */
+} ReportDemand;
+
+typedef struct Report {
+    GArray *uses;    /* ReportUse elements. */
+    GArray *demands; /* Elements private to the module. */
+    bool is_applied;
+} Report;
+
+void Report_Init(Report *report);  /* Empty and not applied. */
+void Report_Clear(Report *report); /* Frees the contents. */
+/* Drops all uses. The report stays applied or not applied. */
+void Report_DropUses(Report *report);
+void Report_AddUse(Report *report, const ReportUse *use);
+void Report_SetApplied(Report *report, bool applied);
+void Report_DropDemands(Report *report);
+/* Sets the demand of the service with this hash. */
+void Report_SetDemand(Report *report, uint64_t service,
+                      const ReportDemand *demand);
+/* Adds the demand on the service with this hash to *sum. */
+void Report_SumDemand(const Report *report, uint64_t service,
+                      ReportDemand *sum);
+/* Returns the service hash of the i-th demand and stores it in *demand; false
+   if there are fewer. */
+bool Report_GetDemand(const Report *report, guint i, uint64_t *service,
+                      ReportDemand *demand);
+/* Adds all of `from` to the report, one use for each worker. */
+void Report_Merge(Report *report, const Report *from);
+
+#endif
--- /dev/null
+++ b/src/gate/peers.h
@@ -0,0 +1,133 @@
+/* Peers: what this VM knows of the other VMs and of their load, from the
+   messages of gossip.c. It holds no socket.
+
+   In a small fleet ("mesh") each VM sends its load to every other one. In a
+   larger one each VM sends it to the hubs of its region, which answer with
+   tables of the whole region's load (decide/hubs.h). A hub thus has a direct
+   view of its region, and the other VMs have the view of its tables. */
+#ifndef LS_PEERS_H
+#define LS_PEERS_H
+
+#include "../clock.h"
+#include "../decide/hubs.h"
+#include "load_report.h"
+
+#include <sys/queue.h>
+
+/* Most parts of a region's table; further workers are left out. */
+#define PEERS_PARTS_MAX 64
+#define PEERS_REGIONS_MAX 16
+
+/* Another VM. */
+typedef struct Peer {
+    LIST_ENTRY(Peer) links;
+    uint64_t address; /* IPv4 address << 16 | port. */
+    uint64_t incarnation;
+    uint64_t previous_incarnation; /* Late messages of it are ignored. */
+    uint32_t sequence;             /* Number of the last message. */
+    uint32_t region;               /* Hash of the region's name. */
+    uint32_t capacity;             /* Processor share, permille. */
+    char vm[FLEET_NAME_MAX];
+    int64_t received_us;   /* Time of the last message from it; 0: none yet. */
+    int64_t reported_us;   /* Time of the last message with its load. */
+    int64_t table_us;      /* Time of the last table from it. */
+    int64_t subscribed_us; /* Time at which it last asked for all tables. */
+    int64_t mentioned_us;  /* Last time that any message named it. */
+    int64_t heard_us;      /* Last time that any VM had a message from it. */
+    int64_t chosen_us; /* Since when it is a hub of this VM; 0: it isn't. */
+    int64_t suspect_until_us; /* It was silent as a hub; until then it counts
+                                 as a hub only if it sends a message. */
+    Report report;            /* Its load. */
+} Peer;
+
+/* Load of a region, as its hubs told it. */
+typedef struct PeersRegion {
+    uint32_t region; /* Hash of the region's name. */
+    uint64_t source; /* Address of the VM that sent the last table. */
+    int64_t received_us;
+    uint32_t members; /* VMs whose load the table includes. */
+    uint32_t part_count;
+    Report parts[PEERS_PARTS_MAX];
+} PeersRegion;
+
+/* The VMs of a region that are its hubs, as far as this VM knows. */
+typedef struct PeersHubs {
+    uint32_t region;
+    HubsChoice choice;
+} PeersHubs;
+
+typedef struct PeersOptions {
+    const Clk *clk;
+    Fleet *fleet;
+    uint64_t address; /* Of this VM. */
+    uint32_t region;  /* Of this VM. */
+    uint32_t capacity;
+    const char *vm; /* Not copied. */
+} PeersOptions;
+
+typedef struct Peers {
+    PeersOptions options;
+    LIST_HEAD(PeerList, Peer) list;
+    GPtrArray *regions; /* PeersRegion pointers. */
+    guint remote_count; /* Peers of other regions or of an unknown region. */
+    uint32_t peak_vms;  /* Highest recent VM count, this VM included. */
+    int64_t peak_us;    /* Time of that count. */
+    int64_t large_until_us; /* Until then the fleet counts as large. */
+    bool is_mesh;           /* The fleet is small. */
+    bool is_direct; /* This VM is a hub and has its region's load itself. */
+    PeersHubs hubs[PEERS_REGIONS_MAX]; /* Of all regions. */
+    guint hubs_count;
+} Peers;
+
+void Peers_Init(Peers *peers, const PeersOptions *options);
+void Peers_Clear(Peers *peers);
+/* Returns the peer at an address, which is added if it is new. */
+Peer *Peers_GetOrAdd(Peers *peers, uint64_t address);
+/* Notes that another VM had a message `age_ms` ago from a VM that may be a
+   hub. */
+void Peers_NoteCandidate(Peers *peers, uint64_t address, uint32_t region,
+                         uint32_t capacity, uint32_t age_ms);
+/* Notes the fleet's size as another VM counts it. */
+void Peers_NoteFleetSize(Peers *peers, uint32_t vms);
+/* Returns the region's row to store a part of its table from `source`, with
+   its uses and demands dropped; NULL if the part is not wanted, as another
+   hub's tables are current. */
+Report *Peers_BeginTablePart(Peers *peers, uint32_t region, uint64_t source,
+                             uint32_t members, uint32_t part,
+                             uint32_t part_count);
+/* Drops what is too old, and decides anew which VMs are hubs and whose load
+   counts. To be called before each message and at least each interval. */
+void Peers_Refresh(Peers *peers);
+
+/* Whether the peer gets every message of this VM, and this VM every message
+   of the peer. */
+bool Peers_IsNear(const Peers *peers, const Peer *peer);
+bool Peers_IsLive(const Peers *peers, const Peer *peer);
+/* Returns this region's hubs as this VM knows them. */
+HubsChoice Peers_GetHubs(const Peers *peers);
+/* Whether the peer sent its load to this VM lately, so that it wants tables
+   if this VM isn't in a mesh. */
+bool Peers_IsMember(const Peers *peers, const Peer *peer);
+/* Whether it wants each table, and not only a sign of life. */
+bool Peers_IsSubscriber(const Peers *peers, const Peer *peer);
+/* Whether the load of other VMs of this region arrives. */
+bool Peers_HasView(const Peers *peers);
+/* Adds the load of this region's VMs to *sum, without this VM's, and returns
+   the number of VMs in it. */
+uint32_t Peers_SumRegion(const Peers *peers, Report *sum);
+/* The row of a region's table if it is current, or NULL. */
+const PeersRegion *Peers_FindRegion(const Peers *peers, uint32_t region);
+
+/* As Gos_CountLivePeers(), Gos_CountVms(), Gos_IsHome(). */
+guint Peers_CountLive(const Peers *peers);
+uint32_t Peers_CountVms(const Peers *peers);
+bool Peers_IsHome(const Peers *peers, const char *key);
+/* Sums the demand of all other live VMs on a service, or only of those that
+   are near: in a large fleet, those of this region. `own` is this VM's demand,
+   which a region's table includes. Stores the number of VMs in the sum in
+   *count. */
+ReportDemand Peers_SumDemand(const Peers *peers, uint64_t service,
+                             bool near_only, const ReportDemand *own,
+                             uint32_t *count);
+
+#endif
--- a/src/gate/pool_control.c
+++ b/src/gate/pool_control.c
@@ -35,10 +35,10 @@
 /* The state of one service of model workers. */
 typedef struct PoolControlService {
     char name[FLEET_NAME_MAX];
-    GateDemand last_totals; /* The gate's totals at the last tick. */
-    GosDemand own_load;     /* Moving average of this VM's load. */
-    GosDemand total_load;   /* Sum of all VMs' moving averages. */
-    uint32_t ticks;         /* Ticks at which there was load. */
+    GateDemand last_totals;  /* The gate's totals at the last tick. */
+    ReportDemand own_load;   /* Moving average of this VM's load. */
+    ReportDemand total_load; /* Sum of all VMs' moving averages. */
+    uint32_t ticks;          /* Ticks at which there was load. */
     int64_t home_since_us; /* Time at which this VM became home; 0 if it is not
                               home or can't reach the source. */
     uint64_t fence;        /* Fence number of the last order. */
@@ -171,7 +171,7 @@
         (double)elapsed_us;
     double kv_tokens = (totals.kv_token_us - state->last_totals.kv_token_us) /
                        (double)elapsed_us;
-    GosDemand load;
+    ReportDemand load;
     /* The first ticks get equal weights, so that the average does not start
        near 0. */
     double weight = MAX(POOL_CONTROL_SMOOTHING, 1.0 / (state->ticks + 1.0));
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -2,8 +2,27 @@
    snapshot for a VM that can't reach the source. */
 #include "gate_rig.h"
 
+extern "C" {
+#include "metrics.h"
+}
+
 namespace {
 
+/* Returns a port for UDP and TCP that was free at the call. */
+uint16_t
+FreePort()
+{
+    LsError err = {};
+    event_base *base = event_base_new();
+    ServerOptions options = Server_DefaultOptions();
+    options.base = base;
+    Server *server = Server_New(&options, &err);
+    uint16_t port = Server_GetPort(server);
+    Server_Free(server);
+    event_base_free(base);
+    return port;
+}
+
 /* A VM of the deployment: an edge with its listener for other VMs. */
 class Vm {
   public:
@@ -51,21 +70,6 @@
     std::string address;
 
   private:
-    /* Returns a port for UDP and TCP that was free at the call. */
-    static uint16_t
-    FreePort()
-    {
-        LsError err = {};
-        event_base *base = event_base_new();
-        ServerOptions options = Server_DefaultOptions();
-        options.base = base;
-        Server *server = Server_New(&options, &err);
-        uint16_t port = Server_GetPort(server);
-        Server_Free(server);
-        event_base_free(base);
-        return port;
-    }
-
     GHashTable *regions_;
 };
 
@@ -203,4 +207,231 @@
     }
 }
 
+/* Returns a UDP port that was free at the call. */
+uint16_t
+FreeUdpPort()
+{
+    int fd = socket(AF_INET, SOCK_DGRAM, 0);
+    sockaddr_in local = {};
+    socklen_t size = sizeof(local);
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(bind(fd, (sockaddr *)&local, size), 0);
+    getsockname(fd, (sockaddr *)&local, &size);
+    close(fd);
+    return ntohs(local.sin_port);
+}
+
+/* A fleet of VMs in three regions, each with the same workers "w0", "w1", ...
+   The first VM of each region has the largest capacity. */
+class Fleet3 : public Gossip {
+  protected:
+    struct Node {
+        std::string name, region;
+        std::vector<std::string> seeds;
+        Fleet *fleet = nullptr;
+        Gos *gos = nullptr;
+        int index = 0;
+        uint16_t port = 0; /* 0: any. */
+        uint32_t capacity = 0;
+        uint64_t starts = 0;
+    };
+
+    void
+    TearDown() override
+    {
+        for (auto &node : nodes) {
+            Stop(*node);
+        }
+        Gossip::TearDown();
+    }
+
+    void
+    Start(Node &node)
+    {
+        LsError err = {};
+        GosOptions options = Gos_DefaultOptions();
+        node.fleet = Fleet_New();
+        for (int i = 0; i < kWorkers; i++) {
+            FleetEntry worker = {};
+            g_snprintf(worker.id, sizeof(worker.id), "w%d", i);
+            Fleet_SetEntry(node.fleet, &worker);
+        }
+        options.base = base;
+        options.clk = &clk;
+        options.port = node.port;
+        options.vm = node.name.c_str();
+        options.region = node.region.c_str();
+        options.capacity = node.capacity;
+        options.incarnation = ++node.starts * 1000 + node.index;
+        options.fleet = node.fleet;
+        options.seed = node.index;
+        for (const std::string &seed : node.seeds) {
+            options.seeds[options.seed_count++] = seed.c_str();
+        }
+        node.gos = Gos_New(&options, &err);
+        ASSERT_NE(node.gos, nullptr) << err.message;
+    }
+
+    void
+    Stop(Node &node)
+    {
+        Gos_Free(node.gos);
+        Fleet_Free(node.fleet);
+        node.gos = nullptr;
+        node.fleet = nullptr;
+    }
+
+    void
+    StartFleet(int count)
+    {
+        for (int i = 0; i < count; i++) {
+            auto node = std::make_unique<Node>();
+            node->name = "vm" + std::to_string(i);
+            node->region = "region" + std::to_string(i % 3);
+            node->capacity = i < 6 ? 500 : 120;
+            node->index = i;
+            node->port = i == 0 ? FreeUdpPort() : 0;
+            if (i > 0) {
+                node->seeds.push_back("127.0.0.1:" +
+                                      std::to_string(nodes[0]->port));
+            }
+            nodes.push_back(std::move(node));
+        }
+        for (auto &node : nodes) {
+            Start(*node);
+        }
+    }
+
+    FleetWorker *
+    Worker(Node &node, int i)
+    {
+        return Fleet_Find(node.fleet, ("w" + std::to_string(i)).c_str());
+    }
+
+    /* Whether each running VM counts `inflight` calls of others at worker i,
+       without its own. */
+    bool
+    AllCount(int i, uint32_t inflight)
+    {
+        for (auto &node : nodes) {
+            if (node->gos != nullptr &&
+                Worker(*node, i)->peer_inflight + Worker(*node, i)->inflight !=
+                    inflight) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    bool
+    AllKnow(uint32_t vms)
+    {
+        for (auto &node : nodes) {
+            if (node->gos != nullptr &&
+                Gos_CountLivePeers(node->gos) + 1 != vms) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /* Bytes that a VM sends in a second on average, with `changes` of its load
+       in each second. */
+    double
+    MeasureBytes(int changes)
+    {
+        const int64_t length_us = 2 * CLK_US_PER_S;
+        uint64_t before = Met_Get(MET_PEER_BYTES_SENT);
+        int64_t begin_us = Clk_Now(&clk);
+        int64_t next_us = begin_us;
+        Until([&] {
+            int64_t now_us = Clk_Now(&clk);
+            if (now_us >= next_us) {
+                next_us += CLK_US_PER_S / changes;
+                for (auto &node : nodes) {
+                    FleetWorker *worker =
+                        Worker(*node, node->index % kWorkers);
+                    worker->inflight = 1 - worker->inflight;
+                    Gos_ScheduleUpdate(node->gos);
+                }
+            }
+            return now_us - begin_us >= length_us;
+        });
+        return (double)(Met_Get(MET_PEER_BYTES_SENT) - before) /
+               (double)nodes.size() / 2;
+    }
+
+    static const int kWorkers = 100;
+    std::vector<std::unique_ptr<Node>> nodes;
+};
+
+TEST_F(Fleet3, LoadOfAllVmsReachesEachVm)
+{
+    StartFleet(45);
+    ASSERT_TRUE(Until([&] { return AllKnow(45); }));
+    for (auto &node : nodes) {
+        Worker(*node, 7)->inflight = 2;
+        Gos_ScheduleUpdate(node->gos);
+    }
+    EXPECT_TRUE(Until([&] { return AllCount(7, 90); }));
+    for (auto &node : nodes) {
+        Worker(*node, 7)->inflight = 0;
+        Gos_ScheduleUpdate(node->gos);
+    }
+    EXPECT_TRUE(Until([&] { return AllCount(7, 0); }));
+}
+
+TEST_F(Fleet3, LoadStaysKnownWhenTheHubsOfARegionStop)
+{
+    StartFleet(45);
+    ASSERT_TRUE(Until([&] { return AllKnow(45); }));
+    /* VMs 0 and 3 are the largest of region 0, and its hubs; VM 0 is the only
+       seed, too. */
+    Worker(*nodes[6], 3)->inflight = 1;
+    Worker(*nodes[7], 3)->inflight = 1;
+    ASSERT_TRUE(Until([&] { return AllCount(3, 2); }));
+    Stop(*nodes[0]);
+    Stop(*nodes[3]);
+    EXPECT_TRUE(Until([&] { return AllKnow(43) && AllCount(3, 2); }));
+    /* New load reaches the other VMs of the region by the new hubs. */
+    Worker(*nodes[9], 4)->inflight = 5;
+    EXPECT_TRUE(Until([&] { return AllCount(4, 5); }));
+    Start(*nodes[0]);
+    EXPECT_TRUE(Until([&] { return AllKnow(44) && AllCount(4, 5); }));
+}
+
+TEST_F(Fleet3, OneHubIsHomeOfAKey)
+{
+    StartFleet(30);
+    ASSERT_TRUE(Until([&] { return AllKnow(30); }));
+    EXPECT_TRUE(Until([&] {
+        int homes = 0;
+        for (auto &node : nodes) {
+            homes += Gos_IsHome(node->gos, "service");
+        }
+        return homes == 1;
+    }));
+}
+
+TEST_F(Fleet3, BytesOfAVmGrowLessThanTheFleet)
+{
+    StartFleet(30);
+    ASSERT_TRUE(Until([&] { return AllKnow(30); }));
+    double small = MeasureBytes(6);
+    for (auto &node : nodes) {
+        Stop(*node);
+    }
+    nodes.clear();
+    StartFleet(120);
+    ASSERT_TRUE(Until([&] { return AllKnow(120); }));
+    double large = MeasureBytes(6);
+    /* Power 0.3 at four times the size is a factor of 1.52; the bytes of the
+       tables themselves grow with the load that they hold, up to one more
+       part. */
+    EXPECT_LT(large, 2 * 1.52 * small);
+    printf("bytes a second and VM: %.0f at 30 VMs, %.0f at 120\n", small,
+           large);
+}
+
 } // namespace
