Store: in large fleets only hubs watch; other VMs get changes from them

Ruled out: longer watches alone (a watch that is lost stays unseen as long, and a release ends them all the same). Change: messages between VMs carry the revision and a digest of the workers' entries, and whether their sender watches the store. A VM that hears from a hub that watches pauses its own watch and fetches what changed after its revision from the hub (Snapshot_Pack with a revision). A hub that is behind another VM for 0.9 s asks that VM: its watch may be lost. Tests: StoreTest.WatchPauses..., WatchDoesNotPause..., SnapshotTest.

--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -760,7 +760,7 @@
   (ProtobufCMessageInit) gossip__table__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__news__field_descriptors[16] =
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[18] =
 {
   {
     "vm",
@@ -954,12 +954,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "watches",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, watches),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__news__field_indices_by_name[] = {
   3,   /* field[3] = address */
   10,   /* field[10] = capacity */
   5,   /* field[5] = config_version */
   9,   /* field[9] = demands */
+  17,   /* field[17] = digest */
   12,   /* field[12] = hub */
   14,   /* field[14] = hubs */
   1,   /* field[1] = incarnation */
@@ -972,11 +997,12 @@
   7,   /* field[7] = uses */
   0,   /* field[0] = vm */
   11,   /* field[11] = vms */
+  16,   /* field[16] = watches */
 };
 static const ProtobufCIntRange gossip__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor gossip__news__descriptor =
 {
@@ -986,7 +1012,7 @@
   "Gossip__News",
   "gossip",
   sizeof(Gossip__News),
-  16,
+  18,
   gossip__news__field_descriptors,
   gossip__news__field_indices_by_name,
   1,  gossip__news__number_ranges,
@@ -1057,7 +1083,7 @@
   (ProtobufCMessageInit) gossip__entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__picture__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gossip__picture__field_descriptors[6] =
 {
   {
     "config",
@@ -1107,17 +1133,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_delta",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Picture, is_delta),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ids",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gossip__Picture, n_ids),
+    offsetof(Gossip__Picture, ids),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__picture__field_indices_by_name[] = {
   0,   /* field[0] = config */
   1,   /* field[1] = config_version */
   3,   /* field[3] = entries */
+  5,   /* field[5] = ids */
+  4,   /* field[4] = is_delta */
   2,   /* field[2] = revision */
 };
 static const ProtobufCIntRange gossip__picture__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gossip__picture__descriptor =
 {
@@ -1127,7 +1179,7 @@
   "Gossip__Picture",
   "gossip",
   sizeof(Gossip__Picture),
-  4,
+  6,
   gossip__picture__field_descriptors,
   gossip__picture__field_indices_by_name,
   1,  gossip__picture__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -237,10 +237,18 @@
    * In messages of hubs; they have no uses.
    */
   Gossip__Table *table;
+  /*
+   * The source answers the sender, which watches it.
+   */
+  protobuf_c_boolean watches;
+  /*
+   * Of the workers' entries that the sender knows.
+   */
+  uint64_t digest;
 };
 #define GOSSIP__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0 }
 
 
 /*
@@ -273,10 +281,17 @@
   uint64_t revision;
   size_t n_entries;
   Gossip__Entry **entries;
+  /*
+   * If set, `entries` holds only those that changed after the revision that
+   * the receiver has, and `ids` the hashes of the identifiers of all.
+   */
+  protobuf_c_boolean is_delta;
+  size_t n_ids;
+  uint64_t *ids;
 };
 #define GOSSIP__PICTURE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__picture__descriptor) \
-    , {0,NULL}, 0, 0, 0,NULL }
+    , {0,NULL}, 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /* Gossip__Use methods */
--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -14,6 +14,9 @@
 /* Time before the kill at which the remaining requests are ended, so that
    their answers can still be sent. */
 #define EDGE_ANSWER_MARGIN_MS 900
+/* A VM that watches the source, but is behind another VM for longer than this,
+   asks that VM: its own watch may be lost. */
+#define EDGE_BEHIND_MAX_US (900 * CLK_US_PER_MS)
 #define EDGE_METRICS_PATH "/metrics"
 
 struct Edge {
@@ -34,6 +37,10 @@
     bool idle_closed; /* Callers' connections without a request are closed. */
     bool tasks_ended; /* Requests in progress have been ended. */
     int64_t stop_us;
+    /* What this VM knew when it learned that another VM knows something newer,
+       and the time of that. */
+    GosVersions behind;
+    int64_t behind_us;
 };
 
 static void on_limits(void *context, const RteLimits *limits);
@@ -47,10 +54,9 @@
 static void on_budget_change(void *context, const char *service,
                              double requests, double extras);
 static void on_load_change(void *context);
-static uint64_t get_config_version(void *context);
-static uint64_t get_revision(void *context);
-static void on_newer_peer(void *context, const char *address,
-                          uint64_t config_version, uint64_t revision);
+static GosVersions get_versions(void *context);
+static void on_peer_versions(void *context, const char *address,
+                             const GosVersions *versions);
 
 EdgeOptions
 Edge_DefaultOptions(void)
@@ -244,9 +250,8 @@
     memcpy(gossip.seeds, edge->options.seeds, sizeof(gossip.seeds));
     gossip.fleet = edge->fleet;
     gossip.context = edge;
-    gossip.get_config_version = get_config_version;
-    gossip.get_revision = get_revision;
-    gossip.on_newer_peer = on_newer_peer;
+    gossip.get_versions = get_versions;
+    gossip.on_peer_versions = on_peer_versions;
     edge->gossip = Gos_New(&gossip, err);
     relay.base = edge->options.base;
     relay.clk = edge->options.clk;
@@ -313,36 +318,59 @@
     }
 }
 
-static uint64_t
-get_config_version(void *context)
-{
-    const Edge *edge = context;
-
-    return Snapshot_GetVersion(Feed_GetSnapshot(edge->feed));
-}
-
-static uint64_t
-get_revision(void *context)
+static GosVersions
+get_versions(void *context)
 {
     const Edge *edge = context;
+    const Snapshot *snapshot = Feed_GetSnapshot(edge->feed);
+    GosVersions versions = {
+        .config_version = Snapshot_GetVersion(snapshot),
+        .revision = Snapshot_GetRevision(snapshot),
+        .digest = Snapshot_GetDigest(snapshot),
+        .watches = Gos_NeedsSource(edge->gossip) &&
+                   edge->options.is_source_reachable(edge->options.context),
+    };
 
-    return Snapshot_GetRevision(Feed_GetSnapshot(edge->feed));
+    return versions;
 }
 
-/* Fetches the newer snapshot of another VM if the source doesn't answer. */
+/* Fetches the snapshot of another VM that knows something newer, unless this
+   VM learns it by itself: it watches the source, which answers, and has not
+   been behind for long. */
 static void
-on_newer_peer(void *context, const char *address, uint64_t config_version,
-              uint64_t revision)
+on_peer_versions(void *context, const char *address,
+                 const GosVersions *versions)
 {
     Edge *edge = context;
-
-    (void)config_version;
-    (void)revision;
-    if (!edge->options.is_source_reachable(edge->options.context)) {
-        Relay_FetchSnapshot(edge->relay, address);
+    GosVersions own = get_versions(edge);
+    int64_t now_us = Clk_Now(edge->options.clk);
+    bool is_newer = versions->config_version > own.config_version ||
+                    versions->revision > own.revision;
+
+    if (is_newer && (edge->behind_us == 0 ||
+                     edge->behind.config_version != own.config_version ||
+                     edge->behind.revision != own.revision)) {
+        edge->behind = own;
+        edge->behind_us = now_us;
+    }
+    if (is_newer &&
+        (!own.watches || now_us - edge->behind_us > EDGE_BEHIND_MAX_US)) {
+        Relay_FetchSnapshot(edge->relay, address, own.revision);
+    }
+    else if (!own.watches && versions->watches &&
+             versions->revision == own.revision &&
+             versions->digest != own.digest) {
+        /* A change was missed, so all entries are needed. */
+        Relay_FetchSnapshot(edge->relay, address, 0);
     }
 }
 
+bool
+Edge_NeedsSource(const Edge *edge)
+{
+    return edge->gossip == NULL || Gos_NeedsSource(edge->gossip);
+}
+
 static void
 on_limits(void *context, const RteLimits *limits)
 {
--- a/src/gate/edge.h
+++ b/src/gate/edge.h
@@ -56,6 +56,9 @@
 Gate *Edge_GetGate(Edge *edge);
 uint16_t Edge_GetPort(const Edge *edge); /* Port for callers. */
 Feed *Edge_GetFeed(Edge *edge);          /* Accepts the source's data. */
+/* Whether this VM should watch the source for changes. Otherwise it gets them
+   from a VM that does, once it has read the source completely. */
+bool Edge_NeedsSource(const Edge *edge);
 /* Edge_SetBudget() and Edge_SetSeeds() change settings while the process
    runs. */
 void Edge_SetBudget(Edge *edge, const BudgetOptions *budget);
--- a/src/gate/feed.c
+++ b/src/gate/feed.c
@@ -14,6 +14,7 @@
                       size_t size, uint64_t revision);
 static void begin_sweep(void *context);
 static void end_sweep(void *context);
+static void remove_entry(void *context, const char *id, uint64_t revision);
 
 Feed *
 Feed_New(const FeedOptions *options)
@@ -125,6 +126,7 @@
         .on_sweep_begin = begin_sweep,
         .on_entry = set_entry,
         .on_sweep_end = end_sweep,
+        .on_remove = remove_entry,
     };
 
     return Snapshot_Apply(feed->snapshot, data, size, &handler);
@@ -155,3 +157,9 @@
 {
     Feed_EndSweep(context);
 }
+
+static void
+remove_entry(void *context, const char *id, uint64_t revision)
+{
+    Feed_RemoveEntry(context, id, revision);
+}
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -233,6 +233,12 @@
     return sum_demand(gos, service, true, count);
 }
 
+bool
+Gos_NeedsSource(const Gos *gos)
+{
+    return !Peers_HasWatcher(&gos->peers);
+}
+
 bool
 Gos_HasMajority(const Gos *gos)
 {
@@ -343,6 +349,7 @@
         Peers_NoteCandidate(&gos->peers, hub->address, hub->region,
                             hub->capacity, hub->age_ms);
     }
+    peer->watches = news->watches;
     if (news->table != NULL) {
         peer->table_us = now_us;
         store_table(gos, news);
@@ -458,18 +465,22 @@
     struct in_addr ip = {.s_addr = htonl((uint32_t)(news->address >> 16))};
     char ip_text[INET_ADDRSTRLEN];
     char address[FLEET_ADDRESS_MAX];
+    GosVersions theirs = {news->config_version, news->revision, news->digest,
+                          news->watches};
+    GosVersions own;
 
-    if (options->on_newer_peer == NULL ||
-        (news->config_version <=
-             options->get_config_version(options->context) &&
-         news->revision <= options->get_revision(options->context))) {
+    if (options->on_peer_versions == NULL) {
+        return;
+    }
+    own = options->get_versions(options->context);
+    if (theirs.config_version == own.config_version &&
+        theirs.revision == own.revision && theirs.digest == own.digest) {
         return;
     }
     inet_ntop(AF_INET, &ip, ip_text, sizeof(ip_text));
     g_snprintf(address, sizeof(address), "%s:%u", ip_text,
                (unsigned)(news->address & UINT16_MAX));
-    options->on_newer_peer(options->context, address, news->config_version,
-                           news->revision);
+    options->on_peer_versions(options->context, address, &theirs);
 }
 
 /* Sends this VM's load: in a mesh to all peers of this region and to a random
@@ -677,9 +688,12 @@
     news->region = gos->peers.options.region;
     news->capacity = options->capacity;
     news->vms = Peers_CountLive(&gos->peers) + 1;
-    if (options->get_config_version != NULL) {
-        news->config_version = options->get_config_version(options->context);
-        news->revision = options->get_revision(options->context);
+    if (options->get_versions != NULL) {
+        GosVersions own = options->get_versions(options->context);
+        news->config_version = own.config_version;
+        news->revision = own.revision;
+        news->digest = own.digest;
+        news->watches = own.watches;
     }
     news->uses = message->uses;
     news->peers = message->peers;
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -16,6 +16,14 @@
 
 #define GOS_SEEDS_MAX 8
 
+/* What a VM knows from the source (the store of configuration and workers). */
+typedef struct GosVersions {
+    uint64_t config_version;
+    uint64_t revision; /* Of the newest change of workers. */
+    uint64_t digest;   /* Of the workers' entries. */
+    bool watches;      /* It watches the source, which answers. */
+} GosVersions;
+
 /* The strings, except those in `seeds`, are not copied: they must outlive the
    Gos. */
 typedef struct GosOptions {
@@ -34,13 +42,12 @@
                      VMs report. */
     guint32 seed; /* Seed of the random number generator. */
     void *context;
-    /* Versions that this VM knows; NULL if on_newer_peer is NULL. */
-    uint64_t (*get_config_version)(void *context);
-    uint64_t (*get_revision)(void *context);
-    /* Called when the VM at this peer address knows a newer configuration, or
-       a newer change of workers, than this VM. NULL is allowed. */
-    void (*on_newer_peer)(void *context, const char *address,
-                          uint64_t config_version, uint64_t revision);
+    /* Gets what this VM knows; NULL if on_peer_versions is NULL. */
+    GosVersions (*get_versions)(void *context);
+    /* Called when the VM at this peer address knows something else than this
+       VM. NULL is allowed. */
+    void (*on_peer_versions)(void *context, const char *address,
+                             const GosVersions *versions);
 } GosOptions;
 
 typedef struct Gos Gos;
@@ -70,6 +77,10 @@
    one. Stores the number of those peers in *count. */
 ReportDemand Gos_SumNearDemand(const Gos *gos, const char *service,
                                uint32_t *count);
+/* Whether this VM should watch the source itself: all VMs of a small
+   deployment do, in a large one the hubs, and each VM that hears of no hub
+   that does. */
+bool Gos_NeedsSource(const Gos *gos);
 /* Whether a majority of the VMs that Gos_CountVms() counts are live. */
 bool Gos_HasMajority(const Gos *gos);
 /* Whether this VM is the key's home: the one with the highest rendezvous
--- a/src/gate/peers.c
+++ b/src/gate/peers.c
@@ -13,6 +13,9 @@
 #define PEERS_LIVE_TIMEOUT_US (8 * PEERS_INTERVAL_US)
 /* The use of workers that a near peer reported is dropped at this age. */
 #define PEERS_USE_TIMEOUT_US (1200 * CLK_US_PER_MS)
+/* A hub that sent no table for this long is not relied on for changes in the
+   source; it is short compared to the time within which changes must apply. */
+#define PEERS_WATCHER_TIMEOUT_US (800 * CLK_US_PER_MS)
 /* A table is dropped at this age. */
 #define PEERS_TABLE_TIMEOUT_US (2 * CLK_US_PER_S)
 /* Within this time only the hub that sent the last table of a region may
@@ -224,6 +227,27 @@
            Peers_FindRegion(peers, peers->options.region) != NULL;
 }
 
+bool
+Peers_HasWatcher(const Peers *peers)
+{
+    HubsChoice choice = Peers_GetHubs(peers);
+    int64_t now_us = Clk_Now(peers->options.clk);
+    const Peer *peer;
+
+    if (peers->is_mesh || Hubs_Contains(&choice, peers->options.address)) {
+        return false;
+    }
+    LIST_FOREACH(peer, &peers->list, links)
+    {
+        if (peer->watches && Hubs_Contains(&choice, peer->address) &&
+            peer->table_us != 0 &&
+            now_us - peer->table_us < PEERS_WATCHER_TIMEOUT_US) {
+            return true;
+        }
+    }
+    return false;
+}
+
 uint32_t
 Peers_SumRegion(const Peers *peers, Report *sum)
 {
--- a/src/gate/peers.h
+++ b/src/gate/peers.h
@@ -35,6 +35,7 @@
     int64_t mentioned_us;  /* Last time that any message named it. */
     int64_t heard_us;      /* Last time that any VM had a message from it. */
     int64_t chosen_us; /* Since when it is a hub of this VM; 0: it isn't. */
+    bool watches;      /* It watches the source, which answers. */
     int64_t suspect_until_us; /* It was silent as a hub; until then it counts
                                  as a hub only if it sends a message. */
     Report report;            /* Its load. */
@@ -112,6 +113,9 @@
 bool Peers_IsSubscriber(const Peers *peers, const Peer *peer);
 /* Whether the load of other VMs of this region arrives. */
 bool Peers_HasView(const Peers *peers);
+/* Whether a hub of this region watches the source on behalf of this VM, which
+   is no hub. */
+bool Peers_HasWatcher(const Peers *peers);
 /* Adds the load of this region's VMs to *sum, without this VM's, and returns
    the number of VMs in it. */
 uint32_t Peers_SumRegion(const Peers *peers, Report *sum);
--- a/src/gate/relay.c
+++ b/src/gate/relay.c
@@ -5,6 +5,9 @@
 #include <string.h>
 
 #define RELAY_PATH "/picture"
+/* Followed by the revision up to which the requesting VM has all changes. */
+#define RELAY_DELTA_PATH RELAY_PATH "?since="
+#define RELAY_TARGET_MAX 64
 /* Shortest interval between two requests. */
 #define RELAY_FETCH_INTERVAL_US (500 * CLK_US_PER_MS)
 #define RELAY_FETCH_TIMEOUT_US (2 * CLK_US_PER_S)
@@ -71,13 +74,14 @@
 }
 
 void
-Relay_FetchSnapshot(Relay *relay, const char *address)
+Relay_FetchSnapshot(Relay *relay, const char *address, uint64_t since)
 {
+    char target[RELAY_TARGET_MAX];
     int64_t now_us = Clk_Now(relay->options.clk);
     ClientCallOptions call = {
         .address = address,
         .method = "GET",
-        .target = RELAY_PATH,
+        .target = target,
         .idle_max_ms = UINT32_MAX,
         .context = relay,
         .on_head = on_head,
@@ -95,6 +99,8 @@
         return;
     }
     relay->fetch_began_us = now_us;
+    g_snprintf(target, sizeof(target), RELAY_DELTA_PATH "%llu",
+               (unsigned long long)since);
     relay->status = 0;
     g_byte_array_set_size(relay->body, 0);
     g_strlcpy(relay->address, address, sizeof(relay->address));
@@ -106,12 +112,17 @@
 {
     Relay *relay = context;
     GByteArray *data;
+    uint64_t since = 0;
 
-    if (strcmp(exchange->target, RELAY_PATH) != 0) {
+    if (g_str_has_prefix(exchange->target, RELAY_DELTA_PATH)) {
+        since = g_ascii_strtoull(exchange->target + strlen(RELAY_DELTA_PATH),
+                                 NULL, 10);
+    }
+    else if (strcmp(exchange->target, RELAY_PATH) != 0) {
         Server_SendResponse(exchange, 404, NULL, "", 0);
         return;
     }
-    data = Snapshot_Pack(Feed_GetSnapshot(relay->options.feed));
+    data = Snapshot_Pack(Feed_GetSnapshot(relay->options.feed), since);
     Server_SendResponse(exchange, 200, NULL, data->data, data->len);
     g_byte_array_free(data, TRUE);
 }
--- a/src/gate/relay.h
+++ b/src/gate/relay.h
@@ -1,7 +1,7 @@
 /* Relay: copies snapshots of the configuration and the workers' entries
-   between VMs over HTTP, for VMs that the source (the store of configuration
-   and workers) refuses or doesn't answer. A VM requests the snapshot from a VM
-   that has announced a newer version. */
+   between VMs over HTTP, for VMs that don't watch the source (the store of
+   configuration and workers), or that it refuses or doesn't answer. A VM
+   requests the snapshot from a VM that has announced a newer version. */
 #ifndef LS_RELAY_H
 #define LS_RELAY_H
 
@@ -26,8 +26,9 @@
 Relay *Relay_New(const RelayOptions *options, LsError *err);
 void Relay_Free(Relay *relay); /* NULL is allowed. */
 /* Requests the snapshot of the VM at this address, "IP:port", and applies it
-   to the feed. Does nothing if another request is in progress or began less
-   than 500 ms ago; a request that has run for 2 s is cancelled first. */
-void Relay_FetchSnapshot(Relay *relay, const char *address);
+   to the feed: only the changes after revision `since`, or all if it is 0.
+   Does nothing if another request is in progress or began less than 500 ms
+   ago; a request that has run for 2 s is cancelled first. */
+void Relay_FetchSnapshot(Relay *relay, const char *address, uint64_t since);
 
 #endif
--- a/src/gate/snapshot.h
+++ b/src/gate/snapshot.h
@@ -22,6 +22,8 @@
     void (*on_entry)(void *context, const char *id, const void *text,
                      size_t size, uint64_t revision);
     void (*on_sweep_end)(void *context);
+    /* A worker that the other VM no longer has. */
+    void (*on_remove)(void *context, const char *id, uint64_t revision);
 } SnapshotHandler;
 
 typedef struct Snapshot Snapshot;
@@ -31,7 +33,7 @@
 /* Copies the configuration, unless the same or a newer version is set. */
 void Snapshot_SetConfig(Snapshot *snapshot, const void *text, size_t size,
                         uint64_t version);
-/* Copies the worker's entry. */
+/* Copies the worker's entry, unless a newer one is set. */
 void Snapshot_SetEntry(Snapshot *snapshot, const char *id, const void *text,
                        size_t size, uint64_t revision);
 void Snapshot_RemoveEntry(Snapshot *snapshot, const char *id,
@@ -43,11 +45,17 @@
 /* Returns the highest revision of a set or removed entry. */
 uint64_t Snapshot_GetRevision(const Snapshot *snapshot);
 
-/* Returns the snapshot as a message for another VM. The caller frees it with
+/* Returns a digest of the workers' entries: two VMs with the same revision and
+   digest have the same entries. */
+uint64_t Snapshot_GetDigest(const Snapshot *snapshot);
+
+/* Returns the snapshot as a message for another VM that has all changes up to
+   revision `since`; 0 for a VM that has none. The caller frees it with
    g_byte_array_free(). */
-GByteArray *Snapshot_Pack(const Snapshot *snapshot);
+GByteArray *Snapshot_Pack(const Snapshot *snapshot, uint64_t since);
 /* Calls the handler for the parts of another VM's message that are newer than
-   `snapshot`. Returns false if the message is malformed. */
+   `snapshot`. A complete message of the same revision replaces the entries,
+   too. Returns false if the message is malformed. */
 bool Snapshot_Apply(const Snapshot *snapshot, const void *data, size_t size,
                     const SnapshotHandler *handler);
 
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -207,6 +207,97 @@
     }
 }
 
+/* Snapshots of two VMs, of which the second gets changes from the first. */
+class SnapshotTest : public testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        from = Snapshot_New();
+        to = Snapshot_New();
+    }
+
+    void
+    TearDown() override
+    {
+        Snapshot_Free(from);
+        Snapshot_Free(to);
+    }
+
+    /* Applies what `from` has after revision `since` to `to`. */
+    size_t
+    Copy(uint64_t since)
+    {
+        GByteArray *data = Snapshot_Pack(from, since);
+        size_t size = data->len;
+        SnapshotHandler handler = {};
+        handler.context = to;
+        handler.on_config = [](void *, const void *, size_t, uint64_t) {};
+        handler.on_sweep_begin = [](void *context) {
+            Snapshot_ClearEntries(static_cast<Snapshot *>(context));
+        };
+        handler.on_sweep_end = [](void *) {};
+        handler.on_entry = [](void *context, const char *id, const void *text,
+                              size_t length, uint64_t revision) {
+            Snapshot_SetEntry(static_cast<Snapshot *>(context), id, text,
+                              length, revision);
+        };
+        handler.on_remove = [](void *context, const char *id,
+                               uint64_t revision) {
+            Snapshot_RemoveEntry(static_cast<Snapshot *>(context), id,
+                                 revision);
+        };
+        EXPECT_TRUE(Snapshot_Apply(to, data->data, data->len, &handler));
+        g_byte_array_free(data, TRUE);
+        return size;
+    }
+
+    Snapshot *from;
+    Snapshot *to;
+};
+
+TEST_F(SnapshotTest, DeltaHoldsChangesAndRemovals)
+{
+    std::string text(300, 'x');
+    for (int i = 0; i < 50; i++) {
+        Snapshot_SetEntry(from, ("w" + std::to_string(i)).c_str(), text.data(),
+                          text.size(), i + 1);
+    }
+    size_t full = Copy(0);
+    EXPECT_EQ(Snapshot_GetDigest(to), Snapshot_GetDigest(from));
+    Snapshot_SetEntry(from, "w3", text.data(), text.size(), 60);
+    Snapshot_SetEntry(from, "new", text.data(), text.size(), 61);
+    Snapshot_RemoveEntry(from, "w4", 62);
+    EXPECT_NE(Snapshot_GetDigest(to), Snapshot_GetDigest(from));
+    EXPECT_LT(Copy(Snapshot_GetRevision(to)), full / 10);
+    EXPECT_EQ(Snapshot_GetDigest(to), Snapshot_GetDigest(from));
+    EXPECT_EQ(Snapshot_GetRevision(to), 62u);
+}
+
+TEST_F(SnapshotTest, CompleteCopyOfTheSameRevisionReplacesWhatDiffers)
+{
+    Snapshot_SetEntry(from, "a", "1", 1, 5);
+    Snapshot_SetEntry(from, "b", "1", 1, 9);
+    Snapshot_SetEntry(to, "c", "1", 1, 4);
+    Snapshot_SetEntry(to, "b", "1", 1, 9);
+    EXPECT_NE(Snapshot_GetDigest(to), Snapshot_GetDigest(from));
+    Copy(Snapshot_GetRevision(to)); /* A delta has nothing newer. */
+    EXPECT_NE(Snapshot_GetDigest(to), Snapshot_GetDigest(from));
+    Copy(0);
+    EXPECT_EQ(Snapshot_GetDigest(to), Snapshot_GetDigest(from));
+}
+
+TEST_F(SnapshotTest, OlderChangesOfAWorkerAreIgnored)
+{
+    Snapshot_SetEntry(from, "a", "new", 3, 9);
+    uint64_t digest = Snapshot_GetDigest(from);
+    Snapshot_SetEntry(from, "a", "old", 3, 7);
+    Snapshot_RemoveEntry(from, "a", 8);
+    EXPECT_EQ(Snapshot_GetDigest(from), digest);
+    Snapshot_RemoveEntry(from, "a", 10);
+    EXPECT_EQ(Snapshot_GetDigest(from), 0u);
+}
+
 /* Returns a UDP port that was free at the call. */
 uint16_t
 FreeUdpPort()
--- a/tests/test_store.cc
+++ b/tests/test_store.cc
@@ -103,6 +103,10 @@
         options.feed = Edge_GetFeed(rig.edge);
         options.address = store->address.c_str();
         options.seed = 3;
+        options.context = this;
+        options.is_watch_needed = [](void *context) {
+            return static_cast<StoreTest *>(context)->watch_needed;
+        };
         client = Pf_NewStore(&options);
     }
 
@@ -123,6 +127,7 @@
     GateRig rig;
     std::unique_ptr<ScriptedStore> store;
     PfStore *client = nullptr;
+    bool watch_needed = true;
 };
 
 TEST_F(StoreTest, ReadsPagesThenWatchesFromRevisionOfFirstPage)
@@ -159,6 +164,42 @@
     EXPECT_NE(store->targets[3].find("after=30&"), std::string::npos);
 }
 
+/* In a large fleet most VMs learn changes from other VMs, and must not call
+   the store at all meanwhile: 295 VMs that watch cost it 200 calls a second.
+ */
+TEST_F(StoreTest, WatchPausesWhileOtherVmsTellChanges)
+{
+    watch_needed = false;
+    Begin({Range(Item("servers/a", WorkerEntry("ready"), 4), 7),
+           Events(Item("servers/a", WorkerEntry("draining"), 12), 12)});
+    ASSERT_TRUE(rig.Until([&] { return IsReady("a"); }));
+    int64_t begin_us = Clk_Now(&rig.clk);
+    rig.Until(
+        [&] { return Clk_Now(&rig.clk) - begin_us > 600 * CLK_US_PER_MS; });
+    EXPECT_EQ(store->targets.size(), 1u);
+    EXPECT_TRUE(Pf_IsStoreReachable(client));
+    /* A change that another VM told is not asked for again. */
+    std::string entry = WorkerEntry("ready");
+    Feed_SetEntry(Edge_GetFeed(rig.edge), "b", entry.data(), entry.size(), 10);
+    watch_needed = true;
+    ASSERT_TRUE(rig.Until([&] { return store->targets.size() >= 2; }));
+    EXPECT_NE(store->targets[1].find("after=10&"), std::string::npos);
+    EXPECT_TRUE(rig.Until([&] { return !IsReady("a"); }));
+}
+
+/* Pages are read one after the other, so what changes between them is known
+   only once the first watch has answered. */
+TEST_F(StoreTest, WatchDoesNotPauseBeforePagesAreConsistent)
+{
+    watch_needed = false;
+    Begin({Range(Item("servers/a", WorkerEntry("ready"), 4), 7, true),
+           Range(Item("servers/b", WorkerEntry("ready"), 9), 9),
+           Events(Item("servers/a", WorkerEntry("draining"), 8), 9)});
+    ASSERT_TRUE(rig.Until([&] { return store->targets.size() == 3; }));
+    EXPECT_NE(store->targets[2].find("after=7&"), std::string::npos);
+    EXPECT_TRUE(rig.Until([&] { return IsReady("b") && !IsReady("a"); }));
+}
+
 /* The store stops responding as a watch begins, while the connection stays
    open. Without a short time-out of the watch, changes would stay unseen. */
 TEST_F(StoreTest, SilentWatchTimesOutAndIsRepeated)
