Bound bytes of workers that are no answer and come without end

Cause: only header fields were counted. A status line, interim responses, chunk extensions, bodies of other requests, and an event without end were read until the request's deadline; the event kept all bytes and searched them from the start at each read. Comments of an event stream counted as progress. A copy of a run's answer that came late, on a connection in use for a reservation, was taken as the answer to that. Change: the client bounds all bytes that are no part of the body (1 MiB, and 8 for each byte of the body) and its owner may reject a body, which ends the call at once; an event holds 256 KiB at most; all bodies in progress 24 MiB. Only events with an ID extend a stream's step. An answer that names a request is no answer to a control call.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -92,6 +92,12 @@
     return &gate->options.weights;
 }
 
+size_t
+Gate_GetBufferedBytes(const Gate *gate)
+{
+    return gate->buffered_bytes;
+}
+
 void
 Gate_SetBudget(Gate *gate, const BudgetOptions *options)
 {
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -75,6 +75,8 @@
     /* Whether an answer may belong to the request with this ID. */
     bool (*matches_request)(void *context, const HeaderList *headers,
                             const char *id);
+    /* Whether an answer may belong to a control call. */
+    bool (*matches_control)(void *context, const HeaderList *headers);
     void (*decode_reply)(void *context, int status, const HeaderList *headers,
                          const char *id, GateReply *reply);
     /* Converts a worker's header to the one that the caller gets. */
@@ -148,6 +150,8 @@
 const RteTable *Gate_GetTable(const Gate *gate);
 GateDemand Gate_GetDemand(const Gate *gate, const char *service);
 const RankWeights *Gate_GetWeights(const Gate *gate);
+/* Returns the bytes of workers' answers that are being read. */
+size_t Gate_GetBufferedBytes(const Gate *gate);
 /* Changes the budget of all services; `started_us` is ignored. */
 void Gate_SetBudget(Gate *gate, const BudgetOptions *options);
 /* From now on, streams without capacity are ended instead of waiting: refused
--- a/src/gate/relay.c
+++ b/src/gate/relay.c
@@ -151,6 +151,9 @@
     if (relay->body->len + size <= RELAY_RESPONSE_MAX_BYTES) {
         g_byte_array_append(relay->body, data, (guint)size);
     }
+    else {
+        Client_RejectBody(relay->call);
+    }
 }
 
 static void
--- a/src/gate/sse.c
+++ b/src/gate/sse.c
@@ -4,13 +4,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-static size_t find_end(const char *data, size_t size);
+static size_t find_end(const char *data, size_t from, size_t size);
 static void read_id(SseEvent *event);
 
 void
 Sse_Init(Sse *sse)
 {
     sse->pending = g_byte_array_new();
+    sse->searched = 0;
 }
 
 void
@@ -24,6 +25,7 @@
 Sse_Reset(Sse *sse)
 {
     g_byte_array_set_size(sse->pending, 0);
+    sse->searched = 0;
 }
 
 void
@@ -33,20 +35,28 @@
 }
 
 bool
-Sse_Next(const Sse *sse, size_t *offset, SseEvent *event)
+Sse_IsEventTooLong(const Sse *sse)
 {
-    const char *data = (const char *)sse->pending->data + *offset;
-    size_t left = sse->pending->len - *offset;
-    size_t size = left > 0 ? find_end(data, left) : 0;
+    return sse->pending->len > SSE_EVENT_MAX_BYTES;
+}
+
+bool
+Sse_Next(Sse *sse, size_t *offset, SseEvent *event)
+{
+    const char *data = (const char *)sse->pending->data;
+    size_t from = MAX(*offset, sse->searched);
+    size_t end = find_end(data, from, sse->pending->len);
 
-    if (size == 0) {
+    if (end == 0) {
+        /* An end that is incomplete so far may begin in the last two bytes. */
+        sse->searched = sse->pending->len > 2 ? sse->pending->len - 2 : 0;
         return false;
     }
     memset(event, 0, sizeof(*event));
-    event->data = data;
-    event->size = size;
+    event->data = data + *offset;
+    event->size = end - *offset;
     read_id(event);
-    *offset += size;
+    *offset = end;
     return true;
 }
 
@@ -55,22 +65,26 @@
 {
     if (offset > 0) {
         g_byte_array_remove_range(sse->pending, 0, (guint)offset);
+        sse->searched -= MIN(sse->searched, offset);
     }
 }
 
-/* Returns the size up to and including the first blank line, or 0. */
+/* Returns the offset after the first blank line at `from` or later, or 0 if
+   there is none. */
 static size_t
-find_end(const char *data, size_t size)
+find_end(const char *data, size_t from, size_t size)
 {
-    for (size_t i = 0; i + 1 < size; i++) {
-        if (data[i] != '\n') {
-            continue;
+    while (from + 1 < size) {
+        const char *line = memchr(data + from, '\n', size - from);
+        if (line == NULL) {
+            return 0;
         }
-        if (data[i + 1] == '\n') {
-            return i + 2;
+        from = (size_t)(line - data) + 1;
+        if (from < size && data[from] == '\n') {
+            return from + 1;
         }
-        if (i + 2 < size && data[i + 1] == '\r' && data[i + 2] == '\n') {
-            return i + 3;
+        if (from + 1 < size && data[from] == '\r' && data[from + 1] == '\n') {
+            return from + 2;
         }
     }
     return 0;
--- a/src/gate/sse.h
+++ b/src/gate/sse.h
@@ -7,8 +7,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Largest event: an event holds a few tokens, and bytes without the end of an
+   event may come for ever. */
+#define SSE_EVENT_MAX_BYTES (256 * 1024)
+
 typedef struct Sse {
     GByteArray *pending; /* Bytes of an incomplete event. */
+    size_t searched;     /* Bytes of them that hold no event's end. */
 } Sse;
 
 /* A complete event with its terminating blank line. */
@@ -25,10 +30,13 @@
 void Sse_Reset(Sse *sse); /* Discards the pending bytes before a new run. */
 /* Appends bytes of the body to the pending bytes. */
 void Sse_Feed(Sse *sse, const void *data, size_t size);
+/* Whether the pending bytes are more than an event may have. To be called once
+   Sse_Next() has returned false. */
+bool Sse_IsEventTooLong(const Sse *sse);
 /* Gets the next complete event, starting at *offset (0 for the first one), and
    advances *offset. Returns false if there is none. The event points into the
    pending bytes and is valid until they change. */
-bool Sse_Next(const Sse *sse, size_t *offset, SseEvent *event);
+bool Sse_Next(Sse *sse, size_t *offset, SseEvent *event);
 /* Discards the pending bytes before the offset. */
 void Sse_Drop(Sse *sse, size_t offset);
 
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -423,13 +423,13 @@
     Sse_Feed(&task->sse, data, size);
     if (!forward_events(task)) {
         Task_NoteFailure(task, CLIENT_MALFORMED, LS_RUN_UNKNOWN,
-                         "event missing in stream");
+                         "event missing or too long in stream");
         retry_or_end(task, LS_RUN_UNKNOWN, false);
     }
 }
 
 /* Sends the caller the complete events. Returns false if the worker skipped an
-   event. */
+   event, or sends one that is too long. */
 static bool
 forward_events(GateTask *task)
 {
@@ -460,13 +460,17 @@
         Server_SendData(task->exchange, event.data, event.size);
         task->events++;
         if (event.has_id) {
+            /* Comments are no progress: a stalled worker may send them. */
             task->last_event = event.id;
+            task->step_deadline_us =
+                Task_Now(task) + (int64_t)STREAM_GAP_TIMEOUT_FACTOR *
+                                     task->route->gap_ms * CLK_US_PER_MS;
         }
-        task->step_deadline_us =
-            Task_Now(task) + (int64_t)STREAM_GAP_TIMEOUT_FACTOR *
-                                 task->route->gap_ms * CLK_US_PER_MS;
     }
     Sse_Drop(&task->sse, offset);
+    if (Sse_IsEventTooLong(&task->sse)) {
+        return false;
+    }
     Task_SetTimer(task);
     return true;
 }
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -109,7 +109,8 @@
     GHashTable *demands;      /* Service name to GateDemand. */
     double event_interval_us; /* Between events of a stream, moving mean. */
     GRand *rand;
-    double mean_tokens; /* KV memory of a streaming request, moving mean. */
+    size_t buffered_bytes; /* Of the bodies of all calls in progress. */
+    double mean_tokens;    /* KV memory of a streaming request, moving mean. */
     bool stopping;
 };
 
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -11,8 +11,11 @@
 /* Cost of a worker that another VM can't reach: most of the time that a call
    would take to find it unreachable. */
 #define TASK_PEER_UNREACHABLE_COST_US (300 * CLK_US_PER_MS)
-/* Bytes. A longer answer is truncated, and so never passed to the caller. */
+/* Bytes. A longer answer is never passed to the caller, and its call ends. */
 #define TASK_BODY_MAX (8 * 1024 * 1024)
+/* Bytes of all answers that are being read: a share of the memory of a small
+   VM. */
+#define TASK_BODIES_MAX (24 * 1024 * 1024)
 
 static void fill_rank(const GateTask *task, const FleetWorker *worker,
                       int64_t now_us, RankWorker *rank);
@@ -27,6 +30,7 @@
 static void on_control_head(void *context, int status,
                             const HeaderList *headers);
 static bool matches_request(void *context, const HeaderList *headers);
+static bool matches_control(void *context, const HeaderList *headers);
 static void on_head(void *context, int status, const HeaderList *headers);
 
 RankDistance
@@ -168,6 +172,7 @@
         .body_size = strlen(control_call->body),
         .idle_max_ms = UINT32_MAX,
         .context = task,
+        .matches_request = matches_control,
         .on_head = on_control_head,
         .on_data = Task_AppendBody,
         .on_end = on_end,
@@ -210,6 +215,7 @@
         Fleet_Unref(current->worker);
     }
     if (current->body != NULL) {
+        task->gate->buffered_bytes -= current->body->len;
         g_byte_array_free(current->body, TRUE);
     }
     Header_Free(current->headers);
@@ -258,11 +264,14 @@
 {
     GateTask *task = context;
 
-    if (task->current.body->len + size <= TASK_BODY_MAX) {
+    if (task->current.body->len + size <= TASK_BODY_MAX &&
+        task->gate->buffered_bytes + size <= TASK_BODIES_MAX) {
         g_byte_array_append(task->current.body, data, (guint)size);
+        task->gate->buffered_bytes += size;
     }
     else {
         task->current.truncated = true;
+        Client_RejectBody(task->current.call);
     }
 }
 
@@ -513,6 +522,16 @@
     task->current.reply.status = status;
 }
 
+/* A late copy of a request's answer is not the answer to a control call. */
+static bool
+matches_control(void *context, const HeaderList *headers)
+{
+    const GateTask *task = context;
+    const GateCodec *codec = task->gate->options.codec;
+
+    return codec->matches_control(codec->context, headers);
+}
+
 static bool
 matches_request(void *context, const HeaderList *headers)
 {
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -32,14 +32,17 @@
     HeaderList *headers;
     HeaderReader reader;
     int64_t idle_since_us;
-    uint32_t idle_ms; /* Idle time after which it is closed. */
-    size_t head_size; /* Bytes of the response's header so far. */
+    uint32_t idle_ms;       /* Idle time after which it is closed. */
+    size_t head_size;       /* Bytes of the response's header so far. */
+    uint64_t body_size;     /* Bytes of the response's body so far. */
+    uint64_t received_size; /* All bytes since the call began. */
     bool connected;
     bool matches;       /* The response being read belongs to the call. */
     bool interim;       /* The response being read has a 1xx status. */
     bool parsing;       /* http_parser_execute() runs. */
     bool close_pending; /* The connection closes when the parser returns. */
     bool complete;      /* The call's response is complete. */
+    bool rejected;      /* The call's owner rejected the body. */
     bool head_request;  /* The call's method is HEAD: no body follows. */
 } ClientConn;
 
@@ -62,6 +65,7 @@
 static void write_call(ClientCall *call, const ClientCallOptions *options);
 static void send_call(ClientConn *conn);
 static void on_read(struct bufferevent *bev, void *context);
+static bool is_overhead_excessive(const ClientConn *conn);
 static void on_event(struct bufferevent *bev, short what, void *context);
 static void on_timer(evutil_socket_t fd, short what, void *context);
 static int parse_begin(http_parser *parser);
@@ -126,6 +130,9 @@
     }
     conn->call = call;
     conn->complete = false;
+    conn->rejected = false;
+    conn->body_size = 0;
+    conn->received_size = 0;
     conn->head_request = strcmp(options->method, "HEAD") == 0;
     call->conn = conn;
     if (conn->connected) {
@@ -149,6 +156,12 @@
     close_conn(conn);
 }
 
+void
+Client_RejectBody(ClientCall *call)
+{
+    call->conn->rejected = true;
+}
+
 void
 Client_CloseIdle(Client *client, const char *address)
 {
@@ -298,17 +311,29 @@
             return;
         }
         evbuffer_drain(in, parsed);
+        conn->received_size += parsed;
         if (conn->complete) {
             end_call(conn, CLIENT_COMPLETE);
             return;
         }
-        if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
+        if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK || conn->rejected ||
+            is_overhead_excessive(conn)) {
             end_call(conn, CLIENT_MALFORMED);
             return;
         }
     }
 }
 
+/* Whether the bytes that are no part of the body show that no response will
+   come. */
+static bool
+is_overhead_excessive(const ClientConn *conn)
+{
+    return conn->received_size - conn->body_size >
+           CLIENT_OVERHEAD_MAX_BYTES +
+               CLIENT_OVERHEAD_PER_BODY_BYTE * conn->body_size;
+}
+
 static void
 on_event(struct bufferevent *bev, short what, void *context)
 {
@@ -434,7 +459,10 @@
 {
     ClientConn *conn = parser->data;
 
-    if (conn->matches && conn->call != NULL &&
+    if (conn->matches) {
+        conn->body_size += size;
+    }
+    if (conn->matches && conn->call != NULL && !conn->rejected &&
         conn->call->options.on_data != NULL) {
         conn->call->options.on_data(conn->call->options.context, at, size);
     }
--- a/src/io/client.h
+++ b/src/io/client.h
@@ -25,6 +25,12 @@
 #define CLIENT_IDLE_MARGIN_MS 600
 #define CLIENT_IDLE_CONNS_MAX 8 /* Idle connections per address. */
 #define CLIENT_HEADER_MAX_BYTES (64 * 1024)
+/* A response may hold this many bytes that are not part of its body, with
+   interim responses, responses to other calls and the framing of chunks, and
+   in addition a multiple of its body's size, for the framing of short chunks.
+   Beyond that the call ends as malformed, since such bytes may never end. */
+#define CLIENT_OVERHEAD_MAX_BYTES (1024 * 1024)
+#define CLIENT_OVERHEAD_PER_BODY_BYTE 8
 
 typedef enum ClientOutcome {
     CLIENT_COMPLETE,    /* The response was received completely. */
@@ -69,6 +75,9 @@
 ClientCall *Client_BeginCall(Client *client, const ClientCallOptions *options);
 /* Cancels a call: closes its connection, and no callback follows. */
 void Client_EndCall(ClientCall *call);
+/* Ends the call as malformed once the current callback returns: its body is
+   not acceptable. To be called from on_data() only. */
+void Client_RejectBody(ClientCall *call);
 /* Closes the idle connections to an address, "IP:port". */
 void Client_CloseIdle(Client *client, const char *address);
 
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -7,6 +7,7 @@
 
 extern "C" {
 #include "gate/edge.h"
+#include "metrics.h"
 #include "pf.h"
 }
 
@@ -47,6 +48,7 @@
     enum End { KEEP, CLOSE, RESET };
     std::string bytes;
     End end = KEEP;
+    std::string endless; /* Sent again and again until the gate closes. */
 };
 
 inline std::string
@@ -145,6 +147,15 @@
         }
     }
 
+    /* Sends bytes on all connections. */
+    void
+    SendToAll(const std::string &bytes)
+    {
+        for (bufferevent *bev : conns_) {
+            bufferevent_write(bev, bytes.data(), bytes.size());
+        }
+    }
+
     std::string address;
     std::vector<std::string> requests; /* Headers and bodies, as received. */
     int closed = 0;                    /* Connections closed by the gate. */
@@ -152,6 +163,8 @@
     int refusals = 0;        /* How many of the next reservations to refuse. */
     int reservations = 0;    /* Reservations granted. */
     std::string reservation; /* Last request for a reservation. */
+    std::string before_reservation; /* Sent before each answer to one. */
+    size_t endless_bytes = 0; /* Bytes of endless replies that were taken. */
 
   private:
     static void
@@ -199,6 +212,7 @@
                          "13\r\n\r\n{\"hold\":\"L1\"}";
                 self->reservations++;
             }
+            answer = self->before_reservation + answer;
             bufferevent_write(bev, answer.data(), answer.size());
             return;
         }
@@ -223,6 +237,11 @@
             EXPECT_EQ(send(fd, reply.bytes.data(), reply.bytes.size(), 0),
                       (ssize_t)reply.bytes.size());
         }
+        if (!reply.endless.empty()) {
+            self->endless_ = reply.endless;
+            bufferevent_setcb(bev, OnRead, OnWrite, OnEvent, self);
+            OnWrite(bev, self);
+        }
         if (reply.end == ScriptedReply::RESET) {
             struct linger reset = {1, 0};
             setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -232,6 +251,19 @@
         }
     }
 
+    /* Goes on with an endless reply. */
+    static void
+    OnWrite(bufferevent *bev, void *context)
+    {
+        Worker *self = static_cast<Worker *>(context);
+        std::string piece;
+        while (piece.size() < 64 * 1024) {
+            piece += self->endless_;
+        }
+        self->endless_bytes += piece.size();
+        bufferevent_write(bev, piece.data(), piece.size());
+    }
+
     static void
     OnEvent(bufferevent *bev, short, void *context)
     {
@@ -254,6 +286,7 @@
 
     std::shared_ptr<std::deque<ScriptedReply>> replies_;
     evconnlistener *listener_;
+    std::string endless_;
     std::vector<bufferevent *> conns_;
 };
 
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -2,10 +2,6 @@
    snapshot for a VM that can't reach the source. */
 #include "gate_rig.h"
 
-extern "C" {
-#include "metrics.h"
-}
-
 namespace {
 
 /* Returns a port for UDP and TCP that was free at the call. */
