--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -132,7 +132,8 @@
     run_us = task->spent_us[TASK_RUN] + task->spent_us[TASK_DECODE];
     Log_WriteJson(
         LOG_LEVEL_INFO, "request_end",
-        json_pack("{s:s,s:s,s:s,s:i,s:I,s:i,s:i,s:s,s:I,s:I,s:I,s:I,s:I,s:I}",
+        json_pack("{s:s,s:s,s:s,s:i,s:I,s:i,s:i,s:s,s:I,s:I,s:I,s:I,s:I,s:I,"
+                  "s:i,s:i}",
                   "request", task->request.id, "route", task->route->name,
                   "outcome", outcome, "status", status, "took_us",
                   (json_int_t)took_us, "sends", (int)task->sends, "runs",
@@ -145,7 +146,9 @@
 
                   "reserve_us", (json_int_t)task->spent_us[TASK_RESERVE],
                   "prefill_us", (json_int_t)task->spent_us[TASK_PREFILL],
-                  "run_us", (json_int_t)run_us));
+                  "run_us", (json_int_t)run_us, "prompt_tokens",
+                  (int)task->request.prompt_tokens, "output_tokens",
+                  (int)task->request.output_tokens));
     Stream_ReleaseAll(task);
     free_task(task);
 }
