Admit streams by a forecast of the workers' memory

Each preempted prompt is read again at the decode worker, which stalls all its streams by some 200 ms (gaps above 300 ms come on five to nine streams of a worker at a time), so most late streams are late by pauses. The sum of prompts and expected answers, fixed from the start, told neither growth nor ends. Change: decide/forecast gives each stream's expected memory now, in 1 s and in 2.5 s; messages between VMs carry the sums. A stream is admitted if the highest sum leaves room for 3.5 usual answers, which is little where answers are short. Tests: Decide.StreamsThatBeginTogether..., ForecastOfOneStream; gossip carries it.

--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -322,7 +322,7 @@
   assert(message->base.descriptor == &gossip__picture__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gossip__use__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gossip__use__field_descriptors[7] =
 {
   {
     "worker",
@@ -396,11 +396,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "later",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gossip__Use, n_later),
+    offsetof(Gossip__Use, later),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__use__field_indices_by_name[] = {
   5,   /* field[5] = changing */
   3,   /* field[3] = held */
   1,   /* field[1] = inflight */
+  6,   /* field[6] = later */
   2,   /* field[2] = reading */
   4,   /* field[4] = silent */
   0,   /* field[0] = worker */
@@ -408,7 +421,7 @@
 static const ProtobufCIntRange gossip__use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gossip__use__descriptor =
 {
@@ -418,7 +431,7 @@
   "Gossip__Use",
   "gossip",
   sizeof(Gossip__Use),
-  6,
+  7,
   gossip__use__field_descriptors,
   gossip__use__field_indices_by_name,
   1,  gossip__use__number_ranges,
@@ -592,7 +605,7 @@
   (ProtobufCMessageInit) gossip__hub__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__table__field_descriptors[11] =
+static const ProtobufCFieldDescriptor gossip__table__field_descriptors[12] =
 {
   {
     "region",
@@ -726,12 +739,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "later",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gossip__Table, n_later),
+    offsetof(Gossip__Table, later),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__table__field_indices_by_name[] = {
   9,   /* field[9] = changing */
   10,   /* field[10] = demands */
   7,   /* field[7] = held */
   5,   /* field[5] = inflight */
+  11,   /* field[11] = later */
   1,   /* field[1] = members */
   2,   /* field[2] = part */
   3,   /* field[3] = parts */
@@ -743,7 +769,7 @@
 static const ProtobufCIntRange gossip__table__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor gossip__table__descriptor =
 {
@@ -753,7 +779,7 @@
   "Gossip__Table",
   "gossip",
   sizeof(Gossip__Table),
-  11,
+  12,
   gossip__table__field_descriptors,
   gossip__table__field_indices_by_name,
   1,  gossip__table__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -56,10 +56,15 @@
    * The sender ordered the worker to change its phase.
    */
   protobuf_c_boolean changing;
+  /*
+   * KV memory expected at later points of time, in units of 64 tokens.
+   */
+  size_t n_later;
+  uint32_t *later;
 };
 #define GOSSIP__USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__use__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -172,10 +177,15 @@
    */
   size_t n_demands;
   Gossip__Demand **demands;
+  /*
+   * As in Use, for one worker after the other.
+   */
+  size_t n_later;
+  uint32_t *later;
 };
 #define GOSSIP__TABLE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__table__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/src/decide/rank.c
+++ b/src/decide/rank.c
@@ -15,7 +15,7 @@
 
 static int64_t get_base_cost(const RankWeights *weights,
                              const RankWorker *worker);
-static int64_t get_memory_cost(const RankWorker *worker, uint32_t tokens);
+static int64_t get_memory_cost(const RankWorker *worker);
 static int64_t get_prefill_us(const RankWorker *worker, uint32_t tokens,
                               double per_us);
 
@@ -62,16 +62,15 @@
 {
     return get_base_cost(weights, worker) +
            get_prefill_us(worker, tokens, weights->prefill_per_us) +
-           get_memory_cost(worker, tokens);
+           get_memory_cost(worker);
 }
 
 int64_t
 Rank_GetDecodeCost(const RankWeights *weights, const RankWorker *worker,
-                   RankDistance kv_distance, uint32_t tokens)
+                   RankDistance kv_distance)
 {
     return get_base_cost(weights, worker) +
-           weights->kv_transfer_us[kv_distance] +
-           get_memory_cost(worker, tokens) +
+           weights->kv_transfer_us[kv_distance] + get_memory_cost(worker) +
            get_prefill_us(worker, 0, weights->local_prefill_per_us);
 }
 
@@ -81,7 +80,7 @@
 {
     return get_base_cost(weights, worker) + weights->local_prefill_us +
            get_prefill_us(worker, tokens, weights->local_prefill_per_us) +
-           get_memory_cost(worker, tokens);
+           get_memory_cost(worker);
 }
 
 static int64_t
@@ -94,15 +93,15 @@
 }
 
 static int64_t
-get_memory_cost(const RankWorker *worker, uint32_t tokens)
+get_memory_cost(const RankWorker *worker)
 {
     double share;
 
     if (worker->kv_capacity_tokens == 0) {
         return 0;
     }
-    share = (double)(worker->kv_tokens + tokens) /
-            (double)worker->kv_capacity_tokens;
+    share =
+        (double)worker->kv_peak_tokens / (double)worker->kv_capacity_tokens;
     if (share > 1.0) {
         return (int64_t)(share * RANK_MEMORY_FULL_US);
     }
--- a/src/decide/rank.h
+++ b/src/decide/rank.h
@@ -44,7 +44,9 @@
     uint32_t running; /* Calls at the worker, with those that wait there. */
     /* Prompt tokens that the worker has yet to read. */
     uint64_t prefill_tokens;
-    uint64_t kv_tokens;          /* KV memory in use, tokens. */
+    /* KV memory: highest expected use with the request, tokens. */
+    uint64_t kv_peak_tokens;
+    bool has_kv_load;            /* Other requests use the KV memory, too. */
     uint64_t kv_capacity_tokens; /* KV memory, tokens; 0 if it has none. */
     double service_us;           /* Mean time of a call; 0 if unknown. */
     /* Prefill time relative to that at the nominal speed, 1.0 as usual; 0
@@ -66,8 +68,7 @@
 /* Decoding at a decode worker at the distance `kv_distance` from the prefill
    worker that read the prompt. */
 int64_t Rank_GetDecodeCost(const RankWeights *weights,
-                           const RankWorker *worker, RankDistance kv_distance,
-                           uint32_t tokens);
+                           const RankWorker *worker, RankDistance kv_distance);
 /* Prefill and decoding at the same decode worker. */
 int64_t Rank_GetLocalPrefillCost(const RankWeights *weights,
                                  const RankWorker *worker, uint32_t tokens);
--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -54,6 +54,7 @@
 static void on_budget_change(void *context, const char *service,
                              double requests, double extras);
 static void on_load_change(void *context);
+static void update_load(void *context);
 static GosVersions get_versions(void *context);
 static void on_peer_versions(void *context, const char *address,
                              const GosVersions *versions);
@@ -250,6 +251,7 @@
     memcpy(gossip.seeds, edge->options.seeds, sizeof(gossip.seeds));
     gossip.fleet = edge->fleet;
     gossip.context = edge;
+    gossip.update_load = update_load;
     gossip.get_versions = get_versions;
     gossip.on_peer_versions = on_peer_versions;
     edge->gossip = Gos_New(&gossip, err);
@@ -318,6 +320,14 @@
     }
 }
 
+static void
+update_load(void *context)
+{
+    const Edge *edge = context;
+
+    Gate_UpdateForecasts(edge->gate);
+}
+
 static GosVersions
 get_versions(void *context)
 {
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -5,6 +5,7 @@
 #define LS_FLEET_H
 
 #include "../clock.h"
+#include "../decide/forecast.h"
 #include "../decide/health.h"
 
 #include <glib.h>
@@ -56,10 +57,10 @@
     uint32_t inflight;            /* Running calls of this VM. */
     uint64_t prefill_tokens;      /* Prompt tokens of this VM's calls that wait
                               for prefill. */
-    uint64_t kv_tokens;           /* KV memory of this VM's calls, tokens. */
+    Forecast kv;                  /* KV memory of this VM's calls. */
     uint32_t peer_inflight;       /* Running calls that other VMs reported. */
     uint64_t peer_prefill_tokens; /* Prompt tokens that other VMs reported. */
-    uint64_t peer_kv_tokens;      /* KV memory that other VMs reported. */
+    Forecast peer_kv;             /* KV memory that other VMs reported. */
     uint32_t peer_unreachable;    /* Other VMs that can't reach the worker. */
     uint32_t peer_phase_changes;  /* Other VMs that ordered a phase change. */
     int64_t phase_change_until_us; /* End of a phase change that this VM
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -92,6 +92,17 @@
     return &gate->options.weights;
 }
 
+void
+Gate_UpdateForecasts(Gate *gate)
+{
+    GateTask *task;
+
+    LIST_FOREACH(task, &gate->tasks, links)
+    {
+        Task_UpdateForecasts(task);
+    }
+}
+
 size_t
 Gate_GetBufferedBytes(const Gate *gate)
 {
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -150,6 +150,9 @@
 const RteTable *Gate_GetTable(const Gate *gate);
 GateDemand Gate_GetDemand(const Gate *gate, const char *service);
 const RankWeights *Gate_GetWeights(const Gate *gate);
+/* Brings the forecasts of KV memory of all requests up to date, as their
+   answers grow. */
+void Gate_UpdateForecasts(Gate *gate);
 /* Returns the bytes of workers' answers that are being read. */
 size_t Gate_GetBufferedBytes(const Gate *gate);
 /* Changes the budget of all services; `started_us` is ignored. */
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -26,8 +26,11 @@
 #define GOS_USES_MAX 48        /* Workers in one message. */
 #define GOS_PEERS_MAX 6        /* Addresses of other VMs in one message. */
 #define GOS_DEMANDS_MAX 8      /* Services in one message. */
-#define GOS_TABLE_ROWS_MAX 80  /* Workers in one part of a table. */
-#define GOS_HUBS_MAX 8         /* Hubs of all regions in one message. */
+#define GOS_TABLE_ROWS_MAX 62  /* Workers in one part of a table. */
+/* Later points of time in a forecast of KV memory, and its unit. */
+#define GOS_LATER_POINTS (FORECAST_POINTS - 1)
+#define GOS_LATER_UNIT_TOKENS 64
+#define GOS_HUBS_MAX 8 /* Hubs of all regions in one message. */
 /* Largest message; a datagram of this size fits the usual networks without
    fragmentation. */
 #define GOS_MESSAGE_MAX_BYTES 1400
@@ -37,6 +40,7 @@
     Gossip__News news;
     Gossip__Use use_rows[GOS_USES_MAX];
     Gossip__Use *uses[GOS_USES_MAX];
+    uint32_t later[GOS_USES_MAX * GOS_LATER_POINTS];
     Gossip__Demand demand_rows[GOS_DEMANDS_MAX];
     Gossip__Demand *demands[GOS_DEMANDS_MAX];
     Gossip__Hub hub_rows[GOS_HUBS_MAX];
@@ -55,6 +59,7 @@
     uint32_t inflight[GOS_TABLE_ROWS_MAX];
     uint32_t reading[GOS_TABLE_ROWS_MAX];
     uint32_t held[GOS_TABLE_ROWS_MAX];
+    uint32_t later[GOS_TABLE_ROWS_MAX * GOS_LATER_POINTS];
     uint64_t silent[GOS_TABLE_ROWS_MAX];
     uint64_t changing[GOS_TABLE_ROWS_MAX];
 } GosTablePart;
@@ -99,6 +104,9 @@
                       uint32_t number, uint32_t count);
 static guint fill_demands(const Report *report, Gossip__Demand *rows,
                           Gossip__Demand **demands);
+static Forecast decode_kv(uint32_t now_tokens, const uint32_t *later,
+                          size_t count, size_t row);
+static void encode_kv(const Forecast *kv, uint32_t *later);
 static bool get_own_use(const FleetWorker *worker, int64_t now_us,
                         ReportUse *use);
 static ReportDemand sum_demand(const Gos *gos, const char *service,
@@ -380,12 +388,12 @@
     for (size_t i = 0; i < news->n_uses; i++) {
         const Gossip__Use *from = news->uses[i];
         ReportUse use = {
-            Fleet_FindByHash(gos->options.fleet, from->worker),
-            from->inflight,
-            from->reading,
-            from->held,
-            from->silent,
-            from->changing,
+            .worker = Fleet_FindByHash(gos->options.fleet, from->worker),
+            .inflight = from->inflight,
+            .prefill_tokens = from->reading,
+            .kv = decode_kv(from->held, from->later, from->n_later, 0),
+            .unreachable = from->silent,
+            .phase_changes = from->changing,
         };
         if (use.worker != NULL) {
             Report_AddUse(&peer->report, &use);
@@ -427,7 +435,7 @@
             .worker = Fleet_FindByHash(gos->options.fleet, table->workers[i]),
             .inflight = table->inflight[i],
             .prefill_tokens = table->reading[i],
-            .kv_tokens = table->held[i],
+            .kv = decode_kv(table->held[i], table->later, table->n_later, i),
         };
         ReportUse own;
         if (use.worker == NULL) {
@@ -444,7 +452,7 @@
                is close to what it has now. */
             use.inflight -= MIN(use.inflight, own.inflight);
             use.prefill_tokens -= MIN(use.prefill_tokens, own.prefill_tokens);
-            use.kv_tokens -= MIN(use.kv_tokens, own.kv_tokens);
+            Forecast_Subtract(&use.kv, &own.kv);
             use.unreachable -= MIN(use.unreachable, own.unreachable);
             use.phase_changes -= MIN(use.phase_changes, own.phase_changes);
         }
@@ -680,6 +688,10 @@
     const GosOptions *options = &gos->options;
     Gossip__News *news = &message->news;
 
+    if (options->update_load != NULL) {
+        options->update_load(options->context);
+    }
+
     gossip__news__init(news);
     news->vm = (char *)options->vm;
     news->incarnation = options->incarnation;
@@ -721,7 +733,10 @@
         row->worker = use.worker->hash;
         row->inflight = use.inflight;
         row->reading = (uint32_t)use.prefill_tokens;
-        row->held = (uint32_t)use.kv_tokens;
+        row->held = (uint32_t)use.kv.tokens[0];
+        row->later = message->later + message->news.n_uses * GOS_LATER_POINTS;
+        row->n_later = GOS_LATER_POINTS;
+        encode_kv(&use.kv, row->later);
         row->silent = use.unreachable > 0;
         row->changing = use.phase_changes > 0;
         message->uses[message->news.n_uses++] = row;
@@ -823,7 +838,8 @@
         part->workers[n] = use->worker->hash;
         part->inflight[n] = use->inflight;
         part->reading[n] = (uint32_t)use->prefill_tokens;
-        part->held[n] = (uint32_t)use->kv_tokens;
+        part->held[n] = (uint32_t)use->kv.tokens[0];
+        encode_kv(&use->kv, part->later + n * GOS_LATER_POINTS);
         n++;
         if (use->unreachable > 0) {
             part->silent[table->n_silent++] = use->worker->hash;
@@ -836,6 +852,8 @@
     table->n_inflight = n;
     table->n_reading = n;
     table->n_held = n;
+    table->later = part->later;
+    table->n_later = n * GOS_LATER_POINTS;
     if (number == 0) {
         table->n_demands =
             fill_demands(report, part->demand_rows, part->demands);
@@ -865,6 +883,30 @@
     return count;
 }
 
+/* Decodes the forecast of row `row`: `later` holds GOS_LATER_POINTS values for
+   each row. Those that are missing count as the present use. */
+static Forecast
+decode_kv(uint32_t now_tokens, const uint32_t *later, size_t count, size_t row)
+{
+    Forecast kv = {.tokens = {now_tokens}};
+
+    for (size_t i = 0; i < GOS_LATER_POINTS; i++) {
+        size_t at = row * GOS_LATER_POINTS + i;
+        kv.tokens[i + 1] = at < count
+                               ? (uint64_t)later[at] * GOS_LATER_UNIT_TOKENS
+                               : now_tokens;
+    }
+    return kv;
+}
+
+static void
+encode_kv(const Forecast *kv, uint32_t *later)
+{
+    for (size_t i = 0; i < GOS_LATER_POINTS; i++) {
+        later[i] = (uint32_t)(kv->tokens[i + 1] / GOS_LATER_UNIT_TOKENS);
+    }
+}
+
 /* Stores this VM's use of the worker; false if there is none. */
 static bool
 get_own_use(const FleetWorker *worker, int64_t now_us, ReportUse *use)
@@ -872,11 +914,11 @@
     use->worker = (FleetWorker *)worker;
     use->inflight = worker->inflight;
     use->prefill_tokens = worker->prefill_tokens;
-    use->kv_tokens = worker->kv_tokens;
+    use->kv = worker->kv;
     use->unreachable = Health_IsBlocked(&worker->health, now_us);
     use->phase_changes = now_us < worker->phase_change_until_us;
-    return use->inflight > 0 || use->kv_tokens > 0 || use->unreachable > 0 ||
-           use->phase_changes > 0;
+    return use->inflight > 0 || Forecast_GetPeak(&use->kv) > 0 ||
+           use->unreachable > 0 || use->phase_changes > 0;
 }
 
 /* Parses "IP:port" to IPv4 address << 16 | port; 0 if there is no address. */
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -42,6 +42,9 @@
                      VMs report. */
     guint32 seed; /* Seed of the random number generator. */
     void *context;
+    /* Brings this VM's forecasts of the workers' memory up to date. NULL is
+       allowed. */
+    void (*update_load)(void *context);
     /* Gets what this VM knows; NULL if on_peer_versions is NULL. */
     GosVersions (*get_versions)(void *context);
     /* Called when the VM at this peer address knows something else than this
--- a/src/gate/load_report.c
+++ b/src/gate/load_report.c
@@ -131,7 +131,7 @@
         }
         sum->inflight += use->inflight;
         sum->prefill_tokens += use->prefill_tokens;
-        sum->kv_tokens += use->kv_tokens;
+        Forecast_Add(&sum->kv, &use->kv);
         sum->unreachable += use->unreachable;
         sum->phase_changes += use->phase_changes;
     }
@@ -148,7 +148,7 @@
 {
     use->worker->peer_inflight += use->inflight;
     use->worker->peer_prefill_tokens += use->prefill_tokens;
-    use->worker->peer_kv_tokens += use->kv_tokens;
+    Forecast_Add(&use->worker->peer_kv, &use->kv);
     use->worker->peer_unreachable += use->unreachable;
     use->worker->peer_phase_changes += use->phase_changes;
 }
@@ -158,7 +158,7 @@
 {
     use->worker->peer_inflight -= use->inflight;
     use->worker->peer_prefill_tokens -= use->prefill_tokens;
-    use->worker->peer_kv_tokens -= use->kv_tokens;
+    Forecast_Subtract(&use->worker->peer_kv, &use->kv);
     use->worker->peer_unreachable -= use->unreachable;
     use->worker->peer_phase_changes -= use->phase_changes;
 }
--- a/src/gate/load_report.h
+++ b/src/gate/load_report.h
@@ -11,7 +11,7 @@
     FleetWorker *worker;
     uint32_t inflight;
     uint64_t prefill_tokens;
-    uint64_t kv_tokens;
+    Forecast kv;            /* KV memory. */
     uint32_t unreachable;   /* VMs that can't reach the worker. */
     uint32_t phase_changes; /* VMs that ordered it to change its phase. */
 } ReportUse;
--- a/src/gate/reservation.c
+++ b/src/gate/reservation.c
@@ -9,9 +9,11 @@
    may try, and the share of its lifetime within which the fetch must begin. */
 #define RESERVATION_OFFERS_MAX 3
 #define RESERVATION_HANDLE_FETCH_SHARE 0.7
-/* A prompt is not read while all decode workers are filled above this share.
-   The share exceeds 1, since memory is counted before it is in use. */
-#define RESERVATION_FILL_MAX 1.05
+/* A prompt is not read while all decode workers have less memory left, by the
+   forecast with the request, than this number of usual answers. The answers of
+   a worker's streams differ from what is expected by about as much in sum: if
+   they are short, nearly all memory can be used. */
+#define RESERVATION_MARGIN_ANSWERS 3.5
 /* Share of the expected answer that a reservation covers. Without it, streams
    outgrow the worker's memory and one is preempted. With the whole answer, the
    memory of every seventh stream stays unused (docs/design/007). */
@@ -109,9 +111,10 @@
     bool is_prefilled = task->kv.handle[0] != '\0';
 
     if (Task_Now(task) < worker->full_until_us ||
-        (!is_prefilled && rank->kv_capacity_tokens > 0 &&
-         rank->kv_tokens + task->request.prompt_tokens >
-             RESERVATION_FILL_MAX * (double)rank->kv_capacity_tokens)) {
+        (!is_prefilled && rank->kv_capacity_tokens > 0 && rank->has_kv_load &&
+         (double)rank->kv_peak_tokens +
+                 RESERVATION_MARGIN_ANSWERS * task->gate->mean_answer_tokens >
+             (double)rank->kv_capacity_tokens)) {
         return RANK_UNUSABLE_US;
     }
     return get_run_cost(task, worker, rank, context);
@@ -124,17 +127,16 @@
              const RankWorker *rank, const void *context)
 {
     const RankWeights *weights = &task->gate->options.weights;
-    uint32_t tokens = task->request.prompt_tokens;
 
     (void)context;
     if (task->kv.handle[0] != '\0') {
         return Rank_GetDecodeCost(weights, rank,
                                   Task_GetDistance(task->gate,
                                                    task->kv.worker->entry.zone,
-                                                   worker->entry.zone),
-                                  tokens);
+                                                   worker->entry.zone));
     }
-    return Rank_GetLocalPrefillCost(weights, rank, tokens);
+    return Rank_GetLocalPrefillCost(weights, rank,
+                                    task->request.prompt_tokens);
 }
 
 /* Returns the cost of prefill at this worker and KV transfer to the decode
@@ -180,9 +182,8 @@
 Reservation_AssignWorker(GateTask *task, FleetWorker *worker)
 {
     task->assigned.worker = Fleet_Ref(worker);
-    task->assigned.tokens =
-        task->request.prompt_tokens + task->request.output_tokens;
-    worker->kv_tokens += task->assigned.tokens;
+    task->assigned.kv = Task_GetForecast(task);
+    Forecast_Add(&worker->kv, &task->assigned.kv);
 }
 
 void
@@ -201,7 +202,7 @@
         Task_SendControlCall(task, worker->entry.address, &control_call);
     }
     task->lease[0] = '\0';
-    worker->kv_tokens -= task->assigned.tokens;
+    Forecast_Subtract(&worker->kv, &task->assigned.kv);
     Fleet_Unref(worker);
     task->assigned.worker = NULL;
 }
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -41,6 +41,7 @@
 #define STREAM_SLOWNESS_MIN 0.5
 #define STREAM_SLOWNESS_MAX 8.0
 
+static void update_mean(double *mean, double sample);
 static void add_demand(const GateTask *task);
 static void advance(GateTask *task);
 static bool can_reserve(const GateTask *task);
@@ -64,13 +65,12 @@
 Stream_Begin(GateTask *task)
 {
     Gate *gate = task->gate;
-    double tokens = task->request.prompt_tokens + task->request.output_tokens;
+    /* Memory grows with the answer, so half of the answer counts. */
+    double tokens =
+        task->request.prompt_tokens + task->request.output_tokens / 2.0;
 
-    gate->mean_tokens =
-        gate->mean_tokens == 0
-            ? tokens
-            : gate->mean_tokens +
-                  STREAM_MEAN_WEIGHT * (tokens - gate->mean_tokens);
+    update_mean(&gate->mean_tokens, tokens);
+    update_mean(&gate->mean_answer_tokens, task->request.output_tokens);
     if (task->service->kv_tokens > 0 &&
         task->request.prompt_tokens > task->service->kv_tokens) {
         g_strlcpy(task->cause, "prompt exceeds a worker's KV memory",
@@ -85,6 +85,14 @@
     advance(task);
 }
 
+/* Adds a sample to a moving mean, which is 0 before the first one. */
+static void
+update_mean(double *mean, double sample)
+{
+    *mean =
+        *mean == 0 ? sample : *mean + STREAM_MEAN_WEIGHT * (sample - *mean);
+}
+
 /* Adds the request's work to the demand on the service's pools. */
 static void
 add_demand(const GateTask *task)
@@ -564,12 +572,7 @@
     }
     event_interval_us =
         (double)(Task_Now(task) - task->first_event_us) / (task->events - 1);
-    gate->event_interval_us =
-        gate->event_interval_us == 0
-            ? event_interval_us
-            : gate->event_interval_us +
-                  STREAM_MEAN_WEIGHT *
-                      (event_interval_us - gate->event_interval_us);
+    update_mean(&gate->event_interval_us, event_interval_us);
 }
 
 /* Updates the worker's slowness from the duration of a prefill. */
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -35,7 +35,7 @@
     bool extra;   /* Charged to the retry budget. */
     /* Prompt tokens that this call adds to the worker. */
     uint32_t prefill_tokens;
-    uint32_t kv_tokens;  /* KV memory that this call adds, tokens. */
+    Forecast kv;         /* KV memory that this call adds. */
     int64_t began_us;    /* When the call was sent. */
     int64_t expected_us; /* Estimated time to the first byte. */
     bool has_reply;      /* `reply` is filled in. */
@@ -58,7 +58,7 @@
    there from then on, for this VM and, by gossip, for the other VMs. */
 typedef struct TaskAssignment {
     FleetWorker *worker; /* NULL if none is chosen. */
-    uint32_t tokens;     /* KV memory counted as used, tokens. */
+    Forecast kv;         /* KV memory counted as used. */
 } TaskAssignment;
 
 struct GateTask {
@@ -109,8 +109,9 @@
     GHashTable *demands;      /* Service name to GateDemand. */
     double event_interval_us; /* Between events of a stream, moving mean. */
     GRand *rand;
-    size_t buffered_bytes; /* Of the bodies of all calls in progress. */
-    double mean_tokens;    /* KV memory of a streaming request, moving mean. */
+    size_t buffered_bytes;     /* Of the bodies of all calls in progress. */
+    double mean_tokens;        /* KV memory of a stream over its time, mean. */
+    double mean_answer_tokens; /* Expected tokens of an answer, mean. */
     bool stopping;
 };
 
@@ -177,6 +178,10 @@
 RetryInput Task_GetRetryInput(const GateTask *task, LsRun run);
 /* Decides what follows a failed call, and logs the decision. */
 RetryNext Task_DecideRetry(const GateTask *task, const RetryInput *input);
+/* Returns the forecast of the task's KV memory at a decode worker. */
+Forecast Task_GetForecast(const GateTask *task);
+/* Brings the forecasts at the task's workers up to date. */
+void Task_UpdateForecasts(GateTask *task);
 /* Arms the timer for the earlier of the task's and the step's deadline. */
 void Task_SetTimer(GateTask *task);
 
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -17,6 +17,9 @@
    VM. */
 #define TASK_BODIES_MAX (24 * 1024 * 1024)
 
+/* Time between two events of a stream while it is unknown. */
+#define TASK_DEFAULT_EVENT_INTERVAL_US 30000
+
 static void fill_rank(const GateTask *task, const FleetWorker *worker,
                       int64_t now_us, RankWorker *rank);
 static bool is_excluded(const GateTask *task, const FleetWorker *worker);
@@ -147,7 +150,9 @@
     if (task->service->is_engine) {
         uint32_t tokens = task->request.prompt_tokens;
         current->prefill_tokens = current->stage == TASK_DECODE ? 0 : tokens;
-        current->kv_tokens = tokens + task->request.output_tokens;
+        current->kv = current->stage == TASK_PREFILL
+                          ? Forecast_OfPrompt(tokens)
+                          : Task_GetForecast(task);
     }
     init_call(task, worker);
     count_call(task);
@@ -198,6 +203,44 @@
     Client_BeginCall(task->gate->options.client, &call);
 }
 
+Forecast
+Task_GetForecast(const GateTask *task)
+{
+    uint32_t per_event = MAX(task->service->tokens_per_event, 1);
+    double event_interval_us = task->gate->event_interval_us > 0
+                                   ? task->gate->event_interval_us
+                                   : TASK_DEFAULT_EVENT_INTERVAL_US;
+    ForecastStream stream = {
+        .prompt_tokens = task->request.prompt_tokens,
+        .made_tokens = (uint32_t)(task->last_event + 1) * per_event,
+        .expected_tokens = task->request.output_tokens,
+        .tokens_per_us = per_event / event_interval_us,
+    };
+
+    return Forecast_OfStream(&stream);
+}
+
+void
+Task_UpdateForecasts(GateTask *task)
+{
+    Forecast kv = {0};
+
+    if (!task->service->is_engine) {
+        return;
+    }
+    kv = Task_GetForecast(task);
+    if (task->assigned.worker != NULL) {
+        Forecast_Subtract(&task->assigned.worker->kv, &task->assigned.kv);
+        Forecast_Add(&task->assigned.worker->kv, &kv);
+        task->assigned.kv = kv;
+    }
+    if (Task_MayBeRunning(task)) {
+        Forecast_Subtract(&task->current.worker->kv, &task->current.kv);
+        Forecast_Add(&task->current.worker->kv, &kv);
+        task->current.kv = kv;
+    }
+}
+
 void
 Task_EndCall(GateTask *task)
 {
@@ -210,7 +253,7 @@
         task->spent_us[current->stage] += Task_Now(task) - current->began_us;
         current->worker->inflight--;
         current->worker->prefill_tokens -= current->prefill_tokens;
-        current->worker->kv_tokens -= current->kv_tokens;
+        Forecast_Subtract(&current->worker->kv, &current->kv);
         task->gate->options.on_load_change(task->gate->options.context);
         Fleet_Unref(current->worker);
     }
@@ -368,6 +411,8 @@
 {
     const RteService *service = task->service;
     uint32_t known_calls = worker->inflight + worker->peer_inflight;
+    Forecast kv;
+    Forecast stream;
 
     memset(rank, 0, sizeof(*rank));
     rank->distance = Task_GetDistance(task->gate, task->gate->options.zone,
@@ -382,8 +427,16 @@
     }
     rank->prefill_tokens =
         worker->prefill_tokens + worker->peer_prefill_tokens;
-    rank->kv_tokens = MAX(worker->kv_tokens + worker->peer_kv_tokens,
-                          rank->running * (uint64_t)task->gate->mean_tokens);
+    kv = worker->kv;
+    Forecast_Add(&kv, &worker->peer_kv);
+    rank->has_kv_load = Forecast_GetPeak(&kv) > 0;
+    stream = worker->entry.phase == FLEET_PHASE_PREFILL
+                 ? Forecast_OfPrompt(task->request.prompt_tokens)
+                 : Task_GetForecast(task);
+    Forecast_Add(&kv, &stream);
+    rank->kv_peak_tokens =
+        MAX(Forecast_GetPeak(&kv),
+            (rank->running + 1) * (uint64_t)task->gate->mean_tokens);
     rank->kv_capacity_tokens = service->is_engine ? service->kv_tokens : 0;
     rank->service_us = worker->service_us;
     rank->slowness = worker->slowness;
@@ -445,7 +498,7 @@
     current->body = g_byte_array_new();
     worker->inflight++;
     worker->prefill_tokens += current->prefill_tokens;
-    worker->kv_tokens += current->kv_tokens;
+    Forecast_Add(&worker->kv, &current->kv);
     task->gate->options.on_load_change(task->gate->options.context);
 }
 
--- a/tests/test_decide.cc
+++ b/tests/test_decide.cc
@@ -5,7 +5,9 @@
 extern "C" {
 #include "decide/admission.h"
 #include "decide/budget.h"
+#include "decide/forecast.h"
 #include "decide/health.h"
+#include "decide/hubs.h"
 #include "decide/pool.h"
 #include "decide/rank.h"
 #include "decide/retry.h"
@@ -307,13 +309,14 @@
 }
 
 RankWorker
-MakeWorker(RankDistance distance, uint64_t prefill_tokens, uint64_t kv_tokens)
+MakeWorker(RankDistance distance, uint64_t prefill_tokens,
+           uint64_t kv_peak_tokens)
 {
     RankWorker worker = {};
     worker.distance = distance;
     worker.slots = 128;
     worker.prefill_tokens = prefill_tokens;
-    worker.kv_tokens = kv_tokens;
+    worker.kv_peak_tokens = kv_peak_tokens;
     worker.kv_capacity_tokens = 59729;
     worker.slowness = 1.0;
     return worker;
@@ -325,12 +328,12 @@
 TEST(Decide, BurstMovesPromptsToOtherWorkers)
 {
     RankWeights weights = Rank_DefaultWeights();
-    RankWorker local = MakeWorker(RANK_SAME_ZONE, 0, 0);
-    RankWorker far = MakeWorker(RANK_OTHER_REGION, 0, 0);
+    RankWorker local = MakeWorker(RANK_SAME_ZONE, 0, 5200);
+    RankWorker far = MakeWorker(RANK_OTHER_REGION, 0, 5200);
     int64_t idle = Rank_GetPrefillCost(&weights, &local, 5200);
     EXPECT_LT(idle, Rank_GetPrefillCost(&weights, &far, 5200));
     EXPECT_LT(idle, Rank_GetLocalPrefillCost(&weights, &local, 5200));
-    RankWorker queued = MakeWorker(RANK_SAME_ZONE, 6 * 5200, 0);
+    RankWorker queued = MakeWorker(RANK_SAME_ZONE, 6 * 5200, 5200);
     int64_t busy = Rank_GetPrefillCost(&weights, &queued, 5200);
     EXPECT_GT(busy, Rank_GetPrefillCost(&weights, &far, 5200));
     EXPECT_GT(busy, Rank_GetLocalPrefillCost(&weights, &local, 5200));
@@ -339,10 +342,73 @@
 TEST(Decide, FullMemoryCostsMoreThanAnotherRegion)
 {
     RankWeights weights = Rank_DefaultWeights();
-    RankWorker full = MakeWorker(RANK_SAME_ZONE, 0, 57000);
-    RankWorker far = MakeWorker(RANK_OTHER_REGION, 0, 10000);
-    EXPECT_GT(Rank_GetDecodeCost(&weights, &full, RANK_SAME_ZONE, 5900),
-              Rank_GetDecodeCost(&weights, &far, RANK_OTHER_REGION, 5900));
+    RankWorker full = MakeWorker(RANK_SAME_ZONE, 0, 57000 + 5900);
+    RankWorker far = MakeWorker(RANK_OTHER_REGION, 0, 10000 + 5900);
+    EXPECT_GT(Rank_GetDecodeCost(&weights, &full, RANK_SAME_ZONE),
+              Rank_GetDecodeCost(&weights, &far, RANK_OTHER_REGION));
+}
+
+/* Streams of a worker with 70,369 tokens of KV memory: prompts of 5,200
+   tokens, answers of 4,900, 1.4 tokens a millisecond. */
+ForecastStream
+MakeStream(uint32_t made_tokens, uint32_t expected_tokens = 4900)
+{
+    return {5200, made_tokens, expected_tokens, 0.0014};
+}
+
+uint64_t
+GetPeak(const std::vector<uint32_t> &made)
+{
+    Forecast sum = {};
+    for (uint32_t tokens : made) {
+        ForecastStream stream = MakeStream(tokens);
+        Forecast forecast = Forecast_OfStream(&stream);
+        Forecast_Add(&sum, &forecast);
+    }
+    return Forecast_GetPeak(&sum);
+}
+
+/* A burst fills a worker with streams that begin together: ten of them use
+   52,000 tokens now, less than eight that began one after another, but they
+   outgrow the memory before they end. */
+TEST(Decide, StreamsThatBeginTogetherOutgrowTheMemory)
+{
+    std::vector<uint32_t> together(10, 0);
+    std::vector<uint32_t> staggered = {0,    600,  1200, 1800,
+                                       2400, 3000, 3600, 4200};
+    EXPECT_GT(GetPeak(together), 0.95 * 70369);
+    EXPECT_EQ(GetPeak(staggered), 8u * 5200 + 16800);
+    EXPECT_LT(GetPeak(staggered), 0.95 * 70369);
+}
+
+struct ForecastCase {
+    const char *name;
+    ForecastStream stream;
+    Forecast forecast;
+};
+
+const ForecastCase forecast_cases[] = {
+    {"just begun", MakeStream(0), {{5200, 6600, 6796}}},
+    {"near its expected end", MakeStream(4700), {{9900, 5730, 0}}},
+    {"longer than expected", MakeStream(6000, 1000), {{11200, 9100, 0}}},
+    {"speed unknown", {5200, 0, 4900, 0}, {{5200, 0, 0}}},
+};
+
+TEST(Decide, ForecastOfOneStream)
+{
+    for (const ForecastCase &row : forecast_cases) {
+        SCOPED_TRACE(row.name);
+        Forecast forecast = Forecast_OfStream(&row.stream);
+        for (int i = 0; i < FORECAST_POINTS; i++) {
+            EXPECT_NEAR((double)forecast.tokens[i],
+                        (double)row.forecast.tokens[i], 0.03 * 5200);
+        }
+        Forecast sum = forecast;
+        Forecast_Add(&sum, &forecast);
+        Forecast_Subtract(&sum, &forecast);
+        Forecast_Subtract(&sum, &forecast);
+        EXPECT_EQ(Forecast_GetPeak(&sum), 0u);
+    }
 }
 
 struct PoolCase {
--- a/tests/test_gate_streams.cc
+++ b/tests/test_gate_streams.cc
@@ -135,7 +135,7 @@
         decode->requests[0].find("X-Kv-Source: " + prefill->address + "/abc"),
         std::string::npos);
     EXPECT_NE(decode->requests[0].find("X-Kv-Hold: L1"), std::string::npos);
-    EXPECT_EQ(rig.last_worker->kv_tokens, 0u);
+    EXPECT_EQ(Forecast_GetPeak(&rig.last_worker->kv), 0u);
     EXPECT_EQ(rig.last_worker->prefill_tokens, 0u);
 }
 
@@ -274,7 +274,7 @@
     caller->Disconnect();
     ASSERT_TRUE(rig.Until([&] { return prefill->requests.size() >= 2; }));
     EXPECT_EQ(prefill->requests[1].find("DELETE /v1/kv-handle/abc"), 0u);
-    EXPECT_EQ(rig.last_worker->kv_tokens, 0u);
+    EXPECT_EQ(Forecast_GetPeak(&rig.last_worker->kv), 0u);
 }
 
 TEST(GateStreams, CallerDisconnectReleasesReservation)
@@ -289,7 +289,7 @@
     caller->Disconnect();
     ASSERT_TRUE(rig.Until([&] { return decode->requests.size() == 1; }));
     EXPECT_EQ(decode->requests[0].find("DELETE /v1/hold-drop/L1"), 0u);
-    EXPECT_EQ(rig.last_worker->kv_tokens, 0u);
+    EXPECT_EQ(Forecast_GetPeak(&rig.last_worker->kv), 0u);
 }
 
 /* During a burst, streams of other VMs fill the decode workers. The KV memory
@@ -301,13 +301,13 @@
     Worker *prefill = rig.AddWorker({PrefillReply()}, FLEET_PHASE_PREFILL);
     rig.AddWorker({Stream(0, 2)}, FLEET_PHASE_DECODE);
     FleetWorker *decode = rig.last_worker;
-    decode->peer_kv_tokens = 64000; /* Above the worker's 60,000. */
+    decode->peer_kv = {{64000, 64000, 64000}}; /* Above the worker's 60,000. */
     Caller *caller = rig.Call(Prompt());
     int ticks = 0;
     rig.Until([&] { return ++ticks > 100; });
     EXPECT_TRUE(prefill->requests.empty());
     EXPECT_TRUE(caller->text.empty());
-    decode->peer_kv_tokens = 30000;
+    decode->peer_kv = {{30000, 30000, 30000}};
     ASSERT_TRUE(rig.Until([&] { return caller->IsComplete(); }));
     EXPECT_EQ(caller->Status(), 200);
     EXPECT_EQ(prefill->requests.size(), 1u);
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -111,13 +111,15 @@
                       5);
     }
     a.Worker("w")->inflight = 3;
-    a.Worker("w")->kv_tokens = 7000;
+    a.Worker("w")->kv = {{7000, 6400, 1280}};
     EXPECT_TRUE(Until([&] {
         return b.Worker("w")->peer_inflight == 3 &&
-               b.Worker("w")->peer_kv_tokens == 7000;
+               b.Worker("w")->peer_kv.tokens[0] == 7000 &&
+               b.Worker("w")->peer_kv.tokens[1] == 6400 &&
+               b.Worker("w")->peer_kv.tokens[2] == 1280;
     }));
     a.Worker("w")->inflight = 0;
-    a.Worker("w")->kv_tokens = 0;
+    a.Worker("w")->kv = {};
     EXPECT_TRUE(Until([&] { return b.Worker("w")->peer_inflight == 0; }));
 }
 
