Bound the remembered peers; stand-in store reads the index before the value

A forged message could add peers without bound: 4,096 are kept, and messages about others ignored (test ForgedAddressesAreBounded). fake_platform read the value first and its index then: a client that asked between the two kept the old value under the new index and missed the change until the next one.

--- a/fakes/fake_platform.c
+++ b/fakes/fake_platform.c
@@ -126,6 +126,7 @@
     const char *index = u_map_get(request->map_url, "index");
     const char *wait = u_map_get(request->map_url, "wait");
     gsize size = 0;
+    guint64 read_index;
     char *value;
     char *encoded;
 
@@ -138,6 +139,9 @@
         wait_for_change(platform, key, g_ascii_strtoull(index, NULL, 10),
                         g_ascii_strtoull(wait, NULL, 10));
     }
+    /* The index is read first: if the value changes meanwhile, the client
+       reads it once more instead of missing the change. */
+    read_index = get_index(platform, key);
     value = read_value(platform, key, &size);
     if (value == NULL) {
         return Fake_Refuse(response, 404, "no_such_key");
@@ -145,8 +149,7 @@
     encoded = g_base64_encode((const guchar *)value, size);
     Fake_Answer(response, 200,
                 json_pack("[{s:s, s:s, s:I}]", "Key", key, "Value", encoded,
-                          "ModifyIndex",
-                          (json_int_t)get_index(platform, key)));
+                          "ModifyIndex", (json_int_t)read_index));
     g_free(encoded);
     g_free(value);
     return U_CALLBACK_COMPLETE;
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -316,12 +316,15 @@
 handle_message(Gos *gos, const Gossip__News *news)
 {
     int64_t now_us = Clk_Now(gos->options.clk);
-    Peer *peer;
+    Peer *peer = NULL;
 
     if (news->address == 0 || news->address == gos->address) {
         return;
     }
     peer = Peers_GetOrAdd(&gos->peers, news->address);
+    if (peer == NULL) {
+        return;
+    }
     if (news->incarnation == peer->previous_incarnation ||
         (news->incarnation == peer->incarnation &&
          news->number <= peer->sequence)) {
@@ -348,8 +351,11 @@
     peer->suspect_until_us = 0;
     Peers_NoteFleetSize(&gos->peers, news->vms);
     for (size_t i = 0; i < news->n_peers; i++) {
-        if (news->peers[i] != gos->address) {
-            Peers_GetOrAdd(&gos->peers, news->peers[i])->mentioned_us = now_us;
+        Peer *mentioned = news->peers[i] != gos->address
+                              ? Peers_GetOrAdd(&gos->peers, news->peers[i])
+                              : NULL;
+        if (mentioned != NULL) {
+            mentioned->mentioned_us = now_us;
         }
     }
     for (size_t i = 0; i < news->n_hubs; i++) {
@@ -505,7 +511,7 @@
         peers->is_mesh ? Peers_CountLive(peers) == 0 : !Peers_HasView(peers);
     bool is_turn = is_regular && gos->intervals++ % GOS_SEED_INTERVALS == 0;
     GosMessage message;
-    const Peer *peer;
+    const Peer *peer = NULL;
 
     begin_message(gos, &message);
     message.news.seeking = is_lost || !peers->is_mesh;
@@ -563,7 +569,7 @@
     uint32_t members;
     uint32_t reporting = 0;
     uint32_t subscribers = 0;
-    const Peer *peer;
+    const Peer *peer = NULL;
 
     Peers_Refresh(peers);
     LIST_FOREACH(peer, &peers->list, links)
@@ -641,7 +647,7 @@
 send_table_part(Gos *gos, const GosMessage *message, bool is_own)
 {
     const Peers *peers = &gos->peers;
-    const Peer *peer;
+    const Peer *peer = NULL;
 
     LIST_FOREACH(peer, &peers->list, links)
     {
@@ -748,7 +754,7 @@
 add_peers(Gos *gos, GosMessage *message)
 {
     Gossip__News *news = &message->news;
-    const Peer *peer;
+    const Peer *peer = NULL;
 
     LIST_FOREACH(peer, &gos->peers.list, links)
     {
@@ -772,7 +778,7 @@
     const Peers *peers = &gos->peers;
     int64_t now_us = Clk_Now(gos->options.clk);
     Gossip__News *news = &message->news;
-    const Peer *peer;
+    const Peer *peer = NULL;
 
     LIST_FOREACH(peer, &peers->list, links)
     {
--- a/src/gate/peers.c
+++ b/src/gate/peers.c
@@ -48,7 +48,7 @@
                               int64_t near_us);
 static uint32_t count_members(const Peers *peers);
 static bool is_current(const PeersRegion *row, int64_t now_us);
-static void free_peer(Peer *peer);
+static void free_peer(Peers *peers, Peer *peer);
 static void free_region(gpointer row);
 
 void
@@ -67,7 +67,7 @@
 Peers_Clear(Peers *peers)
 {
     while (!LIST_EMPTY(&peers->list)) {
-        free_peer(LIST_FIRST(&peers->list));
+        free_peer(peers, LIST_FIRST(&peers->list));
     }
     g_ptr_array_free(peers->regions, TRUE);
 }
@@ -75,7 +75,7 @@
 Peer *
 Peers_GetOrAdd(Peers *peers, uint64_t address)
 {
-    Peer *peer;
+    Peer *peer = NULL;
 
     LIST_FOREACH(peer, &peers->list, links)
     {
@@ -83,6 +83,10 @@
             return peer;
         }
     }
+    if (peers->count >= PEERS_MAX) {
+        return NULL;
+    }
+    peers->count++;
     peer = g_new0(Peer, 1);
     peer->address = address;
     Report_Init(&peer->report);
@@ -95,13 +99,16 @@
                     uint32_t capacity, uint32_t age_ms)
 {
     int64_t now_us = Clk_Now(peers->options.clk);
-    Peer *peer;
+    Peer *peer = NULL;
 
     if (address == 0 || address == peers->options.address ||
         age_ms >= HUBS_CANDIDATE_MAX_AGE_MS) {
         return;
     }
     peer = Peers_GetOrAdd(peers, address);
+    if (peer == NULL) {
+        return;
+    }
     peer->region = region;
     peer->capacity = capacity;
     peer->mentioned_us = now_us;
@@ -232,7 +239,7 @@
 {
     HubsChoice choice = Peers_GetHubs(peers);
     int64_t now_us = Clk_Now(peers->options.clk);
-    const Peer *peer;
+    const Peer *peer = NULL;
 
     if (peers->is_mesh || Hubs_Contains(&choice, peers->options.address)) {
         return false;
@@ -252,7 +259,7 @@
 Peers_SumRegion(const Peers *peers, Report *sum)
 {
     const PeersRegion *row = Peers_FindRegion(peers, peers->options.region);
-    const Peer *peer;
+    const Peer *peer = NULL;
 
     if (!peers->is_direct && row != NULL) {
         for (uint32_t i = 0; i < row->part_count; i++) {
@@ -288,7 +295,7 @@
 {
     int64_t now_us = Clk_Now(peers->options.clk);
     const PeersRegion *own = Peers_FindRegion(peers, peers->options.region);
-    const Peer *peer;
+    const Peer *peer = NULL;
     guint count = 0;
     guint near_count = 0;
 
@@ -323,7 +330,7 @@
 Peers_IsHome(const Peers *peers, const char *key)
 {
     uint64_t own_weight = Own_GetWeight(key, peers->options.vm);
-    const Peer *peer;
+    const Peer *peer = NULL;
 
     if (!peers->is_mesh && !peers->is_direct) {
         return false;
@@ -351,7 +358,7 @@
     const PeersRegion *table = Peers_FindRegion(peers, peers->options.region);
     bool use_table = !peers->is_mesh && !peers->is_direct && table != NULL;
     ReportDemand sum = {0};
-    const Peer *peer;
+    const Peer *peer = NULL;
 
     *count = 0;
     LIST_FOREACH(peer, &peers->list, links)
@@ -400,7 +407,7 @@
             Report_DropUses(&peer->report);
         }
         if (now_us - peer->mentioned_us > PEERS_FORGET_US) {
-            free_peer(peer);
+            free_peer(peers, peer);
         }
         else {
             peers->remote_count += peer->region != peers->options.region ||
@@ -444,7 +451,7 @@
 {
     HubsChoice choice = Peers_GetHubs(peers);
     uint64_t primary = Hubs_GetPrimary(&choice, peers->options.address);
-    Peer *peer;
+    Peer *peer = NULL;
 
     LIST_FOREACH(peer, &peers->list, links)
     {
@@ -482,7 +489,7 @@
 {
     HubsCandidate self = {peers->options.address, peers->options.capacity};
     HubsChoice *choice;
-    const Peer *peer;
+    const Peer *peer = NULL;
 
     peers->hubs_count = 0;
     choice = get_or_add_choice(peers, peers->options.region);
@@ -528,7 +535,7 @@
 {
     HubsChoice choice = Peers_GetHubs(peers);
     const PeersRegion *table = Peers_FindRegion(peers, peers->options.region);
-    Peer *peer;
+    Peer *peer = NULL;
 
     peers->is_direct =
         !peers->is_mesh && Hubs_Contains(&choice, peers->options.address) &&
@@ -568,7 +575,7 @@
 static uint32_t
 count_members(const Peers *peers)
 {
-    const Peer *peer;
+    const Peer *peer = NULL;
     uint32_t count = 0;
 
     LIST_FOREACH(peer, &peers->list, links)
@@ -585,8 +592,9 @@
 }
 
 static void
-free_peer(Peer *peer)
+free_peer(Peers *peers, Peer *peer)
 {
+    peers->count--;
     LIST_REMOVE(peer, links);
     Report_Clear(&peer->report);
     g_free(peer);
--- a/src/gate/peers.h
+++ b/src/gate/peers.h
@@ -17,6 +17,9 @@
 /* Most parts of a region's table; further workers are left out. */
 #define PEERS_PARTS_MAX 64
 #define PEERS_REGIONS_MAX 16
+/* Most other VMs that are remembered; messages about further ones are
+   ignored. */
+#define PEERS_MAX 4096
 
 /* Another VM. */
 typedef struct Peer {
@@ -70,6 +73,7 @@
     PeersOptions options;
     LIST_HEAD(PeerList, Peer) list;
     GPtrArray *regions; /* PeersRegion pointers. */
+    guint count;
     guint remote_count; /* Peers of other regions or of an unknown region. */
     uint32_t peak_vms;  /* Highest recent VM count, this VM included. */
     int64_t peak_us;    /* Time of that count. */
@@ -82,7 +86,8 @@
 
 void Peers_Init(Peers *peers, const PeersOptions *options);
 void Peers_Clear(Peers *peers);
-/* Returns the peer at an address, which is added if it is new. */
+/* Returns the peer at an address, which is added if it is new; NULL if there
+   are PEERS_MAX already. */
 Peer *Peers_GetOrAdd(Peers *peers, uint64_t address);
 /* Notes that another VM had a message `age_ms` ago from a VM that may be a
    hub. */
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -2,6 +2,10 @@
    snapshot for a VM that can't reach the source. */
 #include "gate_rig.h"
 
+extern "C" {
+#include "gate/peers.h"
+}
+
 namespace {
 
 /* Returns a port for UDP and TCP that was free at the call. */
@@ -490,6 +494,24 @@
     EXPECT_TRUE(Until([&] { return AllKnow(44) && AllCount(4, 5); }));
 }
 
+/* Messages that no VM of the deployment sent must not fill the memory. */
+TEST_F(Fleet3, ForgedAddressesAreBounded)
+{
+    Fleet *fleet = Fleet_New();
+    PeersOptions options = {&clk, fleet, 1, 2, 120, "vm"};
+    Peers peers;
+    Peers_Init(&peers, &options);
+    for (uint32_t i = 0; i < 3 * PEERS_MAX; i++) {
+        Peers_NoteCandidate(&peers, 1000 + i, 2, 500, 0);
+    }
+    EXPECT_EQ(peers.count, (guint)PEERS_MAX);
+    EXPECT_EQ(Peers_GetOrAdd(&peers, 7), nullptr);
+    Peers_Refresh(&peers);
+    Peers_Clear(&peers);
+    EXPECT_EQ(peers.count, 0u);
+    Fleet_Free(fleet);
+}
+
 TEST_F(Fleet3, OneHubIsHomeOfAKey)
 {
     StartFleet(30);
