Planned stop: answer requests that have reached the VM but were not read

Cause: at the end of the notice time the listener and all connections without a request were closed, also those in the listener's backlog and idle ones whose next request lay unread in the socket. Closing them reset the connection: the caller's request was cut off without an answer. Change: the backlog is accepted first, connections with unread bytes stay until their request is answered, and the process waits for them.

--- a/src/io/server.c
+++ b/src/io/server.c
@@ -52,6 +52,8 @@
 
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
                       struct sockaddr *address, int size, void *context);
+static void accept_backlog(Server *server);
+static bool has_unread_data(const ServerConn *conn);
 static void on_read(struct bufferevent *bev, void *context);
 static void on_write(struct bufferevent *bev, void *context);
 static void on_event(struct bufferevent *bev, short what, void *context);
@@ -160,15 +162,18 @@
 void
 Server_CloseIdle(Server *server)
 {
-    ServerConn *conn = LIST_FIRST(&server->conns);
+    ServerConn *conn;
 
     if (server->listener != NULL) {
+        accept_backlog(server);
         evconnlistener_free(server->listener);
         server->listener = NULL;
     }
+    conn = LIST_FIRST(&server->conns);
     while (conn != NULL) {
         ServerConn *next = LIST_NEXT(conn, links);
-        if (!conn->in_exchange && !conn->reading && !conn->lingering) {
+        if (!conn->in_exchange && !conn->reading && !conn->lingering &&
+            !has_unread_data(conn)) {
             close_conn(conn);
         }
         conn = next;
@@ -184,7 +189,10 @@
     for (conn = LIST_FIRST(&server->conns); conn != NULL;
          conn = LIST_NEXT(conn, links)) {
         struct evbuffer *out = bufferevent_get_output(conn->bev);
-        count += !conn->in_exchange && evbuffer_get_length(out) > 0;
+        /* Without a listener, connections remain only for their request. */
+        count += !conn->in_exchange &&
+                 (evbuffer_get_length(out) > 0 ||
+                  (server->listener == NULL && !conn->lingering));
     }
     return count;
 }
@@ -273,6 +281,31 @@
     finish_exchange(conn);
 }
 
+/* Accepts the connections that callers have opened already. */
+static void
+accept_backlog(Server *server)
+{
+    evutil_socket_t listener_fd = evconnlistener_get_fd(server->listener);
+    int fd;
+
+    while ((fd = accept4(listener_fd, NULL, NULL,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+        on_accept(server->listener, fd, NULL, 0, server);
+    }
+}
+
+/* Whether the caller has sent bytes that were not read yet: closing the
+   connection would reset it. */
+static bool
+has_unread_data(const ServerConn *conn)
+{
+    char byte;
+
+    return evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0 ||
+           recv(bufferevent_getfd(conn->bev), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 static void
 on_accept(struct evconnlistener *listener, evutil_socket_t fd,
           struct sockaddr *address, int size, void *context)
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -322,4 +322,72 @@
     EXPECT_EQ(worker->requests.size(), 1u);
 }
 
+/* Connects a blocking socket and sends a request, without running the loop. */
+int
+SendBlocking(uint16_t port, const std::string &request)
+{
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in to = {};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(port);
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(connect(fd, (sockaddr *)&to, sizeof(to)), 0);
+    EXPECT_EQ(send(fd, request.data(), request.size(), MSG_NOSIGNAL),
+              (ssize_t)request.size());
+    return fd;
+}
+
+struct LateRequestCase {
+    const char *name;
+    bool accepted;      /* The gate has accepted the connection before. */
+    std::string first;  /* Sent before the idle connections are closed. */
+    std::string second; /* Sent after that. */
+};
+
+const LateRequestCase late_request_cases[] = {
+    {"in the backlog of the listener", false, Request(), ""},
+    {"in the socket of an idle connection", true, Request(), ""},
+    {"in the backlog, half of it", false, Request().substr(0, 20),
+     Request().substr(20)},
+    {"in the socket, half of it", true, Request().substr(0, 20),
+     Request().substr(20)},
+};
+
+/* At a planned stop, requests that have reached the VM but were not read yet
+   must be answered: closing a connection with unread bytes resets it. */
+TEST(Gate, ShutdownAnswersRequestsThatAreNotReadYet)
+{
+    for (const LateRequestCase &row : late_request_cases) {
+        SCOPED_TRACE(row.name);
+        GateRig rig;
+        LsError err = {};
+        ServerOptions options = Server_DefaultOptions();
+        options.base = rig.base;
+        options.clk = &rig.clk;
+        options.on_request = [](void *, ServerExchange *exchange) {
+            Server_SendResponse(exchange, 200, nullptr, "done", 4);
+        };
+        options.on_disconnect = [](void *, ServerExchange *) {};
+        Server *server = Server_New(&options, &err);
+        ASSERT_NE(server, nullptr);
+        int fd = SendBlocking(Server_GetPort(server), "");
+        if (row.accepted) {
+            int ticks = 0;
+            rig.Until([&] { return ++ticks > 20; });
+        }
+        send(fd, row.first.data(), row.first.size(), MSG_NOSIGNAL);
+        Server_BeginShutdown(server);
+        Server_CloseIdle(server);
+        EXPECT_EQ(Server_CountPending(server), 1u);
+        send(fd, row.second.data(), row.second.size(), MSG_NOSIGNAL);
+        EXPECT_TRUE(
+            rig.Until([&] { return Server_CountPending(server) == 0; }));
+        char answer[512] = "";
+        EXPECT_GT(recv(fd, answer, sizeof(answer) - 1, MSG_DONTWAIT), 0);
+        EXPECT_EQ(std::string(answer).find("HTTP/1.1 200"), 0u);
+        close(fd);
+        Server_Free(server);
+    }
+}
+
 } // namespace
