Gossip: split the sending of reports, one sum of the VM's own load

Reading the change again: send_report() decided three things at once, the own load of a hub was merged by a report for each worker, and a constant stood twice. A report is sent to the seeds on the same occasions as before.

--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -19,8 +19,6 @@
 #define GOS_INTERVAL_MS 250
 /* Time from a change to the message about it. */
 #define GOS_UPDATE_DELAY_MS 30
-/* In a mesh, mean number of VMs of other regions that one message goes to. */
-#define GOS_REMOTE_FANOUT 8
 #define GOS_SEED_INTERVALS 8   /* Intervals between messages to all seeds. */
 #define GOS_MAJORITY_RATIO 0.6 /* Share of the VMs that is a majority. */
 #define GOS_USES_MAX 48        /* Workers in one message. */
@@ -89,8 +87,12 @@
 static void store_table(Gos *gos, const Gossip__News *news);
 static void check_versions(Gos *gos, const Gossip__News *news);
 static void send_report(Gos *gos, bool is_regular);
+static uint64_t get_table_source(const Gos *gos, const HubsChoice *hubs);
+static bool is_report_receiver(const Gos *gos, const HubsChoice *hubs,
+                               const Peer *peer);
 static void send_to_seeds(Gos *gos, const GosMessage *message);
 static void send_tables(Gos *gos);
+static void add_own_uses(Gos *gos, Report *sum);
 static void send_table(Gos *gos, uint32_t region, uint32_t members,
                        const Report *report, bool is_own);
 static void send_table_part(Gos *gos, const GosMessage *message, bool is_own);
@@ -509,39 +511,31 @@
     HubsChoice hubs = Peers_GetHubs(peers);
     bool is_lost =
         peers->is_mesh ? Peers_CountLive(peers) == 0 : !Peers_HasView(peers);
-    bool is_turn = is_regular && gos->intervals++ % GOS_SEED_INTERVALS == 0;
+    bool is_turn = gos->intervals % GOS_SEED_INTERVALS == 0 &&
+                   (peers->is_mesh || peers->is_direct);
     GosMessage message;
     const Peer *peer = NULL;
 
     begin_message(gos, &message);
-    message.news.seeking = is_lost || !peers->is_mesh;
     add_uses(gos, &message);
     if (peers->is_mesh) {
         add_peers(gos, &message);
     }
     else {
-        uint64_t primary = Hubs_GetPrimary(&hubs, gos->address);
-        for (uint32_t i = 0; i < hubs.count && primary == gos->address; i++) {
-            primary = hubs.hubs[i].address;
-        }
-        message.news.hub = peers->is_direct ? 0 : primary;
-        message.news.seeking = false;
+        message.news.hub = get_table_source(gos, &hubs);
     }
     pack_message(&message);
     LIST_FOREACH(peer, &peers->list, links)
     {
-        bool is_receiver =
-            peers->is_mesh
-                ? (peer->received_us != 0 && Peers_IsNear(peers, peer)) ||
-                      g_rand_double(gos->rand) * peers->remote_count <
-                          GOS_REMOTE_FANOUT
-                : Hubs_Contains(&hubs, peer->address);
-        if (is_receiver) {
+        if (is_report_receiver(gos, &hubs, peer)) {
             send_to(gos, peer->address, &message);
         }
     }
-    if (is_regular &&
-        (is_lost || (is_turn && (peers->is_mesh || peers->is_direct)))) {
+    if (!is_regular) {
+        return;
+    }
+    gos->intervals++;
+    if (is_lost || is_turn) {
         message.news.number = ++gos->sequence;
         message.news.seeking = is_lost || !peers->is_mesh;
         pack_message(&message);
@@ -549,6 +543,35 @@
     }
 }
 
+/* Returns the hub from which this VM wants each table: the other one if this
+   VM is a hub itself but has no view yet, and 0 once it has one. */
+static uint64_t
+get_table_source(const Gos *gos, const HubsChoice *hubs)
+{
+    uint64_t source = Hubs_GetPrimary(hubs, gos->address);
+
+    if (gos->peers.is_direct) {
+        return 0;
+    }
+    for (uint32_t i = 0; i < hubs->count && source == gos->address; i++) {
+        source = hubs->hubs[i].address;
+    }
+    return source;
+}
+
+static bool
+is_report_receiver(const Gos *gos, const HubsChoice *hubs, const Peer *peer)
+{
+    const Peers *peers = &gos->peers;
+
+    if (!peers->is_mesh) {
+        return Hubs_Contains(hubs, peer->address);
+    }
+    return (peer->received_us != 0 && Peers_IsNear(peers, peer)) ||
+           g_rand_double(gos->rand) * peers->remote_count <
+               PEERS_REMOTE_FANOUT;
+}
+
 static void
 send_to_seeds(Gos *gos, const GosMessage *message)
 {
@@ -582,17 +605,7 @@
     }
     Report_Init(&sum);
     members = Peers_SumRegion(peers, &sum) + 1;
-    for (guint i = 0; i < gos->options.fleet->rows->len; i++) {
-        Report own;
-        ReportUse use;
-        if (get_own_use(g_ptr_array_index(gos->options.fleet->rows, i),
-                        Clk_Now(gos->options.clk), &use)) {
-            Report_Init(&own);
-            Report_AddUse(&own, &use);
-            Report_Merge(&sum, &own);
-            Report_Clear(&own);
-        }
-    }
+    add_own_uses(gos, &sum);
     Report_Merge(&sum, &gos->own);
     send_table(gos, peers->options.region, members, &sum, true);
     Report_Clear(&sum);
@@ -615,6 +628,28 @@
     Loop_ArmTimer(gos->table_timer, Hubs_GetPeriodMs(subscribers));
 }
 
+/* Adds this VM's use of the workers to a sum. */
+static void
+add_own_uses(Gos *gos, Report *sum)
+{
+    const GPtrArray *rows = gos->options.fleet->rows;
+    int64_t now_us = Clk_Now(gos->options.clk);
+    Report own;
+
+    if (gos->options.update_load != NULL) {
+        gos->options.update_load(gos->options.context);
+    }
+    Report_Init(&own);
+    for (guint i = 0; i < rows->len; i++) {
+        ReportUse use;
+        if (get_own_use(g_ptr_array_index(rows, i), now_us, &use)) {
+            Report_AddUse(&own, &use);
+        }
+    }
+    Report_Merge(sum, &own);
+    Report_Clear(&own);
+}
+
 /* Sends a region's table, in parts by the workers' hashes. */
 static void
 send_table(Gos *gos, uint32_t region, uint32_t members, const Report *report,
--- a/src/gate/peers.c
+++ b/src/gate/peers.c
@@ -21,9 +21,6 @@
 /* Within this time only the hub that sent the last table of a region may
    replace it: the tables of two hubs differ by some messages. */
 #define PEERS_SOURCE_TIMEOUT_US (500 * CLK_US_PER_MS)
-/* In a mesh, messages go to all peers of this region and to this many others
-   on average. */
-#define PEERS_REMOTE_FANOUT 8
 /* A peer of a mesh that is not near has the time of a near peer, and in
    addition the time in which this many messages are expected from it. */
 #define PEERS_REMOTE_ROUNDS 4
--- a/src/gate/peers.h
+++ b/src/gate/peers.h
@@ -17,6 +17,9 @@
 /* Most parts of a region's table; further workers are left out. */
 #define PEERS_PARTS_MAX 64
 #define PEERS_REGIONS_MAX 16
+/* In a mesh, messages go to all peers of this region and to this many others
+   on average. */
+#define PEERS_REMOTE_FANOUT 8
 /* Most other VMs that are remembered; messages about further ones are
    ignored. */
 #define PEERS_MAX 4096
