A starting VM reads the source itself; known entries are not decoded again

Change: in its first 1.5 s a VM that has read nothing asks no other VM, and an entry whose revision is known and listed is only kept. Test: Gossip.KnownEntriesOfACompleteListAreKept.

--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -17,6 +17,10 @@
 /* A VM that watches the source, but is behind another VM for longer than this,
    asks that VM: its own watch may be lost. */
 #define EDGE_BEHIND_MAX_US (900 * CLK_US_PER_MS)
+/* In this time after its start a VM reads the source itself: if hundreds of
+   VMs start together and ask each other for complete snapshots, the copies
+   fill their memory and links. */
+#define EDGE_FIRST_READ_US (1500 * CLK_US_PER_MS)
 #define EDGE_METRICS_PATH "/metrics"
 
 struct Edge {
@@ -36,6 +40,7 @@
     bool stopping;
     bool idle_closed; /* Callers' connections without a request are closed. */
     bool tasks_ended; /* Requests in progress have been ended. */
+    int64_t began_us;
     int64_t stop_us;
     /* What this VM knew when it learned that another VM knows something newer,
        and the time of that. */
@@ -87,6 +92,7 @@
     ServerOptions health = Server_DefaultOptions();
 
     edge->options = *options;
+    edge->began_us = Clk_Now(options->clk);
     edge->client = Client_New(options->base, options->clk);
     edge->fleet = Fleet_New();
     gate.base = options->base;
@@ -357,6 +363,9 @@
     bool is_newer = versions->config_version > own.config_version ||
                     versions->revision > own.revision;
 
+    if (own.revision == 0 && now_us - edge->began_us < EDGE_FIRST_READ_US) {
+        return;
+    }
     if (is_newer && (edge->behind_us == 0 ||
                      edge->behind.config_version != own.config_version ||
                      edge->behind.revision != own.revision)) {
--- a/src/gate/feed.c
+++ b/src/gate/feed.c
@@ -75,6 +75,9 @@
     LsError err = {0};
 
     Snapshot_SetEntry(feed->snapshot, id, text, size, revision);
+    if (Fleet_KeepEntry(fleet, id, revision)) {
+        return;
+    }
     if (decoder->decode_entry(decoder->context, id, text, size, revision,
                               &entry, &err) != LS_OK) {
         Log_WriteJson(LOG_LEVEL_INFO, "worker_unreadable",
--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -82,6 +82,19 @@
     return worker;
 }
 
+bool
+Fleet_KeepEntry(Fleet *fleet, const char *id, uint64_t revision)
+{
+    FleetWorker *worker = Fleet_Find(fleet, id);
+
+    if (worker == NULL || !worker->listed ||
+        worker->entry.revision != revision) {
+        return false;
+    }
+    worker->sweep_pending = false;
+    return true;
+}
+
 void
 Fleet_RemoveEntry(Fleet *fleet, const char *id, uint64_t revision,
                   int64_t now_us)
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -93,6 +93,10 @@
 /* Adds the worker, or updates the entry of a known one. Returns NULL, and
    ignores the entry, if its revision is older than the known one. */
 FleetWorker *Fleet_SetEntry(Fleet *fleet, const FleetEntry *entry);
+/* Returns whether the worker is listed with this revision of its entry, and
+   keeps it in the running sweep if so. A complete list holds mostly entries
+   that are known. */
+bool Fleet_KeepEntry(Fleet *fleet, const char *id, uint64_t revision);
 /* Marks the worker's entry as removed, unless the known entry is newer than
    `revision`. The worker itself stays until Fleet_Prune(). */
 void Fleet_RemoveEntry(Fleet *fleet, const char *id, uint64_t revision,
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -289,6 +289,27 @@
     EXPECT_EQ(Snapshot_GetDigest(to), Snapshot_GetDigest(from));
 }
 
+/* A complete list, as after a restart of the store, must not decode and log
+   each worker again: 3,000 of them take most of a second of a small VM. */
+TEST_F(Gossip, KnownEntriesOfACompleteListAreKept)
+{
+    Vm a(base, &clk, "a", nullptr, true);
+    Feed *feed = Edge_GetFeed(a.edge);
+    Feed_SetEntry(feed, "w", entry, sizeof(entry) - 1, 5);
+    Feed_SetEntry(feed, "gone", entry, sizeof(entry) - 1, 6);
+    Feed_BeginSweep(feed);
+    Feed_SetEntry(feed, "w", "not decoded", 11, 5);
+    Feed_EndSweep(feed);
+    EXPECT_TRUE(Fleet_IsReady(a.Worker("w")));
+    EXPECT_FALSE(Fleet_IsReady(a.Worker("gone")));
+    /* A removed worker that comes back with the same revision is decoded. */
+    Feed_BeginSweep(feed);
+    Feed_SetEntry(feed, "w", entry, sizeof(entry) - 1, 5);
+    Feed_SetEntry(feed, "gone", entry, sizeof(entry) - 1, 6);
+    Feed_EndSweep(feed);
+    EXPECT_TRUE(Fleet_IsReady(a.Worker("gone")));
+}
+
 TEST_F(SnapshotTest, OlderChangesOfAWorkerAreIgnored)
 {
     Snapshot_SetEntry(from, "a", "new", 3, 9);
