--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 # make demo    runs the main job on the embedded stand-ins
 # make test    checks and tests everything
 # make soak    plays SEEDS fresh seeds of the fault soak, and the kept ones
+# make proto   makes the C files of the messages in proto/ anew
 # make install installs the library, header and programs
 
 BUILD ?= build
@@ -13,7 +14,7 @@
 SEEDS ?= 50
 FIRST ?= $(shell date +%s)
 
-.PHONY: setup build demo test check soak install clean
+.PHONY: setup build demo test check soak proto install clean
 
 setup:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
@@ -41,6 +42,9 @@
 	@echo "fresh seeds from $(FIRST)"
 	@soak/run.sh $(BUILD) $(FIRST) $(SEEDS)
 
+proto: setup
+	@cd proto && protoc-c --c_out=. gossip.proto peer.proto
+
 install: build
 	@cmake --install $(BUILD)
 
