--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -95,7 +95,7 @@
 void
 Gate_UpdateForecasts(Gate *gate)
 {
-    GateTask *task;
+    GateTask *task = NULL;
 
     LIST_FOREACH(task, &gate->tasks, links)
     {
