--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -4,8 +4,7 @@
 #include "../io/loop.h"
 #include "../log.h"
 #include "../metrics.h"
-#include "gossip.pb-c.h"
-#include "peers.h"
+#include "gossip_message.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -21,63 +20,6 @@
 #define GOS_UPDATE_DELAY_MS 30
 #define GOS_SEED_INTERVALS 8   /* Intervals between messages to all seeds. */
 #define GOS_MAJORITY_RATIO 0.6 /* Share of the VMs that is a majority. */
-#define GOS_USES_MAX 48        /* Workers in one message. */
-#define GOS_PEERS_MAX 6        /* Addresses of other VMs in one message. */
-#define GOS_DEMANDS_MAX 8      /* Services in one message. */
-#define GOS_TABLE_ROWS_MAX 62  /* Workers in one part of a table. */
-/* Later points of time in a forecast of KV memory, and its unit. */
-#define GOS_LATER_POINTS (FORECAST_POINTS - 1)
-#define GOS_LATER_UNIT_TOKENS 64
-#define GOS_HUBS_MAX 8 /* Hubs of all regions in one message. */
-/* Largest message; a datagram of this size fits the usual networks without
-   fragmentation. */
-#define GOS_MESSAGE_MAX_BYTES 1400
-
-/* A message with the arrays that it refers to. */
-typedef struct GosMessage {
-    Gossip__News news;
-    Gossip__Use use_rows[GOS_USES_MAX];
-    Gossip__Use *uses[GOS_USES_MAX];
-    uint32_t later[GOS_USES_MAX * GOS_LATER_POINTS];
-    Gossip__Demand demand_rows[GOS_DEMANDS_MAX];
-    Gossip__Demand *demands[GOS_DEMANDS_MAX];
-    Gossip__Hub hub_rows[GOS_HUBS_MAX];
-    Gossip__Hub *hubs[GOS_HUBS_MAX];
-    uint64_t peers[GOS_PEERS_MAX];
-    uint8_t data[GOS_MESSAGE_MAX_BYTES];
-    size_t size; /* Of the packed message in `data`. */
-} GosMessage;
-
-/* One part of a region's table with the arrays that it refers to. */
-typedef struct GosTablePart {
-    Gossip__Table table;
-    Gossip__Demand demand_rows[GOS_DEMANDS_MAX];
-    Gossip__Demand *demands[GOS_DEMANDS_MAX];
-    uint64_t workers[GOS_TABLE_ROWS_MAX];
-    uint32_t inflight[GOS_TABLE_ROWS_MAX];
-    uint32_t reading[GOS_TABLE_ROWS_MAX];
-    uint32_t held[GOS_TABLE_ROWS_MAX];
-    uint32_t later[GOS_TABLE_ROWS_MAX * GOS_LATER_POINTS];
-    uint64_t silent[GOS_TABLE_ROWS_MAX];
-    uint64_t changing[GOS_TABLE_ROWS_MAX];
-} GosTablePart;
-
-struct Gos {
-    GosOptions options;
-    int fd;
-    uint64_t address;              /* IPv4 address << 16 | port. */
-    uint32_t sequence;             /* Number of the last message sent. */
-    uint32_t intervals;            /* Regular messages sent. */
-    uint32_t periods;              /* Tables sent. */
-    uint64_t seeds[GOS_SEEDS_MAX]; /* Addresses; 0 for none. */
-    GRand *rand;
-    Report own; /* Demands of this VM; its uses are those of the fleet. */
-    Peers peers;
-    struct event *readable;
-    struct event *timer;
-    struct event *table_timer; /* Pending while other VMs want tables. */
-    bool update_pending;       /* The timer is set for a change. */
-};
 
 static void on_readable(evutil_socket_t fd, short what, void *context);
 static void on_timer(evutil_socket_t fd, short what, void *context);
@@ -97,20 +39,6 @@
                        const Report *report, bool is_own);
 static void send_table_part(Gos *gos, const GosMessage *message, bool is_own);
 static void send_to(Gos *gos, uint64_t address, const GosMessage *message);
-static void begin_message(Gos *gos, GosMessage *message);
-static void add_uses(Gos *gos, GosMessage *message);
-static void add_peers(Gos *gos, GosMessage *message);
-static void add_hubs(Gos *gos, GosMessage *message);
-static void pack_message(GosMessage *message);
-static void fill_part(GosTablePart *part, const Report *report,
-                      uint32_t number, uint32_t count);
-static guint fill_demands(const Report *report, Gossip__Demand *rows,
-                          Gossip__Demand **demands);
-static Forecast decode_kv(uint32_t now_tokens, const uint32_t *later,
-                          size_t count, size_t row);
-static void encode_kv(const Forecast *kv, uint32_t *later);
-static bool get_own_use(const FleetWorker *worker, int64_t now_us,
-                        ReportUse *use);
 static ReportDemand sum_demand(const Gos *gos, const char *service,
                                bool near_only, uint32_t *count);
 static uint64_t parse_address(const char *text);
@@ -399,7 +327,7 @@
             .worker = Fleet_FindByHash(gos->options.fleet, from->worker),
             .inflight = from->inflight,
             .prefill_tokens = from->reading,
-            .kv = decode_kv(from->held, from->later, from->n_later, 0),
+            .kv = Gos_DecodeKv(from->held, from->later, from->n_later, 0),
             .unreachable = from->silent,
             .phase_changes = from->changing,
         };
@@ -412,9 +340,9 @@
     }
     if (news->seeking || is_small) {
         GosMessage message;
-        begin_message(gos, &message);
-        add_hubs(gos, &message);
-        pack_message(&message);
+        Gos_BeginMessage(gos, &message);
+        Gos_AddHubs(gos, &message);
+        Gos_PackMessage(&message);
         send_to(gos, peer->address, &message);
     }
     if (Peers_IsMember(&gos->peers, peer) &&
@@ -443,7 +371,8 @@
             .worker = Fleet_FindByHash(gos->options.fleet, table->workers[i]),
             .inflight = table->inflight[i],
             .prefill_tokens = table->reading[i],
-            .kv = decode_kv(table->held[i], table->later, table->n_later, i),
+            .kv =
+                Gos_DecodeKv(table->held[i], table->later, table->n_later, i),
         };
         ReportUse own;
         if (use.worker == NULL) {
@@ -455,7 +384,7 @@
         for (size_t k = 0; k < table->n_changing; k++) {
             use.phase_changes += table->changing[k] == table->workers[i];
         }
-        if (is_own && get_own_use(use.worker, now_us, &own)) {
+        if (is_own && Gos_GetOwnUse(use.worker, now_us, &own)) {
             /* The table includes what this VM reported some 100 ms ago, which
                is close to what it has now. */
             use.inflight -= MIN(use.inflight, own.inflight);
@@ -516,15 +445,15 @@
     GosMessage message;
     const Peer *peer = NULL;
 
-    begin_message(gos, &message);
-    add_uses(gos, &message);
+    Gos_BeginMessage(gos, &message);
+    Gos_AddUses(gos, &message);
     if (peers->is_mesh) {
-        add_peers(gos, &message);
+        Gos_AddPeers(gos, &message);
     }
     else {
         message.news.hub = get_table_source(gos, &hubs);
     }
-    pack_message(&message);
+    Gos_PackMessage(&message);
     LIST_FOREACH(peer, &peers->list, links)
     {
         if (is_report_receiver(gos, &hubs, peer)) {
@@ -538,7 +467,7 @@
     if (is_lost || is_turn) {
         message.news.number = ++gos->sequence;
         message.news.seeking = is_lost || !peers->is_mesh;
-        pack_message(&message);
+        Gos_PackMessage(&message);
         send_to_seeds(gos, &message);
     }
 }
@@ -642,7 +571,7 @@
     Report_Init(&own);
     for (guint i = 0; i < rows->len; i++) {
         ReportUse use;
-        if (get_own_use(g_ptr_array_index(rows, i), now_us, &use)) {
+        if (Gos_GetOwnUse(g_ptr_array_index(rows, i), now_us, &use)) {
             Report_AddUse(&own, &use);
         }
     }
@@ -666,14 +595,14 @@
         gossip__table__init(&part.table);
         part.table.region = region;
         part.table.members = members;
-        fill_part(&part, report, i, MIN(parts, PEERS_PARTS_MAX));
-        begin_message(gos, &message);
+        Gos_FillTablePart(&part, report, i, MIN(parts, PEERS_PARTS_MAX));
+        Gos_BeginMessage(gos, &message);
         message.news.n_demands = 0;
         message.news.table = &part.table;
         if (i == 0) {
-            add_hubs(gos, &message);
+            Gos_AddHubs(gos, &message);
         }
-        pack_message(&message);
+        Gos_PackMessage(&message);
         send_table_part(gos, &message, is_own);
     }
 }
@@ -721,247 +650,6 @@
     }
 }
 
-/* Starts a message with what each one carries: this VM, its versions, and its
-   demand on the services. */
-static void
-begin_message(Gos *gos, GosMessage *message)
-{
-    const GosOptions *options = &gos->options;
-    Gossip__News *news = &message->news;
-
-    if (options->update_load != NULL) {
-        options->update_load(options->context);
-    }
-
-    gossip__news__init(news);
-    news->vm = (char *)options->vm;
-    news->incarnation = options->incarnation;
-    news->number = ++gos->sequence;
-    news->address = gos->address;
-    news->region = gos->peers.options.region;
-    news->capacity = options->capacity;
-    news->vms = Peers_CountLive(&gos->peers) + 1;
-    if (options->get_versions != NULL) {
-        GosVersions own = options->get_versions(options->context);
-        news->config_version = own.config_version;
-        news->revision = own.revision;
-        news->digest = own.digest;
-        news->watches = own.watches;
-    }
-    news->uses = message->uses;
-    news->peers = message->peers;
-    news->hubs = message->hubs;
-    news->demands = message->demands;
-    news->n_demands =
-        fill_demands(&gos->own, message->demand_rows, message->demands);
-}
-
-/* Adds this VM's use of the workers. */
-static void
-add_uses(Gos *gos, GosMessage *message)
-{
-    const GPtrArray *rows = gos->options.fleet->rows;
-    int64_t now_us = Clk_Now(gos->options.clk);
-
-    for (guint i = 0; i < rows->len && message->news.n_uses < GOS_USES_MAX;
-         i++) {
-        Gossip__Use *row = &message->use_rows[message->news.n_uses];
-        ReportUse use;
-        if (!get_own_use(g_ptr_array_index(rows, i), now_us, &use)) {
-            continue;
-        }
-        gossip__use__init(row);
-        row->worker = use.worker->hash;
-        row->inflight = use.inflight;
-        row->reading = (uint32_t)use.prefill_tokens;
-        row->held = (uint32_t)use.kv.tokens[0];
-        row->later = message->later + message->news.n_uses * GOS_LATER_POINTS;
-        row->n_later = GOS_LATER_POINTS;
-        encode_kv(&use.kv, row->later);
-        row->silent = use.unreachable > 0;
-        row->changing = use.phase_changes > 0;
-        message->uses[message->news.n_uses++] = row;
-    }
-}
-
-/* Adds the addresses of some live peers. */
-static void
-add_peers(Gos *gos, GosMessage *message)
-{
-    Gossip__News *news = &message->news;
-    const Peer *peer = NULL;
-
-    LIST_FOREACH(peer, &gos->peers.list, links)
-    {
-        /* The message holds a random few: once it is full, a later peer may
-           replace an earlier one. */
-        guint at =
-            news->n_peers < GOS_PEERS_MAX
-                ? (guint)news->n_peers
-                : (guint)g_rand_int_range(gos->rand, 0, 2 * GOS_PEERS_MAX);
-        if (Peers_IsLive(&gos->peers, peer) && at < GOS_PEERS_MAX) {
-            message->peers[at] = peer->address;
-            news->n_peers = MAX(news->n_peers, at + 1);
-        }
-    }
-}
-
-/* Adds the hubs of all regions, as this VM knows them. */
-static void
-add_hubs(Gos *gos, GosMessage *message)
-{
-    const Peers *peers = &gos->peers;
-    int64_t now_us = Clk_Now(gos->options.clk);
-    Gossip__News *news = &message->news;
-    const Peer *peer = NULL;
-
-    LIST_FOREACH(peer, &peers->list, links)
-    {
-        bool is_hub = false;
-        Gossip__Hub *row = &message->hub_rows[news->n_hubs];
-        for (guint i = 0; i < peers->hubs_count && !is_hub; i++) {
-            is_hub = peers->hubs[i].region == peer->region &&
-                     Hubs_Contains(&peers->hubs[i].choice, peer->address);
-        }
-        if (!is_hub) {
-            continue;
-        }
-        gossip__hub__init(row);
-        row->address = peer->address;
-        row->region = peer->region;
-        row->capacity = peer->capacity;
-        row->age_ms = (uint32_t)((now_us - peer->heard_us) / CLK_US_PER_MS);
-        message->hubs[news->n_hubs++] = row;
-        if (news->n_hubs == GOS_HUBS_MAX) {
-            return;
-        }
-    }
-}
-
-/* Packs the message; uses are dropped until it fits. */
-static void
-pack_message(GosMessage *message)
-{
-    Gossip__News *news = &message->news;
-
-    while (gossip__news__get_packed_size(news) > GOS_MESSAGE_MAX_BYTES &&
-           news->n_uses > 0) {
-        news->n_uses--;
-    }
-    message->size =
-        gossip__news__get_packed_size(news) <= GOS_MESSAGE_MAX_BYTES
-            ? gossip__news__pack(news, message->data)
-            : 0;
-}
-
-/* Fills in the workers whose hashes belong to this part of the table. */
-static void
-fill_part(GosTablePart *part, const Report *report, uint32_t number,
-          uint32_t count)
-{
-    Gossip__Table *table = &part->table;
-    size_t n = 0;
-
-    table->part = number;
-    table->parts = count;
-    table->workers = part->workers;
-    table->inflight = part->inflight;
-    table->reading = part->reading;
-    table->held = part->held;
-    table->silent = part->silent;
-    table->changing = part->changing;
-    table->demands = part->demands;
-    for (guint i = 0; i < report->uses->len && n < GOS_TABLE_ROWS_MAX; i++) {
-        const ReportUse *use = &g_array_index(report->uses, ReportUse, i);
-        if (use->worker->hash % count != number) {
-            continue;
-        }
-        part->workers[n] = use->worker->hash;
-        part->inflight[n] = use->inflight;
-        part->reading[n] = (uint32_t)use->prefill_tokens;
-        part->held[n] = (uint32_t)use->kv.tokens[0];
-        encode_kv(&use->kv, part->later + n * GOS_LATER_POINTS);
-        n++;
-        if (use->unreachable > 0) {
-            part->silent[table->n_silent++] = use->worker->hash;
-        }
-        if (use->phase_changes > 0) {
-            part->changing[table->n_changing++] = use->worker->hash;
-        }
-    }
-    table->n_workers = n;
-    table->n_inflight = n;
-    table->n_reading = n;
-    table->n_held = n;
-    table->later = part->later;
-    table->n_later = n * GOS_LATER_POINTS;
-    if (number == 0) {
-        table->n_demands =
-            fill_demands(report, part->demand_rows, part->demands);
-    }
-}
-
-/* Fills in the demands of a report, and returns their number. */
-static guint
-fill_demands(const Report *report, Gossip__Demand *rows,
-             Gossip__Demand **demands)
-{
-    guint count = 0;
-    uint64_t service;
-    ReportDemand demand;
-
-    while (count < GOS_DEMANDS_MAX &&
-           Report_GetDemand(report, count, &service, &demand)) {
-        gossip__demand__init(&rows[count]);
-        rows[count].service = service;
-        rows[count].prompt_per_us = (float)demand.prompt_per_us;
-        rows[count].held = (float)demand.kv_tokens;
-        rows[count].requests = (float)demand.requests;
-        rows[count].extras = (float)demand.extras;
-        demands[count] = &rows[count];
-        count++;
-    }
-    return count;
-}
-
-/* Decodes the forecast of row `row`: `later` holds GOS_LATER_POINTS values for
-   each row. Those that are missing count as the present use. */
-static Forecast
-decode_kv(uint32_t now_tokens, const uint32_t *later, size_t count, size_t row)
-{
-    Forecast kv = {.tokens = {now_tokens}};
-
-    for (size_t i = 0; i < GOS_LATER_POINTS; i++) {
-        size_t at = row * GOS_LATER_POINTS + i;
-        kv.tokens[i + 1] = at < count
-                               ? (uint64_t)later[at] * GOS_LATER_UNIT_TOKENS
-                               : now_tokens;
-    }
-    return kv;
-}
-
-static void
-encode_kv(const Forecast *kv, uint32_t *later)
-{
-    for (size_t i = 0; i < GOS_LATER_POINTS; i++) {
-        later[i] = (uint32_t)(kv->tokens[i + 1] / GOS_LATER_UNIT_TOKENS);
-    }
-}
-
-/* Stores this VM's use of the worker; false if there is none. */
-static bool
-get_own_use(const FleetWorker *worker, int64_t now_us, ReportUse *use)
-{
-    use->worker = (FleetWorker *)worker;
-    use->inflight = worker->inflight;
-    use->prefill_tokens = worker->prefill_tokens;
-    use->kv = worker->kv;
-    use->unreachable = Health_IsBlocked(&worker->health, now_us);
-    use->phase_changes = now_us < worker->phase_change_until_us;
-    return use->inflight > 0 || Forecast_GetPeak(&use->kv) > 0 ||
-           use->unreachable > 0 || use->phase_changes > 0;
-}
-
 /* Parses "IP:port" to IPv4 address << 16 | port; 0 if there is no address. */
 static uint64_t
 parse_address(const char *text)
--- /dev/null
+++ b/src/gate/gossip_message.c
@@ -0,0 +1,238 @@
+/* Messages of gossip: contents and encoding. See gossip_message.h. */
+#include "gossip_message.h"
+
+static guint fill_demands(const Report *report, Gossip__Demand *rows,
+                          Gossip__Demand **demands);
+static void encode_kv(const Forecast *kv, uint32_t *later);
+
+void
+Gos_BeginMessage(Gos *gos, GosMessage *message)
+{
+    const GosOptions *options = &gos->options;
+    Gossip__News *news = &message->news;
+
+    if (options->update_load != NULL) {
+        options->update_load(options->context);
+    }
+
+    gossip__news__init(news);
+    news->vm = (char *)options->vm;
+    news->incarnation = options->incarnation;
+    news->number = ++gos->sequence;
+    news->address = gos->address;
+    news->region = gos->peers.options.region;
+    news->capacity = options->capacity;
+    news->vms = Peers_CountLive(&gos->peers) + 1;
+    if (options->get_versions != NULL) {
+        GosVersions own = options->get_versions(options->context);
+        news->config_version = own.config_version;
+        news->revision = own.revision;
+        news->digest = own.digest;
+        news->watches = own.watches;
+    }
+    news->uses = message->uses;
+    news->peers = message->peers;
+    news->hubs = message->hubs;
+    news->demands = message->demands;
+    news->n_demands =
+        fill_demands(&gos->own, message->demand_rows, message->demands);
+}
+
+void
+Gos_AddUses(Gos *gos, GosMessage *message)
+{
+    const GPtrArray *rows = gos->options.fleet->rows;
+    int64_t now_us = Clk_Now(gos->options.clk);
+
+    for (guint i = 0; i < rows->len && message->news.n_uses < GOS_USES_MAX;
+         i++) {
+        Gossip__Use *row = &message->use_rows[message->news.n_uses];
+        ReportUse use;
+        if (!Gos_GetOwnUse(g_ptr_array_index(rows, i), now_us, &use)) {
+            continue;
+        }
+        gossip__use__init(row);
+        row->worker = use.worker->hash;
+        row->inflight = use.inflight;
+        row->reading = (uint32_t)use.prefill_tokens;
+        row->held = (uint32_t)use.kv.tokens[0];
+        row->later = message->later + message->news.n_uses * GOS_LATER_POINTS;
+        row->n_later = GOS_LATER_POINTS;
+        encode_kv(&use.kv, row->later);
+        row->silent = use.unreachable > 0;
+        row->changing = use.phase_changes > 0;
+        message->uses[message->news.n_uses++] = row;
+    }
+}
+
+void
+Gos_AddPeers(Gos *gos, GosMessage *message)
+{
+    Gossip__News *news = &message->news;
+    const Peer *peer = NULL;
+
+    LIST_FOREACH(peer, &gos->peers.list, links)
+    {
+        /* The message holds a random few: once it is full, a later peer may
+           replace an earlier one. */
+        guint at =
+            news->n_peers < GOS_PEERS_MAX
+                ? (guint)news->n_peers
+                : (guint)g_rand_int_range(gos->rand, 0, 2 * GOS_PEERS_MAX);
+        if (Peers_IsLive(&gos->peers, peer) && at < GOS_PEERS_MAX) {
+            message->peers[at] = peer->address;
+            news->n_peers = MAX(news->n_peers, at + 1);
+        }
+    }
+}
+
+void
+Gos_AddHubs(Gos *gos, GosMessage *message)
+{
+    const Peers *peers = &gos->peers;
+    int64_t now_us = Clk_Now(gos->options.clk);
+    Gossip__News *news = &message->news;
+    const Peer *peer = NULL;
+
+    LIST_FOREACH(peer, &peers->list, links)
+    {
+        bool is_hub = false;
+        Gossip__Hub *row = &message->hub_rows[news->n_hubs];
+        for (guint i = 0; i < peers->hubs_count && !is_hub; i++) {
+            is_hub = peers->hubs[i].region == peer->region &&
+                     Hubs_Contains(&peers->hubs[i].choice, peer->address);
+        }
+        if (!is_hub) {
+            continue;
+        }
+        gossip__hub__init(row);
+        row->address = peer->address;
+        row->region = peer->region;
+        row->capacity = peer->capacity;
+        row->age_ms = (uint32_t)((now_us - peer->heard_us) / CLK_US_PER_MS);
+        message->hubs[news->n_hubs++] = row;
+        if (news->n_hubs == GOS_HUBS_MAX) {
+            return;
+        }
+    }
+}
+
+void
+Gos_PackMessage(GosMessage *message)
+{
+    Gossip__News *news = &message->news;
+
+    while (gossip__news__get_packed_size(news) > GOS_MESSAGE_MAX_BYTES &&
+           news->n_uses > 0) {
+        news->n_uses--;
+    }
+    message->size =
+        gossip__news__get_packed_size(news) <= GOS_MESSAGE_MAX_BYTES
+            ? gossip__news__pack(news, message->data)
+            : 0;
+}
+
+void
+Gos_FillTablePart(GosTablePart *part, const Report *report, uint32_t number,
+                  uint32_t count)
+{
+    Gossip__Table *table = &part->table;
+    size_t n = 0;
+
+    table->part = number;
+    table->parts = count;
+    table->workers = part->workers;
+    table->inflight = part->inflight;
+    table->reading = part->reading;
+    table->held = part->held;
+    table->silent = part->silent;
+    table->changing = part->changing;
+    table->demands = part->demands;
+    for (guint i = 0; i < report->uses->len && n < GOS_TABLE_ROWS_MAX; i++) {
+        const ReportUse *use = &g_array_index(report->uses, ReportUse, i);
+        if (use->worker->hash % count != number) {
+            continue;
+        }
+        part->workers[n] = use->worker->hash;
+        part->inflight[n] = use->inflight;
+        part->reading[n] = (uint32_t)use->prefill_tokens;
+        part->held[n] = (uint32_t)use->kv.tokens[0];
+        encode_kv(&use->kv, part->later + n * GOS_LATER_POINTS);
+        n++;
+        if (use->unreachable > 0) {
+            part->silent[table->n_silent++] = use->worker->hash;
+        }
+        if (use->phase_changes > 0) {
+            part->changing[table->n_changing++] = use->worker->hash;
+        }
+    }
+    table->n_workers = n;
+    table->n_inflight = n;
+    table->n_reading = n;
+    table->n_held = n;
+    table->later = part->later;
+    table->n_later = n * GOS_LATER_POINTS;
+    if (number == 0) {
+        table->n_demands =
+            fill_demands(report, part->demand_rows, part->demands);
+    }
+}
+
+/* Fills in the demands of a report, and returns their number. */
+static guint
+fill_demands(const Report *report, Gossip__Demand *rows,
+             Gossip__Demand **demands)
+{
+    guint count = 0;
+    uint64_t service;
+    ReportDemand demand;
+
+    while (count < GOS_DEMANDS_MAX &&
+           Report_GetDemand(report, count, &service, &demand)) {
+        gossip__demand__init(&rows[count]);
+        rows[count].service = service;
+        rows[count].prompt_per_us = (float)demand.prompt_per_us;
+        rows[count].held = (float)demand.kv_tokens;
+        rows[count].requests = (float)demand.requests;
+        rows[count].extras = (float)demand.extras;
+        demands[count] = &rows[count];
+        count++;
+    }
+    return count;
+}
+
+Forecast
+Gos_DecodeKv(uint32_t now_tokens, const uint32_t *later, size_t count,
+             size_t row)
+{
+    Forecast kv = {.tokens = {now_tokens}};
+
+    for (size_t i = 0; i < GOS_LATER_POINTS; i++) {
+        size_t at = row * GOS_LATER_POINTS + i;
+        kv.tokens[i + 1] = at < count
+                               ? (uint64_t)later[at] * GOS_LATER_UNIT_TOKENS
+                               : now_tokens;
+    }
+    return kv;
+}
+
+static void
+encode_kv(const Forecast *kv, uint32_t *later)
+{
+    for (size_t i = 0; i < GOS_LATER_POINTS; i++) {
+        later[i] = (uint32_t)(kv->tokens[i + 1] / GOS_LATER_UNIT_TOKENS);
+    }
+}
+
+bool
+Gos_GetOwnUse(const FleetWorker *worker, int64_t now_us, ReportUse *use)
+{
+    use->worker = (FleetWorker *)worker;
+    use->inflight = worker->inflight;
+    use->prefill_tokens = worker->prefill_tokens;
+    use->kv = worker->kv;
+    use->unreachable = Health_IsBlocked(&worker->health, now_us);
+    use->phase_changes = now_us < worker->phase_change_until_us;
+    return use->inflight > 0 || Forecast_GetPeak(&use->kv) > 0 ||
+           use->unreachable > 0 || use->phase_changes > 0;
+}
--- /dev/null
+++ b/src/gate/gossip_message.h
@@ -0,0 +1,86 @@
+/* Messages of gossip (Gos_): what a message between VMs carries. Internal to
+   gossip.c and gossip_message.c. */
+#ifndef LS_GOSSIP_MESSAGE_H
+#define LS_GOSSIP_MESSAGE_H
+
+#include "gossip.h"
+#include "gossip.pb-c.h"
+#include "peers.h"
+
+#define GOS_USES_MAX 48       /* Workers in one message. */
+#define GOS_PEERS_MAX 6       /* Addresses of other VMs in one message. */
+#define GOS_DEMANDS_MAX 8     /* Services in one message. */
+#define GOS_TABLE_ROWS_MAX 62 /* Workers in one part of a table. */
+/* Later points of time in a forecast of KV memory, and its unit. */
+#define GOS_LATER_POINTS (FORECAST_POINTS - 1)
+#define GOS_LATER_UNIT_TOKENS 64
+#define GOS_HUBS_MAX 8 /* Hubs of all regions in one message. */
+/* Largest message; a datagram of this size fits the usual networks without
+   fragmentation. */
+#define GOS_MESSAGE_MAX_BYTES 1400
+
+/* A message with the arrays that it refers to. */
+typedef struct GosMessage {
+    Gossip__News news;
+    Gossip__Use use_rows[GOS_USES_MAX];
+    Gossip__Use *uses[GOS_USES_MAX];
+    uint32_t later[GOS_USES_MAX * GOS_LATER_POINTS];
+    Gossip__Demand demand_rows[GOS_DEMANDS_MAX];
+    Gossip__Demand *demands[GOS_DEMANDS_MAX];
+    Gossip__Hub hub_rows[GOS_HUBS_MAX];
+    Gossip__Hub *hubs[GOS_HUBS_MAX];
+    uint64_t peers[GOS_PEERS_MAX];
+    uint8_t data[GOS_MESSAGE_MAX_BYTES];
+    size_t size; /* Of the packed message in `data`. */
+} GosMessage;
+
+/* One part of a region's table with the arrays that it refers to. */
+typedef struct GosTablePart {
+    Gossip__Table table;
+    Gossip__Demand demand_rows[GOS_DEMANDS_MAX];
+    Gossip__Demand *demands[GOS_DEMANDS_MAX];
+    uint64_t workers[GOS_TABLE_ROWS_MAX];
+    uint32_t inflight[GOS_TABLE_ROWS_MAX];
+    uint32_t reading[GOS_TABLE_ROWS_MAX];
+    uint32_t held[GOS_TABLE_ROWS_MAX];
+    uint32_t later[GOS_TABLE_ROWS_MAX * GOS_LATER_POINTS];
+    uint64_t silent[GOS_TABLE_ROWS_MAX];
+    uint64_t changing[GOS_TABLE_ROWS_MAX];
+} GosTablePart;
+
+struct Gos {
+    GosOptions options;
+    int fd;
+    uint64_t address;              /* IPv4 address << 16 | port. */
+    uint32_t sequence;             /* Number of the last message sent. */
+    uint32_t intervals;            /* Regular messages sent. */
+    uint32_t periods;              /* Tables sent. */
+    uint64_t seeds[GOS_SEEDS_MAX]; /* Addresses; 0 for none. */
+    GRand *rand;
+    Report own; /* Demands of this VM; its uses are those of the fleet. */
+    Peers peers;
+    struct event *readable;
+    struct event *timer;
+    struct event *table_timer; /* Pending while other VMs want tables. */
+    bool update_pending;       /* The timer is set for a change. */
+};
+
+/* Starts a message with what each one carries: this VM, its versions, and its
+   demand on the services. */
+void Gos_BeginMessage(Gos *gos, GosMessage *message);
+void Gos_AddUses(Gos *gos, GosMessage *message);  /* Use of the workers. */
+void Gos_AddPeers(Gos *gos, GosMessage *message); /* Some live peers. */
+void Gos_AddHubs(Gos *gos, GosMessage *message);  /* Hubs of all regions. */
+/* Packs the message; uses are dropped until it fits. */
+void Gos_PackMessage(GosMessage *message);
+/* Fills in the workers whose hashes belong to this part of the table. */
+void Gos_FillTablePart(GosTablePart *part, const Report *report,
+                       uint32_t number, uint32_t count);
+/* Decodes the forecast of row `row`: `later` holds GOS_LATER_POINTS values for
+   each row. Those that are missing count as the present use. */
+Forecast Gos_DecodeKv(uint32_t now_tokens, const uint32_t *later, size_t count,
+                      size_t row);
+/* Stores this VM's use of the worker; false if there is none. */
+bool Gos_GetOwnUse(const FleetWorker *worker, int64_t now_us, ReportUse *use);
+
+#endif
