--- /dev/null
+++ b/tests/test_gate_stream_end.cc
@@ -0,0 +1,142 @@
+/* Tests of the end of a worker's stream: whether the caller gets it as
+   complete, for each framing of the worker's answer. */
+#include "gate_rig.h"
+
+namespace {
+
+const Route resumable = {RTE_STREAM, 2, true};
+const Route at_most_once = {RTE_STREAM, 1, false};
+const char chunked[] = "Transfer-Encoding: chunked\r\n";
+
+std::string
+Prompt()
+{
+    return Request("POST", "X-Token-Usage: 1000,100\r\n");
+}
+
+/* A reply that sends the body with the framing, then ends the connection. The
+   framing itself is complete. */
+ScriptedReply
+EndedStream(const char *framing, const std::string &body,
+            ScriptedReply::End end)
+{
+    if (strcmp(framing, "length") == 0) {
+        return {StreamHead("Content-Length: " + std::to_string(body.size()) +
+                           "\r\n") +
+                    body,
+                end};
+    }
+    if (strcmp(framing, "chunks") == 0) {
+        return {StreamHead(chunked) + Chunk(body) + "0\r\n\r\n", end};
+    }
+    return {StreamHead("") + body, end};
+}
+
+const char *const framings[] = {"length", "chunks", "close"};
+
+/* What follows the last complete event. */
+struct RestCase {
+    const char *name;
+    const char *rest;
+    bool complete; /* Whether the stream is complete nevertheless. */
+};
+
+const RestCase rest_cases[] = {
+    {"nothing", "", true},
+    {"a blank line", "\n", true},
+    {"a blank line, CR LF", "\r\n", true},
+    {"a comment", ": end\n", true},
+    {"a part of a field's name", "i", false},
+    {"a part of a field's value", "id: 2", false},
+    {"a whole field", "id: 2\n", false},
+    {"a part of the data", "id: 2\ndata: t", false},
+    {"all lines but the blank one", "id: 2\ndata: t2\n", false},
+    {"a carriage return in place of the blank line", "id: 2\ndata: t2\n\r",
+     false},
+    {"a field after a comment", ": more\nid: 2\n", false},
+    {"a part of a comment", ": mo", false},
+};
+
+TEST(GateStreamEnd, StreamCutInsideAnEventIsNotComplete)
+{
+    for (const char *framing : framings) {
+        for (const RestCase &row : rest_cases) {
+            SCOPED_TRACE(std::string(framing) + ", " + row.name);
+            GateRig rig;
+            rig.SetRoute(at_most_once, true);
+            rig.AddWorker({EndedStream(framing, Events(0, 1) + row.rest,
+                                       ScriptedReply::CLOSE)},
+                          FLEET_PHASE_DECODE);
+            Caller *caller = rig.Call(Prompt());
+            ASSERT_TRUE(rig.Until(
+                [&] { return caller->IsComplete() || caller->closed; }));
+            EXPECT_EQ(caller->Status(), 200);
+            EXPECT_EQ(caller->IsComplete(), row.complete);
+            /* Only complete events are forwarded of a stream that was cut. */
+            EXPECT_EQ(caller->DechunkedBody(),
+                      Events(0, 1) + (row.complete ? row.rest : ""));
+        }
+    }
+}
+
+TEST(GateStreamEnd, StreamCutInsideAnEventIsResumed)
+{
+    for (const char *framing : framings) {
+        for (const RestCase &row : rest_cases) {
+            if (row.complete) {
+                continue;
+            }
+            SCOPED_TRACE(std::string(framing) + ", " + row.name);
+            GateRig rig;
+            rig.SetRoute(resumable, true);
+            auto script = std::make_shared<std::deque<ScriptedReply>>();
+            script->push_back(EndedStream(framing, Events(0, 1) + row.rest,
+                                          ScriptedReply::CLOSE));
+            script->push_back(Stream(2, 9));
+            rig.AddWorkerWithScript(script, FLEET_PHASE_DECODE);
+            rig.AddWorkerWithScript(script, FLEET_PHASE_DECODE);
+            Caller *caller = rig.Call(Prompt());
+            ASSERT_TRUE(rig.Until(
+                [&] { return caller->IsComplete() || caller->closed; }));
+            EXPECT_TRUE(caller->IsComplete());
+            EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+        }
+    }
+}
+
+TEST(GateStreamEnd, StreamResetBetweenTwoEventsIsNotComplete)
+{
+    GateRig rig;
+    rig.SetRoute(at_most_once, true);
+    rig.AddWorker({EndedStream("close", Events(0, 1), ScriptedReply::RESET)},
+                  FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Prompt());
+    ASSERT_TRUE(
+        rig.Until([&] { return caller->IsComplete() || caller->closed; }));
+    EXPECT_FALSE(caller->IsComplete());
+}
+
+/* Framing that ends before its length or its last chunk. */
+TEST(GateStreamEnd, StreamWithTruncatedFramingIsNotComplete)
+{
+    const std::string events = Events(0, 1);
+    const ScriptedReply replies[] = {
+        {StreamHead("Content-Length: 33\r\n") + events, ScriptedReply::CLOSE},
+        {StreamHead(chunked) + Chunk(events), ScriptedReply::CLOSE},
+        {StreamHead(chunked) + "40\r\n" + events, ScriptedReply::CLOSE},
+        {StreamHead(chunked) + Chunk(events) + "0\r\n", ScriptedReply::CLOSE},
+    };
+
+    for (const ScriptedReply &reply : replies) {
+        SCOPED_TRACE(reply.bytes);
+        GateRig rig;
+        rig.SetRoute(at_most_once, true);
+        rig.AddWorker({reply}, FLEET_PHASE_DECODE);
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(
+            rig.Until([&] { return caller->IsComplete() || caller->closed; }));
+        EXPECT_FALSE(caller->IsComplete());
+    }
+}
+
+} // namespace
