Streams: a stream that ends inside an event was broken off

Cause: the end of a worker's stream was taken from the framing alone. An answer with neither a length nor chunks ends with its connection, so a worker that crashes ends its answer 'completely'; on_run_end() then even sent the rest of the cut event and the last chunk.

Fix: a stream is complete only if its framing is and the bytes after its last event are no part of an event. A crash exactly between two events of an answer without framing can't be told.

--- a/src/gate/sse.c
+++ b/src/gate/sse.c
@@ -40,6 +40,23 @@
     return sse->pending->len > SSE_EVENT_MAX_BYTES;
 }
 
+bool
+Sse_IsInsideEvent(const Sse *sse)
+{
+    const char *line = (const char *)sse->pending->data;
+    const char *end = line + sse->pending->len;
+
+    while (line < end) {
+        const char *next = memchr(line, '\n', (size_t)(end - line));
+        bool blank = next == line || (next == line + 1 && *line == '\r');
+        if (next == NULL || (!blank && *line != ':')) {
+            return true;
+        }
+        line = next + 1;
+    }
+    return false;
+}
+
 bool
 Sse_Next(Sse *sse, size_t *offset, SseEvent *event)
 {
--- a/src/gate/sse.h
+++ b/src/gate/sse.h
@@ -33,6 +33,10 @@
 /* Whether the pending bytes are more than an event may have. To be called once
    Sse_Next() has returned false. */
 bool Sse_IsEventTooLong(const Sse *sse);
+/* Whether the pending bytes are a part of an event, so that a stream which
+   ends with them was broken off. Blank lines and comments belong to no event.
+   To be called once Sse_Next() has returned false. */
+bool Sse_IsInsideEvent(const Sse *sse);
 /* Gets the next complete event, starting at *offset (0 for the first one), and
    advances *offset. Returns false if there is none. The event points into the
    pending bytes and is valid until they change. */
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -490,14 +490,22 @@
     TaskCall *current = &task->current;
     LsRun run;
     bool has_answer;
+    bool cut_inside_event;
 
     current->call = NULL;
+    cut_inside_event =
+        outcome == CLIENT_COMPLETE && Sse_IsInsideEvent(&task->sse);
+    if (cut_inside_event) {
+        /* The framing alone doesn't show that a stream is complete: it may be
+           nothing but the end of the connection. */
+        Met_Add(MET_STREAMS_ENDED_IN_EVENT, 1);
+        outcome = CLIENT_INTERRUPTED;
+    }
     run = Task_GetRun(task, outcome);
     has_answer = Task_HasAnswer(task, outcome);
     if (has_answer && current->reply.status == 200 && task->streaming) {
         ServerExchange *exchange = task->exchange;
         if (task->sse.pending->len > 0) {
-            Met_Add(MET_STREAMS_ENDED_IN_EVENT, 1);
             Server_SendData(exchange, task->sse.pending->data,
                             task->sse.pending->len);
         }
@@ -507,7 +515,9 @@
         Task_End(task, "streamed", 200);
         return;
     }
-    Task_NoteFailure(task, outcome, run, Task_GetCause(task, outcome, run));
+    Task_NoteFailure(task, outcome, run,
+                     cut_inside_event ? "stream ended inside an event"
+                                      : Task_GetCause(task, outcome, run));
     if (run == LS_RUN_NOT_RUN && outcome == CLIENT_COMPLETE &&
         current->stage == TASK_DECODE && task->kv.worker != NULL) {
         /* Memory is reserved beforehand, so a refusal is treated as a failed
