--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -120,7 +120,6 @@
 Task_End(GateTask *task, const char *outcome, int status)
 {
     int64_t took_us = Task_Now(task) - task->began_us;
-    const char *framing = Task_GetFramingName(task);
     int64_t run_us;
 
     Met_Add(status < 300
@@ -139,8 +138,9 @@
                   "outcome", outcome, "status", status, "took_us",
                   (json_int_t)took_us, "sends", (int)task->sends, "runs",
                   (int)task->runs, "cause", task->cause, "last_event",
-                  (json_int_t)task->last_event, "framing", framing,
-                  "unfinished_bytes", (int)task->sse.pending->len, "config",
+                  (json_int_t)task->last_event, "framing",
+                  Task_GetFramingName(task), "unfinished_bytes",
+                  (int)task->sse.pending->len, "config",
                   (json_int_t)task->table->version, "first_us",
                   (json_int_t)(task->first_event_us
                                    ? task->first_event_us - task->began_us
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -40,10 +40,9 @@
     int64_t expected_us; /* Estimated time to the first byte. */
     bool has_reply;      /* `reply` is filled in. */
     GateReply reply;
-    ClientFraming framing; /* Of the reply's body. */
-    HeaderList *headers;   /* Headers of the reply for the caller. */
-    GByteArray *body;      /* Body of the reply, up to TASK_BODY_MAX bytes. */
-    bool truncated;        /* The body was longer than the limit. */
+    HeaderList *headers; /* Headers of the reply for the caller. */
+    GByteArray *body;    /* Body of the reply, up to TASK_BODY_MAX bytes. */
+    bool truncated;      /* The body was longer than the limit. */
 } TaskCall;
 
 /* KV memory of a prompt that a prefill worker keeps until it is fetched. */
@@ -85,6 +84,7 @@
     /* Workers that failed this task. */
     FleetWorker *excluded[TASK_EXCLUDED_MAX];
     guint excluded_count;
+    ClientFraming framing;    /* Of the last answer to a call. */
     uint32_t sends;           /* Calls begun, reservations not counted. */
     uint32_t runs;            /* Workers on which the request may have run. */
     uint32_t counted_calls;   /* Calls counted for the retry budget, which
@@ -168,7 +168,7 @@
 /* Appends data to the body of the answer, up to TASK_BODY_MAX bytes. `task` is
    the GateTask. */
 void Task_AppendBody(void *task, const void *data, size_t size);
-/* Returns the name, for logs, of the framing of the call's answer. */
+/* Returns the name, for logs, of the framing of the last answer to a call. */
 const char *Task_GetFramingName(const GateTask *task);
 /* Returns a short text for logs and callers on why a call failed. */
 const char *Task_GetCause(const GateTask *task, ClientOutcome outcome,
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -155,6 +155,7 @@
                           : Task_GetForecast(task);
     }
     init_call(task, worker);
+    task->framing = CLIENT_FRAMING_NONE;
     count_call(task);
     task->sends++;
     current->call = Client_BeginCall(task->gate->options.client, &call);
@@ -323,7 +324,7 @@
 {
     static const char *const names[] = {"none", "length", "chunks", "close"};
 
-    return names[task->current.framing];
+    return names[task->framing];
 }
 
 const char *
@@ -614,8 +615,8 @@
     current->has_reply = true;
     codec->decode_reply(codec->context, status, headers, task->request.id,
                         &current->reply);
-    current->framing = Client_GetFraming(current->call);
-    if (current->framing == CLIENT_FRAMING_CLOSE) {
+    task->framing = Client_GetFraming(current->call);
+    if (task->framing == CLIENT_FRAMING_CLOSE) {
         Met_Add(MET_ANSWERS_UNTIL_CLOSE, 1);
     }
     current->headers = Header_New();
