Server: a stream without chunks to a caller ends by a reset unless complete

Where it read too slowly, the VM dropped what was unsent and closed in order, so the caller took the part for the whole; the same if the process was killed. test_gate_stream_end failed in CallerWithoutChunksIsResetIfItReadsTooSlowly before.

The socket is now set to reset when it closes from the stream's begin until its last byte was written, so that each other end, of the connection or of the process, is told.

--- a/src/io/server.c
+++ b/src/io/server.c
@@ -74,6 +74,7 @@
 static void write_head(ServerConn *conn, int status,
                        const HeaderList *headers);
 static bool is_closing(const ServerConn *conn);
+static void set_reset_on_close(const ServerConn *conn, bool reset);
 
 static const http_parser_settings parser_settings = {
     .on_message_begin = parse_begin,
@@ -222,6 +223,11 @@
     conn->chunked =
         conn->parser.http_major == 1 && conn->parser.http_minor == 1;
     conn->keep_alive = conn->keep_alive && conn->chunked;
+    if (!conn->chunked) {
+        /* The end of the connection is the end of the response, so that any
+           other end, even that of the process, must be a reset. */
+        set_reset_on_close(conn, true);
+    }
     write_head(conn, status, headers);
     evbuffer_add_printf(
         out, conn->chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
@@ -268,11 +274,6 @@
 
     conn->keep_alive = false;
     if (!conn->chunked) {
-        /* Without chunks, only a reset shows that the response is
-           incomplete. */
-        struct linger reset = {.l_onoff = 1, .l_linger = 0};
-        setsockopt(bufferevent_getfd(conn->bev), SOL_SOCKET, SO_LINGER, &reset,
-                   sizeof(reset));
         conn->in_exchange = false;
         conn->server->exchanges--;
         close_conn(conn);
@@ -597,6 +598,16 @@
     return !conn->keep_alive || conn->server->shutting_down;
 }
 
+/* Sets whether closing the connection resets it. */
+static void
+set_reset_on_close(const ServerConn *conn, bool reset)
+{
+    struct linger linger = {.l_onoff = reset, .l_linger = 0};
+
+    setsockopt(bufferevent_getfd(conn->bev), SOL_SOCKET, SO_LINGER, &linger,
+               sizeof(linger));
+}
+
 /* Closes the connection after a response, or prepares for the next request. */
 static void
 finish_exchange(ServerConn *conn)
@@ -632,6 +643,7 @@
 
     conn->lingering = true;
     evbuffer_drain(in, evbuffer_get_length(in));
+    set_reset_on_close(conn, false);
     shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
     Loop_ArmTimer(conn->timer, SERVER_LINGER_MS);
 }
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -376,8 +376,17 @@
         return dechunked;
     }
 
+    /* Stops or resumes reading. */
+    void
+    SetReading(bool reading)
+    {
+        reading ? bufferevent_enable(bev_, EV_READ)
+                : bufferevent_disable(bev_, EV_READ);
+    }
+
     std::string text;    /* Bytes received. */
     bool closed = false; /* The gate has closed the connection. */
+    bool reset = false;  /* It did so by a reset. */
 
   private:
     static void
@@ -394,8 +403,10 @@
     static void
     OnEvent(bufferevent *, short what, void *context)
     {
+        Caller *self = static_cast<Caller *>(context);
         if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) {
-            static_cast<Caller *>(context)->closed = true;
+            self->closed = true;
+            self->reset = (what & BEV_EVENT_ERROR) != 0;
         }
     }
 
--- a/tests/test_gate_stream_end.cc
+++ b/tests/test_gate_stream_end.cc
@@ -139,4 +139,65 @@
     }
 }
 
+std::string
+Http10Prompt()
+{
+    std::string prompt = Prompt();
+    return prompt.replace(prompt.find("HTTP/1.1"), 8, "HTTP/1.0");
+}
+
+/* A caller that knows no chunks gets a stream that ends with its connection,
+   so that any other end must be a reset. */
+TEST(GateStreamEnd, CallerWithoutChunksGetsTheEndOfACompleteStream)
+{
+    GateRig rig;
+    rig.SetRoute(at_most_once, true);
+    rig.AddWorker({Stream(0, 9)}, FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Http10Prompt());
+    ASSERT_TRUE(rig.Until([&] { return caller->closed; }));
+    EXPECT_FALSE(caller->reset);
+    EXPECT_EQ(caller->Body(), Events(0, 9));
+}
+
+TEST(GateStreamEnd, CallerWithoutChunksIsResetAfterABrokenStream)
+{
+    GateRig rig;
+    rig.SetRoute(at_most_once, true);
+    rig.AddWorker({Stream(0, 4, ScriptedReply::CLOSE)}, FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Http10Prompt());
+    ASSERT_TRUE(rig.Until([&] { return caller->closed; }));
+    EXPECT_TRUE(caller->reset);
+}
+
+TEST(GateStreamEnd, CallerWithoutChunksIsResetIfItReadsTooSlowly)
+{
+    GateRig rig;
+    rig.SetRoute(at_most_once, true);
+    Worker *worker =
+        rig.AddWorker({{StreamHead("") + Events(0, 0), ScriptedReply::KEEP,
+                        ": " + std::string(1000, 'x') + "\n\n"}},
+                      FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Http10Prompt());
+    ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+    caller->SetReading(false);
+    ASSERT_TRUE(rig.Until([&] { return worker->closed > 0; }));
+    caller->SetReading(true);
+    ASSERT_TRUE(rig.Until([&] { return caller->closed; }));
+    EXPECT_TRUE(caller->reset);
+}
+
+TEST(GateStreamEnd, CallerWithoutChunksIsResetIfTheVmEnds)
+{
+    GateRig rig;
+    rig.SetRoute(at_most_once, true);
+    rig.AddWorker({{StreamHead("") + Events(0, 4)}}, FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Http10Prompt());
+    ASSERT_TRUE(rig.Until(
+        [&] { return caller->Body().size() == Events(0, 4).size(); }));
+    Edge_Free(rig.edge);
+    rig.edge = nullptr;
+    ASSERT_TRUE(rig.Until([&] { return caller->closed; }));
+    EXPECT_TRUE(caller->reset);
+}
+
 } // namespace
