--- a/replay/rig.h
+++ b/replay/rig.h
@@ -44,6 +44,7 @@
     RIG_FAULT_FORGET,  /* Reports the KV data of one request as missing. */
     RIG_FAULT_REPEAT,  /* Sends each token twice. */
     RIG_FAULT_SKIP,    /* Omits the third token of each stream. */
+    RIG_FAULT_LONG,    /* Runs operations, but the answers are too long. */
 } RigFault;
 
 /* A caller and the answer that it received. */
--- a/replay/rig_up.c
+++ b/replay/rig_up.c
@@ -1,5 +1,6 @@
 /* Rig, fake upstreams (RigUp_): engines that prefill, decode and hold requests
    in memory, and a booking service that counts the runs of each operation. */
+#include "operation.h"
 #include "rig_state.h"
 
 #include <string.h>
@@ -72,6 +73,11 @@
     if (rig->booking_fault == RIG_FAULT_LOSE) {
         reply(rig, call, BOARD_CALL_FAILED, 0, "", true);
     }
+    else if (rig->booking_fault == RIG_FAULT_LONG) {
+        char *text = g_strnfill(OP_ANSWER_MAX_BYTES + 1, 'x');
+        reply(rig, call, BOARD_CALL_END, 200, text, true);
+        g_free(text);
+    }
     else if (rig->booking_fault != RIG_FAULT_SILENT) {
         reply(rig, call, BOARD_CALL_END, 200, "{\"run\":1}", true);
     }
--- a/replay/trace.c
+++ b/replay/trace.c
@@ -29,8 +29,8 @@
 
 /* Names of the RigFault values, in their order. */
 static const char *const fault_names[] = {
-    "none", "silent",  "refuse", "down",   "cut",
-    "lose", "leaving", "forget", "repeat", "skip"};
+    "none",    "silent", "refuse", "down", "cut", "lose",
+    "leaving", "forget", "repeat", "skip", "long"};
 
 /* Sets the error to the line's number and a text in which `what` replaces the
    format's one %s. Returns false. */
--- a/src/operation.c
+++ b/src/operation.c
@@ -520,10 +520,16 @@
         return;
     }
     end_running(board->op, item);
+    if (event->type == BOARD_CALL_END && event->size > OP_ANSWER_MAX_BYTES) {
+        item->state = OP_UNKNOWN;
+        set_unknown(&err, "the service's answer was too long");
+        answer_all(board, item, &err);
+        return;
+    }
     if (event->type == BOARD_CALL_END) {
         item->state = OP_DONE;
         item->status = event->status;
-        item->answer_size = MIN(event->size, (size_t)OP_ANSWER_MAX_BYTES);
+        item->answer_size = event->size;
         item->answer = g_memdup2(event->data, item->answer_size);
         answer_all(board, item, NULL);
         return;
--- a/src/operation.h
+++ b/src/operation.h
@@ -12,7 +12,7 @@
 /* Time after its issue for which a key stays in the table. */
 #define OP_KEY_LIFETIME_US (3600 * CLK_US_PER_S)
 #define OP_KEYS_MAX 100000               /* Keys in the table. */
-#define OP_ANSWER_MAX_BYTES (256 * 1024) /* Longer answers are truncated. */
+#define OP_ANSWER_MAX_BYTES (256 * 1024) /* Longer answers are dropped. */
 
 /* Parameters of an operation. Strings are copied. */
 typedef struct OpParams {
