--- a/tests/test_store.cc
+++ b/tests/test_store.cc
@@ -233,6 +233,33 @@
     EXPECT_FALSE(IsReady("a"));
 }
 
+/* A page after which the next one can't be asked for, or that doesn't say
+   whether there is one, is not the end of the list: the workers of later pages
+   would be dropped. */
+TEST_F(StoreTest, PageWithoutAKnownEndDropsNoWorkers)
+{
+    const std::string a = Item("servers/a", WorkerEntry("ready"), 4);
+    const std::string b = Item("servers/b", WorkerEntry("ready"), 4);
+    const std::string long_key = "servers/" + std::string(300, 'x');
+    const std::string pages[] = {
+        Range(a + "," + Item(long_key, WorkerEntry("ready"), 4), 30, true),
+        Range("", 30, true),
+        "200 {\"items\":[" + a + "],\"as-of\":30}",
+        "200 {\"items\":[" + a + "],\"truncated\":1,\"as-of\":30}",
+        Range(a, 30, true).substr(0, 60),
+    };
+
+    for (const std::string &page : pages) {
+        SCOPED_TRACE(page);
+        Begin({Range(a + "," + b, 4), "410 {}", page});
+        ASSERT_TRUE(rig.Until([&] { return store->targets.size() >= 4; }));
+        EXPECT_TRUE(IsReady("b"));
+        EXPECT_EQ(store->targets[3].find("kv-watch"), std::string::npos);
+        Pf_FreeStore(client);
+        client = nullptr;
+    }
+}
+
 TEST_F(StoreTest, ErrorStatusAndMalformedResponseAreRetried)
 {
     Begin({"503 ", "429 ", "200 nonsense",
