--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -786,7 +786,7 @@
   (ProtobufCMessageInit) gossip__table__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__news__field_descriptors[18] =
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[19] =
 {
   {
     "vm",
@@ -1004,6 +1004,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__news__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -1011,6 +1023,7 @@
   5,   /* field[5] = config_version */
   9,   /* field[9] = demands */
   17,   /* field[17] = digest */
+  18,   /* field[18] = era */
   12,   /* field[12] = hub */
   14,   /* field[14] = hubs */
   1,   /* field[1] = incarnation */
@@ -1028,7 +1041,7 @@
 static const ProtobufCIntRange gossip__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor gossip__news__descriptor =
 {
@@ -1038,7 +1051,7 @@
   "Gossip__News",
   "gossip",
   sizeof(Gossip__News),
-  18,
+  19,
   gossip__news__field_descriptors,
   gossip__news__field_indices_by_name,
   1,  gossip__news__number_ranges,
@@ -1109,7 +1122,7 @@
   (ProtobufCMessageInit) gossip__entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__picture__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gossip__picture__field_descriptors[7] =
 {
   {
     "config",
@@ -1183,11 +1196,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Picture, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__picture__field_indices_by_name[] = {
   0,   /* field[0] = config */
   1,   /* field[1] = config_version */
   3,   /* field[3] = entries */
+  6,   /* field[6] = era */
   5,   /* field[5] = ids */
   4,   /* field[4] = is_delta */
   2,   /* field[2] = revision */
@@ -1195,7 +1221,7 @@
 static const ProtobufCIntRange gossip__picture__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gossip__picture__descriptor =
 {
@@ -1205,7 +1231,7 @@
   "Gossip__Picture",
   "gossip",
   sizeof(Gossip__Picture),
-  6,
+  7,
   gossip__picture__field_descriptors,
   gossip__picture__field_indices_by_name,
   1,  gossip__picture__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -255,10 +255,14 @@
    * Of the workers' entries that the sender knows.
    */
   uint64_t digest;
+  /*
+   * Of `revision`.
+   */
+  uint64_t era;
 };
 #define GOSSIP__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0 }
 
 
 /*
@@ -298,10 +302,14 @@
   protobuf_c_boolean is_delta;
   size_t n_ids;
   uint64_t *ids;
+  /*
+   * Of `revision` and of the entries' revisions.
+   */
+  uint64_t era;
 };
 #define GOSSIP__PICTURE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__picture__descriptor) \
-    , {0,NULL}, 0, 0, 0,NULL, 0, 0,NULL }
+    , {0,NULL}, 0, 0, 0,NULL, 0, 0,NULL, 0 }
 
 
 /* Gossip__Use methods */
--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -78,6 +78,7 @@
         .grace_ms = 8000,
         .lease_ms = 3000,
         .budget = gate.budget,
+        .fleet = Fleet_DefaultOptions(),
     };
     return options;
 }
@@ -94,7 +95,7 @@
     edge->options = *options;
     edge->began_us = Clk_Now(options->clk);
     edge->client = Client_New(options->base, options->clk);
-    edge->fleet = Fleet_New();
+    edge->fleet = Fleet_New(&options->fleet);
     gate.base = options->base;
     gate.clk = options->clk;
     gate.client = edge->client;
@@ -341,9 +342,10 @@
     const Snapshot *snapshot = Feed_GetSnapshot(edge->feed);
     GosVersions versions = {
         .config_version = Snapshot_GetVersion(snapshot),
-        .revision = Snapshot_GetRevision(snapshot),
+        .position = Snapshot_GetPosition(snapshot),
         .digest = Snapshot_GetDigest(snapshot),
         .watches = Gos_NeedsSource(edge->gossip) &&
+                   !Snapshot_IsSweeping(snapshot) &&
                    edge->options.is_source_reachable(edge->options.context),
     };
 
@@ -361,26 +363,27 @@
     GosVersions own = get_versions(edge);
     int64_t now_us = Clk_Now(edge->options.clk);
     bool is_newer = versions->config_version > own.config_version ||
-                    versions->revision > own.revision;
+                    Pos_IsBefore(own.position, versions->position);
 
-    if (own.revision == 0 && now_us - edge->began_us < EDGE_FIRST_READ_US) {
+    if (own.position.revision == 0 &&
+        now_us - edge->began_us < EDGE_FIRST_READ_US) {
         return;
     }
     if (is_newer && (edge->behind_us == 0 ||
                      edge->behind.config_version != own.config_version ||
-                     edge->behind.revision != own.revision)) {
+                     !Pos_IsEqual(edge->behind.position, own.position))) {
         edge->behind = own;
         edge->behind_us = now_us;
     }
     if (is_newer &&
         (!own.watches || now_us - edge->behind_us > EDGE_BEHIND_MAX_US)) {
-        Relay_FetchSnapshot(edge->relay, address, own.revision);
+        Relay_FetchSnapshot(edge->relay, address, own.position);
     }
     else if (!own.watches && versions->watches &&
-             versions->revision == own.revision &&
+             Pos_IsEqual(versions->position, own.position) &&
              versions->digest != own.digest) {
         /* A change was missed, so all entries are needed. */
-        Relay_FetchSnapshot(edge->relay, address, 0);
+        Relay_FetchSnapshot(edge->relay, address, (Pos){0});
     }
 }
 
--- a/src/gate/feed.c
+++ b/src/gate/feed.c
@@ -11,10 +11,10 @@
 static void apply_config(void *context, const void *text, size_t size,
                          uint64_t version);
 static void set_entry(void *context, const char *id, const void *text,
-                      size_t size, uint64_t revision);
-static void begin_sweep(void *context);
+                      size_t size, Pos position);
+static void begin_sweep(void *context, uint64_t era);
 static void end_sweep(void *context);
-static void remove_entry(void *context, const char *id, uint64_t revision);
+static void remove_entry(void *context, const char *id, Pos position);
 
 Feed *
 Feed_New(const FeedOptions *options)
@@ -67,56 +67,66 @@
 
 void
 Feed_SetEntry(Feed *feed, const char *id, const void *text, size_t size,
-              uint64_t revision)
+              Pos position)
 {
     const FeedDecoder *decoder = feed->options.decoder;
     Fleet *fleet = feed->options.fleet;
+    int64_t now_us = Clk_Now(feed->options.clk);
+    const FleetWorker *worker;
     FleetEntry entry;
     LsError err = {0};
 
-    Snapshot_SetEntry(feed->snapshot, id, text, size, revision);
-    if (Fleet_KeepEntry(fleet, id, revision)) {
+    Snapshot_SetEntry(feed->snapshot, id, text, size, position);
+    if (Fleet_KeepEntry(fleet, id, position)) {
         return;
     }
-    if (decoder->decode_entry(decoder->context, id, text, size, revision,
+    if (decoder->decode_entry(decoder->context, id, text, size, position,
                               &entry, &err) != LS_OK) {
         Log_WriteJson(LOG_LEVEL_INFO, "worker_unreadable",
-                      json_pack("{s:s,s:I,s:s}", "worker", id, "revision",
-                                (json_int_t)revision, "cause", err.message));
-        Fleet_RemoveEntry(fleet, id, revision, Clk_Now(feed->options.clk));
+                      json_pack("{s:s,s:I,s:I,s:s}", "worker", id, "era",
+                                (json_int_t)position.era, "revision",
+                                (json_int_t)position.revision, "cause",
+                                err.message));
+        Fleet_RemoveEntry(fleet, id, position, now_us);
         return;
     }
-    if (Fleet_SetEntry(fleet, &entry) != NULL) {
+    worker = Fleet_SetEntry(fleet, &entry, now_us);
+    if (worker != NULL) {
         Log_WriteJson(LOG_LEVEL_INFO, "worker",
-                      json_pack("{s:s,s:s,s:s,s:i,s:b,s:I}", "worker", id,
-                                "address", entry.address, "service",
+                      json_pack("{s:s,s:s,s:s,s:i,s:b,s:b,s:I,s:I}", "worker",
+                                id, "address", entry.address, "service",
                                 entry.service, "phase", (int)entry.phase,
-                                "draining", (int)entry.draining, "revision",
-                                (json_int_t)revision));
+                                "draining", (int)worker->entry.draining,
+                                "doubted",
+                                (int)(now_us < worker->doubted_until_us),
+                                "era", (json_int_t)position.era, "revision",
+                                (json_int_t)position.revision));
     }
 }
 
 void
-Feed_RemoveEntry(Feed *feed, const char *id, uint64_t revision)
+Feed_RemoveEntry(Feed *feed, const char *id, Pos position)
 {
     Log_WriteJson(LOG_LEVEL_INFO, "worker_gone",
-                  json_pack("{s:s,s:I}", "worker", id, "revision",
-                            (json_int_t)revision));
-    Snapshot_RemoveEntry(feed->snapshot, id, revision);
-    Fleet_RemoveEntry(feed->options.fleet, id, revision,
+                  json_pack("{s:s,s:I,s:I}", "worker", id, "era",
+                            (json_int_t)position.era, "revision",
+                            (json_int_t)position.revision));
+    Snapshot_RemoveEntry(feed->snapshot, id, position);
+    Fleet_RemoveEntry(feed->options.fleet, id, position,
                       Clk_Now(feed->options.clk));
 }
 
 void
-Feed_BeginSweep(Feed *feed)
+Feed_BeginSweep(Feed *feed, uint64_t era)
 {
-    Snapshot_ClearEntries(feed->snapshot);
-    Fleet_BeginSweep(feed->options.fleet);
+    Snapshot_BeginSweep(feed->snapshot, era);
+    Fleet_BeginSweep(feed->options.fleet, era, Clk_Now(feed->options.clk));
 }
 
 void
 Feed_EndSweep(Feed *feed)
 {
+    Snapshot_EndSweep(feed->snapshot);
     Fleet_EndSweep(feed->options.fleet, Clk_Now(feed->options.clk));
 }
 
@@ -144,15 +154,15 @@
 
 static void
 set_entry(void *context, const char *id, const void *text, size_t size,
-          uint64_t revision)
+          Pos position)
 {
-    Feed_SetEntry(context, id, text, size, revision);
+    Feed_SetEntry(context, id, text, size, position);
 }
 
 static void
-begin_sweep(void *context)
+begin_sweep(void *context, uint64_t era)
 {
-    Feed_BeginSweep(context);
+    Feed_BeginSweep(context, era);
 }
 
 static void
@@ -162,7 +172,7 @@
 }
 
 static void
-remove_entry(void *context, const char *id, uint64_t revision)
+remove_entry(void *context, const char *id, Pos position)
 {
-    Feed_RemoveEntry(context, id, revision);
+    Feed_RemoveEntry(context, id, position);
 }
--- a/src/gate/feed.h
+++ b/src/gate/feed.h
@@ -15,7 +15,7 @@
                                LsError *err);
     /* Fills in *entry, or returns an error with *err filled in. */
     LsResult (*decode_entry)(void *context, const char *id, const void *text,
-                             size_t size, uint64_t revision, FleetEntry *entry,
+                             size_t size, Pos position, FleetEntry *entry,
                              LsError *err);
 } FeedDecoder;
 
@@ -42,11 +42,11 @@
 /* Adds or updates a worker by its entry. A malformed entry is logged and
    removes the worker. */
 void Feed_SetEntry(Feed *feed, const char *id, const void *text, size_t size,
-                   uint64_t revision);
-void Feed_RemoveEntry(Feed *feed, const char *id, uint64_t revision);
-/* Enclose the setting of all entries that exist: Feed_EndSweep() removes the
-   workers that were not set since Feed_BeginSweep(). */
-void Feed_BeginSweep(Feed *feed);
+                   Pos position);
+void Feed_RemoveEntry(Feed *feed, const char *id, Pos position);
+/* Enclose the setting of all entries that exist in one era: Feed_EndSweep()
+   removes the workers that were not set since Feed_BeginSweep(). */
+void Feed_BeginSweep(Feed *feed, uint64_t era);
 void Feed_EndSweep(Feed *feed);
 /* Applies the newer parts of another VM's snapshot. Returns false if the
    message is malformed. */
--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -6,11 +6,25 @@
 /* Time from the removal of a worker's entry until the worker is dropped. */
 #define FLEET_PRUNE_US (10 * FLEET_REMOVED_GRACE_US)
 
+static bool is_same_start(const FleetEntry *a, const FleetEntry *b);
+static void note_era(Fleet *fleet, uint64_t era, int64_t now_us);
+static void carry_over(const Fleet *fleet, FleetWorker *worker,
+                       FleetEntry *entry, int64_t now_us);
+static int64_t get_removed_us(const FleetWorker *worker, int64_t now_us);
+
+FleetOptions
+Fleet_DefaultOptions(void)
+{
+    FleetOptions options = {.entry_lapse_us = 5 * CLK_US_PER_S};
+    return options;
+}
+
 Fleet *
-Fleet_New(void)
+Fleet_New(const FleetOptions *options)
 {
     Fleet *fleet = g_new0(Fleet, 1);
 
+    fleet->options = *options;
     fleet->workers = g_hash_table_new(g_str_hash, g_str_equal);
     fleet->hashes = g_hash_table_new(g_int64_hash, g_int64_equal);
     fleet->rows = g_ptr_array_new();
@@ -45,14 +59,21 @@
 }
 
 FleetWorker *
-Fleet_SetEntry(Fleet *fleet, const FleetEntry *entry)
+Fleet_SetEntry(Fleet *fleet, const FleetEntry *from, int64_t now_us)
 {
-    FleetWorker *worker = Fleet_Find(fleet, entry->id);
+    FleetWorker *worker = Fleet_Find(fleet, from->id);
+    FleetEntry copy = *from;
+    const FleetEntry *entry = &copy;
 
-    if (worker != NULL && worker->entry.revision > entry->revision) {
+    note_era(fleet, from->position.era, now_us);
+    if (worker != NULL &&
+        Pos_IsBefore(from->position, worker->entry.position)) {
         worker->sweep_pending = false;
         return NULL;
     }
+    if (worker != NULL) {
+        carry_over(fleet, worker, &copy, now_us);
+    }
     if (worker == NULL) {
         worker = g_new0(FleetWorker, 1);
         worker->refs = 1;
@@ -63,8 +84,7 @@
         g_hash_table_insert(fleet->hashes, &worker->hash, worker);
         g_ptr_array_add(fleet->rows, worker);
     }
-    else if (worker->entry.born_ms != entry->born_ms ||
-             strcmp(worker->entry.address, entry->address) != 0) {
+    else if (!is_same_start(&worker->entry, entry)) {
         /* The worker was restarted: its old health and load don't apply. */
         memset(&worker->health, 0, sizeof(worker->health));
         worker->replaced = false;
@@ -77,18 +97,55 @@
     }
     worker->entry = *entry;
     worker->listed = true;
+    worker->listed_until_us = 0;
     worker->removed_us = 0;
     worker->sweep_pending = false;
     return worker;
 }
 
+/* Whether both entries are of one start of one worker. */
+static bool
+is_same_start(const FleetEntry *a, const FleetEntry *b)
+{
+    return a->born_ms == b->born_ms && strcmp(a->address, b->address) == 0;
+}
+
+static void
+note_era(Fleet *fleet, uint64_t era, int64_t now_us)
+{
+    if (era > fleet->era) {
+        fleet->era = era;
+        fleet->era_began_us = now_us;
+    }
+}
+
+/* Keeps what is known of the worker unless it has written the entry since: an
+   entry of a newer era may be an older one, from the copy. */
+static void
+carry_over(const Fleet *fleet, FleetWorker *worker, FleetEntry *entry,
+           int64_t now_us)
+{
+    Pos known = worker->entry.position;
+    bool is_newer_era = entry->position.era > known.era;
+    bool is_rewritten = !is_newer_era && Pos_IsBefore(known, entry->position);
+
+    if (!is_same_start(&worker->entry, entry) || is_rewritten) {
+        worker->doubted_until_us = 0;
+        return;
+    }
+    entry->draining |= worker->entry.draining;
+    if (is_newer_era && !Fleet_IsListed(worker, now_us)) {
+        worker->doubted_until_us = now_us + fleet->options.entry_lapse_us;
+    }
+}
+
 bool
-Fleet_KeepEntry(Fleet *fleet, const char *id, uint64_t revision)
+Fleet_KeepEntry(Fleet *fleet, const char *id, Pos position)
 {
     FleetWorker *worker = Fleet_Find(fleet, id);
 
     if (worker == NULL || !worker->listed ||
-        worker->entry.revision != revision) {
+        !Pos_IsEqual(worker->entry.position, position)) {
         return false;
     }
     worker->sweep_pending = false;
@@ -96,21 +153,22 @@
 }
 
 void
-Fleet_RemoveEntry(Fleet *fleet, const char *id, uint64_t revision,
-                  int64_t now_us)
+Fleet_RemoveEntry(Fleet *fleet, const char *id, Pos position, int64_t now_us)
 {
     FleetWorker *worker = Fleet_Find(fleet, id);
 
+    note_era(fleet, position.era, now_us);
     if (worker != NULL && worker->listed &&
-        revision >= worker->entry.revision) {
+        !Pos_IsBefore(position, worker->entry.position)) {
+        worker->removed_us = get_removed_us(worker, now_us);
         worker->listed = false;
-        worker->removed_us = now_us;
     }
 }
 
 void
-Fleet_BeginSweep(Fleet *fleet)
+Fleet_BeginSweep(Fleet *fleet, uint64_t era, int64_t now_us)
 {
+    note_era(fleet, era, now_us);
     for (guint i = 0; i < fleet->rows->len; i++) {
         FleetWorker *worker = g_ptr_array_index(fleet->rows, i);
         worker->sweep_pending = true;
@@ -122,8 +180,11 @@
 {
     for (guint i = 0; i < fleet->rows->len; i++) {
         FleetWorker *worker = g_ptr_array_index(fleet->rows, i);
-        if (worker->sweep_pending) {
-            Fleet_RemoveEntry(fleet, worker->entry.id, worker->entry.revision,
+        if (worker->sweep_pending && worker->entry.position.era < fleet->era) {
+            worker->listed_until_us = fleet->era_began_us + FLEET_ERA_GRACE_US;
+        }
+        else if (worker->sweep_pending) {
+            Fleet_RemoveEntry(fleet, worker->entry.id, worker->entry.position,
                               now_us);
         }
         worker->sweep_pending = false;
@@ -135,8 +196,8 @@
 {
     for (guint i = fleet->rows->len; i-- > 0;) {
         FleetWorker *worker = g_ptr_array_index(fleet->rows, i);
-        if (worker->listed || worker->inflight > 0 ||
-            now_us - worker->removed_us < FLEET_PRUNE_US) {
+        if (Fleet_IsListed(worker, now_us) || worker->inflight > 0 ||
+            now_us - get_removed_us(worker, now_us) < FLEET_PRUNE_US) {
             continue;
         }
         g_hash_table_remove(fleet->workers, worker->entry.id);
@@ -161,20 +222,41 @@
     }
 }
 
+/* Returns the time at which the entry was removed, or now_us if it is listed.
+ */
+static int64_t
+get_removed_us(const FleetWorker *worker, int64_t now_us)
+{
+    if (!worker->listed) {
+        return worker->removed_us;
+    }
+    return worker->listed_until_us != 0 ? MIN(worker->listed_until_us, now_us)
+                                        : now_us;
+}
+
+bool
+Fleet_IsListed(const FleetWorker *worker, int64_t now_us)
+{
+    return worker->listed &&
+           (worker->listed_until_us == 0 || now_us < worker->listed_until_us);
+}
+
 bool
-Fleet_IsReady(const FleetWorker *worker)
+Fleet_IsReady(const FleetWorker *worker, int64_t now_us)
 {
-    return worker->listed && !worker->entry.draining && !worker->replaced;
+    return Fleet_IsListed(worker, now_us) && !worker->entry.draining &&
+           !worker->replaced && now_us >= worker->doubted_until_us;
 }
 
 bool
 Fleet_IsUsable(const FleetWorker *worker, int64_t now_us)
 {
-    if (worker->entry.draining || worker->replaced) {
+    if (worker->entry.draining || worker->replaced ||
+        now_us < worker->doubted_until_us) {
         return false;
     }
-    return worker->listed ||
-           now_us - worker->removed_us < FLEET_REMOVED_GRACE_US;
+    return Fleet_IsListed(worker, now_us) ||
+           now_us - get_removed_us(worker, now_us) < FLEET_REMOVED_GRACE_US;
 }
 
 bool
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -7,10 +7,9 @@
 #include "../clock.h"
 #include "../decide/forecast.h"
 #include "../decide/health.h"
+#include "position.h"
 
 #include <glib.h>
-#include <stdbool.h>
-#include <stdint.h>
 
 /* Sizes of texts in bytes, with the terminating NUL. */
 #define FLEET_ID_MAX 64
@@ -23,6 +22,10 @@
    (200 ms by default) or is unavailable. The value is below every limit on the
    use of draining workers. */
 #define FLEET_REMOVED_GRACE_US (1500 * CLK_US_PER_MS)
+/* When the source returns from a copy, a worker's entry may be missing there
+   until the worker writes it again. Entries of the older era stay listed for
+   this time, which is the users' bound (about two seconds, PROTOCOL). */
+#define FLEET_ERA_GRACE_US (2 * CLK_US_PER_S)
 /* Age from which the load that a worker reported is ignored. */
 #define FLEET_LOAD_MAX_AGE_US (300 * CLK_US_PER_MS)
 
@@ -42,16 +45,21 @@
     uint32_t slots; /* Requests that the worker runs at a time. */
     bool draining;
     int64_t born_ms; /* Unix time of the worker's start; 0 if unknown. */
-    uint64_t revision;
+    Pos position;    /* Of the entry's last change. */
 } FleetEntry;
 
 typedef struct FleetWorker {
     FleetEntry entry;
-    uint64_t hash;      /* Hash of the identifier, used in gossip. */
-    gint refs;          /* References; the fleet holds one. */
-    bool listed;        /* The entry is present in the source. */
-    int64_t removed_us; /* Time at which the entry was removed, or 0. */
-    bool replaced;      /* Another worker answers at its address. */
+    uint64_t hash;            /* Hash of the identifier, used in gossip. */
+    gint refs;                /* References; the fleet holds one. */
+    bool listed;              /* The entry is present in the source; see
+                                 Fleet_IsListed(). */
+    int64_t removed_us;       /* Time at which the entry was removed, or 0. */
+    int64_t listed_until_us;  /* The entry is of an older era and counts as
+                                 removed from then on; 0: no such end. */
+    int64_t doubted_until_us; /* The worker had left, but the source's copy
+                                 lists it: no work until then; 0: none. */
+    bool replaced;            /* Another worker answers at its address. */
     bool sweep_pending; /* The running sweep has not set the entry yet. */
     HealthState health;
     uint32_t inflight;            /* Running calls of this VM. */
@@ -77,13 +85,23 @@
                                 expected prefill time. */
 } FleetWorker;
 
+typedef struct FleetOptions {
+    /* Time after which the entry of a worker that writes no more is removed
+       from the source. */
+    int64_t entry_lapse_us;
+} FleetOptions;
+
 typedef struct Fleet {
-    GHashTable *workers; /* Identifier to FleetWorker. */
-    GHashTable *hashes;  /* Hash of the identifier to FleetWorker. */
-    GPtrArray *rows;     /* All FleetWorkers, for iteration. */
+    FleetOptions options;
+    uint64_t era;         /* Latest era of an entry or of a sweep. */
+    int64_t era_began_us; /* When this VM learned of it. */
+    GHashTable *workers;  /* Identifier to FleetWorker. */
+    GHashTable *hashes;   /* Hash of the identifier to FleetWorker. */
+    GPtrArray *rows;      /* All FleetWorkers, for iteration. */
 } Fleet;
 
-Fleet *Fleet_New(void);
+FleetOptions Fleet_DefaultOptions(void);
+Fleet *Fleet_New(const FleetOptions *options);
 void Fleet_Free(Fleet *fleet); /* NULL is allowed. */
 
 /* Return NULL if there is no such worker. The fleet owns the worker: a caller
@@ -91,19 +109,24 @@
 FleetWorker *Fleet_Find(const Fleet *fleet, const char *id);
 FleetWorker *Fleet_FindByHash(const Fleet *fleet, uint64_t hash);
 /* Adds the worker, or updates the entry of a known one. Returns NULL, and
-   ignores the entry, if its revision is older than the known one. */
-FleetWorker *Fleet_SetEntry(Fleet *fleet, const FleetEntry *entry);
-/* Returns whether the worker is listed with this revision of its entry, and
+   ignores the entry, if its position is before the known one. An entry of a
+   newer era may be older than what is known, as the source returned from a
+   copy: a worker that was draining stays so, and one that had left gets no
+   work until it writes again or its entry has outlived a worker's absence. */
+FleetWorker *Fleet_SetEntry(Fleet *fleet, const FleetEntry *from,
+                            int64_t now_us);
+/* Returns whether the worker is listed with this position of its entry, and
    keeps it in the running sweep if so. A complete list holds mostly entries
    that are known. */
-bool Fleet_KeepEntry(Fleet *fleet, const char *id, uint64_t revision);
+bool Fleet_KeepEntry(Fleet *fleet, const char *id, Pos position);
 /* Marks the worker's entry as removed, unless the known entry is newer than
-   `revision`. The worker itself stays until Fleet_Prune(). */
-void Fleet_RemoveEntry(Fleet *fleet, const char *id, uint64_t revision,
+   `position`. The worker itself stays until Fleet_Prune(). */
+void Fleet_RemoveEntry(Fleet *fleet, const char *id, Pos position,
                        int64_t now_us);
 /* Enclose a complete reading of the source: Fleet_EndSweep() marks the entries
-   as removed that were not set since Fleet_BeginSweep(). */
-void Fleet_BeginSweep(Fleet *fleet);
+   as removed that were not set since Fleet_BeginSweep(). Those of an older era
+   stay listed until FLEET_ERA_GRACE_US after this VM learned of the newer. */
+void Fleet_BeginSweep(Fleet *fleet, uint64_t era, int64_t now_us);
 void Fleet_EndSweep(Fleet *fleet, int64_t now_us);
 /* Drops workers that have no calls and whose entry was removed at least ten
    times FLEET_REMOVED_GRACE_US ago. */
@@ -113,8 +136,10 @@
 void Fleet_Unref(FleetWorker *worker); /* NULL is allowed. */
 /* Whether new work may go to the worker. */
 bool Fleet_IsUsable(const FleetWorker *worker, int64_t now_us);
-/* Whether the worker is listed, and neither draining nor replaced. */
-bool Fleet_IsReady(const FleetWorker *worker);
+/* Whether the source lists the worker. */
+bool Fleet_IsListed(const FleetWorker *worker, int64_t now_us);
+/* Whether the worker is listed, and neither draining, doubted nor replaced. */
+bool Fleet_IsReady(const FleetWorker *worker, int64_t now_us);
 /* Whether the worker changes its phase now, and thus refuses work. */
 bool Fleet_IsChangingPhase(const FleetWorker *worker, int64_t now_us);
 /* Stores the load that the worker reported: requests running and queued. */
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -410,8 +410,12 @@
     struct in_addr ip = {.s_addr = htonl((uint32_t)(news->address >> 16))};
     char ip_text[INET_ADDRSTRLEN];
     char address[FLEET_ADDRESS_MAX];
-    GosVersions theirs = {news->config_version, news->revision, news->digest,
-                          news->watches};
+    GosVersions theirs = {
+        .config_version = news->config_version,
+        .position = {news->era, news->revision},
+        .digest = news->digest,
+        .watches = news->watches,
+    };
     GosVersions own;
 
     if (options->on_peer_versions == NULL) {
@@ -419,7 +423,8 @@
     }
     own = options->get_versions(options->context);
     if (theirs.config_version == own.config_version &&
-        theirs.revision == own.revision && theirs.digest == own.digest) {
+        Pos_IsEqual(theirs.position, own.position) &&
+        theirs.digest == own.digest) {
         return;
     }
     inet_ntop(AF_INET, &ip, ip_text, sizeof(ip_text));
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -19,9 +19,9 @@
 /* What a VM knows from the source (the store of configuration and workers). */
 typedef struct GosVersions {
     uint64_t config_version;
-    uint64_t revision; /* Of the newest change of workers. */
-    uint64_t digest;   /* Of the workers' entries. */
-    bool watches;      /* It watches the source, which answers. */
+    Pos position;    /* Of the newest change of workers. */
+    uint64_t digest; /* Of the workers' entries. */
+    bool watches;    /* It watches the source, which answers. */
 } GosVersions;
 
 /* The strings, except those in `seeds`, are not copied: they must outlive the
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -26,7 +26,8 @@
     if (options->get_versions != NULL) {
         GosVersions own = options->get_versions(options->context);
         news->config_version = own.config_version;
-        news->revision = own.revision;
+        news->era = own.position.era;
+        news->revision = own.position.revision;
         news->digest = own.digest;
         news->watches = own.watches;
     }
--- a/src/gate/pool_control.c
+++ b/src/gate/pool_control.c
@@ -261,13 +261,14 @@
 count_pools(PoolControl *control, const RteService *service, PoolInput *input)
 {
     const GPtrArray *rows = control->options.fleet->rows;
+    int64_t now_us = Clk_Now(control->options.clk);
     double prefill_workers = 0;
     double slowness = 0;
 
     for (guint i = 0; i < rows->len; i++) {
         const FleetWorker *worker = g_ptr_array_index(rows, i);
         FleetPhase phase = worker->entry.phase;
-        if (!Fleet_IsReady(worker) || phase == FLEET_PHASE_NONE ||
+        if (!Fleet_IsReady(worker, now_us) || phase == FLEET_PHASE_NONE ||
             strcmp(worker->entry.service, service->name) != 0) {
             continue;
         }
@@ -333,7 +334,7 @@
         FleetWorker *worker = g_ptr_array_index(rows, i);
         int64_t same_zone = 0;
         int64_t key;
-        if (!Fleet_IsReady(worker) || worker->entry.phase != from ||
+        if (!Fleet_IsReady(worker, now_us) || worker->entry.phase != from ||
             strcmp(worker->entry.service, service) != 0 ||
             is_ordered(control, worker->entry.id) ||
             Health_IsBlocked(&worker->health, now_us)) {
@@ -341,7 +342,8 @@
         }
         for (guint k = 0; k < rows->len; k++) {
             const FleetWorker *other = g_ptr_array_index(rows, k);
-            same_zone += Fleet_IsReady(other) && other->entry.phase == from &&
+            same_zone += Fleet_IsReady(other, now_us) &&
+                         other->entry.phase == from &&
                          strcmp(other->entry.service, service) == 0 &&
                          strcmp(other->entry.zone, worker->entry.zone) == 0;
         }
--- a/src/gate/relay.c
+++ b/src/gate/relay.c
@@ -2,11 +2,13 @@
 
 #include "../log.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #define RELAY_PATH "/picture"
-/* Followed by the revision up to which the requesting VM has all changes. */
-#define RELAY_DELTA_PATH RELAY_PATH "?since="
+/* The era and the revision up to which the requesting VM has all changes. */
+#define RELAY_DELTA_PATH                                                      \
+    RELAY_PATH "?since=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
 #define RELAY_TARGET_MAX 64
 /* Shortest interval between two requests. */
 #define RELAY_FETCH_INTERVAL_US (500 * CLK_US_PER_MS)
@@ -74,7 +76,7 @@
 }
 
 void
-Relay_FetchSnapshot(Relay *relay, const char *address, uint64_t since)
+Relay_FetchSnapshot(Relay *relay, const char *address, Pos since)
 {
     char target[RELAY_TARGET_MAX];
     int64_t now_us = Clk_Now(relay->options.clk);
@@ -99,8 +101,8 @@
         return;
     }
     relay->fetch_began_us = now_us;
-    g_snprintf(target, sizeof(target), RELAY_DELTA_PATH "%llu",
-               (unsigned long long)since);
+    g_snprintf(target, sizeof(target), RELAY_DELTA_PATH, since.era,
+               since.revision);
     relay->status = 0;
     g_byte_array_set_size(relay->body, 0);
     g_strlcpy(relay->address, address, sizeof(relay->address));
@@ -112,17 +114,20 @@
 {
     Relay *relay = context;
     GByteArray *data;
-    uint64_t since = 0;
+    Pos since = {0};
 
-    if (g_str_has_prefix(exchange->target, RELAY_DELTA_PATH)) {
-        since = g_ascii_strtoull(exchange->target + strlen(RELAY_DELTA_PATH),
-                                 NULL, 10);
-    }
-    else if (strcmp(exchange->target, RELAY_PATH) != 0) {
+    if (sscanf(exchange->target, RELAY_DELTA_PATH, &since.era,
+               &since.revision) != 2 &&
+        strcmp(exchange->target, RELAY_PATH) != 0) {
         Server_SendResponse(exchange, 404, NULL, "", 0);
         return;
     }
     data = Snapshot_Pack(Feed_GetSnapshot(relay->options.feed), since);
+    if (data == NULL) {
+        /* This VM is reading all entries anew. */
+        Server_SendResponse(exchange, 503, NULL, "", 0);
+        return;
+    }
     Server_SendResponse(exchange, 200, NULL, data->data, data->len);
     g_byte_array_free(data, TRUE);
 }
--- a/src/gate/relay.h
+++ b/src/gate/relay.h
@@ -26,9 +26,10 @@
 Relay *Relay_New(const RelayOptions *options, LsError *err);
 void Relay_Free(Relay *relay); /* NULL is allowed. */
 /* Requests the snapshot of the VM at this address, "IP:port", and applies it
-   to the feed: only the changes after revision `since`, or all if it is 0.
+   to the feed: only the changes after `since`, or all if that is 0 or of an
+   older era.
    Does nothing if another request is in progress or began less than 500 ms
    ago; a request that has run for 2 s is cancelled first. */
-void Relay_FetchSnapshot(Relay *relay, const char *address, uint64_t since);
+void Relay_FetchSnapshot(Relay *relay, const char *address, Pos since);
 
 #endif
--- a/src/gate/snapshot.c
+++ b/src/gate/snapshot.c
@@ -7,13 +7,16 @@
 
 typedef struct SnapshotEntry {
     GBytes *text;
-    uint64_t revision;
+    Pos position;
+    bool sweep_pending; /* The running sweep has not set the entry yet. */
 } SnapshotEntry;
 
 struct Snapshot {
     GBytes *config;      /* NULL until a configuration was set. */
     uint64_t version;    /* Version of the configuration. */
-    uint64_t revision;   /* Highest revision of a worker's change. */
+    Pos position;        /* Last position of a worker's change. */
+    bool sweeping;       /* A sweep has begun and not ended. */
+    Pos sweep_position;  /* Last position of the sweep's entries. */
     uint64_t digest;     /* XOR of the hashes of all entries. */
     GHashTable *entries; /* Identifier to SnapshotEntry. */
 };
@@ -22,6 +25,9 @@
 static uint64_t hash_id(const char *id);
 static uint64_t hash_entry(const char *id, const SnapshotEntry *entry);
 static void drop_digest(Snapshot *snapshot, const char *id);
+static void note_position(Snapshot *snapshot, Pos position);
+static void apply_entries(const Gossip__Picture *message,
+                          const SnapshotHandler *handler);
 static void apply_delta(const Snapshot *snapshot,
                         const Gossip__Picture *message,
                         const SnapshotHandler *handler);
@@ -61,30 +67,31 @@
 
 void
 Snapshot_SetEntry(Snapshot *snapshot, const char *id, const void *text,
-                  size_t size, uint64_t revision)
+                  size_t size, Pos position)
 {
-    const SnapshotEntry *known = g_hash_table_lookup(snapshot->entries, id);
+    SnapshotEntry *known = g_hash_table_lookup(snapshot->entries, id);
     SnapshotEntry *entry;
 
-    snapshot->revision = MAX(snapshot->revision, revision);
-    if (known != NULL && known->revision > revision) {
+    note_position(snapshot, position);
+    if (known != NULL && Pos_IsBefore(position, known->position)) {
+        known->sweep_pending = false;
         return;
     }
     entry = g_new0(SnapshotEntry, 1);
     entry->text = g_bytes_new(text, size);
-    entry->revision = revision;
+    entry->position = position;
     drop_digest(snapshot, id);
     snapshot->digest ^= hash_entry(id, entry);
     g_hash_table_replace(snapshot->entries, g_strdup(id), entry);
 }
 
 void
-Snapshot_RemoveEntry(Snapshot *snapshot, const char *id, uint64_t revision)
+Snapshot_RemoveEntry(Snapshot *snapshot, const char *id, Pos position)
 {
     const SnapshotEntry *known = g_hash_table_lookup(snapshot->entries, id);
 
-    snapshot->revision = MAX(snapshot->revision, revision);
-    if (known != NULL && known->revision > revision) {
+    note_position(snapshot, position);
+    if (known != NULL && Pos_IsBefore(position, known->position)) {
         return;
     }
     drop_digest(snapshot, id);
@@ -92,10 +99,41 @@
 }
 
 void
-Snapshot_ClearEntries(Snapshot *snapshot)
+Snapshot_BeginSweep(Snapshot *snapshot, uint64_t era)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, snapshot->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((SnapshotEntry *)value)->sweep_pending = true;
+    }
+    snapshot->sweeping = true;
+    snapshot->sweep_position = (Pos){.era = era};
+}
+
+void
+Snapshot_EndSweep(Snapshot *snapshot)
+{
+    GHashTableIter iter;
+    gpointer id;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, snapshot->entries);
+    while (g_hash_table_iter_next(&iter, &id, &value)) {
+        if (((const SnapshotEntry *)value)->sweep_pending) {
+            drop_digest(snapshot, id);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+    snapshot->sweeping = false;
+    snapshot->position = Pos_Max(snapshot->position, snapshot->sweep_position);
+}
+
+bool
+Snapshot_IsSweeping(const Snapshot *snapshot)
 {
-    g_hash_table_remove_all(snapshot->entries);
-    snapshot->digest = 0;
+    return snapshot->sweeping;
 }
 
 uint64_t
@@ -104,10 +142,10 @@
     return snapshot->config != NULL ? snapshot->version : 0;
 }
 
-uint64_t
-Snapshot_GetRevision(const Snapshot *snapshot)
+Pos
+Snapshot_GetPosition(const Snapshot *snapshot)
 {
-    return snapshot->revision;
+    return snapshot->position;
 }
 
 uint64_t
@@ -117,19 +155,25 @@
 }
 
 GByteArray *
-Snapshot_Pack(const Snapshot *snapshot, uint64_t since)
+Snapshot_Pack(const Snapshot *snapshot, Pos since)
 {
     Gossip__Picture message = GOSSIP__PICTURE__INIT;
     guint count = g_hash_table_size(snapshot->entries);
-    Gossip__Entry *rows = g_new0(Gossip__Entry, count);
-    GByteArray *data = g_byte_array_new();
+    Gossip__Entry *rows;
+    GByteArray *data;
     GHashTableIter iter;
     gpointer id;
     gpointer value;
 
+    if (snapshot->sweeping) {
+        return NULL;
+    }
+    rows = g_new0(Gossip__Entry, count);
+    data = g_byte_array_new();
     message.entries = g_new0(Gossip__Entry *, count);
     message.ids = g_new0(uint64_t, count);
-    message.is_delta = since > 0;
+    message.is_delta =
+        since.revision > 0 && since.era == snapshot->position.era;
     g_hash_table_iter_init(&iter, snapshot->entries);
     while (g_hash_table_iter_next(&iter, &id, &value)) {
         const SnapshotEntry *entry = value;
@@ -137,17 +181,18 @@
         if (message.is_delta) {
             message.ids[message.n_ids++] = hash_id(id);
         }
-        if (entry->revision <= since) {
+        if (message.is_delta && entry->position.revision <= since.revision) {
             continue;
         }
         gossip__entry__init(row);
         row->id = id;
         row->text.data =
             (uint8_t *)g_bytes_get_data(entry->text, &row->text.len);
-        row->revision = entry->revision;
+        row->revision = entry->position.revision;
         message.entries[message.n_entries++] = row;
     }
-    message.revision = snapshot->revision;
+    message.era = snapshot->position.era;
+    message.revision = snapshot->position.revision;
     if (snapshot->config != NULL) {
         message.config_version = snapshot->version;
         message.config.data =
@@ -167,25 +212,25 @@
                const SnapshotHandler *handler)
 {
     Gossip__Picture *message = gossip__picture__unpack(NULL, size, data);
+    Pos position;
 
     if (message == NULL) {
         return false;
     }
+    position = (Pos){message->era, message->revision};
     if (message->config.len > 0 &&
         message->config_version > Snapshot_GetVersion(snapshot)) {
         handler->on_config(handler->context, message->config.data,
                            message->config.len, message->config_version);
     }
-    if (message->is_delta && message->revision > snapshot->revision) {
+    if (message->is_delta && position.era == snapshot->position.era &&
+        Pos_IsBefore(snapshot->position, position)) {
         apply_delta(snapshot, message, handler);
     }
-    else if (!message->is_delta && message->revision >= snapshot->revision) {
-        handler->on_sweep_begin(handler->context);
-        for (size_t i = 0; i < message->n_entries; i++) {
-            const Gossip__Entry *row = message->entries[i];
-            handler->on_entry(handler->context, row->id, row->text.data,
-                              row->text.len, row->revision);
-        }
+    else if (!message->is_delta &&
+             !Pos_IsBefore(position, snapshot->position)) {
+        handler->on_sweep_begin(handler->context, message->era);
+        apply_entries(message, handler);
         handler->on_sweep_end(handler->context);
     }
     gossip__picture__free_unpacked(message, NULL);
@@ -201,6 +246,25 @@
     g_free(entry);
 }
 
+static void
+note_position(Snapshot *snapshot, Pos position)
+{
+    Pos *last =
+        snapshot->sweeping ? &snapshot->sweep_position : &snapshot->position;
+
+    *last = Pos_Max(*last, position);
+}
+
+static void
+apply_entries(const Gossip__Picture *message, const SnapshotHandler *handler)
+{
+    for (size_t i = 0; i < message->n_entries; i++) {
+        const Gossip__Entry *row = message->entries[i];
+        handler->on_entry(handler->context, row->id, row->text.data,
+                          row->text.len, (Pos){message->era, row->revision});
+    }
+}
+
 /* Applies the changes, and removes the workers that are not listed. */
 static void
 apply_delta(const Snapshot *snapshot, const Gossip__Picture *message,
@@ -221,14 +285,10 @@
             g_ptr_array_add(gone, g_strdup(id));
         }
     }
-    for (size_t i = 0; i < message->n_entries; i++) {
-        const Gossip__Entry *row = message->entries[i];
-        handler->on_entry(handler->context, row->id, row->text.data,
-                          row->text.len, row->revision);
-    }
+    apply_entries(message, handler);
     for (guint i = 0; i < gone->len; i++) {
         handler->on_remove(handler->context, g_ptr_array_index(gone, i),
-                           message->revision);
+                           (Pos){message->era, message->revision});
     }
     g_ptr_array_free(gone, TRUE);
     g_hash_table_destroy(listed);
@@ -254,6 +314,6 @@
 static uint64_t
 hash_entry(const char *id, const SnapshotEntry *entry)
 {
-    return XXH3_64bits_withSeed(&entry->revision, sizeof(entry->revision),
+    return XXH3_64bits_withSeed(&entry->position, sizeof(entry->position),
                                 hash_id(id));
 }
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -427,7 +427,7 @@
     memset(rank, 0, sizeof(*rank));
     rank->distance = Task_GetDistance(task->gate, task->gate->options.zone,
                                       worker->entry.zone);
-    rank->is_unlisted = !worker->listed;
+    rank->is_unlisted = !Fleet_IsListed(worker, now_us);
     rank->slots = worker->entry.slots;
     rank->running = known_calls;
     if (now_us - worker->load_us < FLEET_LOAD_MAX_AGE_US &&
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -52,6 +52,8 @@
     [MET_STREAMS_ENDED_IN_EVENT] = {"streams_ended_in_event",
                                     "Workers' streams cut inside an event."},
     [MET_STORE_CALLS] = {"store_calls", "Calls at the platform's store."},
+    [MET_STORE_ERAS_BAD] = {"store_eras_bad",
+                            "Answers whose era is missing or too low."},
     [MET_STORE_LOST] = {"store_lost", "Times the store was lost."},
 };
 
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -43,6 +43,7 @@
     MET_STREAMS_ENDED_IN_EVENT,
     MET_STORE_CALLS,
     MET_STORE_LOST,
+    MET_STORE_ERAS_BAD,
     MET_COUNTER_COUNT,
 } MetCounter;
 
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -517,8 +517,9 @@
         g_strlcpy(entry.zone, "zone-a", sizeof(entry.zone));
         entry.phase = phase;
         entry.slots = 8;
-        entry.revision = (uint64_t)count_;
-        last_worker = Fleet_SetEntry(Edge_GetFleet(edge), &entry);
+        entry.position.revision = (uint64_t)count_;
+        last_worker =
+            Fleet_SetEntry(Edge_GetFleet(edge), &entry, Clk_Now(&clk));
         return worker;
     }
 
--- a/tests/test_decide.cc
+++ b/tests/test_decide.cc
@@ -499,53 +499,55 @@
     Sse_Clear(&sse);
 }
 
+const FleetOptions fleet_options = Fleet_DefaultOptions();
+
 FleetEntry
 MakeEntry(const char *id, uint64_t revision)
 {
     FleetEntry entry = {};
     g_strlcpy(entry.id, id, sizeof(entry.id));
-    entry.revision = revision;
+    entry.position.revision = revision;
     entry.slots = 1;
     return entry;
 }
 
 TEST(Decide, RemovedWorkerIsUsableForALimitedTime)
 {
-    Fleet *fleet = Fleet_New();
+    Fleet *fleet = Fleet_New(&fleet_options);
     FleetEntry entry = MakeEntry("a", 5);
-    FleetWorker *worker = Fleet_SetEntry(fleet, &entry);
-    Fleet_RemoveEntry(fleet, "a", 4, 1000); /* Older entry: ignored. */
-    EXPECT_TRUE(Fleet_IsReady(worker));
-    Fleet_RemoveEntry(fleet, "a", 5, 1000);
-    EXPECT_FALSE(Fleet_IsReady(worker));
+    FleetWorker *worker = Fleet_SetEntry(fleet, &entry, 0);
+    Fleet_RemoveEntry(fleet, "a", {0, 4}, 1000); /* Older entry: ignored. */
+    EXPECT_TRUE(Fleet_IsReady(worker, 0));
+    Fleet_RemoveEntry(fleet, "a", {0, 5}, 1000);
+    EXPECT_FALSE(Fleet_IsReady(worker, 0));
     EXPECT_TRUE(Fleet_IsUsable(worker, 1000 + FLEET_REMOVED_GRACE_US - 1));
     EXPECT_FALSE(Fleet_IsUsable(worker, 1000 + FLEET_REMOVED_GRACE_US));
     /* The entry returns, as after an outage of the store. */
-    entry.revision = 6;
-    Fleet_SetEntry(fleet, &entry);
-    EXPECT_TRUE(Fleet_IsReady(worker));
+    entry.position.revision = 6;
+    Fleet_SetEntry(fleet, &entry, 0);
+    EXPECT_TRUE(Fleet_IsReady(worker, 0));
     /* An older entry is ignored. A draining worker is unusable at once. */
-    entry.revision = 4;
+    entry.position.revision = 4;
     entry.draining = true;
-    EXPECT_EQ(Fleet_SetEntry(fleet, &entry), nullptr);
-    EXPECT_TRUE(Fleet_IsReady(worker));
-    entry.revision = 7;
-    Fleet_SetEntry(fleet, &entry);
+    EXPECT_EQ(Fleet_SetEntry(fleet, &entry, 0), nullptr);
+    EXPECT_TRUE(Fleet_IsReady(worker, 0));
+    entry.position.revision = 7;
+    Fleet_SetEntry(fleet, &entry, 0);
     EXPECT_FALSE(Fleet_IsUsable(worker, 0));
     Fleet_Free(fleet);
 }
 
 TEST(Decide, SweepRemovesUnlistedWorkers)
 {
-    Fleet *fleet = Fleet_New();
+    Fleet *fleet = Fleet_New(&fleet_options);
     FleetEntry a = MakeEntry("a", 1), b = MakeEntry("b", 1);
-    Fleet_SetEntry(fleet, &a);
-    Fleet_SetEntry(fleet, &b);
-    Fleet_BeginSweep(fleet);
-    Fleet_SetEntry(fleet, &b);
+    Fleet_SetEntry(fleet, &a, 0);
+    Fleet_SetEntry(fleet, &b, 0);
+    Fleet_BeginSweep(fleet, 0, 10);
+    Fleet_SetEntry(fleet, &b, 0);
     Fleet_EndSweep(fleet, 10);
-    EXPECT_FALSE(Fleet_IsReady(Fleet_Find(fleet, "a")));
-    EXPECT_TRUE(Fleet_IsReady(Fleet_Find(fleet, "b")));
+    EXPECT_FALSE(Fleet_IsReady(Fleet_Find(fleet, "a"), 10));
+    EXPECT_TRUE(Fleet_IsReady(Fleet_Find(fleet, "b"), 10));
     Fleet_Free(fleet);
 }
 
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -8,6 +8,15 @@
 
 namespace {
 
+const FleetOptions fleet_options = Fleet_DefaultOptions();
+
+/* A position in the first era. */
+Pos
+Rev(int revision)
+{
+    return {0, (uint64_t)revision};
+}
+
 /* Returns a port for UDP and TCP that was free at the call. */
 uint16_t
 FreePort()
@@ -112,7 +121,7 @@
     Vm b(base, &clk, "b", a.address.c_str(), true);
     for (Vm *vm : {&a, &b}) {
         Feed_SetEntry(Edge_GetFeed(vm->edge), "w", entry, sizeof(entry) - 1,
-                      5);
+                      Rev(5));
     }
     a.Worker("w")->inflight = 3;
     a.Worker("w")->kv = {{7000, 6400, 1280}};
@@ -133,7 +142,7 @@
     Vm b(base, &clk, "b", a->address.c_str(), true);
     for (Vm *vm : {a.get(), &b}) {
         Feed_SetEntry(Edge_GetFeed(vm->edge), "w", entry, sizeof(entry) - 1,
-                      5);
+                      Rev(5));
     }
     a->Worker("w")->inflight = 3;
     ASSERT_TRUE(Until([&] { return b.Worker("w")->peer_inflight == 3; }));
@@ -146,16 +155,45 @@
     Vm a(base, &clk, "a", nullptr, true);
     Vm b(base, &clk, "b", a.address.c_str(), false);
     Feed_ApplyConfig(Edge_GetFeed(a.edge), config, sizeof(config) - 1);
-    Feed_SetEntry(Edge_GetFeed(a.edge), "w", entry, sizeof(entry) - 1, 5);
+    Feed_SetEntry(Edge_GetFeed(a.edge), "w", entry, sizeof(entry) - 1, Rev(5));
     ASSERT_TRUE(Until([&] {
         return Gate_GetTable(Edge_GetGate(b.edge)) != nullptr &&
                b.Worker("w") != nullptr;
     }));
     EXPECT_EQ(Gate_GetTable(Edge_GetGate(b.edge))->version, 3u);
-    EXPECT_TRUE(Fleet_IsReady(b.Worker("w")));
+    EXPECT_TRUE(Fleet_IsReady(b.Worker("w"), Clk_Now(&clk)));
     /* The removal of a worker reaches the other VM too. */
-    Feed_RemoveEntry(Edge_GetFeed(a.edge), "w", 9);
-    EXPECT_TRUE(Until([&] { return !Fleet_IsReady(b.Worker("w")); }));
+    Feed_RemoveEntry(Edge_GetFeed(a.edge), "w", Rev(9));
+    EXPECT_TRUE(
+        Until([&] { return !Fleet_IsReady(b.Worker("w"), Clk_Now(&clk)); }));
+}
+
+/* VM a has seen the source return from a copy, VM b can't reach the source and
+   has a higher revision of the older era. */
+TEST_F(Gossip, VmWithoutSourceFollowsANewerEra)
+{
+    Vm a(base, &clk, "a", nullptr, true);
+    Vm b(base, &clk, "b", a.address.c_str(), false);
+    Feed *to = Edge_GetFeed(b.edge);
+    Feed_SetEntry(to, "w", entry, sizeof(entry) - 1, {1, 90});
+    Feed_SetEntry(to, "lost", entry, sizeof(entry) - 1, {1, 91});
+    std::string draining(entry);
+    draining.replace(draining.find("ready"), 5, "draining");
+    Feed *from = Edge_GetFeed(a.edge);
+    Feed_BeginSweep(from, 2);
+    Feed_SetEntry(from, "w", draining.data(), draining.size(), {2, 40});
+    Feed_EndSweep(from);
+    EXPECT_TRUE(
+        Until([&] { return !Fleet_IsReady(b.Worker("w"), Clk_Now(&clk)); }));
+    EXPECT_EQ(b.Worker("w")->entry.position.era, 2u);
+    EXPECT_EQ(a.Worker("lost"), nullptr);
+    EXPECT_TRUE(Fleet_IsReady(b.Worker("lost"), Clk_Now(&clk)));
+    EXPECT_TRUE(Until(
+        [&] { return !Fleet_IsReady(b.Worker("lost"), Clk_Now(&clk)); }));
+    /* Changes of the newer era follow as such. */
+    Feed_RemoveEntry(from, "w", {2, 41});
+    EXPECT_TRUE(
+        Until([&] { return !Fleet_IsListed(b.Worker("w"), Clk_Now(&clk)); }));
 }
 
 TEST_F(Gossip, OlderOrMalformedConfigurationIsIgnored)
@@ -202,9 +240,10 @@
     uint64_t revision = 1;
     for (const EntryCase &row : entry_cases) {
         Feed_SetEntry(Edge_GetFeed(a.edge), row.name, row.text,
-                      strlen(row.text), revision++);
+                      strlen(row.text), {0, revision++});
         FleetWorker *worker = a.Worker(row.name);
-        EXPECT_EQ(worker != nullptr && Fleet_IsReady(worker), row.ready)
+        EXPECT_EQ(worker != nullptr && Fleet_IsReady(worker, Clk_Now(&clk)),
+                  row.ready)
             << row.name;
     }
 }
@@ -228,26 +267,27 @@
 
     /* Applies what `from` has after revision `since` to `to`. */
     size_t
-    Copy(uint64_t since)
+    Copy(Pos since)
     {
         GByteArray *data = Snapshot_Pack(from, since);
         size_t size = data->len;
         SnapshotHandler handler = {};
         handler.context = to;
         handler.on_config = [](void *, const void *, size_t, uint64_t) {};
-        handler.on_sweep_begin = [](void *context) {
-            Snapshot_ClearEntries(static_cast<Snapshot *>(context));
+        handler.on_sweep_begin = [](void *context, uint64_t era) {
+            Snapshot_BeginSweep(static_cast<Snapshot *>(context), era);
+        };
+        handler.on_sweep_end = [](void *context) {
+            Snapshot_EndSweep(static_cast<Snapshot *>(context));
         };
-        handler.on_sweep_end = [](void *) {};
         handler.on_entry = [](void *context, const char *id, const void *text,
-                              size_t length, uint64_t revision) {
+                              size_t length, Pos position) {
             Snapshot_SetEntry(static_cast<Snapshot *>(context), id, text,
-                              length, revision);
+                              length, position);
         };
-        handler.on_remove = [](void *context, const char *id,
-                               uint64_t revision) {
+        handler.on_remove = [](void *context, const char *id, Pos position) {
             Snapshot_RemoveEntry(static_cast<Snapshot *>(context), id,
-                                 revision);
+                                 position);
         };
         EXPECT_TRUE(Snapshot_Apply(to, data->data, data->len, &handler));
         g_byte_array_free(data, TRUE);
@@ -263,29 +303,29 @@
     std::string text(300, 'x');
     for (int i = 0; i < 50; i++) {
         Snapshot_SetEntry(from, ("w" + std::to_string(i)).c_str(), text.data(),
-                          text.size(), i + 1);
+                          text.size(), Rev(i + 1));
     }
-    size_t full = Copy(0);
+    size_t full = Copy({});
     EXPECT_EQ(Snapshot_GetDigest(to), Snapshot_GetDigest(from));
-    Snapshot_SetEntry(from, "w3", text.data(), text.size(), 60);
-    Snapshot_SetEntry(from, "new", text.data(), text.size(), 61);
-    Snapshot_RemoveEntry(from, "w4", 62);
+    Snapshot_SetEntry(from, "w3", text.data(), text.size(), Rev(60));
+    Snapshot_SetEntry(from, "new", text.data(), text.size(), Rev(61));
+    Snapshot_RemoveEntry(from, "w4", Rev(62));
     EXPECT_NE(Snapshot_GetDigest(to), Snapshot_GetDigest(from));
-    EXPECT_LT(Copy(Snapshot_GetRevision(to)), full / 10);
+    EXPECT_LT(Copy(Snapshot_GetPosition(to)), full / 10);
     EXPECT_EQ(Snapshot_GetDigest(to), Snapshot_GetDigest(from));
-    EXPECT_EQ(Snapshot_GetRevision(to), 62u);
+    EXPECT_EQ(Snapshot_GetPosition(to).revision, 62u);
 }
 
 TEST_F(SnapshotTest, CompleteCopyOfTheSameRevisionReplacesWhatDiffers)
 {
-    Snapshot_SetEntry(from, "a", "1", 1, 5);
-    Snapshot_SetEntry(from, "b", "1", 1, 9);
-    Snapshot_SetEntry(to, "c", "1", 1, 4);
-    Snapshot_SetEntry(to, "b", "1", 1, 9);
+    Snapshot_SetEntry(from, "a", "1", 1, Rev(5));
+    Snapshot_SetEntry(from, "b", "1", 1, Rev(9));
+    Snapshot_SetEntry(to, "c", "1", 1, Rev(4));
+    Snapshot_SetEntry(to, "b", "1", 1, Rev(9));
     EXPECT_NE(Snapshot_GetDigest(to), Snapshot_GetDigest(from));
-    Copy(Snapshot_GetRevision(to)); /* A delta has nothing newer. */
+    Copy(Snapshot_GetPosition(to)); /* A delta has nothing newer. */
     EXPECT_NE(Snapshot_GetDigest(to), Snapshot_GetDigest(from));
-    Copy(0);
+    Copy({});
     EXPECT_EQ(Snapshot_GetDigest(to), Snapshot_GetDigest(from));
 }
 
@@ -295,29 +335,29 @@
 {
     Vm a(base, &clk, "a", nullptr, true);
     Feed *feed = Edge_GetFeed(a.edge);
-    Feed_SetEntry(feed, "w", entry, sizeof(entry) - 1, 5);
-    Feed_SetEntry(feed, "gone", entry, sizeof(entry) - 1, 6);
-    Feed_BeginSweep(feed);
-    Feed_SetEntry(feed, "w", "not decoded", 11, 5);
+    Feed_SetEntry(feed, "w", entry, sizeof(entry) - 1, Rev(5));
+    Feed_SetEntry(feed, "gone", entry, sizeof(entry) - 1, Rev(6));
+    Feed_BeginSweep(feed, 0);
+    Feed_SetEntry(feed, "w", "not decoded", 11, Rev(5));
     Feed_EndSweep(feed);
-    EXPECT_TRUE(Fleet_IsReady(a.Worker("w")));
-    EXPECT_FALSE(Fleet_IsReady(a.Worker("gone")));
+    EXPECT_TRUE(Fleet_IsReady(a.Worker("w"), Clk_Now(&clk)));
+    EXPECT_FALSE(Fleet_IsReady(a.Worker("gone"), Clk_Now(&clk)));
     /* A removed worker that comes back with the same revision is decoded. */
-    Feed_BeginSweep(feed);
-    Feed_SetEntry(feed, "w", entry, sizeof(entry) - 1, 5);
-    Feed_SetEntry(feed, "gone", entry, sizeof(entry) - 1, 6);
+    Feed_BeginSweep(feed, 0);
+    Feed_SetEntry(feed, "w", entry, sizeof(entry) - 1, Rev(5));
+    Feed_SetEntry(feed, "gone", entry, sizeof(entry) - 1, Rev(6));
     Feed_EndSweep(feed);
-    EXPECT_TRUE(Fleet_IsReady(a.Worker("gone")));
+    EXPECT_TRUE(Fleet_IsReady(a.Worker("gone"), Clk_Now(&clk)));
 }
 
 TEST_F(SnapshotTest, OlderChangesOfAWorkerAreIgnored)
 {
-    Snapshot_SetEntry(from, "a", "new", 3, 9);
+    Snapshot_SetEntry(from, "a", "new", 3, Rev(9));
     uint64_t digest = Snapshot_GetDigest(from);
-    Snapshot_SetEntry(from, "a", "old", 3, 7);
-    Snapshot_RemoveEntry(from, "a", 8);
+    Snapshot_SetEntry(from, "a", "old", 3, Rev(7));
+    Snapshot_RemoveEntry(from, "a", Rev(8));
     EXPECT_EQ(Snapshot_GetDigest(from), digest);
-    Snapshot_RemoveEntry(from, "a", 10);
+    Snapshot_RemoveEntry(from, "a", Rev(10));
     EXPECT_EQ(Snapshot_GetDigest(from), 0u);
 }
 
@@ -365,11 +405,11 @@
     {
         LsError err = {};
         GosOptions options = Gos_DefaultOptions();
-        node.fleet = Fleet_New();
+        node.fleet = Fleet_New(&fleet_options);
         for (int i = 0; i < kWorkers; i++) {
             FleetEntry worker = {};
             g_snprintf(worker.id, sizeof(worker.id), "w%d", i);
-            Fleet_SetEntry(node.fleet, &worker);
+            Fleet_SetEntry(node.fleet, &worker, 0);
         }
         options.base = base;
         options.clk = &clk;
@@ -518,7 +558,7 @@
 /* Messages that no VM of the deployment sent must not fill the memory. */
 TEST_F(Fleet3, ForgedAddressesAreBounded)
 {
-    Fleet *fleet = Fleet_New();
+    Fleet *fleet = Fleet_New(&fleet_options);
     PeersOptions options = {&clk, fleet, 1, 2, 120, "vm"};
     Peers peers;
     Peers_Init(&peers, &options);
--- a/tests/test_store.cc
+++ b/tests/test_store.cc
@@ -4,8 +4,8 @@
 
 namespace {
 
-/* Responds to each call with the next row of its script, "STATUS BODY". It
-   does not respond to a call whose row is "". */
+/* Responds to each call with the next row of its script, "STATUS BODY" or
+   "ERA;STATUS BODY". It does not respond to a call whose row is "". */
 class ScriptedStore {
   public:
     ScriptedStore(event_base *base, std::vector<std::string> script)
@@ -28,6 +28,12 @@
         Server_Free(server_);
     }
 
+    void
+    Push(const std::string &response)
+    {
+        script_.push_back(response);
+    }
+
     std::string address;
     std::vector<std::string> targets;
 
@@ -45,10 +51,17 @@
         if (response.empty()) {
             return;
         }
+        HeaderList *headers = Header_New();
+        size_t era = response.find(';');
+        if (era < response.find(' ')) {
+            Header_Add(headers, "Store-Era", response.substr(0, era).c_str());
+            response = response.substr(era + 1);
+        }
         int status = std::stoi(response);
         std::string body = response.substr(4);
-        Server_SendResponse(exchange, status, nullptr, body.data(),
+        Server_SendResponse(exchange, status, headers, body.data(),
                             body.size());
+        Header_Free(headers);
     }
 
     std::deque<std::string> script_;
@@ -121,7 +134,7 @@
     IsReady(const char *id)
     {
         FleetWorker *worker = Fleet_Find(Edge_GetFleet(rig.edge), id);
-        return worker != nullptr && Fleet_IsReady(worker);
+        return worker != nullptr && Fleet_IsReady(worker, Clk_Now(&rig.clk));
     }
 
     GateRig rig;
@@ -180,7 +193,8 @@
     EXPECT_TRUE(Pf_IsStoreReachable(client));
     /* A change that another VM told is not asked for again. */
     std::string entry = WorkerEntry("ready");
-    Feed_SetEntry(Edge_GetFeed(rig.edge), "b", entry.data(), entry.size(), 10);
+    Feed_SetEntry(Edge_GetFeed(rig.edge), "b", entry.data(), entry.size(),
+                  {0, 10});
     watch_needed = true;
     ASSERT_TRUE(rig.Until([&] { return store->targets.size() >= 2; }));
     EXPECT_NE(store->targets[1].find("after=10&"), std::string::npos);
@@ -260,6 +274,168 @@
     }
 }
 
+/* The store returns from a copy: worker "a" had revision 40 before, and is
+   draining with a lower one afterwards. */
+struct EraCase {
+    const char *name;
+    std::vector<std::string> script;
+    /* What the calls' targets contain, in order. */
+    std::vector<const char *> targets;
+    bool draining; /* Whether "a" is draining in the end. */
+    int bad_eras;  /* Answers whose era was ignored. */
+};
+
+const char first[] = "kv-range?prefix=";
+const std::string ready_40 = Item("servers/a", WorkerEntry("ready"), 40);
+const std::string draining_30 = Item("servers/a", WorkerEntry("draining"), 30);
+const std::string draining_50 = Item("servers/a", WorkerEntry("draining"), 50);
+
+const EraCase era_cases[] = {
+    {"the watch's revision is unknown",
+     {"1;" + Range(ready_40, 40), "2;410 {}", "2;" + Range(draining_30, 30)},
+     {first, "after=40&", first, "after=30&"},
+     true,
+     0},
+    {"the watch's revision was given out again",
+     {"1;" + Range(ready_40, 40), "2;" + Events("", 44),
+      "2;" + Range(draining_30, 44)},
+     {first, "after=40&", first, "after=44&"},
+     true,
+     0},
+    {"the watch's answer holds changes of the newer era only",
+     {"1;" + Range(ready_40, 40), "2;" + Events(draining_50, 50),
+      "2;" + Range(ready_40, 50)},
+     {first, "after=40&", first, "after=50&"},
+     false,
+     0},
+    {"the store is down at first, and names the era in its errors",
+     {"1;" + Range(ready_40, 40), "2;503 ", "2;" + Range(draining_30, 30)},
+     {first, "after=40&", first, "after=30&"},
+     true,
+     0},
+    {"between two pages",
+     {"1;" + Range(ready_40, 40, true),
+      "2;" + Range(Item("servers/b", WorkerEntry("ready"), 20), 30),
+      "2;" + Range(draining_30, 30)},
+     {first, "after=servers/a", first, "after=30&"},
+     true,
+     0},
+    {"before the first page is read",
+     {"1;503 ", "2;" + Range(draining_30, 30)},
+     {first, first, "after=30&"},
+     true,
+     0},
+    {"twice",
+     {"1;" + Range(ready_40, 40), "2;410 {}", "3;" + Range(draining_30, 30)},
+     {first, "after=40&", first, "after=30&"},
+     true,
+     0},
+    {"a late answer of the older era",
+     {"2;" + Range(draining_30, 30), "1;" + Events(ready_40, 40),
+      "2;" + Events("", 31)},
+     {first, "after=30&", "after=30&", "after=31&"},
+     true,
+     1},
+    {"a late 410 of the older era",
+     {"2;" + Range(draining_30, 30), "1;410 {}", "2;" + Events("", 31)},
+     {first, "after=30&", "after=30&", "after=31&"},
+     true,
+     1},
+    {"no era in a later answer",
+     {"2;" + Range(ready_40, 40), Events(draining_50, 50)},
+     {first, "after=40&", "after=50&"},
+     true,
+     1},
+    {"an era that is no number",
+     {"2;" + Range(ready_40, 40), "new;" + Events(draining_50, 50)},
+     {first, "after=40&", "after=50&"},
+     true,
+     1},
+    {"a negative era",
+     {"2;" + Range(ready_40, 40), "-3;" + Events(draining_50, 50)},
+     {first, "after=40&", "after=50&"},
+     true,
+     1},
+    {"an era beyond all numbers",
+     {"2;" + Range(ready_40, 40),
+      "99999999999999999999;" + Events(draining_50, 50)},
+     {first, "after=40&", "after=50&"},
+     true,
+     1},
+    {"a store that names no era",
+     {Range(ready_40, 40), Events(draining_50, 50)},
+     {first, "after=40&", "after=50&"},
+     true,
+     0},
+    {"a store that begins to name its era",
+     {Range(ready_40, 40), "1;" + Events(draining_50, 50),
+      "1;" + Range(draining_50, 50)},
+     {first, "after=40&", first, "after=50&"},
+     true,
+     0},
+};
+
+class StoreEraTest : public StoreTest,
+                     public testing::WithParamInterface<EraCase> {};
+
+TEST_P(StoreEraTest, StoreReturnsFromACopy)
+{
+    const EraCase &row = GetParam();
+    SCOPED_TRACE(row.name);
+    uint64_t bad_eras = Met_Get(MET_STORE_ERAS_BAD);
+    Begin(row.script);
+    ASSERT_TRUE(rig.Until(
+        [&] { return store->targets.size() >= row.targets.size(); }));
+    for (size_t i = 0; i < row.targets.size(); i++) {
+        EXPECT_NE(store->targets[i].find(row.targets[i]), std::string::npos)
+            << store->targets[i];
+    }
+    FleetWorker *worker = Fleet_Find(Edge_GetFleet(rig.edge), "a");
+    ASSERT_NE(worker, nullptr);
+    EXPECT_EQ((bool)worker->entry.draining, row.draining);
+    EXPECT_EQ(Met_Get(MET_STORE_ERAS_BAD) - bad_eras, (uint64_t)row.bad_eras);
+}
+
+INSTANTIATE_TEST_SUITE_P(Drill, StoreEraTest, testing::ValuesIn(era_cases));
+
+/* What other VMs told of a newer era goes on from its own revision. */
+TEST_F(StoreTest, PausedWatchGoesOnInTheEraThatOtherVmsTold)
+{
+    watch_needed = false;
+    Begin({"1;" + Range(ready_40, 40), "2;" + Events(draining_50, 50)});
+    ASSERT_TRUE(rig.Until([&] { return IsReady("a"); }));
+    Feed *feed = Edge_GetFeed(rig.edge);
+    std::string entry = WorkerEntry("ready");
+    Feed_BeginSweep(feed, 2);
+    Feed_SetEntry(feed, "a", entry.data(), entry.size(), {2, 12});
+    Feed_EndSweep(feed);
+    watch_needed = true;
+    ASSERT_TRUE(rig.Until([&] { return store->targets.size() >= 2; }));
+    EXPECT_NE(store->targets[1].find("after=12&"), std::string::npos);
+    EXPECT_TRUE(rig.Until([&] { return !IsReady("a"); }));
+    EXPECT_EQ(store->targets.size(), 2u);
+}
+
+/* Another VM learned of the newer era first; this VM's watch still answers
+   with its own. */
+TEST_F(StoreTest, OpenWatchOfAnOlderEraIsNotUsed)
+{
+    Begin({"1;" + Range(ready_40, 40)});
+    ASSERT_TRUE(rig.Until([&] { return store->targets.size() == 2; }));
+    Feed *feed = Edge_GetFeed(rig.edge);
+    std::string entry = WorkerEntry("ready");
+    Feed_BeginSweep(feed, 2);
+    Feed_SetEntry(feed, "a", entry.data(), entry.size(), {2, 12});
+    Feed_EndSweep(feed);
+    store->Push("1;" + Events(draining_50, 50));
+    store->Push("2;410 {}");
+    store->Push("2;" + Range(ready_40, 41));
+    ASSERT_TRUE(rig.Until([&] { return store->targets.size() >= 6; }));
+    EXPECT_TRUE(IsReady("a"));
+    EXPECT_NE(store->targets[4].find(first), std::string::npos);
+    EXPECT_NE(store->targets[5].find("after=41&"), std::string::npos);
+}
+
 TEST_F(StoreTest, ErrorStatusAndMalformedResponseAreRetried)
 {
     Begin({"503 ", "429 ", "200 nonsense",
