Workers that say that they leave get no request while another can serve

A worker that leaves says so in all its answers, also where it never says so in the source. The HTTP client now shows each response's header to an observer, late ones and those of control calls included, and the gate notes the flag per start of a worker. From then on another worker is chosen for plain calls, retries, reservations, prefills and runs; a reservation that is held there is given back. Other VMs learn of it with the load reports (two bytes a report while it lasts).

--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -322,7 +322,7 @@
   assert(message->base.descriptor == &gossip__picture__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gossip__use__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gossip__use__field_descriptors[8] =
 {
   {
     "worker",
@@ -408,12 +408,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Use, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__use__field_indices_by_name[] = {
   5,   /* field[5] = changing */
   3,   /* field[3] = held */
   1,   /* field[1] = inflight */
   6,   /* field[6] = later */
+  7,   /* field[7] = leaving */
   2,   /* field[2] = reading */
   4,   /* field[4] = silent */
   0,   /* field[0] = worker */
@@ -421,7 +434,7 @@
 static const ProtobufCIntRange gossip__use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gossip__use__descriptor =
 {
@@ -431,7 +444,7 @@
   "Gossip__Use",
   "gossip",
   sizeof(Gossip__Use),
-  7,
+  8,
   gossip__use__field_descriptors,
   gossip__use__field_indices_by_name,
   1,  gossip__use__number_ranges,
@@ -605,7 +618,7 @@
   (ProtobufCMessageInit) gossip__hub__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__table__field_descriptors[12] =
+static const ProtobufCFieldDescriptor gossip__table__field_descriptors[13] =
 {
   {
     "region",
@@ -751,6 +764,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gossip__Table, n_leaving),
+    offsetof(Gossip__Table, leaving),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__table__field_indices_by_name[] = {
   9,   /* field[9] = changing */
@@ -758,6 +783,7 @@
   7,   /* field[7] = held */
   5,   /* field[5] = inflight */
   11,   /* field[11] = later */
+  12,   /* field[12] = leaving */
   1,   /* field[1] = members */
   2,   /* field[2] = part */
   3,   /* field[3] = parts */
@@ -769,7 +795,7 @@
 static const ProtobufCIntRange gossip__table__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor gossip__table__descriptor =
 {
@@ -779,7 +805,7 @@
   "Gossip__Table",
   "gossip",
   sizeof(Gossip__Table),
-  12,
+  13,
   gossip__table__field_descriptors,
   gossip__table__field_indices_by_name,
   1,  gossip__table__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -61,10 +61,14 @@
    */
   size_t n_later;
   uint32_t *later;
+  /*
+   * The worker said to the sender that it leaves.
+   */
+  protobuf_c_boolean leaving;
 };
 #define GOSSIP__USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__use__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -165,13 +169,15 @@
   size_t n_held;
   uint32_t *held;
   /*
-   * Workers that a VM can't reach or ordered to change their phase, once for
-   * each such VM.
+   * Workers that a VM can't reach, that it ordered to change their phase, or
+   * that said to it that they leave, once for each such VM.
    */
   size_t n_silent;
   uint64_t *silent;
   size_t n_changing;
   uint64_t *changing;
+  size_t n_leaving;
+  uint64_t *leaving;
   /*
    * Sums; in part 0 only.
    */
@@ -185,7 +191,7 @@
 };
 #define GOSSIP__TABLE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__table__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -15,7 +15,10 @@
 FleetOptions
 Fleet_DefaultOptions(void)
 {
-    FleetOptions options = {.entry_lapse_us = 5 * CLK_US_PER_S};
+    FleetOptions options = {
+        .entry_lapse_us = 5 * CLK_US_PER_S,
+        .drain_us = 2500 * CLK_US_PER_MS,
+    };
     return options;
 }
 
@@ -58,6 +61,22 @@
     return g_hash_table_lookup(fleet->hashes, &hash);
 }
 
+FleetWorker *
+Fleet_FindByAddress(const Fleet *fleet, const char *address)
+{
+    FleetWorker *last = NULL;
+
+    for (guint i = 0; i < fleet->rows->len; i++) {
+        FleetWorker *worker = g_ptr_array_index(fleet->rows, i);
+        if (strcmp(worker->entry.address, address) == 0 &&
+            (last == NULL ||
+             Pos_IsBefore(last->entry.position, worker->entry.position))) {
+            last = worker;
+        }
+    }
+    return last;
+}
+
 FleetWorker *
 Fleet_SetEntry(Fleet *fleet, const FleetEntry *from, int64_t now_us)
 {
@@ -87,6 +106,8 @@
     else if (!is_same_start(&worker->entry, entry)) {
         /* The worker was restarted: its old health and load don't apply. */
         memset(&worker->health, 0, sizeof(worker->health));
+        memset(&worker->notice, 0, sizeof(worker->notice));
+        worker->malformed_notice_logged = false;
         worker->replaced = false;
         worker->load_us = 0;
         worker->slowness = 1.0;
@@ -245,14 +266,28 @@
 Fleet_IsReady(const FleetWorker *worker, int64_t now_us)
 {
     return Fleet_IsListed(worker, now_us) && !worker->entry.draining &&
-           !worker->replaced && now_us >= worker->doubted_until_us;
+           !worker->notice.leaving && !worker->replaced &&
+           now_us >= worker->doubted_until_us;
+}
+
+void
+Fleet_NoteLeaving(Fleet *fleet, FleetWorker *worker, int64_t now_us)
+{
+    Notice_NoteLeaving(&worker->notice, fleet->options.drain_us, now_us);
+}
+
+bool
+Fleet_IsLeaving(const FleetWorker *worker)
+{
+    return worker->notice.leaving || worker->peer_leaving > 0;
 }
 
 bool
 Fleet_IsUsable(const FleetWorker *worker, int64_t now_us)
 {
     if (worker->entry.draining || worker->replaced ||
-        now_us < worker->doubted_until_us) {
+        now_us < worker->doubted_until_us ||
+        Notice_GetUse(&worker->notice, now_us) == NOTICE_CLOSED) {
         return false;
     }
     return Fleet_IsListed(worker, now_us) ||
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -7,6 +7,7 @@
 #include "../clock.h"
 #include "../decide/forecast.h"
 #include "../decide/health.h"
+#include "../decide/notice.h"
 #include "position.h"
 
 #include <glib.h>
@@ -62,6 +63,8 @@
     bool replaced;            /* Another worker answers at its address. */
     bool sweep_pending; /* The running sweep has not set the entry yet. */
     HealthState health;
+    NoticeState notice;           /* What it says of itself. */
+    bool malformed_notice_logged; /* Of this start of the worker. */
     uint32_t inflight;            /* Running calls of this VM. */
     uint64_t prefill_tokens;      /* Prompt tokens of this VM's calls that wait
                               for prefill. */
@@ -71,6 +74,7 @@
     Forecast peer_kv;             /* KV memory that other VMs reported. */
     uint32_t peer_unreachable;    /* Other VMs that can't reach the worker. */
     uint32_t peer_phase_changes;  /* Other VMs that ordered a phase change. */
+    uint32_t peer_leaving; /* Other VMs to which it said that it leaves. */
     int64_t phase_change_until_us; /* End of a phase change that this VM
                                       ordered, at the latest; 0: none. */
     uint32_t load_running;   /* Running requests that the worker reported. */
@@ -89,6 +93,8 @@
     /* Time after which the entry of a worker that writes no more is removed
        from the source. */
     int64_t entry_lapse_us;
+    /* Time for which a worker that says that it leaves serves on. */
+    int64_t drain_us;
 } FleetOptions;
 
 typedef struct Fleet {
@@ -108,6 +114,8 @@
    that keeps it takes a reference with Fleet_Ref(). */
 FleetWorker *Fleet_Find(const Fleet *fleet, const char *id);
 FleetWorker *Fleet_FindByHash(const Fleet *fleet, uint64_t hash);
+/* Returns the worker that was last listed at this address. */
+FleetWorker *Fleet_FindByAddress(const Fleet *fleet, const char *address);
 /* Adds the worker, or updates the entry of a known one. Returns NULL, and
    ignores the entry, if its position is before the known one. An entry of a
    newer era may be older than what is known, as the source returned from a
@@ -134,11 +142,17 @@
 
 FleetWorker *Fleet_Ref(FleetWorker *worker);
 void Fleet_Unref(FleetWorker *worker); /* NULL is allowed. */
+/* Notes that the worker says that it leaves. */
+void Fleet_NoteLeaving(Fleet *fleet, FleetWorker *worker, int64_t now_us);
+/* Whether the worker leaves, so that it gets work only if no other can
+   serve. */
+bool Fleet_IsLeaving(const FleetWorker *worker);
 /* Whether new work may go to the worker. */
 bool Fleet_IsUsable(const FleetWorker *worker, int64_t now_us);
 /* Whether the source lists the worker. */
 bool Fleet_IsListed(const FleetWorker *worker, int64_t now_us);
-/* Whether the worker is listed, and neither draining, doubted nor replaced. */
+/* Whether the worker is listed, and neither draining, leaving, doubted nor
+   replaced. */
 bool Fleet_IsReady(const FleetWorker *worker, int64_t now_us);
 /* Whether the worker changes its phase now, and thus refuses work. */
 bool Fleet_IsChangingPhase(const FleetWorker *worker, int64_t now_us);
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+static void on_response(void *context, const char *address, int status,
+                        const HeaderList *headers);
+static void log_malformed_notice(FleetWorker *worker, const char *field);
 static BudgetPeerUsage get_no_peer_usage(void *context, const char *service);
 static void ignore_budget_change(void *context, const char *service,
                                  double requests, double extras);
@@ -30,6 +33,7 @@
     gate->options = *options;
     gate->options.budget.started_us = Clk_Now(options->clk);
     gate->rand = g_rand_new_with_seed(options->seed);
+    Client_SetObserver(options->client, gate, on_response);
     gate->budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gate->demands =
@@ -139,6 +143,52 @@
     }
 }
 
+/* Notes what a worker says of itself in any answer, whoever gets that. */
+static void
+on_response(void *context, const char *address, int status,
+            const HeaderList *headers)
+{
+    const Gate *gate = context;
+    const GateCodec *codec = gate->options.codec;
+    int64_t now_us = Clk_Now(gate->options.clk);
+    FleetWorker *worker;
+    GateNotice notice;
+
+    codec->decode_notice(codec->context, status, headers, &notice);
+    if (!notice.leaving && notice.malformed == NULL) {
+        return;
+    }
+    worker = Fleet_FindByAddress(gate->options.fleet, address);
+    if (worker == NULL) {
+        return;
+    }
+    if (notice.malformed != NULL) {
+        log_malformed_notice(worker, notice.malformed);
+    }
+    if (notice.leaving && !worker->notice.leaving) {
+        Fleet_NoteLeaving(gate->options.fleet, worker, now_us);
+        Met_Add(MET_WORKERS_LEAVING, 1);
+        Log_WriteJson(LOG_LEVEL_INFO, "worker_leaving",
+                      json_pack("{s:s,s:i,s:I}", "worker", worker->entry.id,
+                                "status", status, "serves_us",
+                                (json_int_t)(worker->notice.leave_deadline_us -
+                                             now_us)));
+        gate->options.on_load_change(gate->options.context);
+    }
+}
+
+static void
+log_malformed_notice(FleetWorker *worker, const char *field)
+{
+    Met_Add(MET_NOTICES_MALFORMED, 1);
+    if (!worker->malformed_notice_logged) {
+        worker->malformed_notice_logged = true;
+        Log_WriteJson(LOG_LEVEL_WARNING, "worker_notice_malformed",
+                      json_pack("{s:s,s:s}", "worker", worker->entry.id,
+                                "field", field));
+    }
+}
+
 static BudgetPeerUsage
 get_no_peer_usage(void *context, const char *service)
 {
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -56,6 +56,12 @@
     uint32_t waiting; /* Calls queued at the worker, if has_load. */
 } GateReply;
 
+/* What a worker says of itself in the header of any answer. */
+typedef struct GateNotice {
+    bool leaving;
+    const char *malformed; /* Name of a field that can't be read, or NULL. */
+} GateNotice;
+
 /* A call that manages a worker's resources or phase, without a request. */
 typedef struct GateControlCall {
     const char *method;
@@ -79,6 +85,8 @@
     bool (*matches_control)(void *context, const HeaderList *headers);
     void (*decode_reply)(void *context, int status, const HeaderList *headers,
                          const char *id, GateReply *reply);
+    void (*decode_notice)(void *context, int status, const HeaderList *headers,
+                          GateNotice *notice);
     /* Converts a worker's header to the one that the caller gets. */
     void (*encode_answer)(void *context, const HeaderList *from,
                           HeaderList *to);
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -330,6 +330,7 @@
             .kv = Gos_DecodeKv(from->held, from->later, from->n_later, 0),
             .unreachable = from->silent,
             .phase_changes = from->changing,
+            .leaving = from->leaving,
         };
         if (use.worker != NULL) {
             Report_AddUse(&peer->report, &use);
@@ -384,6 +385,9 @@
         for (size_t k = 0; k < table->n_changing; k++) {
             use.phase_changes += table->changing[k] == table->workers[i];
         }
+        for (size_t k = 0; k < table->n_leaving; k++) {
+            use.leaving += table->leaving[k] == table->workers[i];
+        }
         if (is_own && Gos_GetOwnUse(use.worker, now_us, &own)) {
             /* The table includes what this VM reported some 100 ms ago, which
                is close to what it has now. */
@@ -392,6 +396,7 @@
             Forecast_Subtract(&use.kv, &own.kv);
             use.unreachable -= MIN(use.unreachable, own.unreachable);
             use.phase_changes -= MIN(use.phase_changes, own.phase_changes);
+            use.leaving -= MIN(use.leaving, own.leaving);
         }
         Report_AddUse(report, &use);
     }
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -62,6 +62,7 @@
         encode_kv(&use.kv, row->later);
         row->silent = use.unreachable > 0;
         row->changing = use.phase_changes > 0;
+        row->leaving = use.leaving > 0;
         message->uses[message->news.n_uses++] = row;
     }
 }
@@ -148,6 +149,7 @@
     table->held = part->held;
     table->silent = part->silent;
     table->changing = part->changing;
+    table->leaving = part->leaving;
     table->demands = part->demands;
     for (guint i = 0; i < report->uses->len && n < GOS_TABLE_ROWS_MAX; i++) {
         const ReportUse *use = &g_array_index(report->uses, ReportUse, i);
@@ -166,6 +168,9 @@
         if (use->phase_changes > 0) {
             part->changing[table->n_changing++] = use->worker->hash;
         }
+        if (use->leaving > 0) {
+            part->leaving[table->n_leaving++] = use->worker->hash;
+        }
     }
     table->n_workers = n;
     table->n_inflight = n;
@@ -234,6 +239,7 @@
     use->kv = worker->kv;
     use->unreachable = Health_IsBlocked(&worker->health, now_us);
     use->phase_changes = now_us < worker->phase_change_until_us;
+    use->leaving = worker->notice.leaving;
     return use->inflight > 0 || Forecast_GetPeak(&use->kv) > 0 ||
-           use->unreachable > 0 || use->phase_changes > 0;
+           use->unreachable > 0 || use->phase_changes > 0 || use->leaving > 0;
 }
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -46,6 +46,7 @@
     uint32_t later[GOS_TABLE_ROWS_MAX * GOS_LATER_POINTS];
     uint64_t silent[GOS_TABLE_ROWS_MAX];
     uint64_t changing[GOS_TABLE_ROWS_MAX];
+    uint64_t leaving[GOS_TABLE_ROWS_MAX];
 } GosTablePart;
 
 struct Gos {
--- a/src/gate/load_report.c
+++ b/src/gate/load_report.c
@@ -134,6 +134,7 @@
         Forecast_Add(&sum->kv, &use->kv);
         sum->unreachable += use->unreachable;
         sum->phase_changes += use->phase_changes;
+        sum->leaving += use->leaving;
     }
     for (guint i = 0; i < from->demands->len; i++) {
         const DemandRow *row = &g_array_index(from->demands, DemandRow, i);
@@ -151,6 +152,7 @@
     Forecast_Add(&use->worker->peer_kv, &use->kv);
     use->worker->peer_unreachable += use->unreachable;
     use->worker->peer_phase_changes += use->phase_changes;
+    use->worker->peer_leaving += use->leaving;
 }
 
 static void
@@ -161,6 +163,7 @@
     Forecast_Subtract(&use->worker->peer_kv, &use->kv);
     use->worker->peer_unreachable -= use->unreachable;
     use->worker->peer_phase_changes -= use->phase_changes;
+    use->worker->peer_leaving -= use->leaving;
 }
 
 static DemandRow *
--- a/src/gate/load_report.h
+++ b/src/gate/load_report.h
@@ -14,6 +14,7 @@
     Forecast kv;            /* KV memory. */
     uint32_t unreachable;   /* VMs that can't reach the worker. */
     uint32_t phase_changes; /* VMs that ordered it to change its phase. */
+    uint32_t leaving;       /* VMs to which it said that it leaves. */
 } ReportUse;
 
 /* Load on a service. */
--- a/src/gate/reservation.c
+++ b/src/gate/reservation.c
@@ -19,6 +19,7 @@
    memory of every seventh stream stays unused (docs/design/007). */
 #define RESERVATION_ANSWER_SHARE (1.0 / 3)
 
+static bool has_staying_worker(GateTask *task);
 static int64_t get_available_cost(const GateTask *task,
                                   const FleetWorker *worker,
                                   const RankWorker *rank, const void *context);
@@ -49,13 +50,24 @@
 
     if (task->lease[0] != '\0' && now_us < task->lease_until_us &&
         Fleet_IsUsable(worker, now_us) &&
-        !Health_IsBlocked(&worker->health, now_us)) {
+        !Health_IsBlocked(&worker->health, now_us) &&
+        (!Fleet_IsLeaving(worker) || !has_staying_worker(task))) {
         return true;
     }
     Reservation_UnassignWorker(task, true);
     return false;
 }
 
+/* Whether a decode worker that doesn't leave can run the request now. */
+static bool
+has_staying_worker(GateTask *task)
+{
+    int64_t cost_us = 0;
+    const FleetWorker *best = Reservation_ChooseDecodeWorker(task, &cost_us);
+
+    return best != NULL && !Fleet_IsLeaving(best);
+}
+
 FleetWorker *
 Reservation_ChooseDecodeWorker(GateTask *task, int64_t *cost_us)
 {
@@ -87,7 +99,9 @@
         Task_ChooseWorker(task, FLEET_PHASE_PREFILL, get_remote_prefill_cost,
                           task->assigned.worker, cost_us);
 
-    return best != NULL && !Health_IsBlocked(&best->health, Task_Now(task))
+    /* A decode worker reads the prompt otherwise. */
+    return best != NULL && !Fleet_IsLeaving(best) &&
+                   !Health_IsBlocked(&best->health, Task_Now(task))
                ? best
                : NULL;
 }
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -229,6 +229,11 @@
         task->waiting_since_us = now_us;
     }
     wait_plan = plan_wait(task);
+    if (Task_IsTurnedAway(task, FLEET_PHASE_DECODE)) {
+        g_strlcpy(task->cause, "all workers are leaving", sizeof(task->cause));
+        Task_Abort(task, ADMISSION_NO_WORKER, LS_ERR_UPSTREAM_FAILED);
+        return;
+    }
     if (now_us >= wait_plan.until_us || task->gate->stopping) {
         g_strlcpy(task->cause, cause, sizeof(task->cause));
         Task_Abort(task, ADMISSION_FULL, LS_ERR_UPSTREAM_FAILED);
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -120,11 +120,15 @@
 typedef int64_t (*TaskCost)(const GateTask *task, const FleetWorker *worker,
                             const RankWorker *rank, const void *context);
 /* Returns the usable worker with the lowest cost, or NULL if there is none.
-   Workers that failed the task are excluded; blocked workers are chosen only
-   if there is no other. If a worker is found, its cost is stored in *best_us;
-   it can be RANK_UNUSABLE_US. */
+   Workers that failed the task are excluded; leaving workers are chosen only
+   if there is no other, and blocked ones only if there is no leaving one. If a
+   worker is found, its cost is stored in *best_us; it can be RANK_UNUSABLE_US.
+ */
 FleetWorker *Task_ChooseWorker(GateTask *task, FleetPhase phase, TaskCost cost,
                                const void *context, int64_t *best_us);
+/* Whether workers of this phase are listed, and each of them has said that it
+   takes no more work. */
+bool Task_IsTurnedAway(const GateTask *task, FleetPhase phase);
 /* Returns the cost at one worker, whatever the worker's state. */
 int64_t Task_GetCost(const GateTask *task, const FleetWorker *worker,
                      TaskCost cost, const void *context);
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -20,6 +20,14 @@
 /* Time between two events of a stream while it is unknown. */
 #define TASK_DEFAULT_EVENT_INTERVAL_US 30000
 
+/* Classes of workers, the best first; the cost decides within one. */
+typedef enum Suitability {
+    SUITABILITY_SOUND,
+    SUITABILITY_LEAVING, /* It still serves. */
+    SUITABILITY_BLOCKED, /* It may not answer. */
+} Suitability;
+
+static Suitability get_suitability(const FleetWorker *worker, int64_t now_us);
 static void fill_rank(const GateTask *task, const FleetWorker *worker,
                       int64_t now_us, RankWorker *rank);
 static bool is_excluded(const GateTask *task, const FleetWorker *worker);
@@ -59,7 +67,7 @@
     const GPtrArray *rows = task->gate->options.fleet->rows;
     int64_t now_us = Task_Now(task);
     FleetWorker *best = NULL;
-    bool best_blocked = true;
+    Suitability best_suitability = SUITABILITY_BLOCKED;
     guint offset = rows->len > 0 ? g_rand_int(task->gate->rand) : 0;
 
     for (guint i = 0; i < rows->len; i++) {
@@ -67,7 +75,7 @@
             g_ptr_array_index(rows, (i + offset) % rows->len);
         RankWorker rank;
         int64_t cost_us;
-        bool blocked;
+        Suitability suitability;
 
         if (worker->entry.phase != phase ||
             strcmp(worker->entry.service, task->service->name) != 0 ||
@@ -76,19 +84,50 @@
             is_excluded(task, worker)) {
             continue;
         }
-        blocked = Health_IsBlocked(&worker->health, now_us);
+        suitability = get_suitability(worker, now_us);
         fill_rank(task, worker, now_us, &rank);
         cost_us = cost(task, worker, &rank, context);
-        if (best == NULL || (best_blocked && !blocked) ||
-            (best_blocked == blocked && cost_us < *best_us)) {
+        if (best == NULL || suitability < best_suitability ||
+            (suitability == best_suitability && cost_us < *best_us)) {
             best = worker;
-            best_blocked = blocked;
+            best_suitability = suitability;
             *best_us = cost_us;
         }
     }
     return best;
 }
 
+bool
+Task_IsTurnedAway(const GateTask *task, FleetPhase phase)
+{
+    const GPtrArray *rows = task->gate->options.fleet->rows;
+    int64_t now_us = Task_Now(task);
+    bool is_turned_away = false;
+
+    for (guint i = 0; i < rows->len; i++) {
+        const FleetWorker *worker = g_ptr_array_index(rows, i);
+        if (worker->entry.phase != phase ||
+            strcmp(worker->entry.service, task->service->name) != 0 ||
+            !Fleet_IsListed(worker, now_us) || worker->entry.draining) {
+            continue;
+        }
+        if (Notice_GetUse(&worker->notice, now_us) != NOTICE_CLOSED) {
+            return false;
+        }
+        is_turned_away = true;
+    }
+    return is_turned_away;
+}
+
+static Suitability
+get_suitability(const FleetWorker *worker, int64_t now_us)
+{
+    if (Health_IsBlocked(&worker->health, now_us)) {
+        return SUITABILITY_BLOCKED;
+    }
+    return Fleet_IsLeaving(worker) ? SUITABILITY_LEAVING : SUITABILITY_SOUND;
+}
+
 int64_t
 Task_GetCost(const GateTask *task, const FleetWorker *worker, TaskCost cost,
              const void *context)
@@ -371,11 +410,12 @@
     Met_Add(MET_CALLS_FAILED, 1);
     Log_WriteJson(
         LOG_LEVEL_INFO, "call_failed",
-        json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:s,s:I,s:i,s:i,s:i,s:i}",
+        json_pack("{s:s,s:s,s:b,s:s,s:s,s:i,s:s,s:i,s:s,s:I,s:i,s:i,s:i,s:i}",
                   "request", task->request.id, "worker", worker->entry.id,
-                  "stage", get_stage_name(current->stage), "cause", cause,
-                  "status", current->has_reply ? current->reply.status : 0,
-                  "framing", Task_GetFramingName(task), "unfinished_bytes",
+                  "leaving", (int)Fleet_IsLeaving(worker), "stage",
+                  get_stage_name(current->stage), "cause", cause, "status",
+                  current->has_reply ? current->reply.status : 0, "framing",
+                  Task_GetFramingName(task), "unfinished_bytes",
                   (int)task->sse.pending->len, "run", Err_GetRunName(run),
                   "after_us", (json_int_t)(now_us - current->began_us),
                   "sends", (int)task->sends, "runs", (int)task->runs,
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -58,6 +58,9 @@
     struct event_base *base;
     const Clk *clk;
     LIST_HEAD(ClientConnList, ClientConn) conns;
+    void *observer; /* Context of on_response(). */
+    void (*on_response)(void *context, const char *address, int status,
+                        const HeaderList *headers);
 };
 
 static ClientConn *find_idle(Client *client, const ClientCallOptions *options);
@@ -110,6 +113,15 @@
     g_free(client);
 }
 
+void
+Client_SetObserver(Client *client, void *context,
+                   void (*on_response)(void *context, const char *address,
+                                       int status, const HeaderList *headers))
+{
+    client->observer = context;
+    client->on_response = on_response;
+}
+
 ClientCall *
 Client_BeginCall(Client *client, const ClientCallOptions *options)
 {
@@ -454,6 +466,10 @@
         conn->interim = true;
         return 0;
     }
+    if (conn->client->on_response != NULL) {
+        conn->client->on_response(conn->client->observer, conn->address,
+                                  parser->status_code, conn->headers);
+    }
     if (call == NULL) {
         return skip_body;
     }
--- a/src/io/client.h
+++ b/src/io/client.h
@@ -76,6 +76,13 @@
 typedef struct Client Client;
 
 Client *Client_New(struct event_base *base, const Clk *clk);
+/* Sets a callback for the header of each final response from any server,
+   before those of its call, and also for late responses to earlier calls.
+   `address` is the server's, "IP:port". It may not begin or end calls. */
+void Client_SetObserver(Client *client, void *context,
+                        void (*on_response)(void *context, const char *address,
+                                            int status,
+                                            const HeaderList *headers));
 /* Cancels all calls; no callback follows. NULL is allowed. */
 void Client_Free(Client *client);
 /* Starts a call and copies what it sends. No callback runs before the return.
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -47,6 +47,11 @@
     [MET_GATE_REFUSED] = {"gate_refused", "Requests answered not run."},
     [MET_GATE_FAILED] = {"gate_failed", "Requests that failed otherwise."},
     [MET_CALLS_FAILED] = {"calls_failed", "Calls at workers that failed."},
+    [MET_WORKERS_LEAVING] = {"workers_leaving",
+                             "Workers that said that they leave."},
+    [MET_NOTICES_MALFORMED] = {"notices_malformed",
+                               "Answers of workers with a notice that can't "
+                               "be read."},
     [MET_ANSWERS_UNTIL_CLOSE] = {"answers_until_close",
                                  "Answers that end with their connection."},
     [MET_STREAMS_ENDED_IN_EVENT] = {"streams_ended_in_event",
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -169,7 +169,8 @@
     int refusals = 0;        /* How many of the next reservations to refuse. */
     int reservations = 0;    /* Reservations granted. */
     std::string reservation; /* Last request for a reservation. */
-    std::string before_reservation; /* Sent before each answer to one. */
+    std::string before_reservation;  /* Sent before each answer to one. */
+    std::string reservation_headers; /* In each answer to one. */
     size_t endless_bytes = 0; /* Bytes of endless replies that were taken. */
 
   private:
@@ -208,14 +209,16 @@
         evbuffer_drain(in, head + 4 + body);
         text.resize(head + 4 + body);
         if (text.find("POST /v1/hold-take ") == 0) {
-            std::string answer = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+            std::string answer = "HTTP/1.1 503 X\r\n" +
+                                 self->reservation_headers +
+                                 "Content-Length: 0\r\n\r\n";
             self->reservation = text;
             if (self->refusals > 0) {
                 self->refusals--;
             }
             else {
-                answer = "HTTP/1.1 200 OK\r\nContent-Length: "
-                         "13\r\n\r\n{\"hold\":\"L1\"}";
+                answer = "HTTP/1.1 200 OK\r\n" + self->reservation_headers +
+                         "Content-Length: 13\r\n\r\n{\"hold\":\"L1\"}";
                 self->reservations++;
             }
             answer = self->before_reservation + answer;
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -125,15 +125,21 @@
     }
     a.Worker("w")->inflight = 3;
     a.Worker("w")->kv = {{7000, 6400, 1280}};
+    a.Worker("w")->notice.leaving = true;
     EXPECT_TRUE(Until([&] {
         return b.Worker("w")->peer_inflight == 3 &&
+               Fleet_IsLeaving(b.Worker("w")) &&
                b.Worker("w")->peer_kv.tokens[0] == 7000 &&
                b.Worker("w")->peer_kv.tokens[1] == 6400 &&
                b.Worker("w")->peer_kv.tokens[2] == 1280;
     }));
     a.Worker("w")->inflight = 0;
     a.Worker("w")->kv = {};
-    EXPECT_TRUE(Until([&] { return b.Worker("w")->peer_inflight == 0; }));
+    a.Worker("w")->notice.leaving = false;
+    EXPECT_TRUE(Until([&] {
+        return b.Worker("w")->peer_inflight == 0 &&
+               !Fleet_IsLeaving(b.Worker("w"));
+    }));
 }
 
 TEST_F(Gossip, UseReportedByStoppedVmIsDropped)
