Workers that ask for a pause get no request until it is over, then no herd

A worker that turns a request away with 503 may name the seconds for which it wants nothing from this VM. Until then it gets no call at all: no retry, prefill, reservation, order or release. If all workers of a service pause and the first end lies beyond the caller's wait, the caller is refused at once with the true time of return; a stream waits for an end that comes in time. After the end one request at a time goes there, then twice as many with each accepted one. VMs add up to a tenth (250 ms at most) so that they don't return together. A date, a sign or rubbish is counted, logged once per start of a worker and ignored.

--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -35,7 +35,7 @@
 #define ADMISSION_FIRST_TRY_SHARE 0.8
 
 /* Largest Retry-After, as a share of the caller's time left. Callers don't
-   wait longer than that. */
+   wait longer than that. A wait that is known is told as it is. */
 #define ADMISSION_RETRY_SHARE 0.33
 /* Smallest Retry-After: a round trip between regions and a call. */
 #define ADMISSION_RETRY_MIN_MS 50
@@ -47,6 +47,8 @@
     ADMISSION_FULL,      /* The workers refuse or would be too late. */
     ADMISSION_STOPPING,  /* The VM is shutting down; another one can answer. */
     ADMISSION_FAULT,     /* A call failed before it ran. */
+    /* All workers have asked for a pause; the wait for its end is known. */
+    ADMISSION_PAUSED,
     /* The request exceeds any worker's memory: a retry can't succeed. */
     ADMISSION_TOO_LARGE,
     ADMISSION_CAUSE_COUNT,
--- a/src/decide/notice.c
+++ b/src/decide/notice.c
@@ -11,9 +11,58 @@
     state->leave_deadline_us = now_us + serve_us - NOTICE_SEND_MARGIN_US;
 }
 
+void
+Notice_NotePause(NoticeState *state, int64_t pause_us, int64_t now_us)
+{
+    int64_t until_us =
+        now_us +
+        (pause_us < NOTICE_PAUSE_MAX_US ? pause_us : NOTICE_PAUSE_MAX_US);
+
+    if (until_us > state->paused_until_us) {
+        state->paused_until_us = until_us;
+    }
+    state->trials_max = 1;
+}
+
+bool
+Notice_IsPaused(const NoticeState *state, int64_t now_us)
+{
+    return now_us < state->paused_until_us;
+}
+
+bool
+Notice_BeginTrial(NoticeState *state)
+{
+    if (state->trials_max == 0) {
+        return false;
+    }
+    state->trials++;
+    return true;
+}
+
+void
+Notice_EndTrial(NoticeState *state, bool accepted)
+{
+    /* The worker may have been started anew since. */
+    if (state->trials == 0) {
+        return;
+    }
+    state->trials--;
+    if (accepted && state->trials_max > 0) {
+        state->trials_max *= 2;
+        if (state->trials_max > NOTICE_TRIALS_MAX) {
+            state->trials_max = 0;
+        }
+    }
+}
+
 NoticeUse
 Notice_GetUse(const NoticeState *state, int64_t now_us)
 {
+    if (Notice_IsPaused(state, now_us) ||
+        (state->trials_max > 0 && state->trials >= state->trials_max)) {
+        return NOTICE_CLOSED;
+    }
     if (!state->leaving) {
         return NOTICE_OPEN;
     }
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -4,8 +4,13 @@
 
 #include <string.h>
 
+/* Longest random time that is added to the pause of a worker. */
+#define GATE_PAUSE_SPREAD_MAX_US (250 * CLK_US_PER_MS)
+
 static void on_response(void *context, const char *address, int status,
                         const HeaderList *headers);
+static void note_pause(const Gate *gate, FleetWorker *worker, int64_t pause_us,
+                       int64_t now_us);
 static void log_malformed_notice(FleetWorker *worker, const char *field);
 static BudgetPeerUsage get_no_peer_usage(void *context, const char *service);
 static void ignore_budget_change(void *context, const char *service,
@@ -155,7 +160,7 @@
     GateNotice notice;
 
     codec->decode_notice(codec->context, status, headers, &notice);
-    if (!notice.leaving && notice.malformed == NULL) {
+    if (!notice.leaving && !notice.has_pause && notice.malformed == NULL) {
         return;
     }
     worker = Fleet_FindByAddress(gate->options.fleet, address);
@@ -165,6 +170,9 @@
     if (notice.malformed != NULL) {
         log_malformed_notice(worker, notice.malformed);
     }
+    if (notice.has_pause) {
+        note_pause(gate, worker, notice.pause_us, now_us);
+    }
     if (notice.leaving && !worker->notice.leaving) {
         Fleet_NoteLeaving(gate->options.fleet, worker, now_us);
         Met_Add(MET_WORKERS_LEAVING, 1);
@@ -177,6 +185,25 @@
     }
 }
 
+/* Notes a pause that the worker asks for, and logs the first of a time. */
+static void
+note_pause(const Gate *gate, FleetWorker *worker, int64_t pause_us,
+           int64_t now_us)
+{
+    bool is_known = Notice_IsPaused(&worker->notice, now_us);
+    /* VMs that were turned away together must not return together. */
+    int64_t spread_us = MIN(pause_us / 10, GATE_PAUSE_SPREAD_MAX_US);
+
+    pause_us += g_rand_int_range(gate->rand, 0, (gint32)spread_us + 1);
+    Notice_NotePause(&worker->notice, pause_us, now_us);
+    Met_Add(MET_PAUSES, 1);
+    if (!is_known) {
+        Log_WriteJson(LOG_LEVEL_INFO, "worker_pauses",
+                      json_pack("{s:s,s:I}", "worker", worker->entry.id,
+                                "pause_us", (json_int_t)pause_us));
+    }
+}
+
 static void
 log_malformed_notice(FleetWorker *worker, const char *field)
 {
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -59,6 +59,8 @@
 /* What a worker says of itself in the header of any answer. */
 typedef struct GateNotice {
     bool leaving;
+    bool has_pause;
+    int64_t pause_us;      /* It wants no request for so long, if has_pause. */
     const char *malformed; /* Name of a field that can't be read, or NULL. */
 } GateNotice;
 
--- a/src/gate/pool_control.c
+++ b/src/gate/pool_control.c
@@ -337,6 +337,7 @@
         if (!Fleet_IsReady(worker, now_us) || worker->entry.phase != from ||
             strcmp(worker->entry.service, service) != 0 ||
             is_ordered(control, worker->entry.id) ||
+            Notice_GetUse(&worker->notice, now_us) != NOTICE_OPEN ||
             Health_IsBlocked(&worker->health, now_us)) {
             continue;
         }
--- a/src/gate/reservation.c
+++ b/src/gate/reservation.c
@@ -181,7 +181,7 @@
     if (notify_worker && kv->handle[0] != '\0') {
         GateControlCall control_call = {0};
         codec->encode_free(codec->context, kv->handle, &control_call);
-        Task_SendControlCall(task, kv->address, &control_call);
+        Task_SendControlCall(task, kv->worker, kv->address, &control_call);
         Met_Add(MET_PREFILL_TOKENS_WASTED, task->request.prompt_tokens);
         Log_WriteJson(LOG_LEVEL_INFO, "prefill_wasted",
                       json_pack("{s:s,s:s,s:i}", "request", task->request.id,
@@ -213,7 +213,8 @@
         Task_Now(task) < task->lease_until_us) {
         GateControlCall control_call = {0};
         codec->encode_release(codec->context, task->lease, &control_call);
-        Task_SendControlCall(task, worker->entry.address, &control_call);
+        Task_SendControlCall(task, worker, worker->entry.address,
+                             &control_call);
     }
     task->lease[0] = '\0';
     Forecast_Subtract(&worker->kv, &task->assigned.kv);
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -223,14 +223,15 @@
 wait_for_capacity(GateTask *task, const char *cause)
 {
     int64_t now_us = Task_Now(task);
+    int64_t open_us;
     AdmissionWaitPlan wait_plan;
 
     if (task->waiting_since_us == 0) {
         task->waiting_since_us = now_us;
     }
     wait_plan = plan_wait(task);
-    if (Task_IsTurnedAway(task, FLEET_PHASE_DECODE)) {
-        g_strlcpy(task->cause, "all workers are leaving", sizeof(task->cause));
+    if (Task_IsTurnedAway(task, &open_us) &&
+        (open_us == 0 || open_us >= wait_plan.until_us)) {
         Task_Abort(task, ADMISSION_NO_WORKER, LS_ERR_UPSTREAM_FAILED);
         return;
     }
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -62,7 +62,18 @@
 {
     LsError err;
     LsResult code = LS_ERR_OVERLOAD;
+    int64_t open_us = 0;
+    int64_t wait_ms = 0;
 
+    if (cause != ADMISSION_STOPPING && cause != ADMISSION_TOO_LARGE &&
+        Task_IsTurnedAway(task, &open_us)) {
+        cause = open_us != 0 ? ADMISSION_PAUSED : ADMISSION_NO_WORKER;
+        wait_ms = MAX(open_us - Task_Now(task), 0) / CLK_US_PER_MS;
+        g_strlcpy(task->cause,
+                  open_us != 0 ? "all workers asked for a pause"
+                               : "all workers are leaving",
+                  sizeof(task->cause));
+    }
     if (cause == ADMISSION_NO_CONFIG) {
         code = LS_ERR_NOT_READY;
     }
@@ -76,7 +87,8 @@
             task->cause[0] != '\0' ? task->cause
                                    : "no worker accepts the request");
     err.retry_after_ms = Admission_GetRetryAfter(
-        cause, Task_GetLeftMs(task), 0, g_rand_int(task->gate->rand));
+        cause, Task_GetLeftMs(task), wait_ms, g_rand_int(task->gate->rand));
+    task->retry_after_ms = err.retry_after_ms;
     answer_error(task->gate, task->exchange, task->request.id, &err);
     task->exchange = NULL;
     Task_End(task, "refused", Err_GetHttpStatus(code));
@@ -132,25 +144,26 @@
     run_us = task->spent_us[TASK_RUN] + task->spent_us[TASK_DECODE];
     Log_WriteJson(
         LOG_LEVEL_INFO, "request_end",
-        json_pack("{s:s,s:s,s:s,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:I,s:I,"
-                  "s:I,s:I,s:i,s:i}",
-                  "request", task->request.id, "route", task->route->name,
-                  "outcome", outcome, "status", status, "took_us",
-                  (json_int_t)took_us, "sends", (int)task->sends, "runs",
-                  (int)task->runs, "cause", task->cause, "last_event",
-                  (json_int_t)task->last_event, "framing",
-                  Task_GetFramingName(task), "unfinished_bytes",
-                  (int)task->sse.pending->len, "config",
-                  (json_int_t)task->table->version, "first_us",
-                  (json_int_t)(task->first_event_us
-                                   ? task->first_event_us - task->began_us
-                                   : 0),
+        json_pack(
+            "{s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:I,s:I,"
+            "s:I,s:I,s:i,s:i}",
+            "request", task->request.id, "route", task->route->name, "outcome",
+            outcome, "status", status, "retry_after_ms",
+            (int)task->retry_after_ms, "took_us", (json_int_t)took_us, "sends",
+            (int)task->sends, "runs", (int)task->runs, "cause", task->cause,
+            "last_event", (json_int_t)task->last_event, "framing",
+            Task_GetFramingName(task), "unfinished_bytes",
+            (int)task->sse.pending->len, "config",
+            (json_int_t)task->table->version, "first_us",
+            (json_int_t)(task->first_event_us
+                             ? task->first_event_us - task->began_us
+                             : 0),
 
-                  "reserve_us", (json_int_t)task->spent_us[TASK_RESERVE],
-                  "prefill_us", (json_int_t)task->spent_us[TASK_PREFILL],
-                  "run_us", (json_int_t)run_us, "prompt_tokens",
-                  (int)task->request.prompt_tokens, "output_tokens",
-                  (int)task->request.output_tokens));
+            "reserve_us", (json_int_t)task->spent_us[TASK_RESERVE],
+            "prefill_us", (json_int_t)task->spent_us[TASK_PREFILL], "run_us",
+            (json_int_t)run_us, "prompt_tokens",
+            (int)task->request.prompt_tokens, "output_tokens",
+            (int)task->request.output_tokens));
     Stream_ReleaseAll(task);
     free_task(task);
 }
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -33,6 +33,7 @@
     TaskStage stage;
     bool counted; /* Included in the task's counted_calls. */
     bool extra;   /* Charged to the retry budget. */
+    bool trial;   /* At a worker that has asked for a pause. */
     /* Prompt tokens that this call adds to the worker. */
     uint32_t prefill_tokens;
     Forecast kv;         /* KV memory that this call adds. */
@@ -100,6 +101,7 @@
     uint32_t events;        /* Events sent to the caller. */
     int64_t spent_us[TASK_STAGE_COUNT]; /* Time of the calls of each stage. */
     char cause[TASK_CAUSE_MAX];         /* Cause of the last failure. */
+    uint32_t retry_after_ms;            /* Told to a refused caller. */
 };
 
 struct Gate {
@@ -126,9 +128,10 @@
  */
 FleetWorker *Task_ChooseWorker(GateTask *task, FleetPhase phase, TaskCost cost,
                                const void *context, int64_t *best_us);
-/* Whether workers of this phase are listed, and each of them has said that it
-   takes no more work. */
-bool Task_IsTurnedAway(const GateTask *task, FleetPhase phase);
+/* Whether workers that could run the request are listed, and each of them has
+   said that it takes no work now. Stores when the first one will take work
+   again in *until_us, or 0 if all are leaving. */
+bool Task_IsTurnedAway(const GateTask *task, int64_t *until_us);
 /* Returns the cost at one worker, whatever the worker's state. */
 int64_t Task_GetCost(const GateTask *task, const FleetWorker *worker,
                      TaskCost cost, const void *context);
@@ -158,8 +161,10 @@
 void Task_BeginControlCall(GateTask *task, FleetWorker *worker,
                            const GateControlCall *control_call,
                            void (*on_end)(void *, ClientOutcome));
-/* Sends a control call and ignores its answer. */
-void Task_SendControlCall(const GateTask *task, const char *address,
+/* Sends a control call that frees something which also lapses by itself, and
+   ignores its answer. A worker that has asked for a pause gets none. */
+void Task_SendControlCall(const GateTask *task, const FleetWorker *worker,
+                          const char *address,
                           const GateControlCall *control_call);
 /* Cancels the call in progress, if any, and clears task->current. */
 void Task_EndCall(GateTask *task);
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -36,6 +36,7 @@
 static void init_call(GateTask *task, FleetWorker *worker);
 static void count_call(GateTask *task);
 static void correct_call_count(GateTask *task, ClientOutcome outcome);
+static void end_trial(TaskCall *call, bool accepted);
 static const char *get_stage_name(TaskStage stage);
 static void log_call(const GateTask *task);
 static void on_control_head(void *context, int status,
@@ -98,12 +99,15 @@
 }
 
 bool
-Task_IsTurnedAway(const GateTask *task, FleetPhase phase)
+Task_IsTurnedAway(const GateTask *task, int64_t *until_us)
 {
     const GPtrArray *rows = task->gate->options.fleet->rows;
+    FleetPhase phase = task->route->kind == RTE_STREAM ? FLEET_PHASE_DECODE
+                                                       : FLEET_PHASE_NONE;
     int64_t now_us = Task_Now(task);
     bool is_turned_away = false;
 
+    *until_us = 0;
     for (guint i = 0; i < rows->len; i++) {
         const FleetWorker *worker = g_ptr_array_index(rows, i);
         if (worker->entry.phase != phase ||
@@ -115,6 +119,11 @@
             return false;
         }
         is_turned_away = true;
+        if (!worker->notice.leaving) {
+            /* The pause is over if a trial is running. */
+            int64_t end_us = MAX(worker->notice.paused_until_us, now_us);
+            *until_us = *until_us == 0 ? end_us : MIN(*until_us, end_us);
+        }
     }
     return is_turned_away;
 }
@@ -230,8 +239,8 @@
 }
 
 void
-Task_SendControlCall(const GateTask *task, const char *address,
-                     const GateControlCall *control_call)
+Task_SendControlCall(const GateTask *task, const FleetWorker *worker,
+                     const char *address, const GateControlCall *control_call)
 {
     ClientCallOptions call = {
         .address = address,
@@ -240,7 +249,9 @@
         .idle_max_ms = UINT32_MAX,
     };
 
-    Client_BeginCall(task->gate->options.client, &call);
+    if (!Notice_IsPaused(&worker->notice, Task_Now(task))) {
+        Client_BeginCall(task->gate->options.client, &call);
+    }
 }
 
 Forecast
@@ -291,6 +302,7 @@
     }
     if (current->worker != NULL) {
         task->spent_us[current->stage] += Task_Now(task) - current->began_us;
+        end_trial(current, false);
         current->worker->inflight--;
         current->worker->prefill_tokens -= current->prefill_tokens;
         Forecast_Subtract(&current->worker->kv, &current->kv);
@@ -410,17 +422,19 @@
     Met_Add(MET_CALLS_FAILED, 1);
     Log_WriteJson(
         LOG_LEVEL_INFO, "call_failed",
-        json_pack("{s:s,s:s,s:b,s:s,s:s,s:i,s:s,s:i,s:s,s:I,s:i,s:i,s:i,s:i}",
-                  "request", task->request.id, "worker", worker->entry.id,
-                  "leaving", (int)Fleet_IsLeaving(worker), "stage",
-                  get_stage_name(current->stage), "cause", cause, "status",
-                  current->has_reply ? current->reply.status : 0, "framing",
-                  Task_GetFramingName(task), "unfinished_bytes",
-                  (int)task->sse.pending->len, "run", Err_GetRunName(run),
-                  "after_us", (json_int_t)(now_us - current->began_us),
-                  "sends", (int)task->sends, "runs", (int)task->runs,
-                  "running", (int)current->reply.running, "waiting",
-                  (int)current->reply.waiting));
+        json_pack(
+            "{s:s,s:s,s:b,s:I,s:s,s:s,s:i,s:s,s:i,s:s,s:I,s:i,s:i,s:i,s:i}",
+            "request", task->request.id, "worker", worker->entry.id, "leaving",
+            (int)Fleet_IsLeaving(worker), "pause_us",
+            (json_int_t)MAX(worker->notice.paused_until_us - now_us, 0),
+            "stage", get_stage_name(current->stage), "cause", cause, "status",
+            current->has_reply ? current->reply.status : 0, "framing",
+            Task_GetFramingName(task), "unfinished_bytes",
+            (int)task->sse.pending->len, "run", Err_GetRunName(run),
+            "after_us", (json_int_t)(now_us - current->began_us), "sends",
+            (int)task->sends, "runs", (int)task->runs, "running",
+            (int)current->reply.running, "waiting",
+            (int)current->reply.waiting));
 }
 
 RetryInput
@@ -546,6 +560,7 @@
     current->began_us = Task_Now(task);
     current->has_reply = false;
     current->body = g_byte_array_new();
+    current->trial = Notice_BeginTrial(&worker->notice);
     worker->inflight++;
     worker->prefill_tokens += current->prefill_tokens;
     Forecast_Add(&worker->kv, &current->kv);
@@ -592,6 +607,16 @@
     current->extra = false;
 }
 
+/* Ends the call's trial, if it is one. */
+static void
+end_trial(TaskCall *call, bool accepted)
+{
+    if (call->trial) {
+        call->trial = false;
+        Notice_EndTrial(&call->worker->notice, accepted);
+    }
+}
+
 static const char *
 get_stage_name(TaskStage stage)
 {
@@ -623,6 +648,7 @@
     (void)headers;
     task->current.has_reply = true;
     task->current.reply.status = status;
+    end_trial(&task->current, status != 503);
 }
 
 /* A late copy of a request's answer is not the answer to a control call. */
@@ -653,6 +679,7 @@
     int64_t now_us = Task_Now(task);
 
     current->has_reply = true;
+    end_trial(current, status != 503);
     codec->decode_reply(codec->context, status, headers, task->request.id,
                         &current->reply);
     task->framing = Client_GetFraming(current->call);
