--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -41,6 +41,21 @@
     return true;
 }
 
+/* Returns a port for UDP and TCP that was free at the call. */
+inline uint16_t
+FreePort()
+{
+    LsError err = {};
+    event_base *base = event_base_new();
+    ServerOptions options = Server_DefaultOptions();
+    options.base = base;
+    Server *server = Server_New(&options, &err);
+    uint16_t port = Server_GetPort(server);
+    Server_Free(server);
+    event_base_free(base);
+    return port;
+}
+
 /* Reply of a scripted worker to one request: the bytes that it sends, and
    whether it closes or resets the connection afterwards. "%ID" in the bytes is
    replaced with the request's ID. */
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -17,21 +17,6 @@
     return {0, (uint64_t)revision};
 }
 
-/* Returns a port for UDP and TCP that was free at the call. */
-uint16_t
-FreePort()
-{
-    LsError err = {};
-    event_base *base = event_base_new();
-    ServerOptions options = Server_DefaultOptions();
-    options.base = base;
-    Server *server = Server_New(&options, &err);
-    uint16_t port = Server_GetPort(server);
-    Server_Free(server);
-    event_base_free(base);
-    return port;
-}
-
 /* A VM of the deployment: an edge with its listener for other VMs. */
 class Vm {
   public:
