Soak: a store put back some seconds, workers that leave, workers that pause

Three new kinds of fault: the stand-in store returns from a copy up to 6 s old in a new era, what it lost is written again within 1.5 s and entries of workers that have left lapse; a worker says that it leaves in all answers but not in the store; a worker turns requests away and names the time. Two new checks: a VM that was told of the leaving sends nothing after the drain time (LEAVING), and at most two requests in a pause (PAUSE).

--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -21,6 +21,15 @@
    time from the store's acknowledgement of a draining entry until the response
    to the VMs' watches. */
 #define SIM_DRAIN_SLACK_MS 500
+/* Time after which the entry of a worker that writes no more lapses: three of
+   its heartbeats. */
+#define SIM_LAPSE_MS 3600
+/* A drain that begins within this time of a restore may become known late. */
+#define SIM_RESTORE_SLACK_MS 3000
+/* A worker that named a pause gets at most this many requests of one VM, from
+   this time on. */
+#define SIM_PAUSE_REQUESTS_MAX 2
+#define SIM_PAUSE_SLACK_MS 500
 #define SIM_CONFIG_KEY "op/config"
 
 typedef struct SimItem {
@@ -28,6 +37,21 @@
     uint64_t revision;
 } SimItem;
 
+/* One write to the store. */
+typedef struct SimWrite {
+    int64_t at_us;
+    char *key;
+    char *value; /* NULL if it deleted the key. */
+    uint64_t revision;
+} SimWrite;
+
+/* What a worker told one VM of itself. */
+typedef struct SimTold {
+    int64_t leaving_us; /* First answer that said that it leaves, or 0. */
+    int64_t paused_us;  /* First answer that named this pause, or 0. */
+    guint requests;     /* Requests of the VM in the pause, after the slack. */
+} SimTold;
+
 /* Pending request to the store: a watch, or a request whose response is
    delayed. */
 typedef struct SimStoreCall {
@@ -49,7 +73,10 @@
     char id[32];
     bool draining;
     int64_t draining_since_us; /* Time of the mark as draining. */
-    uint32_t running;          /* Number of jobs. */
+    bool leaving;
+    int64_t pause_until_us;
+    SimTold told[SIM_VMS_MAX];
+    uint32_t running; /* Number of jobs. */
 } SimWorker;
 
 /* A request that a worker runs. */
@@ -76,6 +103,13 @@
     SimStoreState store_state;
     GHashTable *items; /* Key to SimItem. */
     uint64_t revision;
+    uint64_t era;
+    GHashTable *wanted;  /* Key to its latest value, lost or not. */
+    GPtrArray *writes;   /* SimWrite pointers. */
+    int64_t restored_us; /* Last time that the store was put back, or 0. */
+    struct event *rewrite_timer;
+    struct event *lapse_timer;
+    int64_t vm_started_us[SIM_VMS_MAX];
     uint64_t version; /* Configuration version. */
     LIST_HEAD(SimStoreCallList, SimStoreCall) store_calls;
     LIST_HEAD(SimJobList, SimJob) jobs;
@@ -88,6 +122,16 @@
 };
 
 static void put_item(Sim *sim, const char *key, const char *value);
+static void write_item(Sim *sim, const char *key, const char *value);
+static void free_item(gpointer data);
+static void free_write(gpointer data);
+static void on_rewrite(evutil_socket_t fd, short what, void *context);
+static void on_lapse(evutil_socket_t fd, short what, void *context);
+static void send_store_response(const Sim *sim, ServerExchange *exchange,
+                                int status, const char *body);
+static void check_leaving(SimWorker *worker, const char *id);
+static bool refuse_in_pause(SimWorker *worker, ServerExchange *exchange,
+                            const char *id);
 static void publish_worker(SimWorker *worker);
 static void on_store_request(void *context, ServerExchange *exchange);
 static void on_store_disconnect(void *context, ServerExchange *exchange);
@@ -100,8 +144,10 @@
 static void begin_job(SimWorker *worker, ServerExchange *exchange);
 static void on_job_timer(evutil_socket_t fd, short what, void *context);
 static void end_job(SimJob *job);
-static void send_response(ServerExchange *exchange, int status, const char *id,
-                          bool not_run, const char *body);
+static void send_response(const SimWorker *worker, ServerExchange *exchange,
+                          int status, const char *id, bool not_run,
+                          const char *body);
+static bool is_drain_excused(const SimWorker *worker, const char *id);
 static const char *get_phase(guint worker);
 static Server *open_server(Sim *sim, void *context,
                            void (*on_request)(void *, ServerExchange *),
@@ -116,7 +162,14 @@
     sim->clk = clk;
     sim->ledger = ledger;
     sim->rand = rand;
-    sim->items = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    sim->items =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_item);
+    sim->wanted =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    sim->writes = g_ptr_array_new_with_free_func(free_write);
+    sim->era = 1;
+    sim->rewrite_timer = evtimer_new(base, on_rewrite, sim);
+    sim->lapse_timer = evtimer_new(base, on_lapse, sim);
     sim->kv_handles =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     LIST_INIT(&sim->store_calls);
@@ -136,21 +189,17 @@
 void
 Sim_Free(Sim *sim)
 {
-    GHashTableIter iter;
-    gpointer item;
-
     for (guint i = 0; i < SIM_WORKER_COUNT; i++) {
         Sim_CrashWorker(sim, i);
         Proxy_Free(sim->workers[i].proxy);
     }
     Proxy_Free(sim->store_proxy);
     Server_Free(sim->store);
-    g_hash_table_iter_init(&iter, sim->items);
-    while (g_hash_table_iter_next(&iter, NULL, &item)) {
-        g_free(((SimItem *)item)->value);
-        g_free(item);
-    }
+    event_free(sim->rewrite_timer);
+    event_free(sim->lapse_timer);
     g_hash_table_destroy(sim->items);
+    g_hash_table_destroy(sim->wanted);
+    g_ptr_array_free(sim->writes, TRUE);
     g_hash_table_destroy(sim->kv_handles);
     g_free(sim);
 }
@@ -179,6 +228,82 @@
     sim->disrupted_us = Clk_Now(sim->clk);
 }
 
+void
+Sim_RestoreStore(Sim *sim, guint back_ms)
+{
+    int64_t now_us = Clk_Now(sim->clk);
+    int64_t until_us = now_us - back_ms * CLK_US_PER_MS;
+
+    g_hash_table_remove_all(sim->items);
+    sim->revision = 0;
+    for (guint i = 0; i < sim->writes->len; i++) {
+        const SimWrite *write = g_ptr_array_index(sim->writes, i);
+        SimItem *item;
+        if (write->at_us > until_us) {
+            g_ptr_array_set_size(sim->writes, (gint)i);
+            break;
+        }
+        item = g_new0(SimItem, 1);
+        item->value = g_strdup(write->value);
+        item->revision = write->revision;
+        g_hash_table_replace(sim->items, g_strdup(write->key), item);
+        sim->revision = write->revision;
+    }
+    sim->era++;
+    sim->restored_us = now_us;
+    Proxy_ResetAll(sim->store_proxy);
+    Loop_ArmTimer(sim->rewrite_timer, (uint32_t)g_rand_int_range(
+                                          sim->rand, 1, SIM_REWRITE_MAX_MS));
+    Loop_ArmTimer(sim->lapse_timer, SIM_LAPSE_MS);
+}
+
+/* Writes again what the restored store has lost. */
+static void
+on_rewrite(evutil_socket_t fd, short what, void *context)
+{
+    Sim *sim = context;
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+
+    (void)fd;
+    (void)what;
+    g_hash_table_iter_init(&iter, sim->wanted);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const SimItem *item = g_hash_table_lookup(sim->items, key);
+        if (value != NULL &&
+            (item == NULL || g_strcmp0(item->value, value) != 0)) {
+            write_item(sim, key, value);
+        }
+    }
+}
+
+/* Deletes the entries of workers that have left. */
+static void
+on_lapse(evutil_socket_t fd, short what, void *context)
+{
+    Sim *sim = context;
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+
+    (void)fd;
+    (void)what;
+    g_hash_table_iter_init(&iter, sim->wanted);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const SimItem *item = g_hash_table_lookup(sim->items, key);
+        if (value == NULL && item != NULL && item->value != NULL) {
+            write_item(sim, key, NULL);
+        }
+    }
+}
+
+void
+Sim_RecordVmStart(Sim *sim, guint vm)
+{
+    sim->vm_started_us[vm] = Clk_Now(sim->clk);
+}
+
 void
 Sim_ChangeConfig(Sim *sim)
 {
@@ -247,6 +372,9 @@
     }
     worker->starts++;
     worker->draining = false;
+    worker->leaving = false;
+    worker->pause_until_us = 0;
+    memset(worker->told, 0, sizeof(worker->told));
     g_snprintf(worker->id, sizeof(worker->id), "w%u-%u", number,
                worker->starts);
     worker->server =
@@ -268,6 +396,24 @@
     publish_worker(worker);
 }
 
+void
+Sim_BeginLeaving(Sim *sim, guint number)
+{
+    sim->workers[number].leaving = true;
+}
+
+void
+Sim_BeginPause(Sim *sim, guint number, guint pause_ms)
+{
+    SimWorker *worker = &sim->workers[number];
+
+    worker->pause_until_us = Clk_Now(sim->clk) + pause_ms * CLK_US_PER_MS;
+    for (guint i = 0; i < SIM_VMS_MAX; i++) {
+        worker->told[i].paused_us = 0;
+        worker->told[i].requests = 0;
+    }
+}
+
 void
 Sim_SetFailures(Sim *sim, double lost_ratio, double failed_ratio)
 {
@@ -283,8 +429,16 @@
 
 static void
 put_item(Sim *sim, const char *key, const char *value)
+{
+    g_hash_table_replace(sim->wanted, g_strdup(key), g_strdup(value));
+    write_item(sim, key, value);
+}
+
+static void
+write_item(Sim *sim, const char *key, const char *value)
 {
     SimItem *item = g_hash_table_lookup(sim->items, key);
+    SimWrite *write = g_new0(SimWrite, 1);
     SimStoreCall *call;
 
     if (item == NULL) {
@@ -294,6 +448,11 @@
     g_free(item->value);
     item->value = g_strdup(value);
     item->revision = ++sim->revision;
+    write->at_us = Clk_Now(sim->clk);
+    write->key = g_strdup(key);
+    write->value = g_strdup(value);
+    write->revision = item->revision;
+    g_ptr_array_add(sim->writes, write);
     call = LIST_FIRST(&sim->store_calls);
     while (call != NULL) {
         SimStoreCall *next = LIST_NEXT(call, links);
@@ -304,6 +463,25 @@
     }
 }
 
+static void
+free_item(gpointer data)
+{
+    SimItem *item = data;
+
+    g_free(item->value);
+    g_free(item);
+}
+
+static void
+free_write(gpointer data)
+{
+    SimWrite *write = data;
+
+    g_free(write->key);
+    g_free(write->value);
+    g_free(write);
+}
+
 static void
 publish_worker(SimWorker *worker)
 {
@@ -332,7 +510,7 @@
     SimStoreCall *call;
 
     if (sim->store_state == SIM_STORE_DOWN) {
-        Server_SendResponse(exchange, 503, NULL, "", 0);
+        send_store_response(sim, exchange, 503, "");
         return;
     }
     call = g_new0(SimStoreCall, 1);
@@ -347,7 +525,7 @@
         call->is_delayed = true;
         Loop_ArmTimer(call->timer, SIM_STORE_DELAY_MS);
     }
-    else if (call->is_range || call->after_revision < sim->revision) {
+    else if (call->is_range || call->after_revision != sim->revision) {
         answer_store_call(call);
     }
     else {
@@ -382,9 +560,10 @@
 {
     Sim *sim = call->sim;
     ServerExchange *exchange = call->exchange;
-    bool is_history_missing = !call->is_range &&
-                              sim->store_state == SIM_STORE_NO_HISTORY &&
-                              call->after_revision < sim->revision;
+    bool is_history_missing =
+        !call->is_range && (call->after_revision > sim->revision ||
+                            (sim->store_state == SIM_STORE_NO_HISTORY &&
+                             call->after_revision < sim->revision));
     json_t *rows = json_array();
     json_t *root;
     GHashTableIter iter;
@@ -418,15 +597,24 @@
     text = json_dumps(root, JSON_COMPACT);
     json_decref(root);
     on_store_disconnect(sim, exchange); /* Frees the call. */
-    if (is_history_missing) {
-        Server_SendResponse(exchange, 410, NULL, "", 0);
-    }
-    else {
-        Server_SendResponse(exchange, 200, NULL, text, strlen(text));
-    }
+    send_store_response(sim, exchange, is_history_missing ? 410 : 200,
+                        is_history_missing ? "" : text);
     free(text);
 }
 
+static void
+send_store_response(const Sim *sim, ServerExchange *exchange, int status,
+                    const char *body)
+{
+    HeaderList *headers = Header_New();
+    char era[24];
+
+    g_snprintf(era, sizeof(era), "%llu", (unsigned long long)sim->era);
+    Header_Add(headers, "Store-Era", era);
+    Server_SendResponse(exchange, status, headers, body, strlen(body));
+    Header_Free(headers);
+}
+
 static void
 on_worker_request(void *context, ServerExchange *exchange)
 {
@@ -436,29 +624,35 @@
     const char *source = Header_Find(exchange->headers, "X-Kv-Source");
     int64_t since_draining_us = Clk_Now(sim->clk) - worker->draining_since_us;
 
-    if (strncmp(exchange->method, "DELETE", 6) == 0) {
-        send_response(exchange, 200, NULL, false, "");
+    if (is_misdirected(worker, exchange)) {
+        send_response(worker, exchange, 421, id, true, "");
+        return;
     }
-    else if (is_misdirected(worker, exchange)) {
-        send_response(exchange, 421, id, true, "");
+    check_leaving(worker, id);
+    if (refuse_in_pause(worker, exchange, id)) {
+        return;
+    }
+    if (strncmp(exchange->method, "DELETE", 6) == 0) {
+        send_response(worker, exchange, 200, NULL, false, "");
     }
     else if (strcmp(exchange->target, "/v1/hold-take") == 0) {
         bool full = worker->running >= SIM_SLOTS;
-        send_response(exchange, full ? 503 : 200, NULL, full,
+        send_response(worker, exchange, full ? 503 : 200, NULL, full,
                       "{\"hold\":\"L1\"}");
     }
     else if (strcmp(exchange->target, "/v1/order") == 0) {
-        send_response(exchange, 409, NULL, false, "");
+        send_response(worker, exchange, 409, NULL, false, "");
     }
     else if (worker->running >= SIM_SLOTS + SIM_EXTRA_SLOTS ||
              (source != NULL &&
               !g_hash_table_remove(sim->kv_handles,
                                    strrchr(source, '/') + 1))) {
-        send_response(exchange, 503, id, true, "");
+        send_response(worker, exchange, 503, id, true, "");
     }
     else {
         if (worker->draining &&
             worker->draining_since_us > sim->disrupted_us &&
+            !is_drain_excused(worker, id) &&
             since_draining_us >
                 (int64_t)(SIM_DRAIN_MS + SIM_DRAIN_SLACK_MS) * CLK_US_PER_MS) {
             Ledger_AddFinding(
@@ -471,6 +665,96 @@
     }
 }
 
+/* Returns whether the request's VM may not know of the drain, as the store was
+   put back close to it, or after it and the VM was started since. */
+static bool
+is_drain_excused(const SimWorker *worker, const char *id)
+{
+    const Sim *sim = worker->sim;
+    const LedgerRow *row = Ledger_Find(sim->ledger, id);
+    int64_t slack_us = SIM_RESTORE_SLACK_MS * CLK_US_PER_MS;
+
+    if (sim->restored_us == 0 ||
+        worker->draining_since_us > sim->restored_us + slack_us) {
+        return false;
+    }
+    return row == NULL ||
+           worker->draining_since_us > sim->restored_us - slack_us ||
+           sim->vm_started_us[row->vm] > worker->draining_since_us;
+}
+
+/* Checks that a VM to which the worker has said that it leaves sends it no
+   request after the drain time, and notes that it says so now. */
+static void
+check_leaving(SimWorker *worker, const char *id)
+{
+    Sim *sim = worker->sim;
+    const LedgerRow *row = Ledger_Find(sim->ledger, id);
+    int64_t now_us = Clk_Now(sim->clk);
+    SimTold *told;
+
+    if (!worker->leaving || row == NULL) {
+        return;
+    }
+    told = &worker->told[row->vm];
+    if (told->leaving_us <= sim->vm_started_us[row->vm]) {
+        told->leaving_us = now_us;
+    }
+    else if (now_us - told->leaving_us >
+             (SIM_DRAIN_MS + SIM_DRAIN_SLACK_MS) * CLK_US_PER_MS) {
+        Ledger_AddFinding(
+            sim->ledger,
+            "LEAVING: %s of VM %u reached worker %s %lld ms "
+            "after that had said that it leaves",
+            id, row->vm, worker->id,
+            (long long)((now_us - told->leaving_us) / CLK_US_PER_MS));
+    }
+}
+
+/* Turns a request away if the worker pauses, and checks that a VM which was
+   told so sends no more than it may. Returns whether it was turned away. */
+static bool
+refuse_in_pause(SimWorker *worker, ServerExchange *exchange, const char *id)
+{
+    Sim *sim = worker->sim;
+    const LedgerRow *row = Ledger_Find(sim->ledger, id);
+    int64_t now_us = Clk_Now(sim->clk);
+    int64_t left_us = worker->pause_until_us - now_us;
+    HeaderList *headers;
+    char text[32];
+
+    if (left_us <= 0) {
+        return false;
+    }
+    if (row != NULL) {
+        SimTold *told = &worker->told[row->vm];
+        if (told->paused_us <= sim->vm_started_us[row->vm]) {
+            told->paused_us = now_us;
+            told->requests = 0;
+        }
+        else if (now_us - told->paused_us >
+                     SIM_PAUSE_SLACK_MS * CLK_US_PER_MS &&
+                 ++told->requests > SIM_PAUSE_REQUESTS_MAX) {
+            Ledger_AddFinding(sim->ledger,
+                              "PAUSE: %s is request %u of VM %u at worker %s, "
+                              "which pauses",
+                              id, told->requests, row->vm, worker->id);
+        }
+    }
+    headers = Header_New();
+    if (id != NULL) {
+        Header_Add(headers, "X-Request-Id", id);
+    }
+    g_snprintf(text, sizeof(text), "%.3f",
+               (double)left_us / (double)CLK_US_PER_S);
+    Header_Add(headers, "X-Not-Executed", "1");
+    Header_Add(headers, "Retry-After", text);
+    exchange->owner = NULL;
+    Server_SendResponse(exchange, 503, headers, "", 0);
+    Header_Free(headers);
+    return true;
+}
+
 /* Returns whether the request was meant for another worker or for a worker of
    the other pool (prefill or decode). */
 static bool
@@ -539,7 +823,7 @@
                    "{\"kv-handle\":\"%s\",\"tokens\":10,\"version\":1}",
                    handle);
         g_hash_table_add(sim->kv_handles, handle);
-        send_response(exchange, 200, job->id, false, body);
+        send_response(job->worker, exchange, 200, job->id, false, body);
         end_job(job);
     }
     else if (g_rand_double(sim->rand) < sim->lost_ratio) {
@@ -551,6 +835,9 @@
             HeaderList *headers = Header_New();
             Header_Add(headers, "X-Request-Id", job->id);
             Header_Add(headers, "X-Response-Stamp", job->worker->id);
+            if (job->worker->leaving) {
+                Header_Add(headers, "Server-Leaving", "1");
+            }
             Server_BeginStream(exchange, 200, headers);
             Header_Free(headers);
             job->is_begun = true;
@@ -568,7 +855,8 @@
     }
     else {
         bool failed = g_rand_double(sim->rand) < sim->failed_ratio;
-        send_response(exchange, failed ? 500 : 200, job->id, false, job->id);
+        send_response(job->worker, exchange, failed ? 500 : 200, job->id,
+                      false, job->id);
         end_job(job);
     }
 }
@@ -585,8 +873,8 @@
 /* Sends a response. `id` is the request's identifier, NULL for control calls;
    a response with an identifier carries a stamp unless `not_run` is set. */
 static void
-send_response(ServerExchange *exchange, int status, const char *id,
-              bool not_run, const char *body)
+send_response(const SimWorker *worker, ServerExchange *exchange, int status,
+              const char *id, bool not_run, const char *body)
 {
     HeaderList *headers = Header_New();
 
@@ -599,6 +887,9 @@
     else if (id != NULL) {
         Header_Add(headers, "X-Response-Stamp", "s1");
     }
+    if (worker->leaving) {
+        Header_Add(headers, "Server-Leaving", "1");
+    }
     exchange->owner = NULL;
     Server_SendResponse(exchange, status, headers, body, strlen(body));
     Header_Free(headers);
--- a/soak/sim_platform.h
+++ b/soak/sim_platform.h
@@ -28,6 +28,10 @@
                              gets 410. */
 } SimStoreState;
 
+/* Longest time until what a restored store has lost is written again. */
+#define SIM_REWRITE_MAX_MS 1500
+#define SIM_VMS_MAX 32
+
 typedef struct Sim Sim;
 
 /* Publishes a first configuration and starts all workers. The pointers passed
@@ -46,6 +50,13 @@
    again when it ends, so that drains which begin during the fault are exempt
    too. */
 void Sim_RecordDisruption(Sim *sim);
+/* Puts the store back to its state of `back_ms` ago, in a new era. What was
+   written since is written again within SIM_REWRITE_MAX_MS; the entries of
+   workers that have left meanwhile lapse. */
+void Sim_RestoreStore(Sim *sim, guint back_ms);
+/* Records that a VM was started or resumed now: it may have forgotten or not
+   yet seen what it was told before. */
+void Sim_RecordVmStart(Sim *sim, guint vm);
 /* Publishes a new version of the configuration, with a random number of
    attempts for the "hold" route. */
 void Sim_ChangeConfig(Sim *sim);
@@ -56,6 +67,12 @@
 void Sim_StartWorker(Sim *sim, guint worker);
 /* Marks a worker as draining in the store; it still serves requests. */
 void Sim_DrainWorker(Sim *sim, guint worker);
+/* Makes a worker say that it leaves in all its answers, but not in the store.
+ */
+void Sim_BeginLeaving(Sim *sim, guint worker);
+/* Makes a worker turn away all requests, and name the time until the end of
+   the pause. */
+void Sim_BeginPause(Sim *sim, guint worker, guint pause_ms);
 /* Sets probabilities, 0 to 1: `lost_ratio`, that the connection breaks before
    the response of a plain run, and before each event and the end of a stream;
    `failed_ratio`, that a plain run ends with status 500. Prefills do not
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -43,6 +43,9 @@
 /* Probabilities set with Sim_SetFailures() during the fault "answers_lost". */
 #define SOAK_LOST_RATIO 0.03
 #define SOAK_FAILED_RATIO 0.03
+/* The copy from which a store returns is at most this old. */
+#define SOAK_RESTORE_BACK_MAX_MS 6000
+#define SOAK_PAUSE_MAX_MS 4000 /* Longest pause that a worker names. */
 
 typedef struct Soak Soak;
 
@@ -139,6 +142,9 @@
 static void begin_failures(Soak *self, const SoakFault *fault, guint pick);
 static void end_failures(Soak *self, const SoakFault *fault, guint pick);
 static void change_config(Soak *self, const SoakFault *fault, guint pick);
+static void restore_old_store(Soak *self, const SoakFault *fault, guint pick);
+static void make_worker_leave(Soak *self, const SoakFault *fault, guint pick);
+static void pause_worker(Soak *self, const SoakFault *fault, guint pick);
 
 static const SoakFault faults[] = {
     {"vm_kill", 3, 0, false, kill_vm, NULL, 0},
@@ -161,6 +167,10 @@
     {"store_silent", 1, 0, true, block_store, unblock_store, PROXY_SILENT},
     {"answers_lost", 2, 0, false, begin_failures, end_failures, 0},
     {"config", 3, 0, false, change_config, NULL, 0},
+    {"store_restored", 2, 0, false, restore_old_store, NULL, 0},
+    {"worker_leaves", 2, SOAK_DRAIN_EXTRA_MS, false, make_worker_leave,
+     replace_worker, 0},
+    {"worker_pauses", 2, 0, false, pause_worker, NULL, 0},
 };
 
 int
@@ -370,6 +380,7 @@
         g_error("soak: can't start %s", argv[0]);
     }
     posix_spawn_file_actions_destroy(&files);
+    Sim_RecordVmStart(vm->soak->sim, vm->number);
     vm->is_stopping = false;
     vm->is_paused = false;
 }
@@ -576,6 +587,7 @@
 
     vm->is_paused = false;
     signal_vm(vm, SIGCONT);
+    Sim_RecordVmStart(self->sim, vm->number);
 }
 
 static void
@@ -702,3 +714,25 @@
     (void)pick;
     Sim_ChangeConfig(self->sim);
 }
+
+static void
+restore_old_store(Soak *self, const SoakFault *fault, guint pick)
+{
+    (void)fault;
+    Sim_RestoreStore(self->sim, pick % SOAK_RESTORE_BACK_MAX_MS);
+}
+
+static void
+make_worker_leave(Soak *self, const SoakFault *fault, guint pick)
+{
+    (void)fault;
+    Sim_BeginLeaving(self->sim, pick % SIM_WORKER_COUNT);
+}
+
+static void
+pause_worker(Soak *self, const SoakFault *fault, guint pick)
+{
+    (void)fault;
+    Sim_BeginPause(self->sim, pick % SIM_WORKER_COUNT,
+                   pick % SOAK_PAUSE_MAX_MS);
+}
