--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -56,6 +56,7 @@
 static void on_run_data(void *context, const void *data, size_t size);
 static void on_run_end(void *context, ClientOutcome outcome);
 static bool forward_events(GateTask *task);
+static void note_event_time(GateTask *task);
 static void retry_or_end(GateTask *task, LsRun run, bool has_answer);
 static void update_event_interval(GateTask *task);
 static void update_slowness(TaskCall *call, int64_t took_us);
@@ -472,6 +473,7 @@
             finish_prefill(current);
         }
         Server_SendData(task->exchange, event.data, event.size);
+        note_event_time(task);
         task->events++;
         if (event.has_id) {
             /* Comments are no progress: a stalled worker may send them. */
@@ -489,6 +491,18 @@
     return true;
 }
 
+static void
+note_event_time(GateTask *task)
+{
+    int64_t now_us = Task_Now(task);
+
+    if (task->last_event_us != 0) {
+        task->longest_gap_us =
+            MAX(task->longest_gap_us, now_us - task->last_event_us);
+    }
+    task->last_event_us = now_us;
+}
+
 static void
 on_run_end(void *context, ClientOutcome outcome)
 {
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -145,7 +145,7 @@
     Log_WriteJson(
         LOG_LEVEL_INFO, "request_end",
         json_pack(
-            "{s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:I,s:I,"
+            "{s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:I,s:I,s:I,"
             "s:I,s:I,s:i,s:i}",
             "request", task->request.id, "route", task->route->name, "outcome",
             outcome, "status", status, "retry_after_ms",
@@ -154,7 +154,8 @@
             "last_event", (json_int_t)task->last_event, "framing",
             Task_GetFramingName(task), "unfinished_bytes",
             (int)task->sse.pending->len, "config",
-            (json_int_t)task->table->version, "first_us",
+            (json_int_t)task->table->version, "longest_gap_us",
+            (json_int_t)task->longest_gap_us, "first_us",
             (json_int_t)(task->first_event_us
                              ? task->first_event_us - task->began_us
                              : 0),
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -98,6 +98,8 @@
     int64_t last_event;       /* ID of the last event sent to the caller. */
     Sse sse;
     int64_t first_event_us; /* When the first event was sent; 0 if none was. */
+    int64_t last_event_us;  /* When the last one was sent. */
+    int64_t longest_gap_us; /* Longest time between two events. */
     uint32_t events;        /* Events sent to the caller. */
     int64_t spent_us[TASK_STAGE_COUNT]; /* Time of the calls of each stage. */
     char cause[TASK_CAUSE_MAX];         /* Cause of the last failure. */
