Prefill at a decode worker has a price by the pauses that it causes

Seen with the log's longest_gap_us and worker: each of 34 late streams but one overlaps such reads.

Change: the price grows with the predicted pause above half of what is allowed and with the streams there, up to 0.4 s.

--- a/src/decide/rank.c
+++ b/src/decide/rank.c
@@ -10,6 +10,10 @@
    is full by now costs up to RANK_MEMORY_RISK_MAX_US. */
 #define RANK_MEMORY_RISK_SHARE 0.4
 #define RANK_MEMORY_RISK_MAX_US 250000
+/* A pause below this share of what is allowed has no price. Above it, another
+   VM that reads a prompt at the same worker at the same moment makes it too
+   long, which is the more likely the longer it is. */
+#define RANK_PAUSE_SHARE_FREE 0.5
 /* Cost per running call; spreads calls over otherwise equal workers. */
 #define RANK_RUNNING_US 300
 
@@ -23,7 +27,9 @@
    between zones and 8 ms between regions. The prefill speeds are the nominal
    ones of the engines; each worker's slowness corrects them. Traffic and KV
    transfers are priced so that a call to another region costs less than an
-   answer that is a second late, and more than waiting for one other call. */
+   answer that is a second late, and more than waiting for one other call. A
+   paused stream is late, too, so a few of them are worth a wait for a prefill
+   worker that takes most of the time to the first event. */
 RankWeights
 Rank_DefaultWeights(void)
 {
@@ -33,7 +39,8 @@
         .kv_transfer_us = {0, 10000, 60000},
         .prefill_per_us = 0.0555,
         .local_prefill_per_us = 0.0277,
-        .local_prefill_us = 0,
+        .paused_stream_us = 150000,
+        .paused_max_us = 400000,
         .unlisted_us = 200000,
         .default_service_us = 30000,
     };
@@ -74,11 +81,35 @@
            get_prefill_us(worker, 0, weights->local_prefill_per_us);
 }
 
+int64_t
+Rank_GetPauseCost(const RankWeights *weights, const RankWorker *worker,
+                  uint32_t tokens)
+{
+    int64_t pause_us =
+        worker->event_interval_us +
+        get_prefill_us(worker, tokens, weights->local_prefill_per_us);
+    int64_t all_us = worker->running * weights->paused_stream_us;
+    double share;
+
+    if (worker->pause_max_us == 0) {
+        return 0;
+    }
+    if (all_us > weights->paused_max_us) {
+        all_us = weights->paused_max_us;
+    }
+    share = (double)pause_us / (double)worker->pause_max_us;
+    if (share >= 1) {
+        return all_us;
+    }
+    share = (share - RANK_PAUSE_SHARE_FREE) / (1 - RANK_PAUSE_SHARE_FREE);
+    return share > 0 ? (int64_t)(share * share * (double)all_us) : 0;
+}
+
 int64_t
 Rank_GetLocalPrefillCost(const RankWeights *weights, const RankWorker *worker,
                          uint32_t tokens)
 {
-    return get_base_cost(weights, worker) + weights->local_prefill_us +
+    return get_base_cost(weights, worker) +
            get_prefill_us(worker, tokens, weights->local_prefill_per_us) +
            get_memory_cost(worker);
 }
--- a/src/decide/rank.h
+++ b/src/decide/rank.h
@@ -4,7 +4,11 @@
 
    During a burst of twice the usual traffic in some regions, with workers lost
    or slow, work moves to workers of another region or of the other phase as
-   soon as waiting costs more than the network latency to them. */
+   soon as waiting costs more than the network latency to them.
+
+   In the same burst prompts are read at decode workers, too. That holds up all
+   streams there: on engines with short steps an event has many tokens, and the
+   pieces of a long prompt come between the steps of one event. */
 #ifndef LS_RANK_H
 #define LS_RANK_H
 
@@ -30,9 +34,10 @@
     int64_t kv_transfer_us[RANK_DISTANCE_COUNT];
     double prefill_per_us; /* Prompt tokens/us that a prefill worker reads. */
     double local_prefill_per_us; /* Prompt tokens/us at a decode worker. */
-    int64_t local_prefill_us;    /* Price of slowing the streams of a decode
-                                    worker by reading a prompt there. */
-    int64_t unlisted_us;         /* Added if RankWorker.is_unlisted is set. */
+    int64_t paused_stream_us;   /* Price of a stream whose pause is longer than
+                                   its route allows. */
+    int64_t paused_max_us;      /* Price of all such streams of a worker. */
+    int64_t unlisted_us;        /* Added if RankWorker.is_unlisted is set. */
     int64_t default_service_us; /* Used while the mean call time is unknown. */
 } RankWeights;
 
@@ -52,7 +57,9 @@
     /* Prefill time relative to that at the nominal speed, 1.0 as usual; 0
        counts as 1.0. */
     double slowness;
-    int64_t health_us; /* Cost of the risk of failure. */
+    int64_t health_us;         /* Cost of the risk of failure. */
+    int64_t event_interval_us; /* Usual time between events of its streams. */
+    int64_t pause_max_us;      /* Longest time that is allowed; 0: any. */
 } RankWorker;
 
 RankWeights Rank_DefaultWeights(void);
@@ -69,7 +76,11 @@
    worker that read the prompt. */
 int64_t Rank_GetDecodeCost(const RankWeights *weights,
                            const RankWorker *worker, RankDistance kv_distance);
-/* Prefill and decoding at the same decode worker. */
+/* Price of the pauses that reading a prompt of `tokens` at a decode worker
+   causes to its streams. */
+int64_t Rank_GetPauseCost(const RankWeights *weights, const RankWorker *worker,
+                          uint32_t tokens);
+/* Prefill and decoding at the same decode worker, without that price. */
 int64_t Rank_GetLocalPrefillCost(const RankWeights *weights,
                                  const RankWorker *worker, uint32_t tokens);
 
--- a/src/gate/reservation.c
+++ b/src/gate/reservation.c
@@ -25,6 +25,8 @@
                                   const RankWorker *rank, const void *context);
 static int64_t get_run_cost(const GateTask *task, const FleetWorker *worker,
                             const RankWorker *rank, const void *context);
+static int64_t get_pause_cost(const GateTask *task, const FleetWorker *worker,
+                              const RankWorker *rank, const void *context);
 static int64_t get_remote_prefill_cost(const GateTask *task,
                                        const FleetWorker *worker,
                                        const RankWorker *rank,
@@ -83,6 +85,12 @@
     return Task_GetCost(task, task->assigned.worker, get_run_cost, NULL);
 }
 
+int64_t
+Reservation_GetPauseCost(const GateTask *task)
+{
+    return Task_GetCost(task, task->assigned.worker, get_pause_cost, NULL);
+}
+
 bool
 Reservation_HasCandidate(GateTask *task)
 {
@@ -150,7 +158,21 @@
                                                    worker->entry.zone));
     }
     return Rank_GetLocalPrefillCost(weights, rank,
-                                    task->request.prompt_tokens);
+                                    task->request.prompt_tokens) +
+           get_pause_cost(task, worker, rank, context);
+}
+
+/* Returns the price of the pauses that the run causes at a worker. */
+static int64_t
+get_pause_cost(const GateTask *task, const FleetWorker *worker,
+               const RankWorker *rank, const void *context)
+{
+    (void)worker;
+    (void)context;
+    return task->kv.handle[0] != '\0'
+               ? 0
+               : Rank_GetPauseCost(&task->gate->options.weights, rank,
+                                   task->request.prompt_tokens);
 }
 
 /* Returns the cost of prefill at this worker and KV transfer to the decode
--- a/src/gate/reservation.h
+++ b/src/gate/reservation.h
@@ -16,8 +16,11 @@
 /* Returns the decode worker with the lowest cost that may have free memory, or
    NULL. Stores the cost of the run there in *cost_us. */
 FleetWorker *Reservation_ChooseDecodeWorker(GateTask *task, int64_t *cost_us);
-/* Returns the cost of the run at the assigned worker, microseconds. */
+/* Returns the cost of the run at the assigned worker, microseconds, with the
+   price of the pauses that it causes to other streams. */
 int64_t Reservation_GetRunCost(const GateTask *task);
+/* Returns that price. */
+int64_t Reservation_GetPauseCost(const GateTask *task);
 /* Whether any decode worker can run the request, now or once it has free
    memory. */
 bool Reservation_HasCandidate(GateTask *task);
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -194,7 +194,7 @@
         begin_prefill(task, prefill_worker);
         return;
     }
-    task->current.expected_us = run_cost_us;
+    task->current.expected_us = run_cost_us - Reservation_GetPauseCost(task);
     begin_run(task);
 }
 
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -85,17 +85,18 @@
     /* Workers that failed this task. */
     FleetWorker *excluded[TASK_EXCLUDED_MAX];
     guint excluded_count;
-    ClientFraming framing;    /* Of the last answer to a call. */
-    uint32_t sends;           /* Calls begun, reservations not counted. */
-    uint32_t runs;            /* Workers on which the request may have run. */
-    uint32_t counted_calls;   /* Calls counted for the retry budget, which
-                                 charges all but the first. */
-    bool prefilled;           /* A prefill succeeded; further ones count as
-                                 calls for the retry budget. */
-    bool waiting;             /* Waits for capacity at a worker. */
-    int64_t waiting_since_us; /* When the wait began; a run resets it to 0. */
-    bool streaming;           /* The caller was sent the stream's header. */
-    int64_t last_event;       /* ID of the last event sent to the caller. */
+    char worker[FLEET_ID_MAX]; /* Of the last call. */
+    ClientFraming framing;     /* Of the last answer to a call. */
+    uint32_t sends;            /* Calls begun, reservations not counted. */
+    uint32_t runs;             /* Workers on which the request may have run. */
+    uint32_t counted_calls;    /* Calls counted for the retry budget, which
+                                  charges all but the first. */
+    bool prefilled;            /* A prefill succeeded; further ones count as
+                                  calls for the retry budget. */
+    bool waiting;              /* Waits for capacity at a worker. */
+    int64_t waiting_since_us;  /* When the wait began; a run resets it to 0. */
+    bool streaming;            /* The caller was sent the stream's header. */
+    int64_t last_event;        /* ID of the last event sent to the caller. */
     Sse sse;
     int64_t first_event_us; /* When the first event was sent; 0 if none was. */
     int64_t last_event_us;  /* When the last one was sent. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -203,6 +203,7 @@
                           : Task_GetForecast(task);
     }
     init_call(task, worker);
+    g_strlcpy(task->worker, worker->entry.id, sizeof(task->worker));
     task->framing = CLIENT_FRAMING_NONE;
     count_call(task);
     task->sends++;
@@ -504,6 +505,8 @@
     rank->kv_capacity_tokens = service->is_engine ? service->kv_tokens : 0;
     rank->service_us = worker->service_us;
     rank->slowness = worker->slowness;
+    rank->event_interval_us = (int64_t)task->gate->event_interval_us;
+    rank->pause_max_us = (int64_t)task->route->gap_ms * CLK_US_PER_MS;
     rank->health_us = Health_GetCost(&worker->health, now_us);
     if (worker->peer_unreachable > 0) {
         rank->health_us += TASK_PEER_UNREACHABLE_COST_US;
--- a/tests/test_decide.cc
+++ b/tests/test_decide.cc
@@ -339,6 +339,63 @@
     EXPECT_GT(busy, Rank_GetLocalPrefillCost(&weights, &local, 5200));
 }
 
+/* A burst of llavesnorte: several VMs read prompts at one decode worker with
+   eight streams, whose events come each 88 ms. The route allows pauses of
+   300 ms. */
+struct PauseCase {
+    const char *name;
+    uint32_t running;
+    uint64_t waiting_tokens; /* Of prompts that others read there. */
+    uint32_t tokens;
+    int64_t pause_max_ms;
+    int64_t min_us; /* Bounds of the price. */
+    int64_t max_us;
+};
+
+const PauseCase pause_cases[] = {
+    {"no streams", 0, 0, 9000, 300, 0, 0},
+    {"no limit", 8, 0, 9000, 0, 0, 0},
+    {"a short prompt", 8, 0, 1500, 300, 0, 0},
+    {"a usual prompt", 8, 0, 5000, 300, 50000, 300000},
+    {"a second prompt at the same time", 8, 4000, 4000, 300, 400000, 400000},
+    {"a long prompt", 8, 0, 9000, 300, 400000, 400000},
+    {"a long prompt, one stream", 1, 0, 9000, 300, 100000, 200000},
+};
+
+TEST(Decide, PromptsThatPauseStreamsHaveAPrice)
+{
+    RankWeights weights = Rank_DefaultWeights();
+    for (const PauseCase &row : pause_cases) {
+        SCOPED_TRACE(row.name);
+        RankWorker worker = MakeWorker(RANK_SAME_ZONE, row.waiting_tokens, 0);
+        worker.running = row.running;
+        worker.event_interval_us = 88000;
+        worker.pause_max_us = row.pause_max_ms * CLK_US_PER_MS;
+        int64_t cost_us = Rank_GetPauseCost(&weights, &worker, row.tokens);
+        EXPECT_GE(cost_us, row.min_us);
+        EXPECT_LE(cost_us, row.max_us);
+    }
+}
+
+/* A prompt waits for three others at the prefill worker rather than hold up
+   the streams of a decode worker, but not for nine others. */
+TEST(Decide, LongPromptWaitsForAPrefillWorker)
+{
+    RankWeights weights = Rank_DefaultWeights();
+    RankWorker decode = MakeWorker(RANK_SAME_ZONE, 0, 0);
+    decode.running = 8;
+    decode.event_interval_us = 88000;
+    decode.pause_max_us = 300000;
+    int64_t local = Rank_GetLocalPrefillCost(&weights, &decode, 9000) +
+                    Rank_GetPauseCost(&weights, &decode, 9000);
+    RankWorker three = MakeWorker(RANK_SAME_ZONE, 3 * 5200, 0);
+    RankWorker nine = MakeWorker(RANK_SAME_ZONE, 9 * 5200, 0);
+    EXPECT_GT(local, Rank_GetPrefillCost(&weights, &three, 9000));
+    EXPECT_LT(local, Rank_GetPrefillCost(&weights, &nine, 9000));
+    EXPECT_LT(Rank_GetLocalPrefillCost(&weights, &decode, 9000),
+              Rank_GetPrefillCost(&weights, &three, 9000));
+}
+
 TEST(Decide, FullMemoryCostsMoreThanAnotherRegion)
 {
     RankWeights weights = Rank_DefaultWeights();
