--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -188,12 +188,28 @@
     std::string reservation_headers; /* In each answer to one. */
     size_t endless_bytes = 0; /* Bytes of endless replies that were taken. */
 
+    int resets_on_accept = 0; /* How many of the next connections to reset. */
+    int resets_on_read = 0;   /* The same once a part of a request came. */
+
   private:
+    static void
+    SetReset(int fd)
+    {
+        struct linger reset = {1, 0};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+
     static void
     OnAccept(evconnlistener *listener, evutil_socket_t fd, sockaddr *, int,
              void *context)
     {
         Worker *self = static_cast<Worker *>(context);
+        if (self->resets_on_accept > 0) {
+            self->resets_on_accept--;
+            SetReset(fd);
+            close(fd);
+            return;
+        }
         bufferevent *bev = bufferevent_socket_new(
             evconnlistener_get_base(listener), fd, BEV_OPT_CLOSE_ON_FREE);
         bufferevent_setcb(bev, OnRead, nullptr, OnEvent, self);
@@ -207,6 +223,12 @@
     {
         Worker *self = static_cast<Worker *>(context);
         evbuffer *in = bufferevent_get_input(bev);
+        if (self->resets_on_read > 0) {
+            self->resets_on_read--;
+            SetReset(bufferevent_getfd(bev));
+            self->CloseConnection(bev);
+            return;
+        }
         std::string text(evbuffer_get_length(in), '\0');
         evbuffer_copyout(in, &text[0], text.size());
         size_t head = text.find("\r\n\r\n");
@@ -267,8 +289,7 @@
             OnWrite(bev, self);
         }
         if (reply.end == ScriptedReply::RESET) {
-            struct linger reset = {1, 0};
-            setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+            SetReset(fd);
         }
         if (reply.end != ScriptedReply::KEEP) {
             self->CloseConnection(bev);
