--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -236,9 +236,9 @@
             return;
         }
         size_t body = 0;
-        size_t at = text.find("Content-Length: ");
+        size_t at = text.find("\r\nContent-Length: ");
         if (at != std::string::npos && at < head) {
-            body = std::stoul(text.substr(at + 16));
+            body = std::stoul(text.substr(at + 18));
         }
         if (text.size() < head + 4 + body) {
             return;
