Server: a dribbled body ends, and the bodies of all callers are bounded

A caller that sent a byte of its body now and then kept its connection, as each byte extended the idle time; and callers with large bodies could together take more than a VM's memory, as only each single body was bounded. A body now has the idle time and as long as it comes at 1 KiB a second; all bodies together take 24 MiB, and a request beyond that is refused with 503 (it has not run). Memory of a body is freed with its request and not kept for the next one.

With the old idle time and without the bound, DribbledBodyEnds and BodiesOfAllCallersAreBounded fail; SteadyBodyIsRead passes either way.

--- a/src/io/server.c
+++ b/src/io/server.c
@@ -39,13 +39,15 @@
     bool lingering;     /* The connection only waits for the caller's close. */
     int error_status;   /* Status for a request that breaks a limit, or 0. */
     size_t header_size; /* Bytes of the request's header so far. */
+    int64_t header_us;  /* When the header was complete. */
 } ServerConn;
 
 struct Server {
     ServerOptions options;
     struct evconnlistener *listener;
     LIST_HEAD(ServerConnList, ServerConn) conns;
-    guint exchanges; /* Number of connections with `in_exchange`. */
+    guint exchanges;   /* Number of connections with `in_exchange`. */
+    size_t body_bytes; /* Of the bodies of all requests. */
     uint16_t port;
     bool shutting_down;
 };
@@ -67,6 +69,8 @@
 static int parse_end(http_parser *parser);
 static void begin_request(ServerConn *conn);
 static void parse_input(ServerConn *conn);
+static void arm_body_timer(const ServerConn *conn);
+static void drop_body(ServerConn *conn);
 static void reject(ServerConn *conn, int status);
 static void finish_exchange(ServerConn *conn);
 static void begin_linger(ServerConn *conn);
@@ -148,6 +152,12 @@
     return server->port;
 }
 
+size_t
+Server_GetBodyBytes(const Server *server)
+{
+    return server->body_bytes;
+}
+
 void
 Server_SetLimits(Server *server, const ServerLimits *limits)
 {
@@ -403,7 +413,7 @@
 {
     Header_Free(conn->exchange.headers);
     conn->exchange.headers = Header_New();
-    g_byte_array_set_size(conn->exchange.body, 0);
+    drop_body(conn);
     conn->exchange.owner = NULL;
     g_string_truncate(conn->target, 0);
     conn->reading = false;
@@ -434,9 +444,6 @@
             conn->exchange.received_us = Clk_Now(conn->server->options.clk);
             Loop_ArmTimer(conn->timer, limits->header_ms);
         }
-        else if (conn->has_header) {
-            Loop_ArmTimer(conn->timer, limits->idle_ms);
-        }
         parsed = http_parser_execute(&conn->parser, &parser_settings,
                                      piece.iov_base, piece.iov_len);
         if (!conn->has_header) {
@@ -465,9 +472,35 @@
             return;
         }
         evbuffer_drain(in, parsed);
+        if (conn->has_header) {
+            arm_body_timer(conn);
+        }
     }
 }
 
+/* Sets the time by which the next part of a body must come. */
+static void
+arm_body_timer(const ServerConn *conn)
+{
+    int64_t idle_us =
+        (int64_t)conn->server->options.limits.idle_ms * CLK_US_PER_MS;
+    int64_t end_us = conn->header_us + idle_us +
+                     (int64_t)conn->exchange.body->len * CLK_US_PER_S /
+                         SERVER_BODY_RATE_MIN;
+    int64_t left_us = end_us - Clk_Now(conn->server->options.clk);
+
+    Loop_ArmTimerUs(conn->timer, CLAMP(left_us, 0, idle_us));
+}
+
+/* Drops the body of a request, with its memory. */
+static void
+drop_body(ServerConn *conn)
+{
+    conn->server->body_bytes -= conn->exchange.body->len;
+    g_byte_array_free(conn->exchange.body, TRUE);
+    conn->exchange.body = g_byte_array_new();
+}
+
 static int
 parse_begin(http_parser *parser)
 {
@@ -518,6 +551,7 @@
 
     Header_EndField(&conn->reader, conn->exchange.headers);
     conn->has_header = true;
+    conn->header_us = Clk_Now(conn->server->options.clk);
     conn->keep_alive = http_should_keep_alive(parser) != 0;
     g_strlcpy(conn->method, http_method_str(parser->method),
               sizeof(conn->method));
@@ -546,7 +580,12 @@
         conn->error_status = 413;
         return -1;
     }
+    if (conn->server->body_bytes + size > SERVER_BODIES_MAX_BYTES) {
+        conn->error_status = 503;
+        return -1;
+    }
     g_byte_array_append(conn->exchange.body, (const guint8 *)at, (guint)size);
+    conn->server->body_bytes += size;
     return 0;
 }
 
@@ -612,6 +651,7 @@
 static void
 finish_exchange(ServerConn *conn)
 {
+    drop_body(conn);
     conn->in_exchange = false;
     conn->server->exchanges--;
     if (is_closing(conn)) {
@@ -652,6 +692,7 @@
 close_conn(ServerConn *conn)
 {
     LIST_REMOVE(conn, links);
+    conn->server->body_bytes -= conn->exchange.body->len;
     bufferevent_free(conn->bev);
     event_free(conn->timer);
     Header_Free(conn->exchange.headers);
--- a/src/io/server.h
+++ b/src/io/server.h
@@ -22,6 +22,13 @@
    which a caller sends in time is still read. */
 #define SERVER_IDLE_SLACK_MS 1000
 
+/* Bodies of all requests that are being read or run, in sum: a share of the
+   memory of a small VM. Further ones are refused. */
+#define SERVER_BODIES_MAX_BYTES ((size_t)24 * 1024 * 1024)
+/* A body may take the time of ServerLimits.idle_ms and as long as it comes at
+   this rate, bytes a second: slower than any usual link. */
+#define SERVER_BODY_RATE_MIN 1024
+
 /* Limits on the size and the duration of a caller's request. */
 typedef struct ServerLimits {
     uint32_t header_bytes;
@@ -76,6 +83,9 @@
    connections whose request is still being read. */
 guint Server_CountPending(const Server *server);
 
+/* Returns the bytes of the bodies of all requests. */
+size_t Server_GetBodyBytes(const Server *server);
+
 /* Sends a complete response, with Content-Length, and ends the exchange.
    `headers` may be NULL. */
 void Server_SendResponse(ServerExchange *exchange, int status,
--- a/tests/test_gate_endless.cc
+++ b/tests/test_gate_endless.cc
@@ -161,4 +161,117 @@
     EXPECT_FALSE(rig.last_worker->lacks_reservations);
 }
 
+/* A server without the gate, for callers that send their bodies slowly. */
+class SlowCallers : public testing::Test {
+  protected:
+    void
+    Begin(uint32_t idle_ms, uint32_t body_bytes)
+    {
+        LsError err = {};
+        ServerOptions options = Server_DefaultOptions();
+        base = event_base_new();
+        clk = Clk_Default();
+        options.base = base;
+        options.clk = &clk;
+        options.limits.idle_ms = idle_ms;
+        options.limits.body_bytes = body_bytes;
+        options.context = this;
+        options.on_request = [](void *, ServerExchange *exchange) {
+            Server_SendResponse(exchange, 200, nullptr, "", 0);
+        };
+        options.on_disconnect = [](void *, ServerExchange *) {};
+        server = Server_New(&options, &err);
+    }
+
+    void
+    TearDown() override
+    {
+        callers.clear();
+        Server_Free(server);
+        event_base_free(base);
+    }
+
+    Caller *
+    Call(size_t length)
+    {
+        callers.push_back(
+            std::make_unique<Caller>(base, Server_GetPort(server)));
+        callers.back()->Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                             std::to_string(length) + "\r\n\r\n");
+        return callers.back().get();
+    }
+
+    bool
+    Until(const std::function<bool()> &condition)
+    {
+        return RunUntil(base, &clk, condition);
+    }
+
+    /* Sends `size` bytes each 20 ms until there is an answer; returns the time
+       that it took. */
+    int64_t
+    Dribble(Caller *caller, size_t size, int64_t max_us)
+    {
+        int64_t begin_us = Clk_Now(&clk);
+        int64_t next_us = begin_us;
+        Until([&] {
+            if (Clk_Now(&clk) >= next_us && !caller->IsComplete()) {
+                next_us += 20 * CLK_US_PER_MS;
+                caller->Send(std::string(size, 'b'));
+            }
+            return caller->IsComplete() || Clk_Now(&clk) - begin_us > max_us;
+        });
+        return Clk_Now(&clk) - begin_us;
+    }
+
+    event_base *base = nullptr;
+    Clk clk;
+    Server *server = nullptr;
+    std::vector<std::unique_ptr<Caller>> callers;
+};
+
+/* A byte now and then is no progress: the caller is told, and the connection
+   is free again, soon after the time that it may idle. */
+TEST_F(SlowCallers, DribbledBodyEnds)
+{
+    Begin(300, 1024 * 1024);
+    Caller *caller = Call(1024 * 1024);
+    EXPECT_LT(Dribble(caller, 1, 2 * CLK_US_PER_S), 1 * CLK_US_PER_S);
+    EXPECT_EQ(caller->Status(), 408);
+}
+
+/* A slow but steady caller is served, however long its body takes. */
+TEST_F(SlowCallers, SteadyBodyIsRead)
+{
+    Begin(300, 1024 * 1024);
+    Caller *caller = Call(6000);
+    EXPECT_GT(Dribble(caller, 100, 5 * CLK_US_PER_S), 900 * CLK_US_PER_MS);
+    EXPECT_EQ(caller->Status(), 200);
+}
+
+/* Bodies that are being read, or whose requests run, are bounded in sum. */
+TEST_F(SlowCallers, BodiesOfAllCallersAreBounded)
+{
+    const size_t length = 4 * 1024 * 1024;
+    Begin(15000, length);
+    for (int i = 0; i < 16; i++) {
+        Call(length)->Send(std::string(length - 1, 'b'));
+    }
+    auto count = [&](int status) {
+        int n = 0;
+        for (auto &caller : callers) {
+            n += caller->IsComplete() && caller->Status() == status;
+        }
+        return n;
+    };
+    ASSERT_TRUE(Until([&] { return count(503) >= 10; }));
+    EXPECT_LE(Server_GetBodyBytes(server), SERVER_BODIES_MAX_BYTES);
+    EXPECT_EQ(count(200), 0);
+    for (auto &caller : callers) {
+        caller->Send("b"); /* The rest of those that were read. */
+    }
+    ASSERT_TRUE(Until([&] { return count(200) + count(503) == 16; }));
+    EXPECT_GE(count(200), 4);
+    EXPECT_EQ(Server_GetBodyBytes(server), 0u);
+}
 } // namespace
