--- a/tests/test_gate_streams.cc
+++ b/tests/test_gate_streams.cc
@@ -345,4 +345,81 @@
     EXPECT_EQ(prefill->requests.size(), 1u);
 }
 
+/* News about a worker that runs a stream: it is only silent elsewhere, or
+   wants no new work. What it runs goes on, and runs nowhere else. */
+struct NewsCase {
+    const char *name;
+    void (*tell)(Fleet *fleet, FleetWorker *worker, int64_t now_us);
+};
+
+const NewsCase news_cases[] = {
+    {"its entry lapsed",
+     [](Fleet *fleet, FleetWorker *worker, int64_t now_us) {
+         Fleet_RemoveEntry(fleet, worker->entry.id, {0, 99}, now_us);
+     }},
+    {"its entry lapsed long ago",
+     [](Fleet *fleet, FleetWorker *worker, int64_t now_us) {
+         Fleet_RemoveEntry(fleet, worker->entry.id, {0, 99},
+                           now_us - 60 * CLK_US_PER_S);
+         Fleet_Prune(fleet, now_us);
+     }},
+    {"the source returned from a copy without it",
+     [](Fleet *fleet, FleetWorker *, int64_t now_us) {
+         int64_t then_us = now_us - 60 * CLK_US_PER_S;
+         Fleet_BeginSweep(fleet, 1, then_us);
+         Fleet_EndSweep(fleet, then_us);
+         Fleet_Prune(fleet, now_us);
+     }},
+    {"its entry says that it drains",
+     [](Fleet *fleet, FleetWorker *worker, int64_t now_us) {
+         FleetEntry entry = worker->entry;
+         entry.draining = true;
+         entry.position.revision = 99;
+         Fleet_SetEntry(fleet, &entry, now_us);
+     }},
+    {"it says that it leaves",
+     [](Fleet *fleet, FleetWorker *worker, int64_t now_us) {
+         Fleet_NoteLeaving(fleet, worker, now_us - 60 * CLK_US_PER_S);
+     }},
+    {"it asks for a pause",
+     [](Fleet *, FleetWorker *worker, int64_t now_us) {
+         Notice_NotePause(&worker->notice, 60 * CLK_US_PER_S, now_us);
+     }},
+    {"other VMs can't reach it",
+     [](Fleet *, FleetWorker *worker, int64_t) {
+         worker->peer_unreachable = 3;
+     }},
+    {"calls at it get no answer",
+     [](Fleet *, FleetWorker *worker, int64_t now_us) {
+         Health_NoteUnresponsive(&worker->health, now_us);
+     }},
+};
+
+TEST(GateStreams, RunningStreamOutlivesNewsOfItsWorker)
+{
+    for (const NewsCase &row : news_cases) {
+        SCOPED_TRACE(row.name);
+        GateRig rig;
+        rig.SetRoute(resumable, true);
+        Worker *worker =
+            rig.AddWorker({{StreamHead("Transfer-Encoding: chunked\r\n") +
+                            Chunk(Events(0, 2))}},
+                          FLEET_PHASE_DECODE);
+        FleetWorker *running = Fleet_Ref(rig.last_worker);
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+        Worker *other = rig.AddWorker({Stream(0, 9)}, FLEET_PHASE_DECODE);
+        row.tell(Edge_GetFleet(rig.edge), running, Clk_Now(&rig.clk));
+        int64_t begin_us = Clk_Now(&rig.clk);
+        rig.Until([&] {
+            return Clk_Now(&rig.clk) - begin_us > 300 * CLK_US_PER_MS;
+        });
+        worker->SendToAll(Chunk(Events(3, 9)) + "0\r\n\r\n");
+        ASSERT_TRUE(rig.Until([&] { return caller->IsComplete(); }));
+        EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+        EXPECT_TRUE(other->requests.empty());
+        Fleet_Unref(running);
+    }
+}
+
 } // namespace
