--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -18,8 +18,10 @@
     LIST_ENTRY(ProxyLink) links;
     Proxy *proxy;
     struct bufferevent *sockets[2]; /* To the client, to the server. */
+    bool is_answered;    /* A response has begun in PROXY_ENDLESS mode. */
     bool is_closed[2];   /* Set when the peer of the socket has closed it. */
-    struct event *timer; /* Forwards delayed bytes in PROXY_SLOW mode. */
+    struct event *timer; /* Forwards delayed bytes in the modes PROXY_SLOW and
+                            PROXY_DRIBBLE. */
 } ProxyLink;
 
 struct Proxy {
@@ -38,6 +40,8 @@
 static void on_event(struct bufferevent *bev, short what, void *context);
 static void on_timer(evutil_socket_t fd, short what, void *context);
 static void forward_bytes(ProxyLink *link);
+static void forward_byte(ProxyLink *link);
+static void forward_endlessly(ProxyLink *link);
 static void close_link(ProxyLink *link, bool reset);
 static void fill_address(struct sockaddr_in *address, uint16_t port);
 
@@ -86,6 +90,10 @@
 {
     ProxyLink *link = LIST_FIRST(&proxy->open_links);
 
+    if (proxy->mode == PROXY_ENDLESS && mode != PROXY_ENDLESS) {
+        Proxy_ResetAll(proxy);
+        link = NULL;
+    }
     proxy->mode = mode;
     while (link != NULL) {
         ProxyLink *next = LIST_NEXT(link, links);
@@ -186,6 +194,14 @@
         if (mode == PROXY_SILENT || (mode == PROXY_MUTE && i == 1)) {
             continue;
         }
+        if (mode == PROXY_DRIBBLE && i == 1) {
+            forward_byte(link);
+            continue;
+        }
+        if (mode == PROXY_ENDLESS && i == 1) {
+            forward_endlessly(link);
+            continue;
+        }
         evbuffer_add_buffer(out, bufferevent_get_input(link->sockets[i]));
         if (link->is_closed[i] && evbuffer_get_length(out) == 0) {
             close_link(link, false);
@@ -194,6 +210,40 @@
     }
 }
 
+/* Forwards one byte of a response, and the next one later. */
+static void
+forward_byte(ProxyLink *link)
+{
+    struct evbuffer *in = bufferevent_get_input(link->sockets[1]);
+    char byte;
+
+    if (event_pending(link->timer, EV_TIMEOUT, NULL)) {
+        return;
+    }
+    if (evbuffer_remove(in, &byte, 1) == 1) {
+        bufferevent_write(link->sockets[0], &byte, 1);
+        Loop_ArmTimer(link->timer, PROXY_DRIBBLE_MS);
+    }
+}
+
+/* Forwards a response and appends bytes to it, as long as they are taken. */
+static void
+forward_endlessly(ProxyLink *link)
+{
+    struct evbuffer *in = bufferevent_get_input(link->sockets[1]);
+    struct evbuffer *out = bufferevent_get_output(link->sockets[0]);
+    char bytes[PROXY_ENDLESS_BYTES];
+
+    if (evbuffer_get_length(in) > 0) {
+        link->is_answered = true;
+    }
+    evbuffer_add_buffer(out, in);
+    if (link->is_answered && evbuffer_get_length(out) == 0) {
+        memset(bytes, 'x', sizeof(bytes));
+        evbuffer_add(out, bytes, sizeof(bytes));
+    }
+}
+
 static void
 close_link(ProxyLink *link, bool reset)
 {
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -6,13 +6,19 @@
 #include <event2/event.h>
 #include <stdint.h>
 
-#define PROXY_SLOW_MS 150 /* Delay of each chunk in PROXY_SLOW mode. */
+#define PROXY_SLOW_MS 150   /* Delay of each chunk in PROXY_SLOW mode. */
+#define PROXY_DRIBBLE_MS 40 /* Time between bytes in PROXY_DRIBBLE mode. */
+/* Bytes of each piece in PROXY_ENDLESS mode; the next one follows when it was
+   written. */
+#define PROXY_ENDLESS_BYTES (16 * 1024)
 
 typedef enum ProxyMode {
-    PROXY_PASS,   /* Forwards at once. */
-    PROXY_SLOW,   /* Delays both directions by PROXY_SLOW_MS. */
-    PROXY_SILENT, /* Blocks both directions; connections stay open. */
-    PROXY_MUTE,   /* Blocks responses and forwards requests. */
+    PROXY_PASS,    /* Forwards at once. */
+    PROXY_SLOW,    /* Delays both directions by PROXY_SLOW_MS. */
+    PROXY_SILENT,  /* Blocks both directions; connections stay open. */
+    PROXY_MUTE,    /* Blocks responses and forwards requests. */
+    PROXY_DRIBBLE, /* Forwards responses byte by byte. */
+    PROXY_ENDLESS, /* Appends bytes to responses until the client closes. */
     PROXY_MODE_COUNT,
 } ProxyMode;
 
@@ -28,7 +34,7 @@
 /* Sets the port to which new connections are forwarded. */
 void Proxy_SetTarget(Proxy *proxy, uint16_t target_port);
 /* Sets the mode of all connections, and forwards blocked bytes that the new
-   mode permits. */
+   mode permits. At the end of PROXY_ENDLESS all connections are reset. */
 void Proxy_SetMode(Proxy *proxy, ProxyMode mode);
 /* Closes all connections with a TCP reset. */
 void Proxy_ResetAll(Proxy *proxy);
