--- a/ctl/lavenderspoolctl.c
+++ b/ctl/lavenderspoolctl.c
@@ -6,6 +6,7 @@
    did not answer, 64 usage error. */
 #include "burn.h"
 #include "configuration.h"
+#include "explain.h"
 #include "settings.h"
 
 #include <argtable2.h>
@@ -148,11 +149,20 @@
     json_t *rows;
     int code;
 
-    if (arguments->operand_count != 1) {
-        fprintf(stderr, "explain requires exactly one request identifier\n");
+    if (arguments->operand_count < 1) {
+        fprintf(stderr, "error %d: explain requires a request identifier\n",
+                LS_ERR_SETTING);
         json_decref(unanswered);
         return ERR_EXIT_USAGE;
     }
+    if (arguments->operand_count > 1) {
+        json_decref(unanswered);
+        return Explain_PrintLogs(arguments->operands[0],
+                                 arguments->operands + 1,
+                                 arguments->operand_count - 1)
+                   ? ERR_EXIT_OK
+                   : CTL_EXIT_CHECK_FAILED;
+    }
     path = g_strdup_printf("/v1/explain/%s", arguments->operands[0]);
     answers = get_from_vms(arguments, path, unanswered);
     json_object_foreach(answers, address, rows)
@@ -299,6 +309,10 @@
     printf("  status             the state of each VM\n"
            "  check FILE...      validates configuration parts offline\n"
            "  explain REQUEST    the decisions that placed a request\n"
+           "  explain REQUEST FILE...\n"
+           "                     the cause of its outcome from the VMs' logs; "
+           "- is\n"
+           "                     standard input\n"
            "  burn               error budget burn over 5 min, 1 h, 6 h\n\n");
     arg_print_glossary(stdout, table, "  %-24s %s\n");
 }
