Orders: a home whose clock is behind goes ahead of it once it was refused

After a step of 2,400 s, back at the new home or forward at the one before, each order of the new home was refused (412) until the clocks had caught up, up to 40 minutes.

--- a/src/decide/pool.c
+++ b/src/decide/pool.c
@@ -45,3 +45,24 @@
         input->kv_tokens / (input->kv_capacity_tokens * (total - prefill));
     return prefill_load > decode_load ? prefill_load : decode_load;
 }
+
+uint64_t
+Pool_GetNextFence(PoolFence *fence, uint64_t wall_ms)
+{
+    uint64_t next = wall_ms + fence->ahead_ms;
+
+    fence->last = next > fence->last ? next : fence->last + 1;
+    return fence->last;
+}
+
+void
+Pool_NoteFenceRefused(PoolFence *fence)
+{
+    fence->ahead_ms *= 2;
+    if (fence->ahead_ms < POOL_FENCE_AHEAD_MIN_MS) {
+        fence->ahead_ms = POOL_FENCE_AHEAD_MIN_MS;
+    }
+    if (fence->ahead_ms > POOL_FENCE_AHEAD_MAX_MS) {
+        fence->ahead_ms = POOL_FENCE_AHEAD_MAX_MS;
+    }
+}
--- a/src/decide/pool.h
+++ b/src/decide/pool.h
@@ -43,4 +43,21 @@
    the prefill speed or the KV memory is unknown (0). */
 double Pool_GetLoad(const PoolInput *input, uint32_t prefill);
 
+/* Fence numbers of the orders of one home. A worker refuses an order with a
+   lower number than one it has seen, so that an earlier home can't interfere.
+   The numbers follow the wall clock, which a VM may have wrong by up to an
+   hour after a step: a home that is refused goes ahead of it. */
+#define POOL_FENCE_AHEAD_MIN_MS (3600ULL * 1000)
+#define POOL_FENCE_AHEAD_MAX_MS (24 * POOL_FENCE_AHEAD_MIN_MS)
+
+typedef struct PoolFence {
+    uint64_t last;     /* Number of the last order; 0 for none. */
+    uint64_t ahead_ms; /* How far numbers are ahead of the wall clock. */
+} PoolFence;
+
+/* Returns the number of the next order, which is above all before it. */
+uint64_t Pool_GetNextFence(PoolFence *fence, uint64_t wall_ms);
+/* A worker has refused a number as too low. */
+void Pool_NoteFenceRefused(PoolFence *fence);
+
 #endif
--- a/src/gate/pool_control.c
+++ b/src/gate/pool_control.c
@@ -23,6 +23,9 @@
 /* An order whose worker has not changed its phase in this time counts as
    lost. */
 #define POOL_CONTROL_ORDER_TIMEOUT_US (15 * CLK_US_PER_S)
+/* Answer to an order whose fence is lower than one that the worker has seen.
+ */
+#define POOL_CONTROL_STATUS_OUTDATED 412
 /* A tick may send one order, and one more per this many workers. */
 #define POOL_CONTROL_WORKERS_PER_ORDER 40
 /* Largest share of a service's workers that may change at a time. */
@@ -41,7 +44,7 @@
     uint32_t ticks;          /* Ticks at which there was load. */
     int64_t home_since_us; /* Time at which this VM became home; 0 if it is not
                               home or can't reach the source. */
-    uint64_t fence;        /* Fence number of the last order. */
+    PoolFence fence;       /* Of this VM's orders. */
 } PoolControlService;
 
 /* An order whose worker has not yet changed its phase. */
@@ -55,6 +58,7 @@
 typedef struct PoolControlCall {
     PoolControl *control;
     char worker[FLEET_ID_MAX];
+    char service[FLEET_NAME_MAX];
     int status;
 } PoolControlCall;
 
@@ -367,7 +371,10 @@
                               .at_us = Clk_Now(control->options.clk)};
     PoolControlCall *call = g_new0(PoolControlCall, 1);
     GateControlCall control_call = {.headers = Header_New()};
-    uint64_t wall_ms = (uint64_t)(g_get_real_time() / CLK_US_PER_MS);
+    /* A new home has a higher fence than the previous one: it waits for
+       POOL_CONTROL_HOME_LEASES leases before its first order. */
+    uint64_t fence = Pool_GetNextFence(
+        &state->fence, (uint64_t)(g_get_real_time() / CLK_US_PER_MS));
     ClientCallOptions options = {
         .address = worker->entry.address,
         .target = control_call.target,
@@ -378,11 +385,6 @@
         .on_end = on_end,
     };
 
-    /* The fence is the wall clock, so that a new home has a higher one than
-       the previous home: it waits for POOL_CONTROL_HOME_LEASES leases before
-       its first order. The fence of one home grows even if its clock is set
-       back. */
-    state->fence = MAX(state->fence + 1, wall_ms);
     g_strlcpy(order.worker, worker->entry.id, sizeof(order.worker));
     g_array_append_val(control->orders, order);
     worker->phase_change_until_us =
@@ -390,8 +392,9 @@
     Gos_ScheduleUpdate(control->options.gossip);
     call->control = control;
     g_strlcpy(call->worker, worker->entry.id, sizeof(call->worker));
+    g_strlcpy(call->service, state->name, sizeof(call->service));
     codec->encode_order(codec->context, worker->entry.id, control->options.vm,
-                        state->fence, to, &control_call);
+                        fence, to, &control_call);
     options.method = control_call.method;
     options.body = control_call.body;
     options.body_size = strlen(control_call.body);
@@ -401,7 +404,7 @@
     Log_WriteJson(LOG_LEVEL_INFO, "order",
                   json_pack("{s:s,s:s,s:I}", "worker", worker->entry.id, "to",
                             to == FLEET_PHASE_PREFILL ? "prefill" : "decode",
-                            "fence", (json_int_t)state->fence));
+                            "fence", (json_int_t)fence));
 }
 
 static bool
@@ -433,6 +436,10 @@
     FleetWorker *worker;
 
     worker = Fleet_Find(call->control->options.fleet, call->worker);
+    if (call->status == POOL_CONTROL_STATUS_OUTDATED) {
+        Pool_NoteFenceRefused(
+            &get_or_add_service(call->control, call->service)->fence);
+    }
     if (worker != NULL &&
         (outcome != CLIENT_COMPLETE || call->status >= 300)) {
         /* The order was refused or lost. If the worker changes its phase
--- a/tests/test_decide.cc
+++ b/tests/test_decide.cc
@@ -322,6 +322,57 @@
     return worker;
 }
 
+struct FenceCase {
+    const char *name;
+    int64_t first_ms;  /* Offset of the first home's clock. */
+    int64_t second_ms; /* Offset of the next home's clock. */
+    int refusals_max;  /* Orders of the next home that are refused. */
+};
+
+const FenceCase fence_cases[] = {
+    {"right clocks", 0, 0, 0},
+    {"the next home's clock is behind", 0, -2400000, 1},
+    {"the first home's clock was ahead", 2400000, 0, 1},
+    {"both", 2400000, -2400000, 2},
+    {"half a day", 43200000, 0, 5},
+};
+
+/* A home dies and another one takes over, 6 s later, with a clock that was set
+   wrong. Its orders are soon accepted, and no number is used twice. */
+TEST(Decide, FencesOutliveClockSteps)
+{
+    const int64_t start_ms = 1790000000000;
+    for (const FenceCase &row : fence_cases) {
+        SCOPED_TRACE(row.name);
+        PoolFence first = {};
+        PoolFence second = {};
+        uint64_t seen = 0; /* Highest number that the worker has seen. */
+        for (int i = 0; i < 3; i++) {
+            uint64_t fence = Pool_GetNextFence(
+                &first, (uint64_t)(start_ms + row.first_ms + i));
+            EXPECT_GT(fence, seen);
+            seen = fence;
+        }
+        int refusals = 0;
+        uint64_t last = 0;
+        for (int i = 0; i < 10; i++) {
+            /* The clock steps back once more in between. */
+            int64_t step_ms = i == 5 ? -2400000 : 0;
+            uint64_t fence = Pool_GetNextFence(
+                &second,
+                (uint64_t)(start_ms + 6000 + i + row.second_ms + step_ms));
+            EXPECT_GT(fence, last);
+            last = fence;
+            if (fence < seen) {
+                refusals++;
+                Pool_NoteFenceRefused(&second);
+            }
+            seen = MAX(seen, fence);
+        }
+        EXPECT_LE(refusals, row.refusals_max);
+    }
+}
+
 /* A region with one prefill worker has a burst of 2.2 times its usual load. A
    prompt of 5,200 tokens takes 94 ms there. With six prompts queued, a worker
    of another region or an idle decode worker must cost less. */
