--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -127,6 +127,7 @@
 static void free_write(gpointer data);
 static void on_rewrite(evutil_socket_t fd, short what, void *context);
 static void on_lapse(evutil_socket_t fd, short what, void *context);
+static void write_differences(Sim *sim, bool deletions);
 static void send_store_response(const Sim *sim, ServerExchange *exchange,
                                 int status, const char *body);
 static void check_leaving(SimWorker *worker, const char *id);
@@ -261,39 +262,34 @@
 static void
 on_rewrite(evutil_socket_t fd, short what, void *context)
 {
-    Sim *sim = context;
-    GHashTableIter iter;
-    gpointer key;
-    gpointer value;
-
     (void)fd;
     (void)what;
-    g_hash_table_iter_init(&iter, sim->wanted);
-    while (g_hash_table_iter_next(&iter, &key, &value)) {
-        const SimItem *item = g_hash_table_lookup(sim->items, key);
-        if (value != NULL &&
-            (item == NULL || g_strcmp0(item->value, value) != 0)) {
-            write_item(sim, key, value);
-        }
-    }
+    write_differences(context, false);
 }
 
 /* Deletes the entries of workers that have left. */
 static void
 on_lapse(evutil_socket_t fd, short what, void *context)
 {
-    Sim *sim = context;
+    (void)fd;
+    (void)what;
+    write_differences(context, true);
+}
+
+/* Writes the latest values, or deletions, that the items lack. */
+static void
+write_differences(Sim *sim, bool deletions)
+{
     GHashTableIter iter;
     gpointer key;
     gpointer value;
 
-    (void)fd;
-    (void)what;
     g_hash_table_iter_init(&iter, sim->wanted);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         const SimItem *item = g_hash_table_lookup(sim->items, key);
-        if (value == NULL && item != NULL && item->value != NULL) {
-            write_item(sim, key, NULL);
+        if ((value == NULL) == deletions &&
+            g_strcmp0(item != NULL ? item->value : NULL, value) != 0) {
+            write_item(sim, key, value);
         }
     }
 }
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -56,6 +56,34 @@
     return port;
 }
 
+/* Applies all parts of a message to the snapshot. */
+inline SnapshotHandler
+MakeSnapshotHandler(Snapshot *to)
+{
+    SnapshotHandler handler = {};
+    handler.context = to;
+    handler.on_config = [](void *context, const void *text, size_t length,
+                           uint64_t version) {
+        Snapshot_SetConfig(static_cast<Snapshot *>(context), text, length,
+                           version);
+    };
+    handler.on_sweep_begin = [](void *context, uint64_t era) {
+        Snapshot_BeginSweep(static_cast<Snapshot *>(context), era);
+    };
+    handler.on_entry = [](void *context, const char *id, const void *text,
+                          size_t length, Pos position) {
+        Snapshot_SetEntry(static_cast<Snapshot *>(context), id, text, length,
+                          position);
+    };
+    handler.on_sweep_end = [](void *context) {
+        Snapshot_EndSweep(static_cast<Snapshot *>(context));
+    };
+    handler.on_remove = [](void *context, const char *id, Pos position) {
+        Snapshot_RemoveEntry(static_cast<Snapshot *>(context), id, position);
+    };
+    return handler;
+}
+
 /* Reply of a scripted worker to one request: the bytes that it sends, and
    whether it closes or resets the connection afterwards. "%ID" in the bytes is
    replaced with the request's ID. */
--- a/tests/test_gate_era.cc
+++ b/tests/test_gate_era.cc
@@ -246,28 +246,7 @@
             return 0;
         }
         size_t size = data->len;
-        SnapshotHandler handler = {};
-        handler.context = to;
-        handler.on_config = [](void *context, const void *text, size_t length,
-                               uint64_t version) {
-            Snapshot_SetConfig(static_cast<Snapshot *>(context), text, length,
-                               version);
-        };
-        handler.on_sweep_begin = [](void *context, uint64_t era) {
-            Snapshot_BeginSweep(static_cast<Snapshot *>(context), era);
-        };
-        handler.on_entry = [](void *context, const char *id, const void *text,
-                              size_t length, Pos position) {
-            Snapshot_SetEntry(static_cast<Snapshot *>(context), id, text,
-                              length, position);
-        };
-        handler.on_sweep_end = [](void *context) {
-            Snapshot_EndSweep(static_cast<Snapshot *>(context));
-        };
-        handler.on_remove = [](void *context, const char *id, Pos position) {
-            Snapshot_RemoveEntry(static_cast<Snapshot *>(context), id,
-                                 position);
-        };
+        SnapshotHandler handler = MakeSnapshotHandler(to);
         EXPECT_TRUE(Snapshot_Apply(to, data->data, data->len, &handler));
         g_byte_array_free(data, TRUE);
         return size;
