--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -144,28 +144,27 @@
     run_us = task->spent_us[TASK_RUN] + task->spent_us[TASK_DECODE];
     Log_WriteJson(
         LOG_LEVEL_INFO, "request_end",
-        json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:"
-                  "I,s:I,s:I,"
-                  "s:I,s:I,s:i,s:i}",
-                  "request", task->request.id, "route", task->route->name,
-                  "worker", task->worker, "outcome", outcome, "status", status,
-                  "retry_after_ms", (int)task->retry_after_ms, "took_us",
-                  (json_int_t)took_us, "sends", (int)task->sends, "runs",
-                  (int)task->runs, "cause", task->cause, "last_event",
-                  (json_int_t)task->last_event, "framing",
-                  Task_GetFramingName(task), "unfinished_bytes",
-                  (int)task->sse.pending->len, "config",
-                  (json_int_t)task->table->version, "longest_gap_us",
-                  (json_int_t)task->longest_gap_us, "first_us",
-                  (json_int_t)(task->first_event_us
-                                   ? task->first_event_us - task->began_us
-                                   : 0),
+        json_pack(
+            "{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:I,s:I,"
+            "s:I,s:I,s:I,s:i,s:i}",
+            "request", task->request.id, "route", task->route->name, "worker",
+            task->worker, "outcome", outcome, "status", status,
+            "retry_after_ms", (int)task->retry_after_ms, "took_us",
+            (json_int_t)took_us, "sends", (int)task->sends, "runs",
+            (int)task->runs, "cause", task->cause, "last_event",
+            (json_int_t)task->last_event, "framing", Task_GetFramingName(task),
+            "unfinished_bytes", (int)task->sse.pending->len, "config",
+            (json_int_t)task->table->version, "longest_gap_us",
+            (json_int_t)task->longest_gap_us, "first_us",
+            (json_int_t)(task->first_event_us
+                             ? task->first_event_us - task->began_us
+                             : 0),
 
-                  "reserve_us", (json_int_t)task->spent_us[TASK_RESERVE],
-                  "prefill_us", (json_int_t)task->spent_us[TASK_PREFILL],
-                  "run_us", (json_int_t)run_us, "prompt_tokens",
-                  (int)task->request.prompt_tokens, "output_tokens",
-                  (int)task->request.output_tokens));
+            "reserve_us", (json_int_t)task->spent_us[TASK_RESERVE],
+            "prefill_us", (json_int_t)task->spent_us[TASK_PREFILL], "run_us",
+            (json_int_t)run_us, "prompt_tokens",
+            (int)task->request.prompt_tokens, "output_tokens",
+            (int)task->request.output_tokens));
     Stream_ReleaseAll(task);
     free_task(task);
 }
