Observability: how long a failed call and its worker were silent

Cause: the logs didn't tell a silent call from a silent worker, nor whether the configuration had changed under the request. Ruled out: nothing yet. Change: call_failed has quiet_us (this call), worker_quiet_us (any call of the VM at the worker), config and config_now; counter streams_broken_off.

--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -574,6 +574,7 @@
     GateTask *task = context;
     TaskCall *current = &task->current;
 
+    Task_NoteHeard(task);
     if (current->reply.status != 200 || !current->reply.has_receipt ||
         !current->reply.matches_request || current->reply.is_encoded) {
         Task_AppendBody(task, data, size);
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -114,6 +114,7 @@
     if (task->streaming) {
         ServerExchange *exchange = task->exchange;
         task->exchange = NULL;
+        Met_Add(MET_STREAMS_BROKEN_OFF, 1);
         Server_AbortResponse(exchange);
         Task_End(task, "broken_off", 200);
         return;
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -40,6 +40,7 @@
     Forecast kv;         /* KV memory that this call adds. */
     int64_t began_us;    /* When the call was sent. */
     int64_t head_us;     /* When the reply's header came; 0 for not yet. */
+    int64_t heard_us;    /* Last bytes of its answer, or `began_us`. */
     int64_t expected_us; /* Estimated time to the first byte. */
     int64_t wait_us;     /* Estimated wait of a plain call for a slot. */
     bool has_reply;      /* `reply` is filled in. */
@@ -201,6 +202,8 @@
 LsRun Task_GetRun(const GateTask *task, ClientOutcome outcome);
 /* Whether the worker's answer may be passed to the caller. */
 bool Task_HasAnswer(const GateTask *task, ClientOutcome outcome);
+/* Notes that bytes of the answer came. */
+void Task_NoteHeard(GateTask *task);
 /* Appends data to the body of the answer, up to TASK_BODY_MAX bytes. `task` is
    the GateTask. */
 void Task_AppendBody(void *task, const void *data, size_t size);
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -405,11 +405,19 @@
     return reply->matches_request && reply->has_receipt;
 }
 
+void
+Task_NoteHeard(GateTask *task)
+{
+    task->current.heard_us = Task_Now(task);
+    task->current.worker->heard_us = task->current.heard_us;
+}
+
 void
 Task_AppendBody(void *context, const void *data, size_t size)
 {
     GateTask *task = context;
 
+    Task_NoteHeard(task);
     if (task->current.body->len + size <= TASK_BODY_MAX &&
         task->gate->buffered_bytes + size <= TASK_BODIES_MAX) {
         g_byte_array_append(task->current.body, data, (guint)size);
@@ -475,7 +483,7 @@
         LOG_LEVEL_INFO, "call_failed",
         json_pack(
             "{s:s,s:s,s:o,s:i,s:b,s:I,s:s,s:s,s:i,s:s,s:i,s:s,s:I,s:i,s:i,s:i,"
-            "s:i}",
+            "s:i,s:I,s:I,s:I,s:I}",
             "request", task->request.id, "worker", worker->entry.id, "parts",
             list_parts(task), "events", (int)current->events, "leaving",
             (int)Fleet_IsLeaving(worker), "pause_us",
@@ -487,7 +495,12 @@
             "after_us", (json_int_t)(now_us - current->began_us), "sends",
             (int)task->sends, "runs", (int)task->runs, "running",
             (int)current->reply.running, "waiting",
-            (int)current->reply.waiting));
+            (int)current->reply.waiting, "quiet_us",
+            (json_int_t)(now_us - current->heard_us), "worker_quiet_us",
+            (json_int_t)(worker->heard_us != 0 ? now_us - worker->heard_us
+                                               : -1),
+            "config", (json_int_t)task->table->version, "config_now",
+            (json_int_t)task->gate->table->version));
 }
 
 RetryInput
@@ -613,6 +626,7 @@
 
     current->worker = Fleet_Ref(worker);
     current->began_us = Task_Now(task);
+    current->heard_us = current->began_us;
     current->has_reply = false;
     current->body = g_byte_array_new();
     current->trial = Notice_BeginTrial(&worker->notice);
@@ -719,6 +733,7 @@
     (void)headers;
     task->current.has_reply = true;
     task->current.reply.status = status;
+    Task_NoteHeard(task);
     end_trial(&task->current, status != 503);
 }
 
@@ -751,6 +766,7 @@
 
     current->has_reply = true;
     current->head_us = now_us;
+    Task_NoteHeard(task);
     end_trial(current, status != 503);
     codec->decode_reply(codec->context, status, headers, task->request.id,
                         &current->reply);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -47,6 +47,9 @@
     [MET_GATE_REFUSED] = {"gate_refused", "Requests answered not run."},
     [MET_GATE_FAILED] = {"gate_failed", "Requests that failed otherwise."},
     [MET_CALLS_FAILED] = {"calls_failed", "Calls at workers that failed."},
+    [MET_STREAMS_BROKEN_OFF] = {"streams_broken_off",
+                                "Streams that had begun and were ended "
+                                "without their last event."},
     [MET_WORKERS_LEAVING] = {"workers_leaving",
                              "Workers that said that they leave."},
     [MET_PAUSES] = {"pauses", "Refusals of workers that name a pause."},
