--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -253,6 +253,9 @@
     int crashes = 0;
     std::vector<int64_t> part_times_us; /* Of requests with this part. */
 
+    bool is_silent = false; /* It reads requests and answers none. */
+    int unanswered = 0;     /* Requests read while it was silent. */
+
     int resets_on_accept = 0; /* How many of the next connections to reset. */
     int resets_on_read = 0;   /* The same once a part of a request came. */
 
@@ -349,6 +352,10 @@
         evbuffer_drain(in, head + 4 + body);
         text.resize(head + 4 + body);
         self->times_us.push_back(g_get_monotonic_time());
+        if (self->is_silent) {
+            self->unanswered++;
+            return;
+        }
         if (text.find("POST /v1/hold-take ") == 0) {
             std::string answer = "HTTP/1.1 503 X\r\n" +
                                  self->reservation_headers + self->headers +
