Gate: move wait for capacity and crash handling out of stream.c

Ruled out: any change of logic; only names, includes and the place changed. Change: the wait for capacity is now task_wait.c (TaskWait_BeginWait, TaskWait_EndWait); what keeps a prompt away from workers when a part of it crashes them is now blame.c (Blame_IsAllowed, Blame_NoteBreak, Blame_NoteSound). Conclusion: both modules can change without stream.c.

--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -2,8 +2,9 @@
    prefill worker or at the decode worker itself, whichever costs less. The
    caller gets complete events only, so that another worker can resume the
    stream between two events. See task.h. */
-#include "crash_check.h"
+#include "blame.h"
 #include "reservation.h"
+#include "task_wait.h"
 
 #include "../log.h"
 
@@ -33,8 +34,6 @@
 /* Time for which a prefill worker that refused is not called again: it may be
    changing its phase. */
 #define STREAM_PHASE_CHANGE_BACKOFF_US (1500 * CLK_US_PER_MS)
-/* Time between two looks at a crash check, which takes a round trip. */
-#define STREAM_CRASH_POLL_US (5 * CLK_US_PER_MS)
 /* Weight of a new sample in the moving means of memory and event interval. */
 #define STREAM_MEAN_WEIGHT 0.05
 /* Used until an event interval is known. */
@@ -47,17 +46,8 @@
 static void update_mean(double *mean, double sample);
 static void add_demand(const GateTask *task);
 static void advance(GateTask *task);
-static bool is_prompt_allowed(GateTask *task);
-static void block(GateTask *task, const char *cause);
-static void note_crash(GateTask *task, ClientOutcome outcome, LsRun run);
-static void note_sound(GateTask *task);
 static bool can_reserve(const GateTask *task);
 static bool has_call_budget(GateTask *task);
-static void wait_for_capacity(GateTask *task, const char *cause);
-static bool may_wait(GateTask *task);
-static void end_wait(GateTask *task, AdmissionWaitEnd end);
-static AdmissionQueue *find_queue(GateTask *task);
-static AdmissionWaitPlan plan_wait(const GateTask *task);
 static void begin_prefill(GateTask *task, FleetWorker *worker);
 static void begin_reserve(GateTask *task);
 static void on_reserve_end(void *context, ClientOutcome outcome);
@@ -161,8 +151,8 @@
 {
     Reservation_ReleaseHandle(task, true);
     Reservation_UnassignWorker(task, true);
-    end_wait(task,
-             task->is_caller_gone ? ADMISSION_WAIT_LEFT : ADMISSION_WAIT_OVER);
+    TaskWait_EndWait(task, task->is_caller_gone ? ADMISSION_WAIT_LEFT
+                                                : ADMISSION_WAIT_OVER);
 }
 
 /* Begins the next step: the reservation at a decode worker, the prefill at a
@@ -175,7 +165,7 @@
     int64_t remote_prefill_cost_us = INT64_MAX;
     FleetWorker *prefill_worker;
 
-    if (task->request.part_count > 0 && !is_prompt_allowed(task)) {
+    if (task->request.part_count > 0 && !Blame_IsAllowed(task)) {
         return;
     }
     if (task->kv.handle[0] != '\0' && !Reservation_HasHandle(task)) {
@@ -185,11 +175,11 @@
         FleetWorker *decode_worker =
             Reservation_ChooseDecodeWorker(task, &run_cost_us);
         if (decode_worker == NULL) {
-            wait_for_capacity(task, "no capacity at any worker");
+            TaskWait_BeginWait(task, "no capacity at any worker");
             return;
         }
         if (!has_call_budget(task)) {
-            wait_for_capacity(task, "retry budget spent");
+            TaskWait_BeginWait(task, "retry budget spent");
             return;
         }
         Reservation_AssignWorker(task, decode_worker);
@@ -213,90 +203,6 @@
     begin_run(task);
 }
 
-/* Whether no part of the prompt crashes workers, as far as is known. Otherwise
-   ends the task, or lets it wait for the check of its last worker. */
-static bool
-is_prompt_allowed(GateTask *task)
-{
-    const GateRequest *request = &task->request;
-    Suspects *suspects = &task->gate->suspects;
-    int64_t until_us;
-
-    if (task->crash_weight == SUSPECTS_FULL &&
-        CrashCheck_IsPending(task->gate, task->crash_worker)) {
-        task->waiting = true;
-        task->step_deadline_us = Task_Now(task) + STREAM_CRASH_POLL_US;
-        Task_SetTimer(task);
-        return false;
-    }
-    if (task->crash_weight == SUSPECTS_FULL &&
-        Suspects_IsUnderCrash(suspects, request->parts, request->part_count,
-                              task->crash_worker)) {
-        block(task, "its worker crashed as the answer began");
-        return false;
-    }
-    switch (Suspects_Judge(suspects, request->parts, request->part_count,
-                           Task_Now(task), &until_us)) {
-    case SUSPECTS_CLEAR:
-        return true;
-    case SUSPECTS_PROBE:
-        Suspects_BeginProbe(suspects, request->parts, request->part_count,
-                            Task_Now(task));
-        task->is_probe = true;
-        Log_WriteJson(LOG_LEVEL_INFO, "part_probe",
-                      json_pack("{s:s}", "request", request->id));
-        task->gate->options.on_load_change(task->gate->options.context);
-        return true;
-    case SUSPECTS_BLAMED:
-        break;
-    }
-    if (task->is_probe && task->runs == 0) {
-        return true;
-    }
-    block(task, "a part of the prompt crashes workers");
-    return false;
-}
-
-/* Ends a task whose prompt may crash further workers. */
-static void
-block(GateTask *task, const char *cause)
-{
-    g_strlcpy(task->cause, cause, sizeof(task->cause));
-    Met_Add(MET_PROMPTS_BLOCKED, 1);
-    Task_Abort(task, ADMISSION_BLOCKED, LS_ERR_UPSTREAM_FAILED);
-}
-
-/* Begins a check of the worker if the call broke as its answer began. */
-static void
-note_crash(GateTask *task, ClientOutcome outcome, LsRun run)
-{
-    const TaskCall *current = &task->current;
-    bool has_head = current->has_reply && current->reply.status == 200;
-
-    task->crash_worker = 0;
-    task->crash_weight = SUSPECTS_NONE;
-    if (task->request.part_count == 0 || run == LS_RUN_NOT_RUN ||
-        outcome == CLIENT_MALFORMED ||
-        (current->has_reply && current->reply.status != 200)) {
-        return;
-    }
-    task->crash_weight =
-        Suspects_Rate(has_head, current->first_event_us, Task_Now(task));
-    if (task->crash_weight != SUSPECTS_NONE) {
-        task->crash_worker = CrashCheck_GetStart(current->worker);
-        CrashCheck_Begin(task, task->crash_weight);
-    }
-}
-
-/* Notes that the answer goes on, or has ended, without a crash. */
-static void
-note_sound(GateTask *task)
-{
-    Suspects_NoteSound(&task->gate->suspects, task->request.parts,
-                       task->request.part_count, Task_Now(task));
-    Gate_LogSuspects(task->gate);
-}
-
 /* Whether the assigned worker supports reservations. */
 static bool
 can_reserve(const GateTask *task)
@@ -317,91 +223,6 @@
     return calls == 0 || Task_HasBudget(task, calls);
 }
 
-/* Schedules the next poll for capacity, or aborts the task with this cause if
-   its wait is over or the gate is shutting down. */
-static void
-wait_for_capacity(GateTask *task, const char *cause)
-{
-    int64_t now_us = Task_Now(task);
-    int64_t open_us;
-    bool is_limited;
-    AdmissionWaitPlan wait_plan;
-
-    if (task->waiting_since_us == 0) {
-        task->waiting_since_us = now_us;
-    }
-    wait_plan = plan_wait(task);
-    if (Task_IsTurnedAway(task, &open_us, &is_limited) &&
-        (open_us == 0 || open_us >= wait_plan.until_us)) {
-        Task_Abort(task, ADMISSION_NO_WORKER, LS_ERR_UPSTREAM_FAILED);
-        return;
-    }
-    if (now_us >= wait_plan.until_us || task->gate->stopping ||
-        !may_wait(task)) {
-        g_strlcpy(task->cause, cause, sizeof(task->cause));
-        Task_Abort(task, ADMISSION_FULL, LS_ERR_UPSTREAM_FAILED);
-        return;
-    }
-    task->waiting = true;
-    task->step_deadline_us =
-        now_us + wait_plan.poll_us +
-        g_rand_int_range(task->gate->rand, 0, (gint32)wait_plan.poll_us);
-    Task_SetTimer(task);
-}
-
-/* Whether the task may wait, or go on to wait. What has been begun always may.
- */
-static bool
-may_wait(GateTask *task)
-{
-    if (!task->queued && task->runs == 0 && !task->streaming &&
-        !Reservation_HasHandle(task)) {
-        task->queued = Admission_BeginWait(find_queue(task));
-        return task->queued;
-    }
-    return true;
-}
-
-static void
-end_wait(GateTask *task, AdmissionWaitEnd end)
-{
-    if (task->queued) {
-        task->queued = false;
-        Admission_EndWait(find_queue(task), end);
-    }
-}
-
-static AdmissionQueue *
-find_queue(GateTask *task)
-{
-    GHashTable *queues = task->gate->queues;
-    AdmissionQueue *queue = g_hash_table_lookup(queues, task->service->name);
-
-    if (queue == NULL) {
-        queue = g_new(AdmissionQueue, 1);
-        Admission_InitQueue(queue);
-        g_hash_table_insert(queues, g_strdup(task->service->name), queue);
-    }
-    return queue;
-}
-
-static AdmissionWaitPlan
-plan_wait(const GateTask *task)
-{
-    AdmissionWait wait = {
-        .waiting_since_us = task->waiting_since_us,
-        .arrived_us = task->began_us,
-        .left_us = task->request.left_ms * CLK_US_PER_MS,
-        .timeout_us = (int64_t)task->route->timeout_ms * CLK_US_PER_MS,
-        .slo_us = (int64_t)task->route->slo_ms * CLK_US_PER_MS,
-        .deadline_us = task->deadline_us,
-        .is_prefilled = Reservation_HasHandle(task),
-        .is_streaming = task->streaming,
-    };
-
-    return Admission_PlanWait(&wait);
-}
-
 static void
 begin_prefill(GateTask *task, FleetWorker *worker)
 {
@@ -489,7 +310,7 @@
     else {
         /* The worker may be chosen again. */
         Reservation_UnassignWorker(task, false);
-        wait_for_capacity(task, "no worker is reachable");
+        TaskWait_BeginWait(task, "no worker is reachable");
     }
 }
 
@@ -519,7 +340,7 @@
                    once ? STREAM_ONCE_IDLE_MAX_MS : UINT32_MAX, on_run_data,
                    on_run_end);
     task->waiting_since_us = 0;
-    end_wait(task, ADMISSION_WAIT_SERVED);
+    TaskWait_EndWait(task, ADMISSION_WAIT_SERVED);
     /* From here on the call counts the memory and uses the reservation. */
     Reservation_UnassignWorker(task, false);
     Fleet_Unref(worker);
@@ -621,7 +442,7 @@
         if (!current->is_sound &&
             Task_Now(task) - current->first_event_us >= SUSPECTS_BEGIN_US) {
             current->is_sound = true;
-            note_sound(task);
+            Blame_NoteSound(task);
         }
         if (current->prefill_tokens > 0) {
             update_slowness(current, Task_Now(task) - current->began_us);
@@ -692,7 +513,7 @@
         }
         task->exchange = NULL;
         Server_EndStream(exchange);
-        note_sound(task);
+        Blame_NoteSound(task);
         update_event_interval(task);
         Task_End(task, "streamed", 200);
         return;
@@ -700,7 +521,7 @@
     Task_NoteFailure(task, outcome, run,
                      cut_inside_event ? "stream ended inside an event"
                                       : Task_GetCause(task, outcome, run));
-    note_crash(task, outcome, run);
+    Blame_NoteBreak(task, outcome, run);
     if (run == LS_RUN_NOT_RUN && outcome == CLIENT_COMPLETE &&
         current->stage == TASK_DECODE && task->kv.worker != NULL) {
         /* Memory is reserved beforehand, so a refusal is treated as a failed
--- /dev/null
+++ b/src/gate/task_wait.c
@@ -0,0 +1,90 @@
+/* Task wait: the wait of a stream for capacity. See task_wait.h. */
+#include "task_wait.h"
+#include "reservation.h"
+
+static bool may_wait(GateTask *task);
+static AdmissionQueue *find_queue(GateTask *task);
+static AdmissionWaitPlan plan_wait(const GateTask *task);
+
+void
+TaskWait_BeginWait(GateTask *task, const char *cause)
+{
+    int64_t now_us = Task_Now(task);
+    int64_t open_us;
+    bool is_limited;
+    AdmissionWaitPlan wait_plan;
+
+    if (task->waiting_since_us == 0) {
+        task->waiting_since_us = now_us;
+    }
+    wait_plan = plan_wait(task);
+    if (Task_IsTurnedAway(task, &open_us, &is_limited) &&
+        (open_us == 0 || open_us >= wait_plan.until_us)) {
+        Task_Abort(task, ADMISSION_NO_WORKER, LS_ERR_UPSTREAM_FAILED);
+        return;
+    }
+    if (now_us >= wait_plan.until_us || task->gate->stopping ||
+        !may_wait(task)) {
+        g_strlcpy(task->cause, cause, sizeof(task->cause));
+        Task_Abort(task, ADMISSION_FULL, LS_ERR_UPSTREAM_FAILED);
+        return;
+    }
+    task->waiting = true;
+    task->step_deadline_us =
+        now_us + wait_plan.poll_us +
+        g_rand_int_range(task->gate->rand, 0, (gint32)wait_plan.poll_us);
+    Task_SetTimer(task);
+}
+
+void
+TaskWait_EndWait(GateTask *task, AdmissionWaitEnd end)
+{
+    if (task->queued) {
+        task->queued = false;
+        Admission_EndWait(find_queue(task), end);
+    }
+}
+
+/* Whether the task may wait, or go on to wait. What has been begun always may.
+ */
+static bool
+may_wait(GateTask *task)
+{
+    if (!task->queued && task->runs == 0 && !task->streaming &&
+        !Reservation_HasHandle(task)) {
+        task->queued = Admission_BeginWait(find_queue(task));
+        return task->queued;
+    }
+    return true;
+}
+
+static AdmissionQueue *
+find_queue(GateTask *task)
+{
+    GHashTable *queues = task->gate->queues;
+    AdmissionQueue *queue = g_hash_table_lookup(queues, task->service->name);
+
+    if (queue == NULL) {
+        queue = g_new(AdmissionQueue, 1);
+        Admission_InitQueue(queue);
+        g_hash_table_insert(queues, g_strdup(task->service->name), queue);
+    }
+    return queue;
+}
+
+static AdmissionWaitPlan
+plan_wait(const GateTask *task)
+{
+    AdmissionWait wait = {
+        .waiting_since_us = task->waiting_since_us,
+        .arrived_us = task->began_us,
+        .left_us = task->request.left_ms * CLK_US_PER_MS,
+        .timeout_us = (int64_t)task->route->timeout_ms * CLK_US_PER_MS,
+        .slo_us = (int64_t)task->route->slo_ms * CLK_US_PER_MS,
+        .deadline_us = task->deadline_us,
+        .is_prefilled = Reservation_HasHandle(task),
+        .is_streaming = task->streaming,
+    };
+
+    return Admission_PlanWait(&wait);
+}
