Task: callbacks of a call get the call, not the task

Cause: a task knows one call only, so a call can't be kept while another one is prepared. Ruled out: a second task for the successor, as the retry budget, the runs and the caller's answer belong to one request. Change: a task has two calls and a pointer to the current one; each call has its own splitter of events. No change of behaviour.

--- a/src/gate/blame.c
+++ b/src/gate/blame.c
@@ -54,7 +54,7 @@
 void
 Blame_NoteBreak(GateTask *task, ClientOutcome outcome, LsRun run)
 {
-    const TaskCall *current = &task->current;
+    const TaskCall *current = task->current;
     bool has_head = current->has_reply && current->reply.status == 200;
 
     task->crash_worker = 0;
--- a/src/gate/crash_check.c
+++ b/src/gate/crash_check.c
@@ -33,7 +33,7 @@
 CrashCheck_Begin(GateTask *task, SuspectsWeight weight)
 {
     Gate *gate = task->gate;
-    const FleetWorker *worker = task->current.worker;
+    const FleetWorker *worker = task->current->worker;
     CrashCheck *check = NULL;
     guint count = 0;
     ClientCallOptions call = {
@@ -58,9 +58,9 @@
     check->parts = g_memdup2(task->request.parts,
                              check->part_count * sizeof(*check->parts));
     check->crash.worker = CrashCheck_GetStart(worker);
-    check->crash.began_us = task->current.head_us != 0
-                                ? task->current.head_us
-                                : task->current.began_us;
+    check->crash.began_us = task->current->head_us != 0
+                                ? task->current->head_us
+                                : task->current->began_us;
     check->crash.at_us = Task_Now(task);
     check->crash.weight = weight;
     LIST_INSERT_HEAD(&gate->crash_checks, check, links);
--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -44,14 +44,14 @@
         Task_Refuse(task, ADMISSION_FULL);
         return;
     }
-    task->current.expected_us = cost_us;
+    task->current->expected_us = cost_us;
     begin_call(task, worker);
 }
 
 void
 Plain_OnStepTimeout(GateTask *task)
 {
-    FleetWorker *worker = task->current.worker;
+    FleetWorker *worker = task->current->worker;
     const FleetWorker *next;
     int64_t cost_us;
 
@@ -123,20 +123,20 @@
         MAX((int64_t)(task->route->slo_ms * PLAIN_TIMEOUT_SLO_RATIO),
             PLAIN_TIMEOUT_MIN_MS);
 
-    task->current.wait_us = Task_GetCost(task, worker, get_wait, NULL);
+    task->current->wait_us = Task_GetCost(task, worker, get_wait, NULL);
     Task_BeginCall(task, worker, &options,
                    once ? PLAIN_ONCE_IDLE_MAX_MS : UINT32_MAX, Task_AppendBody,
                    on_end);
     task->step_deadline_us =
-        task->current.began_us + timeout_ms * CLK_US_PER_MS;
+        task->current->began_us + timeout_ms * CLK_US_PER_MS;
     Task_SetTimer(task);
 }
 
 static void
 on_end(void *context, ClientOutcome outcome)
 {
-    GateTask *task = context;
-    TaskCall *current = &task->current;
+    TaskCall *current = context;
+    GateTask *task = current->task;
     LsRun run;
     bool has_answer;
 
@@ -161,7 +161,7 @@
     int64_t cost_us = 0;
     RetryInput input;
 
-    Task_ExcludeWorker(task, task->current.worker);
+    Task_ExcludeWorker(task, task->current->worker);
     next = Task_ChooseWorker(task, FLEET_PHASE_NONE, get_cost, NULL, &cost_us);
     task->runs += run != LS_RUN_NOT_RUN;
     input = Task_GetRetryInput(task, run);
@@ -172,7 +172,7 @@
     switch (Task_DecideRetry(task, &input)) {
     case RETRY_ELSEWHERE:
         Task_EndCall(task);
-        task->current.expected_us = cost_us;
+        task->current->expected_us = cost_us;
         begin_call(task, next);
         return;
     case RETRY_PASS:
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -133,11 +133,11 @@
         advance(task);
         return;
     }
-    Health_NoteUnresponsive(&task->current.worker->health, Task_Now(task));
+    Health_NoteUnresponsive(&task->current->worker->health, Task_Now(task));
     /* Budget for two calls: a repeated run may need a prefill too. */
     if ((may_run && (!task->route->can_resume ||
                      task->runs + 1 >= task->route->attempts)) ||
-        (task->current.stage != TASK_RESERVE && !Task_HasBudget(task, 2))) {
+        (task->current->stage != TASK_RESERVE && !Task_HasBudget(task, 2))) {
         Task_SetTimer(task); /* No other call is allowed: keep waiting. */
         return;
     }
@@ -184,7 +184,7 @@
         }
         Reservation_AssignWorker(task, decode_worker);
         if (can_reserve(task)) {
-            task->current.expected_us = run_cost_us;
+            task->current->expected_us = run_cost_us;
             begin_reserve(task);
             return;
         }
@@ -195,11 +195,11 @@
             ? NULL
             : Reservation_ChoosePrefillWorker(task, &remote_prefill_cost_us);
     if (prefill_worker != NULL && remote_prefill_cost_us < run_cost_us) {
-        task->current.expected_us = remote_prefill_cost_us;
+        task->current->expected_us = remote_prefill_cost_us;
         begin_prefill(task, prefill_worker);
         return;
     }
-    task->current.expected_us = run_cost_us - Reservation_GetPauseCost(task);
+    task->current->expected_us = run_cost_us - Reservation_GetPauseCost(task);
     begin_run(task);
 }
 
@@ -238,9 +238,9 @@
     Task_BeginCall(task, worker, &options, UINT32_MAX, Task_AppendBody,
                    on_prefill_end);
     task->step_deadline_us =
-        task->current.began_us +
+        task->current->began_us +
         MAX(STREAM_PREFILL_TIMEOUT_MIN_US,
-            STREAM_TIMEOUT_FACTOR * task->current.expected_us);
+            STREAM_TIMEOUT_FACTOR * task->current->expected_us);
     Task_SetTimer(task);
 }
 
@@ -257,7 +257,7 @@
     if (!Reservation_HasHandle(task)) {
         /* The prompt must be read first. */
         ttl_ms +=
-            STREAM_LEASE_FACTOR * task->current.expected_us / CLK_US_PER_MS;
+            STREAM_LEASE_FACTOR * task->current->expected_us / CLK_US_PER_MS;
     }
     ttl_ms = MIN(ttl_ms, task->service->lease_max_ms);
     codec->encode_reserve(codec->context, worker->entry.id,
@@ -266,18 +266,18 @@
     Task_BeginControlCall(task, worker, &control_call, on_reserve_end);
     Header_Free(control_call.headers);
     task->lease_until_us =
-        task->current.began_us +
+        task->current->began_us +
         (ttl_ms - STREAM_LEASE_LATENCY_MARGIN_MS) * CLK_US_PER_MS;
     task->step_deadline_us =
-        task->current.began_us + STREAM_RESERVE_TIMEOUT_US;
+        task->current->began_us + STREAM_RESERVE_TIMEOUT_US;
     Task_SetTimer(task);
 }
 
 static void
 on_reserve_end(void *context, ClientOutcome outcome)
 {
-    GateTask *task = context;
-    TaskCall *current = &task->current;
+    TaskCall *current = context;
+    GateTask *task = current->task;
     const GateCodec *codec = task->gate->options.codec;
     int status = current->has_reply ? current->reply.status : 0;
     bool may_go_on = true;
@@ -332,7 +332,7 @@
         options.kv_handle = task->kv.handle;
         task->kv.offers++;
     }
-    Sse_Reset(&task->sse);
+    Sse_Reset(&task->current->sse);
     if (task->lease[0] != '\0') {
         options.lease = task->lease;
     }
@@ -345,17 +345,17 @@
     Reservation_UnassignWorker(task, false);
     Fleet_Unref(worker);
     task->step_deadline_us =
-        task->current.began_us +
+        task->current->began_us +
         MAX(STREAM_FIRST_EVENT_TIMEOUT_MIN_US,
-            STREAM_TIMEOUT_FACTOR * task->current.expected_us);
+            STREAM_TIMEOUT_FACTOR * task->current->expected_us);
     Task_SetTimer(task);
 }
 
 static void
 on_prefill_end(void *context, ClientOutcome outcome)
 {
-    GateTask *task = context;
-    TaskCall *current = &task->current;
+    TaskCall *current = context;
+    GateTask *task = current->task;
     TaskHandle *kv = &task->kv;
     const GateCodec *codec = task->gate->options.codec;
     int64_t now_us = Task_Now(task);
@@ -392,10 +392,10 @@
 static void
 on_run_data(void *context, const void *data, size_t size)
 {
-    GateTask *task = context;
-    TaskCall *current = &task->current;
+    TaskCall *current = context;
+    GateTask *task = current->task;
 
-    Task_NoteHeard(task);
+    Task_NoteHeard(current);
     if (current->reply.status != 200 || !current->reply.has_receipt ||
         !current->reply.matches_request || current->reply.is_encoded) {
         Task_AppendBody(task, data, size);
@@ -403,7 +403,7 @@
     }
     /* The worker has fetched the KV memory. */
     Reservation_ReleaseHandle(task, false);
-    Sse_Feed(&task->sse, data, size);
+    Sse_Feed(&task->current->sse, data, size);
     if (!forward_events(task)) {
         Task_NoteFailure(task, CLIENT_MALFORMED, LS_RUN_UNKNOWN,
                          "event missing or too long in stream");
@@ -416,11 +416,11 @@
 static bool
 forward_events(GateTask *task)
 {
-    TaskCall *current = &task->current;
+    TaskCall *current = task->current;
     size_t offset = 0;
     SseEvent event;
 
-    while (Sse_Next(&task->sse, &offset, &event)) {
+    while (Sse_Next(&task->current->sse, &offset, &event)) {
         if (event.has_id && event.id <= task->last_event) {
             continue; /* The caller already has this event. */
         }
@@ -459,8 +459,8 @@
                                      task->route->gap_ms * CLK_US_PER_MS;
         }
     }
-    Sse_Drop(&task->sse, offset);
-    if (Sse_IsEventTooLong(&task->sse)) {
+    Sse_Drop(&task->current->sse, offset);
+    if (Sse_IsEventTooLong(&task->current->sse)) {
         return false;
     }
     Task_SetTimer(task);
@@ -482,8 +482,8 @@
 static void
 on_run_end(void *context, ClientOutcome outcome)
 {
-    GateTask *task = context;
-    TaskCall *current = &task->current;
+    TaskCall *current = context;
+    GateTask *task = current->task;
     LsRun run;
     bool has_answer;
     bool cut_inside_event;
@@ -493,7 +493,7 @@
     /* The framing alone doesn't show that a stream is complete: it may be
        nothing but the end of the connection. */
     cut_inside_event =
-        outcome == CLIENT_COMPLETE && Sse_IsInsideEvent(&task->sse);
+        outcome == CLIENT_COMPLETE && Sse_IsInsideEvent(&task->current->sse);
     cut_before_event = outcome == CLIENT_COMPLETE && current->events == 0 &&
                        task->framing == CLIENT_FRAMING_CLOSE &&
                        current->reply.status == 200;
@@ -507,9 +507,9 @@
     has_answer = Task_HasAnswer(task, outcome);
     if (has_answer && current->reply.status == 200 && task->streaming) {
         ServerExchange *exchange = task->exchange;
-        if (task->sse.pending->len > 0) {
-            Server_SendData(exchange, task->sse.pending->data,
-                            task->sse.pending->len);
+        if (task->current->sse.pending->len > 0) {
+            Server_SendData(exchange, task->current->sse.pending->data,
+                            task->current->sse.pending->len);
         }
         task->exchange = NULL;
         Server_EndStream(exchange);
@@ -542,13 +542,14 @@
 static void
 retry_or_end(GateTask *task, LsRun run, bool has_answer)
 {
-    bool is_worker_failed =
-        run != LS_RUN_NOT_RUN || !task->current.has_reply ||
-        task->current.reply.misdirected || task->current.stage == TASK_PREFILL;
+    bool is_worker_failed = run != LS_RUN_NOT_RUN ||
+                            !task->current->has_reply ||
+                            task->current->reply.misdirected ||
+                            task->current->stage == TASK_PREFILL;
     RetryInput input;
 
     if (is_worker_failed) {
-        Task_ExcludeWorker(task, task->current.worker);
+        Task_ExcludeWorker(task, task->current->worker);
     }
     task->runs += run != LS_RUN_NOT_RUN;
     input = Task_GetRetryInput(task, run);
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -27,8 +27,9 @@
 bool
 Task_MayBeRunning(const GateTask *task)
 {
-    return task->current.call != NULL && (task->current.stage == TASK_RUN ||
-                                          task->current.stage == TASK_DECODE);
+    return task->current->call != NULL &&
+           (task->current->stage == TASK_RUN ||
+            task->current->stage == TASK_DECODE);
 }
 
 int64_t
@@ -51,7 +52,7 @@
 void
 Task_PassAnswer(GateTask *task)
 {
-    TaskCall *current = &task->current;
+    TaskCall *current = task->current;
     int status = current->reply.status;
     ServerExchange *exchange = task->exchange;
 
@@ -166,7 +167,7 @@
             (json_int_t)took_us, "sends", (int)task->sends, "runs",
             (int)task->runs, "cause", task->cause, "last_event",
             (json_int_t)task->last_event, "framing", Task_GetFramingName(task),
-            "unfinished_bytes", (int)task->sse.pending->len, "config",
+            "unfinished_bytes", (int)task->current->sse.pending->len, "config",
             (json_int_t)task->table->version, "longest_gap_us",
             (json_int_t)task->longest_gap_us, "first_us",
             (json_int_t)(task->first_event_us
@@ -244,7 +245,11 @@
     task->deadline_us -= TASK_TIMER_MARGIN_US;
     note_left(task);
     task->last_event = GATE_NO_EVENT;
-    Sse_Init(&task->sse);
+    for (guint i = 0; i < G_N_ELEMENTS(task->calls); i++) {
+        task->calls[i].task = task;
+        Sse_Init(&task->calls[i].sse);
+    }
+    task->current = &task->calls[0];
     exchange->owner = task;
     LIST_INSERT_HEAD(&gate->tasks, task, links);
     return task;
@@ -311,8 +316,8 @@
     (void)fd;
     (void)what;
     if (Task_Now(task) >= task->deadline_us) {
-        if (task->current.worker != NULL) {
-            Health_NoteUnresponsive(&task->current.worker->health,
+        if (task->current->worker != NULL) {
+            Health_NoteUnresponsive(&task->current->worker->health,
                                     Task_Now(task));
         }
         g_strlcpy(task->cause, "timeout", sizeof(task->cause));
@@ -355,7 +360,9 @@
     for (guint i = 0; i < task->excluded_count; i++) {
         Fleet_Unref(task->excluded[i]);
     }
-    Sse_Clear(&task->sse);
+    for (guint i = 0; i < G_N_ELEMENTS(task->calls); i++) {
+        Sse_Clear(&task->calls[i].sse);
+    }
     Rte_Unref(task->table);
     g_free(task->request.id);
     g_free(task->request.host);
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -29,6 +29,7 @@
 
 /* One call at a worker. */
 typedef struct TaskCall {
+    GateTask *task;
     ClientCall *call; /* NULL if no call is in progress. */
     FleetWorker *worker;
     TaskStage stage;
@@ -51,6 +52,7 @@
     HeaderList *headers;    /* Headers of the reply for the caller. */
     GByteArray *body;       /* Body of the reply, up to TASK_BODY_MAX bytes. */
     bool truncated;         /* The body was longer than the limit. */
+    Sse sse;                /* Splits a stream; valid beyond the call's end. */
 } TaskCall;
 
 /* KV memory of a prompt that a prefill worker keeps until it is fetched. */
@@ -85,7 +87,8 @@
     int64_t deadline_us;      /* Earlier of the caller's and the route's. */
     int64_t step_deadline_us; /* End of the current step (a call without any
                                  data, or a wait); 0 for none. */
-    TaskCall current;
+    TaskCall calls[2];
+    TaskCall *current; /* One of `calls`. */
     TaskHandle kv;
     TaskAssignment assigned;
     char lease[GATE_HANDLE_MAX]; /* Reservation at the assigned worker; "" if
@@ -112,7 +115,6 @@
     int64_t waiting_since_us; /* When the wait began; a run resets it to 0. */
     bool streaming;           /* The caller was sent the stream's header. */
     int64_t last_event;       /* ID of the last event sent to the caller. */
-    Sse sse;
     int64_t first_event_us; /* When the first event was sent; 0 if none was. */
     int64_t last_event_us;  /* When the last one was sent. */
     int64_t longest_gap_us; /* Longest time between two events. */
@@ -177,14 +179,14 @@
 /* Whether the service's budget allows this number of further calls. Calls are
    counted as they begin. */
 bool Task_HasBudget(GateTask *task, uint32_t calls);
-/* Sends the request to the worker. `idle_max_ms` as in ClientCallOptions.
-   `on_end` must set task->current.call to NULL. */
+/* Sends the request to the worker. `idle_max_ms` as in ClientCallOptions. The
+   callbacks get the TaskCall; `on_end` must set its `call` to NULL. */
 void Task_BeginCall(GateTask *task, FleetWorker *worker,
                     const GateCallOptions *options, uint32_t idle_max_ms,
                     void (*on_data)(void *, const void *, size_t),
                     void (*on_end)(void *, ClientOutcome));
-/* Sends a control call. Its answer is stored in task->current. `on_end` must
-   set task->current.call to NULL. */
+/* Sends a control call. Its answer is stored in task->current. `on_end` gets
+   the TaskCall, and must set its `call` to NULL. */
 void Task_BeginControlCall(GateTask *task, FleetWorker *worker,
                            const GateControlCall *control_call,
                            void (*on_end)(void *, ClientOutcome));
@@ -203,10 +205,10 @@
 /* Whether the worker's answer may be passed to the caller. */
 bool Task_HasAnswer(const GateTask *task, ClientOutcome outcome);
 /* Notes that bytes of the answer came. */
-void Task_NoteHeard(GateTask *task);
-/* Appends data to the body of the answer, up to TASK_BODY_MAX bytes. `task` is
-   the GateTask. */
-void Task_AppendBody(void *task, const void *data, size_t size);
+void Task_NoteHeard(TaskCall *call);
+/* Appends data to the body of the answer, up to TASK_BODY_MAX bytes. `call` is
+   the TaskCall. */
+void Task_AppendBody(void *call, const void *data, size_t size);
 /* Returns the name, for logs, of the framing of the last answer to a call. */
 const char *Task_GetFramingName(const GateTask *task);
 /* Returns a short text for logs and callers on why a call failed. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -44,6 +44,7 @@
 static void init_call(GateTask *task, FleetWorker *worker);
 static void count_call(GateTask *task);
 static void correct_call_count(GateTask *task, ClientOutcome outcome);
+static void end_call(TaskCall *call);
 static void end_trial(TaskCall *call, bool accepted);
 static const char *get_stage_name(TaskStage stage);
 static json_t *list_parts(const GateTask *task);
@@ -219,7 +220,7 @@
                void (*on_end)(void *, ClientOutcome))
 {
     const GateCodec *codec = task->gate->options.codec;
-    TaskCall *current = &task->current;
+    TaskCall *current = task->current;
     HeaderList *headers = Header_New();
     ClientCallOptions call = {
         .address = worker->entry.address,
@@ -231,7 +232,7 @@
         .with_length = strcmp(task->exchange->method, "GET") != 0 &&
                        strcmp(task->exchange->method, "HEAD") != 0,
         .idle_max_ms = idle_max_ms,
-        .context = task,
+        .context = current,
         .matches_request = matches_request,
         .on_head = on_head,
         .on_data = on_data,
@@ -264,7 +265,7 @@
                       const GateControlCall *control_call,
                       void (*on_end)(void *, ClientOutcome))
 {
-    TaskCall *current = &task->current;
+    TaskCall *current = task->current;
     ClientCallOptions call = {
         .address = worker->entry.address,
         .method = control_call->method,
@@ -273,7 +274,7 @@
         .body = control_call->body,
         .body_size = strlen(control_call->body),
         .idle_max_ms = UINT32_MAX,
-        .context = task,
+        .context = current,
         .matches_request = matches_control,
         .on_head = on_control_head,
         .on_data = Task_AppendBody,
@@ -335,35 +336,16 @@
         task->assigned.kv = kv;
     }
     if (Task_MayBeRunning(task)) {
-        Forecast_Subtract(&task->current.worker->kv, &task->current.kv);
-        Forecast_Add(&task->current.worker->kv, &kv);
-        task->current.kv = kv;
+        Forecast_Subtract(&task->current->worker->kv, &task->current->kv);
+        Forecast_Add(&task->current->worker->kv, &kv);
+        task->current->kv = kv;
     }
 }
 
 void
 Task_EndCall(GateTask *task)
 {
-    TaskCall *current = &task->current;
-
-    if (current->call != NULL) {
-        Client_EndCall(current->call);
-    }
-    if (current->worker != NULL) {
-        task->spent_us[current->stage] += Task_Now(task) - current->began_us;
-        end_trial(current, false);
-        current->worker->inflight--;
-        current->worker->prefill_tokens -= current->prefill_tokens;
-        Forecast_Subtract(&current->worker->kv, &current->kv);
-        task->gate->options.on_load_change(task->gate->options.context);
-        Fleet_Unref(current->worker);
-    }
-    if (current->body != NULL) {
-        task->gate->buffered_bytes -= current->body->len;
-        g_byte_array_free(current->body, TRUE);
-    }
-    Header_Free(current->headers);
-    memset(current, 0, sizeof(*current));
+    end_call(task->current);
     task->step_deadline_us = 0;
 }
 
@@ -380,7 +362,7 @@
 LsRun
 Task_GetRun(const GateTask *task, ClientOutcome outcome)
 {
-    const TaskCall *current = &task->current;
+    const TaskCall *current = task->current;
 
     if (outcome == CLIENT_NOT_SENT) {
         return LS_RUN_NOT_RUN;
@@ -396,36 +378,37 @@
 bool
 Task_HasAnswer(const GateTask *task, ClientOutcome outcome)
 {
-    const GateReply *reply = &task->current.reply;
+    const GateReply *reply = &task->current->reply;
 
-    if (outcome != CLIENT_COMPLETE || !task->current.has_reply ||
-        reply->is_encoded || task->current.truncated) {
+    if (outcome != CLIENT_COMPLETE || !task->current->has_reply ||
+        reply->is_encoded || task->current->truncated) {
         return false;
     }
     return reply->matches_request && reply->has_receipt;
 }
 
 void
-Task_NoteHeard(GateTask *task)
+Task_NoteHeard(TaskCall *call)
 {
-    task->current.heard_us = Task_Now(task);
-    task->current.worker->heard_us = task->current.heard_us;
+    call->heard_us = Task_Now(call->task);
+    call->worker->heard_us = call->heard_us;
 }
 
 void
 Task_AppendBody(void *context, const void *data, size_t size)
 {
-    GateTask *task = context;
+    TaskCall *call = context;
+    Gate *gate = call->task->gate;
 
-    Task_NoteHeard(task);
-    if (task->current.body->len + size <= TASK_BODY_MAX &&
-        task->gate->buffered_bytes + size <= TASK_BODIES_MAX) {
-        g_byte_array_append(task->current.body, data, (guint)size);
-        task->gate->buffered_bytes += size;
+    Task_NoteHeard(call);
+    if (call->body->len + size <= TASK_BODY_MAX &&
+        gate->buffered_bytes + size <= TASK_BODIES_MAX) {
+        g_byte_array_append(call->body, data, (guint)size);
+        gate->buffered_bytes += size;
     }
     else {
-        task->current.truncated = true;
-        Client_RejectBody(task->current.call);
+        call->truncated = true;
+        Client_RejectBody(call->call);
     }
 }
 
@@ -460,7 +443,7 @@
 Task_NoteFailure(GateTask *task, ClientOutcome outcome, LsRun run,
                  const char *cause)
 {
-    TaskCall *current = &task->current;
+    TaskCall *current = task->current;
     FleetWorker *worker = current->worker;
     int64_t now_us = Task_Now(task);
 
@@ -491,7 +474,7 @@
             "stage", get_stage_name(current->stage), "cause", cause, "status",
             current->has_reply ? current->reply.status : 0, "framing",
             Task_GetFramingName(task), "unfinished_bytes",
-            (int)task->sse.pending->len, "run", Err_GetRunName(run),
+            (int)task->current->sse.pending->len, "run", Err_GetRunName(run),
             "after_us", (json_int_t)(now_us - current->began_us), "sends",
             (int)task->sends, "runs", (int)task->runs, "running",
             (int)current->reply.running, "waiting",
@@ -622,7 +605,7 @@
 static void
 init_call(GateTask *task, FleetWorker *worker)
 {
-    TaskCall *current = &task->current;
+    TaskCall *current = task->current;
 
     current->worker = Fleet_Ref(worker);
     current->began_us = Task_Now(task);
@@ -642,7 +625,7 @@
 static void
 count_call(GateTask *task)
 {
-    TaskCall *current = &task->current;
+    TaskCall *current = task->current;
 
     current->counted = current->stage != TASK_PREFILL || task->prefilled;
     current->extra = current->counted && task->counted_calls > 0;
@@ -658,7 +641,7 @@
 static void
 correct_call_count(GateTask *task, ClientOutcome outcome)
 {
-    TaskCall *current = &task->current;
+    TaskCall *current = task->current;
 
     if (outcome == CLIENT_NOT_SENT && current->counted) {
         task->counted_calls--;
@@ -677,6 +660,35 @@
     current->extra = false;
 }
 
+/* Cancels the call if it is in progress, and clears it but for `sse`. */
+static void
+end_call(TaskCall *call)
+{
+    GateTask *task = call->task;
+    Sse sse = call->sse;
+
+    if (call->call != NULL) {
+        Client_EndCall(call->call);
+    }
+    if (call->worker != NULL) {
+        task->spent_us[call->stage] += Task_Now(task) - call->began_us;
+        end_trial(call, false);
+        call->worker->inflight--;
+        call->worker->prefill_tokens -= call->prefill_tokens;
+        Forecast_Subtract(&call->worker->kv, &call->kv);
+        task->gate->options.on_load_change(task->gate->options.context);
+        Fleet_Unref(call->worker);
+    }
+    if (call->body != NULL) {
+        task->gate->buffered_bytes -= call->body->len;
+        g_byte_array_free(call->body, TRUE);
+    }
+    Header_Free(call->headers);
+    memset(call, 0, sizeof(*call));
+    call->task = task;
+    call->sse = sse;
+}
+
 /* Ends the call's trial, if it is one. */
 static void
 end_trial(TaskCall *call, bool accepted)
@@ -713,7 +725,7 @@
 static void
 log_call(const GateTask *task)
 {
-    const TaskCall *current = &task->current;
+    const TaskCall *current = task->current;
 
     Log_WriteJson(
         LOG_LEVEL_DEBUG, "call",
@@ -728,21 +740,21 @@
 static void
 on_control_head(void *context, int status, const HeaderList *headers)
 {
-    GateTask *task = context;
+    TaskCall *call = context;
 
     (void)headers;
-    task->current.has_reply = true;
-    task->current.reply.status = status;
-    Task_NoteHeard(task);
-    end_trial(&task->current, status != 503);
+    call->has_reply = true;
+    call->reply.status = status;
+    Task_NoteHeard(call);
+    end_trial(call, status != 503);
 }
 
 /* A late copy of a request's answer is not the answer to a control call. */
 static bool
 matches_control(void *context, const HeaderList *headers)
 {
-    const GateTask *task = context;
-    const GateCodec *codec = task->gate->options.codec;
+    const TaskCall *call = context;
+    const GateCodec *codec = call->task->gate->options.codec;
 
     return codec->matches_control(codec->context, headers);
 }
@@ -750,7 +762,8 @@
 static bool
 matches_request(void *context, const HeaderList *headers)
 {
-    const GateTask *task = context;
+    const TaskCall *call = context;
+    const GateTask *task = call->task;
     const GateCodec *codec = task->gate->options.codec;
 
     return codec->matches_request(codec->context, headers, task->request.id);
@@ -759,14 +772,14 @@
 static void
 on_head(void *context, int status, const HeaderList *headers)
 {
-    GateTask *task = context;
+    TaskCall *current = context;
+    GateTask *task = current->task;
     const GateCodec *codec = task->gate->options.codec;
-    TaskCall *current = &task->current;
     int64_t now_us = Task_Now(task);
 
     current->has_reply = true;
     current->head_us = now_us;
-    Task_NoteHeard(task);
+    Task_NoteHeard(current);
     end_trial(current, status != 503);
     codec->decode_reply(codec->context, status, headers, task->request.id,
                         &current->reply);
