Stream: the body of an error answer is stored in its call

Ruled out: other places; the remaining callers pass a TaskCall (read). Change: the call is passed. Measured: ErrorAnswerOfAWorkerIsPassed crashes before and passes now; no other test had an error answer with a body in place of a stream. Conclusion: mended, with a test that failed first.

--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -398,7 +398,7 @@
     Task_NoteHeard(current);
     if (current->reply.status != 200 || !current->reply.has_receipt ||
         !current->reply.matches_request || current->reply.is_encoded) {
-        Task_AppendBody(task, data, size);
+        Task_AppendBody(current, data, size);
         return;
     }
     /* The worker has fetched the KV memory. */
--- a/tests/test_gate_streams.cc
+++ b/tests/test_gate_streams.cc
@@ -123,6 +123,19 @@
     }
 }
 
+/* A worker's own error in place of a stream reaches the caller whole. */
+TEST(GateStreams, ErrorAnswerOfAWorkerIsPassed)
+{
+    GateRig rig;
+    rig.SetRoute(at_most_once, true);
+    rig.AddWorker({{Answer(500, "X-Response-Stamp: s1\r\n", "broken")}},
+                  FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Prompt());
+    ASSERT_TRUE(rig.Until([&] { return caller->IsComplete(); }));
+    EXPECT_EQ(caller->Status(), 500);
+    EXPECT_EQ(caller->Body(), "broken");
+}
+
 /* What the logs and metrics tell of the end of a worker's stream. */
 struct FramingCase {
     const char *name;
