Stream: a silent call is kept until another worker has taken over

What callers saw: a stream that had begun ended without its last events, though its worker was sound and would have gone on a moment later. Memory, prompt and retry budget were not in hand, and with several workers silent at once many streams needed them at the same time; the budget that was true at the decision was gone at the call. Class: an accepted request is given up before its successor is secured. Change: decide/handover decides when a successor is prepared (by the callers' patience and the usual time between events) and when the silent call is given up: once the successor's answer begins, or 250 ms after it was sent. Until then gate/successor keeps it open, and it wins if it goes on first. The worker gets no new requests from 0.3 to 0.9 s of silence on.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -1,6 +1,7 @@
 /* Gate: creation, configuration and shutdown. See gate.h. */
 #include "../log.h"
 #include "crash_check.h"
+#include "successor.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -199,6 +200,7 @@
 Gate_EndAll(Gate *gate)
 {
     while (!LIST_EMPTY(&gate->tasks)) {
+        Successor_EndSilent(LIST_FIRST(&gate->tasks));
         Task_Abort(LIST_FIRST(&gate->tasks), ADMISSION_STOPPING,
                    LS_ERR_UPSTREAM_FAILED);
     }
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -4,21 +4,18 @@
    stream between two events. See task.h. */
 #include "blame.h"
 #include "reservation.h"
+#include "successor.h"
 #include "task_wait.h"
 
 #include "../log.h"
 
 #include <string.h>
 
-/* Timeouts of calls without any data. Those of a prefill and of the first
-   event are the expected time x STREAM_TIMEOUT_FACTOR, with a minimum. Callers
-   close a stream without events after some seconds. */
+/* Timeouts of reservations and prefills without an answer. That of a prefill
+   is the expected time x STREAM_TIMEOUT_FACTOR, with a minimum. */
 #define STREAM_TIMEOUT_FACTOR 3
 #define STREAM_RESERVE_TIMEOUT_US (250 * CLK_US_PER_MS)
 #define STREAM_PREFILL_TIMEOUT_MIN_US (1500 * CLK_US_PER_MS)
-#define STREAM_FIRST_EVENT_TIMEOUT_MIN_US (1000 * CLK_US_PER_MS)
-/* Timeout between two events, as a multiple of the route's gap_ms. */
-#define STREAM_GAP_TIMEOUT_FACTOR 4
 /* Duration of a reservation: a fixed time for a run that follows at once, plus
    this multiple of the expected prefill time if the prompt must be read. */
 #define STREAM_LEASE_MS 300
@@ -45,6 +42,10 @@
 
 static void update_mean(double *mean, double sample);
 static void add_demand(const GateTask *task);
+static void on_run_silent(GateTask *task);
+static HandoverLimits get_limits(const GateTask *task);
+static void expect_progress(GateTask *task);
+static void take_over(GateTask *task);
 static void advance(GateTask *task);
 static bool can_reserve(const GateTask *task);
 static bool has_call_budget(GateTask *task);
@@ -55,6 +56,8 @@
 static void on_prefill_end(void *context, ClientOutcome outcome);
 static void on_run_data(void *context, const void *data, size_t size);
 static void on_run_end(void *context, ClientOutcome outcome);
+static void on_silent_end(GateTask *task, ClientOutcome outcome);
+static bool has_next_event(const GateTask *task, Sse *sse);
 static bool forward_events(GateTask *task);
 static void note_event_time(GateTask *task);
 static void retry_or_end(GateTask *task, LsRun run, bool has_answer);
@@ -125,25 +128,89 @@
 void
 Stream_OnStepTimeout(GateTask *task)
 {
-    bool may_run = Task_MayBeRunning(task);
-
     task->step_deadline_us = 0;
     if (task->waiting) {
         task->waiting = false;
         advance(task);
         return;
     }
+    if (Task_MayBeRunning(task)) {
+        on_run_silent(task);
+        return;
+    }
     Health_NoteUnresponsive(&task->current->worker->health, Task_Now(task));
-    /* Budget for two calls: a repeated run may need a prefill too. */
-    if ((may_run && (!task->route->can_resume ||
-                     task->runs + 1 >= task->route->attempts)) ||
-        (task->current->stage != TASK_RESERVE && !Task_HasBudget(task, 2))) {
+    /* Budget for two calls: a repeated prefill is followed by a run. */
+    if (task->current->stage == TASK_PREFILL && !Task_HasBudget(task, 2)) {
         Task_SetTimer(task); /* No other call is allowed: keep waiting. */
         return;
     }
-    Task_NoteFailure(task, CLIENT_INTERRUPTED,
-                     may_run ? LS_RUN_UNKNOWN : LS_RUN_NOT_RUN, "silent");
-    retry_or_end(task, may_run ? LS_RUN_UNKNOWN : LS_RUN_NOT_RUN, false);
+    Task_NoteFailure(task, CLIENT_INTERRUPTED, LS_RUN_NOT_RUN, "silent");
+    retry_or_end(task, LS_RUN_NOT_RUN, false);
+}
+
+/* Notes that the worker is silent, then prepares a successor, and at last
+   gives up the silent call for it. */
+static void
+on_run_silent(GateTask *task)
+{
+    TaskCall *current = task->current;
+    int64_t now_us = Task_Now(task);
+
+    if (task->silent != NULL) {
+        if (Successor_Decide(task, false, false) == HANDOVER_SWITCH) {
+            take_over(task);
+            Task_SetTimer(task);
+        }
+        return;
+    }
+    if (!current->is_quiet) {
+        current->is_quiet = true;
+        Health_NoteUnresponsive(&current->worker->health, now_us);
+        task->step_deadline_us =
+            current->progress_us + get_limits(task).prepare_us;
+        Task_SetTimer(task);
+        return;
+    }
+    if (Successor_Decide(task, false, false) != HANDOVER_PREPARE) {
+        Task_SetTimer(task);
+        return;
+    }
+    Successor_Begin(task);
+    advance(task);
+}
+
+/* Returns how long the run may make no progress. */
+static HandoverLimits
+get_limits(const GateTask *task)
+{
+    HandoverCall call = {
+        .stage =
+            task->current->events > 0 ? HANDOVER_EVENTS : HANDOVER_NO_EVENT,
+        .expected_us = task->current->expected_us,
+        .slo_us = (int64_t)task->route->slo_ms * CLK_US_PER_MS,
+        .gap_us = (int64_t)task->route->gap_ms * CLK_US_PER_MS,
+    };
+
+    return Handover_GetLimits(&call);
+}
+
+/* Sets the step's deadline after progress of the run. */
+static void
+expect_progress(GateTask *task)
+{
+    TaskCall *current = task->current;
+
+    current->progress_us = Task_Now(task);
+    current->is_quiet = false;
+    task->step_deadline_us = current->progress_us + get_limits(task).quiet_us;
+}
+
+/* Gives up the silent call: the run at the other worker has begun. */
+static void
+take_over(GateTask *task)
+{
+    Successor_TakeOver(task, CLIENT_INTERRUPTED, LS_RUN_UNKNOWN, "silent");
+    expect_progress(task);
 }
 
 void
@@ -344,10 +411,11 @@
     /* From here on the call counts the memory and uses the reservation. */
     Reservation_UnassignWorker(task, false);
     Fleet_Unref(worker);
-    task->step_deadline_us =
-        task->current->began_us +
-        MAX(STREAM_FIRST_EVENT_TIMEOUT_MIN_US,
-            STREAM_TIMEOUT_FACTOR * task->current->expected_us);
+    expect_progress(task);
+    if (task->silent != NULL) {
+        task->step_deadline_us =
+            task->current->began_us + HANDOVER_ACCEPT_MAX_US;
+    }
     Task_SetTimer(task);
 }
 
@@ -401,9 +469,19 @@
         Task_AppendBody(current, data, size);
         return;
     }
+    Sse_Feed(&current->sse, data, size);
+    if (current == task->silent) {
+        if (!has_next_event(task, &current->sse)) {
+            return;
+        }
+        Successor_Cancel(task);
+    }
+    else if (task->silent != NULL &&
+             Successor_Decide(task, false, false) == HANDOVER_SWITCH) {
+        take_over(task);
+    }
     /* The worker has fetched the KV memory. */
     Reservation_ReleaseHandle(task, false);
-    Sse_Feed(&task->current->sse, data, size);
     if (!forward_events(task)) {
         Task_NoteFailure(task, CLIENT_MALFORMED, LS_RUN_UNKNOWN,
                          "event missing or too long in stream");
@@ -411,6 +489,25 @@
     }
 }
 
+/* Whether a complete event is there that the caller does not have. */
+static bool
+has_next_event(const GateTask *task, Sse *sse)
+{
+    size_t offset = 0;
+    size_t begin = 0;
+    SseEvent event;
+
+    while (Sse_Next(sse, &offset, &event)) {
+        if (event.has_id && event.id > task->last_event) {
+            Sse_Drop(sse, begin);
+            return true;
+        }
+        begin = offset;
+    }
+    Sse_Drop(sse, begin);
+    return false;
+}
+
 /* Sends the caller the complete events. Returns false if the worker skipped an
    event, or sends one that is too long. */
 static bool
@@ -454,9 +551,7 @@
         if (event.has_id) {
             /* Comments are no progress: a stalled worker may send them. */
             task->last_event = event.id;
-            task->step_deadline_us =
-                Task_Now(task) + (int64_t)STREAM_GAP_TIMEOUT_FACTOR *
-                                     task->route->gap_ms * CLK_US_PER_MS;
+            expect_progress(task);
         }
     }
     Sse_Drop(&task->current->sse, offset);
@@ -490,12 +585,16 @@
     bool cut_before_event;
 
     current->call = NULL;
+    if (current == task->silent) {
+        on_silent_end(task, outcome);
+        return;
+    }
     /* The framing alone doesn't show that a stream is complete: it may be
        nothing but the end of the connection. */
     cut_inside_event =
         outcome == CLIENT_COMPLETE && Sse_IsInsideEvent(&task->current->sse);
     cut_before_event = outcome == CLIENT_COMPLETE && current->events == 0 &&
-                       task->framing == CLIENT_FRAMING_CLOSE &&
+                       current->framing == CLIENT_FRAMING_CLOSE &&
                        current->reply.status == 200;
     if (cut_inside_event) {
         Met_Add(MET_STREAMS_ENDED_IN_EVENT, 1);
@@ -537,6 +636,34 @@
     retry_or_end(task, run, has_answer && current->reply.status != 200);
 }
 
+/* Goes on with the successor after the silent call has ended. Its last events
+   may have come with the end. */
+static void
+on_silent_end(GateTask *task, ClientOutcome outcome)
+{
+    LsRun run;
+    const char *cause;
+
+    Successor_SwapCalls(task);
+    run = Task_GetRun(task, outcome);
+    cause = Task_GetCause(task, outcome, run);
+    if (Task_HasAnswer(task, outcome) && task->streaming &&
+        task->current->reply.status == 200 &&
+        !Sse_IsInsideEvent(&task->current->sse)) {
+        Successor_SwapCalls(task);
+        Successor_Cancel(task);
+        on_run_end(task->current, outcome);
+        return;
+    }
+    Blame_NoteBreak(task, outcome, run);
+    Successor_SwapCalls(task);
+    Successor_TakeOver(task, outcome, run, cause);
+    if (Task_MayBeRunning(task)) {
+        expect_progress(task);
+        Task_SetTimer(task);
+    }
+}
+
 /* Continues after a failed call: with another worker if the route and the
    budget allow it and there is one, or else ends the task. */
 static void
@@ -556,7 +683,8 @@
     input.repeatable = task->route->can_resume;
     input.has_answer = has_answer && !task->streaming;
     /* A stream that has begun waits for the budget, as for a worker. */
-    input.has_budget = task->streaming || task->counted_calls == 0 ||
+    input.has_budget = task->streaming || task->silent != NULL ||
+                       task->counted_calls == 0 ||
                        Task_HasBudget(task, task->prefilled ? 2 : 1);
     /* A worker that is full at present counts, as the task can wait. */
     input.has_candidate = Reservation_HasCandidate(task);
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -1,5 +1,6 @@
 /* Task: begin and end of a request, and its answers. See task.h. */
 #include "task.h"
+#include "successor.h"
 
 #include "../io/loop.h"
 #include "../log.h"
@@ -130,9 +131,16 @@
 void
 Task_Abort(GateTask *task, AdmissionCause cause, LsResult code)
 {
-    bool may_have_run =
-        task->runs > 0 || task->streaming || Task_MayBeRunning(task);
+    bool may_have_run;
 
+    if (task->silent != NULL) {
+        Successor_Cancel(task);
+        task->step_deadline_us = Task_Now(task) + HANDOVER_AGAIN_US;
+        Task_SetTimer(task);
+        return;
+    }
+    may_have_run =
+        task->runs > 0 || task->streaming || Task_MayBeRunning(task);
     Task_EndCall(task);
     if (may_have_run) {
         Task_Fail(task, code);
@@ -154,6 +162,7 @@
             1);
     Met_Observe(task->route->kind == RTE_STREAM ? MET_STREAM_US : MET_PLAIN_US,
                 took_us);
+    Successor_EndSilent(task);
     Task_EndCall(task);
     run_us = task->spent_us[TASK_RUN] + task->spent_us[TASK_DECODE];
     Log_WriteJson(
@@ -320,6 +329,7 @@
             Health_NoteUnresponsive(&task->current->worker->health,
                                     Task_Now(task));
         }
+        Successor_EndSilent(task);
         g_strlcpy(task->cause, "timeout", sizeof(task->cause));
         Task_Abort(task, ADMISSION_FULL, LS_ERR_DEADLINE);
         return;
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -52,7 +52,12 @@
     HeaderList *headers;    /* Headers of the reply for the caller. */
     GByteArray *body;       /* Body of the reply, up to TASK_BODY_MAX bytes. */
     bool truncated;         /* The body was longer than the limit. */
-    Sse sse;                /* Splits a stream; valid beyond the call's end. */
+    /* When the call began, or when its last event with an ID came. */
+    int64_t progress_us;
+    bool is_quiet; /* Its worker was found to be silent. */
+    /* Valid beyond the call's end. */
+    Sse sse;               /* Splits a stream. */
+    ClientFraming framing; /* Of the answer. */
 } TaskCall;
 
 /* KV memory of a prompt that a prefill worker keeps until it is fetched. */
@@ -89,6 +94,8 @@
                                  data, or a wait); 0 for none. */
     TaskCall calls[2];
     TaskCall *current; /* One of `calls`. */
+    TaskCall *silent;  /* The other one while its worker is silent and another
+                          one is prepared, or else NULL; see successor.h. */
     TaskHandle kv;
     TaskAssignment assigned;
     char lease[GATE_HANDLE_MAX]; /* Reservation at the assigned worker; "" if
@@ -98,7 +105,6 @@
     FleetWorker *excluded[TASK_EXCLUDED_MAX];
     guint excluded_count;
     char worker[FLEET_ID_MAX]; /* Of the last call. */
-    ClientFraming framing;     /* Of the last answer to a call. */
     uint32_t sends;            /* Calls begun, reservations not counted. */
     uint32_t runs;             /* Workers on which the request may have run. */
     uint32_t counted_calls;    /* Calls counted for the retry budget, which
@@ -238,7 +244,8 @@
 /* Answers 502 or 504, or aborts a stream that has begun. */
 void Task_Fail(GateTask *task, LsResult code);
 /* Ends the call in progress. Fails the task with `code` if the request may
-   have run, or refuses it with `cause` otherwise. */
+   have run, or refuses it with `cause` otherwise. A task with a silent call
+   goes on with that one instead. */
 void Task_Abort(GateTask *task, AdmissionCause cause, LsResult code);
 /* Counts and logs the end. The caller must have its answer, or have
    disconnected. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -252,7 +252,7 @@
     }
     init_call(task, worker);
     g_strlcpy(task->worker, worker->entry.id, sizeof(task->worker));
-    task->framing = CLIENT_FRAMING_NONE;
+    current->framing = CLIENT_FRAMING_NONE;
     count_call(task);
     task->sends++;
     current->call = Client_BeginCall(task->gate->options.client, &call);
@@ -417,7 +417,7 @@
 {
     static const char *const names[] = {"none", "length", "chunks", "close"};
 
-    return names[task->framing];
+    return names[task->current->framing];
 }
 
 const char *
@@ -610,6 +610,7 @@
     current->worker = Fleet_Ref(worker);
     current->began_us = Task_Now(task);
     current->heard_us = current->began_us;
+    current->progress_us = current->began_us;
     current->has_reply = false;
     current->body = g_byte_array_new();
     current->trial = Notice_BeginTrial(&worker->notice);
@@ -660,12 +661,14 @@
     current->extra = false;
 }
 
-/* Cancels the call if it is in progress, and clears it but for `sse`. */
+/* Cancels the call if it is in progress, and clears it but for the fields that
+   stay valid. */
 static void
 end_call(TaskCall *call)
 {
     GateTask *task = call->task;
     Sse sse = call->sse;
+    ClientFraming framing = call->framing;
 
     if (call->call != NULL) {
         Client_EndCall(call->call);
@@ -687,6 +690,7 @@
     memset(call, 0, sizeof(*call));
     call->task = task;
     call->sse = sse;
+    call->framing = framing;
 }
 
 /* Ends the call's trial, if it is one. */
@@ -783,8 +787,8 @@
     end_trial(current, status != 503);
     codec->decode_reply(codec->context, status, headers, task->request.id,
                         &current->reply);
-    task->framing = Client_GetFraming(current->call);
-    if (task->framing == CLIENT_FRAMING_CLOSE) {
+    current->framing = Client_GetFraming(current->call);
+    if (current->framing == CLIENT_FRAMING_CLOSE) {
         Met_Add(MET_ANSWERS_UNTIL_CLOSE, 1);
     }
     current->headers = Header_New();
--- a/src/gate/task_wait.c
+++ b/src/gate/task_wait.c
@@ -2,6 +2,7 @@
 #include "task_wait.h"
 #include "reservation.h"
 
+static void poll(GateTask *task, const AdmissionWaitPlan *wait_plan);
 static bool may_wait(GateTask *task);
 static AdmissionQueue *find_queue(GateTask *task);
 static AdmissionWaitPlan plan_wait(const GateTask *task);
@@ -18,6 +19,10 @@
         task->waiting_since_us = now_us;
     }
     wait_plan = plan_wait(task);
+    if (task->silent != NULL) {
+        poll(task, &wait_plan);
+        return;
+    }
     if (Task_IsTurnedAway(task, &open_us, &is_limited) &&
         (open_us == 0 || open_us >= wait_plan.until_us)) {
         Task_Abort(task, ADMISSION_NO_WORKER, LS_ERR_UPSTREAM_FAILED);
@@ -29,11 +34,7 @@
         Task_Abort(task, ADMISSION_FULL, LS_ERR_UPSTREAM_FAILED);
         return;
     }
-    task->waiting = true;
-    task->step_deadline_us =
-        now_us + wait_plan.poll_us +
-        g_rand_int_range(task->gate->rand, 0, (gint32)wait_plan.poll_us);
-    Task_SetTimer(task);
+    poll(task, &wait_plan);
 }
 
 void
@@ -45,6 +46,17 @@
     }
 }
 
+/* Schedules the next poll. */
+static void
+poll(GateTask *task, const AdmissionWaitPlan *wait_plan)
+{
+    task->waiting = true;
+    task->step_deadline_us =
+        Task_Now(task) + wait_plan->poll_us +
+        g_rand_int_range(task->gate->rand, 0, (gint32)wait_plan->poll_us);
+    Task_SetTimer(task);
+}
+
 /* Whether the task may wait, or go on to wait. What has been begun always may.
  */
 static bool
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -50,6 +50,11 @@
     [MET_STREAMS_BROKEN_OFF] = {"streams_broken_off",
                                 "Streams that had begun and were ended "
                                 "without their last event."},
+    [MET_SUCCESSORS] = {"successors", "Silent calls for which another worker "
+                                      "was looked for."},
+    [MET_SUCCESSORS_TOOK_OVER] = {"successors_took_over",
+                                  "Silent calls that were given up for one, "
+                                  "or broke meanwhile."},
     [MET_WORKERS_LEAVING] = {"workers_leaving",
                              "Workers that said that they leave."},
     [MET_PAUSES] = {"pauses", "Refusals of workers that name a pause."},
--- a/tests/test_gate_silence.cc
+++ b/tests/test_gate_silence.cc
@@ -76,4 +76,132 @@
     }
 }
 
+/* Events that a stream has brought before it falls silent. */
+const int begun_events[] = {0, 3};
+
+std::string
+BeginStream(int events)
+{
+    return StreamHead("Transfer-Encoding: chunked\r\n") +
+           (events > 0 ? Chunk(Events(0, events - 1)) : "");
+}
+
+TEST(GateSilence, StreamOfALostWorkerIsTakenOver)
+{
+    for (int events : begun_events) {
+        SCOPED_TRACE(events);
+        GateRig rig;
+        rig.SetRoute(resumable, true);
+        Worker *silent =
+            rig.AddWorker({{BeginStream(events)}}, FLEET_PHASE_DECODE);
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(rig.Until([&] { return !silent->requests.empty(); }));
+        Worker *other = rig.AddWorker({Stream(events, 9)}, FLEET_PHASE_DECODE);
+        ASSERT_TRUE(
+            rig.Until([&] { return caller->IsComplete() || caller->closed; }));
+        EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+        EXPECT_EQ(other->requests.size(), 1u);
+        ASSERT_TRUE(rig.Until([&] { return silent->closed == 1; }));
+    }
+}
+
+/* The silent worker goes on while another one reads the prompt again. */
+TEST(GateSilence, StreamThatGoesOnKeepsItsWorker)
+{
+    for (int events : begun_events) {
+        SCOPED_TRACE(events);
+        GateRig rig;
+        rig.SetRoute(resumable, true);
+        Worker *silent =
+            rig.AddWorker({{BeginStream(events)}}, FLEET_PHASE_DECODE);
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(rig.Until([&] { return !silent->requests.empty(); }));
+        Worker *other = rig.AddWorker({Stream(events, 9)}, FLEET_PHASE_DECODE);
+        Worker *prefill =
+            rig.AddWorker({{"", ScriptedReply::KEEP}}, FLEET_PHASE_PREFILL);
+        ASSERT_TRUE(rig.Until([&] { return !prefill->requests.empty(); }));
+        EXPECT_EQ(silent->closed, 0);
+        silent->SendToAll(Chunk(Events(events, 9)) + stream_end);
+        ASSERT_TRUE(
+            rig.Until([&] { return caller->IsComplete() || caller->closed; }));
+        EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+        /* The reservation is given back, the prefill is cancelled. */
+        ASSERT_TRUE(rig.Until(
+            [&] { return !other->requests.empty() && prefill->closed == 1; }));
+        ASSERT_EQ(other->requests.size(), 1u);
+        EXPECT_EQ(other->requests[0].find("DELETE /v1/hold-drop/L1"), 0u);
+        EXPECT_EQ(Forecast_GetPeak(&rig.last_worker->kv), 0u);
+        EXPECT_EQ(rig.last_worker->inflight, 0u);
+    }
+}
+
+/* Both calls end badly, in either order: the caller's stream is broken off,
+   and nothing is left behind at the workers. */
+TEST(GateSilence, SilentWorkerBreaksWhileItsSuccessorIsPrepared)
+{
+    GateRig rig;
+    rig.SetRoute(resumable, true);
+    Worker *silent = rig.AddWorker({SilentStream()}, FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Prompt());
+    ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+    Worker *other = rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
+    Worker *prefill =
+        rig.AddWorker({{"", ScriptedReply::KEEP}}, FLEET_PHASE_PREFILL);
+    ASSERT_TRUE(rig.Until([&] { return !prefill->requests.empty(); }));
+    silent->CloseAll();
+    RunFor(&rig, 50);
+    EXPECT_FALSE(caller->closed);
+    prefill->CloseAll();
+    ASSERT_TRUE(
+        rig.Until([&] { return caller->IsComplete() || caller->closed; }));
+    EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+    EXPECT_EQ(other->requests.size(), 1u);
+}
+
+/* A successor that refuses the run, although it has reserved memory. */
+TEST(GateSilence, RefusedSuccessorLeavesTheSilentCallOpen)
+{
+    GateRig rig;
+    rig.SetRoute(resumable, true);
+    Worker *silent = rig.AddWorker({SilentStream()}, FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Prompt());
+    ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+    Worker *other = rig.AddWorker({}, FLEET_PHASE_DECODE);
+    ASSERT_TRUE(rig.Until([&] { return !other->requests.empty(); }));
+    RunFor(&rig, 100);
+    EXPECT_EQ(silent->closed, 0);
+    silent->SendToAll(Chunk(Events(3, 9)) + stream_end);
+    ASSERT_TRUE(
+        rig.Until([&] { return caller->IsComplete() || caller->closed; }));
+    EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+}
+
+/* The caller leaves, or its time ends, while both calls are open. */
+TEST(GateSilence, EndOfTheRequestEndsBothCalls)
+{
+    for (bool leaves : {true, false}) {
+        SCOPED_TRACE(leaves);
+        GateRig rig;
+        Route route = resumable;
+        route.timeout_ms = 3000;
+        rig.SetRoute(route, true);
+        Worker *silent = rig.AddWorker({SilentStream()}, FLEET_PHASE_DECODE);
+        FleetWorker *row = Fleet_Ref(rig.last_worker);
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+        rig.AddWorker({}, FLEET_PHASE_DECODE);
+        Worker *prefill =
+            rig.AddWorker({{"", ScriptedReply::KEEP}}, FLEET_PHASE_PREFILL);
+        ASSERT_TRUE(rig.Until([&] { return !prefill->requests.empty(); }));
+        if (leaves) {
+            caller->Disconnect();
+        }
+        ASSERT_TRUE(rig.Until(
+            [&] { return silent->closed == 1 && prefill->closed == 1; }));
+        EXPECT_EQ(row->inflight, 0u);
+        EXPECT_EQ(Forecast_GetPeak(&row->kv), 0u);
+        Fleet_Unref(row);
+    }
+}
+
 } // namespace
