Gate: move the choice of a worker out of task_call.c

Ruled out: a change of logic. A comparison of the source text of all functions, before and after: 39 of 39 the same. Change: the choice of a worker is now task_choice.c, with its constant and its classes of workers. The declarations stay in task.h; the opening comment of task_call.c no longer names the choice. Conclusion: the choice of a worker can change without the calls.

--- /dev/null
+++ b/src/gate/task_choice.c
@@ -0,0 +1,228 @@
+/* Choice of a task: chooses the worker for a call. See task.h. */
+#include "task.h"
+
+#include <string.h>
+
+/* Cost of a worker that another VM can't reach: most of the time that a call
+   would take to find it unreachable. */
+#define TASK_PEER_UNREACHABLE_COST_US (300 * CLK_US_PER_MS)
+
+/* Classes of workers, the best first; the cost decides within one. */
+typedef enum Suitability {
+    SUITABILITY_SOUND,
+    SUITABILITY_LEAVING, /* It still serves. */
+    SUITABILITY_BLOCKED, /* It may not answer. */
+} Suitability;
+
+static FleetWorker *find_best(GateTask *task, FleetPhase phase, TaskCost cost,
+                              const void *context, guint offset,
+                              int64_t *best_us);
+static double get_share(const GateTask *task);
+static Suitability get_suitability(const FleetWorker *worker, int64_t now_us);
+static void fill_rank(const GateTask *task, const FleetWorker *worker,
+                      int64_t now_us, RankWorker *rank);
+static bool is_excluded(const GateTask *task, const FleetWorker *worker);
+
+RankDistance
+Task_GetDistance(const Gate *gate, const char *from, const char *to)
+{
+    const char *from_region;
+    const char *to_region;
+
+    if (strcmp(from, to) == 0) {
+        return RANK_SAME_ZONE;
+    }
+    from_region = g_hash_table_lookup(gate->options.regions, from);
+    to_region = g_hash_table_lookup(gate->options.regions, to);
+    return g_strcmp0(from_region, to_region) == 0 && from_region != NULL
+               ? RANK_SAME_REGION
+               : RANK_OTHER_REGION;
+}
+
+FleetWorker *
+Task_ChooseWorker(GateTask *task, FleetPhase phase, TaskCost cost,
+                  const void *context, int64_t *best_us)
+{
+    int64_t now_us = Task_Now(task);
+    guint offset = g_rand_int(task->gate->rand);
+    FleetWorker *best;
+
+    task->gate->choices++;
+    while ((best = find_best(task, phase, cost, context, offset, best_us)) !=
+               NULL &&
+           *best_us < RANK_UNUSABLE_US &&
+           Throttle_IsLimited(&best->throttle) &&
+           !Throttle_IsOpen(&best->throttle, get_share(task), now_us)) {
+        best->throttled_choice = task->gate->choices;
+    }
+    return best;
+}
+
+bool
+Task_IsTurnedAway(const GateTask *task, int64_t *until_us, bool *is_limited)
+{
+    const GPtrArray *rows = task->gate->options.fleet->rows;
+    FleetPhase phase = task->route->kind == RTE_STREAM ? FLEET_PHASE_DECODE
+                                                       : FLEET_PHASE_NONE;
+    int64_t now_us = Task_Now(task);
+    bool is_turned_away = false;
+    int64_t open_us;
+
+    *until_us = 0;
+    *is_limited = false;
+    for (guint i = 0; i < rows->len; i++) {
+        const FleetWorker *worker = g_ptr_array_index(rows, i);
+        if (worker->entry.phase != phase ||
+            strcmp(worker->entry.service, task->service->name) != 0 ||
+            !Fleet_IsListed(worker, now_us) || worker->entry.draining) {
+            continue;
+        }
+        open_us = Throttle_IsLimited(&worker->throttle)
+                      ? Throttle_GetOpenTime(&worker->throttle,
+                                             get_share(task), now_us)
+                      : now_us;
+        if (Notice_GetUse(&worker->notice, now_us) != NOTICE_CLOSED &&
+            open_us <= now_us) {
+            return false;
+        }
+        is_turned_away = true;
+        *is_limited |= Throttle_IsLimited(&worker->throttle);
+        if (!worker->notice.leaving) {
+            /* The pause is over if a trial is running. */
+            int64_t end_us = MAX(worker->notice.paused_until_us, open_us);
+            *until_us = *until_us == 0 ? end_us : MIN(*until_us, end_us);
+        }
+    }
+    return is_turned_away;
+}
+
+int64_t
+Task_GetCost(const GateTask *task, const FleetWorker *worker, TaskCost cost,
+             const void *context)
+{
+    RankWorker rank;
+
+    fill_rank(task, worker, Task_Now(task), &rank);
+    return cost(task, worker, &rank, context);
+}
+
+bool
+Task_ExcludeWorker(GateTask *task, FleetWorker *worker)
+{
+    if (task->excluded_count == TASK_EXCLUDED_MAX) {
+        return false;
+    }
+    task->excluded[task->excluded_count++] = Fleet_Ref(worker);
+    return true;
+}
+
+/* Returns the best worker that this choice has not excluded, or NULL. Of equal
+   ones it is the first one from row `offset` on. */
+static FleetWorker *
+find_best(GateTask *task, FleetPhase phase, TaskCost cost, const void *context,
+          guint offset, int64_t *best_us)
+{
+    const GPtrArray *rows = task->gate->options.fleet->rows;
+    int64_t now_us = Task_Now(task);
+    FleetWorker *best = NULL;
+    Suitability best_suitability = SUITABILITY_BLOCKED;
+
+    for (guint i = 0; i < rows->len; i++) {
+        FleetWorker *worker =
+            g_ptr_array_index(rows, (i + offset) % rows->len);
+        RankWorker rank;
+        int64_t cost_us;
+        Suitability suitability;
+
+        if (worker->entry.phase != phase ||
+            strcmp(worker->entry.service, task->service->name) != 0 ||
+            !Fleet_IsUsable(worker, now_us) ||
+            Fleet_IsChangingPhase(worker, now_us) ||
+            worker->throttled_choice == task->gate->choices ||
+            is_excluded(task, worker)) {
+            continue;
+        }
+        suitability = get_suitability(worker, now_us);
+        fill_rank(task, worker, now_us, &rank);
+        cost_us = cost(task, worker, &rank, context);
+        if (best == NULL || suitability < best_suitability ||
+            (suitability == best_suitability && cost_us < *best_us)) {
+            best = worker;
+            best_suitability = suitability;
+            *best_us = cost_us;
+        }
+    }
+    return best;
+}
+
+/* Returns this VM's part of the requests for the task's service. */
+static double
+get_share(const GateTask *task)
+{
+    const GateOptions *options = &task->gate->options;
+
+    return options->get_share(options->context, task->service->name);
+}
+
+static Suitability
+get_suitability(const FleetWorker *worker, int64_t now_us)
+{
+    if (Health_IsBlocked(&worker->health, now_us)) {
+        return SUITABILITY_BLOCKED;
+    }
+    return Fleet_IsLeaving(worker) ? SUITABILITY_LEAVING : SUITABILITY_SOUND;
+}
+
+static void
+fill_rank(const GateTask *task, const FleetWorker *worker, int64_t now_us,
+          RankWorker *rank)
+{
+    const RteService *service = task->service;
+    uint32_t known_calls = worker->inflight + worker->peer_inflight;
+    Forecast kv;
+    Forecast stream;
+
+    memset(rank, 0, sizeof(*rank));
+    rank->distance = Task_GetDistance(task->gate, task->gate->options.zone,
+                                      worker->entry.zone);
+    rank->is_unlisted = !Fleet_IsListed(worker, now_us);
+    rank->slots = worker->entry.slots;
+    rank->running = known_calls;
+    if (now_us - worker->load_us < FLEET_LOAD_MAX_AGE_US &&
+        worker->load_us != 0) {
+        rank->running =
+            MAX(known_calls, worker->load_running + worker->load_waiting);
+    }
+    rank->prefill_tokens =
+        worker->prefill_tokens + worker->peer_prefill_tokens;
+    kv = worker->kv;
+    Forecast_Add(&kv, &worker->peer_kv);
+    rank->has_kv_load = Forecast_GetPeak(&kv) > 0;
+    stream = worker->entry.phase == FLEET_PHASE_PREFILL
+                 ? Forecast_OfPrompt(task->request.prompt_tokens)
+                 : Task_GetForecast(task);
+    Forecast_Add(&kv, &stream);
+    rank->kv_peak_tokens =
+        MAX(Forecast_GetPeak(&kv),
+            (rank->running + 1) * (uint64_t)task->gate->mean_tokens);
+    rank->kv_capacity_tokens = service->is_engine ? service->kv_tokens : 0;
+    rank->service_us = worker->service_us;
+    rank->slowness = worker->slowness;
+    rank->event_interval_us = (int64_t)task->gate->event_interval_us;
+    rank->pause_max_us = (int64_t)task->route->gap_ms * CLK_US_PER_MS;
+    rank->health_us = Health_GetCost(&worker->health, now_us);
+    if (worker->peer_unreachable > 0) {
+        rank->health_us += TASK_PEER_UNREACHABLE_COST_US;
+    }
+}
+
+static bool
+is_excluded(const GateTask *task, const FleetWorker *worker)
+{
+    for (guint i = 0; i < task->excluded_count; i++) {
+        if (task->excluded[i] == worker) {
+            return true;
+        }
+    }
+    return false;
+}
