Stream: one that has begun waits as long as its caller does

What callers saw: a stream whose worker broke off ended 2 s later, with half of its time left, while other workers were full, the retry budget was spent, or at once if no other worker was listed. Cause: the wait of a stream that has begun ended after 2 s or half of the time left, as that of a request of which nothing was promised. Same class as the silent call: what has begun is given up before the caller gives it up. Ruled out: ending it early to spare the workers, as what waits is not sent. Change: a begun stream polls until its deadline; a caller that leaves ends it. It also waits for a worker that starts later. The two rows of WaitPlanCases for begun streams stated the old end of the wait (2 s); they now state the caller's deadline, as exactly. Conclusion: only the deadline, the route's attempts and the caller end it.

--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -103,10 +103,16 @@
                         ADMISSION_FIRST_TRY_SHARE * (double)wait->timeout_us;
     AdmissionWaitPlan wait_plan = {.poll_us = ADMISSION_POLL_US};
 
-    if (wait->is_prefilled || wait->is_streaming) {
-        wait_plan.until_us = wait->waiting_since_us + ADMISSION_WAIT_MAX_US;
+    if (wait->is_streaming) {
+        /* The caller has a part of its answer, and leaves by itself. */
+        wait_plan.until_us = wait->deadline_us;
         wait_plan.poll_us = wait->is_prefilled ? ADMISSION_POLL_PREFILLED_US
                                                : ADMISSION_POLL_US;
+        return wait_plan;
+    }
+    if (wait->is_prefilled) {
+        wait_plan.until_us = wait->waiting_since_us + ADMISSION_WAIT_MAX_US;
+        wait_plan.poll_us = ADMISSION_POLL_PREFILLED_US;
     }
     else if (!is_retry) {
         /* A short objective leaves half of its time for the wait. */
--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -33,7 +33,7 @@
 /* Callers close a stream that has been silent for four objectives, 3.6 s.
    The time that remains after these waits covers a slow first event. */
 #define ADMISSION_WAIT_LATE_US 1500000 /* Retries that arrive late. */
-/* Requests with a read prompt or a stream that has begun. */
+/* Requests with a read prompt. */
 #define ADMISSION_WAIT_MAX_US 2000000
 /* The time that callers of one route allow varies by 15%. A request with less
    than this share of the route's timeout left is a retry. */
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -686,8 +686,9 @@
     input.has_budget = task->streaming || task->silent != NULL ||
                        task->counted_calls == 0 ||
                        Task_HasBudget(task, task->prefilled ? 2 : 1);
-    /* A worker that is full at present counts, as the task can wait. */
-    input.has_candidate = Reservation_HasCandidate(task);
+    /* A worker that is full at present counts, as the task can wait. A stream
+       that has begun also waits for one that starts. */
+    input.has_candidate = task->streaming || Reservation_HasCandidate(task);
     switch (Task_DecideRetry(task, &input)) {
     case RETRY_ELSEWHERE:
         Task_EndCall(task);
--- a/src/gate/task_wait.c
+++ b/src/gate/task_wait.c
@@ -19,7 +19,8 @@
         task->waiting_since_us = now_us;
     }
     wait_plan = plan_wait(task);
-    if (task->silent != NULL) {
+    if (task->silent != NULL ||
+        (task->streaming && now_us < wait_plan.until_us)) {
         poll(task, &wait_plan);
         return;
     }
--- a/tests/test_decide.cc
+++ b/tests/test_decide.cc
@@ -260,9 +260,10 @@
     {"late retry: polls rarely", 11000, false, false, 1500, 200},
     {"late retry with little time left", 2000, false, false, 1000, 200},
     {"prompt is read: polls often", 14000, true, false, 2000, 20},
-    {"stream has begun: waits past the objective", 14000, false, true, 2000,
-     30},
-    {"stream has begun, late retry", 8000, false, true, 2000, 30},
+    {"stream has begun: waits as long as its caller", 14000, false, true,
+     14000, 30},
+    {"stream has begun, late retry", 8000, false, true, 8000, 30},
+    {"stream has begun, prompt is read", 8000, true, true, 8000, 20},
 };
 
 TEST(Decide, WaitPlanCases)
--- a/tests/test_gate_silence.cc
+++ b/tests/test_gate_silence.cc
@@ -76,6 +76,59 @@
     }
 }
 
+/* What keeps a stream whose worker broke off from going on for a while. */
+struct ShortageCase {
+    const char *name;
+    bool has_other;
+    int refusals;
+    bool has_budget;
+};
+
+const ShortageCase shortage_cases[] = {
+    {"there is no other worker", false, 0, true},
+    {"the other worker is full", true, 1000000, true},
+    {"the retry budget is spent", true, 0, false},
+};
+
+/* A caller waits for its next event for 3.6 s with the usual objectives. */
+TEST(GateSilence, BegunStreamWaitsForAWorkerAsLongAsItsCaller)
+{
+    for (const ShortageCase &row : shortage_cases) {
+        SCOPED_TRACE(row.name);
+        GateRig rig;
+        BudgetOptions budget = Budget_DefaultOptions();
+        Route route = resumable;
+        route.timeout_ms = 15000;
+        rig.SetRoute(route, true);
+        Worker *first = rig.AddWorker({SilentStream()}, FLEET_PHASE_DECODE);
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+        Worker *other = row.has_other
+                            ? rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE)
+                            : nullptr;
+        if (other != nullptr) {
+            other->refusals = row.refusals;
+        }
+        if (!row.has_budget) {
+            budget.ratio = 0;
+            budget.slack = 0;
+            Edge_SetBudget(rig.edge, &budget);
+        }
+        first->CloseAll();
+        RunFor(&rig, 3200);
+        EXPECT_FALSE(caller->closed);
+        if (other == nullptr) {
+            other = rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
+        }
+        other->refusals = 0;
+        budget.ratio = 50;
+        Edge_SetBudget(rig.edge, &budget);
+        ASSERT_TRUE(
+            rig.Until([&] { return caller->IsComplete() || caller->closed; }));
+        EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+    }
+}
+
 /* Events that a stream has brought before it falls silent. */
 const int begun_events[] = {0, 3};
 
