Plain: a silent call is kept until another worker has answered

What callers saw: a plain call that may be repeated ended with 502 though its worker was sound and answered a moment later. Cause: after 1.1 times the objective the call was closed and only then sent to another worker, which may have a queue that is too long, refuse, break off or be silent as well. Ruled out: a stricter check before the cut, as the other worker may still fail after it. Measured: PlainCallIsNotGivenUpBeforeAnotherWorkerAnswers, 4 of 4 rows red before, passes.

--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -1,18 +1,13 @@
 /* Plain: forwards a request with a single answer. The answer is read
    completely before the caller gets any of it, so that another worker can run
    the request if the connection is lost. See task.h. */
-#include "task.h"
+#include "successor.h"
 
 #include <string.h>
 
 /* Longest idle time of the connection for a call that may run only once. A
    reset of an idle connection would leave the outcome unknown. */
 #define PLAIN_ONCE_IDLE_MAX_MS 1500
-/* A call without an answer is repeated after the latency objective times this
-   ratio, but not before the minimum. */
-#define PLAIN_TIMEOUT_SLO_RATIO 1.1
-/* Twice the usual duration of one call. */
-#define PLAIN_TIMEOUT_MIN_MS 60
 
 static int64_t get_cost(const GateTask *task, const FleetWorker *worker,
                         const RankWorker *rank, const void *context);
@@ -51,21 +46,29 @@
 void
 Plain_OnStepTimeout(GateTask *task)
 {
-    FleetWorker *worker = task->current->worker;
-    const FleetWorker *next;
+    TaskCall *current = task->current;
+    FleetWorker *next;
     int64_t cost_us;
 
     task->step_deadline_us = 0;
-    Health_NoteUnresponsive(&worker->health, Task_Now(task));
+    if (!current->is_quiet) {
+        current->is_quiet = true;
+        Health_NoteUnresponsive(&current->worker->health, Task_Now(task));
+    }
+    if (Successor_Decide(task, false, false) != HANDOVER_PREPARE) {
+        Task_SetTimer(task);
+        return;
+    }
     next = Task_ChooseWorker(task, FLEET_PHASE_NONE, get_cost, NULL, &cost_us);
-    if (task->route->kind != RTE_IDEMPOTENT ||
-        task->runs + 1 >= task->route->attempts || !Task_HasBudget(task, 1) ||
-        next == NULL || next == worker) {
-        Task_SetTimer(task); /* Keep waiting for this worker. */
+    if (next == NULL || next == current->worker || !is_in_time(task, next) ||
+        !Task_HasBudget(task, 1)) {
+        task->step_deadline_us = Task_Now(task) + HANDOVER_AGAIN_US;
+        Task_SetTimer(task);
         return;
     }
-    Task_NoteFailure(task, CLIENT_INTERRUPTED, LS_RUN_UNKNOWN, "silent");
-    retry_or_end(task, LS_RUN_UNKNOWN, false, true);
+    Successor_Begin(task);
+    task->current->expected_us = cost_us;
+    begin_call(task, next);
 }
 
 static int64_t
@@ -119,16 +122,17 @@
         .left_ms = Task_GetLeftMs(task),
         .last_event = GATE_NO_EVENT,
     };
-    int64_t timeout_ms =
-        MAX((int64_t)(task->route->slo_ms * PLAIN_TIMEOUT_SLO_RATIO),
-            PLAIN_TIMEOUT_MIN_MS);
+    HandoverCall call = {
+        .stage = HANDOVER_PLAIN,
+        .slo_us = (int64_t)task->route->slo_ms * CLK_US_PER_MS,
+    };
 
     task->current->wait_us = Task_GetCost(task, worker, get_wait, NULL);
     Task_BeginCall(task, worker, &options,
                    once ? PLAIN_ONCE_IDLE_MAX_MS : UINT32_MAX, Task_AppendBody,
                    on_end);
     task->step_deadline_us =
-        task->current->began_us + timeout_ms * CLK_US_PER_MS;
+        task->current->began_us + Handover_GetLimits(&call).prepare_us;
     Task_SetTimer(task);
 }
 
@@ -137,18 +141,34 @@
 {
     TaskCall *current = context;
     GateTask *task = current->task;
+    bool is_silent = current == task->silent;
     LsRun run;
     bool has_answer;
+    const char *cause;
 
     current->call = NULL;
+    if (is_silent) {
+        Successor_SwapCalls(task);
+    }
     run = Task_GetRun(task, outcome);
     has_answer = Task_HasAnswer(task, outcome);
+    cause = Task_GetCause(task, outcome, run);
+    if (is_silent) {
+        Successor_SwapCalls(task);
+    }
     if (has_answer && current->reply.status < 500 && run != LS_RUN_NOT_RUN) {
         Health_NoteSuccess(&current->worker->health, Task_Now(task));
+        if (is_silent) {
+            Successor_Cancel(task);
+        }
         Task_PassAnswer(task);
         return;
     }
-    Task_NoteFailure(task, outcome, run, Task_GetCause(task, outcome, run));
+    if (is_silent) {
+        Successor_TakeOver(task, outcome, run, cause);
+        return;
+    }
+    Task_NoteFailure(task, outcome, run, cause);
     retry_or_end(task, run, has_answer, outcome != CLIENT_NOT_SENT);
 }
 
@@ -187,6 +207,12 @@
     case RETRY_FAIL:
         break;
     }
+    if (task->silent != NULL) {
+        Successor_Cancel(task);
+        task->step_deadline_us = Task_Now(task) + HANDOVER_AGAIN_US;
+        Task_SetTimer(task);
+        return;
+    }
     Task_EndCall(task);
     Task_Fail(task, LS_ERR_UPSTREAM_FAILED);
 }
--- a/tests/test_gate_silence.cc
+++ b/tests/test_gate_silence.cc
@@ -229,6 +229,84 @@
     EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
 }
 
+/* What the only other worker does with a plain call that is repeated there
+   while the first worker is silent. */
+struct RepeatCase {
+    const char *name;
+    bool has_queue; /* Calls already wait there, longer than the objective. */
+    ScriptedReply reply;
+};
+
+const RepeatCase repeat_cases[] = {
+    {"its queue is too long", true, Ok("other")},
+    {"it refuses", false, Refusal()},
+    {"it breaks off", false, {"", ScriptedReply::RESET}},
+    {"it is silent, too", false, {"", ScriptedReply::KEEP}},
+};
+
+TEST(GateSilence, PlainCallIsNotGivenUpBeforeAnotherWorkerAnswers)
+{
+    for (const RepeatCase &row : repeat_cases) {
+        SCOPED_TRACE(row.name);
+        GateRig rig;
+        Route route;
+        route.slo_ms = 200;
+        rig.SetRoute(route);
+        Worker *silent = rig.AddWorker({{"", ScriptedReply::KEEP}});
+        Caller *caller = rig.Call(Request());
+        ASSERT_TRUE(rig.Until([&] { return !silent->requests.empty(); }));
+        rig.AddWorker({row.reply});
+        if (row.has_queue) {
+            rig.last_worker->peer_inflight = 500;
+            rig.last_worker->service_us = 30000;
+        }
+        RunFor(&rig, 600);
+        EXPECT_EQ(silent->closed, 0);
+        std::string answer = Ok("first").bytes;
+        answer.replace(answer.find("%ID"), 3, "id-1");
+        silent->SendToAll(answer);
+        ASSERT_TRUE(
+            rig.Until([&] { return caller->IsComplete() || caller->closed; }));
+        EXPECT_EQ(caller->Status(), 200);
+        EXPECT_EQ(caller->Body(), "first");
+    }
+}
+
+TEST(GateSilence, PlainCallOfALostWorkerIsAnsweredByAnother)
+{
+    GateRig rig;
+    Route route;
+    route.slo_ms = 200;
+    rig.SetRoute(route);
+    Worker *silent = rig.AddWorker({{"", ScriptedReply::KEEP}});
+    Caller *caller = rig.Call(Request());
+    ASSERT_TRUE(rig.Until([&] { return !silent->requests.empty(); }));
+    rig.AddWorker({Ok("other")});
+    ASSERT_TRUE(rig.Until([&] { return caller->IsComplete(); }));
+    EXPECT_EQ(caller->Body(), "other");
+    ASSERT_TRUE(rig.Until([&] { return silent->closed == 1; }));
+}
+
+TEST(GateSilence, PlainCallThatMayRunOnceStaysAtItsWorker)
+{
+    GateRig rig;
+    Route route;
+    route.kind = RTE_NON_IDEMPOTENT;
+    route.slo_ms = 200;
+    rig.SetRoute(route);
+    Worker *silent = rig.AddWorker({{"", ScriptedReply::KEEP}});
+    Caller *caller = rig.Call(Request());
+    ASSERT_TRUE(rig.Until([&] { return !silent->requests.empty(); }));
+    Worker *other = rig.AddWorker({Ok("other")});
+    RunFor(&rig, 600);
+    std::string answer = Ok("first").bytes;
+    answer.replace(answer.find("%ID"), 3, "id-1");
+    silent->SendToAll(answer);
+    ASSERT_TRUE(rig.Until([&] { return caller->IsComplete(); }));
+    EXPECT_EQ(caller->Body(), "first");
+    EXPECT_TRUE(other->requests.empty());
+}
+
 /* The caller leaves, or its time ends, while both calls are open. */
 TEST(GateSilence, EndOfTheRequestEndsBothCalls)
 {
