Test rig: a VM tries another port if its free one was taken

Cause: the rig asks for a free port and opens it a moment later; another test process took it in between, and test_gate_limit ended by a segmentation fault (one play of five tests side by side, beside other builds and tests). Ruled out: the code under test; the log says "can't listen", and the same binary passed alone. Change: NewEdge() tries up to 20 ports, for the fleets of both rigs. Conclusion: the race is closed for VMs; test_gate_process still takes ports of its own for processes.

--- a/tests/fleet_rig.h
+++ b/tests/fleet_rig.h
@@ -56,11 +56,10 @@
         options.regions = regions_;
         options.seed = (guint32)names_.size();
         options.budget.ratio = 50; /* The slack is 0 at the start. */
-        options.peers.port = FreePort();
         options.seeds[0] = seed_.c_str();
         options.seed_count = seed_.empty() ? 0 : 1;
         options.is_source_reachable = [](void *) { return true; };
-        edges.push_back(Edge_New(&options, &err));
+        edges.push_back(NewEdge(&options, &err));
         ASSERT_NE(edges.back(), nullptr) << err.message;
         if (seed_.empty()) {
             seed_ = "127.0.0.1:" + std::to_string(options.peers.port);
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -56,6 +56,19 @@
     return port;
 }
 
+/* Starts a VM on a free port for its peers. Another process may take the port
+   first, so some more are tried. */
+inline Edge *
+NewEdge(EdgeOptions *options, LsError *err)
+{
+    Edge *edge = nullptr;
+    for (int i = 0; i < 20 && edge == nullptr; i++) {
+        options->peers.port = FreePort();
+        edge = Edge_New(options, err);
+    }
+    return edge;
+}
+
 /* Applies all parts of a message to the snapshot. */
 inline SnapshotHandler
 MakeSnapshotHandler(Snapshot *to)
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -35,14 +35,13 @@
         options.vm = name;
         options.zone = "z";
         options.regions = regions_;
-        options.peers.port = FreePort();
         options.seeds[0] = seed;
         options.seed_count = seed != nullptr ? 1 : 0;
         options.context = this;
         options.is_source_reachable = [](void *context) {
             return static_cast<Vm *>(context)->source_reachable;
         };
-        edge = Edge_New(&options, &err);
+        edge = NewEdge(&options, &err);
         EXPECT_NE(edge, nullptr) << err.message;
         address = "127.0.0.1:" + std::to_string(options.peers.port);
     }
