Soak: short silences of sound workers, and each accepted request to its end (LOST)

Cause: a worker may pass no bytes for a second or so and go on. The gate gives up a stream 1.2 s after its last event (four times the soak's gap target) and breaks it off if it finds no other worker. The soak had no such silences and did not look at streams that broke off. Recording a silence as an impairment would have switched the BUDGET check off at most workers most of the time; only the first 0.3 s after a silence are left out, and what a worker says of itself while silent counts as heard at its end. Change: series of silences of 0.8 to 1.6 s, at 0.4 to 1 of the workers, every 1.8 to 3.6 s, each with a configuration change, shortened timeouts, SIGHUP or SIGTERM and start; drawn from random numbers of their own. The ledger follows each accepted request to its end and finds LOST for one without a complete answer, unless a worker that ran it broke off, was killed or cut, its VM was killed, paused or past 5/6 of grace-s, its caller left, or a time limit was reached. The ctest entries soak_seeded and soak_kept can fail with LOST until the gate is mended.

--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -2,12 +2,17 @@
 #include "ledger.h"
 
 #include <stdarg.h>
+#include <string.h>
 
+static void excuse_row(LedgerRow *row);
+static bool is_accepted(const LedgerRow *row);
+static bool is_lost(const LedgerRow *row);
 static bool is_refusal_status(int status);
 
 void
 Ledger_Init(Ledger *ledger)
 {
+    memset(ledger, 0, sizeof(*ledger));
     ledger->rows =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     ledger->findings = g_ptr_array_new_with_free_func(g_free);
@@ -31,12 +36,14 @@
 }
 
 void
-Ledger_AddRequest(Ledger *ledger, const char *id, LedgerKind kind, uint32_t vm)
+Ledger_AddRequest(Ledger *ledger, const char *id, LedgerKind kind, uint32_t vm,
+                  int64_t now_us)
 {
     LedgerRow *row = g_new0(LedgerRow, 1);
 
     row->kind = kind;
     row->vm = vm;
+    row->sent_us = now_us;
     g_hash_table_insert(ledger->rows, g_strdup(id), row);
 }
 
@@ -47,7 +54,7 @@
 }
 
 void
-Ledger_RecordRun(Ledger *ledger, const char *id)
+Ledger_RecordRun(Ledger *ledger, const char *id, guint worker)
 {
     LedgerRow *row = Ledger_Find(ledger, id);
 
@@ -58,6 +65,65 @@
         return;
     }
     row->runs++;
+    row->workers |= 1U << worker;
+}
+
+void
+Ledger_RecordEnd(Ledger *ledger, const char *id, int status, bool is_complete,
+                 int64_t now_us)
+{
+    LedgerRow *row = Ledger_Find(ledger, id);
+    uint32_t limit_ms = row->kind < LEDGER_STREAM ? ledger->plain_limit_ms
+                                                  : ledger->stream_limit_ms;
+
+    row->status = status;
+    row->is_complete = is_complete;
+    row->is_ended = true;
+    row->ended_us = now_us;
+    row->is_at_limit =
+        limit_ms > 0 && now_us - row->sent_us >=
+                            ((int64_t)limit_ms - LEDGER_LIMIT_SLACK_MS) * 1000;
+}
+
+void
+Ledger_LowerLimits(Ledger *ledger, uint32_t plain_ms, uint32_t stream_ms)
+{
+    if (ledger->plain_limit_ms == 0 || plain_ms < ledger->plain_limit_ms) {
+        ledger->plain_limit_ms = plain_ms;
+    }
+    if (ledger->stream_limit_ms == 0 || stream_ms < ledger->stream_limit_ms) {
+        ledger->stream_limit_ms = stream_ms;
+    }
+}
+
+void
+Ledger_ExcuseWorker(Ledger *ledger, guint worker)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, ledger->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        LedgerRow *row = value;
+        if (row->workers & 1U << worker) {
+            excuse_row(row);
+        }
+    }
+}
+
+void
+Ledger_ExcuseVm(Ledger *ledger, uint32_t vm)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, ledger->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        LedgerRow *row = value;
+        if (row->vm == vm) {
+            excuse_row(row);
+        }
+    }
 }
 
 void
@@ -84,6 +150,46 @@
                 (const char *)id, Ledger_GetKindName(row->kind), row->vm,
                 row->status);
         }
+        if (is_lost(row)) {
+            Ledger_AddFinding(
+                ledger,
+                "LOST: %s (%s, VM %u) ended without a complete response, "
+                "status %d, %lld ms after it was sent; its workers went on",
+                (const char *)id, Ledger_GetKindName(row->kind), row->vm,
+                row->status, (long long)(row->ended_us - row->sent_us) / 1000);
+        }
+    }
+}
+
+void
+Ledger_CountEnds(const Ledger *ledger, LedgerEnds *ends)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    memset(ends, 0, sizeof(*ends));
+    g_hash_table_iter_init(&iter, ledger->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const LedgerRow *row = value;
+        guint *count = &ends->excused;
+        if (!is_accepted(row)) {
+            continue;
+        }
+        if (row->has_left) {
+            count = &ends->left;
+        }
+        else if (!row->is_ended) {
+            count = &ends->open;
+        }
+        else if (row->is_complete) {
+            count = is_refusal_status(row->status) ? &ends->refused
+                                                   : &ends->answered;
+        }
+        else if (is_lost(row)) {
+            count = &ends->lost;
+        }
+        ends->accepted++;
+        ++*count;
     }
 }
 
@@ -111,6 +217,29 @@
     return names[kind];
 }
 
+static void
+excuse_row(LedgerRow *row)
+{
+    if (!row->is_ended) {
+        row->is_excused = true;
+    }
+}
+
+/* Returns whether the VM has read the request whole, as far as that can be
+   seen from outside. */
+static bool
+is_accepted(const LedgerRow *row)
+{
+    return row->status != 0 || row->runs > 0;
+}
+
+static bool
+is_lost(const LedgerRow *row)
+{
+    return is_accepted(row) && row->is_ended && !row->is_complete &&
+           !row->has_left && !row->is_at_limit && !row->is_excused;
+}
+
 /* Statuses by which the gate tells the caller that the request did not run. */
 static bool
 is_refusal_status(int status)
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -7,6 +7,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* A request that ends this close to its time limit ends because of it. */
+#define LEDGER_LIMIT_SLACK_MS 500
+
 typedef enum LedgerKind {
     LEDGER_READ,   /* Idempotent: may run more than once. */
     LEDGER_HOLD,   /* Non-idempotent: runs at most once. */
@@ -19,13 +22,36 @@
     LedgerKind kind;
     uint32_t vm;      /* Index of the VM that received the request. */
     uint32_t runs;    /* Number of times a worker began to run it. */
+    uint32_t workers; /* Set of the workers that began to run it, as bits. */
     int status;       /* HTTP status that the caller received, 0 if none. */
     bool is_complete; /* The caller received the complete response. */
+    bool is_ended;    /* The caller's connection or its response has ended. */
+    bool has_left;    /* The caller has disconnected before. */
+    bool is_at_limit; /* It ended at its time limit. */
+    bool is_excused;  /* One of its workers, or its VM, failed meanwhile. */
+    int64_t sent_us;
+    int64_t ended_us;
 } LedgerRow;
 
+/* The ends of the requests that VMs have accepted: those that were answered or
+   reached a worker. */
+typedef struct LedgerEnds {
+    guint accepted;
+    guint answered; /* One complete response that is no refusal. */
+    guint refused;
+    guint left;    /* The caller disconnected. */
+    guint excused; /* No complete response, for a reason outside of the VM. */
+    guint lost;    /* No complete response, without such a reason. */
+    guint open;    /* Not ended. */
+} LedgerEnds;
+
 typedef struct Ledger {
     GHashTable *rows;    /* Request identifier to LedgerRow. */
     GPtrArray *findings; /* Violations, one line of text each. */
+    /* Shortest time limits so far, of plain requests and of streams; 0: none.
+     */
+    uint32_t plain_limit_ms;
+    uint32_t stream_limit_ms;
 } Ledger;
 
 void Ledger_Init(Ledger *ledger);
@@ -34,19 +60,34 @@
 void Ledger_AddFinding(Ledger *ledger, const char *format, ...)
     G_GNUC_PRINTF(2, 3);
 void Ledger_AddRequest(Ledger *ledger, const char *id, LedgerKind kind,
-                       uint32_t vm);
+                       uint32_t vm, int64_t now_us);
 /* Returns the row of a request, owned by the ledger, or NULL if no caller
    sent the request or `id` is NULL. */
 LedgerRow *Ledger_Find(Ledger *ledger, const char *id);
-/* Records that a worker begins to run a request; `id` may be NULL. A request
-   that no caller sent is a finding. */
-void Ledger_RecordRun(Ledger *ledger, const char *id);
+/* Records that a worker, 0 to 31, begins to run a request; `id` may be NULL. A
+   request that no caller sent is a finding. */
+void Ledger_RecordRun(Ledger *ledger, const char *id, guint worker);
+/* Records how a request ended for its caller; `status` is 0 without a
+   response. */
+void Ledger_RecordEnd(Ledger *ledger, const char *id, int status,
+                      bool is_complete, int64_t now_us);
+/* Lowers the time limits of requests that have not ended and of later ones.
+   They are never raised, as a VM may still use an older configuration. */
+void Ledger_LowerLimits(Ledger *ledger, uint32_t plain_ms, uint32_t stream_ms);
+/* Excuse the open requests that a worker has begun to run, or that a VM has
+   received, if they end without a complete response. */
+void Ledger_ExcuseWorker(Ledger *ledger, guint worker);
+void Ledger_ExcuseVm(Ledger *ledger, uint32_t vm);
 /* Adds a finding for each request that ran more than once although it must
-   not, and for each that ran although its status says that it did not;
-   LEDGER_READ requests are exempt from both. Call it when all processes have
+   not, for each that ran although its status says that it did not
+   (LEDGER_READ requests are exempt from both), and for each accepted request
+   of any kind that ended without a complete response, unless its caller left,
+   its time limit was reached or it is excused. Call it when all processes have
    ended, because a request may still start to run after its caller received a
    refusal. */
 void Ledger_Check(Ledger *ledger);
+/* Counts the accepted requests by how they ended. */
+void Ledger_CountEnds(const Ledger *ledger, LedgerEnds *ends);
 /* Counts the requests of a kind that were served completely with status 200
    (`*served`), and all requests of that kind (`*all`). */
 void Ledger_Count(const Ledger *ledger, LedgerKind kind, guint *served,
--- a/soak/load_generator.c
+++ b/soak/load_generator.c
@@ -146,6 +146,7 @@
     LoadGenCall *call = g_new0(LoadGenCall, 1);
     char target[64];
     char parts[64];
+    char limit[16];
     HeaderList *headers = Header_New();
     ClientCallOptions call_options = {
         .method = "POST",
@@ -172,9 +173,10 @@
     call_options.address = options->addresses[call->vm];
     Header_Add(headers, "Host", SIM_HOST);
     Header_Add(headers, "X-Request-Id", call->id);
-    /* The deadlines equal the routes' timeouts in Sim_ChangeConfig(). */
-    Header_Add(headers, "X-Deadline-Ms",
-               call->kind < LEDGER_STREAM ? "3000" : "14000");
+    g_snprintf(limit, sizeof(limit), "%d",
+               call->kind < LEDGER_STREAM ? SIM_PLAIN_TIMEOUT_MS
+                                          : SIM_STREAM_TIMEOUT_MS);
+    Header_Add(headers, "X-Deadline-Ms", limit);
     if (call->kind >= LEDGER_STREAM) {
         bool crashes = load_gen->crash_ratio > 0 &&
                        g_rand_double(options->rand) < load_gen->crash_ratio;
@@ -189,7 +191,8 @@
         Header_Add(headers, "X-Prompt-Prefix", parts);
         Header_Add(headers, "X-Token-Usage", "5000,800");
     }
-    Ledger_AddRequest(options->ledger, call->id, call->kind, call->vm);
+    Ledger_AddRequest(options->ledger, call->id, call->kind, call->vm,
+                      Clk_Now(options->clk));
     LIST_INSERT_HEAD(&load_gen->open, call, links);
     load_gen->open_count++;
     if (g_rand_double(options->rand) < options->disconnect_ratio) {
@@ -210,6 +213,7 @@
 
     (void)fd;
     (void)what;
+    Ledger_Find(call->load_gen->options.ledger, call->id)->has_left = true;
     Client_EndCall(call->call);
     free_call(call);
 }
@@ -249,10 +253,10 @@
 {
     LoadGenCall *call = context;
     LoadGen *load_gen = call->load_gen;
-    LedgerRow *row = Ledger_Find(load_gen->options.ledger, call->id);
 
-    row->status = call->status;
-    row->is_complete = outcome == CLIENT_COMPLETE;
+    Ledger_RecordEnd(load_gen->options.ledger, call->id, call->status,
+                     outcome == CLIENT_COMPLETE,
+                     Clk_Now(load_gen->options.clk));
     if (outcome == CLIENT_MALFORMED) {
         Ledger_AddFinding(
             load_gen->options.ledger,
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -30,6 +30,7 @@
     uint16_t port;
     uint16_t target_port;
     ProxyMode mode;
+    bool is_held;
     LIST_HEAD(ProxyLinkList, ProxyLink) open_links;
 };
 
@@ -39,6 +40,7 @@
 static void on_written(struct bufferevent *bev, void *context);
 static void on_event(struct bufferevent *bev, short what, void *context);
 static void on_timer(evutil_socket_t fd, short what, void *context);
+static void forward_all(Proxy *proxy);
 static void forward_bytes(ProxyLink *link);
 static void forward_byte(ProxyLink *link);
 static void forward_endlessly(ProxyLink *link);
@@ -88,18 +90,18 @@
 void
 Proxy_SetMode(Proxy *proxy, ProxyMode mode)
 {
-    ProxyLink *link = LIST_FIRST(&proxy->open_links);
-
     if (proxy->mode == PROXY_ENDLESS && mode != PROXY_ENDLESS) {
         Proxy_ResetAll(proxy);
-        link = NULL;
     }
     proxy->mode = mode;
-    while (link != NULL) {
-        ProxyLink *next = LIST_NEXT(link, links);
-        forward_bytes(link);
-        link = next;
-    }
+    forward_all(proxy);
+}
+
+void
+Proxy_SetHeld(Proxy *proxy, bool is_held)
+{
+    proxy->is_held = is_held;
+    forward_all(proxy);
 }
 
 void
@@ -182,6 +184,18 @@
     forward_bytes(context);
 }
 
+static void
+forward_all(Proxy *proxy)
+{
+    ProxyLink *link = LIST_FIRST(&proxy->open_links);
+
+    while (link != NULL) {
+        ProxyLink *next = LIST_NEXT(link, links);
+        forward_bytes(link);
+        link = next;
+    }
+}
+
 /* Forwards the bytes that the mode permits. Once all bytes of a closed side
    have been written to the other side, frees the connection. */
 static void
@@ -189,6 +203,9 @@
 {
     ProxyMode mode = link->proxy->mode;
 
+    if (link->proxy->is_held) {
+        return;
+    }
     for (int i = 0; i < 2; i++) {
         struct evbuffer *out = bufferevent_get_output(link->sockets[1 - i]);
         if (mode == PROXY_SILENT || (mode == PROXY_MUTE && i == 1)) {
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -4,6 +4,7 @@
 #define LS_PROXY_H
 
 #include <event2/event.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #define PROXY_SLOW_MS 150   /* Delay of each chunk in PROXY_SLOW mode. */
@@ -36,6 +37,9 @@
 /* Sets the mode of all connections, and forwards blocked bytes that the new
    mode permits. At the end of PROXY_ENDLESS all connections are reset. */
 void Proxy_SetMode(Proxy *proxy, ProxyMode mode);
+/* While held, the proxy passes no bytes in any mode; connections stay open,
+   and what was held back follows afterwards. */
+void Proxy_SetHeld(Proxy *proxy, bool is_held);
 /* Closes all connections with a TCP reset. */
 void Proxy_ResetAll(Proxy *proxy);
 
--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -46,7 +46,11 @@
 #define SIM_LIMIT_FACTOR 1.5
 #define SIM_LIMIT_EXTRA 5
 #define SIM_LIMIT_TOLD_US (500 * CLK_US_PER_MS)
+/* What a silence holds back was sent at most this long before it, and reaches
+   the worker within this time of its end. */
+#define SIM_RELEASE_MS 300
 #define SIM_CONFIG_KEY "op/config"
+_Static_assert(SIM_WORKER_COUNT <= 32, "LedgerRow.workers has 32 bits");
 
 typedef struct SimItem {
     char *value; /* NULL if deleted */
@@ -101,9 +105,13 @@
     int64_t pause_until_us;
     double limit;           /* Requests a second that it names; 0: none. */
     int64_t limit_us;       /* When it named the limit first. */
-    int64_t impaired_us;    /* Last time of Sim_RecordImpairment(). */
+    int64_t impaired_us;    /* Last time of Sim_ImpairWorker(). */
     GArray *limit_times_us; /* Of requests of VMs that know the limit. */
     struct event *restart_timer;
+    struct event *silence_timer; /* Pending while the worker is silent. */
+    int64_t silenced_us; /* SIM_RELEASE_MS before the last silence, or 0. */
+    int64_t released_us; /* End of the last silence, or 0. */
+    bool is_cut;         /* The mode of its connections breaks responses. */
     SimTold told[SIM_VMS_MAX];
     uint32_t running; /* Number of jobs. */
 } SimWorker;
@@ -168,6 +176,8 @@
 static bool find_crash_part(const ServerExchange *exchange, char *part,
                             size_t size);
 static void on_restart(evutil_socket_t fd, short what, void *context);
+static void on_silence_end(evutil_socket_t fd, short what, void *context);
+static bool is_released(const SimWorker *worker);
 static void add_notices(const SimWorker *worker, HeaderList *headers);
 static bool refuse_in_pause(SimWorker *worker, ServerExchange *exchange,
                             const char *id);
@@ -181,6 +191,7 @@
 static bool is_misdirected(const SimWorker *worker,
                            const ServerExchange *exchange);
 static void begin_job(SimWorker *worker, ServerExchange *exchange);
+static void excuse_request(const Sim *sim, const char *id, bool is_broken);
 static void on_job_timer(evutil_socket_t fd, short what, void *context);
 static void crash_on_part(SimJob *job);
 static void end_job(SimJob *job);
@@ -218,7 +229,7 @@
     LIST_INIT(&sim->jobs);
     sim->store = open_server(sim, sim, on_store_request, on_store_disconnect);
     sim->store_proxy = Proxy_New(base, Server_GetPort(sim->store));
-    Sim_ChangeConfig(sim);
+    Sim_ChangeConfig(sim, false);
     for (guint i = 0; i < SIM_WORKER_COUNT; i++) {
         sim->workers[i].sim = sim;
         sim->workers[i].number = i;
@@ -227,6 +238,8 @@
             g_array_new(FALSE, FALSE, sizeof(int64_t));
         sim->workers[i].restart_timer =
             evtimer_new(base, on_restart, &sim->workers[i]);
+        sim->workers[i].silence_timer =
+            evtimer_new(base, on_silence_end, &sim->workers[i]);
         Sim_StartWorker(sim, i);
     }
     return sim;
@@ -240,6 +253,7 @@
         Proxy_Free(sim->workers[i].proxy);
         g_array_free(sim->workers[i].limit_times_us, TRUE);
         event_free(sim->workers[i].restart_timer);
+        event_free(sim->workers[i].silence_timer);
     }
     Proxy_Free(sim->store_proxy);
     Server_Free(sim->store);
@@ -349,8 +363,12 @@
 }
 
 void
-Sim_ChangeConfig(Sim *sim)
+Sim_ChangeConfig(Sim *sim, bool is_short)
 {
+    int plain_ms =
+        is_short ? SIM_PLAIN_TIMEOUT_SHORT_MS : SIM_PLAIN_TIMEOUT_MS;
+    int stream_ms =
+        is_short ? SIM_STREAM_TIMEOUT_SHORT_MS : SIM_STREAM_TIMEOUT_MS;
     char *text;
 
     sim->version += (uint64_t)g_rand_int_range(sim->rand, 1, 5);
@@ -360,18 +378,20 @@
         "\"handle-ttl-s\":0.5}}],\"limits\":{},\"routes\":["
         "{\"name\":\"read\",\"host\":\"" SIM_HOST "\",\"prefix\":\"/read/\","
         "\"service\":\"app\",\"kind\":\"idempotent\",\"attempts\":2,"
-        "\"timeout-ms\":3000,\"latency-slo-ms\":200},"
+        "\"timeout-ms\":%d,\"latency-slo-ms\":200},"
         "{\"name\":\"hold\",\"host\":\"" SIM_HOST "\",\"prefix\":\"/hold/\","
         "\"service\":\"app\",\"kind\":\"non_idempotent\",\"attempts\":%u,"
-        "\"timeout-ms\":3000,\"latency-slo-ms\":200},"
+        "\"timeout-ms\":%d,\"latency-slo-ms\":200},"
         "{\"name\":\"stream\",\"host\":\"" SIM_HOST "\",\"prefix\":"
         "\"/stream/\",\"service\":\"llm\",\"kind\":\"stream\",\"attempts\":1,"
-        "\"timeout-ms\":14000,\"latency-slo-ms\":900,\"gap-target-ms\":300},"
+        "\"timeout-ms\":%d,\"latency-slo-ms\":900,\"gap-target-ms\":300},"
         "{\"name\":\"resume\",\"host\":\"" SIM_HOST "\",\"prefix\":"
         "\"/resume/\",\"service\":\"llm\",\"kind\":\"stream\",\"attempts\":2,"
-        "\"can-resume\":true,\"timeout-ms\":14000,\"latency-slo-ms\":900,"
+        "\"can-resume\":true,\"timeout-ms\":%d,\"latency-slo-ms\":900,"
         "\"gap-target-ms\":300}]}",
-        (unsigned long long)sim->version, 1 + g_rand_int(sim->rand) % 2);
+        (unsigned long long)sim->version, plain_ms,
+        1 + g_rand_int(sim->rand) % 2, plain_ms, stream_ms, stream_ms);
+    Ledger_LowerLimits(sim->ledger, (uint32_t)plain_ms, (uint32_t)stream_ms);
     put_item(sim, SIM_CONFIG_KEY, text);
     g_free(text);
 }
@@ -385,6 +405,7 @@
     if (worker->server == NULL) {
         return;
     }
+    Ledger_ExcuseWorker(sim->ledger, number);
     while (job != NULL) {
         SimJob *next = LIST_NEXT(job, links);
         if (job->worker == worker) {
@@ -473,9 +494,49 @@
 }
 
 void
-Sim_RecordImpairment(Sim *sim, guint worker)
+Sim_ImpairWorker(Sim *sim, guint number, ProxyMode mode)
 {
-    sim->workers[worker].impaired_us = Clk_Now(sim->clk);
+    SimWorker *worker = &sim->workers[number];
+
+    worker->impaired_us = Clk_Now(sim->clk);
+    worker->is_cut = mode != PROXY_PASS && mode != PROXY_SLOW;
+    if (worker->is_cut) {
+        Ledger_ExcuseWorker(sim->ledger, number);
+    }
+    Proxy_SetMode(worker->proxy, mode);
+}
+
+void
+Sim_ResetWorker(Sim *sim, guint number)
+{
+    Ledger_ExcuseWorker(sim->ledger, number);
+    Proxy_ResetAll(sim->workers[number].proxy);
+}
+
+bool
+Sim_SilenceWorker(Sim *sim, guint number, guint silence_ms)
+{
+    SimWorker *worker = &sim->workers[number];
+
+    if (worker->server == NULL || worker->limit > 0 ||
+        event_pending(worker->silence_timer, EV_TIMEOUT, NULL)) {
+        return false;
+    }
+    worker->silenced_us = Clk_Now(sim->clk) - SIM_RELEASE_MS * CLK_US_PER_MS;
+    Proxy_SetHeld(worker->proxy, true);
+    Loop_ArmTimer(worker->silence_timer, silence_ms);
+    return true;
+}
+
+void
+Sim_EndSilences(Sim *sim)
+{
+    for (guint i = 0; i < SIM_WORKER_COUNT; i++) {
+        if (event_pending(sim->workers[i].silence_timer, EV_TIMEOUT, NULL)) {
+            event_del(sim->workers[i].silence_timer);
+            on_silence_end(-1, EV_TIMEOUT, &sim->workers[i]);
+        }
+    }
 }
 
 void
@@ -721,7 +782,7 @@
     else {
         if (worker->draining &&
             worker->draining_since_us > sim->disrupted_us &&
-            !is_drain_excused(worker, id) &&
+            !is_drain_excused(worker, id) && !is_released(worker) &&
             since_draining_us >
                 (int64_t)(SIM_DRAIN_MS + SIM_DRAIN_SLACK_MS) * CLK_US_PER_MS) {
             Ledger_AddFinding(
@@ -770,7 +831,8 @@
         told->leaving_us = now_us;
     }
     else if (now_us - told->leaving_us >
-             (SIM_DRAIN_MS + SIM_DRAIN_SLACK_MS) * CLK_US_PER_MS) {
+                 (SIM_DRAIN_MS + SIM_DRAIN_SLACK_MS) * CLK_US_PER_MS &&
+             !is_released(worker)) {
         Ledger_AddFinding(
             sim->ledger,
             "LEAVING: %s of VM %u reached worker %s %lld ms "
@@ -833,7 +895,7 @@
         row->crashes < SIM_PART_CRASHES_MAX ||
         now_us - row->last_crash_us < SIM_STABLE_US ||
         now_us - sim->vm_started_us[request->vm] < SIM_STABLE_US ||
-        now_us - worker->impaired_us < SIM_STABLE_US) {
+        now_us - worker->impaired_us < SIM_STABLE_US || is_released(worker)) {
         return;
     }
     if (++row->requests > SIM_PART_REQUESTS_MAX) {
@@ -869,6 +931,36 @@
     Sim_StartWorker(worker->sim, worker->number);
 }
 
+static void
+on_silence_end(evutil_socket_t fd, short what, void *context)
+{
+    SimWorker *worker = context;
+
+    (void)fd;
+    (void)what;
+    worker->released_us = Clk_Now(worker->sim->clk);
+    for (guint i = 0; i < SIM_VMS_MAX; i++) {
+        SimTold *told = &worker->told[i];
+        /* What was held back is heard only now. */
+        if (told->leaving_us > worker->silenced_us) {
+            told->leaving_us = worker->released_us;
+        }
+        if (told->paused_us > worker->silenced_us) {
+            told->paused_us = worker->released_us;
+        }
+    }
+    Proxy_SetHeld(worker->proxy, false);
+}
+
+/* Returns whether a request that reaches the worker now was perhaps held back
+   by a silence. */
+static bool
+is_released(const SimWorker *worker)
+{
+    return Clk_Now(worker->sim->clk) - worker->released_us <
+           SIM_RELEASE_MS * CLK_US_PER_MS;
+}
+
 /* Adds what the worker says of itself. */
 static void
 add_notices(const SimWorker *worker, HeaderList *headers)
@@ -907,6 +999,7 @@
         }
         else if (now_us - told->paused_us >
                      SIM_PAUSE_SLACK_MS * CLK_US_PER_MS &&
+                 !is_released(worker) &&
                  ++told->requests > SIM_PAUSE_REQUESTS_MAX) {
             Ledger_AddFinding(sim->ledger,
                               "PAUSE: %s is request %u of VM %u at worker %s, "
@@ -969,12 +1062,24 @@
     LIST_INSERT_HEAD(&sim->jobs, job, links);
     worker->running++;
     if (!job->is_prefill) {
-        Ledger_RecordRun(sim->ledger, id);
+        Ledger_RecordRun(sim->ledger, id, worker->number);
+        excuse_request(sim, id, worker->is_cut);
     }
     Loop_ArmTimer(job->timer, (uint32_t)g_rand_int_range(sim->rand, 1,
                                                          2 * SIM_RUN_MEAN_MS));
 }
 
+/* Notes whether the worker breaks the request's response. */
+static void
+excuse_request(const Sim *sim, const char *id, bool is_broken)
+{
+    LedgerRow *row = Ledger_Find(sim->ledger, id);
+
+    if (row != NULL && !row->is_ended) {
+        row->is_excused |= is_broken;
+    }
+}
+
 static void
 on_worker_disconnect(void *context, ServerExchange *exchange)
 {
@@ -1004,6 +1109,7 @@
         end_job(job);
     }
     else if (g_rand_double(sim->rand) < sim->lost_ratio) {
+        excuse_request(sim, job->id, true);
         Server_AbortResponse(exchange);
         end_job(job);
     }
--- a/soak/sim_platform.h
+++ b/soak/sim_platform.h
@@ -20,6 +20,13 @@
    draining worker. */
 #define SIM_DRAIN_MS 2500
 
+/* Timeouts of the routes of plain requests and of streams, which are also the
+   callers' deadlines, and those of a configuration with shortened ones. */
+#define SIM_PLAIN_TIMEOUT_MS 3000
+#define SIM_STREAM_TIMEOUT_MS 14000
+#define SIM_PLAIN_TIMEOUT_SHORT_MS 2000
+#define SIM_STREAM_TIMEOUT_SHORT_MS 6000
+
 typedef enum SimStoreState {
     SIM_STORE_NORMAL,
     SIM_STORE_DOWN,       /* Responds with 503. */
@@ -62,8 +69,8 @@
    yet seen what it was told before. */
 void Sim_RecordVmStart(Sim *sim, guint vm);
 /* Publishes a new version of the configuration, with a random number of
-   attempts for the "hold" route. */
-void Sim_ChangeConfig(Sim *sim);
+   attempts for the "hold" route, and with shortened timeouts on request. */
+void Sim_ChangeConfig(Sim *sim, bool is_short);
 /* Stops a worker without removing its entry from the store. */
 void Sim_CrashWorker(Sim *sim, guint worker);
 /* Starts a stopped worker under a new identifier and replaces its entry in
@@ -79,9 +86,16 @@
 void Sim_BeginPause(Sim *sim, guint worker, guint pause_ms);
 /* Makes a worker name a limit of requests a second in its answers; 0: none. */
 void Sim_SetLimit(Sim *sim, guint worker, double limit);
-/* Records that the connections to a worker are impaired, or no longer: what
-   reaches it was perhaps sent earlier. */
-void Sim_RecordImpairment(Sim *sim, guint worker);
+/* Sets the mode of the connections to a worker. Requests that it runs while
+   bytes are blocked, cut or added are not held against the VMs. */
+void Sim_ImpairWorker(Sim *sim, guint worker, ProxyMode mode);
+/* Resets all connections to a worker. */
+void Sim_ResetWorker(Sim *sim, guint worker);
+/* Passes no bytes to or from a sound worker for a time; nothing is lost.
+   Returns false if it is stopped or silent, or names a limit: requests that
+   come late in a bunch would hide whether VMs keep it. */
+bool Sim_SilenceWorker(Sim *sim, guint worker, guint silence_ms);
+void Sim_EndSilences(Sim *sim);
 /* Sets probabilities, 0 to 1: `lost_ratio`, that the connection breaks before
    the response of a plain run, and before each event and the end of a stream;
    `failed_ratio`, that a plain run ends with status 500. Prefills do not
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -55,6 +55,22 @@
 #define SOAK_CRASH_RATIO 0.1
 #define SOAK_PART_EXTRA_MS 4000
 
+/* Times from the end of the start to the first series of silences, and between
+   the starts of two, which is longer than a silence. */
+#define SOAK_SERIES_MIN_MS 1800
+#define SOAK_SERIES_MAX_MS 3600
+/* A worker of a series falls silent once, for this long. */
+#define SOAK_SILENCE_MIN_MS 800
+#define SOAK_SILENCE_MAX_MS 1600
+/* Share of the workers that fall silent in one series. */
+#define SOAK_SILENT_SHARE_MIN 0.4
+#define SOAK_SILENT_SHARE_MAX 1.0
+/* Added to the seed for the random numbers that draw silences, so that these
+   use none of those that draw the other faults. */
+#define SOAK_SILENCE_SEED 0x51
+/* From this time after SIGTERM a VM may end requests to exit in time. */
+#define SOAK_LATE_MS (SOAK_GRACE_MS * 5 / 6)
+
 typedef struct Soak Soak;
 
 /* One VM: a gate process, its settings file and its log file. */
@@ -67,6 +83,7 @@
     char address[32];    /* "IP:port" */
     struct event *timer; /* Restart, or SIGKILL after the grace period. */
     bool is_stopping;    /* The soak test has sent SIGTERM or SIGKILL. */
+    bool is_late;        /* SOAK_LATE_MS have passed since. */
     bool is_paused;
 } SoakVm;
 
@@ -107,9 +124,12 @@
     guint vm_count;
     SoakVm vms[LOAD_GEN_VMS_MAX];
     struct event *child_signal;
-    struct event *timer;      /* Starts the next fault. */
-    GPtrArray *active_faults; /* SoakActiveFault * */
-    bool is_shutting_down;    /* Processes are not restarted. */
+    struct event *timer; /* Starts the next fault. */
+    GRand *silence_rand;
+    struct event *series_timer;  /* Starts the next series of silences. */
+    struct event *planned_timer; /* Starts the work planned in a series. */
+    GPtrArray *active_faults;    /* SoakActiveFault * */
+    bool is_shutting_down;       /* Processes are not restarted. */
 };
 
 static int run_soak(const char *gate, const char *out, guint seed,
@@ -125,6 +145,8 @@
 static void on_next_fault(evutil_socket_t fd, short what, void *context);
 static void on_fault_end(evutil_socket_t fd, short what, void *context);
 static void end_fault(SoakActiveFault *active);
+static void on_next_series(evutil_socket_t fd, short what, void *context);
+static void on_planned(evutil_socket_t fd, short what, void *context);
 static guint count_running(const Soak *self);
 static void run_for(Soak *self, guint ms);
 static void print_fault(const Soak *self, const char *what, const char *name,
@@ -150,6 +172,7 @@
 static void begin_failures(Soak *self, const SoakFault *fault, guint pick);
 static void end_failures(Soak *self, const SoakFault *fault, guint pick);
 static void change_config(Soak *self, const SoakFault *fault, guint pick);
+static void shorten_timeouts(Soak *self, const SoakFault *fault, guint pick);
 static void restore_old_store(Soak *self, const SoakFault *fault, guint pick);
 static void make_worker_leave(Soak *self, const SoakFault *fault, guint pick);
 static void pause_worker(Soak *self, const SoakFault *fault, guint pick);
@@ -192,6 +215,15 @@
     {"part_crashes", 2, SOAK_PART_EXTRA_MS, false, begin_part, end_part, 0},
 };
 
+/* Work that the operator plans, during silences. The VMs that it stops start
+   again. */
+static const SoakFault planned_work[] = {
+    {"planned_config", 1, 0, false, change_config, NULL, 0},
+    {"planned_short_timeouts", 1, 0, false, shorten_timeouts, NULL, 0},
+    {"planned_reload", 1, 0, false, reload_vm, NULL, 0},
+    {"planned_stop", 1, 0, false, stop_vm, NULL, 0},
+};
+
 int
 main(int argc, char **argv)
 {
@@ -238,6 +270,7 @@
          guint seconds)
 {
     Soak self = {.gate = gate, .out = out, .vm_count = vm_count};
+    LedgerEnds ends;
     int64_t end_us;
     guint served;
     guint all;
@@ -245,9 +278,13 @@
 
     begin_soak(&self, seed);
     Loop_ArmTimer(self.timer, SOAK_INTERVAL_MIN_MS);
+    Loop_ArmTimer(self.series_timer, SOAK_SERIES_MIN_MS);
     run_for(&self, seconds * 1000);
 
     event_del(self.timer);
+    event_del(self.series_timer);
+    event_del(self.planned_timer);
+    Sim_EndSilences(self.sim);
     while (self.active_faults->len > 0) {
         end_fault(g_ptr_array_index(self.active_faults, 0));
     }
@@ -265,22 +302,26 @@
     }
 
     /* Shuts down while requests are open: the gates end each request that they
-       have read, then exit. A late exit is a finding (STOP); a request without
-       a response is not. */
+       have read, then exit. A late exit is a finding (STOP). */
     LoadGen_Stop(self.load_gen);
     self.is_shutting_down = true;
     for (guint i = 0; i < vm_count; i++) {
         signal_vm(&self.vms[i], SIGTERM);
     }
-    while (count_running(&self) > 0) {
-        run_for(&self, 50);
-    }
+    do {
+        run_for(&self, 50); /* Once more for what arrived before the exit. */
+    } while (count_running(&self) > 0 || LoadGen_CountOpen(self.load_gen) > 0);
     Ledger_Check(&self.ledger);
     for (int kind = 0; kind < LEDGER_KIND_COUNT; kind++) {
         Ledger_Count(&self.ledger, (LedgerKind)kind, &served, &all);
         printf("%-7s %5u sent, %5u served\n",
                Ledger_GetKindName((LedgerKind)kind), all, served);
     }
+    Ledger_CountEnds(&self.ledger, &ends);
+    printf("%u accepted: %u answered, %u refused, %u left by their callers, "
+           "%u broken off outside of the VM, %u lost, %u open\n",
+           ends.accepted, ends.answered, ends.refused, ends.left, ends.excused,
+           ends.lost, ends.open);
     for (guint i = 0; i < self.ledger.findings->len; i++) {
         printf("FINDING %s\n",
                (const char *)g_ptr_array_index(self.ledger.findings, i));
@@ -301,10 +342,13 @@
     self->base = event_base_new();
     self->clk = Clk_Default();
     self->rand = g_rand_new_with_seed(seed);
+    self->silence_rand = g_rand_new_with_seed(seed + SOAK_SILENCE_SEED);
     self->active_faults = g_ptr_array_new();
     Ledger_Init(&self->ledger);
     self->sim = Sim_New(self->base, &self->clk, &self->ledger, self->rand);
     self->timer = evtimer_new(self->base, on_next_fault, self);
+    self->series_timer = evtimer_new(self->base, on_next_series, self);
+    self->planned_timer = evtimer_new(self->base, on_planned, self);
     self->child_signal = evsignal_new(self->base, SIGCHLD, on_child, self);
     event_add(self->child_signal, NULL);
     load.base = self->base;
@@ -352,9 +396,12 @@
     Sim_Free(self->sim);
     event_free(self->child_signal);
     event_free(self->timer);
+    event_free(self->series_timer);
+    event_free(self->planned_timer);
     Ledger_Clear(&self->ledger);
     g_ptr_array_free(self->active_faults, TRUE);
     g_rand_free(self->rand);
+    g_rand_free(self->silence_rand);
     event_base_free(self->base);
 }
 
@@ -401,6 +448,7 @@
     posix_spawn_file_actions_destroy(&files);
     Sim_RecordVmStart(vm->soak->sim, vm->number);
     vm->is_stopping = false;
+    vm->is_late = false;
     vm->is_paused = false;
 }
 
@@ -417,10 +465,13 @@
             kill(vm->pid, SIGCONT);
         }
         if (!vm->is_stopping) {
-            Loop_ArmTimer(vm->timer, SOAK_GRACE_MS);
+            Loop_ArmTimer(vm->timer, SOAK_LATE_MS);
         }
         vm->is_stopping = true;
     }
+    if (signal_number == SIGKILL || vm->is_paused) {
+        Ledger_ExcuseVm(&vm->soak->ledger, vm->number);
+    }
     kill(vm->pid, signal_number);
 }
 
@@ -458,7 +509,12 @@
 
     (void)fd;
     (void)what;
-    if (vm->pid != 0) {
+    if (vm->pid != 0 && !vm->is_late) {
+        vm->is_late = true;
+        Ledger_ExcuseVm(&vm->soak->ledger, vm->number);
+        Loop_ArmTimer(vm->timer, SOAK_GRACE_MS - SOAK_LATE_MS);
+    }
+    else if (vm->pid != 0) {
         Ledger_AddFinding(&vm->soak->ledger,
                           "STOP: VM %u still runs %d ms after its stop signal",
                           vm->number, SOAK_GRACE_MS);
@@ -541,6 +597,47 @@
     g_free(active);
 }
 
+/* Silences a random share of the workers, and plans work for the same time. */
+static void
+on_next_series(evutil_socket_t fd, short what, void *context)
+{
+    Soak *self = context;
+    double share = g_rand_double_range(
+        self->silence_rand, SOAK_SILENT_SHARE_MIN, SOAK_SILENT_SHARE_MAX);
+
+    (void)fd;
+    (void)what;
+    for (guint i = 0; i < SIM_WORKER_COUNT; i++) {
+        bool is_silent = g_rand_double(self->silence_rand) < share;
+        guint silence_ms = (guint)g_rand_int_range(
+            self->silence_rand, SOAK_SILENCE_MIN_MS, SOAK_SILENCE_MAX_MS);
+        if (is_silent && Sim_SilenceWorker(self->sim, i, silence_ms)) {
+            print_fault(self, "begins", "worker_short_silence", i);
+        }
+    }
+    Loop_ArmTimer(self->planned_timer,
+                  (uint32_t)g_rand_int_range(self->silence_rand, 1,
+                                             SOAK_SILENCE_MAX_MS));
+    Loop_ArmTimer(self->series_timer,
+                  (uint32_t)g_rand_int_range(self->silence_rand,
+                                             SOAK_SERIES_MIN_MS,
+                                             SOAK_SERIES_MAX_MS));
+}
+
+static void
+on_planned(evutil_socket_t fd, short what, void *context)
+{
+    Soak *self = context;
+    guint pick = g_rand_int(self->silence_rand);
+    const SoakFault *work = &planned_work[g_rand_int(self->silence_rand) %
+                                          G_N_ELEMENTS(planned_work)];
+
+    (void)fd;
+    (void)what;
+    print_fault(self, "begins", work->name, pick);
+    work->begin(self, work, pick);
+}
+
 static guint
 count_running(const Soak *self)
 {
@@ -604,6 +701,9 @@
     (void)fault;
     SoakVm *vm = &self->vms[pick % self->vm_count];
 
+    if (vm->is_paused) {
+        Ledger_ExcuseVm(&self->ledger, vm->number);
+    }
     vm->is_paused = false;
     signal_vm(vm, SIGCONT);
     Sim_RecordVmStart(self->sim, vm->number);
@@ -661,25 +761,22 @@
 static void
 impair_worker(Soak *self, const SoakFault *fault, guint pick)
 {
-    Sim_RecordImpairment(self->sim, pick % SIM_WORKER_COUNT);
-    Proxy_SetMode(Sim_GetWorkerProxy(self->sim, pick % SIM_WORKER_COUNT),
-                  (ProxyMode)fault->mode);
+    Sim_ImpairWorker(self->sim, pick % SIM_WORKER_COUNT,
+                     (ProxyMode)fault->mode);
 }
 
 static void
 restore_worker(Soak *self, const SoakFault *fault, guint pick)
 {
     (void)fault;
-    Sim_RecordImpairment(self->sim, pick % SIM_WORKER_COUNT);
-    Proxy_SetMode(Sim_GetWorkerProxy(self->sim, pick % SIM_WORKER_COUNT),
-                  PROXY_PASS);
+    Sim_ImpairWorker(self->sim, pick % SIM_WORKER_COUNT, PROXY_PASS);
 }
 
 static void
 reset_worker(Soak *self, const SoakFault *fault, guint pick)
 {
     (void)fault;
-    Proxy_ResetAll(Sim_GetWorkerProxy(self->sim, pick % SIM_WORKER_COUNT));
+    Sim_ResetWorker(self->sim, pick % SIM_WORKER_COUNT);
 }
 
 static void
@@ -733,7 +830,15 @@
 {
     (void)fault;
     (void)pick;
-    Sim_ChangeConfig(self->sim);
+    Sim_ChangeConfig(self->sim, false);
+}
+
+static void
+shorten_timeouts(Soak *self, const SoakFault *fault, guint pick)
+{
+    (void)fault;
+    (void)pick;
+    Sim_ChangeConfig(self->sim, true);
 }
 
 static void
