Handover: a run that was sent is not taken back while it may have begun

What callers saw: nothing yet; two workers could work on one stream for longer than 400 ms: the silent one went on after its successor had got the run, which was then cancelled in favour of the first. Cause: progress of the silent call won at any time. Found by a review. Ruled out: cancelling at once, as the successor's run has begun by then. Change: once the run is sent, the silent call is given up when the successor answers, or after 250 ms; its events wait until then, and it goes on if the successor refuses. Measured: SilentWorkerGoesOnAfterTheSuccessorHasAccepted, red before, passes; RefusalAfterTheReservation passes in both orders. Conclusion: at most 250 ms of two runs; a refusal later than that finds the silent call closed.

--- a/src/decide/handover.c
+++ b/src/decide/handover.c
@@ -61,12 +61,14 @@
                          (state->successor == HANDOVER_SENT &&
                           state->sent_us >= HANDOVER_ACCEPT_MAX_US);
 
-    if (state->has_progress) {
-        return HANDOVER_RETURN;
-    }
     if (state->has_ended || is_taken_over) {
         return HANDOVER_SWITCH;
     }
+    if (state->has_progress) {
+        /* Two workers may run it now, until the other one refuses. */
+        return state->successor == HANDOVER_SENT ? HANDOVER_WAIT
+                                                 : HANDOVER_RETURN;
+    }
     return state->successor == HANDOVER_NONE && state->may_repeat &&
                    state->is_limit_passed
                ? HANDOVER_PREPARE
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -59,6 +59,7 @@
 static void on_run_data(void *context, const void *data, size_t size);
 static void on_run_end(void *context, ClientOutcome outcome);
 static void on_silent_end(GateTask *task, ClientOutcome outcome);
+static void forward_or_retry(GateTask *task);
 static bool has_next_event(const GateTask *task, Sse *sse);
 static bool forward_events(GateTask *task);
 static void note_event_time(GateTask *task);
@@ -147,7 +148,6 @@
         return;
     }
     Task_NoteFailure(task, CLIENT_INTERRUPTED, LS_RUN_NOT_RUN, "silent");
-    retry_or_end(task, LS_RUN_NOT_RUN, false);
     if (task->current->stage == TASK_RESERVE && has_begun(task)) {
         avoid_worker(task);
         Task_EndCall(task);
@@ -155,9 +155,9 @@
         advance(task);
         return;
     }
+    retry_or_end(task, LS_RUN_NOT_RUN, false);
 }
 
-/* Notes that the worker is silent, then prepares a successor, and at last
 /* Whether the caller has a part of its answer, or a worker may be making it.
    Then all workers stay candidates as long as the caller waits. */
 static bool
--- a/tests/test_gate_successor.cc
+++ b/tests/test_gate_successor.cc
@@ -113,6 +113,55 @@
     EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
 }
 
+/* The successor reserves memory, but refuses the run 150 ms after it came,
+   before or after the silent worker goes on. */
+TEST(GateSuccessor, RefusalAfterTheReservation)
+{
+    for (bool goes_on_first : {true, false}) {
+        SCOPED_TRACE(goes_on_first);
+        GateRig rig;
+        rig.SetRoute(resumable, true);
+        Worker *silent = rig.AddWorker({{Begun(3)}}, FLEET_PHASE_DECODE);
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+        Worker *other = rig.AddWorker({{""}}, FLEET_PHASE_DECODE);
+        ASSERT_TRUE(rig.Until([&] { return !other->requests.empty(); }));
+        RunFor(&rig, 100);
+        if (goes_on_first) {
+            silent->SendToAll(Chunk(Events(3, 5)));
+        }
+        RunFor(&rig, 50);
+        EXPECT_EQ(silent->closed, 0);
+        EXPECT_EQ(other->closed, 0);
+        other->SendToAll("HTTP/1.1 503 X\r\nX-Request-Id: id-1\r\n"
+                         "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        RunFor(&rig, 20);
+        silent->SendToAll(Chunk(Events(goes_on_first ? 6 : 3, 9)) +
+                          stream_end);
+        ASSERT_TRUE(UntilEnd(&rig, caller));
+        EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+    }
+}
+
+/* The successor's answer has begun, but has no event yet, as the silent worker
+   goes on. Only one of them may be at work 400 ms later. */
+TEST(GateSuccessor, SilentWorkerGoesOnAfterTheSuccessorHasAccepted)
+{
+    GateRig rig;
+    rig.SetRoute(resumable, true);
+    Worker *silent = rig.AddWorker({{Begun(3)}}, FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Prompt());
+    ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+    Worker *other = rig.AddWorker({{Begun(0)}}, FLEET_PHASE_DECODE);
+    ASSERT_TRUE(rig.Until([&] { return !other->requests.empty(); }));
+    RunFor(&rig, 100);
+    silent->SendToAll(Chunk(Events(3, 3)));
+    RunFor(&rig, 450);
+    /* A run began at `other`; `silent` still works on the request. */
+    EXPECT_EQ(silent->closed, 1)
+        << "closed at the successor: " << other->closed;
+}
+
 /* A plain call at a silent worker, whose successor refuses. */
 TEST(GateSuccessor, PlainCallIsKeptWhenItsSuccessorRefuses)
 {
