Successor: reads the prompt itself, and counts a cancelled prefill

What callers saw: nothing; a sound prefill worker was rated as failing, and extra calls were counted too low. Cause: the successor of a call without events was sent the handle that the silent worker may have taken, and its refusal was booked at the prefill worker; a prefill cancelled in flight did not make the next one an extra call. Ruled out: asking the prefill worker, which doesn't tell who took a handle. Change: the handle is forgotten with the silent call; a cancelled prefill counts. Measured: HandleIsNotOfferedTwiceAndItsWorkerNotBlamed, red before (the handle went to the second worker), passes. Conclusion: found by a review; the count is by reading, without a test.

--- a/src/gate/successor.c
+++ b/src/gate/successor.c
@@ -27,6 +27,8 @@
     task->current =
         task->silent == &task->calls[0] ? &task->calls[1] : &task->calls[0];
     task->runs++;
+    /* The silent worker may have fetched the prompt's KV memory. */
+    Reservation_ReleaseHandle(task, false);
     task->step_deadline_us = 0;
     task->waiting_since_us = 0;
     Met_Add(MET_SUCCESSORS, 1);
@@ -35,16 +37,18 @@
 void
 Successor_Cancel(GateTask *task)
 {
-    if (task->kv.prefilled_us > task->silent->began_us) {
-        Reservation_ReleaseHandle(task, true);
-    }
+    /* The other worker may have read the prompt, though its answer is not
+       awaited. */
+    task->prefilled |=
+        task->current->call != NULL && task->current->stage == TASK_PREFILL;
+    Reservation_ReleaseHandle(task, true);
     Reservation_UnassignWorker(task, true);
     TaskWait_EndWait(task, ADMISSION_WAIT_LEFT);
+    task->waiting_since_us = 0;
     /* The silent call counts as a run again when it ends. */
     task->runs -= Task_MayBeRunning(task) ? 0 : 1;
     Task_EndCall(task);
     include_worker(task, task->silent->worker);
-    task->waiting_since_us = 0;
     task->current = task->silent;
     task->silent = NULL;
     task->waiting = false;
--- a/tests/test_gate_successor.cc
+++ b/tests/test_gate_successor.cc
@@ -162,6 +162,28 @@
         << "closed at the successor: " << other->closed;
 }
 
+/* A call without an event whose prompt was read elsewhere: the memory can be
+   taken once, and may have been taken. */
+TEST(GateSuccessor, HandleIsNotOfferedTwiceAndItsWorkerNotBlamed)
+{
+    GateRig rig;
+    rig.SetRoute(resumable, true);
+    Worker *prefill = rig.AddWorker({PrefillReply("h1"), PrefillReply("h2")},
+                                    FLEET_PHASE_PREFILL);
+    FleetWorker *prefill_row = Fleet_Ref(rig.last_worker);
+    Worker *silent = rig.AddWorker({{Begun(0)}}, FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Prompt());
+    ASSERT_TRUE(rig.Until([&] { return !silent->requests.empty(); }));
+    ASSERT_NE(silent->requests[0].find("/h1\r\n"), std::string::npos);
+    Worker *other = rig.AddWorker({Stream(0, 9)}, FLEET_PHASE_DECODE);
+    ASSERT_TRUE(UntilEnd(&rig, caller));
+    EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+    EXPECT_EQ(other->requests[0].find("/h1\r\n"), std::string::npos);
+    EXPECT_EQ(Health_GetFailRate(&prefill_row->health, Clk_Now(&rig.clk)), 0);
+    EXPECT_EQ(prefill->requests.size(), 2u);
+    Fleet_Unref(prefill_row);
+}
+
 /* A plain call at a silent worker, whose successor refuses. */
 TEST(GateSuccessor, PlainCallIsKeptWhenItsSuccessorRefuses)
 {
