Successor: its failure is no answer while the silent call is open

What callers saw: an error of the second worker, though the first one would have answered. Cause: a worker's own error is passed if no other worker may be called. Ruled out: - Change: not while a silent call is open; the task goes on with that one. Measured: FailureOfTheSuccessorIsNotPassed, red before (500), passes. Conclusion: found by a review.

--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -186,7 +186,7 @@
     task->runs += run != LS_RUN_NOT_RUN;
     input = Task_GetRetryInput(task, run);
     input.repeatable = task->route->kind == RTE_IDEMPOTENT;
-    input.has_answer = has_answer;
+    input.has_answer = has_answer && task->silent == NULL;
     input.has_budget = !was_sent || Task_HasBudget(task, 1);
     input.has_candidate = next != NULL && is_in_time(task, next);
     switch (Task_DecideRetry(task, &input)) {
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -173,6 +173,7 @@
     task->current->worker->full_until_us = Task_Now(task) + HANDOVER_AGAIN_US;
 }
 
+/* Notes that the worker is silent, then prepares a successor, and at last
    gives up the silent call for it. */
 static void
 on_run_silent(GateTask *task)
@@ -500,7 +501,8 @@
     }
     Sse_Feed(&current->sse, data, size);
     if (current == task->silent) {
-        if (!has_next_event(task, &current->sse)) {
+        if (!has_next_event(task, &current->sse) ||
+            Successor_Decide(task, true, false) != HANDOVER_RETURN) {
             return;
         }
         Successor_Cancel(task);
@@ -511,6 +513,13 @@
     }
     /* The worker has fetched the KV memory. */
     Reservation_ReleaseHandle(task, false);
+    forward_or_retry(task);
+}
+
+/* Forwards the current run's events, or gives it up if one is malformed. */
+static void
+forward_or_retry(GateTask *task)
+{
     if (!forward_events(task)) {
         Task_NoteFailure(task, CLIENT_MALFORMED, LS_RUN_UNKNOWN,
                          "event missing or too long in stream");
@@ -704,13 +713,19 @@
                             task->current->stage == TASK_PREFILL;
     RetryInput input;
 
+    if (task->silent != NULL && has_next_event(task, &task->silent->sse)) {
+        Task_ExcludeWorker(task, task->current->worker);
+        Successor_Cancel(task);
+        forward_or_retry(task);
+        return;
+    }
     if (is_worker_failed) {
         Task_ExcludeWorker(task, task->current->worker);
     }
     task->runs += run != LS_RUN_NOT_RUN;
     input = Task_GetRetryInput(task, run);
     input.repeatable = task->route->can_resume;
-    input.has_answer = has_answer && !task->streaming;
+    input.has_answer = has_answer && !has_begun(task);
     /* A stream that has begun waits for the budget, as for a worker. */
     input.has_budget = task->streaming || task->silent != NULL ||
                        task->counted_calls == 0 ||
--- a/tests/test_gate_successor.cc
+++ b/tests/test_gate_successor.cc
@@ -184,6 +184,23 @@
     Fleet_Unref(prefill_row);
 }
 
+/* The successor's failure is no answer while the silent call is open. */
+TEST(GateSuccessor, FailureOfTheSuccessorIsNotPassed)
+{
+    GateRig rig;
+    rig.SetRoute(resumable, true);
+    Worker *silent = rig.AddWorker({{Begun(0)}}, FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Prompt());
+    ASSERT_TRUE(rig.Until([&] { return !silent->requests.empty(); }));
+    Worker *other = rig.AddWorker(
+        {{Answer(500, "X-Response-Stamp: s1\r\n", "x")}}, FLEET_PHASE_DECODE);
+    ASSERT_TRUE(rig.Until([&] { return !other->requests.empty(); }));
+    RunFor(&rig, 50);
+    silent->SendToAll(Chunk(Events(0, 9)) + stream_end);
+    ASSERT_TRUE(UntilEnd(&rig, caller));
+    EXPECT_EQ(caller->Status(), 200);
+}
+
 /* A plain call at a silent worker, whose successor refuses. */
 TEST(GateSuccessor, PlainCallIsKeptWhenItsSuccessorRefuses)
 {
