--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -6,6 +6,7 @@
 #include "../log.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Timers fire slightly late, so deadlines are set early by this time. */
 #define TASK_TIMER_MARGIN_US (5 * CLK_US_PER_MS)
@@ -25,6 +26,31 @@
     return Clk_Now(task->gate->options.clk);
 }
 
+uint64_t
+Task_GetIdentity(GateTask *task)
+{
+    const ServerExchange *exchange = task->exchange;
+    const char *const texts[] = {
+        task->request.host,
+        exchange != NULL ? exchange->method : "",
+        exchange != NULL ? exchange->target : "",
+    };
+    XXH3_state_t *state;
+
+    if (task->identity != 0 || exchange == NULL) {
+        return task->identity;
+    }
+    state = XXH3_createState();
+    XXH3_64bits_reset(state);
+    for (guint i = 0; i < G_N_ELEMENTS(texts); i++) {
+        XXH3_64bits_update(state, texts[i], strlen(texts[i]) + 1);
+    }
+    XXH3_64bits_update(state, exchange->body->data, exchange->body->len);
+    task->identity = XXH3_64bits_digest(state);
+    XXH3_freeState(state);
+    return task->identity;
+}
+
 bool
 Task_MayBeRunning(const GateTask *task)
 {
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -86,6 +86,7 @@
     const RteRoute *route;
     const RteService *service;
     struct event *timer;
+    uint64_t identity;   /* See Task_GetIdentity(); 0 if not yet computed. */
     bool is_caller_gone; /* The caller has disconnected. */
     bool is_retry; /* The caller was refused before, judging by its time. */
     int64_t began_us;
@@ -174,6 +175,10 @@
 RankDistance Task_GetDistance(const Gate *gate, const char *from,
                               const char *to);
 
+/* Returns a hash that is the same for each repeat of the request, by the
+   caller or a VM: of its host, method, target and body. 0 if the caller left
+   before it was computed. */
+uint64_t Task_GetIdentity(GateTask *task);
 /* Returns the time of the gate's clock, microseconds. */
 int64_t Task_Now(const GateTask *task);
 /* Whether the call in progress may be running the request. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -298,7 +298,7 @@
         LOG_LEVEL_INFO, "call_failed",
         json_pack(
             "{s:s,s:s,s:o,s:i,s:b,s:I,s:s,s:s,s:i,s:s,s:i,s:s,s:I,s:i,s:i,s:i,"
-            "s:i,s:I,s:I,s:I,s:I}",
+            "s:i,s:I,s:I,s:I,s:I,s:o}",
             "request", task->request.id, "worker", worker->entry.id, "parts",
             list_parts(task), "events", (int)current->events, "leaving",
             (int)Fleet_IsLeaving(worker), "pause_us",
@@ -315,7 +315,9 @@
             (json_int_t)(worker->heard_us != 0 ? now_us - worker->heard_us
                                                : -1),
             "config", (json_int_t)task->table->version, "config_now",
-            (json_int_t)task->gate->table->version));
+            (json_int_t)task->gate->table->version, "identity",
+            json_sprintf("%016llx",
+                         (unsigned long long)Task_GetIdentity(task))));
 }
 
 RetryInput
