--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -260,6 +260,9 @@
     /* The worker crashes as it begins an answer on a prompt with this part; ""
        for none. */
     std::string crash_part;
+    /* It crashes under each request whose bytes hold this text, without any
+       answer; "" for none. */
+    std::string crash_text;
     /* Time from the answer's header to the crash. Without it the reset
        discards the header. */
     int crash_delay_ms = 5;
@@ -393,6 +396,12 @@
             self->part_times_us.push_back(g_get_monotonic_time());
             crashes_now = text.find("X-Stage: prefill") == std::string::npos;
         }
+        if (!self->crash_text.empty() &&
+            text.find(self->crash_text) != std::string::npos) {
+            self->part_times_us.push_back(g_get_monotonic_time());
+            self->CrashAfterDelay();
+            return;
+        }
         ScriptedReply reply = Refusal();
         if (crashes_now) {
             reply = {StreamHead("Transfer-Encoding: chunked\r\n")};
--- a/tests/test_gate_crash.cc
+++ b/tests/test_gate_crash.cc
@@ -189,4 +189,79 @@
     EXPECT_EQ(sound->Status(), 200);
 }
 
+/* A request without parts of a prompt. */
+std::string
+PlainRequest(const std::string &target, const std::string &body, int number)
+{
+    return "POST /r/" + target + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-" +
+           std::to_string(number) +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+struct RequestCase {
+    const char *name;
+    Route route;
+    const char *prompt; /* Header fields of the requests. */
+};
+
+const RequestCase request_cases[] = {
+    {"plain, may be repeated", {RTE_IDEMPOTENT, 2}, ""},
+    {"plain, may run once", {RTE_NON_IDEMPOTENT, 1}, ""},
+    {"prompt without parts",
+     {RTE_STREAM, 2, true},
+     "X-Token-Usage: 1000,100\r\n"},
+};
+
+/* Users' bound (RULES, BUDGET): requests after the third crash. */
+constexpr int request_crashes_free = 3;
+
+/* A request that crashes the workers which run it comes again, with the same
+   target and body, at any VM, among sound requests of the same route. */
+TEST(GateCrash, RequestThatCrashesWorkersIsNotSentToFurtherWorkers)
+{
+    for (const RequestCase &row : request_cases) {
+        SCOPED_TRACE(row.name);
+        FleetRig rig(row.route, 3, 3);
+        rig.restart_ms = 500;
+        for (auto &worker : rig.workers) {
+            worker->crash_text = "poison";
+        }
+        int64_t third_us = 0;
+        std::vector<Caller *> sound;
+        int served = 0;
+        int number = 0;
+        rig.RunFor(500);
+        for (int i = 0; i < 100; i++) {
+            size_t vm = (size_t)i % 3;
+            if (i % 2 == 0) {
+                std::string bad = PlainRequest("x", "poison", ++number);
+                bad.insert(bad.find("Content-Length"), row.prompt);
+                rig.Call(vm, bad);
+            }
+            std::string good =
+                PlainRequest("x", "b" + std::to_string(i), ++number);
+            good.insert(good.find("Content-Length"), row.prompt);
+            Caller *caller = rig.Call(vm, good);
+            if (i >= 60) {
+                sound.push_back(caller);
+            }
+            rig.RunFor(30);
+            if (third_us == 0 && rig.CountCrashes() >= request_crashes_free) {
+                third_us = g_get_monotonic_time();
+            }
+        }
+        rig.RunFor(500);
+        if (third_us != 0) {
+            EXPECT_LE(rig.CountPartSince(third_us + learn_us),
+                      requests_after_max)
+                << rig.CountCrashes() << " workers crashed";
+        }
+        for (Caller *caller : sound) {
+            served += caller->Status() == 200 && caller->IsComplete();
+        }
+        EXPECT_GE(served, (int)sound.size() * 9 / 10);
+    }
+}
+
 } // namespace
