Blame: requests without parts of a prompt that crash workers

What callers saw: a plain request came again and ended worker after worker, all of its service within a second, and again as they were back. Cause: only parts of a stream's prompt were kept as suspects, and only crashes in an answer were checked. A plain call, a prompt without parts and a prefill left no trace, so each VM sent the next repeat to the next worker. Class: a fault of the request is attributed to where it shows. Ruled out: too low a weight of the evidence (there was none); our own repeats alone, as a route with one attempt ends workers as well. Change: the request's identity (host, method, target, body) stands for its parts if it has none; a call that breaks before an answer that comes as a whole, and a prefill that breaks, are checked. Rows with the same crashes blame none of them, so that a request beside the cause isn't refused.

--- a/src/decide/suspects.c
+++ b/src/decide/suspects.c
@@ -38,6 +38,7 @@
 static void update_blame(Suspects *suspects);
 static uint32_t weigh(const Suspects *suspects, const SuspectsRow *row);
 static bool is_explained(const Suspects *suspects, uint64_t worker);
+static bool is_ambiguous(const Suspects *suspects, const SuspectsRow *row);
 static bool has_crash(const SuspectsRow *row, uint64_t worker);
 static int64_t get_probe_us(const Suspects *suspects, const SuspectsRow *row);
 static SuspectsSound *get_sound_slot(const Suspects *suspects, uint64_t part);
@@ -367,6 +368,7 @@
             SuspectsRow *row = &suspects->rows[i];
             uint32_t weight = weigh(suspects, row);
             if (weight > 0 && weight >= SUSPECTS_LIKENESS * heaviest &&
+                !is_ambiguous(suspects, row) &&
                 (best == NULL || row->depth > best->depth ||
                  (row->depth == best->depth &&
                   weight > weigh(suspects, best)))) {
@@ -430,6 +432,26 @@
     return false;
 }
 
+/* Whether another row has the same crashes, as that of a request which ran
+   beside the cause each time. The next crash tells them apart. */
+static bool
+is_ambiguous(const Suspects *suspects, const SuspectsRow *row)
+{
+    for (uint32_t i = 0; i < suspects->row_count; i++) {
+        const SuspectsRow *other = &suspects->rows[i];
+        bool is_same = other != row && !other->blamed &&
+                       other->depth == row->depth &&
+                       other->crash_count == row->crash_count;
+        for (uint32_t k = 0; k < row->crash_count && is_same; k++) {
+            is_same = has_crash(other, row->crashes[k].worker);
+        }
+        if (is_same && weigh(suspects, other) > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 has_crash(const SuspectsRow *row, uint64_t worker)
 {
--- a/src/gate/crash_check.c
+++ b/src/gate/crash_check.c
@@ -1,5 +1,6 @@
 /* Crash check: whether a worker crashed under a call. See crash_check.h. */
 #include "crash_check.h"
+#include "blame.h"
 
 #include "../log.h"
 
@@ -35,6 +36,7 @@
     Gate *gate = task->gate;
     const FleetWorker *worker = task->current->worker;
     CrashCheck *check = NULL;
+    const uint64_t *parts;
     guint count = 0;
     ClientCallOptions call = {
         .address = worker->entry.address,
@@ -54,9 +56,8 @@
     check = g_new0(CrashCheck, 1);
     check->gate = gate;
     g_strlcpy(check->worker, worker->entry.id, sizeof(check->worker));
-    check->part_count = task->request.part_count;
-    check->parts = g_memdup2(task->request.parts,
-                             check->part_count * sizeof(*check->parts));
+    parts = Blame_GetParts(task, &check->part_count);
+    check->parts = g_memdup2(parts, check->part_count * sizeof(*check->parts));
     check->crash.worker = CrashCheck_GetStart(worker);
     check->crash.began_us = task->current->head_us != 0
                                 ? task->current->head_us
--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -1,6 +1,7 @@
 /* Plain: forwards a request with a single answer. The answer is read
    completely before the caller gets any of it, so that another worker can run
    the request if the connection is lost. See task.h. */
+#include "blame.h"
 #include "successor.h"
 
 #include <string.h>
@@ -25,9 +26,13 @@
 Plain_Begin(GateTask *task)
 {
     int64_t cost_us = 0;
-    FleetWorker *worker =
-        Task_ChooseWorker(task, FLEET_PHASE_NONE, get_cost, NULL, &cost_us);
+    FleetWorker *worker;
 
+    if (!Blame_IsAllowed(task)) {
+        return;
+    }
+    worker =
+        Task_ChooseWorker(task, FLEET_PHASE_NONE, get_cost, NULL, &cost_us);
     if (worker == NULL) {
         g_strlcpy(task->cause, "no usable worker", sizeof(task->cause));
         Task_Refuse(task, ADMISSION_NO_WORKER);
@@ -158,6 +163,7 @@
     }
     if (has_answer && current->reply.status < 500 && run != LS_RUN_NOT_RUN) {
         Health_NoteSuccess(&current->worker->health, Task_Now(task));
+        Blame_NoteSound(task);
         if (is_silent) {
             Successor_Cancel(task);
         }
@@ -169,6 +175,7 @@
         return;
     }
     Task_NoteFailure(task, outcome, run, cause);
+    Blame_NoteBreak(task, outcome, run);
     retry_or_end(task, run, has_answer, outcome != CLIENT_NOT_SENT);
 }
 
@@ -191,6 +198,9 @@
     input.has_candidate = next != NULL && is_in_time(task, next);
     switch (Task_DecideRetry(task, &input)) {
     case RETRY_ELSEWHERE:
+        if (!Blame_IsAllowed(task)) {
+            return;
+        }
         Task_EndCall(task);
         task->current->expected_us = cost_us;
         begin_call(task, next);
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -257,7 +257,7 @@
     int64_t remote_prefill_cost_us = INT64_MAX;
     FleetWorker *prefill_worker;
 
-    if (task->request.part_count > 0 && !Blame_IsAllowed(task)) {
+    if (!Blame_IsAllowed(task)) {
         return;
     }
     if (task->kv.handle[0] != '\0' && !Reservation_HasHandle(task)) {
@@ -465,6 +465,9 @@
                                (const char *)current->body->data,
                                current->body->len, kv->handle)) {
         Task_NoteFailure(task, outcome, LS_RUN_NOT_RUN, "prefill failed");
+        Blame_NoteBreak(task, outcome,
+                        outcome == CLIENT_NOT_SENT ? LS_RUN_NOT_RUN
+                                                   : LS_RUN_UNKNOWN);
         if (current->has_reply && current->reply.not_run) {
             current->worker->full_until_us =
                 now_us + STREAM_PHASE_CHANGE_BACKOFF_US;
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -1,5 +1,6 @@
 /* Task: begin and end of a request, and its answers. See task.h. */
 #include "task.h"
+#include "blame.h"
 #include "successor.h"
 
 #include "../io/loop.h"
@@ -99,8 +100,10 @@
     bool is_limited = false;
 
     if (cause == ADMISSION_BLOCKED) {
-        Suspects_Judge(&task->gate->suspects, task->request.parts,
-                       task->request.part_count, Task_Now(task), &open_us);
+        uint32_t count;
+        const uint64_t *parts = Blame_GetParts(task, &count);
+        Suspects_Judge(&task->gate->suspects, parts, count, Task_Now(task),
+                       &open_us);
         wait_ms = MAX(open_us - Task_Now(task), 0) / CLK_US_PER_MS;
         code = LS_ERR_PROMPT_BLOCKED;
     }
--- a/tests/test_decide_suspects.cc
+++ b/tests/test_decide_suspects.cc
@@ -504,4 +504,28 @@
     }
 }
 
+/* A request that was repeated together with the cause, at the same workers, is
+   not refused; the next crash tells which of the two it is. */
+TEST(Suspects, RequestBesideTheCauseIsNotBlamed)
+{
+    Suspects suspects;
+    const uint64_t cause = 0xbad;
+    const uint64_t beside = 0x50;
+    int64_t until_us;
+    Suspects_Init(&suspects, 1);
+    for (int i = 0; i < 3; i++) {
+        int64_t at_us = (10 + i) * CLK_US_PER_S;
+        SuspectsCrash crash = {(uint64_t)i + 1, at_us - 1000, at_us,
+                               SUSPECTS_FULL};
+        Suspects_NoteCrash(&suspects, &beside, i < 2 ? 1 : 0, &crash);
+        Suspects_NoteCrash(&suspects, &cause, 1, &crash);
+        EXPECT_EQ(Suspects_Judge(&suspects, &beside, 1, at_us, &until_us),
+                  SUSPECTS_CLEAR)
+            << i;
+        EXPECT_EQ(Suspects_Judge(&suspects, &cause, 1, at_us, &until_us),
+                  i < 2 ? SUSPECTS_CLEAR : SUSPECTS_BLAMED)
+            << i;
+    }
+}
+
 } // namespace
