--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -243,6 +243,15 @@
         }
     }
 
+    /* Grants a reservation on all connections. */
+    void
+    GrantReservations()
+    {
+        holds_reservations = false;
+        SendToAll("HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n"
+                  "{\"hold\":\"L1\"}");
+    }
+
     std::string address;
     std::vector<std::string> requests; /* Headers and bodies, as received. */
     int closed = 0;                    /* Connections closed by the gate. */
@@ -250,6 +259,8 @@
     int refusals = 0;        /* How many of the next reservations to refuse. */
     int reservations = 0;    /* Reservations granted. */
     std::string reservation; /* Last request for a reservation. */
+    /* Answers no request for a reservation until GrantReservations(). */
+    bool holds_reservations = false;
     std::string before_reservation;  /* Sent before each answer to one. */
     std::string reservation_headers; /* In each answer to one. */
     size_t endless_bytes = 0; /* Bytes of endless replies that were taken. */
@@ -377,6 +388,9 @@
                                  self->reservation_headers + self->headers +
                                  "Content-Length: 0\r\n\r\n";
             self->reservation = text;
+            if (self->holds_reservations) {
+                return;
+            }
             if (self->refusals > 0) {
                 self->refusals--;
             }
