Server: the idle time-out spares a caller that reads slowly

What callers saw: a part of an answer, then the end of the connection, though they read it steadily: a large answer that takes longer than idle-ms, or any slow one after idle-ms was lowered. Cause: begin_request() and finish_exchange() arm the idle timer while the answer is still unsent, and on_timer() closes whatever it finds then. Ruled out: a trial that compared only the bytes before the socket, and took the count when the answer had just been queued: each kept connection was then held for twice its time-out (the new check of a quiet connection fails). Change: the timer closes only a connection without unsent bytes, or whose unsent bytes, with those in the socket, did not shrink since the last look. The idle time begins when the answer was sent, with the time-out of its begin. Tests: SlowReaderGetsItsAnswer also has two callers that stop reading and must lose their connection (they fail without the rule of progress); RequestAtTheEndOfAnIdleConnection also checks that an idle connection is closed at its time-out.

--- a/src/io/server.c
+++ b/src/io/server.c
@@ -11,6 +11,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
 
@@ -37,6 +38,8 @@
     bool chunked;       /* The streamed response is chunked. */
     bool keep_alive;    /* The caller may send another request. */
     bool lingering;     /* The connection only waits for the caller's close. */
+    uint32_t wait_ms;   /* Time-out of the last arm_wait_timer(). */
+    size_t unsent;      /* Result of count_unsent() at that time. */
     int error_status;   /* Status for a request that breaks a limit, or 0. */
     size_t header_size; /* Bytes of the request's header so far. */
     int64_t header_us;  /* When the header was complete. */
@@ -56,6 +59,7 @@
                       struct sockaddr *address, int size, void *context);
 static void accept_backlog(Server *server);
 static bool has_unread_data(const ServerConn *conn);
+static size_t count_unsent(const ServerConn *conn);
 static void on_read(struct bufferevent *bev, void *context);
 static void on_write(struct bufferevent *bev, void *context);
 static void on_event(struct bufferevent *bev, short what, void *context);
@@ -69,6 +73,7 @@
 static int parse_end(http_parser *parser);
 static void begin_request(ServerConn *conn);
 static void parse_input(ServerConn *conn);
+static void arm_wait_timer(ServerConn *conn, uint32_t ms);
 static void arm_body_timer(const ServerConn *conn);
 static void drop_body(ServerConn *conn);
 static void reject(ServerConn *conn, int status);
@@ -317,6 +322,21 @@
                 MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+/* Returns the bytes of responses that the caller's host has not acknowledged.
+   Without those in the socket, the progress of a slow reader would show only
+   in steps of a third of the socket's buffer. */
+static size_t
+count_unsent(const ServerConn *conn)
+{
+    int queued = 0;
+
+    if (ioctl(bufferevent_getfd(conn->bev), TIOCOUTQ, &queued) != 0) {
+        queued = 0; /* A broken connection is reported by on_event(). */
+    }
+    return evbuffer_get_length(bufferevent_get_output(conn->bev)) +
+           (size_t)queued;
+}
+
 static void
 on_accept(struct evconnlistener *listener, evutil_socket_t fd,
           struct sockaddr *address, int size, void *context)
@@ -373,6 +393,10 @@
     if (conn->lingering) {
         begin_linger(conn);
     }
+    else if (!conn->in_exchange && !conn->reading) {
+        /* The idle time begins when the response was sent. */
+        arm_wait_timer(conn, conn->wait_ms);
+    }
 }
 
 static void
@@ -397,14 +421,21 @@
 on_timer(evutil_socket_t fd, short what, void *context)
 {
     ServerConn *conn = context;
+    size_t unsent;
 
     (void)fd;
     (void)what;
-    if (conn->lingering || !conn->reading) {
-        close_conn(conn);
+    if (conn->reading) {
+        reject(conn, 408);
         return;
     }
-    reject(conn, 408);
+    unsent = count_unsent(conn);
+    if (unsent > 0 && unsent < conn->unsent) {
+        /* A caller that reads slowly is not idle. */
+        arm_wait_timer(conn, conn->wait_ms);
+        return;
+    }
+    close_conn(conn);
 }
 
 /* Prepares the connection for its next request. */
@@ -422,8 +453,8 @@
     conn->header_size = 0;
     conn->error_status = 0;
     conn->keep_alive = true;
-    Loop_ArmTimer(conn->timer,
-                  conn->server->options.limits.idle_ms + SERVER_IDLE_SLACK_MS);
+    arm_wait_timer(conn, conn->server->options.limits.idle_ms +
+                             SERVER_IDLE_SLACK_MS);
 }
 
 /* Parses the received bytes up to the end of one request. */
@@ -478,6 +509,16 @@
     }
 }
 
+/* Sets the time-out of a connection that waits for a request, or for its
+   caller to read the response or to close. */
+static void
+arm_wait_timer(ServerConn *conn, uint32_t ms)
+{
+    conn->wait_ms = ms;
+    conn->unsent = count_unsent(conn);
+    Loop_ArmTimer(conn->timer, ms);
+}
+
 /* Sets the time by which the next part of a body must come. */
 static void
 arm_body_timer(const ServerConn *conn)
@@ -657,7 +698,7 @@
     if (is_closing(conn)) {
         conn->keep_alive = false;
         conn->lingering = true;
-        Loop_ArmTimer(conn->timer, conn->server->options.limits.idle_ms);
+        arm_wait_timer(conn, conn->server->options.limits.idle_ms);
         if (evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0) {
             /* If bytes are still unsent, on_write() does this later. */
             begin_linger(conn);
@@ -685,7 +726,7 @@
     evbuffer_drain(in, evbuffer_get_length(in));
     set_reset_on_close(conn, false);
     shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
-    Loop_ArmTimer(conn->timer, SERVER_LINGER_MS);
+    arm_wait_timer(conn, SERVER_LINGER_MS);
 }
 
 static void
--- a/tests/test_gate_change.cc
+++ b/tests/test_gate_change.cc
@@ -821,6 +821,8 @@
     open->Send(Request());
     ASSERT_TRUE(rig.Until([&] { return open->IsComplete() || open->closed; }));
     EXPECT_TRUE(open->IsComplete());
+    Caller *quiet = rig.Call(Request());
+    ASSERT_TRUE(rig.Until([&] { return quiet->IsComplete(); }));
     size_t runs = worker->requests.size();
     size_t next = 0;
     int64_t end_us = times_us.back() + 100 * CLK_US_PER_MS;
@@ -835,6 +837,7 @@
         }
         rig.Turn();
     }
+    EXPECT_TRUE(quiet->closed);
     TurnUntil({&rig}, [&] {
         bool all = true;
         for (Caller *caller : callers) {
@@ -861,22 +864,38 @@
 
 /* A large answer whose caller reads it slowly, but all the time: it takes
    longer than the changed time-out, and than the time after which a planned
-   stop closes idle connections. */
+   stop closes idle connections. A caller that stops reading for longer than
+   the time-out loses its connection. */
 struct SlowReaderCase {
     const char *name;
     const char *headers; /* Of the request. */
     bool is_before;      /* The change comes before the worker's answer. */
     void (*apply)(ChangingRig *rig);
+    bool is_stalled = false; /* Reads nothing while the others read slowly. */
 };
 
 void
-LowerIdleLimit(ChangingRig *rig)
+SetIdleLimit(ChangingRig *rig, int ms)
 {
     Config config = rig->config;
-    config.limits = "\"idle-ms\":1000";
+    config.limits = "\"idle-ms\":" + std::to_string(ms);
     rig->Apply(config);
 }
 
+void
+LowerIdleLimit(ChangingRig *rig)
+{
+    SetIdleLimit(rig, 1000);
+}
+
+/* The gate sees at its second look that a caller makes no progress, which is
+   before the slow callers are done. */
+void
+MinimizeIdleLimit(ChangingRig *rig)
+{
+    SetIdleLimit(rig, 200);
+}
+
 void
 Stop(ChangingRig *rig)
 {
@@ -893,6 +912,9 @@
      "Connection: close\r\n", true, LowerIdleLimit},
     {"idle limit lowered after a closing connection's answer",
      "Connection: close\r\n", false, LowerIdleLimit},
+    {"no progress on a kept connection", "", true, MinimizeIdleLimit, true},
+    {"no progress on a closing connection", "Connection: close\r\n", true,
+     MinimizeIdleLimit, true},
     {"planned stop before the answer", "", true, Stop},
     {"planned stop after the answer", "", false, Stop},
 };
@@ -997,6 +1019,10 @@
         }
         next_us = g_get_monotonic_time() + read_ms * CLK_US_PER_MS;
         for (Row &row : rows) {
+            if (row.slow->is_stalled &&
+                g_get_monotonic_time() < slow_until_us) {
+                continue;
+            }
             row.caller->Read();
             all = all && (row.caller->text.size() > body.size() ||
                           row.caller->closed);
@@ -1005,7 +1031,7 @@
     });
     for (Row &row : rows) {
         SCOPED_TRACE(row.slow->name);
-        EXPECT_TRUE(row.caller->HasAnswer())
+        EXPECT_EQ(row.caller->HasAnswer(), !row.slow->is_stalled)
             << "got " << row.caller->text.size() << " bytes, closed "
             << row.caller->closed;
     }
