Server: a planned stop waits until the last answer is sent

What callers saw: the end of the connection in the middle of an answer, 3 s after a planned stop began, if they read slowly. Cause: Server_CloseIdle() closes each connection without a request, also those whose last answer is still unsent. Change: a connection with unsent bytes stays as it is; a request that arrives is answered and announces the close. Once the bytes are sent and nothing is unread, on_write() closes the sending half. The time-out of callers without progress and the end of the process bound this.

--- a/src/io/server.c
+++ b/src/io/server.c
@@ -59,6 +59,7 @@
                       struct sockaddr *address, int size, void *context);
 static void accept_backlog(Server *server);
 static bool has_unread_data(const ServerConn *conn);
+static bool is_idle(const ServerConn *conn);
 static size_t count_unsent(const ServerConn *conn);
 static void on_read(struct bufferevent *bev, void *context);
 static void on_write(struct bufferevent *bev, void *context);
@@ -188,8 +189,9 @@
     conn = LIST_FIRST(&server->conns);
     while (conn != NULL) {
         ServerConn *next = LIST_NEXT(conn, links);
-        if (!conn->in_exchange && !conn->reading && !conn->lingering &&
-            !has_unread_data(conn)) {
+        /* on_write() does this later for those with unsent bytes. */
+        if (is_idle(conn) &&
+            evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0) {
             close_conn(conn);
         }
         conn = next;
@@ -322,6 +324,15 @@
                 MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+/* Whether the connection has no request, not even an unread one. Bytes of the
+   last response may be unsent. */
+static bool
+is_idle(const ServerConn *conn)
+{
+    return !conn->in_exchange && !conn->reading && !conn->lingering &&
+           !has_unread_data(conn);
+}
+
 /* Returns the bytes of responses that the caller's host has not acknowledged.
    Without those in the socket, the progress of a slow reader would show only
    in steps of a third of the socket's buffer. */
@@ -390,7 +401,7 @@
     (void)bev;
     /* libevent calls this also once when the connection is accepted, before
        any response. */
-    if (conn->lingering) {
+    if (conn->lingering || (conn->server->listener == NULL && is_idle(conn))) {
         begin_linger(conn);
     }
     else if (!conn->in_exchange && !conn->reading) {
--- a/src/io/server.h
+++ b/src/io/server.h
@@ -75,8 +75,9 @@
 void Server_SetLimits(Server *server, const ServerLimits *limits);
 /* Makes every response from now on close its connection. */
 void Server_BeginShutdown(Server *server);
-/* Stops listening and closes the connections that have no request. Requests
-   whose first bytes have reached this VM are still read and answered. */
+/* Stops listening and closes the connections that have no request, once their
+   last response is sent. Requests whose first bytes have reached this VM by
+   then are still read and answered. */
 void Server_CloseIdle(Server *server);
 /* Returns the number of requests without a complete response, of responses
    that are not yet sent completely, and after Server_CloseIdle() of
--- a/tests/test_gate_change.cc
+++ b/tests/test_gate_change.cc
@@ -865,13 +865,15 @@
 /* A large answer whose caller reads it slowly, but all the time: it takes
    longer than the changed time-out, and than the time after which a planned
    stop closes idle connections. A caller that stops reading for longer than
-   the time-out loses its connection. */
+   the time-out loses its connection. A request that is sent meanwhile is
+   answered as well. */
 struct SlowReaderCase {
     const char *name;
     const char *headers; /* Of the request. */
     bool is_before;      /* The change comes before the worker's answer. */
     void (*apply)(ChangingRig *rig);
-    bool is_stalled = false; /* Reads nothing while the others read slowly. */
+    bool is_stalled = false;  /* Reads nothing while the others read slowly. */
+    bool is_followed = false; /* Sends another request near the end of that. */
 };
 
 void
@@ -917,6 +919,7 @@
      MinimizeIdleLimit, true},
     {"planned stop before the answer", "", true, Stop},
     {"planned stop after the answer", "", false, Stop},
+    {"planned stop, then another request", "", false, Stop, false, true},
 };
 
 /* A caller that reads a part of its answer whenever it is told to. */
@@ -930,8 +933,7 @@
         to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         fd_ = socket(AF_INET, SOCK_STREAM, 0);
         EXPECT_EQ(connect(fd_, (sockaddr *)&to, sizeof(to)), 0);
-        EXPECT_EQ(send(fd_, request.data(), request.size(), MSG_NOSIGNAL),
-                  (ssize_t)request.size());
+        Send(request);
     }
 
     ~SlowCaller()
@@ -950,11 +952,18 @@
         closed = closed || size == 0 || (size < 0 && errno != EAGAIN);
     }
 
+    void
+    Send(const std::string &request) const
+    {
+        EXPECT_EQ(send(fd_, request.data(), request.size(), MSG_NOSIGNAL),
+                  (ssize_t)request.size());
+    }
+
     bool
-    HasAnswer() const
+    HasAnswers(size_t count) const
     {
         std::string rest;
-        return ReadAnswers(text, &rest).size() == 1;
+        return ReadAnswers(text, &rest).size() == count;
     }
 
     std::string text;
@@ -974,6 +983,7 @@
     };
     const std::string body(7 * 1024 * 1024, 'x');
     const int read_ms = 16; /* Time between two reads. */
+    const int64_t follow_us = 250 * CLK_US_PER_MS;
     /* Then the callers read all at once. */
     const int64_t slow_us =
         (int64_t)(Edge_DefaultOptions().notice_ms + 500) * CLK_US_PER_MS;
@@ -990,7 +1000,7 @@
         Row row = {&slow, std::make_unique<ChangingRig>(), nullptr, nullptr};
         row.rig->config.kind = "non_idempotent";
         row.rig->SetRoute({RTE_NON_IDEMPOTENT, 1});
-        row.worker = row.rig->AddWorker({{""}});
+        row.worker = row.rig->AddWorker({{""}, Ok()});
         row.caller = std::make_unique<SlowCaller>(
             Edge_GetPort(row.rig->edge), Request("POST", slow.headers));
         rigs.push_back(row.rig.get());
@@ -1012,26 +1022,36 @@
     apply(false);
     int64_t next_us = 0;
     int64_t slow_until_us = g_get_monotonic_time() + slow_us;
+    bool has_followed = false;
     TurnUntil(rigs, [&] {
         bool all = true;
         if (g_get_monotonic_time() < MIN(next_us, slow_until_us)) {
             return false;
         }
         next_us = g_get_monotonic_time() + read_ms * CLK_US_PER_MS;
+        bool follows = !has_followed && next_us + follow_us > slow_until_us;
+        has_followed = has_followed || follows;
         for (Row &row : rows) {
+            if (follows && row.slow->is_followed) {
+                row.caller->Send(Request("POST", "", "second"));
+            }
             if (row.slow->is_stalled &&
                 g_get_monotonic_time() < slow_until_us) {
                 continue;
             }
             row.caller->Read();
-            all = all && (row.caller->text.size() > body.size() ||
-                          row.caller->closed);
+            all = all &&
+                  (row.caller->closed ||
+                   (row.caller->text.size() > body.size() &&
+                    (!row.slow->is_followed || row.caller->HasAnswers(2))));
         }
         return all;
     });
     for (Row &row : rows) {
         SCOPED_TRACE(row.slow->name);
-        EXPECT_EQ(row.caller->HasAnswer(), !row.slow->is_stalled)
+        EXPECT_TRUE(row.caller->HasAnswers(row.slow->is_stalled    ? 0
+                                           : row.slow->is_followed ? 2
+                                                                   : 1))
             << "got " << row.caller->text.size() << " bytes, closed "
             << row.caller->closed;
     }
