Server: a request that waits behind another is answered at a planned stop

What callers saw: the end of the connection without an answer to the second of two requests sent at once, if the first ended after a planned stop began, also behind a stream whose header had not announced the close. Cause: finish_exchange() closes each connection at a stop, and begin_linger() drains what was received, whole requests as well. Ruled out: leaving `keep_alive` as it is when the close is announced (a trial): a request sent after that announcement is then run. Change: at a stop, a connection closes only if nothing is unread when the response begins; otherwise the next request is read and answered. The last answer announces the close, which then holds. The end of the process bounds a caller that never stops sending. New: RequestAfterAnAnnouncedCloseIsNotRun.

--- a/src/io/server.c
+++ b/src/io/server.c
@@ -679,14 +679,19 @@
         evbuffer_add_printf(out, "%s: %s\r\n", field->name, field->value);
     }
     if (is_closing(conn)) {
+        /* Requests that arrive after this must not be processed. */
+        conn->keep_alive = false;
         evbuffer_add_printf(out, "Connection: close\r\n");
     }
 }
 
+/* Whether the connection closes after this response. At a planned stop, it
+   stays open for a request that the caller has sent already. */
 static bool
 is_closing(const ServerConn *conn)
 {
-    return !conn->keep_alive || conn->server->shutting_down;
+    return !conn->keep_alive ||
+           (conn->server->shutting_down && !has_unread_data(conn));
 }
 
 /* Sets whether closing the connection resets it. */
--- a/src/io/server.h
+++ b/src/io/server.h
@@ -73,7 +73,8 @@
 void Server_Free(Server *server); /* NULL is allowed. */
 uint16_t Server_GetPort(const Server *server);
 void Server_SetLimits(Server *server, const ServerLimits *limits);
-/* Makes every response from now on close its connection. */
+/* Makes every response from now on close its connection, unless the caller has
+   already sent a further request. */
 void Server_BeginShutdown(Server *server);
 /* Stops listening and closes the connections that have no request, once their
    last response is sent. Requests whose first bytes have reached this VM by
--- a/tests/test_gate_change.cc
+++ b/tests/test_gate_change.cc
@@ -682,7 +682,8 @@
         bool all = true;
         for (Row &row : rows) {
             row.answers = ReadAnswers(row.caller->text, &rest);
-            all = all && (row.answers.size() == 2 || row.caller->closed);
+            all = all && (row.caller->closed ||
+                          (row.answers.size() == 2 && !is_stop));
         }
         return all;
     });
@@ -696,6 +697,14 @@
         if (row.answers.size() == 2) {
             CheckBegunAfter(*row.change, row.answers[1], row.caller->text);
         }
+        if (is_stop) {
+            /* Only the last answer announces the close. */
+            EXPECT_TRUE(row.caller->closed);
+            size_t close = row.caller->text.find("Connection: close\r\n");
+            EXPECT_NE(close, std::string::npos) << row.caller->text;
+            EXPECT_GT(close, row.caller->text.rfind("HTTP/1.1 "))
+                << row.caller->text;
+        }
     }
 }
 
@@ -711,6 +720,31 @@
     CheckPipelined(true);
 }
 
+/* A request that a caller sends after its connection's close was announced is
+   not processed. */
+TEST(GateChange, RequestAfterAnAnnouncedCloseIsNotRun)
+{
+    ChangingRig rig;
+    rig.SetRoute({RTE_STREAM, 1, false, TIMEOUT_MS, SLO_MS / 4}, true);
+    Worker *worker = rig.AddWorker({{""}, Stream(0, 9)}, FLEET_PHASE_DECODE);
+    std::string request = Request("POST", "X-Token-Usage: 1000,100\r\n");
+    Caller *caller = rig.Call(request);
+    ASSERT_TRUE(rig.Until([&] { return worker->requests.size() == 1; }));
+    Edge_BeginShutdown(rig.edge);
+    worker->SendToAll(
+        Replace(chunked_head + Chunk(Events(0, 2)), "%ID", "id-1"));
+    ASSERT_TRUE(rig.Until(
+        [&] { return caller->text.find(Events(2, 2)) != std::string::npos; }));
+    EXPECT_NE(caller->text.find("Connection: close\r\n"), std::string::npos);
+    caller->Send(Replace(request, "id-1", "id-2"));
+    TurnFor({&rig}, 20);
+    worker->SendToAll(last_events);
+    EXPECT_TRUE(rig.Until([&] { return caller->closed; }));
+    std::string rest;
+    EXPECT_EQ(ReadAnswers(caller->text, &rest).size(), 1u) << caller->text;
+    EXPECT_EQ(worker->requests.size(), 1u);
+}
+
 /* The body of a request arrives while the change comes. */
 struct BodyCase {
     const char *name;
