Stream: the reservation and the prefill are a module of their own

Ruled out: moving the forwarding of events. Change: pure moves. can_reserve(), begin_reserve(), on_reserve_end(), begin_prefill(), on_prefill_end(), avoid_worker(), update_slowness() and their constants go to src/gate/stream_prepare.c. Includes that stream.c no longer needs are gone. A comparison of the text of all 30 functions, the constants and the comments, with the old names put back and white space left out: equal, none missing. The two files call each other, as the steps of a stream do.

--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -2,60 +2,30 @@
    prefill worker or at the decode worker itself, whichever costs less. The
    caller gets complete events only, so that another worker can resume the
    stream between two events. See task.h. */
+#include "stream.h"
 #include "blame.h"
 #include "reservation.h"
+#include "stream_prepare.h"
 #include "successor.h"
 #include "task_wait.h"
 
-#include "../log.h"
-
-#include <string.h>
-
-/* Timeouts of reservations and prefills without an answer. That of a prefill
-   is the expected time x STREAM_TIMEOUT_FACTOR, with a minimum. */
-#define STREAM_TIMEOUT_FACTOR 3
-#define STREAM_RESERVE_TIMEOUT_US (250 * CLK_US_PER_MS)
-#define STREAM_PREFILL_TIMEOUT_MIN_US (1500 * CLK_US_PER_MS)
-/* Duration of a reservation: a fixed time for a run that follows at once, plus
-   this multiple of the expected prefill time if the prompt must be read. */
-#define STREAM_LEASE_MS 300
-#define STREAM_LEASE_FACTOR 2
-#define STREAM_LEASE_LATENCY_MARGIN_MS 50 /* Latency to the worker. */
 /* A run that may happen only once uses a new connection. A reset of an idle
    connection would leave its outcome unknown, and a failed stream costs more
    than a connection. */
 #define STREAM_ONCE_IDLE_MAX_MS 0
-/* Time for which a full worker is not called again: the likely time until one
-   of its streams ends. */
-#define STREAM_FULL_BACKOFF_US (60 * CLK_US_PER_MS)
-/* Time for which a prefill worker that refused is not called again: it may be
-   changing its phase. */
-#define STREAM_PHASE_CHANGE_BACKOFF_US (1500 * CLK_US_PER_MS)
 /* Weight of a new sample in the moving means of memory and event interval. */
 #define STREAM_MEAN_WEIGHT 0.05
 /* Used until an event interval is known. */
 #define STREAM_DEFAULT_EVENT_INTERVAL_US 30000
-/* Weight of a new sample in the moving mean of a worker's slowness. */
-#define STREAM_SLOWNESS_WEIGHT 0.2
-#define STREAM_SLOWNESS_MIN 0.5
-#define STREAM_SLOWNESS_MAX 8.0
 
 static void update_mean(double *mean, double sample);
 static void add_demand(const GateTask *task);
-static bool has_begun(const GateTask *task);
-static void avoid_worker(GateTask *task);
 static void on_run_silent(GateTask *task);
 static HandoverLimits get_limits(const GateTask *task);
 static void expect_progress(GateTask *task);
 static void take_over(GateTask *task);
-static void advance(GateTask *task);
-static bool can_reserve(const GateTask *task);
 static bool has_call_budget(GateTask *task);
-static void begin_prefill(GateTask *task, FleetWorker *worker);
-static void begin_reserve(GateTask *task);
-static void on_reserve_end(void *context, ClientOutcome outcome);
 static void begin_run(GateTask *task);
-static void on_prefill_end(void *context, ClientOutcome outcome);
 static void on_run_data(void *context, const void *data, size_t size);
 static void on_run_end(void *context, ClientOutcome outcome);
 static void on_silent_end(GateTask *task, ClientOutcome outcome);
@@ -63,9 +33,7 @@
 static bool has_next_event(const GateTask *task, Sse *sse);
 static bool forward_events(GateTask *task);
 static void note_event_time(GateTask *task);
-static void retry_or_end(GateTask *task, LsRun run, bool has_answer);
 static void update_event_interval(GateTask *task);
-static void update_slowness(TaskCall *call, int64_t took_us);
 static void finish_prefill(TaskCall *call);
 
 void
@@ -89,7 +57,7 @@
     if (task->request.last_event != GATE_NO_EVENT) {
         task->last_event = task->request.last_event;
     }
-    advance(task);
+    Stream_Advance(task);
 }
 
 /* Adds a sample to a moving mean, which is 0 before the first one. */
@@ -134,7 +102,7 @@
     task->step_deadline_us = 0;
     if (task->waiting) {
         task->waiting = false;
-        advance(task);
+        Stream_Advance(task);
         return;
     }
     if (Task_MayBeRunning(task)) {
@@ -148,31 +116,22 @@
         return;
     }
     Task_NoteFailure(task, CLIENT_INTERRUPTED, LS_RUN_NOT_RUN, "silent");
-    if (task->current->stage == TASK_RESERVE && has_begun(task)) {
-        avoid_worker(task);
+    if (task->current->stage == TASK_RESERVE && Stream_HasBegun(task)) {
+        StreamPrepare_AvoidWorker(task);
         Task_EndCall(task);
         Reservation_UnassignWorker(task, false);
-        advance(task);
+        Stream_Advance(task);
         return;
     }
-    retry_or_end(task, LS_RUN_NOT_RUN, false);
+    Stream_RetryOrEnd(task, LS_RUN_NOT_RUN, false);
 }
 
-/* Whether the caller has a part of its answer, or a worker may be making it.
-   Then all workers stay candidates as long as the caller waits. */
-static bool
-has_begun(const GateTask *task)
+bool
+Stream_HasBegun(const GateTask *task)
 {
     return task->streaming || task->silent != NULL;
 }
 
-/* Keeps requests away from a worker that did not grant a reservation. */
-static void
-avoid_worker(GateTask *task)
-{
-    task->current->worker->full_until_us = Task_Now(task) + HANDOVER_AGAIN_US;
-}
-
 /* Notes that the worker is silent, then prepares a successor, and at last
    gives up the silent call for it. */
 static void
@@ -201,7 +160,7 @@
         return;
     }
     Successor_Begin(task);
-    advance(task);
+    Stream_Advance(task);
 }
 
 /* Returns how long the run may make no progress. */
@@ -247,11 +206,8 @@
                                                 : ADMISSION_WAIT_OVER);
 }
 
-/* Begins the next step: the reservation at a decode worker, the prefill at a
-   prefill worker, or the run. The reservation comes first, as the KV memory of
-   a prompt expires if no decode worker has memory for it. */
-static void
-advance(GateTask *task)
+void
+Stream_Advance(GateTask *task)
 {
     int64_t run_cost_us = 0;
     int64_t remote_prefill_cost_us = INT64_MAX;
@@ -275,9 +231,9 @@
             return;
         }
         Reservation_AssignWorker(task, decode_worker);
-        if (can_reserve(task)) {
+        if (StreamPrepare_CanReserve(task)) {
             task->current->expected_us = run_cost_us;
-            begin_reserve(task);
+            StreamPrepare_BeginReserve(task);
             return;
         }
     }
@@ -288,21 +244,13 @@
             : Reservation_ChoosePrefillWorker(task, &remote_prefill_cost_us);
     if (prefill_worker != NULL && remote_prefill_cost_us < run_cost_us) {
         task->current->expected_us = remote_prefill_cost_us;
-        begin_prefill(task, prefill_worker);
+        StreamPrepare_BeginPrefill(task, prefill_worker);
         return;
     }
     task->current->expected_us = run_cost_us - Reservation_GetPauseCost(task);
     begin_run(task);
 }
 
-/* Whether the assigned worker supports reservations. */
-static bool
-can_reserve(const GateTask *task)
-{
-    return task->service->lease_max_ms > 0 &&
-           !task->assigned.worker->lacks_reservations;
-}
-
 /* Whether the retry budget allows the calls that are still needed: the run,
    and the prefill if an earlier one's KV memory can't be fetched any more. The
    first call of a request is free. */
@@ -315,102 +263,6 @@
     return calls == 0 || Task_HasBudget(task, calls);
 }
 
-static void
-begin_prefill(GateTask *task, FleetWorker *worker)
-{
-    GateCallOptions options = {
-        .worker = worker->entry.id,
-        .left_ms = Task_GetLeftMs(task),
-        .prefill = true,
-        .last_event = task->last_event,
-    };
-
-    Met_Add(MET_PREFILLS, 1);
-    Met_Add(MET_PREFILL_TOKENS, task->request.prompt_tokens);
-    Task_BeginCall(task, worker, &options, UINT32_MAX, Task_AppendBody,
-                   on_prefill_end);
-    task->step_deadline_us =
-        task->current->began_us +
-        MAX(STREAM_PREFILL_TIMEOUT_MIN_US,
-            STREAM_TIMEOUT_FACTOR * task->current->expected_us);
-    Task_SetTimer(task);
-}
-
-/* Reserves a slot and memory at the assigned worker. A refused reservation,
-   unlike a refused run, doesn't count for the retry budget. */
-static void
-begin_reserve(GateTask *task)
-{
-    const GateCodec *codec = task->gate->options.codec;
-    FleetWorker *worker = task->assigned.worker;
-    GateControlCall control_call = {.headers = Header_New()};
-    int64_t ttl_ms = STREAM_LEASE_MS;
-
-    if (!Reservation_HasHandle(task)) {
-        /* The prompt must be read first. */
-        ttl_ms +=
-            STREAM_LEASE_FACTOR * task->current->expected_us / CLK_US_PER_MS;
-    }
-    ttl_ms = MIN(ttl_ms, task->service->lease_max_ms);
-    codec->encode_reserve(codec->context, worker->entry.id,
-                          Reservation_GetLeaseTokens(task), (uint32_t)ttl_ms,
-                          &control_call);
-    Task_BeginControlCall(task, worker, &control_call, on_reserve_end);
-    Header_Free(control_call.headers);
-    task->lease_until_us =
-        task->current->began_us +
-        (ttl_ms - STREAM_LEASE_LATENCY_MARGIN_MS) * CLK_US_PER_MS;
-    task->step_deadline_us =
-        task->current->began_us + STREAM_RESERVE_TIMEOUT_US;
-    Task_SetTimer(task);
-}
-
-static void
-on_reserve_end(void *context, ClientOutcome outcome)
-{
-    TaskCall *current = context;
-    GateTask *task = current->task;
-    const GateCodec *codec = task->gate->options.codec;
-    int status = current->has_reply ? current->reply.status : 0;
-    bool may_go_on = true;
-    bool granted = outcome == CLIENT_COMPLETE && status == 200 &&
-                   codec->decode_reserve(codec->context,
-                                         (const char *)current->body->data,
-                                         current->body->len, task->lease);
-
-    current->call = NULL;
-    if (!granted && outcome == CLIENT_COMPLETE &&
-        (status == 503 || status == 429)) {
-        current->worker->full_until_us =
-            Task_Now(task) + STREAM_FULL_BACKOFF_US;
-    }
-    else if (!granted && outcome == CLIENT_COMPLETE && status != 421) {
-        Log_WriteJson(LOG_LEVEL_WARNING, "worker_reserves_not",
-                      json_pack("{s:s,s:i}", "worker",
-                                current->worker->entry.id, "status", status));
-        current->worker->lacks_reservations = true;
-    }
-    else if (!granted) {
-        current->reply.misdirected = status == 421;
-        Task_NoteFailure(task, outcome, LS_RUN_NOT_RUN, "reservation failed");
-        if (has_begun(task)) {
-            avoid_worker(task);
-        }
-        else {
-            may_go_on = Task_ExcludeWorker(task, current->worker);
-        }
-    }
-    Task_EndCall(task);
-    if (may_go_on) {
-        advance(task);
-    }
-    else {
-        /* The worker may be chosen again. */
-        Reservation_UnassignWorker(task, false);
-        TaskWait_BeginWait(task, "no worker is reachable");
-    }
-}
-
 /* Runs the request at the assigned worker, from the KV memory at the prefill
    worker if there is any. */
 static void
@@ -449,47 +301,6 @@
     Task_SetTimer(task);
 }
 
-static void
-on_prefill_end(void *context, ClientOutcome outcome)
-{
-    TaskCall *current = context;
-    GateTask *task = current->task;
-    TaskHandle *kv = &task->kv;
-    const GateCodec *codec = task->gate->options.codec;
-    int64_t now_us = Task_Now(task);
-
-    current->call = NULL;
-    if (outcome != CLIENT_COMPLETE || !current->has_reply ||
-        current->reply.status != 200 ||
-        !codec->decode_prefill(codec->context,
-                               (const char *)current->body->data,
-                               current->body->len, kv->handle)) {
-        Task_NoteFailure(task, outcome, LS_RUN_NOT_RUN, "prefill failed");
-        Blame_NoteBreak(task, outcome,
-                        outcome == CLIENT_NOT_SENT ? LS_RUN_NOT_RUN
-                                                   : LS_RUN_UNKNOWN);
-        if (current->has_reply && current->reply.not_run) {
-            current->worker->full_until_us =
-                now_us + STREAM_PHASE_CHANGE_BACKOFF_US;
-        }
-        else if (outcome != CLIENT_NOT_SENT) {
-            Health_NoteFailure(&current->worker->health, now_us);
-        }
-        retry_or_end(task, LS_RUN_NOT_RUN, false);
-        return;
-    }
-    task->prefilled = true;
-    g_strlcpy(kv->address, current->worker->entry.address,
-              sizeof(kv->address));
-    kv->worker = Fleet_Ref(current->worker);
-    kv->prefilled_us = now_us;
-    kv->offers = 0;
-    Health_NoteSuccess(&current->worker->health, now_us);
-    update_slowness(current, now_us - current->began_us);
-    Task_EndCall(task);
-    advance(task);
-}
-
 static void
 on_run_data(void *context, const void *data, size_t size)
 {
@@ -526,7 +337,7 @@
     if (!forward_events(task)) {
         Task_NoteFailure(task, CLIENT_MALFORMED, LS_RUN_UNKNOWN,
                          "event missing or too long in stream");
-        retry_or_end(task, LS_RUN_UNKNOWN, false);
+        Stream_RetryOrEnd(task, LS_RUN_UNKNOWN, false);
     }
 }
 
@@ -583,7 +394,8 @@
             Blame_NoteSound(task);
         }
         if (current->prefill_tokens > 0) {
-            update_slowness(current, Task_Now(task) - current->began_us);
+            StreamPrepare_UpdateSlowness(current,
+                                         Task_Now(task) - current->began_us);
             finish_prefill(current);
         }
         Server_SendData(task->exchange, event.data, event.size);
@@ -674,7 +486,7 @@
         current->worker->full_until_us =
             Task_Now(task) + STREAM_FULL_BACKOFF_US;
     }
-    retry_or_end(task, run, has_answer && current->reply.status != 200);
+    Stream_RetryOrEnd(task, run, has_answer && current->reply.status != 200);
 }
 
 /* Goes on with the successor after the silent call has ended. Its last events
@@ -705,10 +517,8 @@
     }
 }
 
-/* Continues after a failed call: with another worker if the route and the
-   budget allow it and there is one, or else ends the task. */
-static void
-retry_or_end(GateTask *task, LsRun run, bool has_answer)
+void
+Stream_RetryOrEnd(GateTask *task, LsRun run, bool has_answer)
 {
     bool is_worker_failed = run != LS_RUN_NOT_RUN ||
                             !task->current->has_reply ||
@@ -728,7 +538,7 @@
     task->runs += run != LS_RUN_NOT_RUN;
     input = Task_GetRetryInput(task, run);
     input.repeatable = task->route->can_resume;
-    input.has_answer = has_answer && !has_begun(task);
+    input.has_answer = has_answer && !Stream_HasBegun(task);
     /* A stream that has begun waits for the budget, as for a worker. */
     input.has_budget = task->streaming || task->silent != NULL ||
                        task->counted_calls == 0 ||
@@ -739,7 +549,7 @@
     switch (Task_DecideRetry(task, &input)) {
     case RETRY_ELSEWHERE:
         Task_EndCall(task);
-        advance(task);
+        Stream_Advance(task);
         return;
     case RETRY_PASS:
         Task_PassAnswer(task);
@@ -768,21 +578,6 @@
     update_mean(&gate->event_interval_us, event_interval_us);
 }
 
-/* Updates the worker's slowness from the duration of a prefill. */
-static void
-update_slowness(TaskCall *call, int64_t took_us)
-{
-    double slowness = call->worker->slowness;
-    double ratio;
-
-    if (call->expected_us <= 0) {
-        return;
-    }
-    ratio = slowness * (double)took_us / (double)call->expected_us;
-    ratio = CLAMP(ratio, STREAM_SLOWNESS_MIN, STREAM_SLOWNESS_MAX);
-    call->worker->slowness += STREAM_SLOWNESS_WEIGHT * (ratio - slowness);
-}
-
 /* Removes the call's prompt from the worker's load once it has been read. */
 static void
 finish_prefill(TaskCall *call)
--- /dev/null
+++ b/src/gate/stream_prepare.c
@@ -0,0 +1,193 @@
+/* Stream preparation: reserves memory at a decode worker and lets a prefill
+   worker read the prompt. See stream_prepare.h. */
+#include "stream_prepare.h"
+#include "blame.h"
+#include "reservation.h"
+#include "stream.h"
+#include "task_wait.h"
+
+#include "../decide/handover.h"
+#include "../log.h"
+
+/* Timeouts of reservations and prefills without an answer. That of a prefill
+   is the expected time x STREAM_TIMEOUT_FACTOR, with a minimum. */
+#define STREAM_TIMEOUT_FACTOR 3
+#define STREAM_RESERVE_TIMEOUT_US (250 * CLK_US_PER_MS)
+#define STREAM_PREFILL_TIMEOUT_MIN_US (1500 * CLK_US_PER_MS)
+/* Duration of a reservation: a fixed time for a run that follows at once, plus
+   this multiple of the expected prefill time if the prompt must be read. */
+#define STREAM_LEASE_MS 300
+#define STREAM_LEASE_FACTOR 2
+#define STREAM_LEASE_LATENCY_MARGIN_MS 50 /* Latency to the worker. */
+/* Time for which a prefill worker that refused is not called again: it may be
+   changing its phase. */
+#define STREAM_PHASE_CHANGE_BACKOFF_US (1500 * CLK_US_PER_MS)
+/* Weight of a new sample in the moving mean of a worker's slowness. */
+#define STREAM_SLOWNESS_WEIGHT 0.2
+#define STREAM_SLOWNESS_MIN 0.5
+#define STREAM_SLOWNESS_MAX 8.0
+
+static void on_reserve_end(void *context, ClientOutcome outcome);
+static void on_prefill_end(void *context, ClientOutcome outcome);
+
+bool
+StreamPrepare_CanReserve(const GateTask *task)
+{
+    return task->service->lease_max_ms > 0 &&
+           !task->assigned.worker->lacks_reservations;
+}
+
+void
+StreamPrepare_BeginReserve(GateTask *task)
+{
+    const GateCodec *codec = task->gate->options.codec;
+    FleetWorker *worker = task->assigned.worker;
+    GateControlCall control_call = {.headers = Header_New()};
+    int64_t ttl_ms = STREAM_LEASE_MS;
+
+    if (!Reservation_HasHandle(task)) {
+        /* The prompt must be read first. */
+        ttl_ms +=
+            STREAM_LEASE_FACTOR * task->current->expected_us / CLK_US_PER_MS;
+    }
+    ttl_ms = MIN(ttl_ms, task->service->lease_max_ms);
+    codec->encode_reserve(codec->context, worker->entry.id,
+                          Reservation_GetLeaseTokens(task), (uint32_t)ttl_ms,
+                          &control_call);
+    Task_BeginControlCall(task, worker, &control_call, on_reserve_end);
+    Header_Free(control_call.headers);
+    task->lease_until_us =
+        task->current->began_us +
+        (ttl_ms - STREAM_LEASE_LATENCY_MARGIN_MS) * CLK_US_PER_MS;
+    task->step_deadline_us =
+        task->current->began_us + STREAM_RESERVE_TIMEOUT_US;
+    Task_SetTimer(task);
+}
+
+void
+StreamPrepare_AvoidWorker(GateTask *task)
+{
+    task->current->worker->full_until_us = Task_Now(task) + HANDOVER_AGAIN_US;
+}
+
+void
+StreamPrepare_BeginPrefill(GateTask *task, FleetWorker *worker)
+{
+    GateCallOptions options = {
+        .worker = worker->entry.id,
+        .left_ms = Task_GetLeftMs(task),
+        .prefill = true,
+        .last_event = task->last_event,
+    };
+
+    Met_Add(MET_PREFILLS, 1);
+    Met_Add(MET_PREFILL_TOKENS, task->request.prompt_tokens);
+    Task_BeginCall(task, worker, &options, UINT32_MAX, Task_AppendBody,
+                   on_prefill_end);
+    task->step_deadline_us =
+        task->current->began_us +
+        MAX(STREAM_PREFILL_TIMEOUT_MIN_US,
+            STREAM_TIMEOUT_FACTOR * task->current->expected_us);
+    Task_SetTimer(task);
+}
+
+void
+StreamPrepare_UpdateSlowness(TaskCall *call, int64_t took_us)
+{
+    double slowness = call->worker->slowness;
+    double ratio;
+
+    if (call->expected_us <= 0) {
+        return;
+    }
+    ratio = slowness * (double)took_us / (double)call->expected_us;
+    ratio = CLAMP(ratio, STREAM_SLOWNESS_MIN, STREAM_SLOWNESS_MAX);
+    call->worker->slowness += STREAM_SLOWNESS_WEIGHT * (ratio - slowness);
+}
+
+static void
+on_reserve_end(void *context, ClientOutcome outcome)
+{
+    TaskCall *current = context;
+    GateTask *task = current->task;
+    const GateCodec *codec = task->gate->options.codec;
+    int status = current->has_reply ? current->reply.status : 0;
+    bool may_go_on = true;
+    bool granted = outcome == CLIENT_COMPLETE && status == 200 &&
+                   codec->decode_reserve(codec->context,
+                                         (const char *)current->body->data,
+                                         current->body->len, task->lease);
+
+    current->call = NULL;
+    if (!granted && outcome == CLIENT_COMPLETE &&
+        (status == 503 || status == 429)) {
+        current->worker->full_until_us =
+            Task_Now(task) + STREAM_FULL_BACKOFF_US;
+    }
+    else if (!granted && outcome == CLIENT_COMPLETE && status != 421) {
+        Log_WriteJson(LOG_LEVEL_WARNING, "worker_reserves_not",
+                      json_pack("{s:s,s:i}", "worker",
+                                current->worker->entry.id, "status", status));
+        current->worker->lacks_reservations = true;
+    }
+    else if (!granted) {
+        current->reply.misdirected = status == 421;
+        Task_NoteFailure(task, outcome, LS_RUN_NOT_RUN, "reservation failed");
+        if (Stream_HasBegun(task)) {
+            StreamPrepare_AvoidWorker(task);
+        }
+        else {
+            may_go_on = Task_ExcludeWorker(task, current->worker);
+        }
+    }
+    Task_EndCall(task);
+    if (may_go_on) {
+        Stream_Advance(task);
+    }
+    else {
+        /* The worker may be chosen again. */
+        Reservation_UnassignWorker(task, false);
+        TaskWait_BeginWait(task, "no worker is reachable");
+    }
+}
+
+static void
+on_prefill_end(void *context, ClientOutcome outcome)
+{
+    TaskCall *current = context;
+    GateTask *task = current->task;
+    TaskHandle *kv = &task->kv;
+    const GateCodec *codec = task->gate->options.codec;
+    int64_t now_us = Task_Now(task);
+
+    current->call = NULL;
+    if (outcome != CLIENT_COMPLETE || !current->has_reply ||
+        current->reply.status != 200 ||
+        !codec->decode_prefill(codec->context,
+                               (const char *)current->body->data,
+                               current->body->len, kv->handle)) {
+        Task_NoteFailure(task, outcome, LS_RUN_NOT_RUN, "prefill failed");
+        Blame_NoteBreak(task, outcome,
+                        outcome == CLIENT_NOT_SENT ? LS_RUN_NOT_RUN
+                                                   : LS_RUN_UNKNOWN);
+        if (current->has_reply && current->reply.not_run) {
+            current->worker->full_until_us =
+                now_us + STREAM_PHASE_CHANGE_BACKOFF_US;
+        }
+        else if (outcome != CLIENT_NOT_SENT) {
+            Health_NoteFailure(&current->worker->health, now_us);
+        }
+        Stream_RetryOrEnd(task, LS_RUN_NOT_RUN, false);
+        return;
+    }
+    task->prefilled = true;
+    g_strlcpy(kv->address, current->worker->entry.address,
+              sizeof(kv->address));
+    kv->worker = Fleet_Ref(current->worker);
+    kv->prefilled_us = now_us;
+    kv->offers = 0;
+    Health_NoteSuccess(&current->worker->health, now_us);
+    StreamPrepare_UpdateSlowness(current, now_us - current->began_us);
+    Task_EndCall(task);
+    Stream_Advance(task);
+}
--- /dev/null
+++ b/src/gate/stream_prepare.h
@@ -0,0 +1,21 @@
+/* Stream preparation: reserves memory at a decode worker and lets a prefill
+   worker read the prompt. Both steps are calls of the task; at their end, they
+   go on with Stream_Advance() or Stream_RetryOrEnd(). */
+#ifndef LS_STREAM_PREPARE_H
+#define LS_STREAM_PREPARE_H
+
+#include "task.h"
+
+/* Whether the assigned worker supports reservations. */
+bool StreamPrepare_CanReserve(const GateTask *task);
+/* Reserves a slot and memory at the assigned worker. A refused reservation,
+   unlike a refused run, doesn't count for the retry budget. */
+void StreamPrepare_BeginReserve(GateTask *task);
+/* Keeps requests away from a worker that did not grant a reservation. */
+void StreamPrepare_AvoidWorker(GateTask *task);
+/* Lets the prefill worker read the prompt. */
+void StreamPrepare_BeginPrefill(GateTask *task, FleetWorker *worker);
+/* Updates the worker's slowness from the duration of a prefill. */
+void StreamPrepare_UpdateSlowness(TaskCall *call, int64_t took_us);
+
+#endif
