Server: the writing of responses is a file of its own

Ruled out: moving the timers and the closing of connections: nearly every callback uses them, so more functions would become visible (not built). Change: pure moves. Server_SendResponse(), Server_BeginStream(), Server_SendData(), Server_EndStream(), Server_AbortResponse() and write_head() go to src/io/server_response.c. The new internal header src/io/server_conn.h holds struct ServerConn, struct Server and the 4 functions that both files use: ServerConn_IsClosing(), ServerConn_SetResetOnClose(), ServerConn_FinishExchange() and ServerConn_Close(). These now stand after the other public functions of server.c. server.h is unchanged.

--- a/src/io/server.c
+++ b/src/io/server.c
@@ -1,18 +1,14 @@
-#include "server.h"
+#include "server_conn.h"
 
 #include "../log.h"
 #include "loop.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
-#include <http_parser.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/ioctl.h>
-#include <sys/queue.h>
 #include <sys/socket.h>
 
 #define SERVER_BACKLOG 1024
@@ -21,40 +17,6 @@
 /* Idle time before the first TCP keep-alive probe. */
 #define SERVER_KEEPALIVE_IDLE_S 5
 
-typedef struct ServerConn {
-    LIST_ENTRY(ServerConn) links;
-    Server *server;
-    struct bufferevent *bev;
-    struct event *timer;
-    http_parser parser;
-    ServerExchange exchange;
-    GString *target;
-    HeaderReader reader;
-    char method[32];
-    bool reading;       /* A request was read in part. */
-    bool has_header;    /* The header of the request is complete. */
-    bool in_exchange;   /* A request waits for the end of its response. */
-    bool streaming;     /* The header of a streamed response was written. */
-    bool chunked;       /* The streamed response is chunked. */
-    bool keep_alive;    /* The caller may send another request. */
-    bool lingering;     /* The connection only waits for the caller's close. */
-    uint32_t wait_ms;   /* Time-out of the last arm_wait_timer(). */
-    size_t unsent;      /* Result of count_unsent() at that time. */
-    int error_status;   /* Status for a request that breaks a limit, or 0. */
-    size_t header_size; /* Bytes of the request's header so far. */
-    int64_t header_us;  /* When the header was complete. */
-} ServerConn;
-
-struct Server {
-    ServerOptions options;
-    struct evconnlistener *listener;
-    LIST_HEAD(ServerConnList, ServerConn) conns;
-    guint exchanges;   /* Number of connections with `in_exchange`. */
-    size_t body_bytes; /* Of the bodies of all requests. */
-    uint16_t port;
-    bool shutting_down;
-};
-
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
                       struct sockaddr *address, int size, void *context);
 static void accept_backlog(Server *server);
@@ -78,13 +40,7 @@
 static void arm_body_timer(const ServerConn *conn);
 static void drop_body(ServerConn *conn);
 static void reject(ServerConn *conn, int status);
-static void finish_exchange(ServerConn *conn);
 static void begin_linger(ServerConn *conn);
-static void close_conn(ServerConn *conn);
-static void write_head(ServerConn *conn, int status,
-                       const HeaderList *headers);
-static bool is_closing(const ServerConn *conn);
-static void set_reset_on_close(const ServerConn *conn, bool reset);
 
 static const http_parser_settings parser_settings = {
     .on_message_begin = parse_begin,
@@ -144,7 +100,7 @@
         return;
     }
     while (!LIST_EMPTY(&server->conns)) {
-        close_conn(LIST_FIRST(&server->conns));
+        ServerConn_Close(LIST_FIRST(&server->conns));
     }
     if (server->listener != NULL) {
         evconnlistener_free(server->listener);
@@ -192,7 +148,7 @@
         /* on_write() does this later for those with unsent bytes. */
         if (is_idle(conn) &&
             evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0) {
-            close_conn(conn);
+            ServerConn_Close(conn);
         }
         conn = next;
     }
@@ -215,88 +171,59 @@
     return count;
 }
 
-void
-Server_SendResponse(ServerExchange *exchange, int status,
-                    const HeaderList *headers, const void *body, size_t size)
+bool
+ServerConn_IsClosing(const ServerConn *conn)
 {
-    ServerConn *conn = exchange->conn;
-    struct evbuffer *out = bufferevent_get_output(conn->bev);
-
-    write_head(conn, status, headers);
-    evbuffer_add_printf(out, "Content-Length: %zu\r\n\r\n", size);
-    if (size > 0 && g_strcmp0(conn->method, "HEAD") != 0) {
-        evbuffer_add(out, body, size);
-    }
-    finish_exchange(conn);
-}
-
-void
-Server_BeginStream(ServerExchange *exchange, int status,
-                   const HeaderList *headers)
-{
-    ServerConn *conn = exchange->conn;
-    struct evbuffer *out = bufferevent_get_output(conn->bev);
-
-    conn->chunked =
-        conn->parser.http_major == 1 && conn->parser.http_minor == 1;
-    conn->keep_alive = conn->keep_alive && conn->chunked;
-    if (!conn->chunked) {
-        /* The end of the connection is the end of the response, so that any
-           other end, even that of the process, must be a reset. */
-        set_reset_on_close(conn, true);
-    }
-    write_head(conn, status, headers);
-    evbuffer_add_printf(
-        out, conn->chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
-    conn->streaming = true;
+    return !conn->keep_alive ||
+           (conn->server->shutting_down && !has_unread_data(conn));
 }
 
 void
-Server_SendData(ServerExchange *exchange, const void *data, size_t size)
+ServerConn_SetResetOnClose(const ServerConn *conn, bool reset)
 {
-    ServerConn *conn = exchange->conn;
-    struct evbuffer *out = bufferevent_get_output(conn->bev);
+    struct linger linger = {.l_onoff = reset, .l_linger = 0};
 
-    if (size == 0) {
-        return;
-    }
-    if (conn->chunked) {
-        evbuffer_add_printf(out, "%zx\r\n", size);
-    }
-    evbuffer_add(out, data, size);
-    if (conn->chunked) {
-        evbuffer_add(out, "\r\n", 2);
-    }
-    if (evbuffer_get_length(out) > SERVER_OUT_MAX_BYTES) {
-        bufferevent_trigger_event(conn->bev, BEV_EVENT_ERROR,
-                                  BEV_OPT_DEFER_CALLBACKS);
-    }
+    setsockopt(bufferevent_getfd(conn->bev), SOL_SOCKET, SO_LINGER, &linger,
+               sizeof(linger));
 }
 
 void
-Server_EndStream(ServerExchange *exchange)
+ServerConn_FinishExchange(ServerConn *conn)
 {
-    ServerConn *conn = exchange->conn;
-
-    if (conn->chunked) {
-        evbuffer_add(bufferevent_get_output(conn->bev), "0\r\n\r\n", 5);
+    drop_body(conn);
+    conn->in_exchange = false;
+    conn->server->exchanges--;
+    if (ServerConn_IsClosing(conn)) {
+        conn->keep_alive = false;
+        conn->lingering = true;
+        arm_wait_timer(conn, conn->server->options.limits.idle_ms);
+        if (evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0) {
+            /* If bytes are still unsent, on_write() does this later. */
+            begin_linger(conn);
+        }
+        return;
+    }
+    http_parser_pause(&conn->parser, 0);
+    begin_request(conn);
+    if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0) {
+        /* The next request is parsed from the event loop, since the handler
+           of this one may still be on the stack. */
+        bufferevent_trigger(conn->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
     }
-    finish_exchange(conn);
 }
 
 void
-Server_AbortResponse(ServerExchange *exchange)
+ServerConn_Close(ServerConn *conn)
 {
-    ServerConn *conn = exchange->conn;
-
-    conn->keep_alive = false;
-    if (!conn->chunked) {
-        conn->in_exchange = false;
-        conn->server->exchanges--;
-        close_conn(conn);
-        return;
-    }
-    finish_exchange(conn);
+    LIST_REMOVE(conn, links);
+    conn->server->body_bytes -= conn->exchange.body->len;
+    bufferevent_free(conn->bev);
+    event_free(conn->timer);
+    Header_Free(conn->exchange.headers);
+    g_byte_array_free(conn->exchange.body, TRUE);
+    g_string_free(conn->target, TRUE);
+    Header_ClearReader(&conn->reader);
+    g_free(conn);
 }
 
 /* Accepts the connections that callers have opened already. */
@@ -425,7 +352,7 @@
         conn->server->options.on_disconnect(conn->server->options.context,
                                             &conn->exchange);
     }
-    close_conn(conn);
+    ServerConn_Close(conn);
 }
 
 static void
@@ -446,7 +373,7 @@
         arm_wait_timer(conn, conn->wait_ms);
         return;
     }
-    close_conn(conn);
+    ServerConn_Close(conn);
 }
 
 /* Prepares the connection for its next request. */
@@ -666,70 +593,6 @@
     Server_SendResponse(&conn->exchange, status, NULL, "", 0);
 }
 
-static void
-write_head(ServerConn *conn, int status, const HeaderList *headers)
-{
-    struct evbuffer *out = bufferevent_get_output(conn->bev);
-
-    evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", status,
-                        http_status_str((enum http_status)status));
-    for (guint i = 0; headers != NULL && i < headers->fields->len; i++) {
-        const HeaderField *field =
-            &g_array_index(headers->fields, HeaderField, i);
-        evbuffer_add_printf(out, "%s: %s\r\n", field->name, field->value);
-    }
-    if (is_closing(conn)) {
-        /* Requests that arrive after this must not be processed. */
-        conn->keep_alive = false;
-        evbuffer_add_printf(out, "Connection: close\r\n");
-    }
-}
-
-/* Whether the connection closes after this response. At a planned stop, it
-   stays open for a request that the caller has sent already. */
-static bool
-is_closing(const ServerConn *conn)
-{
-    return !conn->keep_alive ||
-           (conn->server->shutting_down && !has_unread_data(conn));
-}
-
-/* Sets whether closing the connection resets it. */
-static void
-set_reset_on_close(const ServerConn *conn, bool reset)
-{
-    struct linger linger = {.l_onoff = reset, .l_linger = 0};
-
-    setsockopt(bufferevent_getfd(conn->bev), SOL_SOCKET, SO_LINGER, &linger,
-               sizeof(linger));
-}
-
-/* Closes the connection after a response, or prepares for the next request. */
-static void
-finish_exchange(ServerConn *conn)
-{
-    drop_body(conn);
-    conn->in_exchange = false;
-    conn->server->exchanges--;
-    if (is_closing(conn)) {
-        conn->keep_alive = false;
-        conn->lingering = true;
-        arm_wait_timer(conn, conn->server->options.limits.idle_ms);
-        if (evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0) {
-            /* If bytes are still unsent, on_write() does this later. */
-            begin_linger(conn);
-        }
-        return;
-    }
-    http_parser_pause(&conn->parser, 0);
-    begin_request(conn);
-    if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0) {
-        /* The next request is parsed from the event loop, since the handler
-           of this one may still be on the stack. */
-        bufferevent_trigger(conn->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
-    }
-}
-
 /* Closes only the sending half and waits for the caller to close. A close with
    unread bytes would reset the connection before the caller has read the
    response. */
@@ -740,21 +603,7 @@
 
     conn->lingering = true;
     evbuffer_drain(in, evbuffer_get_length(in));
-    set_reset_on_close(conn, false);
+    ServerConn_SetResetOnClose(conn, false);
     shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
     arm_wait_timer(conn, SERVER_LINGER_MS);
 }
-
-static void
-close_conn(ServerConn *conn)
-{
-    LIST_REMOVE(conn, links);
-    conn->server->body_bytes -= conn->exchange.body->len;
-    bufferevent_free(conn->bev);
-    event_free(conn->timer);
-    Header_Free(conn->exchange.headers);
-    g_byte_array_free(conn->exchange.body, TRUE);
-    g_string_free(conn->target, TRUE);
-    Header_ClearReader(&conn->reader);
-    g_free(conn);
-}
--- /dev/null
+++ b/src/io/server_conn.h
@@ -0,0 +1,57 @@
+/* Server, internal part (ServerConn_): the connections that server.c and
+   server_response.c share. */
+#ifndef LS_SERVER_CONN_H
+#define LS_SERVER_CONN_H
+
+#include "server.h"
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <http_parser.h>
+#include <sys/queue.h>
+
+typedef struct ServerConn {
+    LIST_ENTRY(ServerConn) links;
+    Server *server;
+    struct bufferevent *bev;
+    struct event *timer;
+    http_parser parser;
+    ServerExchange exchange;
+    GString *target;
+    HeaderReader reader;
+    char method[32];
+    bool reading;       /* A request was read in part. */
+    bool has_header;    /* The header of the request is complete. */
+    bool in_exchange;   /* A request waits for the end of its response. */
+    bool streaming;     /* The header of a streamed response was written. */
+    bool chunked;       /* The streamed response is chunked. */
+    bool keep_alive;    /* The caller may send another request. */
+    bool lingering;     /* The connection only waits for the caller's close. */
+    uint32_t wait_ms;   /* Time-out of the last arm_wait_timer(). */
+    size_t unsent;      /* Result of count_unsent() at that time. */
+    int error_status;   /* Status for a request that breaks a limit, or 0. */
+    size_t header_size; /* Bytes of the request's header so far. */
+    int64_t header_us;  /* When the header was complete. */
+} ServerConn;
+
+struct Server {
+    ServerOptions options;
+    struct evconnlistener *listener;
+    LIST_HEAD(ServerConnList, ServerConn) conns;
+    guint exchanges;   /* Number of connections with `in_exchange`. */
+    size_t body_bytes; /* Of the bodies of all requests. */
+    uint16_t port;
+    bool shutting_down;
+};
+
+/* Whether the connection closes after this response. At a planned stop, it
+   stays open for a request that the caller has sent already. */
+bool ServerConn_IsClosing(const ServerConn *conn);
+/* Sets whether closing the connection resets it. */
+void ServerConn_SetResetOnClose(const ServerConn *conn, bool reset);
+/* Closes the connection after a response, or prepares for the next request. */
+void ServerConn_FinishExchange(ServerConn *conn);
+/* Closes the connection and frees it. */
+void ServerConn_Close(ServerConn *conn);
+
+#endif
