Stream: a worker that answers other calls is not blocked for one silent stream

What callers saw: fewer workers than there were; a sound worker got no new requests for 0.4 s and more, as one of its streams waited for its turn. Cause: the mend of LOST blocks a worker for new requests after 0.3 to 0.9 s without an event of one stream; a stream whose memory was taken, or that waits for its prompt to be read, is silent for as long. Measured: WorkerThatAnswersOtherCallsIsNotBlocked, red before, passes.

--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -139,6 +139,7 @@
 {
     TaskCall *current = task->current;
     int64_t now_us = Task_Now(task);
+    HandoverLimits limits;
 
     if (task->silent != NULL) {
         if (Successor_Decide(task, false, false) == HANDOVER_SWITCH) {
@@ -148,13 +149,17 @@
         return;
     }
     if (!current->is_quiet) {
+        limits = get_limits(task);
         current->is_quiet = true;
-        Health_NoteUnresponsive(&current->worker->health, now_us);
-        task->step_deadline_us =
-            current->progress_us + get_limits(task).prepare_us;
+        /* A single stream may wait for its turn at a loaded worker. */
+        if (now_us - current->worker->heard_us >= limits.quiet_us) {
+            Health_NoteUnresponsive(&current->worker->health, now_us);
+        }
+        task->step_deadline_us = current->progress_us + limits.prepare_us;
         Task_SetTimer(task);
         return;
     }
+    Health_NoteUnresponsive(&current->worker->health, now_us);
     if (Successor_Decide(task, false, false) != HANDOVER_PREPARE) {
         Task_SetTimer(task);
         return;
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -252,6 +252,13 @@
                   "{\"hold\":\"L1\"}");
     }
 
+    /* Sends bytes on the connection with the last request. */
+    void
+    SendToLast(const std::string &bytes)
+    {
+        bufferevent_write(last_, bytes.data(), bytes.size());
+    }
+
     std::string address;
     std::vector<std::string> requests; /* Headers and bodies, as received. */
     int closed = 0;                    /* Connections closed by the gate. */
@@ -405,6 +412,7 @@
             return;
         }
         self->requests.push_back(text);
+        self->last_ = bev;
         bool crashes_now = false;
         if (self->HasPart(text)) {
             self->part_times_us.push_back(g_get_monotonic_time());
@@ -499,6 +507,7 @@
     uint16_t port_ = 0;
     std::string endless_;
     std::vector<bufferevent *> conns_;
+    bufferevent *last_ = nullptr; /* Carried the last request. */
 };
 
 /* Raw HTTP client on loopback that collects the bytes of its answers. */
--- a/tests/test_gate_silence.cc
+++ b/tests/test_gate_silence.cc
@@ -76,6 +76,26 @@
     }
 }
 
+/* One stream waits for its turn, as when its memory was taken, while another
+   one at the same worker goes on. */
+TEST(GateSilence, WorkerThatAnswersOtherCallsIsNotBlocked)
+{
+    GateRig rig;
+    rig.SetRoute(resumable, true);
+    Worker *worker =
+        rig.AddWorker({SilentStream(), SilentStream()}, FLEET_PHASE_DECODE);
+    FleetWorker *row = rig.last_worker;
+    Caller *first = rig.Call(Prompt());
+    ASSERT_TRUE(rig.Until([&] { return !first->text.empty(); }));
+    Caller *second = rig.Call(Prompt());
+    ASSERT_TRUE(rig.Until([&] { return !second->text.empty(); }));
+    for (int i = 3; i < 13; i++) {
+        worker->SendToLast(Chunk(Events(i, i)));
+        RunFor(&rig, 150);
+        EXPECT_FALSE(Health_IsBlocked(&row->health, Clk_Now(&rig.clk))) << i;
+    }
+}
+
 /* What keeps a stream whose worker broke off from going on for a while. */
 struct ShortageCase {
     const char *name;
