Task: what an ended call has brought is asked of the call

Cause: Task_GetRun, Task_HasAnswer and Task_GetCause looked at the task's current call, so that the end of a silent one had to exchange the two calls first. No change of behaviour. Conclusion: one exchange is left, for the check of a crash.

--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -152,15 +152,9 @@
     const char *cause;
 
     current->call = NULL;
-    if (is_silent) {
-        Successor_SwapCalls(task);
-    }
-    run = Task_GetRun(task, outcome);
-    has_answer = Task_HasAnswer(task, outcome);
-    cause = Task_GetCause(task, outcome, run);
-    if (is_silent) {
-        Successor_SwapCalls(task);
-    }
+    run = Task_GetRun(current, outcome);
+    has_answer = Task_HasAnswer(current, outcome);
+    cause = Task_GetCause(current, outcome, run);
     if (has_answer && current->reply.status < 500 && run != LS_RUN_NOT_RUN) {
         Health_NoteSuccess(&current->worker->health, Task_Now(task));
         Blame_NoteSound(task);
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -460,8 +460,8 @@
     if (cut_inside_event || cut_before_event) {
         outcome = CLIENT_INTERRUPTED;
     }
-    run = Task_GetRun(task, outcome);
-    has_answer = Task_HasAnswer(task, outcome);
+    run = Task_GetRun(current, outcome);
+    has_answer = Task_HasAnswer(current, outcome);
     if (has_answer && current->reply.status == 200 && task->streaming) {
         ServerExchange *exchange = task->exchange;
         if (task->current->sse.pending->len > 0) {
@@ -477,7 +477,7 @@
     }
     Task_NoteFailure(task, outcome, run,
                      cut_inside_event ? "stream ended inside an event"
-                                      : Task_GetCause(task, outcome, run));
+                                      : Task_GetCause(current, outcome, run));
     Blame_NoteBreak(task, outcome, run);
     if (run == LS_RUN_NOT_RUN && outcome == CLIENT_COMPLETE &&
         current->stage == TASK_DECODE && task->kv.worker != NULL) {
@@ -499,20 +499,17 @@
 static void
 on_silent_end(GateTask *task, ClientOutcome outcome)
 {
-    LsRun run;
-    const char *cause;
+    TaskCall *silent = task->silent;
+    LsRun run = Task_GetRun(silent, outcome);
+    const char *cause = Task_GetCause(silent, outcome, run);
 
-    Successor_SwapCalls(task);
-    run = Task_GetRun(task, outcome);
-    cause = Task_GetCause(task, outcome, run);
-    if (Task_HasAnswer(task, outcome) && task->streaming &&
-        task->current->reply.status == 200 &&
-        !Sse_IsInsideEvent(&task->current->sse)) {
-        Successor_SwapCalls(task);
+    if (Task_HasAnswer(silent, outcome) && task->streaming &&
+        silent->reply.status == 200 && !Sse_IsInsideEvent(&silent->sse)) {
         Successor_Cancel(task);
-        on_run_end(task->current, outcome);
+        on_run_end(silent, outcome);
         return;
     }
+    Successor_SwapCalls(task);
     Blame_NoteBreak(task, outcome, run);
     Successor_SwapCalls(task);
     Successor_TakeOver(task, outcome, run, cause);
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -212,9 +212,9 @@
    if the task has excluded too many already. */
 bool Task_ExcludeWorker(GateTask *task, FleetWorker *worker);
 /* Whether the ended call has run, judging by its outcome and answer. */
-LsRun Task_GetRun(const GateTask *task, ClientOutcome outcome);
+LsRun Task_GetRun(const TaskCall *call, ClientOutcome outcome);
 /* Whether the worker's answer may be passed to the caller. */
-bool Task_HasAnswer(const GateTask *task, ClientOutcome outcome);
+bool Task_HasAnswer(const TaskCall *call, ClientOutcome outcome);
 /* Notes that bytes of the answer came. */
 void Task_NoteHeard(TaskCall *call);
 /* Appends data to the body of the answer, up to TASK_BODY_MAX bytes. `call` is
@@ -223,7 +223,7 @@
 /* Returns the name, for logs, of the framing of the last answer to a call. */
 const char *Task_GetFramingName(const GateTask *task);
 /* Returns a short text for logs and callers on why a call failed. */
-const char *Task_GetCause(const GateTask *task, ClientOutcome outcome,
+const char *Task_GetCause(const TaskCall *call, ClientOutcome outcome,
                           LsRun run);
 /* Updates the worker's health after a failed call, and logs the failure. */
 void Task_NoteFailure(GateTask *task, ClientOutcome outcome, LsRun run,
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -192,28 +192,25 @@
 }
 
 LsRun
-Task_GetRun(const GateTask *task, ClientOutcome outcome)
+Task_GetRun(const TaskCall *call, ClientOutcome outcome)
 {
-    const TaskCall *current = task->current;
-
     if (outcome == CLIENT_NOT_SENT) {
         return LS_RUN_NOT_RUN;
     }
-    if (current->has_reply &&
-        (current->reply.not_run || current->reply.misdirected)) {
+    if (call->has_reply && (call->reply.not_run || call->reply.misdirected)) {
         return LS_RUN_NOT_RUN;
     }
-    return outcome == CLIENT_COMPLETE && current->has_reply ? LS_RUN_RAN
-                                                            : LS_RUN_UNKNOWN;
+    return outcome == CLIENT_COMPLETE && call->has_reply ? LS_RUN_RAN
+                                                         : LS_RUN_UNKNOWN;
 }
 
 bool
-Task_HasAnswer(const GateTask *task, ClientOutcome outcome)
+Task_HasAnswer(const TaskCall *call, ClientOutcome outcome)
 {
-    const GateReply *reply = &task->current->reply;
+    const GateReply *reply = &call->reply;
 
-    if (outcome != CLIENT_COMPLETE || !task->current->has_reply ||
-        reply->is_encoded || task->current->truncated) {
+    if (outcome != CLIENT_COMPLETE || !call->has_reply || reply->is_encoded ||
+        call->truncated) {
         return false;
     }
     return reply->matches_request && reply->has_receipt;
@@ -253,7 +250,7 @@
 }
 
 const char *
-Task_GetCause(const GateTask *task, ClientOutcome outcome, LsRun run)
+Task_GetCause(const TaskCall *call, ClientOutcome outcome, LsRun run)
 {
     if (outcome == CLIENT_NOT_SENT) {
         return "unreachable";
@@ -267,7 +264,7 @@
     if (outcome == CLIENT_INTERRUPTED) {
         return "connection lost";
     }
-    return Task_HasAnswer(task, outcome) ? "worker's error"
+    return Task_HasAnswer(call, outcome) ? "worker's error"
                                          : "answer without receipt";
 }
 
