Successor: a run that broke at one counts as an attempt

What callers saw: nothing yet; a third worker could get a request whose route allows two. Cause: the silent call went on while the run at its successor was not answered; as that run broke, the successor was cancelled without counting its run. Ruled out: the other ways back to the silent call (by reading): they count first. Change: the run is counted before the successor is given up.

--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -530,6 +530,7 @@
 
     if (task->silent != NULL && has_next_event(task, &task->silent->sse)) {
         Task_ExcludeWorker(task, task->current->worker);
+        task->runs += run != LS_RUN_NOT_RUN;
         Successor_Cancel(task);
         forward_or_retry(task);
         return;
--- a/tests/test_gate_successor.cc
+++ b/tests/test_gate_successor.cc
@@ -143,6 +143,29 @@
     }
 }
 
+/* The run at the successor breaks before its answer, after the silent worker
+   went on. It counts for the route's attempts. */
+TEST(GateSuccessor, BrokenRunOfASuccessorCountsAsAnAttempt)
+{
+    GateRig rig;
+    rig.SetRoute(resumable, true);
+    Worker *silent = rig.AddWorker({{Begun(3)}}, FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Prompt());
+    ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+    Worker *other = rig.AddWorker({{""}}, FLEET_PHASE_DECODE);
+    ASSERT_TRUE(rig.Until([&] { return !other->requests.empty(); }));
+    silent->SendToAll(Chunk(Events(3, 5)));
+    RunFor(&rig, 100);
+    other->CloseAll();
+    ASSERT_TRUE(rig.Until(
+        [&] { return caller->text.find("id: 5\n") != std::string::npos; }));
+    Worker *third = rig.AddWorker({Stream(6, 9)}, FLEET_PHASE_DECODE);
+    silent->CloseAll();
+    ASSERT_TRUE(UntilEnd(&rig, caller));
+    EXPECT_TRUE(third->requests.empty());
+    EXPECT_FALSE(caller->IsComplete());
+}
+
 /* The successor's answer has begun, but has no event yet, as the silent worker
    goes on. Only one of them may be at work 400 ms later. */
 TEST(GateSuccessor, SilentWorkerGoesOnAfterTheSuccessorHasAccepted)
