Test rig: a crashed worker keeps its port until it starts again

Cause: a scripted worker closed its port as it crashed and opened it again half a second later; another test process had taken it in between. Ruled out: the code under test: the log of the failure has only "listener_" null at the worker's start, ten times. Change: the port is held by a bound socket that does not listen, and the worker starts by listening on it. Connections are refused meanwhile, as before. Conclusion: traced, not rerun till green.

--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -21,6 +21,7 @@
 #include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 /* Runs the loop until the condition holds. Returns false after a timeout,
@@ -184,7 +185,8 @@
         sockaddr_in local = {};
         socklen_t size = sizeof(local);
         base_ = base;
-        Listen(0);
+        fd_ = Bind(0);
+        Listen();
         getsockname(evconnlistener_get_fd(listener_), (sockaddr *)&local,
                     &size);
         port_ = ntohs(local.sin_port);
@@ -196,6 +198,9 @@
         if (listener_ != nullptr) {
             evconnlistener_free(listener_);
         }
+        else {
+            close(fd_);
+        }
         for (bufferevent *bev : conns_) {
             bufferevent_free(bev);
         }
@@ -215,6 +220,7 @@
     {
         evconnlistener_free(listener_);
         listener_ = nullptr;
+        fd_ = Bind(port_);
         for (bufferevent *bev : conns_) {
             SetReset(bufferevent_getfd(bev));
         }
@@ -225,7 +231,7 @@
     void
     Restart()
     {
-        Listen(port_);
+        Listen();
     }
 
     bool
@@ -309,16 +315,30 @@
             this, &delay);
     }
 
-    void
-    Listen(uint16_t port)
+    /* Returns a socket that holds the port, but does not listen: connections
+       to it are refused, and no other process can take it. 0: any port. */
+    static int
+    Bind(uint16_t port)
     {
         sockaddr_in local = {};
+        int on = 1;
+        int fd =
+            socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
         local.sin_family = AF_INET;
         local.sin_port = htons(port);
         local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        listener_ = evconnlistener_new_bind(
-            base_, OnAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-            64, (sockaddr *)&local, sizeof(local));
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        EXPECT_EQ(bind(fd, (sockaddr *)&local, sizeof(local)), 0);
+        return fd;
+    }
+
+    /* Listens on the socket that holds the port. */
+    void
+    Listen()
+    {
+        listener_ = evconnlistener_new(base_, OnAccept, this,
+                                       LEV_OPT_CLOSE_ON_FREE, 64, fd_);
+        fd_ = -1;
         ASSERT_NE(listener_, nullptr);
     }
 
@@ -504,6 +524,7 @@
     std::shared_ptr<std::deque<ScriptedReply>> replies_;
     event_base *base_ = nullptr;
     evconnlistener *listener_ = nullptr; /* nullptr after a crash. */
+    int fd_ = -1;                        /* Holds the port after a crash. */
     uint16_t port_ = 0;
     std::string endless_;
     std::vector<bufferevent *> conns_;
