Streams: software version and the resumed request in entries, logs and metrics

The logs of the incident name neither the version of a worker nor the request that a caller resumes, so a stream that a caller takes up can't be told from one that a VM goes on with. request_end has `resumes` and `version`, the line of a worker has `version`, streams_joined counts and stream_joined logs the joining within one answer.

--- a/src/gate/feed.c
+++ b/src/gate/feed.c
@@ -92,15 +92,15 @@
     }
     worker = Fleet_SetEntry(fleet, &entry, now_us);
     if (worker != NULL) {
-        Log_WriteJson(LOG_LEVEL_INFO, "worker",
-                      json_pack("{s:s,s:s,s:s,s:i,s:b,s:b,s:I,s:I}", "worker",
-                                id, "address", entry.address, "service",
-                                entry.service, "phase", (int)entry.phase,
-                                "draining", (int)worker->entry.draining,
-                                "doubted",
-                                (int)(now_us < worker->doubted_until_us),
-                                "era", (json_int_t)position.era, "revision",
-                                (json_int_t)position.revision));
+        Log_WriteJson(
+            LOG_LEVEL_INFO, "worker",
+            json_pack("{s:s,s:s,s:s,s:s,s:i,s:b,s:b,s:I,s:I}", "worker", id,
+                      "version", entry.version, "address", entry.address,
+                      "service", entry.service, "phase", (int)entry.phase,
+                      "draining", (int)worker->entry.draining, "doubted",
+                      (int)(now_us < worker->doubted_until_us), "era",
+                      (json_int_t)position.era, "revision",
+                      (json_int_t)position.revision));
     }
 }
 
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -42,7 +42,10 @@
     char id[FLEET_ID_MAX]; /* Usually differs with each start of the worker. */
     char address[FLEET_ADDRESS_MAX]; /* "IP:port" */
     char service[FLEET_NAME_MAX];
-    char zone[FLEET_NAME_MAX]; /* Availability zone. */
+    char zone[FLEET_NAME_MAX];    /* Availability zone. */
+    char version[FLEET_NAME_MAX]; /* Of its software. The events of a stream
+                                     must all come from workers of one version.
+                                   */
     FleetPhase phase;
     uint32_t slots; /* Requests that the worker runs at a time. */
     bool draining;
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -31,6 +31,8 @@
                                caller's limit. */
     int64_t last_event;     /* The caller resumes after this event, or
                                GATE_NO_EVENT. */
+    char *resumes; /* ID of the caller's request that brought the first
+                      event of the stream, or NULL. */
     /* Identifiers of the prompt's parts, in order, without the last part,
        which belongs to the request itself; NULL if there are none. */
     uint64_t *parts;
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -9,6 +9,10 @@
 #include "successor.h"
 #include "task_wait.h"
 
+#include "../log.h"
+
+#include <string.h>
+
 /* A run that may happen only once uses a new connection. A reset of an idle
    connection would leave its outcome unknown, and a failed stream costs more
    than a connection. */
@@ -32,6 +36,7 @@
 static void forward_or_retry(GateTask *task);
 static bool has_next_event(const GateTask *task, Sse *sse);
 static bool forward_events(GateTask *task);
+static void note_version(GateTask *task);
 static void note_event_time(GateTask *task);
 static void update_event_interval(GateTask *task);
 static void finish_prefill(TaskCall *call);
@@ -403,6 +408,7 @@
                                          Task_Now(task) - current->began_us);
             finish_prefill(current);
         }
+        note_version(task);
         Server_SendData(task->exchange, event.data, event.size);
         note_event_time(task);
         task->events++;
@@ -420,6 +426,26 @@
     return true;
 }
 
+/* Notes the software version that made an event. */
+static void
+note_version(GateTask *task)
+{
+    const char *version = task->current->worker->entry.version;
+
+    if (task->version[0] == '\0') {
+        g_strlcpy(task->version, version, sizeof(task->version));
+    }
+    else if (strcmp(task->version, version) != 0) {
+        Met_Add(MET_STREAMS_JOINED, 1);
+        Log_WriteJson(LOG_LEVEL_ERROR, "stream_joined",
+                      json_pack("{s:s,s:s,s:s,s:s}", "request",
+                                task->request.id, "worker",
+                                task->current->worker->entry.id, "began",
+                                task->version, "goes_on", version));
+        g_strlcpy(task->version, version, sizeof(task->version));
+    }
+}
+
 static void
 note_event_time(GateTask *task)
 {
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -198,7 +198,7 @@
         LOG_LEVEL_INFO, "request_end",
         json_pack(
             "{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:I,s:I,"
-            "s:I,s:I,s:I,s:i,s:i}",
+            "s:I,s:I,s:I,s:i,s:i,s:s,s:s}",
             "request", task->request.id, "route", task->route->name, "worker",
             task->worker, "outcome", outcome, "status", status,
             "retry_after_ms", (int)task->retry_after_ms, "took_us",
@@ -216,7 +216,9 @@
             "prefill_us", (json_int_t)task->spent_us[TASK_PREFILL], "run_us",
             (json_int_t)run_us, "prompt_tokens",
             (int)task->request.prompt_tokens, "output_tokens",
-            (int)task->request.output_tokens));
+            (int)task->request.output_tokens, "resumes",
+            task->request.resumes != NULL ? task->request.resumes : "",
+            "version", task->version));
     Stream_ReleaseAll(task);
     free_task(task);
 }
@@ -259,6 +261,7 @@
         answer_error(gate, exchange, request.id, &err);
         g_free(request.id);
         g_free(request.host);
+        g_free(request.resumes);
         g_free(request.parts);
         Header_Free(request.forward);
         return NULL;
@@ -405,6 +408,7 @@
     Rte_Unref(task->table);
     g_free(task->request.id);
     g_free(task->request.host);
+    g_free(task->request.resumes);
     g_free(task->request.parts);
     Header_Free(task->request.forward);
     g_free(task);
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -106,12 +106,14 @@
     FleetWorker *excluded[TASK_EXCLUDED_MAX];
     guint excluded_count;
     char worker[FLEET_ID_MAX]; /* Of the last call. */
-    uint32_t sends;            /* Calls begun, reservations not counted. */
-    uint32_t runs;             /* Workers on which the request may have run. */
-    uint32_t counted_calls;    /* Calls counted for the retry budget, which
-                                  charges all but the first. */
-    bool prefilled;            /* A prefill succeeded; further ones count as
-                                  calls for the retry budget. */
+    /* Software version of the workers that made the stream's events, or "". */
+    char version[FLEET_NAME_MAX];
+    uint32_t sends;         /* Calls begun, reservations not counted. */
+    uint32_t runs;          /* Workers on which the request may have run. */
+    uint32_t counted_calls; /* Calls counted for the retry budget, which
+                               charges all but the first. */
+    bool prefilled;         /* A prefill succeeded; further ones count as
+                               calls for the retry budget. */
     /* Start of the worker that may have crashed under the last call; 0 for
        none. */
     uint64_t crash_worker;
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -50,6 +50,9 @@
     [MET_STREAMS_BROKEN_OFF] = {"streams_broken_off",
                                 "Streams that had begun and were ended "
                                 "without their last event."},
+    [MET_STREAMS_JOINED] = {"streams_joined",
+                            "Streams with events from workers of two software "
+                            "versions."},
     [MET_SUCCESSORS] = {"successors", "Silent calls for which another worker "
                                       "was looked for."},
     [MET_SUCCESSORS_TOOK_OVER] = {"successors_took_over",
--- a/tests/test_gate_change.cc
+++ b/tests/test_gate_change.cc
@@ -1233,7 +1233,8 @@
             store.Add("servers/w" + std::to_string(i),
                       "{\"service\":\"" + name + "\",\"addr\":\"" +
                           workers.back()->address +
-                          "\",\"zone\":\"z\",\"slots\":8,\"state\":\"ready\"" +
+                          "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,"
+                          "\"state\":\"ready\"" +
                           (is_stream ? ",\"phase\":\"decode\"}" : "}"));
             services += std::string(i > 0 ? "," : "") + "{\"name\":\"" + name +
                         "\"" +
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -209,18 +209,27 @@
     {"no object", "[]", false},
     {"state not known",
      "{\"service\":\"s\",\"addr\":\"1.2.3.4:5\",\"zone\":\"z\",\"slots\":4,"
-     "\"state\":\"odd\"}",
+     "\"version\":\"v1\",\"state\":\"odd\"}",
      false},
     {"slots of another type",
      "{\"service\":\"s\",\"addr\":\"1.2.3.4:5\",\"zone\":\"z\",\"slots\":"
-     "\"4\",\"state\":\"ready\"}",
+     "\"4\",\"version\":\"v1\",\"state\":\"ready\"}",
      false},
     {"no address",
-     "{\"service\":\"s\",\"zone\":\"z\",\"slots\":4,\"state\":\"ready\"}",
+     "{\"service\":\"s\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":4,"
+     "\"state\":\"ready\"}",
+     false},
+    {"no version",
+     "{\"service\":\"s\",\"addr\":\"1.2.3.4:5\",\"zone\":\"z\",\"slots\":4,"
+     "\"state\":\"ready\"}",
+     false},
+    {"version of another type",
+     "{\"service\":\"s\",\"addr\":\"1.2.3.4:5\",\"zone\":\"z\",\"slots\":4,"
+     "\"version\":1,\"state\":\"ready\"}",
      false},
     {"born of another type",
      "{\"service\":\"s\",\"addr\":\"1.2.3.4:5\",\"zone\":\"z\",\"slots\":4,"
-     "\"state\":\"ready\",\"born\":\"x\"}",
+     "\"version\":\"v1\",\"state\":\"ready\",\"born\":\"x\"}",
      false},
 };
 
--- a/tests/test_store.cc
+++ b/tests/test_store.cc
@@ -85,7 +85,8 @@
 WorkerEntry(const char *state)
 {
     return std::string("{\"service\":\"svc\",\"addr\":\"127.0.0.1:9\","
-                       "\"zone\":\"zone-a\",\"slots\":4,\"state\":\"") +
+                       "\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":4,"
+                       "\"state\":\"") +
            state + "\"}";
 }
 
