Test: streams that hold events of two software versions (fails)

Red on the code as it is, 4 of 4: a successor within one answer, and resumptions by the caller at the same VM, at another VM, and at VMs that were all killed.

--- a/tests/fleet_rig.h
+++ b/tests/fleet_rig.h
@@ -23,10 +23,7 @@
             AddVm();
         }
         for (int i = 0; i < worker_count; i++) {
-            workers.push_back(std::make_unique<Worker>(base, script_));
-            ids_.push_back("");
-            restart_us_.push_back(0);
-            ListWorker(i);
+            AddWorkerWithScript(script_);
         }
     }
 
@@ -71,6 +68,48 @@
         }
     }
 
+    /* Starts a worker with a script of its own. */
+    void
+    AddWorker(std::vector<ScriptedReply> replies)
+    {
+        AddWorkerWithScript(std::make_shared<std::deque<ScriptedReply>>(
+            replies.begin(), replies.end()));
+    }
+
+    /* The worker left long ago. */
+    void
+    RemoveWorker(size_t i)
+    {
+        starts_++;
+        for (Edge *edge : edges) {
+            if (edge != nullptr) {
+                Fleet_RemoveEntry(Edge_GetFleet(edge), ids_[i].c_str(),
+                                  {0, (uint64_t)starts_},
+                                  Clk_Now(&clk) - 60 * CLK_US_PER_S);
+            }
+        }
+    }
+
+    /* Adds running calls to what all VMs count at the worker. */
+    void
+    AddLoad(size_t i, uint32_t calls)
+    {
+        for (Edge *edge : edges) {
+            if (edge != nullptr) {
+                Fleet_Find(Edge_GetFleet(edge), ids_[i].c_str())->inflight +=
+                    calls;
+            }
+        }
+    }
+
+    /* Ends a VM at once. */
+    void
+    KillVm(size_t vm)
+    {
+        Edge_Free(edges[vm]);
+        edges[vm] = nullptr;
+    }
+
     /* Lets all workers crash on a part of the prompt; one in four before the
        header of its answer arrives. */
     void
@@ -136,14 +175,27 @@
     std::vector<std::unique_ptr<Worker>> workers;
     std::vector<std::unique_ptr<Caller>> callers;
     int64_t restart_ms = 300;
+    /* Software versions of the workers by their numbers; "" beyond. */
+    std::vector<std::string> versions;
 
   private:
+    void
+    AddWorkerWithScript(std::shared_ptr<std::deque<ScriptedReply>> script)
+    {
+        workers.push_back(std::make_unique<Worker>(base, script));
+        ids_.push_back("");
+        restart_us_.push_back(0);
+        ListWorker(workers.size() - 1);
+    }
+
     void
     ListWorker(size_t i)
     {
         ids_[i] = "w-" + std::to_string(++starts_);
         for (Edge *edge : edges) {
-            SetEntry(edge, i);
+            if (edge != nullptr) {
+                SetEntry(edge, i);
+            }
         }
     }
 
@@ -156,6 +208,9 @@
                   sizeof(entry.address));
         g_strlcpy(entry.service, "svc", sizeof(entry.service));
         g_strlcpy(entry.zone, "zone-a", sizeof(entry.zone));
+        g_strlcpy(entry.version,
+                  i < versions.size() ? versions[i].c_str() : "",
+                  sizeof(entry.version));
         entry.phase = is_engine_ ? FLEET_PHASE_DECODE : FLEET_PHASE_NONE;
         entry.slots = 8;
         entry.position.revision = (uint64_t)starts_;
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -290,6 +290,10 @@
     /* Time from the answer's header to the crash. Without it the reset
        discards the header. */
     int crash_delay_ms = 5;
+    /* Identifiers of the parts of prompts that it tells to keep in memory. */
+    std::vector<std::string> kept_parts;
+    int lists = 0; /* How often it was asked for them. */
+
     int crashes = 0;
     std::vector<int64_t> part_times_us; /* Of requests with this part. */
 
@@ -431,6 +435,11 @@
             bufferevent_write(bev, answer.data(), answer.size());
             return;
         }
+        if (text.find("GET /v1/kv-list ") == 0) {
+            self->lists++;
+            self->SendList(bev);
+            return;
+        }
         self->requests.push_back(text);
         self->last_ = bev;
         bool crashes_now = false;
@@ -488,6 +497,20 @@
         }
     }
 
+    void
+    SendList(bufferevent *bev)
+    {
+        std::string rows;
+        for (const std::string &part : kept_parts) {
+            rows += (rows.empty() ? "" : ",") + std::string("[\"\",\"") +
+                    part + "\",100,\"m\"]";
+        }
+        std::string body = "{\"epoch\":1,\"next\":1,\"held\":[" + rows + "]}";
+        std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body;
+        bufferevent_write(bev, answer.data(), answer.size());
+    }
+
     /* Goes on with an endless reply. */
     static void
     OnWrite(bufferevent *bev, void *context)
@@ -760,6 +783,7 @@
         g_strlcpy(entry.address, address.c_str(), sizeof(entry.address));
         g_strlcpy(entry.service, "svc", sizeof(entry.service));
         g_strlcpy(entry.zone, "zone-a", sizeof(entry.zone));
+        g_strlcpy(entry.version, version.c_str(), sizeof(entry.version));
         entry.phase = phase;
         entry.slots = 8;
         entry.position.revision = (uint64_t)count_;
@@ -802,7 +826,8 @@
     Clk clk;
     Edge *edge;
     GHashTable *regions;
-    uint32_t lease_max_ms = 2000;       /* 0: no reservations. */
+    uint32_t lease_max_ms = 2000; /* 0: no reservations. */
+    std::string version = "v1"; /* Software version of workers to be added. */
     FleetWorker *last_worker = nullptr; /* Added last, in the gate's fleet. */
     std::vector<std::unique_ptr<Worker>> workers;
     std::vector<std::unique_ptr<Caller>> callers;
--- /dev/null
+++ b/tests/test_gate_joined.cc
@@ -0,0 +1,202 @@
+/* Tests that a stream never holds events of two software versions: neither in
+   one answer nor when its caller resumes it. */
+#include "fleet_rig.h"
+
+namespace {
+
+const Route resumable = {RTE_STREAM, 3, true, 15000};
+
+std::string
+Begun(int events)
+{
+    return StreamHead("Transfer-Encoding: chunked\r\n") +
+           Chunk(Events(0, events - 1));
+}
+
+std::string
+Prompt(const std::string &id, const std::string &more = "")
+{
+    return "POST /r/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+           "\r\nX-Token-Usage: 1000,100\r\n"
+           "X-Prompt-Prefix: aa:200,b1:800\r\n" +
+           more + "Content-Length: 1\r\n\r\nb";
+}
+
+/* The request with which a caller resumes `id` after event 2. */
+std::string
+Resumption(const std::string &id)
+{
+    return Prompt(id + "-again",
+                  "Last-Event-Id: 2\r\nResumes: " + id + "\r\n");
+}
+
+/* How the first worker, of version v1, ends its part of the stream. */
+enum Ending { BREAKS, FALLS_SILENT, LEAVES };
+
+struct AnswerCase {
+    const char *name;
+    Ending ending;
+    bool has_same_version; /* A second worker of v1 is there. */
+};
+
+const AnswerCase answer_cases[] = {
+    {"the worker breaks off, v1 and v2 serve", BREAKS, true},
+    {"the worker breaks off, only v2 serves", BREAKS, false},
+    {"the worker falls silent, v1 and v2 serve", FALLS_SILENT, true},
+    {"the worker falls silent, only v2 serves", FALLS_SILENT, false},
+    {"the worker leaves and breaks off, v1 and v2 serve", LEAVES, true},
+    {"the worker leaves and breaks off, only v2 serves", LEAVES, false},
+};
+
+/* A VM goes on with a stream that it has begun. */
+TEST(JoinedStream, SuccessorWithinOneAnswerIsOfTheSameVersion)
+{
+    for (const AnswerCase &row : answer_cases) {
+        SCOPED_TRACE(row.name);
+        GateRig rig;
+        rig.SetRoute(resumable, true);
+        Worker *first = rig.AddWorker({{Begun(3)}}, FLEET_PHASE_DECODE);
+        FleetWorker *first_row = rig.last_worker;
+        Caller *caller = rig.Call(Prompt("id-1"));
+        ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+        rig.version = "v2";
+        Worker *newer =
+            rig.AddWorker({Stream(3, 9), Stream(3, 9)}, FLEET_PHASE_DECODE);
+        Worker *same = nullptr;
+        if (row.has_same_version) {
+            rig.version = "v1";
+            same = rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
+            rig.last_worker->inflight += 4; /* It costs more than `newer`. */
+        }
+        if (row.ending == LEAVES) {
+            first_row->entry.draining = true;
+        }
+        if (row.ending != FALLS_SILENT) {
+            first->CloseAll();
+        }
+        if (same != nullptr) {
+            EXPECT_TRUE(rig.UntilEnd(caller));
+            EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+            EXPECT_EQ(same->requests.size(), 1u);
+        }
+        else {
+            rig.RunFor(3000);
+            EXPECT_FALSE(caller->IsComplete());
+        }
+        EXPECT_TRUE(newer->requests.empty());
+    }
+}
+
+struct ResumptionCase {
+    const char *name;
+    bool has_same_version; /* A worker of v1 is still there. */
+    int status;            /* Of the answer to the resumption. */
+};
+
+const ResumptionCase resumption_cases[] = {
+    {"v1 and v2 serve", true, 200},
+    {"only v2 serves", false, 503},
+};
+
+/* The caller lost its connection and resumes at the same VM. */
+TEST(JoinedStream, ResumptionAtTheSameVm)
+{
+    for (const ResumptionCase &row : resumption_cases) {
+        SCOPED_TRACE(row.name);
+        GateRig rig;
+        rig.SetRoute(resumable, true);
+        rig.AddWorker({{Begun(3)}, Stream(3, 9)}, FLEET_PHASE_DECODE);
+        FleetWorker *first_row = rig.last_worker;
+        Caller *caller = rig.Call(Prompt("id-1"));
+        ASSERT_TRUE(rig.Until([&] {
+            return caller->text.find("id: 2\n") != std::string::npos;
+        }));
+        rig.version = "v2";
+        Worker *newer = rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
+        first_row->inflight += 4;
+        caller->Disconnect();
+        rig.RunFor(50);
+        if (!row.has_same_version) {
+            Fleet_RemoveEntry(Edge_GetFleet(rig.edge), "w-1", {0, 100},
+                              Clk_Now(&rig.clk) - 60 * CLK_US_PER_S);
+        }
+        Caller *again = rig.Call(Resumption("id-1"));
+        ASSERT_TRUE(rig.UntilEnd(again));
+        EXPECT_EQ(again->Status(), row.status) << again->text;
+        EXPECT_TRUE(newer->requests.empty());
+    }
+}
+
+/* The VM that began the stream is gone; another one knows of it. */
+TEST(JoinedStream, ResumptionAtAnotherVm)
+{
+    for (const ResumptionCase &row : resumption_cases) {
+        SCOPED_TRACE(row.name);
+        FleetRig rig(resumable, 2, 0);
+        rig.versions = {"v1", "v2"};
+        rig.AddWorker({{Begun(3)}, Stream(3, 9)});
+        rig.RunFor(300);
+        Caller *caller = rig.Call(0, Prompt("id-1"));
+        rig.RunFor(300);
+        ASSERT_NE(caller->text.find("id: 2\n"), std::string::npos);
+        rig.AddWorker({Stream(3, 9)});
+        caller->Disconnect();
+        rig.KillVm(0);
+        if (!row.has_same_version) {
+            rig.RemoveWorker(0);
+        }
+        else {
+            rig.AddLoad(0, 4);
+        }
+        Caller *again = rig.Call(1, Resumption("id-1"));
+        rig.RunFor(500);
+        EXPECT_EQ(again->Status(), row.status) << again->text;
+        EXPECT_TRUE(rig.workers[1]->requests.empty());
+    }
+}
+
+struct RestartCase {
+    const char *name;
+    bool has_v1;                 /* A worker of v1 is still there. */
+    std::vector<std::string> v1; /* What it keeps. */
+    std::vector<std::string> v2;
+    int status;
+};
+
+const RestartCase restart_cases[] = {
+    {"v1 keeps the prompt", true, {"aa", "b1"}, {"aa"}, 200},
+    {"no worker keeps the prompt", true, {"aa"}, {"aa"}, 503},
+    {"workers of two versions keep it", true, {"b1"}, {"b1"}, 503},
+    {"v1 has left, v2 does not keep it", false, {}, {"aa", "c7"}, 503},
+};
+
+/* All VMs were killed at once: those that start know nothing of before. */
+TEST(JoinedStream, ResumptionAfterAllVmsWereKilled)
+{
+    for (const RestartCase &row : restart_cases) {
+        SCOPED_TRACE(row.name);
+        GateRig rig;
+        rig.SetRoute(resumable, true);
+        Worker *older = nullptr;
+        if (row.has_v1) {
+            older = rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
+            older->kept_parts = row.v1;
+            rig.last_worker->inflight += 4;
+        }
+        rig.version = "v2";
+        Worker *newer = rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
+        newer->kept_parts = row.v2;
+        Caller *again = rig.Call(Resumption("id-1"));
+        ASSERT_TRUE(rig.UntilEnd(again));
+        EXPECT_EQ(again->Status(), row.status) << again->text;
+        EXPECT_TRUE(newer->requests.empty());
+        if (row.status == 200) {
+            EXPECT_EQ(older->requests.size(), 1u);
+        }
+        else {
+            EXPECT_NE(again->text.find("Retry-After: "), std::string::npos);
+        }
+    }
+}
+
+} // namespace
