Stream: goes on only at the software version that began it

What callers saw: beside releases, streams that callers took up again (and, by test, streams that a VM goes on with itself) were joined from two software versions, answered 200 and ran to their end. Cause: a property of the worker that the stream depends on was no part of the table of workers nor of the choice; and what a VM knows of a stream ended with its answer, so that a caller's repeat began from nothing (`Resumes` was not read). Change: the version is part of the worker; the first event binds the stream to it, and a bound stream's runs and reservations are sought at that version only. A VM that does not know asks the workers which prompts they keep (decide/resumption, gate/survey), also as it starts, before new prompts replace the old ones. What stays unknown, or whose version is gone, is refused at once with the cause. Soak: the stand-in workers answer the new question.

--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &gossip__limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gossip__origin__init
+                     (Gossip__Origin         *message)
+{
+  static const Gossip__Origin init_value = GOSSIP__ORIGIN__INIT;
+  *message = init_value;
+}
+size_t gossip__origin__get_packed_size
+                     (const Gossip__Origin *message)
+{
+  assert(message->base.descriptor == &gossip__origin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__origin__pack
+                     (const Gossip__Origin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__origin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__origin__pack_to_buffer
+                     (const Gossip__Origin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__origin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Origin *
+       gossip__origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Origin *)
+     protobuf_c_message_unpack (&gossip__origin__descriptor,
+                                allocator, len, data);
+}
+void   gossip__origin__free_unpacked
+                     (Gossip__Origin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__origin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gossip__news__init
                      (Gossip__News         *message)
 {
@@ -1178,7 +1223,71 @@
   (ProtobufCMessageInit) gossip__limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__news__field_descriptors[21] =
+static const ProtobufCFieldDescriptor gossip__origin__field_descriptors[3] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Origin, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Origin, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Origin, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__origin__field_indices_by_name[] = {
+  2,   /* field[2] = left_ms */
+  0,   /* field[0] = request */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange gossip__origin__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gossip__origin__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Origin",
+  "Origin",
+  "Gossip__Origin",
+  "gossip",
+  sizeof(Gossip__Origin),
+  3,
+  gossip__origin__field_descriptors,
+  gossip__origin__field_indices_by_name,
+  1,  gossip__origin__number_ranges,
+  (ProtobufCMessageInit) gossip__origin__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[22] =
 {
   {
     "vm",
@@ -1432,6 +1541,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "origins",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gossip__News, n_origins),
+    offsetof(Gossip__News, origins),
+    &gossip__origin__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__news__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -1445,6 +1566,7 @@
   1,   /* field[1] = incarnation */
   20,   /* field[20] = limits */
   2,   /* field[2] = number */
+  21,   /* field[21] = origins */
   8,   /* field[8] = peers */
   4,   /* field[4] = region */
   6,   /* field[6] = revision */
@@ -1459,7 +1581,7 @@
 static const ProtobufCIntRange gossip__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor gossip__news__descriptor =
 {
@@ -1469,7 +1591,7 @@
   "Gossip__News",
   "gossip",
   sizeof(Gossip__News),
-  21,
+  22,
   gossip__news__field_descriptors,
   gossip__news__field_indices_by_name,
   1,  gossip__news__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Gossip__Crash Gossip__Crash;
 typedef struct Gossip__Suspect Gossip__Suspect;
 typedef struct Gossip__Limit Gossip__Limit;
+typedef struct Gossip__Origin Gossip__Origin;
 typedef struct Gossip__News Gossip__News;
 typedef struct Gossip__Entry Gossip__Entry;
 typedef struct Gossip__Picture Gossip__Picture;
@@ -271,6 +272,30 @@
     , 0, 0, 0 }
 
 
+/*
+ * A stream of the sender and the software version that began it.
+ */
+struct  Gossip__Origin
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the ID of the request of the first event.
+   */
+  uint64_t request;
+  /*
+   * Hash of the version's name.
+   */
+  uint32_t version;
+  /*
+   * Time for which the caller may resume the stream.
+   */
+  uint32_t left_ms;
+};
+#define GOSSIP__ORIGIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__origin__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * Content of one datagram: the sender's load and versions.
  */
@@ -346,10 +371,12 @@
   Gossip__Suspect **suspects;
   size_t n_limits;
   Gossip__Limit **limits;
+  size_t n_origins;
+  Gossip__Origin **origins;
 };
 #define GOSSIP__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -532,6 +559,25 @@
 void   gossip__limit__free_unpacked
                      (Gossip__Limit *message,
                       ProtobufCAllocator *allocator);
+/* Gossip__Origin methods */
+void   gossip__origin__init
+                     (Gossip__Origin         *message);
+size_t gossip__origin__get_packed_size
+                     (const Gossip__Origin   *message);
+size_t gossip__origin__pack
+                     (const Gossip__Origin   *message,
+                      uint8_t             *out);
+size_t gossip__origin__pack_to_buffer
+                     (const Gossip__Origin   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Origin *
+       gossip__origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__origin__free_unpacked
+                     (Gossip__Origin *message,
+                      ProtobufCAllocator *allocator);
 /* Gossip__News methods */
 void   gossip__news__init
                      (Gossip__News         *message);
@@ -612,6 +658,9 @@
 typedef void (*Gossip__Limit_Closure)
                  (const Gossip__Limit *message,
                   void *closure_data);
+typedef void (*Gossip__Origin_Closure)
+                 (const Gossip__Origin *message,
+                  void *closure_data);
 typedef void (*Gossip__News_Closure)
                  (const Gossip__News *message,
                   void *closure_data);
@@ -634,6 +683,7 @@
 extern const ProtobufCMessageDescriptor gossip__crash__descriptor;
 extern const ProtobufCMessageDescriptor gossip__suspect__descriptor;
 extern const ProtobufCMessageDescriptor gossip__limit__descriptor;
+extern const ProtobufCMessageDescriptor gossip__origin__descriptor;
 extern const ProtobufCMessageDescriptor gossip__news__descriptor;
 extern const ProtobufCMessageDescriptor gossip__entry__descriptor;
 extern const ProtobufCMessageDescriptor gossip__picture__descriptor;
--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -770,6 +770,10 @@
         send_response(worker, exchange, full ? 503 : 200, NULL, full,
                       "{\"hold\":\"L1\"}");
     }
+    else if (strcmp(exchange->target, "/v1/kv-list") == 0) {
+        send_response(worker, exchange, 200, NULL, false,
+                      "{\"epoch\":1,\"next\":1,\"held\":[]}");
+    }
     else if (strcmp(exchange->target, "/v1/order") == 0) {
         send_response(worker, exchange, 409, NULL, false, "");
     }
--- /dev/null
+++ b/src/decide/resumption.h
@@ -0,0 +1,48 @@
+/* Resumption: decides where a stream that its caller resumes may go on.
+
+   In a rolling release workers of two or three software versions serve side by
+   side, or those of the old version have just left. When a VM is killed then,
+   the callers of all its streams resume them within a second at other VMs;
+   when all VMs are killed, they do so at VMs that know nothing of before. The
+   texts of two versions don't fit together, and no worker checks it. So a
+   stream goes on only at the version that began it. The sources of that
+   knowledge are asked in the order of their cost: the VMs' records of streams
+   that began, the versions that this VM has seen, and the workers, which keep
+   the prompts that they have read. A stream whose version stays unknown is
+   refused at once. */
+#ifndef LS_RESUMPTION_H
+#define LS_RESUMPTION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* What the workers' lists of prompts tell of the stream. */
+typedef enum ResumptionSurvey {
+    RESUMPTION_NOT_ASKED,
+    RESUMPTION_ASKING,
+    RESUMPTION_KEPT_BY_NONE,
+    RESUMPTION_KEPT_BY_ONE_VERSION,
+    RESUMPTION_KEPT_BY_SEVERAL,
+    RESUMPTION_CANNOT_ASK, /* Too many workers, or a prompt without parts. */
+} ResumptionSurvey;
+
+typedef struct ResumptionState {
+    bool has_record; /* The VMs know which version began the stream. */
+    /* Versions that were in service within the callers' time; 0 if this VM
+       has not watched for so long. */
+    uint32_t versions;
+    ResumptionSurvey survey;
+} ResumptionState;
+
+typedef enum ResumptionStep {
+    RESUMPTION_FOLLOW_RECORD, /* Go on at the version of the record. */
+    RESUMPTION_FOLLOW_ONLY,   /* Go on at the only version. */
+    RESUMPTION_FOLLOW_SURVEY, /* Go on at the version that keeps the prompt. */
+    RESUMPTION_ASK,           /* Ask the workers. */
+    RESUMPTION_WAIT,          /* Wait for their answers. */
+    RESUMPTION_REFUSE,
+} ResumptionStep;
+
+ResumptionStep Resumption_Decide(const ResumptionState *state);
+
+#endif
--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -263,6 +263,7 @@
     memcpy(gossip.seeds, edge->options.seeds, sizeof(gossip.seeds));
     gossip.fleet = edge->fleet;
     gossip.suspects = Gate_GetSuspects(edge->gate);
+    gossip.origins = Gate_GetOrigins(edge->gate);
     gossip.context = edge;
     gossip.on_suspects_change = on_suspects_change;
     gossip.on_limit_change = on_limit_change;
--- a/src/gate/feed.c
+++ b/src/gate/feed.c
@@ -1,4 +1,5 @@
 #include "feed.h"
+#include "survey.h"
 
 #include "../log.h"
 #include "../metrics.h"
@@ -126,8 +127,14 @@
 void
 Feed_EndSweep(Feed *feed)
 {
+    Fleet *fleet = feed->options.fleet;
+    bool is_first = fleet->complete_us == 0;
+
     Snapshot_EndSweep(feed->snapshot);
-    Fleet_EndSweep(feed->options.fleet, Clk_Now(feed->options.clk));
+    Fleet_EndSweep(fleet, Clk_Now(feed->options.clk));
+    if (is_first) {
+        Survey_BeginAll(feed->options.gate);
+    }
 }
 
 bool
--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -5,9 +5,15 @@
 
 /* Time from the removal of a worker's entry until the worker is dropped. */
 #define FLEET_PRUNE_US (10 * FLEET_REMOVED_GRACE_US)
+/* Time from the last worker of a software version until it is forgotten, above
+   the time for which callers resume a stream. */
+#define FLEET_VERSION_KEEP_US (600 * CLK_US_PER_S)
 
 static bool is_same_start(const FleetEntry *a, const FleetEntry *b);
 static void note_era(Fleet *fleet, uint64_t era, int64_t now_us);
+static void note_version(Fleet *fleet, const FleetWorker *worker,
+                         int64_t now_us);
+static uint32_t hash_version(const char *name);
 static void carry_over(const Fleet *fleet, FleetWorker *worker,
                        FleetEntry *entry, int64_t now_us);
 static int64_t get_removed_us(const FleetWorker *worker, int64_t now_us);
@@ -31,6 +37,7 @@
     fleet->workers = g_hash_table_new(g_str_hash, g_str_equal);
     fleet->hashes = g_hash_table_new(g_int64_hash, g_int64_equal);
     fleet->rows = g_ptr_array_new();
+    fleet->versions = g_ptr_array_new_with_free_func(g_free);
     return fleet;
 }
 
@@ -46,6 +53,7 @@
         Fleet_Unref(g_ptr_array_index(fleet->rows, i));
     }
     g_ptr_array_free(fleet->rows, TRUE);
+    g_ptr_array_free(fleet->versions, TRUE);
     g_free(fleet);
 }
 
@@ -113,11 +121,16 @@
         worker->load_us = 0;
         worker->slowness = 1.0;
     }
+    if (worker->version != 0) {
+        note_version(fleet, worker, now_us);
+    }
     if (worker->entry.phase != entry->phase) {
         worker->phase_change_until_us = 0;
         worker->full_until_us = 0;
     }
     worker->entry = *entry;
+    worker->version = hash_version(entry->version);
+    note_version(fleet, worker, now_us);
     worker->listed = true;
     worker->listed_until_us = 0;
     worker->removed_us = 0;
@@ -184,6 +197,7 @@
         !Pos_IsBefore(position, worker->entry.position)) {
         worker->removed_us = get_removed_us(worker, now_us);
         worker->listed = false;
+        note_version(fleet, worker, now_us);
     }
 }
 
@@ -211,6 +225,97 @@
         }
         worker->sweep_pending = false;
     }
+    if (fleet->complete_us == 0) {
+        fleet->complete_us = now_us;
+    }
+}
+
+/* Notes that the worker's software version is in service. */
+static void
+note_version(Fleet *fleet, const FleetWorker *worker, int64_t now_us)
+{
+    FleetVersion *version = NULL;
+
+    for (guint i = 0; i < fleet->versions->len; i++) {
+        FleetVersion *known = g_ptr_array_index(fleet->versions, i);
+        if (known->hash == worker->version &&
+            strcmp(known->service, worker->entry.service) == 0) {
+            known->left_us = now_us;
+            return;
+        }
+    }
+    version = g_new0(FleetVersion, 1);
+    g_strlcpy(version->service, worker->entry.service,
+              sizeof(version->service));
+    g_strlcpy(version->name, worker->entry.version, sizeof(version->name));
+    version->hash = worker->version;
+    version->left_us = now_us;
+    g_ptr_array_add(fleet->versions, version);
+}
+
+static uint32_t
+hash_version(const char *name)
+{
+    uint32_t hash = (uint32_t)XXH3_64bits(name, strlen(name));
+
+    return hash != 0 ? hash : 1;
+}
+
+uint32_t
+Fleet_CountVersions(const Fleet *fleet, const char *service, int64_t since_us,
+                    int64_t now_us, uint32_t *version)
+{
+    uint32_t count = 0;
+
+    if (fleet->complete_us == 0 || fleet->complete_us > since_us) {
+        return 0;
+    }
+    for (guint i = 0; i < fleet->versions->len; i++) {
+        const FleetVersion *row = g_ptr_array_index(fleet->versions, i);
+        bool is_seen = row->left_us >= since_us;
+        if (strcmp(row->service, service) != 0) {
+            continue;
+        }
+        for (guint k = 0; k < fleet->rows->len && !is_seen; k++) {
+            const FleetWorker *worker = g_ptr_array_index(fleet->rows, k);
+            is_seen = worker->version == row->hash &&
+                      Fleet_IsListed(worker, now_us) &&
+                      strcmp(worker->entry.service, service) == 0;
+        }
+        if (is_seen) {
+            *version = row->hash;
+            count++;
+        }
+    }
+    return count;
+}
+
+bool
+Fleet_HasVersion(const Fleet *fleet, const char *service, uint32_t version,
+                 int64_t now_us)
+{
+    for (guint i = 0; i < fleet->rows->len; i++) {
+        const FleetWorker *worker = g_ptr_array_index(fleet->rows, i);
+        if (worker->version == version &&
+            worker->entry.phase == FLEET_PHASE_DECODE &&
+            strcmp(worker->entry.service, service) == 0 &&
+            Fleet_IsUsable(worker, now_us)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+const char *
+Fleet_GetVersionName(const Fleet *fleet, uint32_t version)
+{
+    for (guint i = 0; i < fleet->versions->len; i++) {
+        const FleetVersion *row = g_ptr_array_index(fleet->versions, i);
+        if (row->hash == version) {
+            return row->name;
+        }
+    }
+    return "";
 }
 
 void
@@ -227,6 +332,14 @@
         g_ptr_array_remove_index_fast(fleet->rows, i);
         Fleet_Unref(worker);
     }
+    for (guint i = fleet->versions->len; i-- > 0;) {
+        const FleetVersion *version = g_ptr_array_index(fleet->versions, i);
+        if (now_us - version->left_us > FLEET_VERSION_KEEP_US &&
+            !Fleet_HasVersion(fleet, version->service, version->hash,
+                              now_us)) {
+            g_ptr_array_remove_index_fast(fleet->versions, i);
+        }
+    }
 }
 
 FleetWorker *
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -56,6 +56,7 @@
 typedef struct FleetWorker {
     FleetEntry entry;
     uint64_t hash;            /* Hash of the identifier, used in gossip. */
+    uint32_t version;         /* Hash of entry.version; never 0. */
     gint refs;                /* References; the fleet holds one. */
     bool listed;              /* The entry is present in the source; see
                                  Fleet_IsListed(). */
@@ -97,6 +98,15 @@
                                 expected prefill time. */
 } FleetWorker;
 
+/* A software version of a service's workers that this VM has seen. */
+typedef struct FleetVersion {
+    char service[FLEET_NAME_MAX];
+    char name[FLEET_NAME_MAX];
+    uint32_t hash;
+    int64_t left_us; /* When its last worker left, or time of the entry if one
+                        is listed. */
+} FleetVersion;
+
 typedef struct FleetOptions {
     /* Time after which the entry of a worker that writes no more is removed
        from the source. */
@@ -112,6 +122,8 @@
     GHashTable *workers;  /* Identifier to FleetWorker. */
     GHashTable *hashes;   /* Hash of the identifier to FleetWorker. */
     GPtrArray *rows;      /* All FleetWorkers, for iteration. */
+    GPtrArray *versions;  /* FleetVersions. */
+    int64_t complete_us;  /* When all entries were first known; 0: not yet. */
 } Fleet;
 
 FleetOptions Fleet_DefaultOptions(void);
@@ -144,6 +156,17 @@
    stay listed until FLEET_ERA_GRACE_US after this VM learned of the newer. */
 void Fleet_BeginSweep(Fleet *fleet, uint64_t era, int64_t now_us);
 void Fleet_EndSweep(Fleet *fleet, int64_t now_us);
+/* Returns the number of software versions of a service that were in service
+   at any time since `since_us`, and stores the hash of one in *version. 0 if
+   this VM does not know all workers since then. */
+uint32_t Fleet_CountVersions(const Fleet *fleet, const char *service,
+                             int64_t since_us, int64_t now_us,
+                             uint32_t *version);
+/* Whether workers of a software version are listed that run streams. */
+bool Fleet_HasVersion(const Fleet *fleet, const char *service,
+                      uint32_t version, int64_t now_us);
+/* Returns the name of a software version for logs, or "" if it is unknown. */
+const char *Fleet_GetVersionName(const Fleet *fleet, uint32_t version);
 /* Drops workers that have no calls and whose entry was removed at least ten
    times FLEET_REMOVED_GRACE_US ago. */
 void Fleet_Prune(Fleet *fleet, int64_t now_us);
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -2,6 +2,7 @@
 #include "../log.h"
 #include "crash_check.h"
 #include "successor.h"
+#include "survey.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -59,6 +60,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     LIST_INIT(&gate->tasks);
     LIST_INIT(&gate->crash_checks);
+    LIST_INIT(&gate->surveys);
+    Origins_Init(&gate->origins);
     Suspects_Init(&gate->suspects,
                   XXH3_64bits(options->vm, strlen(options->vm)));
     return gate;
@@ -72,6 +75,8 @@
     }
     Gate_EndAll(gate);
     CrashCheck_EndAll(gate);
+    Survey_EndAll(gate);
+    Origins_Clear(&gate->origins);
     Rte_Unref(gate->table);
     g_hash_table_destroy(gate->budgets);
     g_hash_table_destroy(gate->demands);
@@ -138,6 +143,12 @@
     return gate->buffered_bytes;
 }
 
+Origins *
+Gate_GetOrigins(Gate *gate)
+{
+    return &gate->origins;
+}
+
 Suspects *
 Gate_GetSuspects(Gate *gate)
 {
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -11,6 +11,7 @@
 #include "../io/client.h"
 #include "../io/server.h"
 #include "fleet.h"
+#include "origins.h"
 #include "routes.h"
 
 #include <event2/event.h>
@@ -37,6 +38,8 @@
        which belongs to the request itself; NULL if there are none. */
     uint64_t *parts;
     uint32_t part_count;
+    uint64_t own_part; /* The last part of the prompt, if has_own_part. */
+    bool has_own_part;
 } GateRequest;
 
 /* What the gate adds to the request in one call at a worker. */
@@ -120,6 +123,14 @@
     /* Builds the call that ends a lease. */
     void (*encode_release)(void *context, const char *lease,
                            GateControlCall *control_call);
+    /* Builds the call that asks a worker for the prompts that it keeps. */
+    void (*encode_list)(void *context, const char *worker,
+                        GateControlCall *control_call);
+    /* Calls on_part() for each part of a prompt in the answer. Returns false
+       if it is malformed. */
+    bool (*decode_list)(void *context, const char *body, size_t size,
+                        void (*on_part)(void *part_context, uint64_t part),
+                        void *part_context);
     /* Builds the call that orders a worker to change its phase. `fence`
        only grows, so that the worker can reject an older order. */
     void (*encode_order)(void *context, const char *worker, const char *vm,
@@ -178,6 +189,8 @@
 void Gate_UpdateForecasts(Gate *gate);
 /* Returns the bytes of workers' answers that are being read. */
 size_t Gate_GetBufferedBytes(const Gate *gate);
+/* Returns the versions that began streams. The gate owns them. */
+Origins *Gate_GetOrigins(Gate *gate);
 /* Returns the parts of prompts that are suspected to crash workers. The gate
    owns them; Gate_LogSuspects() must follow each change. */
 Suspects *Gate_GetSuspects(Gate *gate);
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -310,6 +310,7 @@
         gos->options.on_suspects_change(gos->options.context);
     }
     Gos_MergeLimits(gos, news);
+    Gos_MergeOrigins(gos, news);
     if (news->table != NULL) {
         peer->table_us = now_us;
         store_table(gos, news);
@@ -472,6 +473,7 @@
     const Peer *peer = NULL;
 
     Gos_BeginMessage(gos, &message);
+    Gos_AddOrigins(gos, &message);
     Gos_AddUses(gos, &message);
     if (peers->is_mesh) {
         Gos_AddPeers(gos, &message);
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -12,6 +12,7 @@
 #include "../decide/suspects.h"
 #include "../errors.h"
 #include "load_report.h"
+#include "origins.h"
 
 #include <event2/event.h>
 
@@ -43,6 +44,7 @@
                      VMs report. */
     guint32 seed; /* Seed of the random number generator. */
     Suspects *suspects; /* Shared with the other VMs; NULL for none. */
+    Origins *origins;   /* Shared with the other VMs; NULL for none. */
     void *context;
     /* Called when another VM changed the suspects. Must be set with them. */
     void (*on_suspects_change)(void *context);
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -167,6 +167,43 @@
     }
 }
 
+void
+Gos_AddOrigins(const Gos *gos, GosMessage *message)
+{
+    Origins *origins = gos->options.origins;
+    int64_t now_us = Clk_Now(gos->options.clk);
+    Gossip__News *news = &message->news;
+    Origin *origin = NULL;
+
+    news->origins = message->origins;
+    while (origins != NULL && news->n_origins < GOS_ORIGINS_MAX &&
+           (origin = Origins_NextToTell(origins, origin, now_us)) != NULL) {
+        Gossip__Origin *row = &message->origin_rows[news->n_origins];
+        gossip__origin__init(row);
+        row->request = origin->request;
+        row->version = origin->version;
+        row->left_ms = (uint32_t)((origin->until_us - now_us) / CLK_US_PER_MS);
+        message->origins[news->n_origins++] = row;
+        Origins_NoteTold(origins, origin);
+    }
+}
+
+void
+Gos_MergeOrigins(const Gos *gos, const Gossip__News *news)
+{
+    int64_t now_us = Clk_Now(gos->options.clk);
+
+    for (size_t i = 0; i < news->n_origins && gos->options.origins != NULL;
+         i++) {
+        const Gossip__Origin *from = news->origins[i];
+        if (from->version != 0) {
+            Origins_Set(gos->options.origins, from->request, from->version,
+                        now_us + (int64_t)from->left_ms * CLK_US_PER_MS, false,
+                        now_us);
+        }
+    }
+}
+
 /* Encodes a point of time as its age plus 1, and none as 0. */
 static uint32_t
 encode_age(int64_t at_us, int64_t now_us)
@@ -271,10 +308,13 @@
         news->n_uses--;
     }
     while (gossip__news__get_packed_size(news) > GOS_MESSAGE_MAX_BYTES &&
-           news->n_suspects + news->n_limits > 0) {
+           news->n_suspects + news->n_limits + news->n_origins > 0) {
         if (news->n_suspects > 0) {
             news->n_suspects--;
         }
+        else if (news->n_origins > 0) {
+            news->n_origins--;
+        }
         else {
             news->n_limits--;
         }
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -19,6 +19,8 @@
 #define GOS_SUSPECTS_MAX 4
 /* Limits of workers in one message, some 20 bytes each. */
 #define GOS_LIMITS_MAX 8
+/* Streams that began in one message, some 20 bytes each. */
+#define GOS_ORIGINS_MAX 16
 /* How long the end of a limit is told. */
 #define GOS_LIMIT_NEWS_US (3 * CLK_US_PER_S)
 /* Largest message; a datagram of this size fits the usual networks without
@@ -41,6 +43,8 @@
     Gossip__Crash *crashes[GOS_SUSPECTS_MAX * SUSPECTS_CRASHES_MAX];
     Gossip__Limit limit_rows[GOS_LIMITS_MAX];
     Gossip__Limit *limits[GOS_LIMITS_MAX];
+    Gossip__Origin origin_rows[GOS_ORIGINS_MAX];
+    Gossip__Origin *origins[GOS_ORIGINS_MAX];
     uint64_t peers[GOS_PEERS_MAX];
     uint8_t data[GOS_MESSAGE_MAX_BYTES];
     size_t size; /* Of the packed message in `data`. */
@@ -85,7 +89,9 @@
 void Gos_BeginMessage(Gos *gos, GosMessage *message);
 void Gos_AddUses(Gos *gos, GosMessage *message);  /* Use of the workers. */
 void Gos_AddPeers(Gos *gos, GosMessage *message); /* Some live peers. */
-void Gos_AddHubs(Gos *gos, GosMessage *message);  /* Hubs of all regions. */
+/* Adds streams of this VM that began lately, and notes that they are told. */
+void Gos_AddOrigins(const Gos *gos, GosMessage *message);
+void Gos_AddHubs(Gos *gos, GosMessage *message); /* Hubs of all regions. */
 /* Packs the message; uses, then parts of prompts and limits, are dropped until
    it fits. */
 void Gos_PackMessage(GosMessage *message);
@@ -94,6 +100,8 @@
 bool Gos_MergeSuspects(const Gos *gos, const Gossip__News *news);
 /* Stores the limits of workers that a message tells. */
 void Gos_MergeLimits(const Gos *gos, const Gossip__News *news);
+/* Stores which versions began the streams of another VM. */
+void Gos_MergeOrigins(const Gos *gos, const Gossip__News *news);
 /* Fills in the workers whose hashes belong to this part of the table. */
 void Gos_FillTablePart(GosTablePart *part, const Report *report,
                        uint32_t number, uint32_t count);
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -6,6 +6,7 @@
 #include "blame.h"
 #include "reservation.h"
 #include "stream_prepare.h"
+#include "stream_resume.h"
 #include "successor.h"
 #include "task_wait.h"
 
@@ -61,6 +62,8 @@
     add_demand(task);
     if (task->request.last_event != GATE_NO_EVENT) {
         task->last_event = task->request.last_event;
+        StreamResume_Advance(task);
+        return;
     }
     Stream_Advance(task);
 }
@@ -105,6 +108,10 @@
 Stream_OnStepTimeout(GateTask *task)
 {
     task->step_deadline_us = 0;
+    if (task->resuming) {
+        StreamResume_Advance(task);
+        return;
+    }
     if (task->waiting) {
         task->waiting = false;
         Stream_Advance(task);
@@ -387,6 +394,7 @@
             event.id != task->last_event + 1) {
             return false;
         }
+        note_version(task);
         if (!task->streaming) {
             Server_BeginStream(task->exchange, current->reply.status,
                                current->headers);
@@ -408,7 +416,6 @@
                                          Task_Now(task) - current->began_us);
             finish_prefill(current);
         }
-        note_version(task);
         Server_SendData(task->exchange, event.data, event.size);
         note_event_time(task);
         task->events++;
@@ -430,19 +437,20 @@
 static void
 note_version(GateTask *task)
 {
-    const char *version = task->current->worker->entry.version;
+    const Fleet *fleet = task->gate->options.fleet;
+    uint32_t version = task->current->version;
 
-    if (task->version[0] == '\0') {
-        g_strlcpy(task->version, version, sizeof(task->version));
+    if (!task->streaming) {
+        StreamResume_NoteBegun(task);
     }
-    else if (strcmp(task->version, version) != 0) {
+    else if (task->version != version) {
         Met_Add(MET_STREAMS_JOINED, 1);
-        Log_WriteJson(LOG_LEVEL_ERROR, "stream_joined",
-                      json_pack("{s:s,s:s,s:s,s:s}", "request",
-                                task->request.id, "worker",
-                                task->current->worker->entry.id, "began",
-                                task->version, "goes_on", version));
-        g_strlcpy(task->version, version, sizeof(task->version));
+        Log_WriteJson(
+            LOG_LEVEL_ERROR, "stream_joined",
+            json_pack("{s:s,s:s,s:s,s:s}", "request", task->request.id,
+                      "worker", task->current->worker->entry.id, "began",
+                      Fleet_GetVersionName(fleet, task->version), "goes_on",
+                      Fleet_GetVersionName(fleet, version)));
     }
 }
 
--- /dev/null
+++ b/src/gate/stream_resume.c
@@ -0,0 +1,135 @@
+/* Stream resume: the version of a resumed stream. See stream_resume.h. */
+#include "stream_resume.h"
+#include "stream.h"
+#include "survey.h"
+
+#include "../log.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Time between looks at a survey in progress. */
+#define RESUME_POLL_US (20 * CLK_US_PER_MS)
+/* A stream may begin for this long after the entry of its worker is gone: its
+   run was sent before, and waited for its turn. */
+#define RESUME_BEGIN_MARGIN_US (5 * CLK_US_PER_S)
+
+static int64_t get_caller_us(const GateTask *task);
+static uint64_t get_origin(const GateTask *task);
+static void bind_version(GateTask *task, uint32_t version, const char *source);
+static void refuse(GateTask *task, const char *cause);
+
+void
+StreamResume_Advance(GateTask *task)
+{
+    Gate *gate = task->gate;
+    int64_t now_us = Task_Now(task);
+    int64_t since_us = now_us - get_caller_us(task) - RESUME_BEGIN_MARGIN_US;
+    uint32_t recorded = Origins_Find(&gate->origins, get_origin(task), now_us);
+    uint32_t only = 0;
+    uint32_t surveyed = 0;
+    ResumptionState state = {
+        .has_record = recorded != 0,
+        .versions = Fleet_CountVersions(
+            gate->options.fleet, task->service->name, since_us, now_us, &only),
+    };
+    ResumptionStep step = Resumption_Decide(&state);
+
+    if (step == RESUMPTION_ASK) {
+        state.survey = task->request.has_own_part
+                           ? Survey_Find(gate, task->service->name,
+                                         task->request.own_part,
+                                         task->began_us, &surveyed)
+                           : RESUMPTION_CANNOT_ASK;
+        step = Resumption_Decide(&state);
+    }
+    switch (step) {
+    case RESUMPTION_FOLLOW_RECORD:
+        bind_version(task, recorded, "record");
+        return;
+    case RESUMPTION_FOLLOW_ONLY:
+        bind_version(task, only, "only version");
+        return;
+    case RESUMPTION_FOLLOW_SURVEY:
+        bind_version(task, surveyed, "workers");
+        return;
+    case RESUMPTION_ASK:
+    case RESUMPTION_WAIT:
+        task->resuming = true;
+        task->step_deadline_us = now_us + RESUME_POLL_US;
+        Task_SetTimer(task);
+        return;
+    case RESUMPTION_REFUSE:
+        break;
+    }
+    refuse(task, state.survey == RESUMPTION_KEPT_BY_SEVERAL
+                     ? "several software versions may have begun the stream"
+                     : "software version of the stream is unknown");
+}
+
+/* Returns the longest time that callers of the route spend on a request over
+   all their tries, as far as this VM knows. */
+static int64_t
+get_caller_us(const GateTask *task)
+{
+    int64_t known_ms = GPOINTER_TO_INT(
+        g_hash_table_lookup(task->gate->first_left_ms, task->route->name));
+
+    known_ms = MAX(known_ms, (int64_t)task->route->timeout_ms);
+    return MAX(known_ms, task->request.left_ms) * CLK_US_PER_MS;
+}
+
+/* Returns the hash of the ID of the request that brought the first event. */
+static uint64_t
+get_origin(const GateTask *task)
+{
+    const char *id = task->request.resumes != NULL ? task->request.resumes
+                                                   : task->request.id;
+
+    return XXH3_64bits(id, strlen(id));
+}
+
+static void
+bind_version(GateTask *task, uint32_t version, const char *source)
+{
+    const Fleet *fleet = task->gate->options.fleet;
+
+    task->resuming = false;
+    task->version = version;
+    Log_WriteJson(
+        LOG_LEVEL_INFO, "stream_resumed",
+        json_pack("{s:s,s:s,s:I,s:s,s:s}", "request", task->request.id,
+                  "resumes",
+                  task->request.resumes != NULL ? task->request.resumes : "",
+                  "last_event", (json_int_t)task->last_event, "version",
+                  Fleet_GetVersionName(fleet, version), "source", source));
+    if (!Fleet_HasVersion(fleet, task->service->name, version,
+                          Task_Now(task))) {
+        refuse(task, "no worker of the stream's software version");
+        return;
+    }
+    Stream_Advance(task);
+}
+
+static void
+refuse(GateTask *task, const char *cause)
+{
+    task->resuming = false;
+    Met_Add(MET_RESUMPTIONS_REFUSED, 1);
+    g_strlcpy(task->cause, cause, sizeof(task->cause));
+    Task_Refuse(task, ADMISSION_NO_WORKER);
+}
+
+void
+StreamResume_NoteBegun(GateTask *task)
+{
+    Gate *gate = task->gate;
+    int64_t left_ms = MAX(task->request.left_ms, task->route->timeout_ms);
+
+    task->version = task->current->version;
+    Origins_Set(&gate->origins, get_origin(task), task->version,
+                task->began_us + left_ms * CLK_US_PER_MS +
+                    RESUME_BEGIN_MARGIN_US,
+                true, Task_Now(task));
+    gate->options.on_load_change(gate->options.context);
+}
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -218,7 +218,8 @@
             (int)task->request.prompt_tokens, "output_tokens",
             (int)task->request.output_tokens, "resumes",
             task->request.resumes != NULL ? task->request.resumes : "",
-            "version", task->version));
+            "version",
+            Fleet_GetVersionName(task->gate->options.fleet, task->version)));
     Stream_ReleaseAll(task);
     free_task(task);
 }
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -9,6 +9,7 @@
 #include "../decide/suspects.h"
 #include "../metrics.h"
 #include "gate.h"
+#include "origins.h"
 #include "sse.h"
 
 #include <sys/queue.h>
@@ -33,9 +34,10 @@
     ClientCall *call; /* NULL if no call is in progress. */
     FleetWorker *worker;
     TaskStage stage;
-    bool counted; /* Included in the task's counted_calls. */
-    bool extra;   /* Charged to the retry budget. */
-    bool trial;   /* At a worker that has asked for a pause. */
+    bool counted;     /* Included in the task's counted_calls. */
+    bool extra;       /* Charged to the retry budget. */
+    bool trial;       /* At a worker that has asked for a pause. */
+    uint32_t version; /* Of the worker's software, as in FleetWorker. */
     /* Prompt tokens that this call adds to the worker. */
     uint32_t prefill_tokens;
     Forecast kv;         /* KV memory that this call adds. */
@@ -106,10 +108,12 @@
     FleetWorker *excluded[TASK_EXCLUDED_MAX];
     guint excluded_count;
     char worker[FLEET_ID_MAX]; /* Of the last call. */
-    /* Software version of the workers that made the stream's events, or "". */
-    char version[FLEET_NAME_MAX];
-    uint32_t sends;         /* Calls begun, reservations not counted. */
-    uint32_t runs;          /* Workers on which the request may have run. */
+    /* Software version of the workers that make the stream's events, as in
+       FleetWorker; 0 until its first event. */
+    uint32_t version;
+    bool resuming;  /* Waits until the version of a resumed stream is known. */
+    uint32_t sends; /* Calls begun, reservations not counted. */
+    uint32_t runs;  /* Workers on which the request may have run. */
     uint32_t counted_calls; /* Calls counted for the retry budget, which
                                charges all but the first. */
     bool prefilled;         /* A prefill succeeded; further ones count as
@@ -151,6 +155,8 @@
     uint32_t choices;          /* Choices of a worker so far. */
     Suspects suspects;
     LIST_HEAD(CrashCheckList, CrashCheck) crash_checks;
+    Origins origins;
+    LIST_HEAD(SurveyList, Survey) surveys;
     bool stopping;
 };
 
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -390,6 +390,7 @@
     current->progress_us = current->began_us;
     current->has_reply = false;
     current->body = g_byte_array_new();
+    current->version = worker->version;
     current->trial = Notice_BeginTrial(&worker->notice);
     Throttle_Charge(&worker->throttle);
     worker->inflight++;
--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -21,6 +21,7 @@
 static Suitability get_suitability(const FleetWorker *worker, int64_t now_us);
 static void fill_rank(const GateTask *task, const FleetWorker *worker,
                       int64_t now_us, RankWorker *rank);
+static bool is_other_version(const GateTask *task, const FleetWorker *worker);
 static bool is_excluded(const GateTask *task, const FleetWorker *worker);
 
 RankDistance
@@ -74,6 +75,7 @@
         const FleetWorker *worker = g_ptr_array_index(rows, i);
         if (worker->entry.phase != phase ||
             strcmp(worker->entry.service, task->service->name) != 0 ||
+            is_other_version(task, worker) ||
             !Fleet_IsListed(worker, now_us) || worker->entry.draining) {
             continue;
         }
@@ -139,7 +141,7 @@
             !Fleet_IsUsable(worker, now_us) ||
             Fleet_IsChangingPhase(worker, now_us) ||
             worker->throttled_choice == task->gate->choices ||
-            is_excluded(task, worker)) {
+            is_other_version(task, worker) || is_excluded(task, worker)) {
             continue;
         }
         suitability = get_suitability(worker, now_us);
@@ -216,6 +218,15 @@
     }
 }
 
+/* Whether the worker must not go on with the stream that has begun. A worker
+   that only reads the prompt makes no event. */
+static bool
+is_other_version(const GateTask *task, const FleetWorker *worker)
+{
+    return task->version != 0 && worker->version != task->version &&
+           worker->entry.phase == FLEET_PHASE_DECODE;
+}
+
 static bool
 is_excluded(const GateTask *task, const FleetWorker *worker)
 {
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -53,6 +53,11 @@
     [MET_STREAMS_JOINED] = {"streams_joined",
                             "Streams with events from workers of two software "
                             "versions."},
+    [MET_RESUMPTIONS_REFUSED] = {"resumptions_refused",
+                                 "Resumed streams that were refused, as their "
+                                 "software version is unknown or gone."},
+    [MET_SURVEYS] = {"surveys", "Rounds in which all workers of a service "
+                                "were asked for the prompts that they keep."},
     [MET_SUCCESSORS] = {"successors", "Silent calls for which another worker "
                                       "was looked for."},
     [MET_SUCCESSORS_TOOK_OVER] = {"successors_took_over",
--- a/tests/test_gate_joined.cc
+++ b/tests/test_gate_joined.cc
@@ -199,4 +199,133 @@
     }
 }
 
+/* A VM that starts asks the workers before new prompts replace the old ones
+   in their memory. */
+TEST(JoinedStream, WorkersAreAskedAsTheVmStarts)
+{
+    GateRig rig;
+    Fleet *fleet = Edge_GetFleet(rig.edge);
+    rig.SetRoute(resumable, true);
+    Feed_BeginSweep(Edge_GetFeed(rig.edge), 0);
+    Worker *older = rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
+    older->kept_parts = {"b1"};
+    rig.last_worker->inflight += 4;
+    rig.version = "v2";
+    Worker *newer = rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
+    Feed_EndSweep(Edge_GetFeed(rig.edge));
+    ASSERT_TRUE(fleet->complete_us != 0);
+    ASSERT_TRUE(
+        rig.Until([&] { return older->lists == 1 && newer->lists == 1; }));
+    rig.RunFor(50);
+    older->kept_parts = {};
+    Caller *again = rig.Call(Resumption("id-1"));
+    ASSERT_TRUE(rig.UntilEnd(again));
+    EXPECT_EQ(again->Status(), 200) << again->text;
+    EXPECT_TRUE(newer->requests.empty());
+    EXPECT_EQ(older->lists, 1);
+}
+
+/* Many resumptions ask each worker once. */
+TEST(JoinedStream, ResumptionsAtOnceAskEachWorkerOnce)
+{
+    GateRig rig;
+    rig.SetRoute(resumable, true);
+    Worker *worker = rig.AddWorker({}, FLEET_PHASE_DECODE);
+    std::vector<Caller *> again;
+    for (int i = 0; i < 50; i++) {
+        again.push_back(rig.Call(Resumption("id-" + std::to_string(i))));
+    }
+    for (const Caller *caller : again) {
+        ASSERT_TRUE(rig.UntilEnd(caller));
+        EXPECT_EQ(caller->Status(), 503);
+    }
+    EXPECT_LE(worker->lists, 2);
+}
+
+/* Worker that does not answer the question for its prompts. */
+TEST(JoinedStream, SilentWorkerDelaysAResumptionByLessThanASecond)
+{
+    GateRig rig;
+    rig.SetRoute(resumable, true);
+    Worker *older = rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
+    older->kept_parts = {"b1"};
+    Worker *silent = rig.AddWorker({}, FLEET_PHASE_DECODE);
+    silent->is_silent = true;
+    rig.last_worker->inflight += 4;
+    int64_t began_us = Clk_Now(&rig.clk);
+    Caller *again = rig.Call(Resumption("id-1"));
+    ASSERT_TRUE(rig.UntilEnd(again));
+    EXPECT_EQ(again->Status(), 200) << again->text;
+    EXPECT_LT(Clk_Now(&rig.clk) - began_us, CLK_US_PER_S);
+}
+
+/* A version counts as in service from its first entry until its last worker
+   has left, and only a VM that knew all workers since then can tell. */
+TEST(JoinedStream, VersionsInServiceSinceATime)
+{
+    FleetOptions options = Fleet_DefaultOptions();
+    Fleet *fleet = Fleet_New(&options);
+    FleetEntry entry = {};
+    uint32_t version = 0;
+    g_strlcpy(entry.service, "svc", sizeof(entry.service));
+    entry.phase = FLEET_PHASE_DECODE;
+    auto set = [&](const char *id, const char *name, uint64_t revision,
+                   int64_t now_us) {
+        g_strlcpy(entry.id, id, sizeof(entry.id));
+        g_strlcpy(entry.version, name, sizeof(entry.version));
+        entry.position = {0, revision};
+        Fleet_SetEntry(fleet, &entry, now_us);
+    };
+    auto count = [&](int64_t since_us, int64_t now_us) {
+        return Fleet_CountVersions(fleet, "svc", since_us, now_us, &version);
+    };
+    set("a", "v1", 1, 100);
+    EXPECT_EQ(count(0, 110), 0u); /* The list is not complete. */
+    Fleet_BeginSweep(fleet, 0, 110);
+    set("a", "v1", 1, 110);
+    Fleet_EndSweep(fleet, 110);
+    EXPECT_EQ(count(100, 120), 0u);
+    EXPECT_EQ(count(110, 120), 1u);
+    uint32_t first = version;
+    set("b", "v2", 2, 200);
+    EXPECT_EQ(count(110, 210), 2u);
+    Fleet_RemoveEntry(fleet, "a", {0, 3}, 300);
+    EXPECT_EQ(count(300, 400), 2u);
+    EXPECT_EQ(count(301, 400), 1u);
+    EXPECT_NE(version, first);
+    EXPECT_FALSE(
+        Fleet_HasVersion(fleet, "svc", first, 300 + FLEET_REMOVED_GRACE_US));
+    set("b", "v3", 4, 500); /* It starts again at another version. */
+    EXPECT_EQ(count(500, 510), 2u);
+    EXPECT_EQ(count(501, 510), 1u);
+    EXPECT_EQ(Fleet_CountVersions(fleet, "other", 301, 510, &version), 0u);
+    Fleet_Free(fleet);
+}
+
+TEST(JoinedStream, RecordsAreKeptForTheCallersTimeAndBounded)
+{
+    Origins origins;
+    Origins_Init(&origins);
+    Origins_Set(&origins, 1, 7, 1000, true, 0);
+    EXPECT_EQ(Origins_Find(&origins, 1, 999), 7u);
+    EXPECT_EQ(Origins_Find(&origins, 1, 1000), 0u);
+    EXPECT_EQ(Origins_Find(&origins, 2, 0), 0u);
+    for (int i = 0; i < ORIGINS_TELLS; i++) {
+        Origin *origin = Origins_NextToTell(&origins, nullptr, 0);
+        ASSERT_NE(origin, nullptr);
+        EXPECT_EQ(Origins_NextToTell(&origins, origin, 0), nullptr);
+        Origins_NoteTold(&origins, origin);
+    }
+    EXPECT_EQ(Origins_NextToTell(&origins, nullptr, 0), nullptr);
+    for (uint64_t i = 0; i < 2 * ORIGINS_MAX; i++) {
+        Origins_Set(&origins, i, 7, INT64_MAX, false, 0);
+    }
+    EXPECT_EQ(g_hash_table_size(origins.rows), (guint)ORIGINS_MAX);
+    EXPECT_EQ(Origins_Find(&origins, 0, 1), 0u);
+    EXPECT_EQ(Origins_Find(&origins, 2 * ORIGINS_MAX - 1, 1), 7u);
+    EXPECT_EQ(Origins_Find(&origins, 2 * ORIGINS_MAX - 1, ORIGINS_KEEP_MAX_US),
+              0u);
+    Origins_Clear(&origins);
+}
+
 } // namespace
