Detour: a VM notes that it is cut off from the workers of a service

The logs told how each call failed, not whether a VM reaches any worker. New: the lines service_cut and service_reached, the counter services_cut (decide/reach: two workers called in vain since the last byte from any worker of the service). No choice depends on it.

--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -89,6 +89,8 @@
     uint32_t load_waiting;   /* Queued requests that the worker reported. */
     int64_t load_us;         /* Time of the last load report, or 0. */
     int64_t heard_us;        /* Last bytes of an answer to any call, or 0. */
+    int64_t vain_us;         /* Latest call that was found to be in vain, by
+                                its last bytes or beginning; 0: none. */
     int64_t full_until_us;   /* The worker refused work, since it was full or
                                 changed its phase: until then others are tried
                                 first. */
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -1,6 +1,7 @@
 /* Gate: creation, configuration and shutdown. See gate.h. */
 #include "../log.h"
 #include "crash_check.h"
+#include "detour.h"
 #include "successor.h"
 #include "survey.h"
 
@@ -61,6 +62,7 @@
     LIST_INIT(&gate->tasks);
     LIST_INIT(&gate->crash_checks);
     LIST_INIT(&gate->surveys);
+    LIST_INIT(&gate->cut_services);
     Origins_Init(&gate->origins);
     Suspects_Init(&gate->suspects,
                   XXH3_64bits(options->vm, strlen(options->vm)));
@@ -76,6 +78,7 @@
     Gate_EndAll(gate);
     CrashCheck_EndAll(gate);
     Survey_EndAll(gate);
+    Detour_Clear(gate);
     Origins_Clear(&gate->origins);
     Rte_Unref(gate->table);
     g_hash_table_destroy(gate->budgets);
--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -58,7 +58,7 @@
     task->step_deadline_us = 0;
     if (!current->is_quiet) {
         current->is_quiet = true;
-        Health_NoteUnresponsive(&current->worker->health, Task_Now(task));
+        Task_NoteUnresponsive(current);
     }
     if (Successor_Decide(task, false, false) != HANDOVER_PREPARE) {
         Task_SetTimer(task);
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -121,7 +121,7 @@
         on_run_silent(task);
         return;
     }
-    Health_NoteUnresponsive(&task->current->worker->health, Task_Now(task));
+    Task_NoteUnresponsive(task->current);
     /* Budget for two calls: a repeated prefill is followed by a run. */
     if (task->current->stage == TASK_PREFILL && !Task_HasBudget(task, 2)) {
         Task_SetTimer(task); /* No other call is allowed: keep waiting. */
@@ -165,13 +165,13 @@
         current->is_quiet = true;
         /* A single stream may wait for its turn at a loaded worker. */
         if (now_us - current->worker->heard_us >= limits.quiet_us) {
-            Health_NoteUnresponsive(&current->worker->health, now_us);
+            Task_NoteUnresponsive(current);
         }
         task->step_deadline_us = current->progress_us + limits.prepare_us;
         Task_SetTimer(task);
         return;
     }
-    Health_NoteUnresponsive(&current->worker->health, now_us);
+    Task_NoteUnresponsive(current);
     if (Successor_Decide(task, false, false) != HANDOVER_PREPARE) {
         Task_SetTimer(task);
         return;
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -359,8 +359,7 @@
     (void)what;
     if (Task_Now(task) >= task->deadline_us) {
         if (task->current->worker != NULL) {
-            Health_NoteUnresponsive(&task->current->worker->health,
-                                    Task_Now(task));
+            Task_NoteUnresponsive(task->current);
         }
         Successor_EndSilent(task);
         g_strlcpy(task->cause, "timeout", sizeof(task->cause));
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -157,6 +157,7 @@
     LIST_HEAD(CrashCheckList, CrashCheck) crash_checks;
     Origins origins;
     LIST_HEAD(SurveyList, Survey) surveys;
+    LIST_HEAD(DetourServiceList, DetourService) cut_services;
     bool stopping;
 };
 
@@ -225,6 +226,9 @@
 bool Task_HasAnswer(const TaskCall *call, ClientOutcome outcome);
 /* Notes that bytes of the answer came. */
 void Task_NoteHeard(TaskCall *call);
+/* Notes that the call's worker can't be reached or has not responded in time.
+ */
+void Task_NoteUnresponsive(TaskCall *call);
 /* Appends data to the body of the answer, up to TASK_BODY_MAX bytes. `call` is
    the TaskCall. */
 void Task_AppendBody(void *call, const void *data, size_t size);
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -223,6 +223,15 @@
     call->worker->heard_us = call->heard_us;
 }
 
+void
+Task_NoteUnresponsive(TaskCall *call)
+{
+    FleetWorker *worker = call->worker;
+
+    Health_NoteUnresponsive(&worker->health, Task_Now(call->task));
+    worker->vain_us = MAX(worker->vain_us, call->heard_us);
+}
+
 void
 Task_AppendBody(void *context, const void *data, size_t size)
 {
@@ -284,7 +293,7 @@
         Client_CloseIdle(task->gate->options.client, worker->entry.address);
     }
     else if (outcome == CLIENT_NOT_SENT) {
-        Health_NoteUnresponsive(&worker->health, now_us);
+        Task_NoteUnresponsive(current);
     }
     else if (run != LS_RUN_NOT_RUN) {
         Health_NoteFailure(&worker->health, now_us);
--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -1,4 +1,5 @@
 /* Choice of a task: chooses the worker for a call. See task.h. */
+#include "detour.h"
 #include "task.h"
 
 #include <string.h>
@@ -128,6 +129,7 @@
     int64_t now_us = Task_Now(task);
     FleetWorker *best = NULL;
     Suitability best_suitability = SUITABILITY_BLOCKED;
+    bool is_any_blocked = false;
 
     for (guint i = 0; i < rows->len; i++) {
         FleetWorker *worker =
@@ -145,6 +147,7 @@
             continue;
         }
         suitability = get_suitability(worker, now_us);
+        is_any_blocked |= suitability == SUITABILITY_BLOCKED;
         fill_rank(task, worker, now_us, &rank);
         cost_us = cost(task, worker, &rank, context);
         if (best == NULL || suitability < best_suitability ||
@@ -154,6 +157,9 @@
             *best_us = cost_us;
         }
     }
+    if (is_any_blocked) {
+        Detour_IsCut(task->gate, task->service->name);
+    }
     return best;
 }
 
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -56,6 +56,9 @@
     [MET_RESUMPTIONS_REFUSED] = {"resumptions_refused",
                                  "Resumed streams that were refused, as their "
                                  "software version is unknown or gone."},
+    [MET_SERVICES_CUT] = {"services_cut",
+                          "Times at which this VM found itself cut off from "
+                          "the workers of a service."},
     [MET_SURVEYS] = {"surveys", "Rounds in which all workers of a service "
                                 "were asked for the prompts that they keep."},
     [MET_SUCCESSORS] = {"successors", "Silent calls for which another worker "
