--- a/tests/fleet_rig.h
+++ b/tests/fleet_rig.h
@@ -34,6 +34,7 @@
             Edge_Free(edge);
         }
         workers.clear();
+        blocked_.clear();
         event_base_free(base);
         g_hash_table_destroy(regions_);
     }
@@ -90,6 +91,36 @@
         }
     }
 
+    /* How the paths of a VM to the workers are cut. */
+    enum Cut { HANG, REFUSE };
+
+    /* Cuts a VM off from all workers: instead of each one it reaches an
+       address that answers nothing, or refuses connections. */
+    void
+    CutOff(size_t vm, Cut cut)
+    {
+        for (size_t i = 0; i < workers.size(); i++) {
+            blocked_.push_back(std::make_unique<Worker>(
+                base, std::make_shared<std::deque<ScriptedReply>>()));
+            blocked_.back()->is_silent = true;
+            if (cut == REFUSE) {
+                blocked_.back()->Crash();
+            }
+            starts_++;
+            SetEntry(edges[vm], i, blocked_.back()->address);
+        }
+    }
+
+    /* Ends the cut. */
+    void
+    Reconnect(size_t vm)
+    {
+        for (size_t i = 0; i < workers.size(); i++) {
+            starts_++;
+            SetEntry(edges[vm], i, workers[i]->address);
+        }
+    }
+
     /* Adds running calls to what all VMs count at the worker. */
     void
     AddLoad(size_t i, uint32_t calls)
@@ -200,11 +231,13 @@
     }
 
     void
-    SetEntry(Edge *edge, size_t i)
+    SetEntry(Edge *edge, size_t i, const std::string &address = "")
     {
         FleetEntry entry = {};
         g_strlcpy(entry.id, ids_[i].c_str(), sizeof(entry.id));
-        g_strlcpy(entry.address, workers[i]->address.c_str(),
+        g_strlcpy(entry.address,
+                  address.empty() ? workers[i]->address.c_str()
+                                  : address.c_str(),
                   sizeof(entry.address));
         g_strlcpy(entry.service, "svc", sizeof(entry.service));
         g_strlcpy(entry.zone, "zone-a", sizeof(entry.zone));
@@ -246,6 +279,7 @@
     std::deque<std::string> names_; /* Their texts keep their addresses. */
     std::string seed_;
     std::vector<std::string> ids_; /* Of the workers' current starts. */
+    std::vector<std::unique_ptr<Worker>> blocked_;
     std::vector<int64_t> restart_us_;
     int starts_ = 0;
 };
--- /dev/null
+++ b/tests/test_gate_cutoff.cc
@@ -0,0 +1,194 @@
+/* Tests that callers of a VM that is cut off from all workers are served by
+   way of the VMs that reach them. */
+#include "fleet_rig.h"
+
+namespace {
+
+const Route once = {RTE_NON_IDEMPOTENT, 2, false, 5000, 400};
+const Route repeatable = {RTE_IDEMPOTENT, 2, false, 5000, 400};
+const Route stream = {RTE_STREAM, 2, true, 10000};
+
+struct CutCase {
+    const char *name;
+    Route route;
+    FleetRig::Cut cut;
+};
+
+const CutCase cut_cases[] = {
+    {"requests that run once, connections hang", once, FleetRig::HANG},
+    {"requests that run once, connections refused", once, FleetRig::REFUSE},
+    {"repeatable requests, connections hang", repeatable, FleetRig::HANG},
+    {"repeatable requests, connections refused", repeatable, FleetRig::REFUSE},
+    {"streams, connections hang", stream, FleetRig::HANG},
+    {"streams, connections refused", stream, FleetRig::REFUSE},
+};
+
+std::vector<ScriptedReply>
+Replies(const Route &route, int count)
+{
+    return std::vector<ScriptedReply>(
+        (size_t)count, route.kind == RTE_STREAM ? Stream(0, 9) : Ok());
+}
+
+std::string
+CallText(int number, const std::string &more = "")
+{
+    return "POST /r/x?q=1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-" +
+           std::to_string(number) +
+           "\r\nX-Token-Usage: 1000,100\r\nX-Deadline-Ms: 9000\r\n" + more +
+           "Content-Length: 1\r\n\r\nb";
+}
+
+/* A fleet with three workers that all VMs reach, and with gossip under way. */
+class CutFleet : public FleetRig {
+  public:
+    CutFleet(const Route &route, int vms) : FleetRig(route, vms, 0)
+    {
+        for (int i = 0; i < 3; i++) {
+            AddWorker(Replies(route, 100));
+        }
+        RunFor(600);
+    }
+
+    /* The VM finds out that it is cut off. */
+    void
+    CutOffAndWait(size_t vm, Cut cut)
+    {
+        CutOff(vm, cut);
+        for (int i = 0; i < 6; i++) {
+            Call(vm, CallText(1000 + i));
+            RunFor(20);
+        }
+        RunFor(1500);
+    }
+
+    int
+    CountRuns(const std::string &id) const
+    {
+        int count = 0;
+        for (const auto &worker : workers) {
+            for (const std::string &request : worker->requests) {
+                count += request.find("X-Request-Id: " + id + "\r\n") !=
+                         std::string::npos;
+            }
+        }
+        return count;
+    }
+};
+
+TEST(CutOffVm, ServesByWayOfTheOthers)
+{
+    for (const CutCase &row : cut_cases) {
+        SCOPED_TRACE(row.name);
+        CutFleet rig(row.route, 3);
+        rig.CutOffAndWait(0, row.cut);
+        for (int i = 0; i < 20; i++) {
+            Caller *caller = rig.Call(0, CallText(i));
+            rig.RunFor(60);
+            EXPECT_EQ(caller->Status(), 200) << i << ": " << caller->text;
+            EXPECT_TRUE(caller->IsComplete());
+            EXPECT_EQ(rig.CountRuns("id-" + std::to_string(i)), 1);
+            if (row.route.kind == RTE_STREAM) {
+                EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+            }
+            else {
+                EXPECT_EQ(caller->Body(), "done");
+            }
+        }
+    }
+}
+
+/* Whatever is found out meanwhile, nothing that may run once runs twice, and
+   what is refused has not run. */
+TEST(CutOffVm, RunsNothingTwiceWhileItFindsOut)
+{
+    for (const CutCase &row : cut_cases) {
+        SCOPED_TRACE(row.name);
+        CutFleet rig(row.route, 3);
+        std::vector<Caller *> callers;
+        rig.CutOff(0, row.cut);
+        for (int i = 0; i < 40; i++) {
+            callers.push_back(rig.Call(0, CallText(i)));
+            rig.RunFor(30);
+        }
+        rig.RunFor(1500);
+        for (int i = 0; i < 40; i++) {
+            int runs = rig.CountRuns("id-" + std::to_string(i));
+            EXPECT_LE(runs, 1);
+            if (callers[(size_t)i]->Status() == 503) {
+                EXPECT_EQ(runs, 0);
+            }
+        }
+        EXPECT_EQ(callers.back()->Status(), 200);
+    }
+}
+
+/* Two of three VMs are cut off: the third serves for both, and none of them
+   sends a request on twice. */
+TEST(CutOffVm, MostVmsAreCutOff)
+{
+    CutFleet rig(once, 3);
+    rig.CutOffAndWait(0, FleetRig::HANG);
+    rig.CutOffAndWait(1, FleetRig::HANG);
+    for (int i = 0; i < 20; i++) {
+        Caller *caller = rig.Call((size_t)i % 2, CallText(i));
+        rig.RunFor(60);
+        EXPECT_EQ(caller->Status(), 200) << i << ": " << caller->text;
+        EXPECT_EQ(rig.CountRuns("id-" + std::to_string(i)), 1);
+    }
+}
+
+TEST(CutOffVm, AllVmsAreCutOff)
+{
+    CutFleet rig(repeatable, 2);
+    rig.CutOffAndWait(0, FleetRig::REFUSE);
+    rig.CutOffAndWait(1, FleetRig::REFUSE);
+    for (int i = 0; i < 4; i++) {
+        Caller *caller = rig.Call(0, CallText(i));
+        rig.RunFor(200);
+        EXPECT_EQ(caller->Status(), 503) << caller->text;
+        EXPECT_NE(caller->text.find("Retry-After: "), std::string::npos);
+        EXPECT_EQ(rig.CountRuns("id-" + std::to_string(i)), 0);
+    }
+}
+
+/* The caller of the VM that is cut off leaves: the worker hears of it. */
+TEST(CutOffVm, CallersLeavingIsPassedOn)
+{
+    FleetRig rig(stream, 2, 0);
+    for (int i = 0; i < 2; i++) {
+        rig.AddWorker(std::vector<ScriptedReply>(
+            20, {StreamHead("Transfer-Encoding: chunked\r\n") +
+                 Chunk(Events(0, 2))}));
+    }
+    rig.RunFor(600);
+    rig.CutOff(0, FleetRig::REFUSE);
+    rig.Call(0, CallText(1000));
+    rig.Call(0, CallText(1001));
+    rig.RunFor(1000);
+    Caller *caller = rig.Call(0, CallText(1));
+    rig.RunFor(300);
+    ASSERT_NE(caller->text.find("id: 2\n"), std::string::npos);
+    int closed = rig.workers[0]->closed + rig.workers[1]->closed;
+    caller->Disconnect();
+    rig.RunFor(400);
+    EXPECT_EQ(rig.workers[0]->closed + rig.workers[1]->closed, closed + 1);
+}
+
+/* The way back is found soon after the cut ends. */
+TEST(CutOffVm, ReturnsToItsOwnPaths)
+{
+    CutFleet rig(once, 2);
+    rig.CutOffAndWait(0, FleetRig::HANG);
+    rig.Reconnect(0);
+    rig.RunFor(1000);
+    Caller *caller = rig.Call(0, CallText(1));
+    rig.RunFor(100);
+    EXPECT_EQ(caller->Status(), 200);
+    rig.KillVm(1);
+    caller = rig.Call(0, CallText(2));
+    rig.RunFor(100);
+    EXPECT_EQ(caller->Status(), 200) << caller->text;
+}
+
+} // namespace
