--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -1287,7 +1287,7 @@
   (ProtobufCMessageInit) gossip__origin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__news__field_descriptors[22] =
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[24] =
 {
   {
     "vm",
@@ -1553,11 +1553,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cut",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gossip__News, n_cut),
+    offsetof(Gossip__News, cut),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stopping",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, stopping),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__news__field_indices_by_name[] = {
   3,   /* field[3] = address */
   10,   /* field[10] = capacity */
   5,   /* field[5] = config_version */
+  22,   /* field[22] = cut */
   9,   /* field[9] = demands */
   17,   /* field[17] = digest */
   18,   /* field[18] = era */
@@ -1571,6 +1596,7 @@
   4,   /* field[4] = region */
   6,   /* field[6] = revision */
   13,   /* field[13] = seeking */
+  23,   /* field[23] = stopping */
   19,   /* field[19] = suspects */
   15,   /* field[15] = table */
   7,   /* field[7] = uses */
@@ -1581,7 +1607,7 @@
 static const ProtobufCIntRange gossip__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor gossip__news__descriptor =
 {
@@ -1591,7 +1617,7 @@
   "Gossip__News",
   "gossip",
   sizeof(Gossip__News),
-  22,
+  24,
   gossip__news__field_descriptors,
   gossip__news__field_indices_by_name,
   1,  gossip__news__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -373,10 +373,19 @@
   Gossip__Limit **limits;
   size_t n_origins;
   Gossip__Origin **origins;
+  /*
+   * Hashes of the names of services whose workers the sender can't reach.
+   */
+  size_t n_cut;
+  uint64_t *cut;
+  /*
+   * The sender takes no requests of other VMs.
+   */
+  protobuf_c_boolean stopping;
 };
 #define GOSSIP__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -15,6 +15,7 @@
     memset(ledger, 0, sizeof(*ledger));
     ledger->rows =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    ledger->vm_faults = g_array_new(FALSE, FALSE, sizeof(LedgerVmFault));
     ledger->findings = g_ptr_array_new_with_free_func(g_free);
 }
 
@@ -22,6 +23,7 @@
 Ledger_Clear(Ledger *ledger)
 {
     g_hash_table_destroy(ledger->rows);
+    g_array_free(ledger->vm_faults, TRUE);
     g_ptr_array_free(ledger->findings, TRUE);
 }
 
@@ -112,11 +114,13 @@
 }
 
 void
-Ledger_ExcuseVm(Ledger *ledger, uint32_t vm)
+Ledger_ExcuseVm(Ledger *ledger, uint32_t vm, int64_t now_us)
 {
+    LedgerVmFault fault = {vm, now_us};
     GHashTableIter iter;
     gpointer value;
 
+    g_array_append_val(ledger->vm_faults, fault);
     g_hash_table_iter_init(&iter, ledger->rows);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         LedgerRow *row = value;
@@ -126,6 +130,19 @@
     }
 }
 
+void
+Ledger_ExcuseRelayed(Ledger *ledger, const char *id, uint32_t via)
+{
+    LedgerRow *row = Ledger_Find(ledger, id);
+
+    for (guint i = 0; row != NULL && i < ledger->vm_faults->len; i++) {
+        const LedgerVmFault *fault =
+            &g_array_index(ledger->vm_faults, LedgerVmFault, i);
+        row->is_excused |= fault->vm == via && fault->at_us >= row->sent_us &&
+                           fault->at_us <= row->ended_us;
+    }
+}
+
 void
 Ledger_Check(Ledger *ledger)
 {
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -45,8 +45,15 @@
     guint open;    /* Not ended. */
 } LedgerEnds;
 
+/* A VM was killed, stopped late, or paused. */
+typedef struct LedgerVmFault {
+    uint32_t vm;
+    int64_t at_us;
+} LedgerVmFault;
+
 typedef struct Ledger {
     GHashTable *rows;    /* Request identifier to LedgerRow. */
+    GArray *vm_faults;   /* LedgerVmFault elements. */
     GPtrArray *findings; /* Violations, one line of text each. */
     /* Shortest time limits so far, of plain requests and of streams; 0: none.
      */
@@ -77,7 +84,10 @@
 /* Excuse the open requests that a worker has begun to run, or that a VM has
    received, if they end without a complete response. */
 void Ledger_ExcuseWorker(Ledger *ledger, guint worker);
-void Ledger_ExcuseVm(Ledger *ledger, uint32_t vm);
+void Ledger_ExcuseVm(Ledger *ledger, uint32_t vm, int64_t now_us);
+/* Excuses a request that its VM passed on to another VM, `via`, if that one
+   failed before the request ended. */
+void Ledger_ExcuseRelayed(Ledger *ledger, const char *id, uint32_t via);
 /* Adds a finding for each request that ran more than once although it must
    not, for each that ran although its status says that it did not
    (LEDGER_READ requests are exempt from both), and for each accepted request
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -9,6 +9,7 @@
 
 #include <argtable2.h>
 #include <fcntl.h>
+#include <jansson.h>
 #include <signal.h>
 #include <spawn.h>
 #include <stdio.h>
@@ -148,6 +149,7 @@
 static void on_next_series(evutil_socket_t fd, short what, void *context);
 static void on_planned(evutil_socket_t fd, short what, void *context);
 static guint count_running(const Soak *self);
+static void excuse_relayed(Soak *self, guint vm);
 static void run_for(Soak *self, guint ms);
 static void print_fault(const Soak *self, const char *what, const char *name,
                         guint pick);
@@ -311,6 +313,9 @@
     do {
         run_for(&self, 50); /* Once more for what arrived before the exit. */
     } while (count_running(&self) > 0 || LoadGen_CountOpen(self.load_gen) > 0);
+    for (guint i = 0; i < vm_count; i++) {
+        excuse_relayed(&self, i);
+    }
     Ledger_Check(&self.ledger);
     for (int kind = 0; kind < LEDGER_KIND_COUNT; kind++) {
         Ledger_Count(&self.ledger, (LedgerKind)kind, &served, &all);
@@ -470,7 +475,8 @@
         vm->is_stopping = true;
     }
     if (signal_number == SIGKILL || vm->is_paused) {
-        Ledger_ExcuseVm(&vm->soak->ledger, vm->number);
+        Ledger_ExcuseVm(&vm->soak->ledger, vm->number,
+                        Clk_Now(&vm->soak->clk));
     }
     kill(vm->pid, signal_number);
 }
@@ -511,7 +517,8 @@
     (void)what;
     if (vm->pid != 0 && !vm->is_late) {
         vm->is_late = true;
-        Ledger_ExcuseVm(&vm->soak->ledger, vm->number);
+        Ledger_ExcuseVm(&vm->soak->ledger, vm->number,
+                        Clk_Now(&vm->soak->clk));
         Loop_ArmTimer(vm->timer, SOAK_GRACE_MS - SOAK_LATE_MS);
     }
     else if (vm->pid != 0) {
@@ -638,6 +645,34 @@
     work->begin(self, work, pick);
 }
 
+/* Reads in the VM's log which calls at other VMs failed, and excuses those
+   whose VM was killed or paused meanwhile. */
+static void
+excuse_relayed(Soak *self, guint vm)
+{
+    char *text = NULL;
+    char **lines;
+
+    g_file_get_contents(self->vms[vm].log, &text, NULL, NULL);
+    lines = g_strsplit(text != NULL ? text : "", "\n", -1);
+    for (guint i = 0; lines[i] != NULL; i++) {
+        json_t *line = strstr(lines[i], "\"call_failed\"") != NULL
+                           ? json_loads(lines[i], 0, NULL)
+                           : NULL;
+        const char *worker =
+            json_string_value(json_object_get(line, "worker"));
+        unsigned via;
+        if (worker != NULL && sscanf(worker, "vm%u", &via) == 1) {
+            Ledger_ExcuseRelayed(
+                &self->ledger,
+                json_string_value(json_object_get(line, "request")), via);
+        }
+        json_decref(line);
+    }
+    g_strfreev(lines);
+    g_free(text);
+}
+
 static guint
 count_running(const Soak *self)
 {
@@ -702,7 +737,7 @@
     SoakVm *vm = &self->vms[pick % self->vm_count];
 
     if (vm->is_paused) {
-        Ledger_ExcuseVm(&self->ledger, vm->number);
+        Ledger_ExcuseVm(&self->ledger, vm->number, Clk_Now(&self->clk));
     }
     vm->is_paused = false;
     signal_vm(vm, SIGCONT);
--- a/src/gate/blame.c
+++ b/src/gate/blame.c
@@ -77,8 +77,9 @@
 
     task->crash_worker = 0;
     task->crash_weight = SUSPECTS_NONE;
-    if (run == LS_RUN_NOT_RUN || outcome == CLIENT_MALFORMED ||
-        outcome == CLIENT_COMPLETE || current->is_quiet ||
+    if (current->worker->is_vm || run == LS_RUN_NOT_RUN ||
+        outcome == CLIENT_MALFORMED || outcome == CLIENT_COMPLETE ||
+        current->is_quiet ||
         (current->has_reply && current->reply.status != 200)) {
         return;
     }
--- a/src/gate/detour.h
+++ b/src/gate/detour.h
@@ -1,22 +1,40 @@
-/* Detour: the services whose workers this VM can't reach. */
+/* Detour: a way to the workers by another VM, while this VM is cut off from
+   them (decide/reach.h). The request goes to the other VM's listener for VMs
+   as it came, and that VM serves it like its own, but passes it on no further.
+   A task calls the other VM like a worker: the same rules hold for what may be
+   repeated, and what the caller is told. Meanwhile single connections find out
+   when the workers can be reached again. */
 #ifndef LS_DETOUR_H
 #define LS_DETOUR_H
 
-#include "gate.h"
+#include "task.h"
 
-#include <sys/queue.h>
+/* Cost of a call at another VM, below that of any worker called in vain. */
+#define DETOUR_COST_US (20 * CLK_US_PER_MS)
 
-/* A service of whose workers some were called in vain. */
-typedef struct DetourService {
-    LIST_ENTRY(DetourService) links;
-    char name[FLEET_NAME_MAX];
-    bool is_cut; /* This VM is cut off from its workers (decide/reach.h). */
-    int64_t changed_us;
-} DetourService;
+/* Time for which a silent call at another VM is kept beyond the usual limit:
+   the other VM itself looks for another worker meanwhile. */
+#define DETOUR_SILENCE_EXTRA_US (700 * CLK_US_PER_MS)
 
-/* Returns whether this VM is cut off from the service, and logs changes. */
-bool Detour_IsCut(Gate *gate, const char *service);
-/* Frees all services. */
+/* Field of a request that another VM passes on: the number of workers on which
+   it may have run already. */
+#define DETOUR_HEADER "Lavenderspool-Relayed"
+
+void Detour_Init(Gate *gate);
+/* Ends all probes and frees what the module keeps. */
 void Detour_Clear(Gate *gate);
+/* Returns whether this VM is cut off from the service's workers, and logs
+   changes. */
+bool Detour_IsCut(Gate *gate, const char *service);
+/* Whether a service was found to be cut off and not reached since. */
+bool Detour_IsAnyCut(const Gate *gate);
+/* Returns another VM that reaches the workers of the task's service, in the
+   form of a worker that the gate owns, or NULL. Of two VMs at random it is the
+   one with fewer requests of this VM. */
+FleetWorker *Detour_ChooseVm(GateTask *task);
+/* Marks a request that is passed on. */
+void Detour_AddHeader(HeaderList *headers, uint32_t runs);
+/* Reads and removes the mark. Returns false if there is none. */
+bool Detour_TakeHeader(HeaderList *headers, uint32_t *runs);
 
 #endif
--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -60,6 +60,10 @@
 static void on_budget_change(void *context, const char *service,
                              double requests, double extras);
 static void on_load_change(void *context);
+static uint32_t list_peers(void *context, const char *service, GatePeer *peers,
+                           uint32_t max);
+static uint32_t list_cut(void *context, uint64_t *services, uint32_t max);
+static bool is_stopping(void *context);
 static void on_suspects_change(void *context);
 static void on_limit_change(void *context, const FleetWorker *worker);
 static void update_load(void *context);
@@ -114,6 +118,7 @@
     gate.get_share = get_share;
     gate.on_budget_change = on_budget_change;
     gate.on_load_change = on_load_change;
+    gate.list_peers = list_peers;
     edge->gate = Gate_New(&gate);
     feed.clk = options->clk;
     feed.gate = edge->gate;
@@ -167,6 +172,10 @@
         return;
     }
     PoolControl_Free(edge->pools);
+    if (edge->gate != NULL) {
+        /* Some requests came from other VMs, by the relay. */
+        Gate_EndAll(edge->gate);
+    }
     Relay_Free(edge->relay);
     Feed_Free(edge->feed);
     Gate_Free(edge->gate);
@@ -267,6 +276,8 @@
     gossip.context = edge;
     gossip.on_suspects_change = on_suspects_change;
     gossip.on_limit_change = on_limit_change;
+    gossip.list_cut = list_cut;
+    gossip.is_stopping = is_stopping;
     gossip.update_load = update_load;
     gossip.get_versions = get_versions;
     gossip.on_peer_versions = on_peer_versions;
@@ -275,6 +286,7 @@
     relay.clk = edge->options.clk;
     relay.client = edge->client;
     relay.feed = edge->feed;
+    relay.gate = edge->gate;
     relay.ip = edge->options.peers.ip;
     relay.port = edge->options.peers.port;
     edge->relay = edge->gossip != NULL ? Relay_New(&relay, err) : NULL;
@@ -344,6 +356,32 @@
     }
 }
 
+static uint32_t
+list_peers(void *context, const char *service, GatePeer *peers, uint32_t max)
+{
+    const Edge *edge = context;
+
+    return edge->gossip != NULL
+               ? Gos_ListServing(edge->gossip, service, peers, max)
+               : 0;
+}
+
+static uint32_t
+list_cut(void *context, uint64_t *services, uint32_t max)
+{
+    const Edge *edge = context;
+
+    return Gate_ListCut(edge->gate, services, max);
+}
+
+static bool
+is_stopping(void *context)
+{
+    const Edge *edge = context;
+
+    return edge->stopping;
+}
+
 static void
 on_suspects_change(void *context)
 {
@@ -438,6 +476,9 @@
     };
 
     Server_SetLimits(edge->callers, &caller_limits);
+    if (edge->relay != NULL) {
+        Relay_SetLimits(edge->relay, &caller_limits);
+    }
 }
 
 static void
@@ -491,7 +532,8 @@
         edge->idle_closed = true;
         Server_CloseIdle(edge->callers);
     }
-    if (edge->idle_closed && Server_CountPending(edge->callers) == 0) {
+    if (edge->idle_closed && Server_CountPending(edge->callers) == 0 &&
+        (edge->relay == NULL || Relay_CountPending(edge->relay) == 0)) {
         event_base_loopexit(edge->options.base, NULL);
         return;
     }
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -66,6 +66,8 @@
     int64_t doubted_until_us; /* The worker had left, but the source's copy
                                  lists it: no work until then; 0: none. */
     bool replaced;            /* Another worker answers at its address. */
+    bool is_vm;               /* It is another VM that reaches the workers; no
+                                 fleet holds it (detour.h). */
     bool sweep_pending; /* The running sweep has not set the entry yet. */
     HealthState health;
     NoticeState notice;           /* What it says of itself. */
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -26,6 +26,8 @@
 static void ignore_budget_change(void *context, const char *service,
                                  double requests, double extras);
 static void ignore_load_change(void *context);
+static uint32_t list_no_peers(void *context, const char *service,
+                              GatePeer *peers, uint32_t max);
 
 GateOptions
 Gate_DefaultOptions(void)
@@ -38,6 +40,7 @@
         .get_share = get_whole_share,
         .on_budget_change = ignore_budget_change,
         .on_load_change = ignore_load_change,
+        .list_peers = list_no_peers,
     };
     return options;
 }
@@ -62,7 +65,7 @@
     LIST_INIT(&gate->tasks);
     LIST_INIT(&gate->crash_checks);
     LIST_INIT(&gate->surveys);
-    LIST_INIT(&gate->cut_services);
+    Detour_Init(gate);
     Origins_Init(&gate->origins);
     Suspects_Init(&gate->suspects,
                   XXH3_64bits(options->vm, strlen(options->vm)));
@@ -123,6 +126,19 @@
     return demand != NULL ? *demand : none;
 }
 
+void
+Gate_GetBudgetUse(const Gate *gate, const char *service, double *requests,
+                  double *extras)
+{
+    const Budget *budget = g_hash_table_lookup(gate->budgets, service);
+
+    *requests = 0;
+    *extras = 0;
+    if (budget != NULL) {
+        Budget_GetUsed(budget, Clk_Now(gate->options.clk), requests, extras);
+    }
+}
+
 const RankWeights *
 Gate_GetWeights(const Gate *gate)
 {
@@ -340,3 +356,14 @@
 {
     (void)context;
 }
+
+static uint32_t
+list_no_peers(void *context, const char *service, GatePeer *peers,
+              uint32_t max)
+{
+    (void)context;
+    (void)service;
+    (void)peers;
+    (void)max;
+    return 0;
+}
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -44,7 +44,7 @@
 
 /* What the gate adds to the request in one call at a worker. */
 typedef struct GateCallOptions {
-    const char *worker; /* ID of the only worker that may run it. */
+    const char *worker; /* ID of the only worker that may run it, or NULL. */
     int64_t left_ms;
     bool prefill;           /* Only read the prompt. */
     const char *kv_address; /* Worker with the prompt's KV memory, or NULL. */
@@ -138,6 +138,13 @@
                          GateControlCall *control_call);
 } GateCodec;
 
+/* Another VM that may run a request at workers that this VM can't reach. */
+typedef struct GatePeer {
+    char vm[FLEET_NAME_MAX];
+    char address[FLEET_ADDRESS_MAX]; /* Its listener for other VMs. */
+    bool is_near;                    /* It is in this VM's region. */
+} GatePeer;
+
 /* Work of all requests for a service of model workers since Gate_New(). */
 typedef struct GateDemand {
     double prompt_tokens; /* Prompt tokens of the requests. */
@@ -168,6 +175,10 @@
                              double requests, double extras);
     /* This VM's load on a worker has changed. */
     void (*on_load_change)(void *context);
+    /* Stores other VMs that reach the workers of a service, up to `max`, and
+       returns their number. */
+    uint32_t (*list_peers)(void *context, const char *service, GatePeer *peers,
+                           uint32_t max);
 } GateOptions;
 
 typedef struct Gate Gate;
@@ -184,6 +195,10 @@
 const RteTable *Gate_GetTable(const Gate *gate);
 GateDemand Gate_GetDemand(const Gate *gate, const char *service);
 const RankWeights *Gate_GetWeights(const Gate *gate);
+/* Stores this VM's requests and repeated calls in the current window of a
+   service's retry budget. */
+void Gate_GetBudgetUse(const Gate *gate, const char *service, double *requests,
+                       double *extras);
 /* Brings the forecasts of KV memory of all requests up to date, as their
    answers grow. */
 void Gate_UpdateForecasts(Gate *gate);
@@ -209,5 +224,14 @@
 /* Callbacks for ServerOptions; `context` is the gate. */
 void Gate_OnRequest(void *context, ServerExchange *exchange);
 void Gate_OnDisconnect(void *context, ServerExchange *exchange);
+/* Handles a request that another VM passes on, as it can't reach the workers.
+   `runs` is the number of workers on which it may have run already. Such a
+   request is not passed on again, and the other VM has counted it for the
+   retry budget. */
+void Gate_OnRelayedRequest(void *context, ServerExchange *exchange,
+                           uint32_t runs);
+/* Stores the hashes of the names of services whose workers this VM can't
+   reach, up to `max`, and returns their number. */
+uint32_t Gate_ListCut(const Gate *gate, uint64_t *services, uint32_t max);
 
 #endif
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -18,7 +18,9 @@
 #define GOS_INTERVAL_MS 250
 /* Time from a change to the message about it. */
 #define GOS_UPDATE_DELAY_MS 30
-#define GOS_SEED_INTERVALS 8   /* Intervals between messages to all seeds. */
+#define GOS_SEED_INTERVALS 8 /* Intervals between messages to all seeds. */
+/* Age of a VM's last message up to which requests are passed on to it. */
+#define GOS_SERVING_MAX_AGE_US (1200 * CLK_US_PER_MS)
 #define GOS_MAJORITY_RATIO 0.6 /* Share of the VMs that is a majority. */
 
 static void on_readable(evutil_socket_t fd, short what, void *context);
@@ -42,6 +44,7 @@
 static ReportDemand sum_demand(const Gos *gos, const char *service,
                                bool near_only, uint32_t *count);
 static uint64_t parse_address(const char *text);
+static void format_address(uint64_t address, char text[FLEET_ADDRESS_MAX]);
 static uint64_t hash_text(const char *text);
 
 GosOptions
@@ -183,6 +186,32 @@
                               : known / (peers + 1.0);
 }
 
+uint32_t
+Gos_ListServing(const Gos *gos, const char *service, GatePeer *to,
+                uint32_t max)
+{
+    uint64_t hash = hash_text(service);
+    int64_t now_us = Clk_Now(gos->options.clk);
+    const Peer *peer = NULL;
+    uint32_t count = 0;
+
+    LIST_FOREACH(peer, &gos->peers.list, links)
+    {
+        bool is_serving = peer->received_us != 0 && !peer->is_stopping &&
+                          now_us - peer->received_us < GOS_SERVING_MAX_AGE_US;
+        for (uint32_t i = 0; i < peer->cut_count && is_serving; i++) {
+            is_serving = peer->cut[i] != hash;
+        }
+        if (is_serving && count < max) {
+            GatePeer *row = &to[count++];
+            g_strlcpy(row->vm, peer->vm, sizeof(row->vm));
+            format_address(peer->address, row->address);
+            row->is_near = peer->region == gos->peers.options.region;
+        }
+    }
+    return count;
+}
+
 bool
 Gos_NeedsSource(const Gos *gos)
 {
@@ -306,6 +335,9 @@
                             hub->capacity, hub->age_ms);
     }
     peer->watches = news->watches;
+    peer->is_stopping = news->stopping;
+    peer->cut_count = (uint32_t)MIN(news->n_cut, PEERS_CUT_MAX);
+    memcpy(peer->cut, news->cut, peer->cut_count * sizeof(*peer->cut));
     if (Gos_MergeSuspects(gos, news)) {
         gos->options.on_suspects_change(gos->options.context);
     }
@@ -429,8 +461,6 @@
 check_versions(Gos *gos, const Gossip__News *news)
 {
     const GosOptions *options = &gos->options;
-    struct in_addr ip = {.s_addr = htonl((uint32_t)(news->address >> 16))};
-    char ip_text[INET_ADDRSTRLEN];
     char address[FLEET_ADDRESS_MAX];
     GosVersions theirs = {
         .config_version = news->config_version,
@@ -449,9 +479,7 @@
         theirs.digest == own.digest) {
         return;
     }
-    inet_ntop(AF_INET, &ip, ip_text, sizeof(ip_text));
-    g_snprintf(address, sizeof(address), "%s:%u", ip_text,
-               (unsigned)(news->address & UINT16_MAX));
+    format_address(news->address, address);
     options->on_peer_versions(options->context, address, &theirs);
 }
 
@@ -698,6 +726,18 @@
            (strtoul(colon + 1, NULL, 10) & UINT16_MAX);
 }
 
+/* Formats IPv4 address << 16 | port as "IP:port". */
+static void
+format_address(uint64_t address, char text[FLEET_ADDRESS_MAX])
+{
+    struct in_addr ip = {.s_addr = htonl((uint32_t)(address >> 16))};
+    char ip_text[INET_ADDRSTRLEN];
+
+    inet_ntop(AF_INET, &ip, ip_text, sizeof(ip_text));
+    g_snprintf(text, FLEET_ADDRESS_MAX, "%s:%u", ip_text,
+               (unsigned)(address & UINT16_MAX));
+}
+
 static uint64_t
 hash_text(const char *text)
 {
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -11,6 +11,7 @@
 #include "../clock.h"
 #include "../decide/suspects.h"
 #include "../errors.h"
+#include "gate.h"
 #include "load_report.h"
 #include "origins.h"
 
@@ -51,6 +52,11 @@
     /* Called when another VM told a change of a worker's limit. NULL is
        allowed. */
     void (*on_limit_change)(void *context, const FleetWorker *worker);
+    /* Stores the hashes of the services that this VM can't reach, up to `max`,
+       and returns their number. NULL is allowed. */
+    uint32_t (*list_cut)(void *context, uint64_t *services, uint32_t max);
+    /* Whether this VM takes no requests of others. NULL is allowed. */
+    bool (*is_stopping)(void *context);
     /* Brings this VM's forecasts of the workers' memory up to date. NULL is
        allowed. */
     void (*update_load)(void *context);
@@ -92,6 +98,10 @@
 /* Returns this VM's part of the requests that VMs get for a service, 0 to 1.
    VMs that are silent count as getting as many as the others. */
 double Gos_GetShare(const Gos *gos, const char *service);
+/* Stores live VMs that reach the workers of a service, up to `max`, and
+   returns their number. */
+uint32_t Gos_ListServing(const Gos *gos, const char *service, GatePeer *to,
+                         uint32_t max);
 /* Whether this VM should watch the source itself: all VMs of a small
    deployment do, in a large one the hubs, and each VM that hears of no hub
    that does. */
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -45,6 +45,13 @@
         add_suspects(gos, message);
     }
     add_limits(gos, message);
+    if (options->list_cut != NULL) {
+        news->cut = message->cut;
+        news->n_cut =
+            options->list_cut(options->context, message->cut, PEERS_CUT_MAX);
+    }
+    news->stopping =
+        options->is_stopping != NULL && options->is_stopping(options->context);
 }
 
 /* Adds parts of prompts under which workers crashed. */
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -45,6 +45,7 @@
     Gossip__Limit *limits[GOS_LIMITS_MAX];
     Gossip__Origin origin_rows[GOS_ORIGINS_MAX];
     Gossip__Origin *origins[GOS_ORIGINS_MAX];
+    uint64_t cut[PEERS_CUT_MAX];
     uint64_t peers[GOS_PEERS_MAX];
     uint8_t data[GOS_MESSAGE_MAX_BYTES];
     size_t size; /* Of the packed message in `data`. */
--- a/src/gate/peers.h
+++ b/src/gate/peers.h
@@ -17,6 +17,9 @@
 /* Most parts of a region's table; further workers are left out. */
 #define PEERS_PARTS_MAX 64
 #define PEERS_REGIONS_MAX 16
+#define PEERS_CUT_MAX                                                         \
+    8 /* Services that a VM tells to be out of its reach.                     \
+       */
 /* In a mesh, messages go to all peers of this region and to this many others
    on average. */
 #define PEERS_REMOTE_FANOUT 8
@@ -42,6 +45,10 @@
     int64_t heard_us;      /* Last time that any VM had a message from it. */
     int64_t chosen_us; /* Since when it is a hub of this VM; 0: it isn't. */
     bool watches;      /* It watches the source, which answers. */
+    bool is_stopping;  /* It takes no requests of other VMs. */
+    uint64_t cut[PEERS_CUT_MAX]; /* Hashes of the services that it can't
+                                    reach. */
+    uint32_t cut_count;
     int64_t suspect_until_us; /* It was silent as a hub; until then it counts
                                  as a hub only if it sends a message. */
     Report report;            /* Its load. */
--- a/src/gate/relay.c
+++ b/src/gate/relay.c
@@ -1,4 +1,5 @@
 #include "relay.h"
+#include "detour.h"
 
 #include "../log.h"
 
@@ -13,6 +14,8 @@
 /* Shortest interval between two requests. */
 #define RELAY_FETCH_INTERVAL_US (500 * CLK_US_PER_MS)
 #define RELAY_FETCH_TIMEOUT_US (2 * CLK_US_PER_S)
+/* The VM that passes a request on may add fields of this size. */
+#define RELAY_HEADER_EXTRA_BYTES 1024
 #define RELAY_RESPONSE_MAX_BYTES (16 * 1024 * 1024)
 
 struct Relay {
@@ -109,13 +112,33 @@
     relay->call = Client_BeginCall(relay->options.client, &call);
 }
 
+void
+Relay_SetLimits(Relay *relay, const ServerLimits *limits)
+{
+    ServerLimits own = *limits;
+
+    own.header_bytes += RELAY_HEADER_EXTRA_BYTES;
+    Server_SetLimits(relay->server, &own);
+}
+
+guint
+Relay_CountPending(const Relay *relay)
+{
+    return Server_CountPending(relay->server);
+}
+
 static void
 on_request(void *context, ServerExchange *exchange)
 {
     Relay *relay = context;
     GByteArray *data;
     Pos since = {0};
+    uint32_t runs;
 
+    if (Detour_TakeHeader(exchange->headers, &runs)) {
+        Gate_OnRelayedRequest(relay->options.gate, exchange, runs);
+        return;
+    }
     if (sscanf(exchange->target, RELAY_DELTA_PATH, &since.era,
                &since.revision) != 2 &&
         strcmp(exchange->target, RELAY_PATH) != 0) {
@@ -135,8 +158,11 @@
 static void
 on_disconnect(void *context, ServerExchange *exchange)
 {
-    (void)context;
-    (void)exchange;
+    const Relay *relay = context;
+
+    if (exchange->owner != NULL) {
+        Gate_OnDisconnect(relay->options.gate, exchange);
+    }
 }
 
 static void
--- a/src/gate/relay.h
+++ b/src/gate/relay.h
@@ -1,7 +1,8 @@
-/* Relay: copies snapshots of the configuration and the workers' entries
-   between VMs over HTTP, for VMs that don't watch the source (the store of
-   configuration and workers), or that it refuses or doesn't answer. A VM
-   requests the snapshot from a VM that has announced a newer version. */
+/* Relay: answers the requests of other VMs over HTTP. It copies snapshots of
+   the configuration and the workers' entries between VMs over HTTP, for VMs
+   that don't watch the source (the store of configuration and workers), or
+   that it refuses or doesn't answer. A VM requests the snapshot from a VM that
+   has announced a newer version. */
 #ifndef LS_RELAY_H
 #define LS_RELAY_H
 
@@ -14,6 +15,7 @@
     const Clk *clk;
     Client *client;
     Feed *feed;
+    Gate *gate;     /* Gets the requests that other VMs pass on (detour.h). */
     const char *ip; /* Address to listen at for other VMs. */
     uint16_t port;  /* TCP. */
 } RelayOptions;
@@ -32,4 +34,9 @@
    ago; a request that has run for 2 s is cancelled first. */
 void Relay_FetchSnapshot(Relay *relay, const char *address, Pos since);
 
+/* Sets the limits of the requests that other VMs pass on. */
+void Relay_SetLimits(Relay *relay, const ServerLimits *limits);
+/* Returns the number of requests of other VMs in progress. */
+guint Relay_CountPending(const Relay *relay);
+
 #endif
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -4,6 +4,7 @@
    stream between two events. See task.h. */
 #include "stream.h"
 #include "blame.h"
+#include "detour.h"
 #include "reservation.h"
 #include "stream_prepare.h"
 #include "stream_resume.h"
@@ -191,8 +192,13 @@
         .slo_us = (int64_t)task->route->slo_ms * CLK_US_PER_MS,
         .gap_us = (int64_t)task->route->gap_ms * CLK_US_PER_MS,
     };
+    HandoverLimits limits;
 
-    return Handover_GetLimits(&call);
+    limits = Handover_GetLimits(&call);
+    if (task->current->worker->is_vm) {
+        limits.prepare_us += DETOUR_SILENCE_EXTRA_US;
+    }
+    return limits;
 }
 
 /* Sets the step's deadline after progress of the run. */
@@ -233,6 +239,9 @@
     if (!Blame_IsAllowed(task)) {
         return;
     }
+    if (task->version == 0 && task->last_event != GATE_NO_EVENT) {
+        StreamResume_Recall(task);
+    }
     if (task->kv.handle[0] != '\0' && !Reservation_HasHandle(task)) {
         Reservation_ReleaseHandle(task, true);
     }
@@ -256,7 +265,7 @@
     }
     run_cost_us = Reservation_GetRunCost(task);
     prefill_worker =
-        Reservation_HasHandle(task)
+        Reservation_HasHandle(task) || task->assigned.worker->is_vm
             ? NULL
             : Reservation_ChoosePrefillWorker(task, &remote_prefill_cost_us);
     if (prefill_worker != NULL && remote_prefill_cost_us < run_cost_us) {
@@ -288,11 +297,14 @@
     FleetWorker *worker = Fleet_Ref(task->assigned.worker);
     bool once = !task->route->can_resume;
     GateCallOptions options = {
-        .worker = worker->entry.id,
+        .worker = worker->is_vm ? NULL : worker->entry.id,
         .left_ms = Task_GetLeftMs(task),
         .last_event = task->last_event,
     };
 
+    if (worker->is_vm) {
+        Reservation_ReleaseHandle(task, true);
+    }
     if (task->kv.handle[0] != '\0') {
         options.kv_address = task->kv.address;
         options.kv_handle = task->kv.handle;
@@ -440,10 +452,13 @@
     const Fleet *fleet = task->gate->options.fleet;
     uint32_t version = task->current->version;
 
+    if (task->current->worker->is_vm) {
+        return; /* That VM keeps to the version, and tells it. */
+    }
     if (!task->streaming) {
         StreamResume_NoteBegun(task);
     }
-    else if (task->version != version) {
+    else if (task->version != version && task->version != 0) {
         Met_Add(MET_STREAMS_JOINED, 1);
         Log_WriteJson(
             LOG_LEVEL_ERROR, "stream_joined",
@@ -556,10 +571,10 @@
 void
 Stream_RetryOrEnd(GateTask *task, LsRun run, bool has_answer)
 {
-    bool is_worker_failed = run != LS_RUN_NOT_RUN ||
-                            !task->current->has_reply ||
-                            task->current->reply.misdirected ||
-                            task->current->stage == TASK_PREFILL;
+    bool is_worker_failed =
+        run != LS_RUN_NOT_RUN || task->current->worker->is_vm ||
+        !task->current->has_reply || task->current->reply.misdirected ||
+        task->current->stage == TASK_PREFILL;
     RetryInput input;
 
     if (task->silent != NULL && has_next_event(task, &task->silent->sse)) {
--- a/src/gate/stream_resume.c
+++ b/src/gate/stream_resume.c
@@ -1,5 +1,6 @@
 /* Stream resume: the version of a resumed stream. See stream_resume.h. */
 #include "stream_resume.h"
+#include "detour.h"
 #include "stream.h"
 #include "survey.h"
 
@@ -35,6 +36,13 @@
     };
     ResumptionStep step = Resumption_Decide(&state);
 
+    if (step != RESUMPTION_FOLLOW_RECORD && !task->is_relayed &&
+        Detour_IsCut(gate, task->service->name)) {
+        /* The VM that serves the request finds out. */
+        task->resuming = false;
+        Stream_Advance(task);
+        return;
+    }
     if (step == RESUMPTION_ASK) {
         state.survey = task->request.has_own_part
                            ? Survey_Find(gate, task->service->name,
@@ -120,6 +128,13 @@
     Task_Refuse(task, ADMISSION_NO_WORKER);
 }
 
+void
+StreamResume_Recall(GateTask *task)
+{
+    task->version =
+        Origins_Find(&task->gate->origins, get_origin(task), Task_Now(task));
+}
+
 void
 StreamResume_NoteBegun(GateTask *task)
 {
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -1,6 +1,7 @@
 /* Task: begin and end of a request, and its answers. See task.h. */
 #include "task.h"
 #include "blame.h"
+#include "detour.h"
 #include "successor.h"
 
 #include "../io/loop.h"
@@ -19,6 +20,7 @@
 static void answer_error(const Gate *gate, ServerExchange *exchange,
                          const char *id, const LsError *err);
 static void note_left(GateTask *task);
+static void begin_service(GateTask *task);
 static void free_task(GateTask *task);
 
 int64_t
@@ -198,7 +200,7 @@
         LOG_LEVEL_INFO, "request_end",
         json_pack(
             "{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:I,s:I,"
-            "s:I,s:I,s:I,s:i,s:i,s:s,s:s}",
+            "s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:b}",
             "request", task->request.id, "route", task->route->name, "worker",
             task->worker, "outcome", outcome, "status", status,
             "retry_after_ms", (int)task->retry_after_ms, "took_us",
@@ -219,7 +221,8 @@
             (int)task->request.output_tokens, "resumes",
             task->request.resumes != NULL ? task->request.resumes : "",
             "version",
-            Fleet_GetVersionName(task->gate->options.fleet, task->version)));
+            Fleet_GetVersionName(task->gate->options.fleet, task->version),
+            "relayed", (int)task->is_relayed));
     Stream_ReleaseAll(task);
     free_task(task);
 }
@@ -285,7 +288,6 @@
         task->deadline_us = MIN(task->deadline_us, caller_deadline_us);
     }
     task->deadline_us -= TASK_TIMER_MARGIN_US;
-    note_left(task);
     task->last_event = GATE_NO_EVENT;
     for (guint i = 0; i < G_N_ELEMENTS(task->calls); i++) {
         task->calls[i].task = task;
@@ -321,13 +323,42 @@
 void
 Gate_OnRequest(void *context, ServerExchange *exchange)
 {
-    GateTask *task = begin_task(context, exchange);
+    GateTask *task;
 
+    Header_Remove(exchange->headers, DETOUR_HEADER);
+    task = begin_task(context, exchange);
     if (task == NULL) {
         return;
     }
+    note_left(task);
     Met_Add(MET_GATE_REQUESTS, 1);
     Task_NoteRequest(task);
+    begin_service(task);
+}
+
+void
+Gate_OnRelayedRequest(void *context, ServerExchange *exchange, uint32_t runs)
+{
+    GateTask *task = begin_task(context, exchange);
+
+    if (task == NULL) {
+        return;
+    }
+    task->is_relayed = true;
+    task->runs = runs;
+    Met_Add(MET_RELAYED_REQUESTS, 1);
+    if (Detour_IsCut(task->gate, task->service->name)) {
+        g_strlcpy(task->cause, "this VM reaches no worker either",
+                  sizeof(task->cause));
+        Task_Refuse(task, ADMISSION_NO_WORKER);
+        return;
+    }
+    begin_service(task);
+}
+
+static void
+begin_service(GateTask *task)
+{
     if (task->route->kind == RTE_STREAM) {
         Stream_Begin(task);
     }
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -90,6 +90,8 @@
     struct event *timer;
     uint64_t identity;   /* See Task_GetIdentity(); 0 if not yet computed. */
     bool is_caller_gone; /* The caller has disconnected. */
+    bool is_relayed;     /* Another VM passed the request on. */
+    uint32_t unreached;  /* Calls of this task that were in vain. */
     bool is_retry; /* The caller was refused before, judging by its time. */
     int64_t began_us;
     int64_t deadline_us;      /* Earlier of the caller's and the route's. */
@@ -158,6 +160,9 @@
     Origins origins;
     LIST_HEAD(SurveyList, Survey) surveys;
     LIST_HEAD(DetourServiceList, DetourService) cut_services;
+    LIST_HEAD(DetourVmList, DetourVm) detour_vms;
+    LIST_HEAD(DetourProbeList, DetourProbe) detour_probes;
+    struct event *detour_timer;
     bool stopping;
 };
 
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -1,5 +1,6 @@
 /* Calls of a task: sends a call, and updates the worker's load, health and the
    retry budget. See task.h. */
+#include "detour.h"
 #include "task.h"
 
 #include "../log.h"
@@ -25,7 +26,7 @@
 static void publish_budget(GateTask *task);
 static void init_call(GateTask *task, FleetWorker *worker);
 static void count_call(GateTask *task);
-static void correct_call_count(GateTask *task, ClientOutcome outcome);
+static void correct_call_count(GateTask *task, bool is_unsent);
 static void end_call(TaskCall *call);
 static void end_trial(TaskCall *call, bool accepted);
 static const char *get_stage_name(TaskStage stage);
@@ -82,6 +83,9 @@
     };
 
     codec->encode_call(codec->context, &task->request, options, headers);
+    if (worker->is_vm) {
+        Detour_AddHeader(headers, task->runs);
+    }
     current->stage = options->prefill             ? TASK_PREFILL
                      : options->kv_handle != NULL ? TASK_DECODE
                                                   : TASK_RUN;
@@ -228,8 +232,13 @@
 {
     FleetWorker *worker = call->worker;
 
+    if (worker->is_vm && call->call != NULL) {
+        return; /* The worker behind it may be silent; the VM's life is known
+                   from its messages. */
+    }
     Health_NoteUnresponsive(&worker->health, Task_Now(call->task));
     worker->vain_us = MAX(worker->vain_us, call->heard_us);
+    call->task->unreached++;
 }
 
 void
@@ -286,7 +295,8 @@
     int64_t now_us = Task_Now(task);
 
     if (current->stage != TASK_RESERVE) {
-        correct_call_count(task, outcome);
+        correct_call_count(task, outcome == CLIENT_NOT_SENT ||
+                                     (worker->is_vm && run == LS_RUN_NOT_RUN));
     }
     if (current->has_reply && current->reply.misdirected) {
         worker->replaced = true;
@@ -424,21 +434,20 @@
     task->counted_calls += current->counted;
 }
 
-/* Corrects the count of calls after a failed call: a call that was not sent
-   doesn't count, a failed prefill that was sent does. */
+/* Corrects the count of calls after a failed call: a call that has reached no
+   worker doesn't count, a failed prefill that has does. */
 static void
-correct_call_count(GateTask *task, ClientOutcome outcome)
+correct_call_count(GateTask *task, bool is_unsent)
 {
     TaskCall *current = task->current;
 
-    if (outcome == CLIENT_NOT_SENT && current->counted) {
+    if (is_unsent && current->counted) {
         task->counted_calls--;
         if (current->extra) {
             Budget_CancelExtra(find_budget(task), Task_Now(task));
         }
     }
-    if (outcome != CLIENT_NOT_SENT && current->stage == TASK_PREFILL &&
-        !current->counted) {
+    if (!is_unsent && current->stage == TASK_PREFILL && !current->counted) {
         if (task->counted_calls > 0) {
             Budget_NoteExtra(find_budget(task), Task_Now(task));
         }
@@ -574,6 +583,11 @@
     end_trial(current, status != 503);
     codec->decode_reply(codec->context, status, headers, task->request.id,
                         &current->reply);
+    if (current->worker->is_vm && !current->reply.has_receipt &&
+        (status < 500 || status == 503)) {
+        /* The other VM's own answer, which promises that nothing has run. */
+        current->reply.not_run = true;
+    }
     current->framing = Client_GetFraming(current->call);
     if (current->framing == CLIENT_FRAMING_CLOSE) {
         Met_Add(MET_ANSWERS_UNTIL_CLOSE, 1);
--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -8,6 +8,10 @@
    would take to find it unreachable. */
 #define TASK_PEER_UNREACHABLE_COST_US (300 * CLK_US_PER_MS)
 
+/* Calls of a task in vain after which another VM is asked: connections that
+   live on hide a cut, as new ones are refused. */
+#define TASK_UNREACHED_MAX 2
+
 /* Classes of workers, the best first; the cost decides within one. */
 typedef enum Suitability {
     SUITABILITY_SOUND,
@@ -18,6 +22,8 @@
 static FleetWorker *find_best(GateTask *task, FleetPhase phase, TaskCost cost,
                               const void *context, guint offset,
                               int64_t *best_us);
+static FleetWorker *choose_vm(GateTask *task, FleetPhase phase,
+                              bool has_open_worker);
 static double get_share(const GateTask *task);
 static Suitability get_suitability(const FleetWorker *worker, int64_t now_us);
 static void fill_rank(const GateTask *task, const FleetWorker *worker,
@@ -157,12 +163,32 @@
             *best_us = cost_us;
         }
     }
-    if (is_any_blocked) {
-        Detour_IsCut(task->gate, task->service->name);
+    if (is_any_blocked || task->unreached > 0 || Detour_IsAnyCut(task->gate)) {
+        FleetWorker *vm =
+            choose_vm(task, phase,
+                      best != NULL && best_suitability != SUITABILITY_BLOCKED);
+        if (vm != NULL) {
+            *best_us = DETOUR_COST_US;
+            return vm;
+        }
     }
     return best;
 }
 
+/* Returns another VM if this one can't reach the workers, or NULL. */
+static FleetWorker *
+choose_vm(GateTask *task, FleetPhase phase, bool has_open_worker)
+{
+    bool is_cut = Detour_IsCut(task->gate, task->service->name);
+
+    if (phase == FLEET_PHASE_PREFILL || task->is_relayed ||
+        (!is_cut && task->unreached < TASK_UNREACHED_MAX &&
+         (has_open_worker || task->unreached == 0))) {
+        return NULL;
+    }
+    return Detour_ChooseVm(task);
+}
+
 /* Returns this VM's part of the requests for the task's service. */
 static double
 get_share(const GateTask *task)
@@ -229,7 +255,9 @@
 static bool
 is_other_version(const GateTask *task, const FleetWorker *worker)
 {
-    return task->version != 0 && worker->version != task->version &&
+    bool has_begun = task->version != 0 || task->last_event != GATE_NO_EVENT;
+
+    return has_begun && worker->version != task->version &&
            worker->entry.phase == FLEET_PHASE_DECODE;
 }
 
--- a/src/io/headers.c
+++ b/src/io/headers.c
@@ -112,6 +112,18 @@
     }
 }
 
+void
+Header_Remove(HeaderList *list, const char *name)
+{
+    for (guint i = list->fields->len; i-- > 0;) {
+        const HeaderField *field =
+            &g_array_index(list->fields, HeaderField, i);
+        if (g_ascii_strcasecmp(field->name, name) == 0) {
+            g_array_remove_index(list->fields, i);
+        }
+    }
+}
+
 void
 Header_InitReader(HeaderReader *reader)
 {
--- a/src/io/headers.h
+++ b/src/io/headers.h
@@ -31,6 +31,8 @@
 void Header_Add(HeaderList *list, const char *name, const char *value);
 void Header_AddBytes(HeaderList *list, const char *name, size_t name_size,
                      const char *value, size_t value_size);
+/* Removes all fields with this name. */
+void Header_Remove(HeaderList *list, const char *name);
 /* Returns the value of the first field of this name, or NULL. The value
    belongs to the list. */
 const char *Header_Find(const HeaderList *list, const char *name);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -59,6 +59,12 @@
     [MET_SERVICES_CUT] = {"services_cut",
                           "Times at which this VM found itself cut off from "
                           "the workers of a service."},
+    [MET_DETOURS] = {"detours",
+                     "Requests passed on to another VM, as this one "
+                     "can't reach the workers."},
+    [MET_RELAYED_REQUESTS] = {"relayed_requests",
+                              "Requests that other VMs passed on to this "
+                              "one."},
     [MET_SURVEYS] = {"surveys", "Rounds in which all workers of a service "
                                 "were asked for the prompts that they keep."},
     [MET_SUCCESSORS] = {"successors", "Silent calls for which another worker "
--- a/tests/fleet_rig.h
+++ b/tests/fleet_rig.h
@@ -5,6 +5,41 @@
 
 #include "gate_rig.h"
 
+/* Address on loopback at which connections hang: the queue of its listener is
+   full, so that further ones get no answer. */
+class BlackHole {
+  public:
+    BlackHole()
+    {
+        sockaddr_in local = {};
+        socklen_t size = sizeof(local);
+        local.sin_family = AF_INET;
+        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        fds_.push_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        EXPECT_EQ(bind(fds_[0], (sockaddr *)&local, sizeof(local)), 0);
+        EXPECT_EQ(listen(fds_[0], 0), 0);
+        getsockname(fds_[0], (sockaddr *)&local, &size);
+        address = "127.0.0.1:" + std::to_string(ntohs(local.sin_port));
+        for (int i = 0; i < 4; i++) {
+            fds_.push_back(socket(
+                AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+            connect(fds_.back(), (sockaddr *)&local, sizeof(local));
+        }
+    }
+
+    ~BlackHole()
+    {
+        for (int fd : fds_) {
+            close(fd);
+        }
+    }
+
+    std::string address;
+
+  private:
+    std::vector<int> fds_; /* The listener first. */
+};
+
 /* VMs that exchange gossip, and workers that start again under another
    identifier at the same address after a crash. The route and the service are
    those of MakeTable(). Workers answer without end. */
@@ -34,7 +69,7 @@
             Edge_Free(edge);
         }
         workers.clear();
-        blocked_.clear();
+        refusing_.clear();
         event_base_free(base);
         g_hash_table_destroy(regions_);
     }
@@ -95,19 +130,21 @@
     enum Cut { HANG, REFUSE };
 
     /* Cuts a VM off from all workers: instead of each one it reaches an
-       address that answers nothing, or refuses connections. */
+       address at which connections hang or are refused. */
     void
     CutOff(size_t vm, Cut cut)
     {
         for (size_t i = 0; i < workers.size(); i++) {
-            blocked_.push_back(std::make_unique<Worker>(
-                base, std::make_shared<std::deque<ScriptedReply>>()));
-            blocked_.back()->is_silent = true;
-            if (cut == REFUSE) {
-                blocked_.back()->Crash();
-            }
             starts_++;
-            SetEntry(edges[vm], i, blocked_.back()->address);
+            if (cut == HANG) {
+                holes_.push_back(std::make_unique<BlackHole>());
+                SetEntry(edges[vm], i, holes_.back()->address);
+                continue;
+            }
+            refusing_.push_back(std::make_unique<Worker>(
+                base, std::make_shared<std::deque<ScriptedReply>>()));
+            refusing_.back()->Crash();
+            SetEntry(edges[vm], i, refusing_.back()->address);
         }
     }
 
@@ -279,7 +316,8 @@
     std::deque<std::string> names_; /* Their texts keep their addresses. */
     std::string seed_;
     std::vector<std::string> ids_; /* Of the workers' current starts. */
-    std::vector<std::unique_ptr<Worker>> blocked_;
+    std::vector<std::unique_ptr<Worker>> refusing_;
+    std::vector<std::unique_ptr<BlackHole>> holes_;
     std::vector<int64_t> restart_us_;
     int starts_ = 0;
 };
--- a/tests/test_gate_cutoff.cc
+++ b/tests/test_gate_cutoff.cc
@@ -191,4 +191,108 @@
     EXPECT_EQ(caller->Status(), 200) << caller->text;
 }
 
+/* A stream whose VM loses its paths in the middle goes on by way of the other
+   VM, at the version that began it. */
+TEST(CutOffVm, BegunStreamGoesOnAtItsVersion)
+{
+    FleetRig rig(stream, 2, 0);
+    rig.versions = {"v1", "v2", "v1"};
+    rig.AddWorker({{StreamHead("Transfer-Encoding: chunked\r\n") +
+                    Chunk(Events(0, 2))}});
+    rig.RunFor(600);
+    Caller *caller = rig.Call(0, CallText(1));
+    rig.RunFor(300);
+    ASSERT_NE(caller->text.find("id: 2\n"), std::string::npos);
+    rig.AddWorker({Stream(3, 9)});
+    rig.AddWorker({Stream(3, 9)});
+    rig.AddLoad(2, 4);
+    rig.RunFor(100);
+    rig.CutOff(0, FleetRig::REFUSE);
+    rig.workers[0]->Crash();
+    rig.RunFor(1500);
+    EXPECT_TRUE(caller->IsComplete()) << caller->text;
+    EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+    EXPECT_TRUE(rig.workers[1]->requests.empty());
+}
+
+/* The VM that serves for another one is stopped: what it has begun ends as
+   planned, and it gets nothing new. */
+TEST(CutOffVm, PlannedStopOfTheVmThatServes)
+{
+    CutFleet rig(once, 3);
+    rig.CutOffAndWait(0, FleetRig::REFUSE);
+    for (auto &worker : rig.workers) {
+        worker->is_silent = true;
+    }
+    Caller *caller = rig.Call(0, CallText(1));
+    rig.RunFor(100);
+    Edge_BeginShutdown(rig.edges[1]);
+    Edge_BeginShutdown(rig.edges[2]);
+    rig.RunFor(200);
+    for (auto &worker : rig.workers) {
+        worker->is_silent = false;
+        if (worker->unanswered > 0) {
+            worker->SendToAll("HTTP/1.1 200 X\r\nX-Request-Id: id-1\r\n"
+                              "X-Response-Stamp: s1\r\n"
+                              "Content-Length: 4\r\n\r\ndone");
+        }
+    }
+    rig.RunFor(200);
+    EXPECT_EQ(caller->Status(), 200) << caller->text;
+    caller = rig.Call(0, CallText(2));
+    rig.RunFor(500);
+    EXPECT_EQ(caller->Status(), 503) << caller->text;
+    EXPECT_EQ(rig.CountRuns("id-2"), 0);
+}
+
+/* A caller can't mark its request as passed on, and workers don't see the
+   mark. */
+TEST(CutOffVm, MarkOfACallerHasNoMeaning)
+{
+    CutFleet rig(once, 2);
+    rig.CutOffAndWait(0, FleetRig::REFUSE);
+    for (int i = 0; i < 4; i++) {
+        Caller *caller =
+            rig.Call(0, CallText(i, "Lavenderspool-Relayed: 7\r\n"));
+        rig.RunFor(100);
+        EXPECT_EQ(caller->Status(), 200) << caller->text;
+        EXPECT_EQ(rig.CountRuns("id-" + std::to_string(i)), 1);
+    }
+    for (const auto &worker : rig.workers) {
+        for (const std::string &request : worker->requests) {
+            EXPECT_EQ(request.find("Lavenderspool-Relayed"),
+                      std::string::npos);
+        }
+    }
+}
+
+/* Both VMs together count a request once for the retry budget. */
+TEST(CutOffVm, RequestCountsOnceForTheBudget)
+{
+    CutFleet rig(repeatable, 2);
+    rig.CutOffAndWait(0, FleetRig::REFUSE);
+    rig.RunFor(300);
+    auto count = [&] {
+        double requests = 0;
+        double extras = 0;
+        for (Edge *edge : rig.edges) {
+            double own_requests;
+            double own_extras;
+            Gate_GetBudgetUse(Edge_GetGate(edge), "svc", &own_requests,
+                              &own_extras);
+            requests += own_requests;
+            extras += own_extras;
+        }
+        return std::make_pair(requests, extras);
+    };
+    auto before = count();
+    for (int i = 0; i < 10; i++) {
+        rig.Call(0, CallText(i));
+        rig.RunFor(60);
+    }
+    auto after = count();
+    EXPECT_NEAR(after.first - before.first, 10, 0.5);
+    EXPECT_NEAR(after.second - before.second, 0, 0.5);
+}
+
 } // namespace
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -68,6 +68,8 @@
     LOST_OTHER_WORKER, /* A worker that did not run the request fails. */
     LOST_VM,
     LOST_OTHER_VM,
+    LOST_RELAYED,
+    LOST_RELAYED_ELSEWHERE,
     LOST_SHORT_TIMEOUT, /* Timeouts are shortened. */
     LOST_LEFT,          /* The caller leaves. */
 };
@@ -109,6 +111,10 @@
      &LedgerEnds::excused},
     {"another VM was killed", LEDGER_STREAM, 1, LOST_OTHER_VM, 200, false,
      1300, true, &LedgerEnds::lost},
+    {"the VM that it was passed on to was killed", LEDGER_STREAM, 1,
+     LOST_RELAYED, 200, false, 1300, false, &LedgerEnds::excused},
+    {"passed on, and a third VM was killed", LEDGER_STREAM, 1,
+     LOST_RELAYED_ELSEWHERE, 200, false, 1300, true, &LedgerEnds::lost},
     {"caller's time limit", LEDGER_STREAM, 1, LOST_NOTHING, 200, false, 14000,
      false, &LedgerEnds::excused},
     {"before a shortened timeout", LEDGER_STREAM, 1, LOST_SHORT_TIMEOUT, 200,
@@ -126,6 +132,7 @@
 PlayLostCase(const LostCase &row, Ledger *ledger)
 {
     LedgerEnds ends;
+    bool is_relayed = false;
 
     Ledger_LowerLimits(ledger, 3000, 14000);
     Ledger_AddRequest(ledger, "r1", row.kind, 0, 0);
@@ -142,10 +149,18 @@
         Ledger_ExcuseWorker(ledger, 5);
         break;
     case LOST_VM:
-        Ledger_ExcuseVm(ledger, 0);
+        Ledger_ExcuseVm(ledger, 0, 1000);
         break;
     case LOST_OTHER_VM:
-        Ledger_ExcuseVm(ledger, 1);
+        Ledger_ExcuseVm(ledger, 1, 1000);
+        break;
+    case LOST_RELAYED:
+        Ledger_ExcuseVm(ledger, 1, 1000);
+        is_relayed = true;
+        break;
+    case LOST_RELAYED_ELSEWHERE:
+        Ledger_ExcuseVm(ledger, 2, 1000);
+        is_relayed = true;
         break;
     case LOST_SHORT_TIMEOUT:
         Ledger_LowerLimits(ledger, 2000, 6000);
@@ -160,7 +175,11 @@
     }
     /* What fails after the end is no reason for it. */
     Ledger_ExcuseWorker(ledger, 0);
-    Ledger_ExcuseVm(ledger, 0);
+    Ledger_ExcuseVm(ledger, 0, row.ended_ms * 1000 + 1);
+    Ledger_ExcuseVm(ledger, 1, row.ended_ms * 1000 + 1);
+    if (is_relayed) {
+        Ledger_ExcuseRelayed(ledger, "r1", 1);
+    }
     Ledger_Check(ledger);
     Ledger_CountEnds(ledger, &ends);
     return ends;
