Soak: workers of two software versions

A worker starts again at the other version, and each event names the version that made it; a stream with events of both is a finding (ORDER).

--- a/soak/load_generator.c
+++ b/soak/load_generator.c
@@ -32,6 +32,7 @@
     bool has_finding; /* A finding was added for this request. */
     Sse sse;
     int64_t last_event; /* Number of the last event, or LOAD_GEN_NO_EVENT. */
+    unsigned version;   /* Of the worker that made it; 0 for no event. */
     GByteArray *body;
 } LoadGenCall;
 
@@ -55,6 +56,7 @@
 static void on_head(void *context, int status, const HeaderList *headers);
 static void on_data(void *context, const void *data, size_t size);
 static void on_end(void *context, ClientOutcome outcome);
+static void check_version(LoadGenCall *call, const SseEvent *event);
 static void check_events(LoadGenCall *call);
 static void check_response(LoadGenCall *call);
 static void free_call(LoadGenCall *call);
@@ -270,6 +272,28 @@
     free_call(call);
 }
 
+/* Checks that all events come from workers of one software version, which each
+   event names as its last word. */
+static void
+check_version(LoadGenCall *call, const SseEvent *event)
+{
+    const char *name = memrchr(event->data, ' ', event->size);
+    unsigned version = 0;
+
+    if (name == NULL || sscanf(name, " v%u", &version) != 1) {
+        return;
+    }
+    if (call->version != 0 && call->version != version && !call->has_finding) {
+        Ledger_AddFinding(call->load_gen->options.ledger,
+                          "ORDER: %s received event %lld of version %u after "
+                          "events of version %u",
+                          call->id, (long long)event->id, version,
+                          call->version);
+        call->has_finding = true;
+    }
+    call->version = version;
+}
+
 static void
 check_events(LoadGenCall *call)
 {
@@ -286,6 +310,7 @@
             call->has_finding = true;
         }
         call->last_event = event.has_id ? event.id : call->last_event;
+        check_version(call, &event);
     }
     Sse_Drop(&call->sse, offset);
 }
--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -200,6 +200,7 @@
                           const char *body);
 static bool is_drain_excused(const SimWorker *worker, const char *id);
 static const char *get_phase(guint worker);
+static guint get_version(const SimWorker *worker);
 static Server *open_server(Sim *sim, void *context,
                            void (*on_request)(void *, ServerExchange *),
                            void (*on_disconnect)(void *, ServerExchange *));
@@ -607,6 +608,14 @@
     g_free(write);
 }
 
+/* Returns the software version of a worker, which changes with each start:
+   releases and rollbacks of single workers. */
+static guint
+get_version(const SimWorker *worker)
+{
+    return 1 + (worker->number + worker->starts) % 2;
+}
+
 static void
 publish_worker(SimWorker *worker)
 {
@@ -614,10 +623,10 @@
     char *key = g_strdup_printf("servers/%s", worker->id);
     char *text = g_strdup_printf(
         "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"zone-%c\","
-        "\"version\":\"1\",\"slots\":%d,\"state\":\"%s\",\"phase\":\"%s\","
+        "\"version\":\"v%u\",\"slots\":%d,\"state\":\"%s\",\"phase\":\"%s\","
         "\"sequence\":0}",
         phase[0] != '\0' ? "llm" : "app", Proxy_GetPort(worker->proxy),
-        'a' + (char)(worker->number % 2), SIM_SLOTS,
+        'a' + (char)(worker->number % 2), get_version(worker), SIM_SLOTS,
         worker->draining ? "draining" : "ready", phase);
 
     put_item(worker->sim, key, text);
@@ -1140,8 +1149,8 @@
             end_job(job);
             return;
         }
-        g_snprintf(body, sizeof(body), "id: %u\ndata: %s\n\n", job->next,
-                   job->id);
+        g_snprintf(body, sizeof(body), "id: %u\ndata: %s v%u\n\n", job->next,
+                   job->id, get_version(job->worker));
         job->next++;
         Server_SendData(exchange, body, strlen(body));
         Loop_ArmTimer(job->timer, SIM_EVENT_INTERVAL_MS);
