Stream: a resumption goes to the worker that has read the prompt

A resumption's prompt was read anew at any worker of its version, though one of them keeps it. Records and lists of kept prompts name that worker now; its cost is that of a run without a prompt to read. Test red with the worker's name ignored.

--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -1223,7 +1223,7 @@
   (ProtobufCMessageInit) gossip__limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__origin__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gossip__origin__field_descriptors[4] =
 {
   {
     "request",
@@ -1261,16 +1261,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "worker",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Origin, worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__origin__field_indices_by_name[] = {
   2,   /* field[2] = left_ms */
   0,   /* field[0] = request */
   1,   /* field[1] = version */
+  3,   /* field[3] = worker */
 };
 static const ProtobufCIntRange gossip__origin__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gossip__origin__descriptor =
 {
@@ -1280,7 +1293,7 @@
   "Gossip__Origin",
   "gossip",
   sizeof(Gossip__Origin),
-  3,
+  4,
   gossip__origin__field_descriptors,
   gossip__origin__field_indices_by_name,
   1,  gossip__origin__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -290,10 +290,14 @@
    * Time for which the caller may resume the stream.
    */
   uint32_t left_ms;
+  /*
+   * Hash of the worker that has read the prompt.
+   */
+  uint64_t worker;
 };
 #define GOSSIP__ORIGIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__origin__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -189,6 +189,7 @@
         gossip__origin__init(row);
         row->request = origin->request;
         row->version = origin->version;
+        row->worker = origin->worker;
         row->left_ms = (uint32_t)((origin->until_us - now_us) / CLK_US_PER_MS);
         message->origins[news->n_origins++] = row;
         Origins_NoteTold(origins, origin);
@@ -203,10 +204,14 @@
     for (size_t i = 0; i < news->n_origins && gos->options.origins != NULL;
          i++) {
         const Gossip__Origin *from = news->origins[i];
+        Origin origin = {
+            .request = from->request,
+            .version = from->version,
+            .worker = from->worker,
+            .until_us = now_us + (int64_t)from->left_ms * CLK_US_PER_MS,
+        };
         if (from->version != 0) {
-            Origins_Set(gos->options.origins, from->request, from->version,
-                        now_us + (int64_t)from->left_ms * CLK_US_PER_MS, false,
-                        now_us);
+            Origins_Set(gos->options.origins, &origin, false, now_us);
         }
     }
 }
--- a/src/gate/origins.c
+++ b/src/gate/origins.c
@@ -21,13 +21,12 @@
 }
 
 void
-Origins_Set(Origins *origins, uint64_t request, uint32_t version,
-            int64_t until_us, bool own, int64_t now_us)
+Origins_Set(Origins *origins, const Origin *from, bool own, int64_t now_us)
 {
     Origin *origin;
 
     expire(origins, now_us);
-    origin = g_hash_table_lookup(origins->rows, &request);
+    origin = g_hash_table_lookup(origins->rows, &from->request);
     if (origin != NULL) {
         drop(origins, origin);
     }
@@ -35,21 +34,22 @@
         drop(origins, TAILQ_LAST(&origins->list, OriginList));
     }
     origin = g_new0(Origin, 1);
-    origin->request = request;
-    origin->version = version;
-    origin->until_us = MIN(until_us, now_us + ORIGINS_KEEP_MAX_US);
+    origin->request = from->request;
+    origin->version = from->version;
+    origin->worker = from->worker;
+    origin->until_us = MIN(from->until_us, now_us + ORIGINS_KEEP_MAX_US);
     origin->tells_left = own ? ORIGINS_TELLS : 0;
     origins->untold += own;
     g_hash_table_insert(origins->rows, &origin->request, origin);
     TAILQ_INSERT_HEAD(&origins->list, origin, links);
 }
 
-uint32_t
+const Origin *
 Origins_Find(const Origins *origins, uint64_t request, int64_t now_us)
 {
     const Origin *origin = g_hash_table_lookup(origins->rows, &request);
 
-    return origin != NULL && now_us < origin->until_us ? origin->version : 0;
+    return origin != NULL && now_us < origin->until_us ? origin : NULL;
 }
 
 Origin *
--- a/src/gate/origins.h
+++ b/src/gate/origins.h
@@ -22,6 +22,7 @@
     uint64_t request; /* Hash of the ID of the caller's request that brought
                          the first event. */
     uint32_t version; /* As in FleetWorker. */
+    uint64_t worker;  /* Hash of the worker that has read the prompt. */
     int64_t until_us;
     uint32_t tells_left; /* Messages that are still to tell it. */
 } Origin;
@@ -36,13 +37,13 @@
 
 void Origins_Init(Origins *origins);
 void Origins_Clear(Origins *origins);
-/* Stores or replaces a record. Those of this VM are `own` and told to the
-   others. */
-void Origins_Set(Origins *origins, uint64_t request, uint32_t version,
-                 int64_t until_us, bool own, int64_t now_us);
-/* Returns the version that began the stream, or 0 if it is unknown. */
-uint32_t Origins_Find(const Origins *origins, uint64_t request,
-                      int64_t now_us);
+/* Stores or replaces a record, of which `request`, `version`, `worker` and
+   `until_us` are used. Those of this VM are `own` and told to the others. */
+void Origins_Set(Origins *origins, const Origin *from, bool own,
+                 int64_t now_us);
+/* Returns the record of a stream, or NULL if it is unknown. */
+const Origin *Origins_Find(const Origins *origins, uint64_t request,
+                           int64_t now_us);
 /* Returns the next record after `previous` that is to be told, the latest
    first, or NULL. Begins anew if `previous` is NULL. */
 Origin *Origins_NextToTell(const Origins *origins, const Origin *previous,
--- a/src/gate/reservation.c
+++ b/src/gate/reservation.c
@@ -152,6 +152,8 @@
              const RankWorker *rank, const void *context)
 {
     const RankWeights *weights = &task->gate->options.weights;
+    uint32_t unread_tokens =
+        worker->hash == task->reader ? 0 : task->request.prompt_tokens;
 
     (void)context;
     if (task->kv.handle[0] != '\0') {
@@ -160,8 +162,7 @@
                                                    task->kv.worker->entry.zone,
                                                    worker->entry.zone));
     }
-    return Rank_GetLocalPrefillCost(weights, rank,
-                                    task->request.prompt_tokens) +
+    return Rank_GetLocalPrefillCost(weights, rank, unread_tokens) +
            get_pause_cost(task, worker, rank, context);
 }
 
@@ -170,9 +171,8 @@
 get_pause_cost(const GateTask *task, const FleetWorker *worker,
                const RankWorker *rank, const void *context)
 {
-    (void)worker;
     (void)context;
-    return task->kv.handle[0] != '\0'
+    return task->kv.handle[0] != '\0' || worker->hash == task->reader
                ? 0
                : Rank_GetPauseCost(&task->gate->options.weights, rank,
                                    task->request.prompt_tokens);
--- a/src/gate/stream_resume.c
+++ b/src/gate/stream_resume.c
@@ -26,11 +26,12 @@
     Gate *gate = task->gate;
     int64_t now_us = Task_Now(task);
     int64_t since_us = now_us - get_caller_us(task) - RESUME_BEGIN_MARGIN_US;
-    uint32_t recorded = Origins_Find(&gate->origins, get_origin(task), now_us);
+    const Origin *recorded =
+        Origins_Find(&gate->origins, get_origin(task), now_us);
     uint32_t only = 0;
-    uint32_t surveyed = 0;
+    SurveyPart kept = {0};
     ResumptionState state = {
-        .has_record = recorded != 0,
+        .has_record = recorded != NULL,
         .versions = Fleet_CountVersions(
             gate->options.fleet, task->service->name, since_us, now_us, &only),
     };
@@ -44,22 +45,24 @@
         return;
     }
     if (step == RESUMPTION_ASK) {
-        state.survey = task->request.has_own_part
-                           ? Survey_Find(gate, task->service->name,
-                                         task->request.own_part,
-                                         task->began_us, &surveyed)
-                           : RESUMPTION_CANNOT_ASK;
+        state.survey =
+            task->request.has_own_part
+                ? Survey_Find(gate, task->service->name,
+                              task->request.own_part, task->began_us, &kept)
+                : RESUMPTION_CANNOT_ASK;
         step = Resumption_Decide(&state);
     }
     switch (step) {
     case RESUMPTION_FOLLOW_RECORD:
-        bind_version(task, recorded, "record");
+        task->reader = recorded->worker;
+        bind_version(task, recorded->version, "record");
         return;
     case RESUMPTION_FOLLOW_ONLY:
         bind_version(task, only, "only version");
         return;
     case RESUMPTION_FOLLOW_SURVEY:
-        bind_version(task, surveyed, "workers");
+        task->reader = kept.worker;
+        bind_version(task, kept.version, "workers");
         return;
     case RESUMPTION_ASK:
     case RESUMPTION_WAIT:
@@ -131,8 +134,13 @@
 void
 StreamResume_Recall(GateTask *task)
 {
-    task->version =
+    const Origin *recorded =
         Origins_Find(&task->gate->origins, get_origin(task), Task_Now(task));
+
+    if (recorded != NULL) {
+        task->version = recorded->version;
+        task->reader = recorded->worker;
+    }
 }
 
 void
@@ -140,11 +148,15 @@
 {
     Gate *gate = task->gate;
     int64_t left_ms = MAX(task->request.left_ms, task->route->timeout_ms);
+    Origin origin = {
+        .request = get_origin(task),
+        .version = task->current->version,
+        .worker = task->current->worker->hash,
+        .until_us =
+            task->began_us + left_ms * CLK_US_PER_MS + RESUME_BEGIN_MARGIN_US,
+    };
 
-    task->version = task->current->version;
-    Origins_Set(&gate->origins, get_origin(task), task->version,
-                task->began_us + left_ms * CLK_US_PER_MS +
-                    RESUME_BEGIN_MARGIN_US,
-                true, Task_Now(task));
+    task->version = origin.version;
+    Origins_Set(&gate->origins, &origin, true, Task_Now(task));
     gate->options.on_load_change(gate->options.context);
 }
--- a/src/gate/survey.c
+++ b/src/gate/survey.c
@@ -6,14 +6,12 @@
 
 #include <string.h>
 
-/* In place of a version: workers of several versions keep the part. */
-#define SURVEY_SEVERAL 0
-
 typedef struct SurveyCall {
     LIST_ENTRY(SurveyCall) links;
     Survey *survey;
     ClientCall *call;
     uint32_t version; /* Of the worker. */
+    uint64_t worker;  /* Its hash. */
     int status;
     GByteArray *body;
 } SurveyCall;
@@ -50,20 +48,20 @@
 
 ResumptionSurvey
 Survey_Find(Gate *gate, const char *service, uint64_t part, int64_t since_us,
-            uint32_t *version)
+            SurveyPart *kept)
 {
     Survey *survey = find_or_add(gate, service);
-    gpointer kept;
+    const SurveyPart *row;
     int64_t now_us = Clk_Now(gate->options.clk);
 
     if (is_running(survey)) {
         return RESUMPTION_ASKING;
     }
-    if (survey->began_us != 0 &&
-        g_hash_table_lookup_extended(survey->parts, &part, NULL, &kept)) {
-        *version = GPOINTER_TO_UINT(kept);
-        return *version == SURVEY_SEVERAL ? RESUMPTION_KEPT_BY_SEVERAL
-                                          : RESUMPTION_KEPT_BY_ONE_VERSION;
+    row = g_hash_table_lookup(survey->parts, &part);
+    if (row != NULL) {
+        *kept = *row;
+        return row->version == SURVEY_SEVERAL ? RESUMPTION_KEPT_BY_SEVERAL
+                                              : RESUMPTION_KEPT_BY_ONE_VERSION;
     }
     if (survey->began_us >= since_us) {
         return RESUMPTION_KEPT_BY_NONE;
@@ -102,7 +100,7 @@
     survey->gate = gate;
     g_strlcpy(survey->service, service, sizeof(survey->service));
     survey->parts =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     LIST_INIT(&survey->calls);
     LIST_INSERT_HEAD(&gate->surveys, survey, links);
     return survey;
@@ -165,6 +163,7 @@
     client_call.method = control_call.method;
     call->survey = survey;
     call->version = worker->version;
+    call->worker = worker->hash;
     call->body = g_byte_array_new();
     LIST_INSERT_HEAD(&survey->calls, call, links);
     Throttle_Charge(&worker->throttle);
@@ -234,15 +233,18 @@
 {
     const SurveyCall *call = context;
     GHashTable *parts = call->survey->parts;
-    gpointer kept;
-    uint32_t version = call->version;
+    SurveyPart *row = g_hash_table_lookup(parts, &part);
 
-    if (g_hash_table_lookup_extended(parts, &part, NULL, &kept) &&
-        GPOINTER_TO_UINT(kept) != version) {
-        version = SURVEY_SEVERAL;
+    if (row == NULL) {
+        row = g_new0(SurveyPart, 1);
+        row->part = part;
+        row->version = call->version;
+        g_hash_table_insert(parts, &row->part, row);
+    }
+    if (row->version != call->version) {
+        row->version = SURVEY_SEVERAL;
     }
-    g_hash_table_replace(parts, g_memdup2(&part, sizeof(part)),
-                         GUINT_TO_POINTER(version));
+    row->worker = call->worker;
 }
 
 static void
--- a/src/gate/survey.h
+++ b/src/gate/survey.h
@@ -19,8 +19,17 @@
 /* Time for which answers are kept, longer than callers resume a stream. Then
    later surveys replace them instead of adding to them. */
 #define SURVEY_KEEP_US (30 * CLK_US_PER_S)
+/* In place of a version: workers of several versions keep the part. */
+#define SURVEY_SEVERAL 0
 #define SURVEY_LIST_MAX_BYTES (512 * 1024)
 
+/* What is known of the prompt that ends with one part. */
+typedef struct SurveyPart {
+    uint64_t part;
+    uint32_t version; /* That keeps it; SURVEY_SEVERAL if there are several. */
+    uint64_t worker;  /* Hash of a worker that keeps it. */
+} SurveyPart;
+
 /* The surveys of one service. */
 typedef struct Survey {
     LIST_ENTRY(Survey) links;
@@ -28,8 +37,7 @@
     char service[FLEET_NAME_MAX];
     int64_t began_us;  /* When the last one began. */
     int64_t kept_us;   /* When the first one began whose answers are kept. */
-    GHashTable *parts; /* Hash of a part to the version that keeps it, or
-                          SURVEY_SEVERAL. */
+    GHashTable *parts; /* SurveyPart.part to SurveyPart. */
     LIST_HEAD(SurveyCallList, SurveyCall) calls; /* In progress. */
     uint32_t asked;
     uint32_t answered;
@@ -40,10 +48,10 @@
 void Survey_BeginAll(Gate *gate);
 /* Returns what is known of the prompt that ends with this part, and begins a
    survey if none was made since `since_us`, the arrival of the request. Stores
-   the version in *version if only one keeps the prompt. To be called again
+   who keeps the prompt in *kept if only one version does. To be called again
    while the state is RESUMPTION_ASKING. */
 ResumptionSurvey Survey_Find(Gate *gate, const char *service, uint64_t part,
-                             int64_t since_us, uint32_t *version);
+                             int64_t since_us, SurveyPart *kept);
 /* Ends and frees all surveys. */
 void Survey_EndAll(Gate *gate);
 
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -113,9 +113,13 @@
     /* Software version of the workers that make the stream's events, as in
        FleetWorker; 0 until its first event. */
     uint32_t version;
-    bool resuming;  /* Waits until the version of a resumed stream is known. */
-    uint32_t sends; /* Calls begun, reservations not counted. */
-    uint32_t runs;  /* Workers on which the request may have run. */
+    /* Hash of the worker that has read the prompt of a resumed stream and may
+       still keep it; 0: none. */
+    uint64_t reader;
+    /* Waits until the version of a resumed stream is known. */
+    bool resuming;
+    uint32_t sends;         /* Calls begun, reservations not counted. */
+    uint32_t runs;          /* Workers on which the request may have run. */
     uint32_t counted_calls; /* Calls counted for the retry budget, which
                                charges all but the first. */
     bool prefilled;         /* A prefill succeeded; further ones count as
--- a/tests/test_gate_joined.cc
+++ b/tests/test_gate_joined.cc
@@ -225,6 +225,25 @@
     EXPECT_EQ(older->lists, 1);
 }
 
+/* A resumption goes to the worker that has read the prompt, and has it read
+   nowhere else. */
+TEST(JoinedStream, ResumptionGoesToTheWorkerThatHasReadThePrompt)
+{
+    GateRig rig;
+    rig.SetRoute(resumable, true);
+    Worker *prefill = rig.AddWorker({PrefillReply()}, FLEET_PHASE_PREFILL);
+    for (int i = 0; i < 3; i++) {
+        rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
+    }
+    Worker *reader = rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
+    reader->kept_parts = {"b1"};
+    Caller *again = rig.Call(Resumption("id-1"));
+    ASSERT_TRUE(rig.UntilEnd(again));
+    EXPECT_EQ(again->Status(), 200) << again->text;
+    EXPECT_EQ(reader->requests.size(), 1u);
+    EXPECT_TRUE(prefill->requests.empty());
+}
+
 /* Many resumptions ask each worker once. */
 TEST(JoinedStream, ResumptionsAtOnceAskEachWorkerOnce)
 {
@@ -306,10 +325,20 @@
 {
     Origins origins;
     Origins_Init(&origins);
-    Origins_Set(&origins, 1, 7, 1000, true, 0);
-    EXPECT_EQ(Origins_Find(&origins, 1, 999), 7u);
-    EXPECT_EQ(Origins_Find(&origins, 1, 1000), 0u);
-    EXPECT_EQ(Origins_Find(&origins, 2, 0), 0u);
+    auto set = [&](uint64_t request, int64_t until_us, bool own) {
+        Origin from = {};
+        from.request = request;
+        from.version = 7;
+        from.worker = 8;
+        from.until_us = until_us;
+        Origins_Set(&origins, &from, own, 0);
+    };
+    set(1, 1000, true);
+    ASSERT_NE(Origins_Find(&origins, 1, 999), nullptr);
+    EXPECT_EQ(Origins_Find(&origins, 1, 999)->version, 7u);
+    EXPECT_EQ(Origins_Find(&origins, 1, 999)->worker, 8u);
+    EXPECT_EQ(Origins_Find(&origins, 1, 1000), nullptr);
+    EXPECT_EQ(Origins_Find(&origins, 2, 0), nullptr);
     for (int i = 0; i < ORIGINS_TELLS; i++) {
         Origin *origin = Origins_NextToTell(&origins, nullptr, 0);
         ASSERT_NE(origin, nullptr);
@@ -318,13 +347,13 @@
     }
     EXPECT_EQ(Origins_NextToTell(&origins, nullptr, 0), nullptr);
     for (uint64_t i = 0; i < 2 * ORIGINS_MAX; i++) {
-        Origins_Set(&origins, i, 7, INT64_MAX, false, 0);
+        set(i, INT64_MAX, false);
     }
     EXPECT_EQ(g_hash_table_size(origins.rows), (guint)ORIGINS_MAX);
-    EXPECT_EQ(Origins_Find(&origins, 0, 1), 0u);
-    EXPECT_EQ(Origins_Find(&origins, 2 * ORIGINS_MAX - 1, 1), 7u);
+    EXPECT_EQ(Origins_Find(&origins, 0, 1), nullptr);
+    EXPECT_NE(Origins_Find(&origins, 2 * ORIGINS_MAX - 1, 1), nullptr);
     EXPECT_EQ(Origins_Find(&origins, 2 * ORIGINS_MAX - 1, ORIGINS_KEEP_MAX_US),
-              0u);
+              nullptr);
     Origins_Clear(&origins);
 }
 
