--- a/src/gate/detour.c
+++ b/src/gate/detour.c
@@ -12,6 +12,8 @@
 /* Time between two probes of a service that can't be reached. */
 #define DETOUR_PROBE_MS 250
 #define DETOUR_PEERS_MAX 64
+/* VMs that are remembered; beyond, those without a call are dropped. */
+#define DETOUR_VMS_MAX 256
 /* A VM of another region counts as having this many requests more. */
 #define DETOUR_REMOTE_REQUESTS 3
 
@@ -42,6 +44,7 @@
 static bool judge(const Gate *gate, const char *service);
 static void set_cut(Gate *gate, DetourService *row, bool is_cut);
 static FleetWorker *get_vm(Gate *gate, const GatePeer *peer);
+static void drop_idle_vms(Gate *gate);
 static bool is_excluded(const GateTask *task, const FleetWorker *vm);
 static uint32_t get_load(const FleetWorker *vm, const GatePeer *peer);
 static void on_timer(evutil_socket_t fd, short what, void *context);
@@ -143,6 +146,7 @@
     uint32_t first;
     uint32_t second;
 
+    drop_idle_vms(gate);
     for (uint32_t i = 0; i < peer_count; i++) {
         FleetWorker *vm = get_vm(gate, &peers[i]);
         if (!Health_IsBlocked(&vm->health, now_us) && !is_excluded(task, vm)) {
@@ -260,6 +264,29 @@
     return row->worker;
 }
 
+/* Drops the VMs that nothing refers to once there are too many. */
+static void
+drop_idle_vms(Gate *gate)
+{
+    DetourVm *row = NULL;
+    uint32_t count = 0;
+
+    LIST_FOREACH(row, &gate->detour_vms, links)
+    {
+        count++;
+    }
+    row = LIST_FIRST(&gate->detour_vms);
+    while (count >= DETOUR_VMS_MAX && row != NULL) {
+        DetourVm *next = LIST_NEXT(row, links);
+        if (row->worker->refs == 1) {
+            LIST_REMOVE(row, links);
+            Fleet_Unref(row->worker);
+            g_free(row);
+        }
+        row = next;
+    }
+}
+
 static bool
 is_excluded(const GateTask *task, const FleetWorker *vm)
 {
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -1,5 +1,5 @@
 /* Messages of gossip (Gos_): what a message between VMs carries. Internal to
-   gossip.c and gossip_message.c. */
+   gossip.c, gossip_message.c and gossip_table.c. */
 #ifndef LS_GOSSIP_MESSAGE_H
 #define LS_GOSSIP_MESSAGE_H
 
@@ -113,4 +113,12 @@
 /* Stores this VM's use of the worker; false if there is none. */
 bool Gos_GetOwnUse(const FleetWorker *worker, int64_t now_us, ReportUse *use);
 
+/* Sends a packed message to a VM's address. */
+void Gos_SendTo(Gos *gos, uint64_t address, const GosMessage *message);
+/* Stores the part of a region's table that a message carries. */
+void Gos_StoreTable(Gos *gos, const Gossip__News *news);
+/* Sends the tables that are due: this region's to all VMs that report to this
+   one, and those of other regions. */
+void Gos_SendTables(Gos *gos);
+
 #endif
--- a/src/gate/origins.c
+++ b/src/gate/origins.c
@@ -24,14 +24,16 @@
 Origins_Set(Origins *origins, const Origin *from, bool own, int64_t now_us)
 {
     Origin *origin;
+    Origin *oldest;
 
     expire(origins, now_us);
     origin = g_hash_table_lookup(origins->rows, &from->request);
     if (origin != NULL) {
         drop(origins, origin);
     }
-    if (g_hash_table_size(origins->rows) >= ORIGINS_MAX) {
-        drop(origins, TAILQ_LAST(&origins->list, OriginList));
+    oldest = TAILQ_LAST(&origins->list, OriginList);
+    if (oldest != NULL && g_hash_table_size(origins->rows) >= ORIGINS_MAX) {
+        drop(origins, oldest);
     }
     origin = g_new0(Origin, 1);
     origin->request = from->request;
--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -124,7 +124,7 @@
 {
     bool once = task->route->kind == RTE_NON_IDEMPOTENT;
     GateCallOptions options = {
-        .worker = worker->is_vm ? NULL : worker->entry.id,
+        .worker = worker->entry.id,
         .left_ms = Task_GetLeftMs(task),
         .last_event = GATE_NO_EVENT,
     };
@@ -137,9 +137,9 @@
     Task_BeginCall(task, worker, &options,
                    once ? PLAIN_ONCE_IDLE_MAX_MS : UINT32_MAX, Task_AppendBody,
                    on_end);
-    task->step_deadline_us = task->current->began_us +
-                             Handover_GetLimits(&call).prepare_us +
-                             (worker->is_vm ? DETOUR_SILENCE_EXTRA_US : 0);
+    task->step_deadline_us =
+        task->current->began_us + Handover_GetLimits(&call).prepare_us +
+        (task->current->worker->is_vm ? DETOUR_SILENCE_EXTRA_US : 0);
     Task_SetTimer(task);
 }
 
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -297,7 +297,7 @@
     FleetWorker *worker = Fleet_Ref(task->assigned.worker);
     bool once = !task->route->can_resume;
     GateCallOptions options = {
-        .worker = worker->is_vm ? NULL : worker->entry.id,
+        .worker = worker->entry.id,
         .left_ms = Task_GetLeftMs(task),
         .last_event = task->last_event,
     };
--- a/src/gate/stream_resume.c
+++ b/src/gate/stream_resume.c
@@ -26,12 +26,13 @@
     Gate *gate = task->gate;
     int64_t now_us = Task_Now(task);
     int64_t since_us = now_us - get_caller_us(task) - RESUME_BEGIN_MARGIN_US;
-    const Origin *recorded =
+    const Origin *found =
         Origins_Find(&gate->origins, get_origin(task), now_us);
+    Origin recorded = found != NULL ? *found : (Origin){.version = 0};
     uint32_t only = 0;
     SurveyPart kept = {0};
     ResumptionState state = {
-        .has_record = recorded != NULL,
+        .has_record = found != NULL,
         .versions = Fleet_CountVersions(
             gate->options.fleet, task->service->name, since_us, now_us, &only),
     };
@@ -54,8 +55,8 @@
     }
     switch (step) {
     case RESUMPTION_FOLLOW_RECORD:
-        task->reader = recorded->worker;
-        bind_version(task, recorded->version, "record");
+        task->reader = recorded.worker;
+        bind_version(task, recorded.version, "record");
         return;
     case RESUMPTION_FOLLOW_ONLY:
         bind_version(task, only, "only version");
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -65,6 +65,7 @@
     const GateCodec *codec = task->gate->options.codec;
     TaskCall *current = task->current;
     HeaderList *headers = Header_New();
+    GateCallOptions sent = *options;
     ClientCallOptions call = {
         .address = worker->entry.address,
         .method = task->exchange->method,
@@ -82,7 +83,10 @@
         .on_end = on_end,
     };
 
-    codec->encode_call(codec->context, &task->request, options, headers);
+    if (worker->is_vm) {
+        sent.worker = NULL; /* That VM chooses the worker. */
+    }
+    codec->encode_call(codec->context, &task->request, &sent, headers);
     if (worker->is_vm) {
         Detour_AddHeader(headers, task->runs);
     }
