--- a/src/decide/reach.c
+++ b/src/decide/reach.c
@@ -7,17 +7,17 @@
     if (worker->heard_us > reach->heard_us) {
         reach->heard_us = worker->heard_us;
     }
-    if (worker->vain_us > reach->vain_us[0]) {
-        reach->vain_us[1] = reach->vain_us[0];
-        reach->vain_us[0] = worker->vain_us;
+    if (worker->unanswered_us > reach->unanswered_us[0]) {
+        reach->unanswered_us[1] = reach->unanswered_us[0];
+        reach->unanswered_us[0] = worker->unanswered_us;
     }
-    else if (worker->vain_us > reach->vain_us[1]) {
-        reach->vain_us[1] = worker->vain_us;
+    else if (worker->unanswered_us > reach->unanswered_us[1]) {
+        reach->unanswered_us[1] = worker->unanswered_us;
     }
 }
 
 bool
 Reach_IsCut(const Reach *reach)
 {
-    return reach->vain_us[REACH_VAIN_MIN - 1] > reach->heard_us;
+    return reach->unanswered_us[REACH_UNANSWERED_MIN - 1] > reach->heard_us;
 }
--- a/src/gate/detour.c
+++ b/src/gate/detour.c
@@ -17,7 +17,7 @@
 /* A VM of another region counts as having this many requests more. */
 #define DETOUR_REMOTE_REQUESTS 3
 
-/* A service of whose workers some were called in vain. */
+/* A service of whose workers some did not answer. */
 typedef struct DetourService {
     LIST_ENTRY(DetourService) links;
     char name[FLEET_NAME_MAX];
@@ -45,7 +45,6 @@
 static void set_cut(Gate *gate, DetourService *row, bool is_cut);
 static FleetWorker *get_vm(Gate *gate, const GatePeer *peer);
 static void drop_idle_vms(Gate *gate);
-static bool is_excluded(const GateTask *task, const FleetWorker *vm);
 static uint32_t get_load(const FleetWorker *vm, const GatePeer *peer);
 static void on_timer(evutil_socket_t fd, short what, void *context);
 static void probe(Gate *gate, DetourService *row);
@@ -149,7 +148,8 @@
     drop_idle_vms(gate);
     for (uint32_t i = 0; i < peer_count; i++) {
         FleetWorker *vm = get_vm(gate, &peers[i]);
-        if (!Health_IsBlocked(&vm->health, now_us) && !is_excluded(task, vm)) {
+        if (!Health_IsBlocked(&vm->health, now_us) &&
+            !Task_IsExcluded(task, vm)) {
             loads[count] = get_load(vm, &peers[i]);
             candidates[count++] = vm;
         }
@@ -208,7 +208,7 @@
 
     for (guint i = 0; i < rows->len; i++) {
         const FleetWorker *worker = g_ptr_array_index(rows, i);
-        ReachWorker row = {worker->heard_us, worker->vain_us};
+        ReachWorker row = {worker->heard_us, worker->unanswered_us};
         if (strcmp(worker->entry.service, service) == 0 &&
             Fleet_IsListed(worker, now_us)) {
             Reach_AddWorker(&reach, &row);
@@ -287,17 +287,6 @@
     }
 }
 
-static bool
-is_excluded(const GateTask *task, const FleetWorker *vm)
-{
-    for (guint i = 0; i < task->excluded_count; i++) {
-        if (task->excluded[i] == vm) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static uint32_t
 get_load(const FleetWorker *vm, const GatePeer *peer)
 {
--- a/src/gate/detour.h
+++ b/src/gate/detour.h
@@ -9,7 +9,8 @@
 
 #include "task.h"
 
-/* Cost of a call at another VM, below that of any worker called in vain. */
+/* Cost of a call at another VM, below that of a worker that does not answer.
+ */
 #define DETOUR_COST_US (20 * CLK_US_PER_MS)
 
 /* Time for which a silent call at another VM is kept beyond the usual limit:
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -87,15 +87,15 @@
     uint32_t peer_leaving; /* Other VMs to which it said that it leaves. */
     int64_t phase_change_until_us; /* End of a phase change that this VM
                                       ordered, at the latest; 0: none. */
-    uint32_t load_running;   /* Running requests that the worker reported. */
-    uint32_t load_waiting;   /* Queued requests that the worker reported. */
-    int64_t load_us;         /* Time of the last load report, or 0. */
-    int64_t heard_us;        /* Last bytes of an answer to any call, or 0. */
-    int64_t vain_us;         /* Latest call that was found to be in vain, by
-                                its last bytes or beginning; 0: none. */
-    int64_t full_until_us;   /* The worker refused work, since it was full or
-                                changed its phase: until then others are tried
-                                first. */
+    uint32_t load_running; /* Running requests that the worker reported. */
+    uint32_t load_waiting; /* Queued requests that the worker reported. */
+    int64_t load_us;       /* Time of the last load report, or 0. */
+    int64_t heard_us;      /* Last bytes of an answer to any call, or 0. */
+    int64_t unanswered_us; /* Last bytes, or beginning, of the latest call that
+                              it did not answer in time; 0: none. */
+    int64_t full_until_us; /* The worker refused work, since it was full or
+                              changed its phase: until then others are tried
+                              first. */
     bool lacks_reservations; /* The worker does not support reservations. */
     double service_us;       /* Moving average of a call's duration. */
     double slowness;         /* Moving average of measured prefill time over
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -91,7 +91,7 @@
     uint64_t identity;   /* See Task_GetIdentity(); 0 if not yet computed. */
     bool is_caller_gone; /* The caller has disconnected. */
     bool is_relayed;     /* Another VM passed the request on. */
-    uint32_t unreached;  /* Calls of this task that were in vain. */
+    uint32_t unreached;  /* Calls of this task without an answer. */
     bool is_retry; /* The caller was refused before, judging by its time. */
     int64_t began_us;
     int64_t deadline_us;      /* Earlier of the caller's and the route's. */
@@ -229,6 +229,8 @@
 /* Excludes a worker that failed from the task's further choices. Returns false
    if the task has excluded too many already. */
 bool Task_ExcludeWorker(GateTask *task, FleetWorker *worker);
+/* Whether the worker failed the task. */
+bool Task_IsExcluded(const GateTask *task, const FleetWorker *worker);
 /* Whether the ended call has run, judging by its outcome and answer. */
 LsRun Task_GetRun(const TaskCall *call, ClientOutcome outcome);
 /* Whether the worker's answer may be passed to the caller. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -241,7 +241,7 @@
                    from its messages. */
     }
     Health_NoteUnresponsive(&worker->health, Task_Now(call->task));
-    worker->vain_us = MAX(worker->vain_us, call->heard_us);
+    worker->unanswered_us = MAX(worker->unanswered_us, call->heard_us);
     call->task->unreached++;
 }
 
--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -8,7 +8,7 @@
    would take to find it unreachable. */
 #define TASK_PEER_UNREACHABLE_COST_US (300 * CLK_US_PER_MS)
 
-/* Calls of a task in vain after which another VM is asked: connections that
+/* Unanswered calls of a task after which another VM is asked: connections that
    live on hide a cut, as new ones are refused. */
 #define TASK_UNREACHED_MAX 2
 
@@ -29,7 +29,6 @@
 static void fill_rank(const GateTask *task, const FleetWorker *worker,
                       int64_t now_us, RankWorker *rank);
 static bool is_other_version(const GateTask *task, const FleetWorker *worker);
-static bool is_excluded(const GateTask *task, const FleetWorker *worker);
 
 RankDistance
 Task_GetDistance(const Gate *gate, const char *from, const char *to)
@@ -149,7 +148,7 @@
             !Fleet_IsUsable(worker, now_us) ||
             Fleet_IsChangingPhase(worker, now_us) ||
             worker->throttled_choice == task->gate->choices ||
-            is_other_version(task, worker) || is_excluded(task, worker)) {
+            is_other_version(task, worker) || Task_IsExcluded(task, worker)) {
             continue;
         }
         suitability = get_suitability(worker, now_us);
@@ -261,8 +260,8 @@
            worker->entry.phase == FLEET_PHASE_DECODE;
 }
 
-static bool
-is_excluded(const GateTask *task, const FleetWorker *worker)
+bool
+Task_IsExcluded(const GateTask *task, const FleetWorker *worker)
 {
     for (guint i = 0; i < task->excluded_count; i++) {
         if (task->excluded[i] == worker) {
--- a/tests/test_decide_reach.cc
+++ b/tests/test_decide_reach.cc
@@ -11,7 +11,7 @@
 
 struct ReachCase {
     const char *name;
-    std::vector<ReachWorker> workers; /* heard_us, vain_us. */
+    std::vector<ReachWorker> workers; /* heard_us, unanswered_us. */
     bool is_cut;
 };
 
