Origins: their size in a message is some 30 bytes

Counted by field: request 9, version 5, time left 4, worker 9, and 2 for the list: 29; computed, not measured on the wire. Ruled out: any effect on the limit of a message, which is checked when it is packed.

--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -19,7 +19,7 @@
 #define GOS_SUSPECTS_MAX 4
 /* Limits of workers in one message, some 20 bytes each. */
 #define GOS_LIMITS_MAX 8
-/* Streams that began in one message, some 20 bytes each. */
+/* Streams that began in one message, some 30 bytes each. */
 #define GOS_ORIGINS_MAX 16
 /* How long the end of a limit is told. */
 #define GOS_LIMIT_NEWS_US (3 * CLK_US_PER_S)
