--- a/src/gate/detour.c
+++ b/src/gate/detour.c
@@ -26,6 +26,13 @@
     uint32_t next_probe; /* Row of the worker to probe next. */
 } DetourService;
 
+/* What a judgement rests on, for logs. */
+typedef struct DetourFacts {
+    uint32_t workers;    /* Listed workers of the service. */
+    uint32_t unanswered; /* Those that left a call unanswered since. */
+    int64_t heard_us;    /* Last bytes from any of them; 0: none. */
+} DetourFacts;
+
 /* Another VM that was called. */
 typedef struct DetourVm {
     LIST_ENTRY(DetourVm) links;
@@ -41,8 +48,9 @@
 } DetourProbe;
 
 static DetourService *find(const Gate *gate, const char *service);
-static bool judge(const Gate *gate, const char *service);
-static void set_cut(Gate *gate, DetourService *row, bool is_cut);
+static bool judge(const Gate *gate, const char *service, DetourFacts *facts);
+static void set_cut(Gate *gate, DetourService *row, bool is_cut,
+                    const DetourFacts *facts);
 static FleetWorker *get_vm(Gate *gate, const GatePeer *peer);
 static void drop_idle_vms(Gate *gate);
 static uint32_t get_load(const FleetWorker *vm, const GatePeer *peer);
@@ -64,7 +72,8 @@
 Detour_IsCut(Gate *gate, const char *service)
 {
     DetourService *row = find(gate, service);
-    bool is_cut = judge(gate, service);
+    DetourFacts facts;
+    bool is_cut = judge(gate, service, &facts);
 
     if (row == NULL && !is_cut) {
         return false;
@@ -75,7 +84,7 @@
         LIST_INSERT_HEAD(&gate->cut_services, row, links);
     }
     if (row->is_cut != is_cut) {
-        set_cut(gate, row, is_cut);
+        set_cut(gate, row, is_cut, &facts);
     }
     return is_cut;
 }
@@ -200,34 +209,47 @@
 }
 
 static bool
-judge(const Gate *gate, const char *service)
+judge(const Gate *gate, const char *service, DetourFacts *facts)
 {
     const GPtrArray *rows = gate->options.fleet->rows;
     int64_t now_us = Clk_Now(gate->options.clk);
     Reach reach = {0};
 
+    *facts = (DetourFacts){0};
     for (guint i = 0; i < rows->len; i++) {
         const FleetWorker *worker = g_ptr_array_index(rows, i);
         ReachWorker row = {worker->heard_us, worker->unanswered_us};
         if (strcmp(worker->entry.service, service) == 0 &&
             Fleet_IsListed(worker, now_us)) {
             Reach_AddWorker(&reach, &row);
+            facts->workers++;
         }
     }
+    facts->heard_us = reach.heard_us;
+    for (guint i = 0; i < rows->len && Reach_IsCut(&reach); i++) {
+        const FleetWorker *worker = g_ptr_array_index(rows, i);
+        facts->unanswered += strcmp(worker->entry.service, service) == 0 &&
+                             Fleet_IsListed(worker, now_us) &&
+                             worker->unanswered_us > reach.heard_us;
+    }
     return Reach_IsCut(&reach);
 }
 
 static void
-set_cut(Gate *gate, DetourService *row, bool is_cut)
+set_cut(Gate *gate, DetourService *row, bool is_cut, const DetourFacts *facts)
 {
     int64_t now_us = Clk_Now(gate->options.clk);
 
     Met_Add(MET_SERVICES_CUT, is_cut);
     Log_WriteJson(
         LOG_LEVEL_WARNING, is_cut ? "service_cut" : "service_reached",
-        json_pack("{s:s,s:I}", "service", row->name, "after_us",
-                  (json_int_t)(row->changed_us != 0 ? now_us - row->changed_us
-                                                    : 0)));
+        json_pack(
+            "{s:s,s:I,s:i,s:i,s:I}", "service", row->name, "after_us",
+            (json_int_t)(row->changed_us != 0 ? now_us - row->changed_us : 0),
+            "workers", (int)facts->workers, "unanswered",
+            (int)facts->unanswered, "heard_ago_us",
+            (json_int_t)(facts->heard_us != 0 ? now_us - facts->heard_us
+                                              : -1)));
     row->is_cut = is_cut;
     row->changed_us = now_us;
     gate->options.on_load_change(gate->options.context);
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -184,16 +184,25 @@
     while ((row = Suspects_TakeChange(&gate->suspects)) != NULL) {
         int64_t until_us = 0;
         int64_t now_us = Clk_Now(gate->options.clk);
+        int64_t first_us = now_us;
+        int64_t last_us = 0;
 
+        for (uint32_t i = 0; i < row->crash_count; i++) {
+            first_us = MIN(first_us, row->crashes[i].at_us);
+            last_us = MAX(last_us, row->crashes[i].at_us);
+        }
         Suspects_Judge(&gate->suspects, &row->part, 1, now_us, &until_us);
         Met_Add(MET_PARTS_BLAMED, row->blamed);
         Log_WriteJson(
             LOG_LEVEL_WARNING, row->blamed ? "part_blamed" : "part_cleared",
-            json_pack("{s:o,s:i,s:i,s:I}", "part",
-                      json_sprintf("%016llx", (unsigned long long)row->part),
-                      "depth", (int)row->depth, "crashes",
-                      (int)row->crash_count, "blocked_us",
-                      (json_int_t)MAX(until_us - now_us, 0)));
+            json_pack(
+                "{s:o,s:i,s:i,s:I,s:I,s:I}", "part",
+                json_sprintf("%016llx", (unsigned long long)row->part),
+                "depth", (int)row->depth, "crashes", (int)row->crash_count,
+                "crashes_span_us", (json_int_t)MAX(last_us - first_us, 0),
+                "sound_ago_us",
+                (json_int_t)(row->sound_us != 0 ? now_us - row->sound_us : -1),
+                "blocked_us", (json_int_t)MAX(until_us - now_us, 0)));
     }
 }
 
--- a/src/gate/stream_resume.c
+++ b/src/gate/stream_resume.c
@@ -19,6 +19,7 @@
 static uint64_t get_origin(const GateTask *task);
 static void bind_version(GateTask *task, uint32_t version, const char *source);
 static void refuse(GateTask *task, const char *cause);
+static const char *get_survey_name(ResumptionSurvey survey);
 
 void
 StreamResume_Advance(GateTask *task)
@@ -74,6 +75,12 @@
     case RESUMPTION_REFUSE:
         break;
     }
+    Log_WriteJson(
+        LOG_LEVEL_INFO, "stream_version_unknown",
+        json_pack("{s:s,s:s,s:i,s:s}", "request", task->request.id, "resumes",
+                  task->request.resumes != NULL ? task->request.resumes : "",
+                  "versions", (int)state.versions, "workers",
+                  get_survey_name(state.survey)));
     refuse(task, state.survey == RESUMPTION_KEPT_BY_SEVERAL
                      ? "several software versions may have begun the stream"
                      : "software version of the stream is unknown");
@@ -132,6 +139,21 @@
     Task_Refuse(task, ADMISSION_NO_WORKER);
 }
 
+static const char *
+get_survey_name(ResumptionSurvey survey)
+{
+    static const char *const names[] = {
+        [RESUMPTION_NOT_ASKED] = "not asked",
+        [RESUMPTION_ASKING] = "asking",
+        [RESUMPTION_KEPT_BY_NONE] = "none keeps the prompt",
+        [RESUMPTION_KEPT_BY_ONE_VERSION] = "one version keeps the prompt",
+        [RESUMPTION_KEPT_BY_SEVERAL] = "several versions keep the prompt",
+        [RESUMPTION_CANNOT_ASK] = "can't be asked",
+    };
+
+    return names[survey];
+}
+
 void
 StreamResume_Recall(GateTask *task)
 {
--- a/src/gate/survey.c
+++ b/src/gate/survey.c
@@ -137,6 +137,12 @@
             ask(survey, g_ptr_array_index(workers, i));
         }
     }
+    else {
+        Log_WriteJson(LOG_LEVEL_WARNING, "survey_impossible",
+                      json_pack("{s:s,s:i,s:i}", "service", survey->service,
+                                "workers", (int)workers->len, "most",
+                                SURVEY_WORKERS_MAX));
+    }
     g_ptr_array_free(workers, TRUE);
     return is_possible;
 }
--- a/src/gate/task_wait.c
+++ b/src/gate/task_wait.c
@@ -2,7 +2,12 @@
 #include "task_wait.h"
 #include "reservation.h"
 
+#include "../log.h"
+
+#include <string.h>
+
 static void poll(GateTask *task, const AdmissionWaitPlan *wait_plan);
+static void log_no_room(const GateTask *task, const AdmissionWaitPlan *plan);
 static bool may_wait(GateTask *task);
 static AdmissionQueue *find_queue(GateTask *task);
 static AdmissionWaitPlan plan_wait(const GateTask *task);
@@ -32,12 +37,41 @@
     if (now_us >= wait_plan.until_us || task->gate->stopping ||
         !may_wait(task)) {
         g_strlcpy(task->cause, cause, sizeof(task->cause));
+        log_no_room(task, &wait_plan);
         Task_Abort(task, ADMISSION_FULL, LS_ERR_UPSTREAM_FAILED);
         return;
     }
     poll(task, &wait_plan);
 }
 
+static void
+log_no_room(const GateTask *task, const AdmissionWaitPlan *plan)
+{
+    const GPtrArray *rows = task->gate->options.fleet->rows;
+    int64_t now_us = Task_Now(task);
+    int usable = 0;
+    int of_version = 0;
+
+    for (guint i = 0; i < rows->len; i++) {
+        const FleetWorker *worker = g_ptr_array_index(rows, i);
+        if (worker->entry.phase == FLEET_PHASE_DECODE &&
+            strcmp(worker->entry.service, task->service->name) == 0 &&
+            Fleet_IsUsable(worker, now_us)) {
+            usable++;
+            of_version += worker->version == task->version;
+        }
+    }
+    Log_WriteJson(LOG_LEVEL_INFO, "no_room",
+                  json_pack("{s:s,s:b,s:b,s:I,s:I,s:I,s:i,s:i}", "request",
+                            task->request.id, "begun",
+                            task->last_event != GATE_NO_EVENT, "retry",
+                            (int)task->is_retry, "waited_us",
+                            (json_int_t)(now_us - task->waiting_since_us),
+                            "poll_us", (json_int_t)plan->poll_us, "left_ms",
+                            (json_int_t)Task_GetLeftMs(task), "workers",
+                            usable, "of_version", of_version));
+}
+
 void
 TaskWait_EndWait(GateTask *task, AdmissionWaitEnd end)
 {
