Gossip: a region's table is sent in as many parts as fit into datagrams

All VMs of the region but its hubs then choose workers by their own calls only. Change: the number of parts is the first one in which each part fits. Counters peer_messages_too_large and uses_untold (workers in use beyond the 48 of a VM's own message). Ruled out: suspects, limits and hubs in the same message (the test has none but hubs).

--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -1,6 +1,8 @@
 /* Messages of gossip: contents and encoding. See gossip_message.h. */
 #include "gossip_message.h"
 
+#include "../metrics.h"
+
 static void add_suspects(const Gos *gos, GosMessage *message);
 static void add_limits(Gos *gos, GosMessage *message);
 static uint32_t encode_age(int64_t at_us, int64_t now_us);
@@ -236,13 +238,17 @@
     const GPtrArray *rows = gos->options.fleet->rows;
     int64_t now_us = Clk_Now(gos->options.clk);
 
-    for (guint i = 0; i < rows->len && message->news.n_uses < GOS_USES_MAX;
-         i++) {
-        Gossip__Use *row = &message->use_rows[message->news.n_uses];
+    for (guint i = 0; i < rows->len; i++) {
+        Gossip__Use *row = NULL;
         ReportUse use;
         if (!Gos_GetOwnUse(g_ptr_array_index(rows, i), now_us, &use)) {
             continue;
         }
+        if (message->news.n_uses == GOS_USES_MAX) {
+            Met_Add(MET_USES_UNTOLD, 1);
+            continue;
+        }
+        row = &message->use_rows[message->news.n_uses];
         gossip__use__init(row);
         row->worker = use.worker->hash;
         row->inflight = use.inflight;
@@ -318,6 +324,7 @@
     while (gossip__news__get_packed_size(news) > GOS_MESSAGE_MAX_BYTES &&
            news->n_uses > 0) {
         news->n_uses--;
+        Met_Add(MET_USES_UNTOLD, 1);
     }
     while (gossip__news__get_packed_size(news) > GOS_MESSAGE_MAX_BYTES &&
            news->n_suspects + news->n_limits + news->n_origins > 0) {
@@ -335,14 +342,16 @@
         gossip__news__get_packed_size(news) <= GOS_MESSAGE_MAX_BYTES
             ? gossip__news__pack(news, message->data)
             : 0;
+    Met_Add(MET_PEER_MESSAGES_TOO_LARGE, message->size == 0);
 }
 
-void
+bool
 Gos_FillTablePart(GosTablePart *part, const Report *report, uint32_t number,
                   uint32_t count)
 {
     Gossip__Table *table = &part->table;
     size_t n = 0;
+    bool is_whole = true;
 
     table->part = number;
     table->parts = count;
@@ -354,11 +363,15 @@
     table->changing = part->changing;
     table->leaving = part->leaving;
     table->demands = part->demands;
-    for (guint i = 0; i < report->uses->len && n < GOS_TABLE_ROWS_MAX; i++) {
+    for (guint i = 0; i < report->uses->len; i++) {
         const ReportUse *use = &g_array_index(report->uses, ReportUse, i);
         if (use->worker->hash % count != number) {
             continue;
         }
+        if (n == GOS_TABLE_ROWS_MAX) {
+            is_whole = false;
+            break;
+        }
         part->workers[n] = use->worker->hash;
         part->inflight[n] = use->inflight;
         part->reading[n] = (uint32_t)use->prefill_tokens;
@@ -385,6 +398,8 @@
         table->n_demands =
             fill_demands(report, part->demand_rows, part->demands);
     }
+    return is_whole &&
+           gossip__table__get_packed_size(table) <= GOS_TABLE_MAX_BYTES;
 }
 
 /* Fills in the demands of a report, and returns their number. */
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -28,6 +28,10 @@
    fragmentation. */
 #define GOS_MESSAGE_MAX_BYTES 1400
 
+/* Most bytes of a table's part: the sender's versions and the hubs of all
+   regions have room beside it. */
+#define GOS_TABLE_MAX_BYTES 1100
+
 /* A message with the arrays that it refers to. */
 typedef struct GosMessage {
     Gossip__News news;
@@ -104,8 +108,9 @@
 void Gos_MergeLimits(const Gos *gos, const Gossip__News *news);
 /* Stores which versions began the streams of another VM. */
 void Gos_MergeOrigins(const Gos *gos, const Gossip__News *news);
-/* Fills in the workers whose hashes belong to this part of the table. */
-void Gos_FillTablePart(GosTablePart *part, const Report *report,
+/* Fills in the workers whose hashes belong to this part of the table. Returns
+   false if a message has no room for all of them. */
+bool Gos_FillTablePart(GosTablePart *part, const Report *report,
                        uint32_t number, uint32_t count);
 /* Decodes the forecast of row `row`: `later` holds GOS_LATER_POINTS values for
    each row. Those that are missing count as the present use. */
--- a/src/gate/gossip_table.c
+++ b/src/gate/gossip_table.c
@@ -5,6 +5,7 @@
 #include "../io/loop.h"
 
 static void add_own_uses(Gos *gos, Report *sum);
+static uint32_t count_parts(const Report *report);
 static void send_table(Gos *gos, uint32_t region, uint32_t members,
                        const Report *report, bool is_own);
 static void send_table_part(Gos *gos, const GosMessage *message, bool is_own);
@@ -131,23 +132,44 @@
     Report_Clear(&own);
 }
 
+/* Returns the number of parts in which each one fits into a message. */
+static uint32_t
+count_parts(const Report *report)
+{
+    /* Half of the room stays free, as the hashes fill the parts unevenly. */
+    uint32_t parts = report->uses->len <= GOS_TABLE_ROWS_MAX
+                         ? 1
+                         : 1 + report->uses->len * 3 / 2 / GOS_TABLE_ROWS_MAX;
+    bool is_whole = false;
+
+    parts = MIN(parts, PEERS_PARTS_MAX);
+    while (!is_whole && parts < PEERS_PARTS_MAX) {
+        is_whole = true;
+        for (uint32_t i = 0; i < parts && is_whole; i++) {
+            GosTablePart part;
+            gossip__table__init(&part.table);
+            is_whole = Gos_FillTablePart(&part, report, i, parts);
+        }
+        parts += !is_whole;
+    }
+    return parts;
+}
+
 /* Sends a region's table, in parts by the workers' hashes. */
 static void
 send_table(Gos *gos, uint32_t region, uint32_t members, const Report *report,
            bool is_own)
 {
-    /* Half of the room stays free, as the hashes fill the parts unevenly. */
-    uint32_t parts = 1 + report->uses->len * 3 / 2 / GOS_TABLE_ROWS_MAX;
+    uint32_t parts = count_parts(report);
 
-    parts = report->uses->len <= GOS_TABLE_ROWS_MAX ? 1 : parts;
-    for (uint32_t i = 0; i < MIN(parts, PEERS_PARTS_MAX); i++) {
+    for (uint32_t i = 0; i < parts; i++) {
         GosMessage message;
         GosTablePart part;
 
         gossip__table__init(&part.table);
         part.table.region = region;
         part.table.members = members;
-        Gos_FillTablePart(&part, report, i, MIN(parts, PEERS_PARTS_MAX));
+        Gos_FillTablePart(&part, report, i, parts);
         Gos_BeginMessage(gos, &message);
         message.news.n_demands = 0;
         message.news.table = &part.table;
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -35,6 +35,12 @@
                                 "Answered outcome unknown."},
     [MET_ORDERS_SENT] = {"orders_sent", "Orders sent to engines."},
     [MET_PEER_BYTES_SENT] = {"peer_bytes_sent", "Bytes sent to peers."},
+    [MET_PEER_MESSAGES_TOO_LARGE] = {"peer_messages_too_large",
+                                     "Messages to other VMs that were not "
+                                     "sent, as they don't fit a datagram."},
+    [MET_USES_UNTOLD] = {"uses_untold",
+                         "Workers in use that had no room in a message to "
+                         "other VMs."},
     [MET_PEER_BYTES_RECEIVED] = {"peer_bytes_received",
                                  "Bytes received from peers."},
     [MET_PEER_CONNECTS] = {"peer_connects", "Connections opened to peers."},
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -522,6 +522,41 @@
     EXPECT_TRUE(Until([&] { return AllCount(7, 0); }));
 }
 
+/* Nearly as many workers as one message holds, each with calls and memory in
+   use, a third of them silent: the tables' messages are full. */
+TEST_F(Fleet3, LoadStaysKnownWhileManyWorkersAreBusyAndSilent)
+{
+    const int kBusy = 61;
+    const int kCalls = 10;
+    uint32_t expected[kBusy] = {};
+    StartFleet(45);
+    ASSERT_TRUE(Until([&] { return AllKnow(45); }));
+    for (auto &node : nodes) {
+        for (int k = 0; k < kCalls; k++) {
+            int i = (node->index / 3 * kCalls + k) % kBusy;
+            Worker(*node, i)->inflight = 2;
+            Worker(*node, i)->prefill_tokens = 20000;
+            Worker(*node, i)->kv = {{30000, 31000, 32000}};
+            expected[i] += 2;
+        }
+        Gos_ScheduleUpdate(node->gos);
+    }
+    EXPECT_TRUE(Until([&] {
+        for (auto &node : nodes) {
+            for (int i = 0; i < kBusy / 3; i++) {
+                Health_NoteUnresponsive(&Worker(*node, i)->health,
+                                        Clk_Now(&clk));
+            }
+        }
+        for (int i = 0; i < kBusy; i++) {
+            if (!AllCount(i, expected[i])) {
+                return false;
+            }
+        }
+        return true;
+    }));
+}
+
 TEST_F(Fleet3, LoadStaysKnownWhenTheHubsOfARegionStop)
 {
     StartFleet(45);
