--- /dev/null
+++ b/tests/test_gate_resumed_at_size.cc
@@ -0,0 +1,141 @@
+/* Tests that callers' resumptions go on in services and fleets of any size,
+   and that asking for their software versions costs little. */
+#include "fleet_rig.h"
+
+namespace {
+
+const Route resumable = {RTE_STREAM, 3, true, 15000};
+
+/* Number of the own part of a prompt that worker `i` keeps. */
+std::string
+Part(int i)
+{
+    char text[16];
+    snprintf(text, sizeof(text), "%x", 0x1000 + i);
+    return text;
+}
+
+std::string
+Prompt(const std::string &id, const std::string &part,
+       const std::string &more = "")
+{
+    return "POST /r/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+           "\r\nX-Token-Usage: 1000,100\r\n"
+           "X-Prompt-Prefix: aa:200," +
+           part + ":800\r\n" + more + "Content-Length: 1\r\n\r\nb";
+}
+
+/* The request with which a caller resumes `id` after event 2. */
+std::string
+Resumption(const std::string &id, const std::string &part,
+           const std::string &suffix = "-again")
+{
+    return Prompt(id + suffix, part,
+                  "Last-Event-Id: 2\r\nResumes: " + id + "\r\n");
+}
+
+/* The VM learns all workers for the first time, as at its start. */
+void
+CompleteSweep(Edge *edge)
+{
+    Fleet *fleet = Edge_GetFleet(edge);
+    Feed_BeginSweep(Edge_GetFeed(edge), 0);
+    for (guint i = 0; i < fleet->rows->len; i++) {
+        auto *worker = (FleetWorker *)g_ptr_array_index(fleet->rows, i);
+        Fleet_KeepEntry(fleet, worker->entry.id, worker->entry.position);
+    }
+    Feed_EndSweep(Edge_GetFeed(edge));
+}
+
+struct SizeCase {
+    int vms;
+    int workers;
+    int most_lists; /* Of one worker. */
+};
+
+const SizeCase size_cases[] = {
+    {1, 12, 1},  {3, 12, 3},  {1, 70, 1},  {3, 70, 3},
+    {16, 12, 3}, {17, 12, 3}, {20, 70, 3},
+};
+
+/* All VMs were killed at once and start together. Soon afterwards new prompts
+   replace the old ones in the workers' memory. */
+TEST(ResumedAtSize, ResumptionsAfterAllVmsWereKilled)
+{
+    for (const SizeCase &row : size_cases) {
+        SCOPED_TRACE(std::to_string(row.vms) + " VMs, " +
+                     std::to_string(row.workers) + " workers");
+        FleetRig rig(resumable, row.vms, 0);
+        for (int i = 0; i < row.workers; i++) {
+            rig.versions.push_back(i % 2 == 0 ? "v1" : "v2");
+            rig.AddWorker({Stream(3, 9)});
+            rig.workers.back()->kept_parts = {"aa", Part(i)};
+        }
+        for (Edge *edge : rig.edges) {
+            CompleteSweep(edge);
+        }
+        rig.RunFor(1500);
+        for (const auto &worker : rig.workers) {
+            EXPECT_GE(worker->lists, 1);
+            EXPECT_LE(worker->lists, row.most_lists);
+            worker->kept_parts = {};
+        }
+        std::vector<Caller *> again;
+        for (int i = 0; i < row.workers; i++) {
+            again.push_back(
+                rig.Call((size_t)(i % row.vms),
+                         Resumption("id-" + std::to_string(i), Part(i))));
+        }
+        rig.RunFor(1500);
+        int streamed = 0;
+        for (const Caller *caller : again) {
+            streamed += caller->IsComplete() && caller->Status() == 200;
+        }
+        EXPECT_EQ(streamed, row.workers);
+        for (int i = 0; i < row.workers; i++) {
+            for (const std::string &text : rig.workers[(size_t)i]->requests) {
+                size_t at = text.find("aa:200,") + 7;
+                int part = std::stoi(text.substr(at), nullptr, 16) - 0x1000;
+                EXPECT_EQ(part % 2, i % 2) << "joins two versions";
+            }
+        }
+    }
+}
+
+/* The workers crashed, so that they keep nothing, and the VM that began the
+   stream is gone. Any other VM finds the record. */
+TEST(ResumedAtSize, RecordIsFoundFromEachVmAfterWorkersCrashed)
+{
+    for (int vms : {3, 20}) {
+        SCOPED_TRACE(std::to_string(vms) + " VMs");
+        FleetRig rig(resumable, vms, 0);
+        rig.versions = {"v1", "v2"};
+        std::vector<ScriptedReply> replies(
+            1, {StreamHead("Transfer-Encoding: chunked\r\n") +
+                Chunk(Events(0, 2))});
+        replies.insert(replies.end(), (size_t)vms, Stream(3, 9));
+        rig.AddWorker(replies);
+        rig.RunFor(1500);
+        Caller *caller = rig.Call(1, Prompt("id-1", "b1"));
+        rig.RunFor(500);
+        ASSERT_NE(caller->text.find("id: 2\n"), std::string::npos);
+        rig.AddWorker(std::vector<ScriptedReply>((size_t)vms, Stream(3, 9)));
+        caller->Disconnect();
+        rig.KillVm(1);
+        int streamed = 0;
+        for (int vm = 0; vm < vms; vm++) {
+            if (vm == 1) {
+                continue;
+            }
+            Caller *again =
+                rig.Call((size_t)vm,
+                         Resumption("id-1", "b1", "-" + std::to_string(vm)));
+            rig.RunFor(600);
+            streamed += again->IsComplete() && again->Status() == 200;
+        }
+        EXPECT_EQ(streamed, vms - 1);
+        EXPECT_TRUE(rig.workers[1]->requests.empty());
+    }
+}
+
+} // namespace
