Resumption: two VMs ask each worker, and any VM finds records and lists there

Callers saw: after a loss of all VMs no resumed stream goes on in a service with more than 64 decode workers, and after a crash of workers those at VMs that are no hubs are refused although hubs have the record. Cause: such a service was never asked (SURVEY_WORKERS_MAX); records of begun streams reach the hubs only, and the workers' memory, which the other VMs asked instead, is gone after a crash. Change: a worker is asked by two holders (decide/holders: all VMs of a mesh, the hubs of a large fleet), once the view of them has been the same for 300 ms; a VM without a record asks the holders by datagram (gate/lookup, gossip_lookup; News 25 and 26), which answer with their record or their workers' lists. Calls in progress are bounded (64).

--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -367,6 +367,96 @@
   assert(message->base.descriptor == &gossip__origin__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gossip__lookup__init
+                     (Gossip__Lookup         *message)
+{
+  static const Gossip__Lookup init_value = GOSSIP__LOOKUP__INIT;
+  *message = init_value;
+}
+size_t gossip__lookup__get_packed_size
+                     (const Gossip__Lookup *message)
+{
+  assert(message->base.descriptor == &gossip__lookup__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__lookup__pack
+                     (const Gossip__Lookup *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__lookup__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__lookup__pack_to_buffer
+                     (const Gossip__Lookup *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__lookup__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Lookup *
+       gossip__lookup__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Lookup *)
+     protobuf_c_message_unpack (&gossip__lookup__descriptor,
+                                allocator, len, data);
+}
+void   gossip__lookup__free_unpacked
+                     (Gossip__Lookup *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__lookup__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gossip__found__init
+                     (Gossip__Found         *message)
+{
+  static const Gossip__Found init_value = GOSSIP__FOUND__INIT;
+  *message = init_value;
+}
+size_t gossip__found__get_packed_size
+                     (const Gossip__Found *message)
+{
+  assert(message->base.descriptor == &gossip__found__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__found__pack
+                     (const Gossip__Found *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__found__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__found__pack_to_buffer
+                     (const Gossip__Found *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__found__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Found *
+       gossip__found__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Found *)
+     protobuf_c_message_unpack (&gossip__found__descriptor,
+                                allocator, len, data);
+}
+void   gossip__found__free_unpacked
+                     (Gossip__Found *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__found__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gossip__news__init
                      (Gossip__News         *message)
 {
@@ -1300,7 +1390,174 @@
   (ProtobufCMessageInit) gossip__origin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__news__field_descriptors[24] =
+static const ProtobufCFieldDescriptor gossip__lookup__field_descriptors[5] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Lookup, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Lookup, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Lookup, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_part",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Lookup, has_part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Lookup, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__lookup__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  3,   /* field[3] = has_part */
+  2,   /* field[2] = part */
+  0,   /* field[0] = request */
+  1,   /* field[1] = service */
+};
+static const ProtobufCIntRange gossip__lookup__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gossip__lookup__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Lookup",
+  "Lookup",
+  "Gossip__Lookup",
+  "gossip",
+  sizeof(Gossip__Lookup),
+  5,
+  gossip__lookup__field_descriptors,
+  gossip__lookup__field_indices_by_name,
+  1,  gossip__lookup__number_ranges,
+  (ProtobufCMessageInit) gossip__lookup__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__found__field_descriptors[4] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Found, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kept",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Found, kept),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Found, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Found, worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__found__field_indices_by_name[] = {
+  1,   /* field[1] = kept */
+  0,   /* field[0] = request */
+  2,   /* field[2] = version */
+  3,   /* field[3] = worker */
+};
+static const ProtobufCIntRange gossip__found__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gossip__found__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Found",
+  "Found",
+  "Gossip__Found",
+  "gossip",
+  sizeof(Gossip__Found),
+  4,
+  gossip__found__field_descriptors,
+  gossip__found__field_indices_by_name,
+  1,  gossip__found__number_ranges,
+  (ProtobufCMessageInit) gossip__found__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[26] =
 {
   {
     "vm",
@@ -1590,6 +1847,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lookups",
+    25,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gossip__News, n_lookups),
+    offsetof(Gossip__News, lookups),
+    &gossip__lookup__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "found",
+    26,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gossip__News, n_found),
+    offsetof(Gossip__News, found),
+    &gossip__found__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__news__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -1599,10 +1880,12 @@
   9,   /* field[9] = demands */
   17,   /* field[17] = digest */
   18,   /* field[18] = era */
+  25,   /* field[25] = found */
   12,   /* field[12] = hub */
   14,   /* field[14] = hubs */
   1,   /* field[1] = incarnation */
   20,   /* field[20] = limits */
+  24,   /* field[24] = lookups */
   2,   /* field[2] = number */
   21,   /* field[21] = origins */
   8,   /* field[8] = peers */
@@ -1620,7 +1903,7 @@
 static const ProtobufCIntRange gossip__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor gossip__news__descriptor =
 {
@@ -1630,7 +1913,7 @@
   "Gossip__News",
   "gossip",
   sizeof(Gossip__News),
-  24,
+  26,
   gossip__news__field_descriptors,
   gossip__news__field_indices_by_name,
   1,  gossip__news__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -23,6 +23,8 @@
 typedef struct Gossip__Suspect Gossip__Suspect;
 typedef struct Gossip__Limit Gossip__Limit;
 typedef struct Gossip__Origin Gossip__Origin;
+typedef struct Gossip__Lookup Gossip__Lookup;
+typedef struct Gossip__Found Gossip__Found;
 typedef struct Gossip__News Gossip__News;
 typedef struct Gossip__Entry Gossip__Entry;
 typedef struct Gossip__Picture Gossip__Picture;
@@ -301,7 +303,69 @@
 
 
 /*
- * Content of one datagram: the sender's load and versions.
+ * A question for the software version that began a stream, which its caller
+ * resumes at the sender.
+ */
+struct  Gossip__Lookup
+{
+  ProtobufCMessage base;
+  /*
+   * As in Origin.
+   */
+  uint64_t request;
+  /*
+   * Hash of the service's name.
+   */
+  uint64_t service;
+  /*
+   * Own part of the prompt; the last one.
+   */
+  uint64_t part;
+  protobuf_c_boolean has_part;
+  /*
+   * Time since the caller's request arrived.
+   */
+  uint32_t age_ms;
+};
+#define GOSSIP__LOOKUP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__lookup__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * What the sender's workers, of which it is a holder, tell of the prompt in a
+ * question. If the sender has a record, it is in `origins`.
+ */
+struct  Gossip__Found
+{
+  ProtobufCMessage base;
+  /*
+   * As in Lookup.
+   */
+  uint64_t request;
+  /*
+   * 1: the workers are being asked. 2: none keeps the prompt. 3: those of one
+   * software version keep it. 4: those of several. Other values tell nothing.
+   */
+  uint32_t kept;
+  /*
+   * As in Origin, if `kept` is 3.
+   */
+  uint32_t version;
+  /*
+   * Hash of a worker that keeps it, if `kept` is 3.
+   */
+  uint64_t worker;
+};
+#define GOSSIP__FOUND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__found__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * Content of one datagram: the sender's load and versions. One with `lookups`
+ * or `found` holds nothing on the load, and an empty table, so that earlier
+ * versions do not take it as a report of no load.
  */
 struct  Gossip__News
 {
@@ -386,10 +450,14 @@
    * The sender takes no requests of other VMs.
    */
   protobuf_c_boolean stopping;
+  size_t n_lookups;
+  Gossip__Lookup **lookups;
+  size_t n_found;
+  Gossip__Found **found;
 };
 #define GOSSIP__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -591,6 +659,44 @@
 void   gossip__origin__free_unpacked
                      (Gossip__Origin *message,
                       ProtobufCAllocator *allocator);
+/* Gossip__Lookup methods */
+void   gossip__lookup__init
+                     (Gossip__Lookup         *message);
+size_t gossip__lookup__get_packed_size
+                     (const Gossip__Lookup   *message);
+size_t gossip__lookup__pack
+                     (const Gossip__Lookup   *message,
+                      uint8_t             *out);
+size_t gossip__lookup__pack_to_buffer
+                     (const Gossip__Lookup   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Lookup *
+       gossip__lookup__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__lookup__free_unpacked
+                     (Gossip__Lookup *message,
+                      ProtobufCAllocator *allocator);
+/* Gossip__Found methods */
+void   gossip__found__init
+                     (Gossip__Found         *message);
+size_t gossip__found__get_packed_size
+                     (const Gossip__Found   *message);
+size_t gossip__found__pack
+                     (const Gossip__Found   *message,
+                      uint8_t             *out);
+size_t gossip__found__pack_to_buffer
+                     (const Gossip__Found   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Found *
+       gossip__found__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__found__free_unpacked
+                     (Gossip__Found *message,
+                      ProtobufCAllocator *allocator);
 /* Gossip__News methods */
 void   gossip__news__init
                      (Gossip__News         *message);
@@ -674,6 +780,12 @@
 typedef void (*Gossip__Origin_Closure)
                  (const Gossip__Origin *message,
                   void *closure_data);
+typedef void (*Gossip__Lookup_Closure)
+                 (const Gossip__Lookup *message,
+                  void *closure_data);
+typedef void (*Gossip__Found_Closure)
+                 (const Gossip__Found *message,
+                  void *closure_data);
 typedef void (*Gossip__News_Closure)
                  (const Gossip__News *message,
                   void *closure_data);
@@ -697,6 +809,8 @@
 extern const ProtobufCMessageDescriptor gossip__suspect__descriptor;
 extern const ProtobufCMessageDescriptor gossip__limit__descriptor;
 extern const ProtobufCMessageDescriptor gossip__origin__descriptor;
+extern const ProtobufCMessageDescriptor gossip__lookup__descriptor;
+extern const ProtobufCMessageDescriptor gossip__found__descriptor;
 extern const ProtobufCMessageDescriptor gossip__news__descriptor;
 extern const ProtobufCMessageDescriptor gossip__entry__descriptor;
 extern const ProtobufCMessageDescriptor gossip__picture__descriptor;
--- a/src/decide/resumption.h
+++ b/src/decide/resumption.h
@@ -23,7 +23,8 @@
     RESUMPTION_KEPT_BY_NONE,
     RESUMPTION_KEPT_BY_ONE_VERSION,
     RESUMPTION_KEPT_BY_SEVERAL,
-    RESUMPTION_CANNOT_ASK, /* Too many workers, or a prompt without parts. */
+    RESUMPTION_CANNOT_ASK, /* Some workers were not asked, or the prompt has no
+                              parts. */
 } ResumptionSurvey;
 
 typedef struct ResumptionState {
@@ -38,7 +39,7 @@
     RESUMPTION_FOLLOW_RECORD, /* Go on at the version of the record. */
     RESUMPTION_FOLLOW_ONLY,   /* Go on at the only version. */
     RESUMPTION_FOLLOW_SURVEY, /* Go on at the version that keeps the prompt. */
-    RESUMPTION_ASK,           /* Ask the workers. */
+    RESUMPTION_ASK,           /* Ask the holders. */
     RESUMPTION_WAIT,          /* Wait for their answers. */
     RESUMPTION_REFUSE,
 } ResumptionStep;
--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -62,6 +62,14 @@
 static void on_load_change(void *context);
 static uint32_t list_peers(void *context, const char *service, GatePeer *peers,
                            uint32_t max);
+static void list_holders(void *context, Holders *holders);
+static void send_lookups(void *context, uint64_t holder,
+                         const LookupQuestion *rows, uint32_t count);
+static LookupAnswer answer_lookup(void *context,
+                                  const LookupQuestion *question,
+                                  const Origin **origin);
+static void on_lookup_answer(void *context, uint64_t holder,
+                             const LookupAnswer *answer);
 static uint32_t list_cut(void *context, uint64_t *services, uint32_t max);
 static bool is_stopping(void *context);
 static void on_suspects_change(void *context);
@@ -119,6 +127,10 @@
     gate.on_budget_change = on_budget_change;
     gate.on_load_change = on_load_change;
     gate.list_peers = list_peers;
+    if (options->peers.port != 0) {
+        gate.list_holders = list_holders;
+        gate.send_lookups = send_lookups;
+    }
     edge->gate = Gate_New(&gate);
     feed.clk = options->clk;
     feed.gate = edge->gate;
@@ -276,6 +288,8 @@
     gossip.context = edge;
     gossip.on_suspects_change = on_suspects_change;
     gossip.on_limit_change = on_limit_change;
+    gossip.answer_lookup = answer_lookup;
+    gossip.on_lookup_answer = on_lookup_answer;
     gossip.list_cut = list_cut;
     gossip.is_stopping = is_stopping;
     gossip.update_load = update_load;
@@ -366,6 +380,40 @@
                : 0;
 }
 
+static void
+list_holders(void *context, Holders *holders)
+{
+    const Edge *edge = context;
+
+    Gos_ListHolders(edge->gossip, holders);
+}
+
+static void
+send_lookups(void *context, uint64_t holder, const LookupQuestion *rows,
+             uint32_t count)
+{
+    const Edge *edge = context;
+
+    Gos_SendLookups(edge->gossip, holder, rows, count);
+}
+
+static LookupAnswer
+answer_lookup(void *context, const LookupQuestion *question,
+              const Origin **origin)
+{
+    const Edge *edge = context;
+
+    return Lookup_Answer(edge->gate, question, origin);
+}
+
+static void
+on_lookup_answer(void *context, uint64_t holder, const LookupAnswer *answer)
+{
+    const Edge *edge = context;
+
+    Lookup_NoteAnswer(edge->gate, holder, answer);
+}
+
 static uint32_t
 list_cut(void *context, uint64_t *services, uint32_t max)
 {
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -2,6 +2,7 @@
 #include "../log.h"
 #include "crash_check.h"
 #include "detour.h"
+#include "lookup.h"
 #include "successor.h"
 #include "survey.h"
 
@@ -28,6 +29,9 @@
 static void ignore_load_change(void *context);
 static uint32_t list_no_peers(void *context, const char *service,
                               GatePeer *peers, uint32_t max);
+static void list_only_holder(void *context, Holders *holders);
+static void ignore_lookups(void *context, uint64_t holder,
+                           const LookupQuestion *rows, uint32_t count);
 
 GateOptions
 Gate_DefaultOptions(void)
@@ -41,6 +45,8 @@
         .on_budget_change = ignore_budget_change,
         .on_load_change = ignore_load_change,
         .list_peers = list_no_peers,
+        .list_holders = list_only_holder,
+        .send_lookups = ignore_lookups,
     };
     return options;
 }
@@ -64,7 +70,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     LIST_INIT(&gate->tasks);
     LIST_INIT(&gate->crash_checks);
-    LIST_INIT(&gate->surveys);
+    gate->surveys = Survey_New(gate);
+    gate->lookups = Lookup_New(gate);
     Detour_Init(gate);
     Origins_Init(&gate->origins);
     Suspects_Init(&gate->suspects,
@@ -80,7 +87,8 @@
     }
     Gate_EndAll(gate);
     CrashCheck_EndAll(gate);
-    Survey_EndAll(gate);
+    Lookup_Free(gate->lookups);
+    Survey_Free(gate->surveys);
     Detour_Clear(gate);
     Origins_Clear(&gate->origins);
     Rte_Unref(gate->table);
@@ -378,3 +386,21 @@
     (void)max;
     return 0;
 }
+
+static void
+list_only_holder(void *context, Holders *holders)
+{
+    (void)context;
+    holders->self = 1;
+    Holders_Add(holders, holders->self);
+}
+
+static void
+ignore_lookups(void *context, uint64_t holder, const LookupQuestion *rows,
+               uint32_t count)
+{
+    (void)context;
+    (void)holder;
+    (void)rows;
+    (void)count;
+}
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -6,6 +6,7 @@
 #define LS_GATE_H
 
 #include "../decide/budget.h"
+#include "../decide/holders.h"
 #include "../decide/rank.h"
 #include "../decide/suspects.h"
 #include "../io/client.h"
@@ -152,6 +153,8 @@
                                token-microseconds. */
 } GateDemand;
 
+struct LookupQuestion;
+
 /* The caller owns what the pointers refer to; it must outlive the gate. */
 typedef struct GateOptions {
     struct event_base *base;
@@ -179,6 +182,12 @@
        returns their number. */
     uint32_t (*list_peers)(void *context, const char *service, GatePeer *peers,
                            uint32_t max);
+    /* Stores the VMs that share the workers, this one included if it is one
+       of them. */
+    void (*list_holders)(void *context, Holders *holders);
+    /* Sends questions to another VM (lookup.h). */
+    void (*send_lookups)(void *context, uint64_t holder,
+                         const struct LookupQuestion *rows, uint32_t count);
 } GateOptions;
 
 typedef struct Gate Gate;
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -219,6 +219,12 @@
            GOS_MAJORITY_RATIO * Gos_CountVms(gos);
 }
 
+void
+Gos_ListHolders(const Gos *gos, Holders *holders)
+{
+    Peers_ListHolders(&gos->peers, holders);
+}
+
 bool
 Gos_IsHome(const Gos *gos, const char *key)
 {
@@ -339,7 +345,10 @@
     }
     Gos_MergeLimits(gos, news);
     Gos_MergeOrigins(gos, news);
-    if (news->table != NULL) {
+    if (Gos_HandleLookups(gos, news)) {
+        /* Such a message tells no load. */
+    }
+    else if (news->table != NULL) {
         peer->table_us = now_us;
         Gos_StoreTable(gos, news);
     }
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -13,6 +13,7 @@
 #include "../errors.h"
 #include "gate.h"
 #include "load_report.h"
+#include "lookup.h"
 #include "origins.h"
 
 #include <event2/event.h>
@@ -60,6 +61,14 @@
     /* Brings this VM's forecasts of the workers' memory up to date. NULL is
        allowed. */
     void (*update_load)(void *context);
+    /* Answers a question of another VM; as Lookup_Answer(). Both are NULL, or
+       neither. */
+    LookupAnswer (*answer_lookup)(void *context,
+                                  const LookupQuestion *question,
+                                  const Origin **origin);
+    /* Called with another VM's answer to a question. */
+    void (*on_lookup_answer)(void *context, uint64_t holder,
+                             const LookupAnswer *answer);
     /* Gets what this VM knows; NULL if on_peer_versions is NULL. */
     GosVersions (*get_versions)(void *context);
     /* Called when the VM at this peer address knows something else than this
@@ -102,6 +111,12 @@
    returns their number. */
 uint32_t Gos_ListServing(const Gos *gos, const char *service, GatePeer *to,
                          uint32_t max);
+/* Stores the VMs that share the workers: all live VMs of a small fleet, the
+   hubs of a large one. */
+void Gos_ListHolders(const Gos *gos, Holders *holders);
+/* Sends questions, up to LOOKUP_QUESTIONS_MAX, to another VM. */
+void Gos_SendLookups(Gos *gos, uint64_t holder, const LookupQuestion *rows,
+                     uint32_t count);
 /* Whether this VM should watch the source itself: all VMs of a small
    deployment do, in a large one the hubs, and each VM that hears of no hub
    that does. */
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -37,6 +37,7 @@
     }
     news->uses = message->uses;
     news->peers = message->peers;
+    news->origins = message->origins;
     news->hubs = message->hubs;
     news->demands = message->demands;
     news->n_demands =
@@ -182,20 +183,28 @@
     Gossip__News *news = &message->news;
     Origin *origin = NULL;
 
-    news->origins = message->origins;
     while (origins != NULL && news->n_origins < GOS_ORIGINS_MAX &&
            (origin = Origins_NextToTell(origins, origin, now_us)) != NULL) {
-        Gossip__Origin *row = &message->origin_rows[news->n_origins];
-        gossip__origin__init(row);
-        row->request = origin->request;
-        row->version = origin->version;
-        row->worker = origin->worker;
-        row->left_ms = (uint32_t)((origin->until_us - now_us) / CLK_US_PER_MS);
-        message->origins[news->n_origins++] = row;
+        Gos_AddOrigin(gos, message, origin);
         Origins_NoteTold(origins, origin);
     }
 }
 
+void
+Gos_AddOrigin(const Gos *gos, GosMessage *message, const Origin *origin)
+{
+    Gossip__News *news = &message->news;
+    Gossip__Origin *row = &message->origin_rows[news->n_origins];
+    int64_t left_us = origin->until_us - Clk_Now(gos->options.clk);
+
+    gossip__origin__init(row);
+    row->request = origin->request;
+    row->version = origin->version;
+    row->worker = origin->worker;
+    row->left_ms = (uint32_t)(left_us / CLK_US_PER_MS);
+    message->origins[news->n_origins++] = row;
+}
+
 void
 Gos_MergeOrigins(const Gos *gos, const Gossip__News *news)
 {
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -1,5 +1,5 @@
 /* Messages of gossip (Gos_): what a message between VMs carries. Internal to
-   gossip.c, gossip_message.c and gossip_table.c. */
+   gossip.c and gossip_*.c. */
 #ifndef LS_GOSSIP_MESSAGE_H
 #define LS_GOSSIP_MESSAGE_H
 
@@ -93,6 +93,8 @@
 void Gos_AddPeers(Gos *gos, GosMessage *message); /* Some live peers. */
 /* Adds streams of this VM that began lately, and notes that they are told. */
 void Gos_AddOrigins(const Gos *gos, GosMessage *message);
+/* Adds one stream; there must be room for it. */
+void Gos_AddOrigin(const Gos *gos, GosMessage *message, const Origin *origin);
 void Gos_AddHubs(Gos *gos, GosMessage *message); /* Hubs of all regions. */
 /* Packs the message; uses, then parts of prompts and limits, are dropped until
    it fits. */
@@ -114,6 +116,10 @@
 /* Stores this VM's use of the worker; false if there is none. */
 bool Gos_GetOwnUse(const FleetWorker *worker, int64_t now_us, ReportUse *use);
 
+/* Answers the questions of a message, and notes the answers in it. Returns
+   false if it has neither, but the sender's load. */
+bool Gos_HandleLookups(Gos *gos, const Gossip__News *news);
+
 /* Sends a packed message to a VM's address. */
 void Gos_SendTo(Gos *gos, uint64_t address, const GosMessage *message);
 /* Stores the part of a region's table that a message carries. */
--- a/src/gate/origins.c
+++ b/src/gate/origins.c
@@ -1,6 +1,8 @@
 /* Origins: software versions that began streams. See origins.h. */
 #include "origins.h"
 
+#include "../metrics.h"
+
 static void drop(Origins *origins, Origin *origin);
 static void expire(Origins *origins, int64_t now_us);
 
@@ -33,6 +35,7 @@
     }
     oldest = TAILQ_LAST(&origins->list, OriginList);
     if (oldest != NULL && g_hash_table_size(origins->rows) >= ORIGINS_MAX) {
+        Met_Add(MET_ORIGINS_DROPPED, 1);
         drop(origins, oldest);
     }
     origin = g_new0(Origin, 1);
--- a/src/gate/peers.c
+++ b/src/gate/peers.c
@@ -347,6 +347,30 @@
     return true;
 }
 
+void
+Peers_ListHolders(const Peers *peers, Holders *holders)
+{
+    const Peer *peer = NULL;
+
+    holders->self = peers->options.address;
+    for (guint i = 0; i < peers->hubs_count && !peers->is_mesh; i++) {
+        const HubsChoice *choice = &peers->hubs[i].choice;
+        for (uint32_t k = 0; k < choice->count; k++) {
+            Holders_Add(holders, choice->hubs[k].address);
+        }
+    }
+    if (!peers->is_mesh) {
+        return;
+    }
+    Holders_Add(holders, peers->options.address);
+    LIST_FOREACH(peer, &peers->list, links)
+    {
+        if (Peers_IsLive(peers, peer)) {
+            Holders_Add(holders, peer->address);
+        }
+    }
+}
+
 ReportDemand
 Peers_SumDemand(const Peers *peers, uint64_t service, bool near_only,
                 const ReportDemand *own, uint32_t *count)
--- a/src/gate/peers.h
+++ b/src/gate/peers.h
@@ -9,6 +9,7 @@
 #define LS_PEERS_H
 
 #include "../clock.h"
+#include "../decide/holders.h"
 #include "../decide/hubs.h"
 #include "load_report.h"
 
@@ -141,6 +142,8 @@
 guint Peers_CountLive(const Peers *peers);
 uint32_t Peers_CountVms(const Peers *peers);
 bool Peers_IsHome(const Peers *peers, const char *key);
+/* As Gos_ListHolders(). */
+void Peers_ListHolders(const Peers *peers, Holders *holders);
 /* Sums the demand of all other live VMs on a service, or only of those that
    are near: in a large fleet, those of this region. `own` is this VM's demand,
    which a region's table includes. Stores the number of VMs in the sum in
--- a/src/gate/stream_resume.c
+++ b/src/gate/stream_resume.c
@@ -1,15 +1,15 @@
 /* Stream resume: the version of a resumed stream. See stream_resume.h. */
 #include "stream_resume.h"
 #include "detour.h"
+#include "lookup.h"
 #include "stream.h"
-#include "survey.h"
 
 #include "../log.h"
 
 #include <string.h>
 #include <xxhash.h>
 
-/* Time between looks at a survey in progress. */
+/* Time between looks at a lookup in progress. */
 #define RESUME_POLL_US (20 * CLK_US_PER_MS)
 /* A stream may begin for this long after the entry of its worker is gone: its
    run was sent before, and waited for its turn. */
@@ -17,6 +17,7 @@
 
 static int64_t get_caller_us(const GateTask *task);
 static uint64_t get_origin(const GateTask *task);
+static ResumptionSurvey look_up(const GateTask *task, HoldersAnswer *kept);
 static void bind_version(GateTask *task, uint32_t version, const char *source);
 static void refuse(GateTask *task, const char *cause);
 static const char *get_survey_name(ResumptionSurvey survey);
@@ -31,7 +32,9 @@
         Origins_Find(&gate->origins, get_origin(task), now_us);
     Origin recorded = found != NULL ? *found : (Origin){.version = 0};
     uint32_t only = 0;
-    SurveyPart kept = {0};
+    HoldersAnswer kept = {0};
+    uint32_t holders = 0;
+    uint32_t answered;
     ResumptionState state = {
         .has_record = found != NULL,
         .versions = Fleet_CountVersions(
@@ -47,11 +50,7 @@
         return;
     }
     if (step == RESUMPTION_ASK) {
-        state.survey =
-            task->request.has_own_part
-                ? Survey_Find(gate, task->service->name,
-                              task->request.own_part, task->began_us, &kept)
-                : RESUMPTION_CANNOT_ASK;
+        state.survey = look_up(task, &kept);
         step = Resumption_Decide(&state);
     }
     switch (step) {
@@ -75,12 +74,15 @@
     case RESUMPTION_REFUSE:
         break;
     }
+    answered = Lookup_CountAnswers(gate, get_origin(task), &holders);
     Log_WriteJson(
         LOG_LEVEL_INFO, "stream_version_unknown",
-        json_pack("{s:s,s:s,s:i,s:s}", "request", task->request.id, "resumes",
+        json_pack("{s:s,s:s,s:i,s:s,s:i,s:i}", "request", task->request.id,
+                  "resumes",
                   task->request.resumes != NULL ? task->request.resumes : "",
                   "versions", (int)state.versions, "workers",
-                  get_survey_name(state.survey)));
+                  get_survey_name(state.survey), "holders", (int)holders,
+                  "answered", (int)answered));
     refuse(task, state.survey == RESUMPTION_KEPT_BY_SEVERAL
                      ? "several software versions may have begun the stream"
                      : "software version of the stream is unknown");
@@ -108,6 +110,22 @@
     return XXH3_64bits(id, strlen(id));
 }
 
+/* Asks the holders for the version of the stream. */
+static ResumptionSurvey
+look_up(const GateTask *task, HoldersAnswer *kept)
+{
+    const char *service = task->service->name;
+    LookupQuestion question = {
+        .request = get_origin(task),
+        .service = XXH3_64bits(service, strlen(service)),
+        .part = task->request.own_part,
+        .has_part = task->request.has_own_part,
+        .since_us = task->began_us,
+    };
+
+    return Lookup_Find(task->gate, service, &question, kept);
+}
+
 static void
 bind_version(GateTask *task, uint32_t version, const char *source)
 {
@@ -148,7 +166,7 @@
         [RESUMPTION_KEPT_BY_NONE] = "none keeps the prompt",
         [RESUMPTION_KEPT_BY_ONE_VERSION] = "one version keeps the prompt",
         [RESUMPTION_KEPT_BY_SEVERAL] = "several versions keep the prompt",
-        [RESUMPTION_CANNOT_ASK] = "can't be asked",
+        [RESUMPTION_CANNOT_ASK] = "not all were asked",
     };
 
     return names[survey];
--- a/src/gate/survey.c
+++ b/src/gate/survey.c
@@ -2,48 +2,110 @@
 #include "survey.h"
 #include "task.h"
 
+#include "../decide/holders.h"
+#include "../io/loop.h"
 #include "../log.h"
 
 #include <string.h>
 
+/* Time between looks at the holders and at calls in progress. */
+#define SURVEY_TICK_MS 25
+
+/* The surveys of one service. */
+typedef struct Survey {
+    LIST_ENTRY(Survey) links;
+    Gate *gate;
+    char service[FLEET_NAME_MAX];
+    int64_t began_us;  /* When the last one began. */
+    int64_t kept_us;   /* When the first one began whose answers are kept. */
+    GHashTable *parts; /* SurveyPart.part to SurveyPart. */
+    LIST_HEAD(SurveyCallList, SurveyCall) calls; /* In progress. */
+    uint32_t call_count;
+    GArray *queue; /* Hashes of the workers that are still to be asked. */
+    uint32_t asked;
+    uint32_t answered;
+} Survey;
+
 typedef struct SurveyCall {
     LIST_ENTRY(SurveyCall) links;
     Survey *survey;
     ClientCall *call;
+    int64_t began_us;
     uint32_t version; /* Of the worker. */
     uint64_t worker;  /* Its hash. */
     int status;
     GByteArray *body;
 } SurveyCall;
 
+struct Surveys {
+    Gate *gate;
+    LIST_HEAD(SurveyList, Survey) list;
+    struct event *timer;
+    bool is_waiting;  /* Until it is known which VMs share the workers. */
+    int64_t since_us; /* When that wait began. */
+    Holders holders;  /* As seen last in that wait. */
+    int64_t same_us;  /* Since when they are the same. */
+};
+
 static Survey *find_or_add(Gate *gate, const char *service);
-static bool begin(Survey *survey);
+static void on_timer(evutil_socket_t fd, short what, void *context);
+static bool wait_for_holders(Surveys *surveys);
+static void begin_all(Gate *gate);
+static void begin(Survey *survey);
+static bool can_ask(const FleetWorker *worker, const char *service,
+                    int64_t now_us);
+static void ask_next(Survey *survey);
 static void ask(Survey *survey, FleetWorker *worker);
-static bool is_running(Survey *survey);
+static bool is_running(const Survey *survey);
+static void end_late_calls(Survey *survey);
 static void on_head(void *context, int status, const HeaderList *headers);
 static void on_data(void *context, const void *data, size_t size);
 static void on_end(void *context, ClientOutcome outcome);
 static void note_part(void *context, uint64_t part);
-static void end_calls(Survey *survey);
 static void free_call(SurveyCall *call);
 static void log_result(const Survey *survey);
 
-void
-Survey_BeginAll(Gate *gate)
+Surveys *
+Survey_New(Gate *gate)
 {
-    GHashTableIter iter;
-    gpointer service;
+    Surveys *surveys = g_new0(Surveys, 1);
 
-    if (gate->table == NULL) {
-        return;
-    }
-    g_hash_table_iter_init(&iter, gate->table->services);
-    while (g_hash_table_iter_next(&iter, NULL, &service)) {
-        const RteService *row = service;
-        if (row->is_engine) {
-            begin(find_or_add(gate, row->name));
+    surveys->gate = gate;
+    LIST_INIT(&surveys->list);
+    surveys->timer = evtimer_new(gate->options.base, on_timer, surveys);
+    return surveys;
+}
+
+void
+Survey_Free(Surveys *surveys)
+{
+    while (!LIST_EMPTY(&surveys->list)) {
+        Survey *survey = LIST_FIRST(&surveys->list);
+        while (!LIST_EMPTY(&survey->calls)) {
+            SurveyCall *call = LIST_FIRST(&survey->calls);
+            Client_EndCall(call->call);
+            free_call(call);
         }
+        LIST_REMOVE(survey, links);
+        g_array_free(survey->queue, TRUE);
+        g_hash_table_destroy(survey->parts);
+        g_free(survey);
     }
+    event_free(surveys->timer);
+    g_free(surveys);
+}
+
+void
+Survey_BeginAll(Gate *gate)
+{
+    Surveys *surveys = gate->surveys;
+
+    surveys->is_waiting = true;
+    surveys->since_us = Clk_Now(gate->options.clk);
+    surveys->same_us = surveys->since_us;
+    surveys->holders = (Holders){0};
+    gate->options.list_holders(gate->options.context, &surveys->holders);
+    Loop_ArmTimer(surveys->timer, SURVEY_TICK_MS);
 }
 
 ResumptionSurvey
@@ -54,7 +116,7 @@
     const SurveyPart *row;
     int64_t now_us = Clk_Now(gate->options.clk);
 
-    if (is_running(survey)) {
+    if (is_running(survey) || gate->surveys->is_waiting) {
         return RESUMPTION_ASKING;
     }
     row = g_hash_table_lookup(survey->parts, &part);
@@ -70,19 +132,24 @@
         now_us - survey->began_us < SURVEY_INTERVAL_US) {
         return RESUMPTION_ASKING;
     }
-    return begin(survey) ? RESUMPTION_ASKING : RESUMPTION_CANNOT_ASK;
+    begin(survey);
+    return is_running(survey) ? RESUMPTION_ASKING : RESUMPTION_KEPT_BY_NONE;
 }
 
-void
-Survey_EndAll(Gate *gate)
+GArray *
+Survey_ListWorkers(const Gate *gate, const char *service)
 {
-    while (!LIST_EMPTY(&gate->surveys)) {
-        Survey *survey = LIST_FIRST(&gate->surveys);
-        end_calls(survey);
-        LIST_REMOVE(survey, links);
-        g_hash_table_destroy(survey->parts);
-        g_free(survey);
+    const GPtrArray *rows = gate->options.fleet->rows;
+    int64_t now_us = Clk_Now(gate->options.clk);
+    GArray *hashes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
+    for (guint i = 0; i < rows->len; i++) {
+        const FleetWorker *worker = g_ptr_array_index(rows, i);
+        if (can_ask(worker, service, now_us)) {
+            g_array_append_val(hashes, worker->hash);
+        }
     }
+    return hashes;
 }
 
 static Survey *
@@ -90,7 +157,7 @@
 {
     Survey *survey = NULL;
 
-    LIST_FOREACH(survey, &gate->surveys, links)
+    LIST_FOREACH(survey, &gate->surveys->list, links)
     {
         if (strcmp(survey->service, service) == 0) {
             return survey;
@@ -101,50 +168,125 @@
     g_strlcpy(survey->service, service, sizeof(survey->service));
     survey->parts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    survey->queue = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     LIST_INIT(&survey->calls);
-    LIST_INSERT_HEAD(&gate->surveys, survey, links);
+    LIST_INSERT_HEAD(&gate->surveys->list, survey, links);
     return survey;
 }
 
-/* Asks all decode workers; returns false if there are too many. */
+static void
+on_timer(evutil_socket_t fd, short what, void *context)
+{
+    Surveys *surveys = context;
+    Survey *survey = NULL;
+    bool is_needed = false;
+
+    (void)fd;
+    (void)what;
+    if (surveys->is_waiting && !wait_for_holders(surveys)) {
+        surveys->is_waiting = false;
+        begin_all(surveys->gate);
+    }
+    LIST_FOREACH(survey, &surveys->list, links)
+    {
+        end_late_calls(survey);
+        is_needed |= is_running(survey);
+    }
+    if (is_needed || surveys->is_waiting) {
+        Loop_ArmTimer(surveys->timer, SURVEY_TICK_MS);
+    }
+}
+
+/* Whether the VMs that share the workers may still change. */
 static bool
+wait_for_holders(Surveys *surveys)
+{
+    const GateOptions *options = &surveys->gate->options;
+    int64_t now_us = Clk_Now(options->clk);
+    Holders holders = {0};
+
+    options->list_holders(options->context, &holders);
+    if (!Holders_IsEqual(&holders, &surveys->holders)) {
+        surveys->holders = holders;
+        surveys->same_us = now_us;
+    }
+    return !Holders_HaveSettled(now_us - surveys->same_us,
+                                now_us - surveys->since_us);
+}
+
+static void
+begin_all(Gate *gate)
+{
+    GHashTableIter iter;
+    gpointer service;
+
+    if (gate->table == NULL) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, gate->table->services);
+    while (g_hash_table_iter_next(&iter, NULL, &service)) {
+        const RteService *row = service;
+        if (row->is_engine) {
+            begin(find_or_add(gate, row->name));
+        }
+    }
+}
+
+/* Asks the own workers. */
+static void
 begin(Survey *survey)
 {
-    const GPtrArray *rows = survey->gate->options.fleet->rows;
-    int64_t now_us = Clk_Now(survey->gate->options.clk);
-    GPtrArray *workers = g_ptr_array_new();
-    bool is_possible;
+    const GateOptions *options = &survey->gate->options;
+    const GPtrArray *rows = options->fleet->rows;
+    int64_t now_us = Clk_Now(options->clk);
+    Holders holders = {0};
 
+    options->list_holders(options->context, &holders);
+    if (now_us - survey->kept_us > SURVEY_KEEP_US) {
+        g_hash_table_remove_all(survey->parts);
+        survey->kept_us = now_us;
+    }
+    survey->began_us = now_us;
+    survey->answered = 0;
     for (guint i = 0; i < rows->len; i++) {
-        FleetWorker *worker = g_ptr_array_index(rows, i);
-        if (worker->entry.phase == FLEET_PHASE_DECODE &&
-            strcmp(worker->entry.service, survey->service) == 0 &&
-            Fleet_IsListed(worker, now_us) &&
-            !Notice_IsPaused(&worker->notice, now_us)) {
-            g_ptr_array_add(workers, worker);
+        const FleetWorker *worker = g_ptr_array_index(rows, i);
+        if (can_ask(worker, survey->service, now_us) &&
+            Holders_IsOwn(&holders, worker->hash)) {
+            g_array_append_val(survey->queue, worker->hash);
         }
     }
-    is_possible = workers->len <= SURVEY_WORKERS_MAX;
-    if (is_possible) {
-        if (now_us - survey->kept_us > SURVEY_KEEP_US) {
-            g_hash_table_remove_all(survey->parts);
-            survey->kept_us = now_us;
-        }
-        survey->began_us = now_us;
-        survey->asked = workers->len;
-        survey->answered = 0;
-        for (guint i = 0; i < workers->len; i++) {
-            ask(survey, g_ptr_array_index(workers, i));
-        }
+    survey->asked = survey->queue->len;
+    ask_next(survey);
+    if (is_running(survey) &&
+        !event_pending(survey->gate->surveys->timer, EV_TIMEOUT, NULL)) {
+        Loop_ArmTimer(survey->gate->surveys->timer, SURVEY_TICK_MS);
     }
-    else {
-        Log_WriteJson(LOG_LEVEL_WARNING, "survey_impossible",
-                      json_pack("{s:s,s:i,s:i}", "service", survey->service,
-                                "workers", (int)workers->len, "most",
-                                SURVEY_WORKERS_MAX));
+}
+
+static bool
+can_ask(const FleetWorker *worker, const char *service, int64_t now_us)
+{
+    return worker->entry.phase == FLEET_PHASE_DECODE &&
+           strcmp(worker->entry.service, service) == 0 &&
+           Fleet_IsListed(worker, now_us) &&
+           !Notice_IsPaused(&worker->notice, now_us);
+}
+
+/* Asks workers of the queue as far as the number of calls allows. */
+static void
+ask_next(Survey *survey)
+{
+    const Fleet *fleet = survey->gate->options.fleet;
+
+    while (survey->queue->len > 0 && survey->call_count < SURVEY_CALLS_MAX) {
+        guint last = survey->queue->len - 1;
+        FleetWorker *worker = Fleet_FindByHash(
+            fleet, g_array_index(survey->queue, uint64_t, last));
+        g_array_set_size(survey->queue, last);
+        if (worker != NULL) {
+            ask(survey, worker);
+        }
     }
-    g_ptr_array_free(workers, TRUE);
-    return is_possible;
 }
 
 static void
@@ -168,30 +310,44 @@
                                 &control_call);
     client_call.method = control_call.method;
     call->survey = survey;
+    call->began_us = Clk_Now(options->clk);
     call->version = worker->version;
     call->worker = worker->hash;
     call->body = g_byte_array_new();
     LIST_INSERT_HEAD(&survey->calls, call, links);
+    survey->call_count++;
     Throttle_Charge(&worker->throttle);
     call->call = Client_BeginCall(options->client, &client_call);
     Header_Free(control_call.headers);
 }
 
-/* Whether answers are awaited. Ends the survey when its time is over. */
+/* Whether answers are awaited. */
 static bool
-is_running(Survey *survey)
+is_running(const Survey *survey)
+{
+    return survey->call_count > 0 || survey->queue->len > 0;
+}
+
+/* Ends the calls whose time is over. */
+static void
+end_late_calls(Survey *survey)
 {
     int64_t now_us = Clk_Now(survey->gate->options.clk);
+    bool was_running = is_running(survey);
+    SurveyCall *call = LIST_FIRST(&survey->calls);
 
-    if (LIST_EMPTY(&survey->calls)) {
-        return false;
+    while (call != NULL) {
+        SurveyCall *next = LIST_NEXT(call, links);
+        if (now_us - call->began_us >= SURVEY_TIMEOUT_US) {
+            Client_EndCall(call->call);
+            free_call(call);
+        }
+        call = next;
     }
-    if (now_us - survey->began_us < SURVEY_TIMEOUT_US) {
-        return true;
+    ask_next(survey);
+    if (was_running && !is_running(survey)) {
+        log_result(survey);
     }
-    end_calls(survey);
-    log_result(survey);
-    return false;
 }
 
 static void
@@ -229,7 +385,8 @@
         survey->answered++;
     }
     free_call(call);
-    if (LIST_EMPTY(&survey->calls)) {
+    ask_next(survey);
+    if (!is_running(survey)) {
         log_result(survey);
     }
 }
@@ -253,20 +410,11 @@
     row->worker = call->worker;
 }
 
-static void
-end_calls(Survey *survey)
-{
-    while (!LIST_EMPTY(&survey->calls)) {
-        SurveyCall *call = LIST_FIRST(&survey->calls);
-        Client_EndCall(call->call);
-        free_call(call);
-    }
-}
-
 static void
 free_call(SurveyCall *call)
 {
     LIST_REMOVE(call, links);
+    call->survey->call_count--;
     g_byte_array_free(call->body, TRUE);
     g_free(call);
 }
--- a/src/gate/survey.h
+++ b/src/gate/survey.h
@@ -1,21 +1,20 @@
-/* Survey: asks the decode workers of a service which prompts they keep in
-   memory. A worker keeps the prompt of a stream for some time after the
-   stream's connection is gone, so that VMs that know nothing of the stream
-   find the software version that ran it. */
+/* Survey: asks decode workers of a service which prompts they keep in memory.
+   A worker keeps the prompt of a stream for some time after the stream's
+   connection is gone, so that VMs that know nothing of the stream find the
+   software version that ran it. Each VM asks the workers whose holder it is
+   (decide/holders.h). */
 #ifndef LS_SURVEY_H
 #define LS_SURVEY_H
 
 #include "../decide/resumption.h"
 #include "gate.h"
 
-#include <sys/queue.h>
-
 /* Shortest time between two surveys of a service: a list delays its worker. */
 #define SURVEY_INTERVAL_US (500 * CLK_US_PER_MS)
-/* Workers that have not answered by then count as keeping nothing. */
+/* A worker that has not answered by then counts as keeping nothing. */
 #define SURVEY_TIMEOUT_US (400 * CLK_US_PER_MS)
-/* A service with more workers is not asked. */
-#define SURVEY_WORKERS_MAX 64
+/* Lists of one service that are awaited at a time; further ones follow. */
+#define SURVEY_CALLS_MAX 64
 /* Time for which answers are kept, longer than callers resume a stream. Then
    later surveys replace them instead of adding to them. */
 #define SURVEY_KEEP_US (30 * CLK_US_PER_S)
@@ -30,29 +29,23 @@
     uint64_t worker;  /* Hash of a worker that keeps it. */
 } SurveyPart;
 
-/* The surveys of one service. */
-typedef struct Survey {
-    LIST_ENTRY(Survey) links;
-    Gate *gate;
-    char service[FLEET_NAME_MAX];
-    int64_t began_us;  /* When the last one began. */
-    int64_t kept_us;   /* When the first one began whose answers are kept. */
-    GHashTable *parts; /* SurveyPart.part to SurveyPart. */
-    LIST_HEAD(SurveyCallList, SurveyCall) calls; /* In progress. */
-    uint32_t asked;
-    uint32_t answered;
-} Survey;
+typedef struct Surveys Surveys;
 
-/* Asks the workers of all services that run streams, as this VM has just
-   started: what they keep from before is replaced soon. */
+Surveys *Survey_New(Gate *gate);
+/* Ends and frees all surveys. */
+void Survey_Free(Surveys *surveys);
+/* Asks the own workers of all services that run streams once it is known which
+   VMs share them, as this VM has just started: what they keep from before is
+   replaced soon. */
 void Survey_BeginAll(Gate *gate);
-/* Returns what is known of the prompt that ends with this part, and begins a
-   survey if none was made since `since_us`, the arrival of the request. Stores
-   who keeps the prompt in *kept if only one version does. To be called again
-   while the state is RESUMPTION_ASKING. */
+/* Returns what the own workers told of the prompt that ends with this part,
+   and begins a survey if none was made since `since_us`, the arrival of the
+   request. Stores who keeps the prompt in *kept if only one version does. To
+   be called again while the state is RESUMPTION_ASKING. */
 ResumptionSurvey Survey_Find(Gate *gate, const char *service, uint64_t part,
                              int64_t since_us, SurveyPart *kept);
-/* Ends and frees all surveys. */
-void Survey_EndAll(Gate *gate);
+/* Returns the hashes (uint64_t) of all decode workers of the service that can
+   be asked, of all VMs. The caller frees the array. */
+GArray *Survey_ListWorkers(const Gate *gate, const char *service);
 
 #endif
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -166,7 +166,8 @@
     Suspects suspects;
     LIST_HEAD(CrashCheckList, CrashCheck) crash_checks;
     Origins origins;
-    LIST_HEAD(SurveyList, Survey) surveys;
+    struct Surveys *surveys;
+    struct Lookups *lookups;
     LIST_HEAD(DetourServiceList, DetourService) cut_services;
     LIST_HEAD(DetourVmList, DetourVm) detour_vms;
     LIST_HEAD(DetourProbeList, DetourProbe) detour_probes;
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -65,8 +65,16 @@
     [MET_RELAYED_REQUESTS] = {"relayed_requests",
                               "Requests that other VMs passed on to this "
                               "one."},
-    [MET_SURVEYS] = {"surveys", "Rounds in which all workers of a service "
-                                "were asked for the prompts that they keep."},
+    [MET_SURVEYS] = {"surveys", "Rounds in which this VM's share of a "
+                                "service's workers was asked for the prompts "
+                                "that they keep."},
+    [MET_LOOKUPS] = {"lookups", "Resumed streams whose software version was "
+                                "asked for at other VMs."},
+    [MET_LOOKUPS_DROPPED] = {"lookups_dropped",
+                             "The same, but too many were in progress."},
+    [MET_ORIGINS_DROPPED] = {"origins_dropped",
+                             "Records of begun streams that were dropped "
+                             "before their time, as there were too many."},
     [MET_SUCCESSORS] = {"successors", "Silent calls for which another worker "
                                       "was looked for."},
     [MET_SUCCESSORS_TOOK_OVER] = {"successors_took_over",
