--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -77,6 +77,7 @@
     int64_t deadline_us; /* Earlier of the caller's and the route's. */
     bool is_prefilled;   /* A worker has read the prompt. */
     bool is_streaming;   /* The caller has received a part of the answer. */
+    bool is_resumed;     /* The same, with an earlier request. */
 } AdmissionWait;
 
 /* The requests of a VM that wait for capacity of one service. Their number is
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -206,7 +206,7 @@
 
 /* Scripted worker on loopback. It answers each request with the next reply of
    its script, or refuses it if none is left. It grants reservations, except
-   for the next `refusals`. */
+   for the next `refusals` and if no `places` are left. */
 class Worker {
   public:
     Worker(event_base *base,
@@ -336,6 +336,7 @@
     int closed = 0;                    /* Connections closed by the gate. */
     int accepted = 0;
     int refusals = 0;        /* How many of the next reservations to refuse. */
+    int places = -1;         /* Reservations that it may grant; -1: any. */
     int reservations = 0;    /* Reservations granted. */
     std::string reservation; /* Last request for a reservation. */
     /* Answers no request for a reservation until GrantReservations(). */
@@ -506,7 +507,8 @@
             if (self->refusals > 0) {
                 self->refusals--;
             }
-            else {
+            else if (self->places != 0) {
+                self->places -= self->places > 0;
                 answer = "HTTP/1.1 200 OK\r\n" + self->reservation_headers +
                          self->headers +
                          "Content-Length: 13\r\n\r\n{\"hold\":\"L1\"}";
--- a/tests/test_decide.cc
+++ b/tests/test_decide.cc
@@ -248,22 +248,29 @@
     int64_t left_ms; /* Caller's time left; 0 if unknown. */
     bool is_prefilled;
     bool is_streaming;
+    bool is_resumed;
     int64_t until_ms; /* End of the wait, after the arrival. */
     int64_t poll_ms;  /* Shortest interval between two polls. */
 };
 
 const WaitCase wait_cases[] = {
     {"first try: waits while it can meet the objective", 14000, false, false,
-     650, 30},
-    {"first try with a shorter timeout", 11900, false, false, 650, 30},
-    {"unknown timeout", 0, false, false, 650, 30},
-    {"late retry: polls rarely", 11000, false, false, 1500, 200},
-    {"late retry with little time left", 2000, false, false, 1000, 200},
-    {"prompt is read: polls often", 14000, true, false, 2000, 20},
+     false, 650, 30},
+    {"first try with a shorter timeout", 11900, false, false, false, 650, 30},
+    {"unknown timeout", 0, false, false, false, 650, 30},
+    {"late retry: polls rarely", 11000, false, false, false, 1500, 200},
+    {"late retry with little time left", 2000, false, false, false, 1000, 200},
+    {"prompt is read: polls often", 14000, true, false, false, 2000, 20},
     {"stream has begun: waits as long as its caller", 14000, false, true,
-     14000, 30},
-    {"stream has begun, late retry", 8000, false, true, 8000, 30},
-    {"stream has begun, prompt is read", 8000, true, true, 8000, 20},
+     false, 14000, 30},
+    {"stream has begun, late retry", 8000, false, true, false, 8000, 30},
+    {"stream has begun, prompt is read", 8000, true, true, false, 8000, 20},
+    {"resumed: waits until its caller would leave", 11000, false, false, true,
+     3100, 20},
+    {"resumed with a long time left", 14000, false, false, true, 3100, 20},
+    {"resumed with little time left", 3000, false, false, true, 1500, 20},
+    {"resumed, prompt is read", 11000, true, false, true, 3100, 20},
+    {"resumed, stream has begun", 8000, false, true, true, 8000, 20},
 };
 
 TEST(Decide, WaitPlanCases)
@@ -280,6 +287,7 @@
                            (row.left_ms > 0 ? wait.left_us : wait.timeout_us);
         wait.is_prefilled = row.is_prefilled;
         wait.is_streaming = row.is_streaming;
+        wait.is_resumed = row.is_resumed;
         AdmissionWaitPlan wait_plan = Admission_PlanWait(&wait);
         EXPECT_EQ((wait_plan.until_us - wait.arrived_us) / CLK_US_PER_MS,
                   row.until_ms);
