Admission: a resumed stream waits as long as its caller, not as a late retry

What callers saw: 198 of the resumed streams were refused "no capacity" after 1.73 s (median) while new ones began. Cause: less of the caller's time is left at a resumption, so the wait plan took it for a late retry (polls each 200 to 400 ms, ends after 1.5 s), and the queue's limit counted it.

--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -28,6 +28,8 @@
     [ADMISSION_PAUSED] = {50, 150},     [ADMISSION_BLOCKED] = {50, 150},
 };
 
+static int64_t get_leave_us(int64_t slo_us);
+
 void
 Admission_InitQueue(AdmissionQueue *queue)
 {
@@ -106,11 +108,17 @@
     if (wait->is_streaming) {
         /* The caller has a part of its answer, and leaves by itself. */
         wait_plan.until_us = wait->deadline_us;
-        wait_plan.poll_us = wait->is_prefilled ? ADMISSION_POLL_PREFILLED_US
-                                               : ADMISSION_POLL_US;
+        wait_plan.poll_us = wait->is_prefilled || wait->is_resumed
+                                ? ADMISSION_POLL_PREFILLED_US
+                                : ADMISSION_POLL_US;
         return wait_plan;
     }
-    if (wait->is_prefilled) {
+    if (wait->is_resumed) {
+        wait_plan.until_us = wait->arrived_us + get_leave_us(wait->slo_us) -
+                             2 * ADMISSION_FIRST_EVENT_US;
+        wait_plan.poll_us = ADMISSION_POLL_PREFILLED_US;
+    }
+    else if (wait->is_prefilled) {
         wait_plan.until_us = wait->waiting_since_us + ADMISSION_WAIT_MAX_US;
         wait_plan.poll_us = ADMISSION_POLL_PREFILLED_US;
     }
@@ -131,6 +139,16 @@
     return wait_plan;
 }
 
+/* Returns the time after which a caller closes a silent stream. */
+static int64_t
+get_leave_us(int64_t slo_us)
+{
+    int64_t leave_us = ADMISSION_LEAVE_SLOS * slo_us;
+
+    return leave_us > ADMISSION_LEAVE_MIN_US ? leave_us
+                                             : ADMISSION_LEAVE_MIN_US;
+}
+
 uint32_t
 Admission_GetRetryAfter(AdmissionCause cause, int64_t left_ms, int64_t wait_ms,
                         uint32_t random_value)
--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -10,6 +10,10 @@
    The same holds for the queues of workers: once they are longer than the
    objective allows, each call waits that long first, and all are answered late
    at full load. So a call joins a queue only while it can be answered in time.
+   A caller that resumes a stream has less time left than at its first try, but
+   is no late retry: it waits for the rest of an answer, which only the workers
+   of one software version can give. So it waits as long as its caller does,
+   and polls as often as any request.
    If all refused callers retried at the same time, they would form the next
    burst, so their retries are spread over the expected duration of the
    cause. */
@@ -35,6 +39,10 @@
 #define ADMISSION_WAIT_LATE_US 1500000 /* Retries that arrive late. */
 /* Requests with a read prompt. */
 #define ADMISSION_WAIT_MAX_US 2000000
+/* Callers close a stream without any event after this many objectives, and not
+   before this time. */
+#define ADMISSION_LEAVE_SLOS 4
+#define ADMISSION_LEAVE_MIN_US 2000000
 /* The time that callers of one route allow varies by 15%. A request with less
    than this share of the route's timeout left is a retry. */
 #define ADMISSION_FIRST_TRY_SHARE 0.8
--- a/src/gate/task_wait.c
+++ b/src/gate/task_wait.c
@@ -51,25 +51,29 @@
     int64_t now_us = Task_Now(task);
     int usable = 0;
     int of_version = 0;
+    int refused = 0;
+    bool is_begun = task->last_event != GATE_NO_EVENT;
 
     for (guint i = 0; i < rows->len; i++) {
         const FleetWorker *worker = g_ptr_array_index(rows, i);
         if (worker->entry.phase == FLEET_PHASE_DECODE &&
             strcmp(worker->entry.service, task->service->name) == 0 &&
             Fleet_IsUsable(worker, now_us)) {
+            bool is_candidate = !is_begun || worker->version == task->version;
             usable++;
-            of_version += worker->version == task->version;
+            of_version += is_candidate;
+            refused += is_candidate && now_us < worker->full_until_us;
         }
     }
     Log_WriteJson(LOG_LEVEL_INFO, "no_room",
-                  json_pack("{s:s,s:b,s:b,s:I,s:I,s:I,s:i,s:i}", "request",
-                            task->request.id, "begun",
-                            task->last_event != GATE_NO_EVENT, "retry",
+                  json_pack("{s:s,s:b,s:b,s:I,s:I,s:I,s:i,s:i,s:i}", "request",
+                            task->request.id, "begun", (int)is_begun, "retry",
                             (int)task->is_retry, "waited_us",
                             (json_int_t)(now_us - task->waiting_since_us),
                             "poll_us", (json_int_t)plan->poll_us, "left_ms",
                             (json_int_t)Task_GetLeftMs(task), "workers",
-                            usable, "of_version", of_version));
+                            usable, "of_version", of_version, "refused",
+                            refused));
 }
 
 void
@@ -98,7 +102,7 @@
 may_wait(GateTask *task)
 {
     if (!task->queued && task->runs == 0 && !task->streaming &&
-        !Reservation_HasHandle(task)) {
+        task->last_event == GATE_NO_EVENT && !Reservation_HasHandle(task)) {
         task->queued = Admission_BeginWait(find_queue(task));
         return task->queued;
     }
@@ -131,6 +135,7 @@
         .deadline_us = task->deadline_us,
         .is_prefilled = Reservation_HasHandle(task),
         .is_streaming = task->streaming,
+        .is_resumed = task->request.last_event != GATE_NO_EVENT,
     };
 
     return Admission_PlanWait(&wait);
