--- a/tests/test_gate_room.cc
+++ b/tests/test_gate_room.cc
@@ -5,6 +5,8 @@
 namespace {
 
 const Route resumable = {RTE_STREAM, 3, true, 15000, 900};
+/* New streams wait longer for room than this test takes. */
+const Route patient = {RTE_STREAM, 3, true, 15000, 3000};
 
 std::string
 Prompt(const std::string &id, int left_ms, const std::string &more = "")
@@ -43,4 +45,81 @@
     EXPECT_EQ(again->DechunkedBody(), Events(3, 9));
 }
 
+struct CompetitionCase {
+    const char *name;
+    int vms;
+    size_t begun_vm; /* Gets the resumed streams. */
+    size_t new_vm;   /* Gets the new ones. */
+};
+
+const CompetitionCase competition_cases[] = {
+    {"at one VM", 1, 0, 0},
+    {"at two VMs", 2, 0, 1},
+};
+
+/* The worker of the version is full, and room for one stream after the other
+   becomes free. New streams arrive all the while. */
+TEST(Room, BegunStreamsGoOnBeforeNewOnesBegin)
+{
+    const int begun_count = 10;
+    for (const CompetitionCase &row : competition_cases) {
+        SCOPED_TRACE(row.name);
+        FleetRig rig(patient, row.vms, 0);
+        rig.versions = {"v1"};
+        rig.AddWorker(std::vector<ScriptedReply>(40, Stream(0, 9)));
+        rig.workers[0]->kept_parts = {"b1"};
+        rig.workers[0]->places = 0;
+        rig.RunFor(400);
+        std::vector<Caller *> fresh;
+        std::vector<Caller *> begun;
+        auto count = [](const std::vector<Caller *> &callers) {
+            int served = 0;
+            for (const Caller *caller : callers) {
+                served += caller->Status() == 200;
+            }
+            return served;
+        };
+        for (int i = 0; i < 7; i++) {
+            fresh.push_back(
+                rig.Call(row.new_vm, Prompt("n" + std::to_string(i), 15000)));
+        }
+        rig.RunFor(100);
+        for (int i = 0; i < begun_count; i++) {
+            begun.push_back(
+                rig.Call(row.begun_vm, Resumption("b" + std::to_string(i))));
+        }
+        rig.RunFor(200);
+        for (int i = 0; i < begun_count; i++) {
+            rig.workers[0]->places = 1;
+            rig.RunFor(120);
+        }
+        EXPECT_EQ(count(begun), begun_count);
+        EXPECT_EQ(count(fresh), 0);
+        /* None of them waits any more: the room is the new ones'. */
+        rig.workers[0]->places = 20;
+        rig.RunFor(600);
+        EXPECT_EQ(count(fresh), 7);
+    }
+}
+
+/* A begun stream waits in vain, as it finds room nowhere: new ones go on at
+   the other versions meanwhile. */
+TEST(Room, NewStreamsGoToOtherVersionsMeanwhile)
+{
+    FleetRig rig(patient, 1, 0);
+    rig.versions = {"v1", "v2"};
+    rig.AddWorker({});
+    rig.AddWorker({Stream(0, 9), Stream(0, 9)});
+    rig.workers[0]->kept_parts = {"b1"};
+    rig.workers[0]->places = 0;
+    rig.AddLoad(1, 4);
+    Caller *again = rig.Call(0, Resumption("id-1"));
+    rig.RunFor(200);
+    Caller *fresh = rig.Call(0, Prompt("n1", 15000));
+    rig.RunFor(200);
+    EXPECT_EQ(fresh->Status(), 200) << fresh->text;
+    EXPECT_EQ(again->Status(), 0) << again->text;
+    EXPECT_EQ(rig.workers[1]->requests.size(), 1u);
+}
+
 } // namespace
