Room: new streams are held back at workers that begun ones wait for

Cause: whenever a stream at a full worker ends, the next poll takes its room, and new streams poll most. 96 workers of the version were full by the forecast, few of them had refused. Demand.room_versions/room_streams (6, 7) tell the number, hubs' tables sum it.

--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -631,7 +631,7 @@
   (ProtobufCMessageInit) gossip__use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__demand__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gossip__demand__field_descriptors[7] =
 {
   {
     "service",
@@ -693,18 +693,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "room_versions",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Gossip__Demand, n_room_versions),
+    offsetof(Gossip__Demand, room_versions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "room_streams",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Gossip__Demand, n_room_streams),
+    offsetof(Gossip__Demand, room_streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__demand__field_indices_by_name[] = {
   4,   /* field[4] = extras */
   2,   /* field[2] = held */
   1,   /* field[1] = prompt_per_us */
   3,   /* field[3] = requests */
+  6,   /* field[6] = room_streams */
+  5,   /* field[5] = room_versions */
   0,   /* field[0] = service */
 };
 static const ProtobufCIntRange gossip__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gossip__demand__descriptor =
 {
@@ -714,7 +740,7 @@
   "Gossip__Demand",
   "gossip",
   sizeof(Gossip__Demand),
-  5,
+  7,
   gossip__demand__field_descriptors,
   gossip__demand__field_indices_by_name,
   1,  gossip__demand__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -101,10 +101,18 @@
    * Repeated calls in that window: those beyond the first of each request.
    */
   float extras;
+  /*
+   * Software versions (hashes of their names) at which begun streams wait for
+   * room, and the number of these streams. The fields are parallel.
+   */
+  size_t n_room_versions;
+  uint32_t *room_versions;
+  size_t n_room_streams;
+  float *room_streams;
 };
 #define GOSSIP__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__demand__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -59,6 +59,10 @@
 static double get_share(void *context, const char *service);
 static void on_budget_change(void *context, const char *service,
                              double requests, double extras);
+static void get_peer_rooms(void *context, const char *service,
+                           ReportRooms *rooms);
+static void on_rooms_change(void *context, const char *service,
+                            const ReportRooms *rooms);
 static void on_load_change(void *context);
 static uint32_t list_peers(void *context, const char *service, GatePeer *peers,
                            uint32_t max);
@@ -117,6 +121,8 @@
     gate.get_peer_usage = get_peer_usage;
     gate.get_share = get_share;
     gate.on_budget_change = on_budget_change;
+    gate.get_peer_rooms = get_peer_rooms;
+    gate.on_rooms_change = on_rooms_change;
     gate.on_load_change = on_load_change;
     gate.list_peers = list_peers;
     edge->gate = Gate_New(&gate);
@@ -346,6 +352,28 @@
     }
 }
 
+static void
+get_peer_rooms(void *context, const char *service, ReportRooms *rooms)
+{
+    const Edge *edge = context;
+
+    if (edge->gossip != NULL) {
+        *rooms = Gos_SumPeerDemand(edge->gossip, service).rooms;
+    }
+}
+
+static void
+on_rooms_change(void *context, const char *service, const ReportRooms *rooms)
+{
+    Edge *edge = context;
+
+    if (edge->gossip != NULL) {
+        ReportDemand row = Gos_GetDemand(edge->gossip, service);
+        row.rooms = *rooms;
+        Gos_SetDemand(edge->gossip, service, &row);
+    }
+}
+
 static void
 on_load_change(void *context)
 {
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -1,5 +1,6 @@
 /* Gate: creation, configuration and shutdown. See gate.h. */
 #include "../log.h"
+#include "begun.h"
 #include "crash_check.h"
 #include "detour.h"
 #include "successor.h"
@@ -25,6 +26,10 @@
 static double get_whole_share(void *context, const char *service);
 static void ignore_budget_change(void *context, const char *service,
                                  double requests, double extras);
+static void get_no_rooms(void *context, const char *service,
+                         ReportRooms *rooms);
+static void ignore_rooms_change(void *context, const char *service,
+                                const ReportRooms *rooms);
 static void ignore_load_change(void *context);
 static uint32_t list_no_peers(void *context, const char *service,
                               GatePeer *peers, uint32_t max);
@@ -39,6 +44,8 @@
         .get_peer_usage = get_no_peer_usage,
         .get_share = get_whole_share,
         .on_budget_change = ignore_budget_change,
+        .get_peer_rooms = get_no_rooms,
+        .on_rooms_change = ignore_rooms_change,
         .on_load_change = ignore_load_change,
         .list_peers = list_no_peers,
     };
@@ -60,6 +67,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gate->queues =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    gate->rooms =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gate->first_left_ms =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     LIST_INIT(&gate->tasks);
@@ -88,6 +97,7 @@
     g_hash_table_destroy(gate->demands);
     g_hash_table_destroy(gate->first_left_ms);
     g_hash_table_destroy(gate->queues);
+    g_hash_table_destroy(gate->rooms);
     g_rand_free(gate->rand);
     g_free(gate);
 }
@@ -154,6 +164,7 @@
     {
         Task_UpdateForecasts(task);
     }
+    Begun_Publish(gate);
 }
 
 size_t
@@ -362,6 +373,23 @@
     (void)extras;
 }
 
+static void
+get_no_rooms(void *context, const char *service, ReportRooms *rooms)
+{
+    (void)context;
+    (void)service;
+    (void)rooms;
+}
+
+static void
+ignore_rooms_change(void *context, const char *service,
+                    const ReportRooms *rooms)
+{
+    (void)context;
+    (void)service;
+    (void)rooms;
+}
+
 static void
 ignore_load_change(void *context)
 {
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -11,6 +11,7 @@
 #include "../io/client.h"
 #include "../io/server.h"
 #include "fleet.h"
+#include "load_report.h"
 #include "origins.h"
 #include "routes.h"
 
@@ -173,6 +174,12 @@
     /* This VM's use of a service's budget has changed. */
     void (*on_budget_change)(void *context, const char *service,
                              double requests, double extras);
+    /* Stores the begun streams that wait for room at the other VMs. */
+    void (*get_peer_rooms)(void *context, const char *service,
+                           ReportRooms *rooms);
+    /* Sets the begun streams that wait for room at this VM. */
+    void (*on_rooms_change)(void *context, const char *service,
+                            const ReportRooms *rooms);
     /* This VM's load on a worker has changed. */
     void (*on_load_change)(void *context);
     /* Stores other VMs that reach the workers of a service, up to `max`, and
@@ -199,8 +206,8 @@
    service's retry budget. */
 void Gate_GetBudgetUse(const Gate *gate, const char *service, double *requests,
                        double *extras);
-/* Brings the forecasts of KV memory of all requests up to date, as their
-   answers grow. */
+/* Brings what the other VMs are told up to date: the forecasts of KV memory of
+   all requests, as their answers grow, and the begun streams that wait. */
 void Gate_UpdateForecasts(Gate *gate);
 /* Returns the bytes of workers' answers that are being read. */
 size_t Gate_GetBufferedBytes(const Gate *gate);
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -361,8 +361,7 @@
     Report_DropDemands(&peer->report);
     for (size_t i = 0; i < news->n_demands; i++) {
         const Gossip__Demand *from = news->demands[i];
-        ReportDemand demand = {from->prompt_per_us, from->held, from->requests,
-                               from->extras};
+        ReportDemand demand = Gos_DecodeDemand(from);
         Report_SetDemand(&peer->report, from->service, &demand);
     }
     Report_DropUses(&peer->report);
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -6,7 +6,9 @@
 static uint32_t encode_age(int64_t at_us, int64_t now_us);
 static int64_t decode_age(uint32_t age_ms, int64_t now_us);
 static guint fill_demands(const Report *report, Gossip__Demand *rows,
-                          Gossip__Demand **demands);
+                          GosRooms *rooms, Gossip__Demand **demands);
+static void fill_rooms(const ReportRooms *from, GosRooms *rooms,
+                       Gossip__Demand *to);
 static void encode_kv(const Forecast *kv, uint32_t *later);
 
 void
@@ -39,8 +41,8 @@
     news->peers = message->peers;
     news->hubs = message->hubs;
     news->demands = message->demands;
-    news->n_demands =
-        fill_demands(&gos->own, message->demand_rows, message->demands);
+    news->n_demands = fill_demands(&gos->own, message->demand_rows,
+                                   message->rooms, message->demands);
     if (options->suspects != NULL) {
         add_suspects(gos, message);
     }
@@ -382,14 +384,14 @@
     table->later = part->later;
     table->n_later = n * GOS_LATER_POINTS;
     if (number == 0) {
-        table->n_demands =
-            fill_demands(report, part->demand_rows, part->demands);
+        table->n_demands = fill_demands(report, part->demand_rows, part->rooms,
+                                        part->demands);
     }
 }
 
 /* Fills in the demands of a report, and returns their number. */
 static guint
-fill_demands(const Report *report, Gossip__Demand *rows,
+fill_demands(const Report *report, Gossip__Demand *rows, GosRooms *rooms,
              Gossip__Demand **demands)
 {
     guint count = 0;
@@ -404,12 +406,52 @@
         rows[count].held = (float)demand.kv_tokens;
         rows[count].requests = (float)demand.requests;
         rows[count].extras = (float)demand.extras;
+        fill_rooms(&demand.rooms, &rooms[count], &rows[count]);
         demands[count] = &rows[count];
         count++;
     }
     return count;
 }
 
+static void
+fill_rooms(const ReportRooms *from, GosRooms *rooms, Gossip__Demand *to)
+{
+    size_t n = 0;
+
+    for (uint32_t i = 0; i < REPORT_ROOMS_MAX; i++) {
+        if (from->rows[i].version != 0 && from->rows[i].waiting_streams > 0) {
+            rooms->versions[n] = from->rows[i].version;
+            rooms->streams[n] = (float)from->rows[i].waiting_streams;
+            n++;
+        }
+    }
+    to->room_versions = rooms->versions;
+    to->n_room_versions = n;
+    to->room_streams = rooms->streams;
+    to->n_room_streams = n;
+}
+
+ReportDemand
+Gos_DecodeDemand(const Gossip__Demand *from)
+{
+    ReportDemand demand = {
+        .prompt_per_us = from->prompt_per_us,
+        .kv_tokens = from->held,
+        .requests = from->requests,
+        .extras = from->extras,
+    };
+
+    for (size_t i = 0; i < MIN(from->n_room_versions, from->n_room_streams);
+         i++) {
+        ReportRoom room = {from->room_versions[i], from->room_streams[i]};
+        /* False for a value that is no number, too. */
+        if (room.waiting_streams > 0) {
+            Report_AddRoom(&demand.rooms, &room);
+        }
+    }
+    return demand;
+}
+
 Forecast
 Gos_DecodeKv(uint32_t now_tokens, const uint32_t *later, size_t count,
              size_t row)
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -28,6 +28,12 @@
    fragmentation. */
 #define GOS_MESSAGE_MAX_BYTES 1400
 
+/* The arrays of a demand. */
+typedef struct GosRooms {
+    uint32_t versions[REPORT_ROOMS_MAX];
+    float streams[REPORT_ROOMS_MAX];
+} GosRooms;
+
 /* A message with the arrays that it refers to. */
 typedef struct GosMessage {
     Gossip__News news;
@@ -36,6 +42,7 @@
     uint32_t later[GOS_USES_MAX * GOS_LATER_POINTS];
     Gossip__Demand demand_rows[GOS_DEMANDS_MAX];
     Gossip__Demand *demands[GOS_DEMANDS_MAX];
+    GosRooms rooms[GOS_DEMANDS_MAX];
     Gossip__Hub hub_rows[GOS_HUBS_MAX];
     Gossip__Hub *hubs[GOS_HUBS_MAX];
     Gossip__Suspect suspect_rows[GOS_SUSPECTS_MAX];
@@ -57,6 +64,7 @@
     Gossip__Table table;
     Gossip__Demand demand_rows[GOS_DEMANDS_MAX];
     Gossip__Demand *demands[GOS_DEMANDS_MAX];
+    GosRooms rooms[GOS_DEMANDS_MAX];
     uint64_t workers[GOS_TABLE_ROWS_MAX];
     uint32_t inflight[GOS_TABLE_ROWS_MAX];
     uint32_t reading[GOS_TABLE_ROWS_MAX];
@@ -111,6 +119,7 @@
    each row. Those that are missing count as the present use. */
 Forecast Gos_DecodeKv(uint32_t now_tokens, const uint32_t *later, size_t count,
                       size_t row);
+ReportDemand Gos_DecodeDemand(const Gossip__Demand *from);
 /* Stores this VM's use of the worker; false if there is none. */
 bool Gos_GetOwnUse(const FleetWorker *worker, int64_t now_us, ReportUse *use);
 
--- a/src/gate/gossip_table.c
+++ b/src/gate/gossip_table.c
@@ -59,8 +59,7 @@
     }
     for (size_t i = 0; i < table->n_demands; i++) {
         const Gossip__Demand *from = table->demands[i];
-        ReportDemand demand = {from->prompt_per_us, from->held, from->requests,
-                               from->extras};
+        ReportDemand demand = Gos_DecodeDemand(from);
         Report_SetDemand(report, from->service, &demand);
     }
 }
--- a/src/gate/load_report.c
+++ b/src/gate/load_report.c
@@ -8,6 +8,7 @@
 
 static void add_to_worker(const ReportUse *use);
 static void subtract_from_worker(const ReportUse *use);
+static ReportRoom *find_room(ReportRooms *rooms, uint32_t version);
 static DemandRow *find_demand(const Report *report, uint64_t service);
 
 void
@@ -97,6 +98,36 @@
         sum->kv_tokens += row->demand.kv_tokens;
         sum->requests += row->demand.requests;
         sum->extras += row->demand.extras;
+        for (uint32_t i = 0; i < REPORT_ROOMS_MAX; i++) {
+            Report_AddRoom(&sum->rooms, &row->demand.rooms.rows[i]);
+        }
+    }
+}
+
+void
+Report_AddRoom(ReportRooms *rooms, const ReportRoom *from)
+{
+    ReportRoom *to = find_room(rooms, from->version);
+
+    if (to == NULL) {
+        to = find_room(rooms, 0);
+    }
+    if (from->version != 0 && to != NULL) {
+        to->version = from->version;
+        to->waiting_streams += from->waiting_streams;
+    }
+}
+
+void
+Report_SubtractRooms(ReportRooms *rooms, const ReportRooms *from)
+{
+    for (uint32_t i = 0; i < REPORT_ROOMS_MAX; i++) {
+        const ReportRoom *row = &from->rows[i];
+        ReportRoom *to = find_room(rooms, row->version);
+        if (to != NULL) {
+            to->waiting_streams =
+                MAX(0, to->waiting_streams - row->waiting_streams);
+        }
     }
 }
 
@@ -166,6 +197,18 @@
     use->worker->peer_leaving -= use->leaving;
 }
 
+/* Returns the version's row, or NULL. */
+static ReportRoom *
+find_room(ReportRooms *rooms, uint32_t version)
+{
+    for (uint32_t i = 0; i < REPORT_ROOMS_MAX; i++) {
+        if (rooms->rows[i].version == version) {
+            return &rooms->rows[i];
+        }
+    }
+    return NULL;
+}
+
 static DemandRow *
 find_demand(const Report *report, uint64_t service)
 {
--- a/src/gate/load_report.h
+++ b/src/gate/load_report.h
@@ -17,6 +17,21 @@
     uint32_t leaving;       /* VMs to which it said that it leaves. */
 } ReportUse;
 
+/* Software versions of a service at which begun streams wait for room; further
+   ones are left out. */
+#define REPORT_ROOMS_MAX 4
+
+/* Begun streams that wait for room at the workers of their software version.
+ */
+typedef struct ReportRoom {
+    uint32_t version; /* As in FleetWorker; 0: the row is free. */
+    double waiting_streams;
+} ReportRoom;
+
+typedef struct ReportRooms {
+    ReportRoom rows[REPORT_ROOMS_MAX];
+} ReportRooms;
+
 /* Load on a service. */
 typedef struct ReportDemand {
     double prompt_per_us; /* Prompt tokens per microsecond. */
@@ -24,6 +39,7 @@
     double requests;      /* Requests in the retry budget's last window. */
     double extras;        /* Repeated calls in that window: those beyond the
                              first of each request. */
+    ReportRooms rooms;
 } ReportDemand;
 
 typedef struct Report {
@@ -49,6 +65,10 @@
    if there are fewer. */
 bool Report_GetDemand(const Report *report, guint i, uint64_t *service,
                       ReportDemand *demand);
+/* Adds to the row of the same version. */
+void Report_AddRoom(ReportRooms *rooms, const ReportRoom *from);
+/* Subtracts, down to 0. */
+void Report_SubtractRooms(ReportRooms *rooms, const ReportRooms *from);
 /* Adds all of `from` to the report, one use for each worker. */
 void Report_Merge(Report *report, const Report *from);
 
--- a/src/gate/peers.c
+++ b/src/gate/peers.c
@@ -376,6 +376,7 @@
         sum.kv_tokens = MAX(0, sum.kv_tokens - own->kv_tokens);
         sum.requests = MAX(0, sum.requests - own->requests);
         sum.extras = MAX(0, sum.extras - own->extras);
+        Report_SubtractRooms(&sum.rooms, &own->rooms);
         *count += table->members - 1;
     }
     for (guint i = 0; i < peers->regions->len && !peers->is_mesh && !near_only;
--- a/src/gate/reservation.c
+++ b/src/gate/reservation.c
@@ -1,5 +1,6 @@
 /* Reservation: workers and reservations of a stream. See reservation.h. */
 #include "reservation.h"
+#include "begun.h"
 
 #include "../log.h"
 
@@ -76,8 +77,9 @@
 FleetWorker *
 Reservation_ChooseDecodeWorker(GateTask *task, int64_t *cost_us)
 {
-    FleetWorker *best = Task_ChooseWorker(task, FLEET_PHASE_DECODE,
-                                          get_available_cost, NULL, cost_us);
+    FleetWorker *best =
+        Task_ChooseWorker(task, FLEET_PHASE_DECODE, get_available_cost,
+                          Begun_Update(task), cost_us);
 
     return best != NULL && *cost_us < RANK_UNUSABLE_US ? best : NULL;
 }
@@ -128,7 +130,8 @@
            (double)age_us <= RESERVATION_HANDLE_FETCH_SHARE * (double)ttl_us;
 }
 
-/* Returns the cost of a run at a worker, or RANK_UNUSABLE_US if it is full. */
+/* Returns the cost of a run at a worker, or RANK_UNUSABLE_US if it is full, or
+   if new streams are held back there. `context` is the BegunRoom or NULL. */
 static int64_t
 get_available_cost(const GateTask *task, const FleetWorker *worker,
                    const RankWorker *rank, const void *context)
@@ -136,6 +139,7 @@
     bool is_prefilled = task->kv.handle[0] != '\0';
 
     if (Task_Now(task) < worker->full_until_us ||
+        (!is_prefilled && Begun_IsHeld(context, worker)) ||
         (!is_prefilled && rank->kv_capacity_tokens > 0 && rank->has_kv_load &&
          (double)rank->kv_peak_tokens +
                  RESERVATION_MARGIN_ANSWERS * task->gate->mean_answer_tokens >
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -154,6 +154,7 @@
     GHashTable *budgets; /* Service name to Budget. */
     GHashTable *demands; /* Service name to GateDemand. */
     GHashTable *queues;  /* Service name to AdmissionQueue. */
+    GHashTable *rooms;   /* Service name to BegunRoom. */
     /* Route name to the time left of callers at their first try, ms. */
     GHashTable *first_left_ms;
     double event_interval_us; /* Between events of a stream, moving mean. */
--- a/src/gate/task_wait.c
+++ b/src/gate/task_wait.c
@@ -1,5 +1,6 @@
 /* Task wait: the wait of a stream for capacity. See task_wait.h. */
 #include "task_wait.h"
+#include "begun.h"
 #include "reservation.h"
 
 #include "../log.h"
@@ -22,6 +23,7 @@
 
     if (task->waiting_since_us == 0) {
         task->waiting_since_us = now_us;
+        Begun_NoteWait(task);
     }
     wait_plan = plan_wait(task);
     if (task->silent != NULL ||
