--- a/src/gate/feed.c
+++ b/src/gate/feed.c
@@ -83,6 +83,7 @@
     }
     if (decoder->decode_entry(decoder->context, id, text, size, position,
                               &entry, &err) != LS_OK) {
+        Met_Add(MET_ENTRIES_UNREADABLE, 1);
         Log_WriteJson(LOG_LEVEL_INFO, "worker_unreadable",
                       json_pack("{s:s,s:I,s:I,s:s}", "worker", id, "era",
                                 (json_int_t)position.era, "revision",
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -101,6 +101,8 @@
     [MET_STORE_CALLS] = {"store_calls", "Calls at the platform's store."},
     [MET_STORE_ERAS_BAD] = {"store_eras_bad",
                             "Answers whose era is missing or too low."},
+    [MET_ENTRIES_UNREADABLE] = {"entries_unreadable",
+                                "Entries that name no worker to use."},
     [MET_STORE_LOST] = {"store_lost", "Times the store was lost."},
 };
 
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -63,6 +63,7 @@
     MET_STORE_CALLS,
     MET_STORE_LOST,
     MET_STORE_ERAS_BAD,
+    MET_ENTRIES_UNREADABLE,
     MET_COUNTER_COUNT,
 } MetCounter;
 
