Store: an odd entry of another writer names no worker and hides no other

What callers saw (report of another operator): one odd entry among those of the workers, and machines ended again and again or stopped following the list. No entry ended the process. Ruled out: deep nesting (jansson stops at 2048), numbers beyond 64 bits.

--- a/src/gate/feed.c
+++ b/src/gate/feed.c
@@ -76,6 +76,7 @@
     const FleetWorker *worker;
     FleetEntry entry;
     LsError err = {0};
+    bool is_known = Snapshot_HasEntry(feed->snapshot, id, position);
 
     Snapshot_SetEntry(feed->snapshot, id, text, size, position);
     if (Fleet_KeepEntry(fleet, id, position)) {
@@ -83,13 +84,15 @@
     }
     if (decoder->decode_entry(decoder->context, id, text, size, position,
                               &entry, &err) != LS_OK) {
-        Met_Add(MET_ENTRIES_UNREADABLE, 1);
-        Log_WriteJson(LOG_LEVEL_INFO, "worker_unreadable",
-                      json_pack("{s:s,s:I,s:I,s:s}", "worker", id, "era",
-                                (json_int_t)position.era, "revision",
-                                (json_int_t)position.revision, "cause",
-                                err.message));
-        Fleet_RemoveEntry(fleet, id, position, now_us);
+        if (!is_known) {
+            Met_Add(MET_ENTRIES_UNREADABLE, 1);
+            Log_WriteJson(LOG_LEVEL_INFO, "worker_unreadable",
+                          json_pack("{s:s,s:I,s:I,s:s}", "worker", id, "era",
+                                    (json_int_t)position.era, "revision",
+                                    (json_int_t)position.revision, "cause",
+                                    err.message));
+        }
+        Fleet_RejectEntry(fleet, id, position, now_us);
         return;
     }
     worker = Fleet_SetEntry(fleet, &entry, now_us);
--- a/src/gate/feed.h
+++ b/src/gate/feed.h
@@ -39,8 +39,8 @@
 /* Decodes a configuration and puts it in force if its version is newer. A
    malformed one is logged and ignored. */
 void Feed_ApplyConfig(Feed *feed, const void *text, size_t size);
-/* Adds or updates a worker by its entry. A malformed entry is logged and
-   removes the worker. */
+/* Adds or updates a worker by its entry. A malformed entry is logged
+   and names no worker to use. */
 void Feed_SetEntry(Feed *feed, const char *id, const void *text, size_t size,
                    Pos position);
 void Feed_RemoveEntry(Feed *feed, const char *id, Pos position);
--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -201,6 +201,19 @@
     }
 }
 
+void
+Fleet_RejectEntry(Fleet *fleet, const char *id, Pos position, int64_t now_us)
+{
+    FleetWorker *worker = Fleet_Find(fleet, id);
+
+    Fleet_RemoveEntry(fleet, id, position, now_us);
+    if (worker != NULL && !worker->listed &&
+        !Pos_IsBefore(position, worker->entry.position)) {
+        worker->removed_us =
+            MIN(worker->removed_us, now_us - FLEET_REMOVED_GRACE_US);
+    }
+}
+
 void
 Fleet_BeginSweep(Fleet *fleet, uint64_t era, int64_t now_us)
 {
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -155,6 +155,10 @@
    `position`. The worker itself stays until Fleet_Prune(). */
 void Fleet_RemoveEntry(Fleet *fleet, const char *id, Pos position,
                        int64_t now_us);
+/* The same for an entry that another writer has overwritten: it names no
+   worker to use from now on. What runs at the worker goes on. */
+void Fleet_RejectEntry(Fleet *fleet, const char *id, Pos position,
+                       int64_t now_us);
 /* Enclose a complete reading of the source: Fleet_EndSweep() marks the entries
    as removed that were not set since Fleet_BeginSweep(). Those of an older era
    stay listed until FLEET_ERA_GRACE_US after this VM learned of the newer. */
--- a/src/gate/snapshot.c
+++ b/src/gate/snapshot.c
@@ -85,6 +85,14 @@
     g_hash_table_replace(snapshot->entries, g_strdup(id), entry);
 }
 
+bool
+Snapshot_HasEntry(const Snapshot *snapshot, const char *id, Pos position)
+{
+    const SnapshotEntry *known = g_hash_table_lookup(snapshot->entries, id);
+
+    return known != NULL && Pos_IsEqual(known->position, position);
+}
+
 void
 Snapshot_RemoveEntry(Snapshot *snapshot, const char *id, Pos position)
 {
--- a/src/gate/snapshot.h
+++ b/src/gate/snapshot.h
@@ -38,6 +38,8 @@
 /* Copies the worker's entry, unless a newer one is set. */
 void Snapshot_SetEntry(Snapshot *snapshot, const char *id, const void *text,
                        size_t size, Pos position);
+/* Whether the entry with this position is known. */
+bool Snapshot_HasEntry(const Snapshot *snapshot, const char *id, Pos position);
 void Snapshot_RemoveEntry(Snapshot *snapshot, const char *id, Pos position);
 /* Enclose the setting of a complete list of workers of one era: the entries
    that were not set meanwhile are removed. A sweep that has not ended is
--- a/tests/test_store_odd.cc
+++ b/tests/test_store_odd.cc
@@ -296,7 +296,9 @@
     int revision = 10;
     for (size_t i = 0; i < odd_cases.size(); i++) {
         std::string key = odd_cases[i].key;
-        key.insert(key.find("servers/") + 8, std::to_string(i) + "-");
+        if (key != "\"servers/\"") {
+            key.insert(key.find("servers/") + 8, std::to_string(i) + "-");
+        }
         pages[i % 2] += "," + RawItem(key, odd_cases[i].value, revision++);
     }
     Begin({Range(Item("servers/a", whole, 4) + pages[0] + "," +
