Stop: what can't end within the grace is refused, the rest has all of it

With grace-s 4 all at work at 3.1 s got 502, 0.9 s before the end; half-read requests were reset; requests that came in the 0.1 s between that cut and the exit were begun and lost. Cause: a fixed margin of 0.9 s, no check of a request's time against what is left, and an exit one tick after the cut, whatever was being read or sent. Change: decide/drain takes a request if it should end in time (mean call time of the service and four deviations for what may run once; tokens and pace of a stream), or refuses it at once (503, not run, connection closed), also before another worker is tried and for requests of other VMs. The end is 0.2 s before the kill, always in the last sixth of the grace; then half-read requests are refused, and the process waits until its last answers have arrived. Ruled out: two signals, a reload beside the stop.

--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -1,6 +1,8 @@
 /* Edge: process of a gate on one VM. See edge.h. */
 #include "edge.h"
 
+#include "../decide/admission.h"
+#include "../decide/drain.h"
 #include "../io/loop.h"
 #include "../log.h"
 #include "../metrics.h"
@@ -11,9 +13,10 @@
 #define EDGE_SHUTDOWN_TICK_MS 100 /* Interval of checks during a shutdown. */
 /* Interval between removals of workers that left the source some time ago. */
 #define EDGE_PRUNE_INTERVAL_MS 5000
-/* Time before the kill at which the remaining requests are ended, so that
-   their answers can still be sent. */
-#define EDGE_ANSWER_MARGIN_MS 900
+/* The same once the remaining requests have been ended. */
+#define EDGE_END_TICK_MS 20
+/* Time before the kill at which the process ends by itself at the latest. */
+#define EDGE_EXIT_MARGIN_MS 50
 /* A VM that watches the source, but is behind another VM for longer than this,
    asks that VM: its own watch may be lost. */
 #define EDGE_BEHIND_MAX_US (900 * CLK_US_PER_MS)
@@ -42,6 +45,7 @@
     bool tasks_ended; /* Requests in progress have been ended. */
     int64_t began_us;
     int64_t stop_us;
+    int64_t drain_end_us; /* When the remaining requests are ended. */
     /* What this VM knew when it learned that another VM knows something newer,
        and the time of that. */
     GosVersions behind;
@@ -53,6 +57,8 @@
 static void on_metrics(void *context, ServerExchange *exchange);
 static void ignore_disconnect(void *context, ServerExchange *exchange);
 static void on_shutdown_tick(evutil_socket_t fd, short what, void *context);
+static bool is_drained(const Edge *edge);
+static void end_remaining(Edge *edge);
 static void on_prune(evutil_socket_t fd, short what, void *context);
 static bool start_peering(Edge *edge, LsError *err);
 static BudgetPeerUsage get_peer_usage(void *context, const char *service);
@@ -242,8 +248,14 @@
     }
     edge->stopping = true;
     edge->stop_us = Clk_Now(edge->options.clk);
+    edge->drain_end_us = Drain_GetEnd(
+        edge->stop_us, (int64_t)edge->options.grace_ms * CLK_US_PER_MS);
     Server_BeginShutdown(edge->callers);
     Gate_BeginShutdown(edge->gate);
+    Gate_SetDrain(edge->gate,
+                  edge->stop_us +
+                      (int64_t)edge->options.notice_ms * CLK_US_PER_MS,
+                  edge->drain_end_us);
     Log_WriteJson(LOG_LEVEL_INFO, "stopping",
                   json_pack("{s:i}", "exchanges",
                             (int)Server_CountPending(edge->callers)));
@@ -517,39 +529,73 @@
 }
 
 /* Ends the loop when the load balancer sends no more requests and none is in
-   progress, or when the time is up. */
+   progress, or when the grace is over. */
 static void
 on_shutdown_tick(evutil_socket_t fd, short what, void *context)
 {
     Edge *edge = context;
-    int64_t since_ms =
-        (Clk_Now(edge->options.clk) - edge->stop_us) / CLK_US_PER_MS;
-    int64_t end_ms = (int64_t)edge->options.grace_ms - EDGE_ANSWER_MARGIN_MS;
+    int64_t now_us = Clk_Now(edge->options.clk);
+    int64_t since_ms = (now_us - edge->stop_us) / CLK_US_PER_MS;
+    int64_t end_ms = (edge->drain_end_us - edge->stop_us) / CLK_US_PER_MS;
 
     (void)fd;
     (void)what;
-    if (since_ms >= edge->options.notice_ms && !edge->idle_closed) {
+    if (since_ms >= MIN(edge->options.notice_ms, end_ms) &&
+        !edge->idle_closed) {
         edge->idle_closed = true;
         Server_CloseIdle(edge->callers);
     }
-    if (edge->idle_closed && Server_CountPending(edge->callers) == 0 &&
-        (edge->relay == NULL || Relay_CountPending(edge->relay) == 0)) {
-        event_base_loopexit(edge->options.base, NULL);
-        return;
+    if (now_us >= edge->drain_end_us && !edge->tasks_ended) {
+        edge->tasks_ended = true;
+        end_remaining(edge);
     }
-    if (edge->tasks_ended) {
+    if (is_drained(edge) ||
+        since_ms + EDGE_EXIT_MARGIN_MS >= edge->options.grace_ms) {
         event_base_loopexit(edge->options.base, NULL);
         return;
     }
-    if (since_ms >= end_ms) {
-        Log_WriteJson(LOG_LEVEL_WARNING, "shutdown_cut",
-                      json_pack("{s:i}", "exchanges",
-                                (int)Server_CountPending(edge->callers)));
-        Gate_EndAll(edge->gate);
-        /* The last answers can be sent until the next tick ends the loop. */
-        edge->tasks_ended = true;
+    Loop_ArmTimer(edge->shutdown_timer,
+                  edge->tasks_ended ? EDGE_END_TICK_MS
+                                    : (uint32_t)CLAMP(end_ms - since_ms, 1,
+                                                      EDGE_SHUTDOWN_TICK_MS));
+}
+
+/* Whether no caller needs the process any more. */
+static bool
+is_drained(const Edge *edge)
+{
+    const Relay *relay = edge->relay;
+
+    if (edge->tasks_ended) {
+        /* Callers read their last answers. */
+        return Server_CountOpen(edge->callers) == 0 &&
+               (relay == NULL || Relay_CountPending(relay) == 0);
     }
-    Loop_ArmTimer(edge->shutdown_timer, EDGE_SHUTDOWN_TICK_MS);
+    return edge->idle_closed && Server_CountPending(edge->callers) == 0 &&
+           (relay == NULL || Relay_CountPending(relay) == 0);
+}
+
+/* Ends the requests in progress, and refuses those that are being read. */
+static void
+end_remaining(Edge *edge)
+{
+    const GateCodec *codec = edge->options.codec;
+    HeaderList *headers = Header_New();
+    GString *body = g_string_new(NULL);
+    LsError err;
+
+    Log_WriteJson(LOG_LEVEL_WARNING, "shutdown_cut",
+                  json_pack("{s:i}", "exchanges",
+                            (int)Server_CountPending(edge->callers)));
+    Gate_EndAll(edge->gate);
+    Err_Set(&err, LS_ERR_SHUTTING_DOWN, LS_RUN_NOT_RUN,
+            "the request was not read before the VM stopped");
+    err.retry_after_ms = ADMISSION_RETRY_MIN_MS;
+    codec->encode_error(codec->context, NULL, &err, headers, body);
+    Server_RefuseUnread(edge->callers, Err_GetHttpStatus(err.code), headers,
+                        body->str, body->len);
+    Header_Free(headers);
+    g_string_free(body, TRUE);
 }
 
 static void
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -60,6 +60,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gate->queues =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    gate->drain_times =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gate->first_left_ms =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     LIST_INIT(&gate->tasks);
@@ -88,6 +90,7 @@
     g_hash_table_destroy(gate->demands);
     g_hash_table_destroy(gate->first_left_ms);
     g_hash_table_destroy(gate->queues);
+    g_hash_table_destroy(gate->drain_times);
     g_rand_free(gate->rand);
     g_free(gate);
 }
@@ -237,6 +240,13 @@
     gate->stopping = true;
 }
 
+void
+Gate_SetDrain(Gate *gate, int64_t late_us, int64_t end_us)
+{
+    gate->drain_late_us = late_us;
+    gate->drain_end_us = end_us;
+}
+
 void
 Gate_EndAll(Gate *gate)
 {
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -218,6 +218,10 @@
 /* From now on, streams without capacity are ended instead of waiting: refused
    if they have not run, and failed otherwise. */
 void Gate_BeginShutdown(Gate *gate);
+/* From now on, requests are taken only as Drain_IsTaken() says: the remaining
+   ones are ended at `end_us`, and those that begin after `late_us` are late.
+ */
+void Gate_SetDrain(Gate *gate, int64_t late_us, int64_t end_us);
 /* Ends all requests: refuses those that have not run, and fails the rest. */
 void Gate_EndAll(Gate *gate);
 
--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -29,7 +29,7 @@
     int64_t cost_us = 0;
     FleetWorker *worker;
 
-    if (!Blame_IsAllowed(task)) {
+    if (!Blame_IsAllowed(task) || !Task_MayBegin(task)) {
         return;
     }
     worker =
@@ -161,6 +161,7 @@
     if (has_answer && current->reply.status < 500 && run != LS_RUN_NOT_RUN) {
         Health_NoteSuccess(&current->worker->health, Task_Now(task));
         Blame_NoteSound(task);
+        Task_NoteTime(task, Task_Now(task) - current->began_us);
         if (is_silent) {
             Successor_Cancel(task);
         }
@@ -192,7 +193,8 @@
     input.repeatable = task->route->kind == RTE_IDEMPOTENT;
     input.has_answer = has_answer && task->silent == NULL;
     input.has_budget = !was_sent || Task_HasBudget(task, 1);
-    input.has_candidate = next != NULL && is_in_time(task, next);
+    input.has_candidate =
+        next != NULL && is_in_time(task, next) && Task_IsInGrace(task);
     switch (Task_DecideRetry(task, &input)) {
     case RETRY_ELSEWHERE:
         if (!Blame_IsAllowed(task)) {
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -85,13 +85,6 @@
     const GateRequest *request = &task->request;
     GateDemand *demand =
         g_hash_table_lookup(gate->demands, task->service->name);
-    double event_interval_us = gate->event_interval_us > 0
-                                   ? gate->event_interval_us
-                                   : STREAM_DEFAULT_EVENT_INTERVAL_US;
-    double events =
-        (double)request->output_tokens / (task->service->tokens_per_event > 0
-                                              ? task->service->tokens_per_event
-                                              : 1);
 
     if (demand == NULL) {
         demand = g_new0(GateDemand, 1);
@@ -101,8 +94,20 @@
     demand->prompt_tokens += request->prompt_tokens;
     /* Memory grows with the answer, so half of the answer counts. */
     demand->kv_token_us +=
-        (request->prompt_tokens + request->output_tokens / 2.0) * events *
-        event_interval_us;
+        (request->prompt_tokens + request->output_tokens / 2.0) *
+        (double)Task_GetStreamTime(task);
+}
+
+int64_t
+Task_GetStreamTime(const GateTask *task)
+{
+    double event_interval_us = task->gate->event_interval_us > 0
+                                   ? task->gate->event_interval_us
+                                   : STREAM_DEFAULT_EVENT_INTERVAL_US;
+    uint32_t tokens_per_event = MAX(task->service->tokens_per_event, 1);
+
+    return (int64_t)((double)task->request.output_tokens / tokens_per_event *
+                     event_interval_us);
 }
 
 void
@@ -240,7 +245,8 @@
     int64_t remote_prefill_cost_us = INT64_MAX;
     FleetWorker *prefill_worker;
 
-    if (!Blame_IsAllowed(task)) {
+    if (!Blame_IsAllowed(task) ||
+        (!Stream_HasBegun(task) && task->runs == 0 && !Task_MayBegin(task))) {
         return;
     }
     if (task->version == 0 && task->last_event != GATE_NO_EVENT) {
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -68,6 +68,61 @@
     return (task->deadline_us - Task_Now(task)) / CLK_US_PER_MS;
 }
 
+void
+Task_NoteTime(const GateTask *task, int64_t took_us)
+{
+    GHashTable *times = task->gate->drain_times;
+    DrainTime *time = g_hash_table_lookup(times, task->service->name);
+
+    if (time == NULL) {
+        time = g_new0(DrainTime, 1);
+        g_hash_table_insert(times, g_strdup(task->service->name), time);
+    }
+    Drain_NoteTime(time, took_us);
+}
+
+bool
+Task_IsInGrace(const GateTask *task)
+{
+    const Gate *gate = task->gate;
+    const DrainTime *time =
+        g_hash_table_lookup(gate->drain_times, task->service->name);
+    int64_t now_us = Task_Now(task);
+    DrainRequest request = {
+        .left_us = gate->drain_end_us - now_us,
+        .limit_us = task->deadline_us - now_us,
+        .expected_us = (int64_t)task->route->slo_ms * CLK_US_PER_MS,
+        .is_stream = task->route->kind == RTE_STREAM,
+        .is_repeatable =
+            task->route->kind == RTE_IDEMPOTENT || task->route->can_resume,
+        .is_late = task->began_us > gate->drain_late_us,
+    };
+
+    if (gate->drain_end_us == 0) {
+        return true;
+    }
+    if (request.is_stream) {
+        request.expected_us += Task_GetStreamTime(task);
+    }
+    else if (time != NULL) {
+        request.expected_us = (int64_t)time->mean_us;
+        request.deviation_us = (int64_t)time->deviation_us;
+    }
+    return Drain_IsTaken(&request);
+}
+
+bool
+Task_MayBegin(GateTask *task)
+{
+    if (Task_IsInGrace(task)) {
+        return true;
+    }
+    g_strlcpy(task->cause, "too little is left of the grace",
+              sizeof(task->cause));
+    Task_Refuse(task, ADMISSION_STOPPING);
+    return false;
+}
+
 void
 Task_SetTimer(GateTask *task)
 {
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -5,6 +5,7 @@
 #define LS_TASK_H
 
 #include "../decide/admission.h"
+#include "../decide/drain.h"
 #include "../decide/retry.h"
 #include "../decide/suspects.h"
 #include "../metrics.h"
@@ -172,6 +173,9 @@
     LIST_HEAD(DetourProbeList, DetourProbe) detour_probes;
     struct event *detour_timer;
     bool stopping;
+    GHashTable *drain_times; /* Service name to DrainTime. */
+    int64_t drain_late_us;   /* As in Gate_SetDrain(). */
+    int64_t drain_end_us;    /* 0 before a planned stop. */
 };
 
 /* Returns the cost of a call at a worker, microseconds. */
@@ -207,6 +211,15 @@
 bool Task_MayBeRunning(const GateTask *task);
 /* Returns the time until the task's deadline. */
 int64_t Task_GetLeftMs(const GateTask *task);
+/* Returns the expected time from a stream's first event to its last one. */
+int64_t Task_GetStreamTime(const GateTask *task);
+/* Notes the time that a plain call of the service took. */
+void Task_NoteTime(const GateTask *task, int64_t took_us);
+/* Whether what is left of a planned stop's grace is enough for the request.
+   Always before the stop. */
+bool Task_IsInGrace(const GateTask *task);
+/* The same; refuses the request if not. */
+bool Task_MayBegin(GateTask *task);
 /* Counts the request for its service's retry budget. */
 void Task_NoteRequest(GateTask *task);
 /* Whether the service's budget allows this number of further calls. Calls are
--- a/src/io/server.c
+++ b/src/io/server.c
@@ -40,6 +40,7 @@
 static void arm_body_timer(const ServerConn *conn);
 static void drop_body(ServerConn *conn);
 static void reject(ServerConn *conn, int status);
+static void begin_refusal(ServerConn *conn, int status);
 static void begin_linger(ServerConn *conn);
 
 static const http_parser_settings parser_settings = {
@@ -154,6 +155,35 @@
     }
 }
 
+void
+Server_RefuseUnread(Server *server, int status, const HeaderList *headers,
+                    const void *body, size_t size)
+{
+    ServerConn *conn = LIST_FIRST(&server->conns);
+
+    while (conn != NULL) {
+        ServerConn *next = LIST_NEXT(conn, links);
+        if (conn->reading) {
+            begin_refusal(conn, status);
+            Server_SendResponse(&conn->exchange, status, headers, body, size);
+        }
+        conn = next;
+    }
+}
+
+guint
+Server_CountOpen(const Server *server)
+{
+    const ServerConn *conn;
+    guint count = 0;
+
+    LIST_FOREACH(conn, &server->conns, links)
+    {
+        count++;
+    }
+    return count;
+}
+
 guint
 Server_CountPending(const Server *server)
 {
@@ -162,10 +192,11 @@
 
     for (conn = LIST_FIRST(&server->conns); conn != NULL;
          conn = LIST_NEXT(conn, links)) {
-        struct evbuffer *out = bufferevent_get_output(conn->bev);
-        /* Without a listener, connections remain only for their request. */
+        /* Without a listener, connections remain only for their request. A
+           response is lost if its connection is reset by a further request
+           before it has arrived. */
         count += !conn->in_exchange &&
-                 (evbuffer_get_length(out) > 0 ||
+                 (count_unsent(conn) > 0 ||
                   (server->listener == NULL && !conn->lingering));
     }
     return count;
@@ -586,6 +617,14 @@
    slow, and closes the connection. */
 static void
 reject(ServerConn *conn, int status)
+{
+    begin_refusal(conn, status);
+    Server_SendResponse(&conn->exchange, status, NULL, "", 0);
+}
+
+/* Prepares the response to a request that was not read to its end. */
+static void
+begin_refusal(ServerConn *conn, int status)
 {
     Log_WriteJson(LOG_LEVEL_INFO, "request_unreadable",
                   json_pack("{s:i,s:s,s:i}", "status", status, "parser",
@@ -597,7 +636,6 @@
     conn->server->exchanges++;
     conn->parser.http_major = 1;
     conn->parser.http_minor = 1;
-    Server_SendResponse(&conn->exchange, status, NULL, "", 0);
 }
 
 /* Closes only the sending half and waits for the caller to close. A close with
--- a/src/io/server.h
+++ b/src/io/server.h
@@ -81,10 +81,15 @@
    last response is sent. Requests whose first bytes have reached this VM by
    then are still read and answered. */
 void Server_CloseIdle(Server *server);
+/* Answers the requests that are still being read, and closes their
+   connections. `headers` may be NULL. */
+void Server_RefuseUnread(Server *server, int status, const HeaderList *headers,
+                         const void *body, size_t size);
 /* Returns the number of requests without a complete response, of responses
-   that are not yet sent completely, and after Server_CloseIdle() of
+   that the caller's host has not yet received, and after Server_CloseIdle() of
    connections whose request is still being read. */
 guint Server_CountPending(const Server *server);
+guint Server_CountOpen(const Server *server); /* All connections. */
 
 /* Returns the bytes of the bodies of all requests. */
 size_t Server_GetBodyBytes(const Server *server);
