Suspects: a common crash blames neither requests nor parts

What callers saw: when 30% of 140 workers crashed at once, requests that ran there were refused as "crash workers" for 10 to 42 s. The workers of one crash die some milliseconds apart, so each run "began after the crash before". Within 0.2 s all 61 VMs blamed both (122 part_blamed). Ruled out: equal identities of different requests (one each), silent calls and their successors (none), runs sent after the crash was known (the checks ended 16.0042 and 16.0078 s). Change: failures of other workers are remembered; crashes of one moment (0.1 s) count once if as many workers failed without the part; a request alone then needs three crashes, a shared part more weight; a stream waits 0.25 s for such evidence before it is refused.

--- a/src/decide/suspects.c
+++ b/src/decide/suspects.c
@@ -12,6 +12,16 @@
 /* What belongs to a request alone is blamed from this many crashes on,
    whatever their weight: if it is wrong, only that request is refused. */
 #define SUSPECTS_OWN_CRASHES 2
+/* Crashes that are less than this apart are of one moment. If at least this
+   many other workers failed in it, as many as under the part, they failed for
+   another reason, and the crashes of the moment count once. */
+#define SUSPECTS_MOMENT_US (100 * CLK_US_PER_MS)
+#define SUSPECTS_COMMON_OTHERS 2
+/* From this many others on, twice as many as under the part, a crash under a
+   part that requests share weighs as one that may have other causes. */
+#define SUSPECTS_MOST_OTHERS 4
+/* Failures that are older show nothing of a new crash. */
+#define SUSPECTS_FAILURE_KEEP_US (60 * CLK_US_PER_S)
 #define SUSPECTS_PROVEN_SPAN_US (2 * CLK_US_PER_S)
 /* Of parts with nearly the same crashes, those later in the prompt are blamed
    first, as fewer requests share them. */
@@ -42,6 +52,7 @@
 /* Crashes of a part that count, one after the other. */
 typedef struct SuspectsSpan {
     uint32_t crashes;
+    uint32_t common; /* Those that came as other workers failed too. */
     int64_t first_us;
     int64_t last_us;
 } SuspectsSpan;
@@ -59,6 +70,11 @@
 static bool is_expired(const SuspectsRow *row, int64_t now_us);
 static void drop_expired(Suspects *suspects, int64_t now_us);
 static void update_blame(Suspects *suspects);
+static bool add_failure(Suspects *suspects, uint64_t worker, int64_t at_us,
+                        int64_t now_us);
+static void note_common(const Suspects *suspects, SuspectsRow *row,
+                        uint32_t index);
+static bool is_settled(const SuspectsRow *row, int64_t now_us);
 static uint32_t weigh(const Suspects *suspects, const SuspectsRow *row);
 static uint32_t sum_weights(const Suspects *suspects, const SuspectsRow *row,
                             bool unexplained_only, SuspectsSpan *span);
@@ -96,6 +112,8 @@
         return;
     }
     drop_expired(suspects, now_us);
+    may_blame = add_failure(suspects, crash->worker, crash->at_us, now_us) &&
+                suspects->blamed_count > 0;
     for (uint32_t i = 0; i < count; i++) {
         uint32_t depth = i < count - own_count
                              ? i
@@ -111,6 +129,16 @@
     }
 }
 
+void
+Suspects_NoteFailure(Suspects *suspects, uint64_t worker, int64_t at_us,
+                     int64_t now_us)
+{
+    if (add_failure(suspects, worker, at_us, now_us) &&
+        suspects->blamed_count > 0) {
+        update_blame(suspects);
+    }
+}
+
 void
 Suspects_NoteSound(Suspects *suspects, const uint64_t *parts, uint32_t count,
                    uint32_t own_count, int64_t now_us)
@@ -169,6 +197,24 @@
     return now_us >= *until_us ? SUSPECTS_PROBE : SUSPECTS_BLAMED;
 }
 
+bool
+Suspects_IsUnsettled(const Suspects *suspects, const uint64_t *parts,
+                     uint32_t count, int64_t now_us)
+{
+    bool is_unsettled = false;
+
+    for (uint32_t i = 0; i < count; i++) {
+        const SuspectsRow *row = find_row(suspects, parts[i]);
+        if (row != NULL && row->blamed) {
+            if (is_settled(row, now_us)) {
+                return false;
+            }
+            is_unsettled = true;
+        }
+    }
+    return is_unsettled;
+}
+
 void
 Suspects_BeginProbe(Suspects *suspects, const uint64_t *parts, uint32_t count,
                     int64_t now_us)
@@ -219,10 +265,16 @@
 Suspects_Merge(Suspects *suspects, const SuspectsRow *from, int64_t now_us)
 {
     bool changed = false;
+    bool has_failed = false;
     uint32_t before;
     SuspectsRow *row;
 
     drop_expired(suspects, now_us);
+    for (uint32_t i = 0; i < from->crash_count; i++) {
+        const SuspectsCrash *crash = &from->crashes[i];
+        has_failed |=
+            add_failure(suspects, crash->worker, crash->at_us, now_us);
+    }
     if (from->crash_count == 0 && find_row(suspects, from->part) == NULL) {
         return false;
     }
@@ -245,18 +297,20 @@
         note_change(row, now_us);
     }
     /* Rows with one crash each blame nothing. */
-    if (changed && (row->crash_count > 1 || before > 1)) {
+    if ((changed && (row->crash_count > 1 || before > 1)) ||
+        (has_failed && suspects->blamed_count > 0)) {
         update_blame(suspects);
     }
     return changed;
 }
 
 const SuspectsRow *
-Suspects_TakeChange(Suspects *suspects)
+Suspects_TakeChange(Suspects *suspects, int64_t now_us)
 {
     for (uint32_t i = 0; i < suspects->row_count; i++) {
         SuspectsRow *row = &suspects->rows[i];
-        if (row->reported != row->blamed) {
+        if (row->reported != row->blamed &&
+            (!row->blamed || is_settled(row, now_us))) {
             row->reported = row->blamed;
             return row;
         }
@@ -455,7 +509,14 @@
     SuspectsRow *best;
 
     for (uint32_t i = 0; i < suspects->row_count; i++) {
-        suspects->rows[i].blamed = false;
+        SuspectsRow *row = &suspects->rows[i];
+        row->blamed = false;
+        row->common = 0;
+        row->others = 0;
+        for (uint32_t k = 0; k < row->crash_count && row->crash_count > 1;
+             k++) {
+            note_common(suspects, row, k);
+        }
     }
     suspects->blamed_count = 0;
     do {
@@ -486,6 +547,62 @@
     } while (best != NULL);
 }
 
+/* Notes that a worker failed, in place of the oldest failure if there is no
+   room. Returns whether that is news. */
+static bool
+add_failure(Suspects *suspects, uint64_t worker, int64_t at_us, int64_t now_us)
+{
+    SuspectsFailure *oldest = &suspects->failures[0];
+
+    if (now_us - at_us > SUSPECTS_FAILURE_KEEP_US) {
+        return false;
+    }
+    for (uint32_t i = 0; i < suspects->failure_count; i++) {
+        SuspectsFailure *failure = &suspects->failures[i];
+        if (failure->worker == worker) {
+            return false;
+        }
+        oldest = failure->at_us < oldest->at_us ? failure : oldest;
+    }
+    if (suspects->failure_count < SUSPECTS_FAILURES_MAX) {
+        oldest = &suspects->failures[suspects->failure_count++];
+    }
+    *oldest = (SuspectsFailure){worker, at_us};
+    return true;
+}
+
+/* Notes whether other workers, without the part, failed at about the same time
+   as this one, as many as with it, or most. */
+static void
+note_common(const Suspects *suspects, SuspectsRow *row, uint32_t index)
+{
+    const SuspectsCrash *crash = &row->crashes[index];
+    uint32_t with = 0;
+    uint32_t others = 0;
+
+    for (uint32_t i = 0; i < suspects->failure_count; i++) {
+        const SuspectsFailure *failure = &suspects->failures[i];
+        int64_t gap_us = failure->at_us - crash->at_us;
+        if (gap_us > -SUSPECTS_MOMENT_US && gap_us < SUSPECTS_MOMENT_US) {
+            bool is_with = has_crash(row, failure->worker);
+            with += is_with;
+            others += !is_with;
+        }
+    }
+    if (others >= SUSPECTS_COMMON_OTHERS && others >= with) {
+        row->common |= 1u << index;
+        row->others |=
+            (uint32_t)(others >= SUSPECTS_MOST_OTHERS && others >= 2 * with)
+            << index;
+    }
+}
+
+static bool
+is_settled(const SuspectsRow *row, int64_t now_us)
+{
+    return now_us - get_last_us(row) >= SUSPECTS_SETTLE_US;
+}
+
 /* Returns the weight of all crashes of a part that is to be blamed for those
    that no blamed part explains; 0 if these are too few. */
 static uint32_t
@@ -501,7 +618,8 @@
         return 0;
     }
     weight = sum_weights(suspects, row, true, &span);
-    if (is_own(row) && !is_proven && span.crashes >= SUSPECTS_OWN_CRASHES) {
+    if (is_own(row) && !is_proven &&
+        span.crashes >= SUSPECTS_OWN_CRASHES + (span.common > 0 ? 1 : 0)) {
         needed = 0;
     }
     if (weight < needed || (is_proven && span.last_us - span.first_us <
@@ -513,29 +631,43 @@
 
 /* Returns the weight of the part's crashes, or of those that no blamed part
    explains. Of workers that crashed together one counts: an answer must have
-   begun after the crash before. */
+   begun after the crash before, and not end in the same common crash. */
 static uint32_t
 sum_weights(const Suspects *suspects, const SuspectsRow *row,
             bool unexplained_only, SuspectsSpan *span)
 {
     uint32_t weight = 0;
     const SuspectsCrash *next;
+    bool is_last_common = false;
 
     *span = (SuspectsSpan){0};
     do {
+        bool is_next_common = false;
+        bool is_of_others = false;
+
         next = NULL;
         for (uint32_t i = 0; i < row->crash_count; i++) {
             const SuspectsCrash *crash = &row->crashes[i];
+            bool common = (row->common >> i & 1) != 0;
+            bool is_same_moment =
+                is_last_common && common &&
+                crash->at_us - span->last_us < SUSPECTS_MOMENT_US;
             if (crash->began_us >= span->last_us &&
-                crash->at_us > span->last_us &&
+                crash->at_us > span->last_us && !is_same_moment &&
                 (next == NULL || crash->at_us < next->at_us) &&
                 !(unexplained_only && is_explained(suspects, crash->worker))) {
                 next = crash;
+                is_next_common = common;
+                is_of_others =
+                    common && (is_own(row) || (row->others >> i & 1) != 0);
             }
         }
         if (next != NULL) {
-            weight += (uint32_t)next->weight;
+            is_last_common = is_next_common;
+            weight += is_of_others ? (uint32_t)SUSPECTS_WEAK
+                                   : (uint32_t)next->weight;
             span->crashes++;
+            span->common += is_next_common;
             span->first_us =
                 span->first_us == 0 ? next->at_us : span->first_us;
             span->last_us = next->at_us;
--- a/src/gate/blame.c
+++ b/src/gate/blame.c
@@ -7,7 +7,8 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Time between two looks at a crash check, which takes a round trip. */
+/* Time between two looks at a crash check, which takes a round trip, or at a
+   blame that is not settled. */
 #define BLAME_POLL_US (5 * CLK_US_PER_MS)
 
 /* What may belong to a request alone: the last part of its prompt, its
@@ -19,6 +20,7 @@
 #define BLAME_OWN_PART_SEED 0x6f776eu
 #define BLAME_CALLER_SEED 0x63616cu
 
+static void wait(GateTask *task);
 static void block(GateTask *task, const char *cause);
 
 BlameCauses
@@ -80,9 +82,7 @@
     causes = Blame_GetCauses(task);
     if (task->crash_weight == SUSPECTS_FULL) {
         if (CrashCheck_IsPending(task->gate, task->crash_worker)) {
-            task->waiting = true;
-            task->step_deadline_us = Task_Now(task) + BLAME_POLL_US;
-            Task_SetTimer(task);
+            wait(task);
             return false;
         }
         broad_count = causes.own_count < causes.count
@@ -112,6 +112,14 @@
     if (task->is_probe && task->runs == 0) {
         return true;
     }
+    /* Other requests have little time, and are hardly sent twice in it. */
+    if (task->route->kind == RTE_STREAM &&
+        Suspects_IsUnsettled(suspects, causes.ids, causes.count,
+                             Task_Now(task))) {
+        wait(task);
+        return false;
+    }
+    Gate_LogSuspects(task->gate);
     block(task, "the request or a part of its prompt crashes workers");
     return false;
 }
@@ -133,6 +141,9 @@
         (current->has_reply && current->reply.status != 200)) {
         return;
     }
+    Suspects_NoteFailure(&task->gate->suspects,
+                         CrashCheck_GetStart(current->worker), Task_Now(task),
+                         Task_Now(task));
     weight = is_whole ? SUSPECTS_FULL
                       : Suspects_Rate(has_head, current->first_event_us,
                                       Task_Now(task));
@@ -149,7 +160,15 @@
 void
 Blame_NoteSilent(GateTask *task)
 {
-    if (!task->current->worker->is_vm && task->current->events == 0) {
+    const TaskCall *current = task->current;
+
+    if (current->worker->is_vm) {
+        return;
+    }
+    Suspects_NoteFailure(
+        &task->gate->suspects, CrashCheck_GetStart(current->worker),
+        MAX(current->began_us, current->worker->heard_us) + 1, Task_Now(task));
+    if (current->events == 0) {
         CrashCheck_Begin(task, SUSPECTS_WEAK);
     }
 }
@@ -171,6 +190,15 @@
     Gate_LogSuspects(task->gate);
 }
 
+/* Lets the task look again soon. */
+static void
+wait(GateTask *task)
+{
+    task->waiting = true;
+    task->step_deadline_us = Task_Now(task) + BLAME_POLL_US;
+    Task_SetTimer(task);
+}
+
 /* Ends a task whose request may crash further workers. */
 static void
 block(GateTask *task, const char *cause)
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -177,13 +177,13 @@
 void
 Gate_LogSuspects(Gate *gate)
 {
+    int64_t now_us = Clk_Now(gate->options.clk);
     const SuspectsRow *row;
 
     Met_Add(MET_SUSPECTS_DISPLACED, gate->suspects.displaced);
     gate->suspects.displaced = 0;
-    while ((row = Suspects_TakeChange(&gate->suspects)) != NULL) {
+    while ((row = Suspects_TakeChange(&gate->suspects, now_us)) != NULL) {
         int64_t until_us = 0;
-        int64_t now_us = Clk_Now(gate->options.clk);
         int64_t first_us = now_us;
         int64_t last_us = 0;
 
