--- a/src/gate/sse.c
+++ b/src/gate/sse.c
@@ -1,6 +1,7 @@
 /* Server-sent events: splits a body into events. See sse.h. */
 #include "sse.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -120,8 +121,10 @@
             return;
         }
         if (next - line > 3 && memcmp(line, "id:", 3) == 0) {
+            errno = 0;
             event->id = strtoll(line + 3, NULL, 10);
-            event->has_id = true;
+            event->has_id =
+                errno == 0 && event->id >= 0 && event->id < INT64_MAX;
             return;
         }
         line = next + 1;
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -624,7 +624,8 @@
     }
     conn->idle_ms = CLIENT_IDLE_MAX_MS;
     if (timeout != NULL) {
-        long ms = strtol(timeout + strlen("timeout="), NULL, 10) * 1000;
+        long s = strtol(timeout + strlen("timeout="), NULL, 10);
+        long ms = CLAMP(s, 0, CLIENT_IDLE_MAX_MS) * 1000;
         ms -= CLIENT_IDLE_MARGIN_MS;
         conn->idle_ms = (uint32_t)CLAMP(ms, 0, CLIENT_IDLE_MAX_MS);
     }
