--- a/tests/test_gate_drain.cc
+++ b/tests/test_gate_drain.cc
@@ -1,6 +1,7 @@
 /* Tests of a planned stop: a gate process with callers that keep using their
    connections until it is gone. What is passed on gets its answer within the
    grace; what can't is refused, and none of it runs. */
+#include "fleet_rig.h"
 #include "store_rig.h"
 
 #include <algorithm>
@@ -157,6 +158,14 @@
     int64_t end_ms = -1; /* When its answer was complete. */
 };
 
+std::string
+FleetRequest(int number)
+{
+    return "POST /r/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-" +
+           std::to_string(number) +
+           "\r\nX-Deadline-Ms: 9000\r\nContent-Length: 1\r\n\r\nb";
+}
+
 class GateDrain : public testing::Test {
   protected:
     void
@@ -506,4 +515,92 @@
     }
 }
 
+/* A VM that has just begun its stop, which the others don't know yet, gets
+   requests of a VM that is cut off from the workers. What it has no time for
+   runs by way of another VM, once; if all stop, it is refused. */
+TEST(GateDrainFleet, RequestOfAnotherVmIsRefusedOrRunsElsewhere)
+{
+    for (int stopping = 1; stopping <= 2; stopping++) {
+        SCOPED_TRACE(stopping);
+        FleetRig rig({RTE_NON_IDEMPOTENT, 2, false, 5000, 400}, 3, 0);
+        for (int i = 0; i < 3; i++) {
+            rig.AddWorker(std::vector<ScriptedReply>(100, Ok()));
+        }
+        rig.RunFor(600);
+        rig.CutOff(0, FleetRig::REFUSE);
+        for (int i = 0; i < 6; i++) {
+            rig.Call(0, FleetRequest(1000 + i));
+            rig.RunFor(20);
+        }
+        rig.RunFor(1500);
+        for (int vm = 1; vm <= stopping; vm++) {
+            int64_t now_us = Clk_Now(&rig.clk);
+            Gate_SetDrain(Edge_GetGate(rig.edges[vm]), now_us,
+                          now_us + 100 * CLK_US_PER_MS);
+        }
+        std::map<std::string, int> runs;
+        std::vector<Caller *> callers;
+        for (int i = 0; i < 12; i++) {
+            callers.push_back(rig.Call(0, FleetRequest(i)));
+            rig.RunFor(50);
+        }
+        rig.RunFor(300);
+        for (const auto &worker : rig.workers) {
+            for (const std::string &request : worker->requests) {
+                size_t at = request.find("X-Request-Id: ") + 14;
+                runs[request.substr(at, request.find("\r\n", at) - at)]++;
+            }
+        }
+        int served = 0;
+        for (int i = 0; i < 12; i++) {
+            SCOPED_TRACE(i);
+            int status = callers[i]->Status();
+            EXPECT_TRUE(status == 200 || status == 503) << callers[i]->text;
+            EXPECT_EQ(runs["id-" + std::to_string(i)], status == 200);
+            served += status == 200;
+        }
+        EXPECT_EQ(served, stopping == 1 ? 12 : 0);
+    }
+}
+
+/* A stream that waits for capacity as the stop begins is refused, and does not
+   run when there is room again. */
+TEST(GateDrainFleet, StreamThatWaitsForCapacityIsRefused)
+{
+    GateRig rig;
+    rig.SetRoute({RTE_STREAM, 2, true, 5000}, true);
+    Worker *worker = rig.AddWorker({Stream(0, 9)}, FLEET_PHASE_DECODE);
+    worker->refusals = 1000000;
+    Caller *caller = rig.Call(Request("POST", "X-Token-Usage: 1000,100\r\n"));
+    rig.RunFor(100);
+    EXPECT_TRUE(caller->text.empty());
+    Edge_BeginShutdown(rig.edge);
+    ASSERT_TRUE(rig.UntilEnd(caller));
+    worker->refusals = 0;
+    EXPECT_EQ(caller->Status(), 503);
+    EXPECT_NE(caller->text.find("Connection: close"), std::string::npos);
+    rig.RunFor(300);
+    EXPECT_TRUE(worker->requests.empty());
+}
+
+/* A call that was refused late in the grace is not tried elsewhere: there is
+   no time for another one. */
+TEST(GateDrainFleet, NoOtherWorkerIsTriedAtTheEnd)
+{
+    GateRig rig;
+    rig.SetRoute({RTE_IDEMPOTENT, 3, false, 5000, 400});
+    Worker *first = rig.AddWorker({{""}});
+    Caller *caller = rig.Call(Request());
+    ASSERT_TRUE(rig.Until([&] { return first->requests.size() == 1; }));
+    Worker *second = rig.AddWorker({Ok()});
+    int64_t now_us = Clk_Now(&rig.clk);
+    Gate_SetDrain(Edge_GetGate(rig.edge), now_us,
+                  now_us + 100 * CLK_US_PER_MS);
+    first->SendToLast("HTTP/1.1 503 X\r\nX-Request-Id: id-1\r\n"
+                      "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(rig.UntilEnd(caller));
+    EXPECT_EQ(caller->Status(), 503);
+    EXPECT_TRUE(second->requests.empty());
+}
+
 } // namespace
