--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -359,6 +359,8 @@
     /* Identifiers of the parts of prompts that it tells to keep in memory. */
     std::vector<std::string> kept_parts;
     int lists = 0; /* How often it was asked for them. */
+    /* Those that it kept before; its changes name them, and `kept_parts`. */
+    std::vector<std::string> replaced_parts;
 
     bool ends_dark = false; /* It goes dark where it would crash. */
     int crashes = 0;
@@ -521,6 +523,10 @@
             self->SendList(bev);
             return;
         }
+        if (text.find("GET /v1/kv-events") == 0) {
+            self->SendChanges(bev);
+            return;
+        }
         self->requests.push_back(text);
         self->last_ = bev;
         bool crashes_now = false;
@@ -587,7 +593,32 @@
             rows += (rows.empty() ? "" : ",") + std::string("[\"\",\"") +
                     part + "\",100,\"m\"]";
         }
-        std::string body = "{\"epoch\":1,\"next\":1,\"held\":[" + rows + "]}";
+        SendBody(bev, "{\"epoch\":1,\"next\":1,\"held\":[" + rows + "]}");
+    }
+
+    void
+    SendChanges(bufferevent *bev)
+    {
+        std::string rows;
+        int number = 0;
+        auto add = [&](const std::string &part, const char *sign) {
+            rows += (rows.empty() ? "[" : ",[") + std::to_string(++number) +
+                    ",\"" + sign + "\",\"\",\"" + part + "\",100,\"m\"]";
+        };
+        for (const std::string &part : replaced_parts) {
+            add(part, "+");
+            add(part, "-");
+        }
+        for (const std::string &part : kept_parts) {
+            add(part, "+");
+        }
+        SendBody(bev, "{\"epoch\":1,\"next\":" + std::to_string(number + 1) +
+                          ",\"lost\":false,\"events\":[" + rows + "]}");
+    }
+
+    static void
+    SendBody(bufferevent *bev, const std::string &body)
+    {
         std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
                              std::to_string(body.size()) + "\r\n\r\n" + body;
         bufferevent_write(bev, answer.data(), answer.size());
--- a/tests/test_gate_resumed_at_size.cc
+++ b/tests/test_gate_resumed_at_size.cc
@@ -102,6 +102,41 @@
     }
 }
 
+/* New prompts have replaced the old one before any VM asks for it. */
+TEST(ResumedAtSize, ResumptionOfAPromptThatWasReplaced)
+{
+    for (int vms : {1, 3, 20}) {
+        SCOPED_TRACE(std::to_string(vms) + " VMs");
+        FleetRig rig(resumable, vms, 0);
+        for (int i = 0; i < 8; i++) {
+            rig.versions.push_back(i % 2 == 0 ? "v1" : "v2");
+            rig.AddWorker({Stream(3, 9)});
+            rig.workers.back()->kept_parts = {"aa"};
+            rig.workers.back()->replaced_parts = {Part(i)};
+        }
+        for (Edge *edge : rig.edges) {
+            CompleteSweep(edge);
+        }
+        rig.RunFor(1500);
+        int streamed = 0;
+        for (int i = 0; i < 8; i++) {
+            Caller *again =
+                rig.Call((size_t)(i % vms),
+                         Resumption("id-" + std::to_string(i), Part(i)));
+            rig.RunFor(500);
+            streamed += again->IsComplete() && again->Status() == 200;
+        }
+        EXPECT_EQ(streamed, 8);
+        for (int i = 0; i < 8; i++) {
+            for (const std::string &text : rig.workers[(size_t)i]->requests) {
+                size_t at = text.find("aa:200,") + 7;
+                int part = std::stoi(text.substr(at), nullptr, 16) - 0x1000;
+                EXPECT_EQ(part % 2, i % 2) << "joins two versions";
+            }
+        }
+    }
+}
+
 /* The workers crashed, so that they keep nothing, and the VM that began the
    stream is gone. Any other VM finds the record. */
 TEST(ResumedAtSize, RecordIsFoundFromEachVmAfterWorkersCrashed)
