Tests, red: a crash of many workers is taken for a cut; a second run by way of another VM

Workers that crash together (a third, most, all of a small service; refusing or dark) must lead to no service_cut and no request by way of another VM. What a VM that serves for another one could not send to any worker has not run there, whatever ran before at the other VM's workers: 503, not 502.

--- a/tests/fleet_rig.h
+++ b/tests/fleet_rig.h
@@ -94,6 +94,7 @@
         options.is_source_reachable = [](void *) { return true; };
         edges.push_back(NewEdge(&options, &err));
         ASSERT_NE(edges.back(), nullptr) << err.message;
+        peer_ports.push_back(options.peers.port);
         if (seed_.empty()) {
             seed_ = "127.0.0.1:" + std::to_string(options.peers.port);
         }
@@ -187,6 +188,7 @@
             KillVm(vm);
         }
         edges.clear();
+        peer_ports.clear();
         names_.clear();
         seed_.clear();
         for (size_t vm = 0; vm < count; vm++) {
@@ -215,6 +217,15 @@
         return callers.back().get();
     }
 
+    /* Sends a request to a VM's listener for other VMs. */
+    Caller *
+    Relay(size_t vm, const std::string &request)
+    {
+        callers.push_back(std::make_unique<Caller>(base, peer_ports[vm], 1));
+        callers.back()->Send(request);
+        return callers.back().get();
+    }
+
     /* Runs the loop for this time. Crashed workers start again after some
        time, and leave the list of workers until then. */
     void
@@ -257,6 +268,7 @@
     event_base *base;
     Clk clk;
     std::vector<Edge *> edges;
+    std::vector<uint16_t> peer_ports; /* Of the VMs, for other VMs. */
     std::vector<std::unique_ptr<Worker>> workers;
     std::vector<std::unique_ptr<Caller>> callers;
     int64_t restart_ms = 300;
--- a/tests/test_gate_cutoff.cc
+++ b/tests/test_gate_cutoff.cc
@@ -266,6 +266,49 @@
     }
 }
 
+struct RefusalCase {
+    const char *name;
+    Route route;
+    int runs;             /* Workers on which it may have run already. */
+    bool are_all_crashed; /* Or else they refuse. */
+};
+
+const RefusalCase refusal_cases[] = {
+    {"first run, stream, workers are full", stream, 0, false},
+    {"first run, stream, workers are gone", stream, 0, true},
+    {"second run, stream, workers are full", stream, 1, false},
+    {"second run, stream, workers are gone", stream, 1, true},
+    {"second run, plain, workers refuse", repeatable, 1, false},
+    {"second run, plain, workers are gone", repeatable, 1, true},
+};
+
+/* A VM that serves for another one has not run what it could not send to any
+   worker, whatever ran before at the other VM's workers. */
+TEST(CutOffVm, WhatTheOtherVmCanNotServeHasNotRunThere)
+{
+    for (const RefusalCase &row : refusal_cases) {
+        SCOPED_TRACE(row.name);
+        FleetRig rig(row.route, 1, 0);
+        rig.restart_ms = 20000;
+        for (int i = 0; i < 2; i++) {
+            rig.AddWorker(std::vector<ScriptedReply>(20, Refusal()));
+            rig.workers.back()->refusals = 1000;
+        }
+        rig.RunFor(100);
+        for (size_t i = 0; row.are_all_crashed && i < 2; i++) {
+            rig.workers[i]->Crash();
+        }
+        Caller *caller =
+            rig.Relay(0, CallText(1, "Lavenderspool-Relayed: " +
+                                         std::to_string(row.runs) + "\r\n"));
+        for (int i = 0; i < 100 && !caller->IsComplete(); i++) {
+            rig.RunFor(50);
+        }
+        EXPECT_EQ(caller->Status(), 503) << caller->text;
+        EXPECT_EQ(caller->text.find("X-Response-Stamp"), std::string::npos);
+    }
+}
+
 /* Both VMs together count a request once for the retry budget. */
 TEST(CutOffVm, RequestCountsOnceForTheBudget)
 {
@@ -295,4 +338,54 @@
     EXPECT_NEAR(after.second - before.second, 0, 0.5);
 }
 
+struct CrashCase {
+    const char *name;
+    Route route;
+    int workers;
+    int crashed; /* At the same moment. */
+    bool is_dark;
+};
+
+const CrashCase crash_cases[] = {
+    {"streams, a third of the workers", stream, 12, 4, false},
+    {"requests that run once, a third", once, 12, 4, false},
+    {"repeatable requests, a third, dark", repeatable, 12, 4, true},
+    {"streams, a third, dark", stream, 12, 4, true},
+    {"streams, most of the workers", stream, 12, 10, false},
+    {"repeatable requests, all of a small service", repeatable, 3, 3, false},
+    {"streams, all of a small service", stream, 3, 3, false},
+};
+
+/* Workers that crash together are no cut: the VMs reach the others, or the
+   other VMs reach none either. */
+TEST(CrashOfManyWorkers, IsNotTakenForACut)
+{
+    for (const CrashCase &row : crash_cases) {
+        SCOPED_TRACE(row.name);
+        FleetRig rig(row.route, 3, 0);
+        rig.restart_ms = 1500;
+        for (int i = 0; i < row.workers; i++) {
+            rig.AddWorker(Replies(row.route, 200));
+        }
+        rig.RunFor(600);
+        for (int i = 0; i < 30; i++) {
+            rig.Call((size_t)i % 3, CallText(i));
+            rig.RunFor(5);
+        }
+        uint64_t cuts = Met_Get(MET_SERVICES_CUT);
+        uint64_t detours = Met_Get(MET_DETOURS);
+        for (int i = 0; i < row.crashed; i++) {
+            Worker &worker = *rig.workers[(size_t)i];
+            row.is_dark ? worker.GoDark() : worker.Crash();
+        }
+        for (int i = 100; i < 340; i++) {
+            rig.Call((size_t)i % 3, CallText(i));
+            rig.RunFor(5);
+        }
+        rig.RunFor(500);
+        EXPECT_EQ(Met_Get(MET_SERVICES_CUT) - cuts, 0U);
+        EXPECT_EQ(Met_Get(MET_DETOURS) - detours, 0U);
+    }
+}
+
 } // namespace
