Relay: what a VM could not send to any worker for another VM has not run there

Cause: the VM that serves was told on how many workers the request may have run, and took these runs for its own. With no room at its workers it so answered 502 (may have run) in place of 503, and the first VM counted a run and gave up. Ruled out: the receipt is lost on the way (the rows of a first run get their 503). Change: runs at the first VM count for the route's attempts, but the VM that serves answers for its own calls only. Conclusion: the refusal is told as such; the timeouts have another cause.

--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -54,6 +54,12 @@
     return task->identity;
 }
 
+bool
+Task_HasRunHere(const GateTask *task)
+{
+    return task->runs > task->runs_elsewhere;
+}
+
 bool
 Task_MayBeRunning(const GateTask *task)
 {
@@ -168,7 +174,7 @@
         return;
     }
     may_have_run =
-        task->runs > 0 || task->streaming || Task_MayBeRunning(task);
+        Task_HasRunHere(task) || task->streaming || Task_MayBeRunning(task);
     Task_EndCall(task);
     if (may_have_run) {
         Task_Fail(task, code);
@@ -345,6 +351,7 @@
     task->is_relayed = true;
     task->caller = 0; /* The connection is the other VM's. */
     task->runs = runs;
+    task->runs_elsewhere = runs;
     Met_Add(MET_RELAYED_REQUESTS, 1);
     if (Detour_IsCut(task->gate, task->service->name)) {
         g_strlcpy(task->cause, "this VM reaches no worker either",
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -122,12 +122,14 @@
     uint64_t reader;
     /* Waits until the version of a resumed stream is known. */
     bool resuming;
-    uint32_t sends;         /* Calls begun, reservations not counted. */
-    uint32_t runs;          /* Workers on which the request may have run. */
-    uint32_t counted_calls; /* Calls counted for the retry budget, which
-                               charges all but the first. */
-    bool prefilled;         /* A prefill succeeded; further ones count as
-                               calls for the retry budget. */
+    uint32_t sends;          /* Calls begun, reservations not counted. */
+    uint32_t runs;           /* Workers on which the request may have run. */
+    uint32_t runs_elsewhere; /* Those of `runs` that the VM called which passed
+                                the request on; it answers for them. */
+    uint32_t counted_calls;  /* Calls counted for the retry budget, which
+                                charges all but the first. */
+    bool prefilled;          /* A prefill succeeded; further ones count as
+                                calls for the retry budget. */
     /* Start of the worker that may have crashed under the last call; 0 for
        none. */
     uint64_t crash_worker;
@@ -203,6 +205,8 @@
 uint64_t Task_GetIdentity(GateTask *task);
 /* Returns the time of the gate's clock, microseconds. */
 int64_t Task_Now(const GateTask *task);
+/* Whether the request may have run at a worker that this VM called. */
+bool Task_HasRunHere(const GateTask *task);
 /* Whether the call in progress may be running the request. */
 bool Task_MayBeRunning(const GateTask *task);
 /* Returns the time until the task's deadline. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -350,7 +350,7 @@
 {
     RetryInput input = {
         .run = run,
-        .ran_before = task->runs > 0,
+        .ran_before = Task_HasRunHere(task),
         .runs = task->runs,
         .attempts = task->route->attempts,
         .sends = task->sends,
