Reach: workers that crash together are not taken for a cut of the VM

Callers saw: at a crash of 30% of the workers nearly every VM called itself cut off within 5 to 60 ms and sent its requests through others that said the same. Cause: two calls without an answer, none heard since, were enough at any number of workers. Ruled out: the kind of failure (cuts refuse and reset too); a share of silent workers (calls find them out one by one). Change: a silent call is only a reason to look: new connections to at most 8 workers, one that succeeds ends the doubt. If all fail, a worker must be shown to live: other VMs, asked by gossip (News 35, 36), name one that they hear, or old connections to two live on while new ones fail. Else the service is lost (service_lost), not cut. Flat: 16 connections a round. What two calls of one request in vain did (another VM at once) is a reason to look as well.

--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &gossip__origin__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gossip__reach__init
+                     (Gossip__Reach         *message)
+{
+  static const Gossip__Reach init_value = GOSSIP__REACH__INIT;
+  *message = init_value;
+}
+size_t gossip__reach__get_packed_size
+                     (const Gossip__Reach *message)
+{
+  assert(message->base.descriptor == &gossip__reach__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__reach__pack
+                     (const Gossip__Reach *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__reach__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__reach__pack_to_buffer
+                     (const Gossip__Reach *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__reach__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Reach *
+       gossip__reach__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Reach *)
+     protobuf_c_message_unpack (&gossip__reach__descriptor,
+                                allocator, len, data);
+}
+void   gossip__reach__free_unpacked
+                     (Gossip__Reach *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__reach__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gossip__news__init
                      (Gossip__News         *message)
 {
@@ -1300,7 +1345,84 @@
   (ProtobufCMessageInit) gossip__origin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__news__field_descriptors[24] =
+static const ProtobufCFieldDescriptor gossip__reach__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Reach, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Reach, worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Reach, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asks",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Reach, asks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__reach__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  3,   /* field[3] = asks */
+  0,   /* field[0] = service */
+  1,   /* field[1] = worker */
+};
+static const ProtobufCIntRange gossip__reach__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gossip__reach__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Reach",
+  "Reach",
+  "Gossip__Reach",
+  "gossip",
+  sizeof(Gossip__Reach),
+  4,
+  gossip__reach__field_descriptors,
+  gossip__reach__field_indices_by_name,
+  1,  gossip__reach__number_ranges,
+  (ProtobufCMessageInit) gossip__reach__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[26] =
 {
   {
     "vm",
@@ -1590,9 +1712,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reaches",
+    35,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gossip__News, n_reaches),
+    offsetof(Gossip__News, reaches),
+    &gossip__reach__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers_reach",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, answers_reach),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__news__field_indices_by_name[] = {
   3,   /* field[3] = address */
+  25,   /* field[25] = answers_reach */
   10,   /* field[10] = capacity */
   5,   /* field[5] = config_version */
   22,   /* field[22] = cut */
@@ -1606,6 +1753,7 @@
   2,   /* field[2] = number */
   21,   /* field[21] = origins */
   8,   /* field[8] = peers */
+  24,   /* field[24] = reaches */
   4,   /* field[4] = region */
   6,   /* field[6] = revision */
   13,   /* field[13] = seeking */
@@ -1617,10 +1765,11 @@
   11,   /* field[11] = vms */
   16,   /* field[16] = watches */
 };
-static const ProtobufCIntRange gossip__news__number_ranges[1 + 1] =
+static const ProtobufCIntRange gossip__news__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 35, 24 },
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor gossip__news__descriptor =
 {
@@ -1630,10 +1779,10 @@
   "Gossip__News",
   "gossip",
   sizeof(Gossip__News),
-  24,
+  26,
   gossip__news__field_descriptors,
   gossip__news__field_indices_by_name,
-  1,  gossip__news__number_ranges,
+  2,  gossip__news__number_ranges,
   (ProtobufCMessageInit) gossip__news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Gossip__Suspect Gossip__Suspect;
 typedef struct Gossip__Limit Gossip__Limit;
 typedef struct Gossip__Origin Gossip__Origin;
+typedef struct Gossip__Reach Gossip__Reach;
 typedef struct Gossip__News Gossip__News;
 typedef struct Gossip__Entry Gossip__Entry;
 typedef struct Gossip__Picture Gossip__Picture;
@@ -300,6 +301,35 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * Whether the sender hears workers of a service. It says so while it looks for
+ * one in vain, or while another VM does.
+ */
+struct  Gossip__Reach
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the service's name.
+   */
+  uint64_t service;
+  /*
+   * A worker that it hears, as in Use; 0: none so far.
+   */
+  uint64_t worker;
+  /*
+   * Time since its last bytes, plus 1.
+   */
+  uint32_t age_ms;
+  /*
+   * The sender looks for a worker that others hear.
+   */
+  protobuf_c_boolean asks;
+};
+#define GOSSIP__REACH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__reach__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 /*
  * Content of one datagram: the sender's load and versions.
  */
@@ -386,10 +416,16 @@
    * The sender takes no requests of other VMs.
    */
   protobuf_c_boolean stopping;
+  size_t n_reaches;
+  Gossip__Reach **reaches;
+  /*
+   * The sender answers questions in `reaches`.
+   */
+  protobuf_c_boolean answers_reach;
 };
 #define GOSSIP__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
@@ -591,6 +627,25 @@
 void   gossip__origin__free_unpacked
                      (Gossip__Origin *message,
                       ProtobufCAllocator *allocator);
+/* Gossip__Reach methods */
+void   gossip__reach__init
+                     (Gossip__Reach         *message);
+size_t gossip__reach__get_packed_size
+                     (const Gossip__Reach   *message);
+size_t gossip__reach__pack
+                     (const Gossip__Reach   *message,
+                      uint8_t             *out);
+size_t gossip__reach__pack_to_buffer
+                     (const Gossip__Reach   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Reach *
+       gossip__reach__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__reach__free_unpacked
+                     (Gossip__Reach *message,
+                      ProtobufCAllocator *allocator);
 /* Gossip__News methods */
 void   gossip__news__init
                      (Gossip__News         *message);
@@ -674,6 +729,9 @@
 typedef void (*Gossip__Origin_Closure)
                  (const Gossip__Origin *message,
                   void *closure_data);
+typedef void (*Gossip__Reach_Closure)
+                 (const Gossip__Reach *message,
+                  void *closure_data);
 typedef void (*Gossip__News_Closure)
                  (const Gossip__News *message,
                   void *closure_data);
@@ -697,6 +755,7 @@
 extern const ProtobufCMessageDescriptor gossip__suspect__descriptor;
 extern const ProtobufCMessageDescriptor gossip__limit__descriptor;
 extern const ProtobufCMessageDescriptor gossip__origin__descriptor;
+extern const ProtobufCMessageDescriptor gossip__reach__descriptor;
 extern const ProtobufCMessageDescriptor gossip__news__descriptor;
 extern const ProtobufCMessageDescriptor gossip__entry__descriptor;
 extern const ProtobufCMessageDescriptor gossip__picture__descriptor;
--- a/src/gate/detour.h
+++ b/src/gate/detour.h
@@ -3,7 +3,10 @@
    as it came, and that VM serves it like its own, but passes it on no further.
    A task calls the other VM like a worker: the same rules hold for what may be
    repeated, and what the caller is told. Meanwhile single connections find out
-   when the workers can be reached again. */
+   when the workers can be reached again.
+
+   The module opens the connections that decide whether the VM is cut off, asks
+   the other VMs by gossip for workers that they hear, and answers them. */
 #ifndef LS_DETOUR_H
 #define LS_DETOUR_H
 
@@ -24,11 +27,13 @@
 void Detour_Init(Gate *gate);
 /* Ends all probes and frees what the module keeps. */
 void Detour_Clear(Gate *gate);
-/* Returns whether this VM is cut off from the service's workers, and logs
-   changes. */
-bool Detour_IsCut(Gate *gate, const char *service);
-/* Whether a service was found to be cut off and not reached since. */
-bool Detour_IsAnyCut(const Gate *gate);
+/* Notes that a worker left a call of the task unanswered, which may be a
+   reason to look whether this VM is cut off. */
+void Detour_NoteUnanswered(const GateTask *task);
+/* Whether this VM is cut off from the service's workers. */
+bool Detour_IsCut(const Gate *gate, const char *service);
+/* Whether this VM reaches no worker of the service, cut off or not. */
+bool Detour_IsLost(const Gate *gate, const char *service);
 /* Returns another VM that reaches the workers of the task's service, in the
    form of a worker that the gate owns, or NULL. Of two VMs at random it is the
    one with fewer requests of this VM. */
--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -63,6 +63,8 @@
 static uint32_t list_peers(void *context, const char *service, GatePeer *peers,
                            uint32_t max);
 static uint32_t list_cut(void *context, uint64_t *services, uint32_t max);
+static uint32_t list_reaches(void *context, GateReach *reaches, uint32_t max);
+static void on_reach(void *context, const GateReach *reach);
 static bool is_stopping(void *context);
 static void on_suspects_change(void *context);
 static void on_limit_change(void *context, const FleetWorker *worker);
@@ -277,6 +279,8 @@
     gossip.on_suspects_change = on_suspects_change;
     gossip.on_limit_change = on_limit_change;
     gossip.list_cut = list_cut;
+    gossip.list_reaches = list_reaches;
+    gossip.on_reach = on_reach;
     gossip.is_stopping = is_stopping;
     gossip.update_load = update_load;
     gossip.get_versions = get_versions;
@@ -374,6 +378,22 @@
     return Gate_ListCut(edge->gate, services, max);
 }
 
+static uint32_t
+list_reaches(void *context, GateReach *reaches, uint32_t max)
+{
+    const Edge *edge = context;
+
+    return Gate_ListReaches(edge->gate, reaches, max);
+}
+
+static void
+on_reach(void *context, const GateReach *reach)
+{
+    const Edge *edge = context;
+
+    Gate_OnReach(edge->gate, reach);
+}
+
 static bool
 is_stopping(void *context)
 {
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -143,8 +143,22 @@
     char vm[FLEET_NAME_MAX];
     char address[FLEET_ADDRESS_MAX]; /* Its listener for other VMs. */
     bool is_near;                    /* It is in this VM's region. */
+    int64_t received_us;             /* Time of its last message. */
+    bool answers_reach; /* Its version answers questions for workers. */
+    bool tells_reach;   /* It says whether it hears workers of the service. */
+    uint64_t reached; /* Hash of one that it hears, as in FleetWorker; 0: none.
+                       */
+    int64_t reached_us; /* When it heard that one last. */
 } GatePeer;
 
+/* Whether a VM hears workers of a service. */
+typedef struct GateReach {
+    uint64_t service; /* Hash of the service's name. */
+    uint64_t worker;  /* As GatePeer.reached. */
+    int64_t heard_us; /* As GatePeer.reached_us. */
+    bool asks;        /* It looks for a worker that others hear. */
+} GateReach;
+
 /* Work of all requests for a service of model workers since Gate_New(). */
 typedef struct GateDemand {
     double prompt_tokens; /* Prompt tokens of the requests. */
@@ -233,5 +247,10 @@
 /* Stores the hashes of the names of services whose workers this VM can't
    reach, up to `max`, and returns their number. */
 uint32_t Gate_ListCut(const Gate *gate, uint64_t *services, uint32_t max);
+/* Stores what this VM tells the others on the workers that it hears, up to
+   `max` services, and returns their number. */
+uint32_t Gate_ListReaches(const Gate *gate, GateReach *reaches, uint32_t max);
+/* Another VM has told whether it hears workers of a service. */
+void Gate_OnReach(Gate *gate, const GateReach *reach);
 
 #endif
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -27,6 +27,8 @@
 static void on_timer(evutil_socket_t fd, short what, void *context);
 static void on_table_timer(evutil_socket_t fd, short what, void *context);
 static void handle_message(Gos *gos, const Gossip__News *news);
+static void set_reach(GatePeer *row, const Peer *peer, uint64_t service);
+static void store_reaches(Gos *gos, Peer *peer, const Gossip__News *news);
 static void store_report(Gos *gos, Peer *peer, const Gossip__News *news,
                          bool is_started);
 static void check_versions(Gos *gos, const Gossip__News *news);
@@ -201,11 +203,30 @@
             g_strlcpy(row->vm, peer->vm, sizeof(row->vm));
             format_address(peer->address, row->address);
             row->is_near = peer->region == gos->peers.options.region;
+            set_reach(row, peer, hash);
         }
     }
     return count;
 }
 
+static void
+set_reach(GatePeer *row, const Peer *peer, uint64_t service)
+{
+    row->received_us = peer->received_us;
+    row->answers_reach = peer->answers_reach;
+    row->tells_reach = false;
+    row->reached = 0;
+    row->reached_us = 0;
+    for (uint32_t i = 0; i < peer->reach_count; i++) {
+        const GateReach *reach = &peer->reaches[i];
+        if (reach->service == service) {
+            row->tells_reach = true;
+            row->reached = reach->worker;
+            row->reached_us = reach->heard_us;
+        }
+    }
+}
+
 bool
 Gos_NeedsSource(const Gos *gos)
 {
@@ -334,6 +355,7 @@
     peer->is_stopping = news->stopping;
     peer->cut_count = (uint32_t)MIN(news->n_cut, PEERS_CUT_MAX);
     memcpy(peer->cut, news->cut, peer->cut_count * sizeof(*peer->cut));
+    store_reaches(gos, peer, news);
     if (Gos_MergeSuspects(gos, news)) {
         gos->options.on_suspects_change(gos->options.context);
     }
@@ -349,6 +371,23 @@
     check_versions(gos, news);
 }
 
+static void
+store_reaches(Gos *gos, Peer *peer, const Gossip__News *news)
+{
+    const GosOptions *options = &gos->options;
+    int64_t now_us = Clk_Now(options->clk);
+
+    peer->answers_reach = news->answers_reach;
+    peer->reach_count = (uint32_t)MIN(news->n_reaches, PEERS_REACHES_MAX);
+    for (uint32_t i = 0; i < peer->reach_count; i++) {
+        peer->reaches[i] = Gos_DecodeReach(news, i, now_us);
+    }
+    for (uint32_t i = 0; i < peer->reach_count && options->on_reach != NULL;
+         i++) {
+        options->on_reach(options->context, &peer->reaches[i]);
+    }
+}
+
 static void
 store_report(Gos *gos, Peer *peer, const Gossip__News *news, bool is_started)
 {
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -55,6 +55,12 @@
     /* Stores the hashes of the services that this VM can't reach, up to `max`,
        and returns their number. NULL is allowed. */
     uint32_t (*list_cut)(void *context, uint64_t *services, uint32_t max);
+    /* Stores what this VM tells of the workers that it hears, up to `max`
+       services, and returns their number. NULL is allowed. */
+    uint32_t (*list_reaches)(void *context, GateReach *reaches, uint32_t max);
+    /* Called when another VM has told whether it hears workers of a service.
+       NULL is allowed. */
+    void (*on_reach)(void *context, const GateReach *reach);
     /* Whether this VM takes no requests of others. NULL is allowed. */
     bool (*is_stopping)(void *context);
     /* Brings this VM's forecasts of the workers' memory up to date. NULL is
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -3,6 +3,7 @@
 
 static void add_suspects(const Gos *gos, GosMessage *message);
 static void add_limits(Gos *gos, GosMessage *message);
+static void add_reaches(const Gos *gos, GosMessage *message);
 static uint32_t encode_age(int64_t at_us, int64_t now_us);
 static int64_t decode_age(uint32_t age_ms, int64_t now_us);
 static guint fill_demands(const Report *report, Gossip__Demand *rows,
@@ -50,6 +51,10 @@
         news->n_cut =
             options->list_cut(options->context, message->cut, PEERS_CUT_MAX);
     }
+    if (options->list_reaches != NULL) {
+        news->answers_reach = true;
+        add_reaches(gos, message);
+    }
     news->stopping =
         options->is_stopping != NULL && options->is_stopping(options->context);
 }
@@ -123,6 +128,42 @@
     return changed;
 }
 
+/* Adds the workers that this VM hears, for the services that are in doubt. */
+static void
+add_reaches(const Gos *gos, GosMessage *message)
+{
+    GateReach reaches[PEERS_REACHES_MAX];
+    int64_t now_us = Clk_Now(gos->options.clk);
+    Gossip__News *news = &message->news;
+    uint32_t count = gos->options.list_reaches(gos->options.context, reaches,
+                                               PEERS_REACHES_MAX);
+
+    news->reaches = message->reaches;
+    for (uint32_t i = 0; i < count; i++) {
+        Gossip__Reach *row = &message->reach_rows[i];
+        gossip__reach__init(row);
+        row->service = reaches[i].service;
+        row->worker = reaches[i].worker;
+        row->age_ms = encode_age(reaches[i].heard_us, now_us);
+        row->asks = reaches[i].asks;
+        message->reaches[news->n_reaches++] = row;
+    }
+}
+
+GateReach
+Gos_DecodeReach(const Gossip__News *news, size_t i, int64_t now_us)
+{
+    const Gossip__Reach *row = news->reaches[i];
+    GateReach reach = {
+        .service = row->service,
+        .worker = row->age_ms != 0 ? row->worker : 0,
+        .heard_us = decode_age(row->age_ms, now_us),
+        .asks = row->asks,
+    };
+
+    return reach;
+}
+
 /* Adds limits that workers name or that were lifted lately, other ones each
    time. */
 static void
@@ -320,16 +361,21 @@
         news->n_uses--;
     }
     while (gossip__news__get_packed_size(news) > GOS_MESSAGE_MAX_BYTES &&
-           news->n_suspects + news->n_limits + news->n_origins > 0) {
+           news->n_suspects + news->n_limits + news->n_origins +
+                   news->n_reaches >
+               0) {
         if (news->n_suspects > 0) {
             news->n_suspects--;
         }
         else if (news->n_origins > 0) {
             news->n_origins--;
         }
-        else {
+        else if (news->n_limits > 0) {
             news->n_limits--;
         }
+        else {
+            news->n_reaches--;
+        }
     }
     message->size =
         gossip__news__get_packed_size(news) <= GOS_MESSAGE_MAX_BYTES
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -47,6 +47,8 @@
     Gossip__Origin origin_rows[GOS_ORIGINS_MAX];
     Gossip__Origin *origins[GOS_ORIGINS_MAX];
     uint64_t cut[PEERS_CUT_MAX];
+    Gossip__Reach reach_rows[PEERS_REACHES_MAX];
+    Gossip__Reach *reaches[PEERS_REACHES_MAX];
     uint64_t peers[GOS_PEERS_MAX];
     uint8_t data[GOS_MESSAGE_MAX_BYTES];
     size_t size; /* Of the packed message in `data`. */
@@ -101,6 +103,8 @@
    news. */
 bool Gos_MergeSuspects(const Gos *gos, const Gossip__News *news);
 /* Stores the limits of workers that a message tells. */
+/* Returns the i-th row on the workers that the sender hears. */
+GateReach Gos_DecodeReach(const Gossip__News *news, size_t i, int64_t now_us);
 void Gos_MergeLimits(const Gos *gos, const Gossip__News *news);
 /* Stores which versions began the streams of another VM. */
 void Gos_MergeOrigins(const Gos *gos, const Gossip__News *news);
--- a/src/gate/peers.h
+++ b/src/gate/peers.h
@@ -10,6 +10,7 @@
 
 #include "../clock.h"
 #include "../decide/hubs.h"
+#include "gate.h"
 #include "load_report.h"
 
 #include <sys/queue.h>
@@ -20,6 +21,7 @@
 #define PEERS_CUT_MAX                                                         \
     8 /* Services that a VM tells to be out of its reach.                     \
        */
+#define PEERS_REACHES_MAX 4 /* Services of which it names workers. */
 /* In a mesh, messages go to all peers of this region and to this many others
    on average. */
 #define PEERS_REMOTE_FANOUT 8
@@ -49,6 +51,9 @@
     uint64_t cut[PEERS_CUT_MAX]; /* Hashes of the services that it can't
                                     reach. */
     uint32_t cut_count;
+    GateReach reaches[PEERS_REACHES_MAX]; /* The workers that it hears. */
+    uint32_t reach_count;
+    bool answers_reach;
     int64_t suspect_until_us; /* It was silent as a hub; until then it counts
                                  as a hub only if it sends a message. */
     Report report;            /* Its load. */
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -353,7 +353,7 @@
     task->runs = runs;
     task->runs_elsewhere = runs;
     Met_Add(MET_RELAYED_REQUESTS, 1);
-    if (Detour_IsCut(task->gate, task->service->name)) {
+    if (Detour_IsLost(task->gate, task->service->name)) {
         g_strlcpy(task->cause, "this VM reaches no worker either",
                   sizeof(task->cause));
         Task_Refuse(task, ADMISSION_NO_WORKER);
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -245,6 +245,7 @@
     Health_NoteUnresponsive(&worker->health, Task_Now(call->task));
     worker->unanswered_us = MAX(worker->unanswered_us, call->heard_us);
     call->task->unreached++;
+    Detour_NoteUnanswered(call->task);
 }
 
 void
--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -8,10 +8,6 @@
    would take to find it unreachable. */
 #define TASK_PEER_UNREACHABLE_COST_US (300 * CLK_US_PER_MS)
 
-/* Unanswered calls of a task after which another VM is asked: connections that
-   live on hide a cut, as new ones are refused. */
-#define TASK_UNREACHED_MAX 2
-
 /* Classes of workers, the best first; the cost decides within one. */
 typedef enum Suitability {
     SUITABILITY_SOUND,
@@ -22,8 +18,6 @@
 static FleetWorker *find_best(GateTask *task, FleetPhase phase, TaskCost cost,
                               const void *context, guint offset,
                               int64_t *best_us);
-static FleetWorker *choose_vm(GateTask *task, FleetPhase phase,
-                              bool has_open_worker);
 static double get_share(const GateTask *task);
 static Suitability get_suitability(const FleetWorker *worker, int64_t now_us);
 static void fill_rank(const GateTask *task, const FleetWorker *worker,
@@ -134,7 +128,6 @@
     int64_t now_us = Task_Now(task);
     FleetWorker *best = NULL;
     Suitability best_suitability = SUITABILITY_BLOCKED;
-    bool is_any_blocked = false;
 
     for (guint i = 0; i < rows->len; i++) {
         FleetWorker *worker =
@@ -152,7 +145,6 @@
             continue;
         }
         suitability = get_suitability(worker, now_us);
-        is_any_blocked |= suitability == SUITABILITY_BLOCKED;
         fill_rank(task, worker, now_us, &rank);
         cost_us = cost(task, worker, &rank, context);
         if (best == NULL || suitability < best_suitability ||
@@ -162,10 +154,9 @@
             *best_us = cost_us;
         }
     }
-    if (is_any_blocked || task->unreached > 0 || Detour_IsAnyCut(task->gate)) {
-        FleetWorker *vm =
-            choose_vm(task, phase,
-                      best != NULL && best_suitability != SUITABILITY_BLOCKED);
+    if (phase != FLEET_PHASE_PREFILL && !task->is_relayed &&
+        Detour_IsCut(task->gate, task->service->name)) {
+        FleetWorker *vm = Detour_ChooseVm(task);
         if (vm != NULL) {
             *best_us = DETOUR_COST_US;
             return vm;
@@ -174,20 +165,6 @@
     return best;
 }
 
-/* Returns another VM if this one can't reach the workers, or NULL. */
-static FleetWorker *
-choose_vm(GateTask *task, FleetPhase phase, bool has_open_worker)
-{
-    bool is_cut = Detour_IsCut(task->gate, task->service->name);
-
-    if (phase == FLEET_PHASE_PREFILL || task->is_relayed ||
-        (!is_cut && task->unreached < TASK_UNREACHED_MAX &&
-         (has_open_worker || task->unreached == 0))) {
-        return NULL;
-    }
-    return Detour_ChooseVm(task);
-}
-
 /* Returns this VM's part of the requests for the task's service. */
 static double
 get_share(const GateTask *task)
--- a/tests/fleet_rig.h
+++ b/tests/fleet_rig.h
@@ -5,6 +5,8 @@
 
 #include "gate_rig.h"
 
+#include <map>
+
 /* Address on loopback at which connections hang: the queue of its listener is
    full, so that further ones get no answer. */
 class BlackHole {
@@ -130,22 +132,16 @@
     /* How the paths of a VM to the workers are cut. */
     enum Cut { HANG, REFUSE };
 
-    /* Cuts a VM off from all workers: instead of each one it reaches an
-       address at which connections hang or are refused. */
+    /* Cuts a VM off from all workers, also from those that start again:
+       instead of each one it reaches an address at which connections hang or
+       are refused. */
     void
     CutOff(size_t vm, Cut cut)
     {
+        cuts_[vm] = cut;
         for (size_t i = 0; i < workers.size(); i++) {
             starts_++;
-            if (cut == HANG) {
-                holes_.push_back(std::make_unique<BlackHole>());
-                SetEntry(edges[vm], i, holes_.back()->address);
-                continue;
-            }
-            refusing_.push_back(std::make_unique<Worker>(
-                base, std::make_shared<std::deque<ScriptedReply>>()));
-            refusing_.back()->Crash();
-            SetEntry(edges[vm], i, refusing_.back()->address);
+            SetCutEntry(vm, i);
         }
     }
 
@@ -153,6 +149,7 @@
     void
     Reconnect(size_t vm)
     {
+        cuts_.erase(vm);
         for (size_t i = 0; i < workers.size(); i++) {
             starts_++;
             SetEntry(edges[vm], i, workers[i]->address);
@@ -289,13 +286,30 @@
     ListWorker(size_t i)
     {
         ids_[i] = "w-" + std::to_string(++starts_);
-        for (Edge *edge : edges) {
-            if (edge != nullptr) {
-                SetEntry(edge, i);
+        for (size_t vm = 0; vm < edges.size(); vm++) {
+            if (cuts_.count(vm) > 0) {
+                SetCutEntry(vm, i);
+            }
+            else if (edges[vm] != nullptr) {
+                SetEntry(edges[vm], i);
             }
         }
     }
 
+    void
+    SetCutEntry(size_t vm, size_t i)
+    {
+        if (cuts_[vm] == HANG) {
+            holes_.push_back(std::make_unique<BlackHole>());
+            SetEntry(edges[vm], i, holes_.back()->address);
+            return;
+        }
+        refusing_.push_back(std::make_unique<Worker>(
+            base, std::make_shared<std::deque<ScriptedReply>>()));
+        refusing_.back()->Crash();
+        SetEntry(edges[vm], i, refusing_.back()->address);
+    }
+
     void
     SetEntry(Edge *edge, size_t i, const std::string &address = "")
     {
@@ -345,6 +359,7 @@
     std::deque<std::string> names_; /* Their texts keep their addresses. */
     std::string seed_;
     std::vector<std::string> ids_; /* Of the workers' current starts. */
+    std::map<size_t, Cut> cuts_;   /* Of the VMs that are cut off. */
     std::vector<std::unique_ptr<Worker>> refusing_;
     std::vector<std::unique_ptr<BlackHole>> holes_;
     std::vector<int64_t> restart_us_;
