--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -2,6 +2,8 @@
    snapshot for a VM that can't reach the source. */
 #include "gate_rig.h"
 
+#include <xxhash.h>
+
 extern "C" {
 #include "gate/peers.h"
 }
@@ -126,6 +128,33 @@
     }));
 }
 
+/* A VM that looks for a living worker in vain asks, and another one names one
+   that it hears. Without a question nothing is told. */
+TEST_F(Gossip, AVmThatAsksIsToldOfALivingWorker)
+{
+    const uint64_t service = XXH3_64bits("s", 1);
+    Vm a(base, &clk, "a", nullptr, true);
+    Vm b(base, &clk, "b", a.address.c_str(), true);
+    GateReach reach = {service, 0, 0, true};
+    GateReach told[PEERS_REACHES_MAX];
+    for (Vm *vm : {&a, &b}) {
+        Feed_ApplyConfig(Edge_GetFeed(vm->edge), config, sizeof(config) - 1);
+        Feed_SetEntry(Edge_GetFeed(vm->edge), "w", entry, sizeof(entry) - 1,
+                      Rev(5));
+    }
+    EXPECT_EQ(Gate_ListReaches(Edge_GetGate(b.edge), told, 4), 0U);
+    b.Worker("w")->heard_us = Clk_Now(&clk);
+    Gate_OnReach(Edge_GetGate(b.edge), &reach);
+    ASSERT_EQ(Gate_ListReaches(Edge_GetGate(b.edge), told, 4), 1U);
+    EXPECT_EQ(told[0].service, service);
+    EXPECT_EQ(told[0].worker, b.Worker("w")->hash);
+    EXPECT_FALSE(told[0].asks);
+    /* The hash of a service that nobody knows adds nothing. */
+    reach.service = 4711;
+    Gate_OnReach(Edge_GetGate(b.edge), &reach);
+    EXPECT_EQ(Gate_ListReaches(Edge_GetGate(b.edge), told, 4), 1U);
+}
+
 TEST_F(Gossip, UseReportedByStoppedVmIsDropped)
 {
     auto a = std::make_unique<Vm>(base, &clk, "a", nullptr, true);
