--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -81,6 +81,8 @@
 static void on_lookup_answer(void *context, uint64_t holder,
                              const LookupAnswer *answer);
 static uint32_t list_cut(void *context, uint64_t *services, uint32_t max);
+static uint32_t list_reaches(void *context, GateReach *reaches, uint32_t max);
+static void on_reach(void *context, const GateReach *reach);
 static bool is_stopping(void *context);
 static void on_suspects_change(void *context);
 static void on_limit_change(void *context, const FleetWorker *worker);
@@ -309,6 +311,8 @@
     gossip.answer_lookup = answer_lookup;
     gossip.on_lookup_answer = on_lookup_answer;
     gossip.list_cut = list_cut;
+    gossip.list_reaches = list_reaches;
+    gossip.on_reach = on_reach;
     gossip.is_stopping = is_stopping;
     gossip.update_load = update_load;
     gossip.get_versions = get_versions;
@@ -462,6 +466,22 @@
     return Gate_ListCut(edge->gate, services, max);
 }
 
+static uint32_t
+list_reaches(void *context, GateReach *reaches, uint32_t max)
+{
+    const Edge *edge = context;
+
+    return Gate_ListReaches(edge->gate, reaches, max);
+}
+
+static void
+on_reach(void *context, const GateReach *reach)
+{
+    const Edge *edge = context;
+
+    Gate_OnReach(edge->gate, reach);
+}
+
 static bool
 is_stopping(void *context)
 {
