Survey: the workers' changes beside their lists find prompts that were replaced; workers are asked anew only if no holder knows

Callers saw: after a loss of all VMs during a burst 8 to 12 in a hundred resumed streams are refused as of unknown version although it is in service; on the small site 0.55 s passed before a resumption went on. Cause: the lists are read some 0.5 s after the VMs' start, when new prompts have replaced old ones. And a holder that does not keep a prompt asked its workers anew for each lookup, and was waited for. Ruled out, by reading: `runs` of the reports (a run ends as its VM is lost). Not tried: lists sooner, before the hubs are known. Change: at its start a holder also reads /v1/kv-events?since=0, whose call delays no worker; later surveys read only these, and the list where a worker tells none. A lookup asks the holders what they know, and only if none knows the stream to ask anew. Parts of a service are bounded (131,072).

--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -1390,7 +1390,7 @@
   (ProtobufCMessageInit) gossip__origin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__lookup__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gossip__lookup__field_descriptors[6] =
 {
   {
     "request",
@@ -1441,9 +1441,21 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "age_ms",
+    "anew",
     5,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Lookup, anew),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
     offsetof(Gossip__Lookup, age_ms),
@@ -1454,7 +1466,8 @@
   },
 };
 static const unsigned gossip__lookup__field_indices_by_name[] = {
-  4,   /* field[4] = age_ms */
+  5,   /* field[5] = age_ms */
+  4,   /* field[4] = anew */
   3,   /* field[3] = has_part */
   2,   /* field[2] = part */
   0,   /* field[0] = request */
@@ -1463,7 +1476,7 @@
 static const ProtobufCIntRange gossip__lookup__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gossip__lookup__descriptor =
 {
@@ -1473,7 +1486,7 @@
   "Gossip__Lookup",
   "gossip",
   sizeof(Gossip__Lookup),
-  5,
+  6,
   gossip__lookup__field_descriptors,
   gossip__lookup__field_indices_by_name,
   1,  gossip__lookup__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -323,13 +323,15 @@
   uint64_t part;
   protobuf_c_boolean has_part;
   /*
-   * Time since the caller's request arrived.
+   * Workers are asked again if they were asked more than `age_ms` ago and none
+   * keeps the prompt.
    */
+  protobuf_c_boolean anew;
   uint32_t age_ms;
 };
 #define GOSSIP__LOOKUP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__lookup__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -124,11 +124,12 @@
     /* Builds the call that ends a lease. */
     void (*encode_release)(void *context, const char *lease,
                            GateControlCall *control_call);
-    /* Builds the call that asks a worker for the prompts that it keeps. */
-    void (*encode_list)(void *context, const char *worker,
+    /* Builds the call that asks a worker for the prompts that it keeps, or, if
+       `changes`, for those that it has begun to keep or replaced lately. */
+    void (*encode_list)(void *context, const char *worker, bool changes,
                         GateControlCall *control_call);
-    /* Calls on_part() for each part of a prompt in the answer. Returns false
-       if it is malformed. */
+    /* Calls on_part() for each part of a prompt in the answer to either call.
+       Returns false if it is malformed. */
     bool (*decode_list)(void *context, const char *body, size_t size,
                         void (*on_part)(void *part_context, uint64_t part),
                         void *part_context);
--- a/src/gate/gossip_lookup.c
+++ b/src/gate/gossip_lookup.c
@@ -38,8 +38,11 @@
         row->service = rows[i].service;
         row->part = rows[i].part;
         row->has_part = rows[i].has_part;
+        row->anew = rows[i].since_us != 0;
         row->age_ms =
-            (uint32_t)(MAX(now_us - rows[i].since_us, 0) / CLK_US_PER_MS);
+            row->anew
+                ? (uint32_t)(MAX(now_us - rows[i].since_us, 0) / CLK_US_PER_MS)
+                : 0;
         pointers[i] = row;
     }
     Gos_PackMessage(&message);
@@ -102,7 +105,9 @@
             .service = from->service,
             .part = from->part,
             .has_part = from->has_part,
-            .since_us = now_us - (int64_t)from->age_ms * CLK_US_PER_MS,
+            .since_us = from->anew
+                            ? now_us - (int64_t)from->age_ms * CLK_US_PER_MS
+                            : 0,
         };
         const Origin *origin = NULL;
         LookupAnswer answer = gos->options.answer_lookup(gos->options.context,
--- a/src/gate/lookup.c
+++ b/src/gate/lookup.c
@@ -10,7 +10,8 @@
 
 typedef struct Lookup {
     TAILQ_ENTRY(Lookup) links;
-    LookupQuestion question;
+    LookupQuestion question; /* As it is sent. */
+    int64_t asked_us;        /* Arrival of the request. */
     int64_t began_us;
     int64_t sent_us; /* When the holders were last asked. */
     bool is_due;     /* They are to be asked. */
@@ -72,7 +73,7 @@
     GArray *workers;
 
     if (lookup != NULL && lookup->is_over &&
-        lookup->question.since_us < question->since_us) {
+        lookup->asked_us < question->since_us) {
         drop(lookups, lookup);
         lookup = NULL;
     }
@@ -91,6 +92,14 @@
                            (const uint64_t *)workers->data, workers->len,
                            is_over(lookup, now_us), kept);
     g_array_free(workers, TRUE);
+    if (survey == RESUMPTION_KEPT_BY_NONE && lookup->question.since_us == 0 &&
+        question->has_part) {
+        lookup->question.since_us = lookup->asked_us;
+        lookup->began_us = now_us;
+        lookup->answers.count = 0;
+        set_due(lookups, lookup);
+        return RESUMPTION_ASKING;
+    }
     if (survey != RESUMPTION_ASKING) {
         lookup->is_over = true;
         return question->has_part ? survey : RESUMPTION_CANNOT_ASK;
@@ -182,6 +191,8 @@
     Met_Add(MET_LOOKUPS, 1);
     lookup = g_new0(Lookup, 1);
     lookup->question = *question;
+    lookup->question.since_us = 0;
+    lookup->asked_us = question->since_us;
     lookup->began_us = now_us;
     g_hash_table_insert(lookups->rows, &lookup->question.request, lookup);
     TAILQ_INSERT_HEAD(&lookups->list, lookup, links);
--- a/src/gate/lookup.h
+++ b/src/gate/lookup.h
@@ -19,7 +19,7 @@
 /* Holders that have not answered by then are not waited for ... */
 #define LOOKUP_TIMEOUT_US (400 * CLK_US_PER_MS)
 /* ... but for this time while one still asks its workers. */
-#define LOOKUP_ASKING_TIMEOUT_US (1000 * CLK_US_PER_MS)
+#define LOOKUP_ASKING_TIMEOUT_US (600 * CLK_US_PER_MS)
 
 /* A question to another VM. */
 typedef struct LookupQuestion {
@@ -27,8 +27,9 @@
     uint64_t service; /* Hash of its name. */
     uint64_t part;    /* Own part of the prompt, if has_part. */
     bool has_part;
-    int64_t since_us; /* When the request arrived: workers that were asked
-                         earlier are asked again if none keeps the prompt. */
+    /* Workers that were asked before this time are asked again if none of a
+       holder's keeps the prompt; 0: none is asked again. */
+    int64_t since_us;
 } LookupQuestion;
 
 typedef struct LookupAnswer {
@@ -46,7 +47,8 @@
 /* Returns what the holders know of the prompt that ends with the question's
    part, and asks them first. Stores who keeps it in *kept if only one version
    does. A record that one of them has is stored in the gate's origins. To be
-   called again while the state is RESUMPTION_ASKING. */
+   called again while the state is RESUMPTION_ASKING. `since_us` is the arrival
+   of the request; only if no holder knows of it, workers are asked anew. */
 ResumptionSurvey Lookup_Find(Gate *gate, const char *service,
                              const LookupQuestion *question,
                              HoldersAnswer *kept);
--- a/src/gate/survey.c
+++ b/src/gate/survey.c
@@ -1,4 +1,5 @@
-/* Survey: which prompts the workers of a service keep. See survey.h. */
+/* Survey: which prompts the workers of a service keep or kept. See survey.h.
+ */
 #include "survey.h"
 #include "task.h"
 
@@ -21,16 +22,25 @@
     GHashTable *parts; /* SurveyPart.part to SurveyPart. */
     LIST_HEAD(SurveyCallList, SurveyCall) calls; /* In progress. */
     uint32_t call_count;
-    GArray *queue; /* Hashes of the workers that are still to be asked. */
-    uint32_t asked;
+    GArray *queue;  /* SurveySteps that are still to be made. */
+    uint32_t asked; /* Calls that were queued. */
     uint32_t answered;
+    uint32_t dropped; /* Parts beyond SURVEY_PARTS_MAX. */
+    bool has_ended;   /* All answers to one survey at least are known. */
 } Survey;
 
+/* A call that is to be made. */
+typedef struct SurveyStep {
+    uint64_t worker; /* Hash. */
+    bool changes;    /* Asks what changed lately, and not what is kept now. */
+} SurveyStep;
+
 typedef struct SurveyCall {
     LIST_ENTRY(SurveyCall) links;
     Survey *survey;
     ClientCall *call;
     int64_t began_us;
+    bool changes;     /* As in SurveyStep. */
     uint32_t version; /* Of the worker. */
     uint64_t worker;  /* Its hash. */
     int status;
@@ -51,11 +61,11 @@
 static void on_timer(evutil_socket_t fd, short what, void *context);
 static bool wait_for_holders(Surveys *surveys);
 static void begin_all(Gate *gate);
-static void begin(Survey *survey);
+static void begin(Survey *survey, bool lists);
 static bool can_ask(const FleetWorker *worker, const char *service,
                     int64_t now_us);
 static void ask_next(Survey *survey);
-static void ask(Survey *survey, FleetWorker *worker);
+static void ask(Survey *survey, FleetWorker *worker, bool changes);
 static bool is_running(const Survey *survey);
 static void end_late_calls(Survey *survey);
 static void on_head(void *context, int status, const HeaderList *headers);
@@ -63,7 +73,7 @@
 static void on_end(void *context, ClientOutcome outcome);
 static void note_part(void *context, uint64_t part);
 static void free_call(SurveyCall *call);
-static void log_result(const Survey *survey);
+static void end(Survey *survey);
 
 Surveys *
 Survey_New(Gate *gate)
@@ -116,23 +126,29 @@
     const SurveyPart *row;
     int64_t now_us = Clk_Now(gate->options.clk);
 
-    if (is_running(survey) || gate->surveys->is_waiting) {
+    if (gate->surveys->is_waiting ||
+        (is_running(survey) && !survey->has_ended)) {
         return RESUMPTION_ASKING;
     }
+    /* What an earlier survey told is not held up by a worker that is silent in
+       a later one. */
     row = g_hash_table_lookup(survey->parts, &part);
     if (row != NULL) {
         *kept = *row;
         return row->version == SURVEY_SEVERAL ? RESUMPTION_KEPT_BY_SEVERAL
                                               : RESUMPTION_KEPT_BY_ONE_VERSION;
     }
-    if (survey->began_us >= since_us) {
+    if (is_running(survey) && since_us != 0) {
+        return RESUMPTION_ASKING;
+    }
+    if (survey->has_ended && survey->began_us >= since_us) {
         return RESUMPTION_KEPT_BY_NONE;
     }
     if (survey->began_us != 0 &&
         now_us - survey->began_us < SURVEY_INTERVAL_US) {
         return RESUMPTION_ASKING;
     }
-    begin(survey);
+    begin(survey, false);
     return is_running(survey) ? RESUMPTION_ASKING : RESUMPTION_KEPT_BY_NONE;
 }
 
@@ -168,7 +184,7 @@
     g_strlcpy(survey->service, service, sizeof(survey->service));
     survey->parts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-    survey->queue = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    survey->queue = g_array_new(FALSE, FALSE, sizeof(SurveyStep));
     LIST_INIT(&survey->calls);
     LIST_INSERT_HEAD(&gate->surveys->list, survey, links);
     return survey;
@@ -227,14 +243,15 @@
     while (g_hash_table_iter_next(&iter, NULL, &service)) {
         const RteService *row = service;
         if (row->is_engine) {
-            begin(find_or_add(gate, row->name));
+            begin(find_or_add(gate, row->name), true);
         }
     }
 }
 
-/* Asks the own workers. */
+/* Asks the own workers what changed lately, and what they keep if `lists`: a
+   list delays its worker, and changes get lost now and then. */
 static void
-begin(Survey *survey)
+begin(Survey *survey, bool lists)
 {
     const GateOptions *options = &survey->gate->options;
     const GPtrArray *rows = options->fleet->rows;
@@ -245,18 +262,26 @@
     if (now_us - survey->kept_us > SURVEY_KEEP_US) {
         g_hash_table_remove_all(survey->parts);
         survey->kept_us = now_us;
+        survey->has_ended = false;
     }
     survey->began_us = now_us;
     survey->answered = 0;
+    survey->dropped = 0;
     for (guint i = 0; i < rows->len; i++) {
         const FleetWorker *worker = g_ptr_array_index(rows, i);
         if (can_ask(worker, survey->service, now_us) &&
             Holders_IsOwn(&holders, worker->hash)) {
-            g_array_append_val(survey->queue, worker->hash);
+            SurveyStep changes = {worker->hash, .changes = true};
+            SurveyStep list = {worker->hash, .changes = false};
+            g_array_append_val(survey->queue, changes);
+            if (lists) {
+                g_array_append_val(survey->queue, list);
+            }
         }
     }
     survey->asked = survey->queue->len;
     ask_next(survey);
+    survey->has_ended |= !is_running(survey);
     if (is_running(survey) &&
         !event_pending(survey->gate->surveys->timer, EV_TIMEOUT, NULL)) {
         Loop_ArmTimer(survey->gate->surveys->timer, SURVEY_TICK_MS);
@@ -280,17 +305,17 @@
 
     while (survey->queue->len > 0 && survey->call_count < SURVEY_CALLS_MAX) {
         guint last = survey->queue->len - 1;
-        FleetWorker *worker = Fleet_FindByHash(
-            fleet, g_array_index(survey->queue, uint64_t, last));
+        SurveyStep step = g_array_index(survey->queue, SurveyStep, last);
+        FleetWorker *worker = Fleet_FindByHash(fleet, step.worker);
         g_array_set_size(survey->queue, last);
         if (worker != NULL) {
-            ask(survey, worker);
+            ask(survey, worker, step.changes);
         }
     }
 }
 
 static void
-ask(Survey *survey, FleetWorker *worker)
+ask(Survey *survey, FleetWorker *worker, bool changes)
 {
     const GateOptions *options = &survey->gate->options;
     GateControlCall control_call = {.headers = Header_New()};
@@ -307,10 +332,11 @@
     };
 
     options->codec->encode_list(options->codec->context, worker->entry.id,
-                                &control_call);
+                                changes, &control_call);
     client_call.method = control_call.method;
     call->survey = survey;
     call->began_us = Clk_Now(options->clk);
+    call->changes = changes;
     call->version = worker->version;
     call->worker = worker->hash;
     call->body = g_byte_array_new();
@@ -346,7 +372,7 @@
     }
     ask_next(survey);
     if (was_running && !is_running(survey)) {
-        log_result(survey);
+        end(survey);
     }
 }
 
@@ -384,10 +410,16 @@
                            call->body->len, note_part, call)) {
         survey->answered++;
     }
+    else if (outcome == CLIENT_COMPLETE && call->changes) {
+        /* The worker tells no changes. */
+        SurveyStep list = {call->worker, .changes = false};
+        g_array_append_val(survey->queue, list);
+        survey->asked++;
+    }
     free_call(call);
     ask_next(survey);
     if (!is_running(survey)) {
-        log_result(survey);
+        end(survey);
     }
 }
 
@@ -398,6 +430,10 @@
     GHashTable *parts = call->survey->parts;
     SurveyPart *row = g_hash_table_lookup(parts, &part);
 
+    if (row == NULL && g_hash_table_size(parts) >= SURVEY_PARTS_MAX) {
+        call->survey->dropped++;
+        return;
+    }
     if (row == NULL) {
         row = g_new0(SurveyPart, 1);
         row->part = part;
@@ -420,12 +456,14 @@
 }
 
 static void
-log_result(const Survey *survey)
+end(Survey *survey)
 {
+    survey->has_ended = true;
     Met_Add(MET_SURVEYS, 1);
     Log_WriteJson(LOG_LEVEL_INFO, "survey",
-                  json_pack("{s:s,s:i,s:i,s:i}", "service", survey->service,
-                            "asked", (int)survey->asked, "answered",
-                            (int)survey->answered, "parts",
-                            (int)g_hash_table_size(survey->parts)));
+                  json_pack("{s:s,s:i,s:i,s:i,s:i}", "service",
+                            survey->service, "asked", (int)survey->asked,
+                            "answered", (int)survey->answered, "parts",
+                            (int)g_hash_table_size(survey->parts),
+                            "parts_dropped", (int)survey->dropped));
 }
--- a/src/gate/survey.h
+++ b/src/gate/survey.h
@@ -1,7 +1,8 @@
-/* Survey: asks decode workers of a service which prompts they keep in memory.
-   A worker keeps the prompt of a stream for some time after the stream's
-   connection is gone, so that VMs that know nothing of the stream find the
-   software version that ran it. Each VM asks the workers whose holder it is
+/* Survey: asks decode workers of a service which prompts they keep in memory,
+   and which they kept lately. A worker keeps the prompt of a stream for some
+   time after the stream's connection is gone, and names it among its changes
+   for longer, so that VMs that know nothing of the stream find the software
+   version that ran it. Each VM asks the workers whose holder it is
    (decide/holders.h). */
 #ifndef LS_SURVEY_H
 #define LS_SURVEY_H
@@ -21,11 +22,14 @@
 /* In place of a version: workers of several versions keep the part. */
 #define SURVEY_SEVERAL 0
 #define SURVEY_LIST_MAX_BYTES (512 * 1024)
+/* Parts of prompts that are remembered for a service; further ones are not. */
+#define SURVEY_PARTS_MAX 131072
 
 /* What is known of the prompt that ends with one part. */
 typedef struct SurveyPart {
     uint64_t part;
-    uint32_t version; /* That keeps it; SURVEY_SEVERAL if there are several. */
+    uint32_t version; /* That keeps or kept it; SURVEY_SEVERAL if there are
+                         several. */
     uint64_t worker;  /* Hash of a worker that keeps it. */
 } SurveyPart;
 
@@ -39,8 +43,8 @@
    replaced soon. */
 void Survey_BeginAll(Gate *gate);
 /* Returns what the own workers told of the prompt that ends with this part,
-   and begins a survey if none was made since `since_us`, the arrival of the
-   request. Stores who keeps the prompt in *kept if only one version does. To
+   and begins a survey if none was made since `since_us`; 0: any one counts.
+   Stores who keeps the prompt in *kept if only one version does. To
    be called again while the state is RESUMPTION_ASKING. */
 ResumptionSurvey Survey_Find(Gate *gate, const char *service, uint64_t part,
                              int64_t since_us, SurveyPart *kept);
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -361,6 +361,8 @@
     int lists = 0; /* How often it was asked for them. */
     /* Those that it kept before; its changes name them, and `kept_parts`. */
     std::vector<std::string> replaced_parts;
+    int changes = 0;         /* How often it was asked for its changes. */
+    bool has_changes = true; /* Else it refuses that. */
 
     bool ends_dark = false; /* It goes dark where it would crash. */
     int crashes = 0;
@@ -524,6 +526,7 @@
             return;
         }
         if (text.find("GET /v1/kv-events") == 0) {
+            self->changes++;
             self->SendChanges(bev);
             return;
         }
@@ -601,6 +604,11 @@
     {
         std::string rows;
         int number = 0;
+        if (!has_changes) {
+            std::string answer = "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n";
+            bufferevent_write(bev, answer.data(), answer.size());
+            return;
+        }
         auto add = [&](const std::string &part, const char *sign) {
             rows += (rows.empty() ? "[" : ",[") + std::to_string(++number) +
                     ",\"" + sign + "\",\"\",\"" + part + "\",100,\"m\"]";
--- a/tests/test_gate_joined.cc
+++ b/tests/test_gate_joined.cc
@@ -223,6 +223,24 @@
     EXPECT_EQ(again->Status(), 200) << again->text;
     EXPECT_TRUE(newer->requests.empty());
     EXPECT_EQ(older->lists, 1);
+    EXPECT_EQ(older->changes, 1);
+}
+
+/* Worker that tells no changes: it is asked for its list instead. */
+TEST(JoinedStream, WorkerThatTellsNoChangesIsAskedForItsList)
+{
+    GateRig rig;
+    rig.SetRoute(resumable, true);
+    Worker *older = rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
+    older->kept_parts = {"b1"};
+    older->has_changes = false;
+    rig.last_worker->inflight += 4;
+    rig.version = "v2";
+    Worker *newer = rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
+    Caller *again = rig.Call(Resumption("id-1"));
+    ASSERT_TRUE(rig.UntilEnd(again));
+    EXPECT_EQ(again->Status(), 200) << again->text;
+    EXPECT_TRUE(newer->requests.empty());
 }
 
 /* A resumption goes to the worker that has read the prompt, and has it read
@@ -258,7 +276,7 @@
         ASSERT_TRUE(rig.UntilEnd(caller));
         EXPECT_EQ(caller->Status(), 503);
     }
-    EXPECT_LE(worker->lists, 2);
+    EXPECT_LE(worker->lists + worker->changes, 2);
 }
 
 /* Worker that does not answer the question for its prompts. */
--- a/tests/test_gate_resumed_at_size.cc
+++ b/tests/test_gate_resumed_at_size.cc
@@ -78,6 +78,7 @@
         for (const auto &worker : rig.workers) {
             EXPECT_GE(worker->lists, 1);
             EXPECT_LE(worker->lists, row.most_lists);
+            EXPECT_LE(worker->changes, row.most_lists);
             worker->kept_parts = {};
         }
         std::vector<Caller *> again;
