Room: only begun streams that find all workers full hold new ones back, and workers take turns

Change: task.lacks_room is set when all workers that could run the request are full; a version's row outlives a gap of its workers; the halves take turns of a second. What is held back is told (streams_held_back, its own cause).

--- a/src/decide/room.c
+++ b/src/decide/room.c
@@ -41,13 +41,16 @@
         const RoomRow *row = &room->rows[i];
         if (row->version == version && row->held > 0) {
             /* The upper half of a hash is a random number of 32 bits. */
-            return (double)(worker >> 32) < row->held * 4294967296.0;
+            uint32_t place = (uint32_t)(worker >> 32);
+            place = row->is_other_turn ? ~place : place;
+            return (double)place < row->held * 4294967296.0;
         }
     }
     return false;
 }
 
-/* Returns the version's row, a free one if it has none, or NULL. */
+/* Returns the version's row, or else a free one or that of a version without
+   workers, or NULL. */
 static RoomRow *
 find_row(Room *room, uint32_t version)
 {
@@ -57,27 +60,39 @@
         if (room->rows[i].version == version) {
             return &room->rows[i];
         }
-        if (room->rows[i].version == 0) {
+        if (room->rows[i].version == 0 ||
+            (unused == NULL && room->rows[i].workers == 0)) {
             unused = &room->rows[i];
         }
     }
     if (unused != NULL) {
+        memset(unused, 0, sizeof(*unused));
         unused->version = version;
     }
     return unused;
 }
 
-/* Drops versions that have no workers any more. */
+/* Drops versions that have no workers any more. All may be silent for a
+   moment: the limits of a version whose streams waited lately go on. */
 static void
 drop_missing(Room *room, const RoomInput *input)
 {
     for (uint32_t i = 0; i < ROOM_VERSIONS_MAX; i++) {
+        RoomRow *row = &room->rows[i];
         bool is_there = false;
         for (uint32_t k = 0; k < input->count; k++) {
-            is_there |= input->versions[k].version == room->rows[i].version;
+            is_there |= input->versions[k].version == row->version;
+        }
+        if (is_there) {
+            continue;
+        }
+        if (row->waiting_us != 0 &&
+            input->now_us - row->waiting_us < ROOM_REST_US) {
+            note_workers(row, 0, input->now_us);
+            row->held = 0;
         }
-        if (!is_there) {
-            memset(&room->rows[i], 0, sizeof(room->rows[i]));
+        else {
+            memset(row, 0, sizeof(*row));
         }
     }
 }
@@ -112,6 +127,8 @@
         row->began_us = now_us;
     }
     row->waiting_us = now_us;
+    row->is_other_turn = now_us - row->began_us >= ROOM_WHOLE_MAX_US &&
+                         (now_us - row->began_us) / ROOM_TURN_US % 2 != 0;
     held = waiting_streams > ROOM_HELD_MIN ? waiting_streams : ROOM_HELD_MIN;
     share = held < row->workers ? held / row->workers : 1;
     return now_us - row->began_us < ROOM_WHOLE_MAX_US ||
--- a/src/decide/room.h
+++ b/src/decide/room.h
@@ -11,7 +11,7 @@
    short, as rooms become free there all the time; the rest of a large fleet is
    left to new streams. A stream may also wait in vain, for more memory than
    becomes free: so new streams are held back at all workers for a limited
-   time, and afterwards at half of them.
+   time, and afterwards at half of them, which take turns.
 
    In a rolling release the workers of a version that leaves become fewer while
    its streams still run. New streams that begin at the last two would need
@@ -36,6 +36,8 @@
 #define ROOM_WHOLE_MAX_US 5000000
 /* Share of the workers at which they may be held back beyond that time. */
 #define ROOM_LASTING_SHARE 0.5
+/* Time after which the other half takes its turn. */
+#define ROOM_TURN_US 1000000
 /* Time without a begun stream that waits after which they may be held back
    anew for so long. */
 #define ROOM_REST_US 2000000
@@ -66,6 +68,7 @@
     int64_t began_us;   /* When begun streams began to wait; 0: none do. */
     int64_t waiting_us; /* When one last waited. */
     double held; /* Share of its workers at which new streams are held back. */
+    bool is_other_turn; /* They are those with the upper hashes. */
 } RoomRow;
 
 /* A service's state. All zero at the start. */
--- a/src/gate/begun.c
+++ b/src/gate/begun.c
@@ -58,6 +58,17 @@
            Room_IsHeld(&room->room, worker->version, worker->hash);
 }
 
+bool
+Begun_IsAnyHeld(const BegunRoom *room)
+{
+    bool is_any_held = false;
+
+    for (uint32_t i = 0; i < ROOM_VERSIONS_MAX && room != NULL; i++) {
+        is_any_held |= room->room.rows[i].held > 0;
+    }
+    return is_any_held;
+}
+
 void
 Begun_NoteWait(const GateTask *task)
 {
@@ -155,7 +166,7 @@
 {
     return task->route->kind == RTE_STREAM &&
            task->last_event != GATE_NO_EVENT && task->version != 0 &&
-           task->waiting_since_us != 0 && !Task_MayBeRunning(task);
+           task->lacks_room;
 }
 
 static RoomVersion *
--- a/src/gate/begun.h
+++ b/src/gate/begun.h
@@ -13,6 +13,8 @@
 const BegunRoom *Begun_Update(GateTask *task);
 /* Whether new streams are held back at the worker. `room` may be NULL. */
 bool Begun_IsHeld(const BegunRoom *room, const FleetWorker *worker);
+/* Whether they are held back at any worker. */
+bool Begun_IsAnyHeld(const BegunRoom *room);
 /* Notes that the task waits for room from now on. */
 void Begun_NoteWait(const GateTask *task);
 /* Tells the other VMs how many streams wait at this one. */
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -3,6 +3,7 @@
    caller gets complete events only, so that another worker can resume the
    stream between two events. See task.h. */
 #include "stream.h"
+#include "begun.h"
 #include "blame.h"
 #include "detour.h"
 #include "reservation.h"
@@ -30,6 +31,7 @@
 static HandoverLimits get_limits(const GateTask *task);
 static void expect_progress(GateTask *task);
 static void take_over(GateTask *task);
+static const char *get_wait_cause(GateTask *task);
 static bool has_call_budget(GateTask *task);
 static void begin_run(GateTask *task);
 static void on_run_data(void *context, const void *data, size_t size);
@@ -258,8 +260,10 @@
     if (!Reservation_HasLease(task)) {
         FleetWorker *decode_worker =
             Reservation_ChooseDecodeWorker(task, &run_cost_us);
+        task->lacks_room = decode_worker == NULL && task->silent == NULL &&
+                           Reservation_HasCandidate(task);
         if (decode_worker == NULL) {
-            TaskWait_BeginWait(task, "no capacity at any worker");
+            TaskWait_BeginWait(task, get_wait_cause(task));
             return;
         }
         if (!has_call_budget(task)) {
@@ -287,6 +291,17 @@
     begin_run(task);
 }
 
+/* Returns why no worker can run the request now. */
+static const char *
+get_wait_cause(GateTask *task)
+{
+    if (!Begun_IsAnyHeld(Begun_Update(task))) {
+        return "no capacity at any worker";
+    }
+    Met_Add(MET_STREAMS_HELD_BACK, 1);
+    return "no capacity beside begun streams";
+}
+
 /* Whether the retry budget allows the calls that are still needed: the run,
    and the prefill if an earlier one's KV memory can't be fetched any more. The
    first call of a request is free. */
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -138,6 +138,9 @@
     bool is_probe;               /* Let through despite a blamed part. */
     bool queued;                 /* Counts in its service\'s AdmissionQueue. */
     bool waiting;                /* Waits for capacity at a worker. */
+    /* All workers that could run the request were full at the last look; not
+       set while one is silent that may go on with it. */
+    bool lacks_room;
     int64_t waiting_since_us; /* When the wait began; a run resets it to 0. */
     bool streaming;           /* The caller was sent the stream's header. */
     int64_t last_event;       /* ID of the last event sent to the caller. */
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -38,6 +38,9 @@
     [MET_PEER_MESSAGES_TOO_LARGE] = {"peer_messages_too_large",
                                      "Messages to other VMs that were not "
                                      "sent, as they don't fit a datagram."},
+    [MET_STREAMS_HELD_BACK] = {"streams_held_back",
+                               "Looks of new streams for room that found none "
+                               "while begun ones waited for it."},
     [MET_USES_UNTOLD] = {"uses_untold",
                          "Workers in use that had no room in a message to "
                          "other VMs."},
--- a/tests/test_gate_room.cc
+++ b/tests/test_gate_room.cc
@@ -122,4 +122,22 @@
     EXPECT_EQ(rig.workers[1]->requests.size(), 1u);
 }
 
+/* A begun stream waits though its version has room: all workers that it could
+   go to have failed it. It holds nothing back. */
+TEST(Room, NewStreamsBeginWhileABegunOneHasNoWorkerLeft)
+{
+    FleetRig rig(patient, 1, 0);
+    rig.versions = {"v1"};
+    rig.AddWorker({ScriptedReply{StreamHead("Transfer-Encoding: chunked\r\n") +
+                                     Chunk(Events(0, 2)),
+                                 ScriptedReply::RESET, ""},
+                   Stream(0, 9)});
+    Caller *begun = rig.Call(0, Prompt("id-1", 15000));
+    rig.RunFor(300);
+    Caller *fresh = rig.Call(0, Prompt("n1", 15000));
+    rig.RunFor(400);
+    EXPECT_EQ(fresh->Status(), 200) << fresh->text;
+    EXPECT_FALSE(begun->IsComplete());
+}
+
 } // namespace
