--- a/tests/test_gate_crashing_request.cc
+++ b/tests/test_gate_crashing_request.cc
@@ -224,6 +224,59 @@
     }));
 }
 
+/* The VM gets the request before any message of another one. */
+TEST(GateCrashingRequest, IsNotSentOnByAVmThatHasJustStarted)
+{
+    for (const Cause &row :
+         {Cause{"stream", resumable, "f0:200,bad:500"}, Cause{"plain", plain},
+          Cause{"plain, may run once", plain_once}}) {
+        SCOPED_TRACE(row.name);
+        FleetRig rig(row.route, 3, 3);
+        std::string request = MakeRequest(row.parts, "poison", 1);
+        for (auto &worker : rig.workers) {
+            worker->crash_text = "poison";
+        }
+        rig.restart_ms = 100;
+        rig.RunFor(500);
+        for (size_t i = 0; i < 4; i++) {
+            rig.Call(i % 3, request);
+            rig.RunFor(300);
+        }
+        rig.RunFor(500);
+        EXPECT_LE(rig.CountCrashes(), crashes_free);
+        int64_t now_us = g_get_monotonic_time();
+        rig.AddVm();
+        Caller *caller = rig.Call(3, request);
+        rig.RunFor(500);
+        EXPECT_EQ(rig.CountPartSince(now_us), 0);
+        EXPECT_EQ(caller->Status(), 503);
+    }
+}
+
+/* No other VM answers. */
+TEST(GateCrashingRequest, VmThatStartsAloneServes)
+{
+    for (const Route &route : {resumable, plain, plain_once}) {
+        for (bool is_seed_down : {false, true}) {
+            SCOPED_TRACE(is_seed_down);
+            FleetRig rig(route, 1, 3);
+            size_t vm = 0;
+            if (is_seed_down) {
+                rig.RunFor(100);
+                rig.KillVm(0);
+                rig.AddVm();
+                vm = 1;
+            }
+            Caller *caller = rig.Call(
+                vm,
+                MakeRequest(route.kind == RTE_STREAM ? "f0:200,e1:500" : "",
+                            "b", 1));
+            rig.RunFor(400);
+            EXPECT_EQ(caller->Status(), 200);
+        }
+    }
+}
+
 TEST(GateCrashingRequest, IsStoppedAtAVmThatIsCutOffFromWorkers)
 {
     FleetRig rig(plain, 3, 3);
