Gate: a VM that has just started sends nothing on until another one has told what crashes workers

Cause: nothing bound the first request to the answer to the VM's first gossip message; that it mostly comes before the configuration (2 ms) is no rule. Ruled out: readiness as the gate (a VM that isn't ready may still get requests, and must not miss RECOVER). Change: requests wait, for 0.1 s after the start at most, until any message of another VM has come. Streams and plain requests.

--- a/src/decide/suspects.c
+++ b/src/decide/suspects.c
@@ -91,6 +91,24 @@
     suspects->vm = vm;
 }
 
+void
+Suspects_BeginLearning(Suspects *suspects, int64_t now_us)
+{
+    suspects->learn_until_us = now_us + SUSPECTS_LEARN_US;
+}
+
+void
+Suspects_EndLearning(Suspects *suspects)
+{
+    suspects->learn_until_us = 0;
+}
+
+bool
+Suspects_IsLearning(const Suspects *suspects, int64_t now_us)
+{
+    return now_us < suspects->learn_until_us;
+}
+
 SuspectsWeight
 Suspects_Rate(bool has_head, int64_t first_event_us, int64_t now_us)
 {
--- a/src/decide/suspects.h
+++ b/src/decide/suspects.h
@@ -40,6 +40,9 @@
 /* Time from the last crash in which other failures may still become known that
    clear a part again. */
 #define SUSPECTS_SETTLE_US (250 * CLK_US_PER_MS)
+/* A VM that starts waits no longer than this for another one to tell which
+   requests crash workers. */
+#define SUSPECTS_LEARN_US (100 * CLK_US_PER_MS)
 /* Requests may still come for this time after one with a part was let through
    whose outcome is unknown. */
 #define SUSPECTS_PROBE_TIMEOUT_US (15 * CLK_US_PER_S)
@@ -101,6 +104,7 @@
     SuspectsSound sound[SUSPECTS_SOUND_MAX];
     SuspectsFailure failures[SUSPECTS_FAILURES_MAX];
     uint32_t failure_count;
+    int64_t learn_until_us; /* 0 once another VM has told its rows. */
 } Suspects;
 
 typedef enum SuspectsVerdict {
@@ -110,6 +114,12 @@
 } SuspectsVerdict;
 
 void Suspects_Init(Suspects *suspects, uint64_t vm);
+/* This VM has started, and others may know suspects. */
+void Suspects_BeginLearning(Suspects *suspects, int64_t now_us);
+/* Another VM has told its rows. */
+void Suspects_EndLearning(Suspects *suspects);
+/* Whether requests must wait until another VM has told its rows. */
+bool Suspects_IsLearning(const Suspects *suspects, int64_t now_us);
 /* Rates a call that broke. `has_head`: the answer's header had come.
    `first_event_us`: time of the first event, 0 if there was none. */
 SuspectsWeight Suspects_Rate(bool has_head, int64_t first_event_us,
--- a/src/gate/blame.c
+++ b/src/gate/blame.c
@@ -7,8 +7,8 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Time between two looks at a crash check, which takes a round trip, or at a
-   blame that is not settled. */
+/* Time between two looks at a crash check, which takes a round trip, at a
+   blame that is not settled, or at what other VMs tell. */
 #define BLAME_POLL_US (5 * CLK_US_PER_MS)
 
 /* What may belong to a request alone: the last part of its prompt, its
@@ -76,6 +76,10 @@
     uint32_t broad_count;
     int64_t until_us;
 
+    if (Suspects_IsLearning(suspects, Task_Now(task))) {
+        wait(task);
+        return false;
+    }
     if (suspects->row_count == 0 && task->crash_weight == SUSPECTS_NONE) {
         return true;
     }
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -23,6 +23,7 @@
 #define GOS_SERVING_MAX_AGE_US (1200 * CLK_US_PER_MS)
 #define GOS_MAJORITY_RATIO 0.6 /* Share of the VMs that is a majority. */
 
+static bool has_other_seed(const Gos *gos);
 static void on_readable(evutil_socket_t fd, short what, void *context);
 static void on_timer(evutil_socket_t fd, short what, void *context);
 static void on_table_timer(evutil_socket_t fd, short what, void *context);
@@ -80,6 +81,9 @@
                    (uint64_t)ntohs(local.sin_port);
     gos->rand = g_rand_new_with_seed(options->seed);
     Gos_SetSeeds(gos, options->seeds, options->seed_count);
+    if (options->suspects != NULL && has_other_seed(gos)) {
+        Suspects_BeginLearning(options->suspects, Clk_Now(options->clk));
+    }
     Report_Init(&gos->own);
     peers.address = gos->address;
     peers.region = (uint32_t)hash_text(options->region);
@@ -241,6 +245,18 @@
                            count);
 }
 
+/* Whether this VM knows the address of another one. */
+static bool
+has_other_seed(const Gos *gos)
+{
+    for (size_t i = 0; i < GOS_SEEDS_MAX; i++) {
+        if (gos->seeds[i] != 0 && gos->seeds[i] != gos->address) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 on_readable(evutil_socket_t fd, short what, void *context)
 {
@@ -343,6 +359,9 @@
     if (Gos_MergeSuspects(gos, news)) {
         gos->options.on_suspects_change(gos->options.context);
     }
+    if (gos->options.suspects != NULL) {
+        Suspects_EndLearning(gos->options.suspects);
+    }
     Gos_MergeLimits(gos, news);
     Gos_MergeOrigins(gos, news);
     if (Gos_HandleLookups(gos, news)) {
--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -57,6 +57,11 @@
     int64_t cost_us;
 
     task->step_deadline_us = 0;
+    if (task->waiting) {
+        task->waiting = false;
+        Plain_Begin(task);
+        return;
+    }
     if (!current->is_quiet) {
         current->is_quiet = true;
         Task_NoteUnresponsive(current);
--- a/tests/test_decide_suspects_crowd.cc
+++ b/tests/test_decide_suspects_crowd.cc
@@ -78,7 +78,7 @@
                 size_t vm =
                     (size_t)(now_ms_ / row_.restart_ms) % row_.vm_count;
                 vms_[vm] = NewVm(vm);
-                greetings_.push_back({now_ms_ + 60, vm});
+                greetings_.push_back({now_ms_ + 60, vm, {}});
             }
             AnswerGreetings();
             if (now_ms_ % row_.gap_ms == 0) {
@@ -108,6 +108,7 @@
     struct Greeting {
         int64_t at_ms; /* When the answer arrives. */
         size_t vm;
+        std::vector<size_t> waiting; /* Causes of requests. */
     };
 
     static std::unique_ptr<Suspects>
@@ -128,14 +129,22 @@
     SendCause(size_t cause)
     {
         size_t vm = AnyVm();
-        uint64_t key = 9 + cause;
-        int64_t now_us = start_us + now_ms_ * ms;
-        int64_t until_us;
-        for (const Greeting &greeting : greetings_) {
+        for (Greeting &greeting : greetings_) {
             if (greeting.vm == vm) {
-                return; /* It has no configuration yet. */
+                /* It waits for the answer to its first message. */
+                greeting.waiting.push_back(cause);
+                return;
             }
         }
+        SendCauseAt(vm, cause);
+    }
+
+    void
+    SendCauseAt(size_t vm, size_t cause)
+    {
+        uint64_t key = 9 + cause;
+        int64_t now_us = start_us + now_ms_ * ms;
+        int64_t until_us;
         SuspectsVerdict verdict =
             Suspects_Judge(vms_[vm].get(), &key, 1, now_us, &until_us);
         if (verdict == SUSPECTS_BLAMED) {
@@ -205,7 +214,11 @@
             for (uint32_t i = 0; i < count; i++) {
                 Suspects_Merge(vms_[vm].get(), &rows[i], now_us);
             }
+            std::vector<size_t> waiting = greetings_.front().waiting;
             greetings_.erase(greetings_.begin());
+            for (size_t cause : waiting) {
+                SendCauseAt(vm, cause);
+            }
         }
     }
 
