Detour: fewer connections while workers are lost, and none for a call that its worker has

Cause: each round of connections tried eight workers also while all were lost, and a run that fell silent at a worker that had received it counted twice as a call that reached none.

--- a/src/decide/reach.c
+++ b/src/decide/reach.c
@@ -19,7 +19,7 @@
             unanswered_us = workers[i].unanswered_us;
         }
     }
-    return unanswered_us != 0 && unanswered_us >= heard_us;
+    return unanswered_us > heard_us;
 }
 
 uint32_t
--- a/src/gate/detour.c
+++ b/src/gate/detour.c
@@ -15,8 +15,8 @@
    general, and while all workers are lost. */
 #define DETOUR_ROUND_US (250 * CLK_US_PER_MS)
 #define DETOUR_LOST_ROUND_US (600 * CLK_US_PER_MS)
-/* Connections of a round while the VM is cut off. */
-#define DETOUR_CUT_SAMPLE 2
+/* Connections of a round while the VM is cut off or all workers are lost. */
+#define DETOUR_AGAIN_SAMPLE 2
 /* Connect time-out, above round trips between regions. */
 #define DETOUR_CONNECT_MS 200
 /* Unanswered calls of one task that are a reason to look though workers
@@ -550,6 +550,7 @@
         log_verdict(row, "service_cut");
     }
     else if (verdict == REACH_LOST) {
+        row->next_round_us = Clk_Now(gate->options.clk) + DETOUR_LOST_ROUND_US;
         log_verdict(row, "service_lost");
     }
     else if (verdict == REACH_OPEN && before != REACH_UNDECIDED) {
@@ -672,11 +673,8 @@
         begin_round(row, REACH_SAMPLE_MAX);
         gate->options.on_load_change(gate->options.context);
     }
-    else if (row->verdict == REACH_LOST) {
-        begin_round(row, REACH_SAMPLE_MAX);
-    }
-    else if (row->verdict == REACH_CUT) {
-        begin_round(row, DETOUR_CUT_SAMPLE);
+    else if (row->verdict == REACH_LOST || row->verdict == REACH_CUT) {
+        begin_round(row, DETOUR_AGAIN_SAMPLE);
     }
 }
 
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -95,7 +95,7 @@
     uint32_t cause_count;
     bool is_caller_gone; /* The caller has disconnected. */
     bool is_relayed;     /* Another VM passed the request on. */
-    uint32_t unreached;  /* Calls of this task without an answer. */
+    uint32_t unreached;  /* Calls of this task that reached no worker. */
     bool is_retry; /* The caller was refused before, judging by its time. */
     int64_t began_us;
     int64_t deadline_us;      /* Earlier of the caller's and the route's. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -244,7 +244,9 @@
     }
     Health_NoteUnresponsive(&worker->health, Task_Now(call->task));
     worker->unanswered_us = MAX(worker->unanswered_us, call->heard_us);
-    call->task->unreached++;
+    /* A worker may be silent by itself once it has the call. */
+    call->task->unreached +=
+        call->call == NULL || !Client_IsDelivered(call->call);
     Detour_NoteUnanswered(call->task);
 }
 
