--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -783,6 +783,10 @@
         send_response(worker, exchange, 200, NULL, false,
                       "{\"epoch\":1,\"next\":1,\"held\":[]}");
     }
+    else if (strcmp(exchange->target, "/v1/kv-events?since=0") == 0) {
+        send_response(worker, exchange, 200, NULL, false,
+                      "{\"epoch\":1,\"next\":1,\"lost\":false,\"events\":[]}");
+    }
     else if (strcmp(exchange->target, "/v1/order") == 0) {
         send_response(worker, exchange, 409, NULL, false, "");
     }
