--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 extern "C" {
 #include "gate/edge.h"
 #include "metrics.h"
@@ -42,19 +44,33 @@
     return true;
 }
 
-/* Returns a port for UDP and TCP that was free at the call. */
+/* Returns a port that is free for TCP and UDP. It is below the range from
+   which the system takes the ports of outgoing connections: one of those could
+   take it before it is used. */
 inline uint16_t
 FreePort()
 {
-    LsError err = {};
-    event_base *base = event_base_new();
-    ServerOptions options = Server_DefaultOptions();
-    options.base = base;
-    Server *server = Server_New(&options, &err);
-    uint16_t port = Server_GetPort(server);
-    Server_Free(server);
-    event_base_free(base);
-    return port;
+    const int first = 10240;
+    const int last = 32767;
+    std::random_device random;
+    std::uniform_int_distribution<int> ports(first, last);
+    for (int i = 0; i < 1000; i++) {
+        sockaddr_in local = {};
+        bool is_free = true;
+        local.sin_family = AF_INET;
+        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        local.sin_port = htons((uint16_t)ports(random));
+        for (int type : {SOCK_STREAM, SOCK_DGRAM}) {
+            int fd = socket(AF_INET, type, 0);
+            is_free =
+                is_free && bind(fd, (sockaddr *)&local, sizeof(local)) == 0;
+            close(fd);
+        }
+        if (is_free) {
+            return ntohs(local.sin_port);
+        }
+    }
+    return 0;
 }
 
 /* Starts a VM on a free port for its peers. Another process may take the port
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -372,21 +372,6 @@
     EXPECT_EQ(Snapshot_GetDigest(from), 0u);
 }
 
-/* Returns a UDP port that was free at the call. */
-uint16_t
-FreeUdpPort()
-{
-    int fd = socket(AF_INET, SOCK_DGRAM, 0);
-    sockaddr_in local = {};
-    socklen_t size = sizeof(local);
-    local.sin_family = AF_INET;
-    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    EXPECT_EQ(bind(fd, (sockaddr *)&local, size), 0);
-    getsockname(fd, (sockaddr *)&local, &size);
-    close(fd);
-    return ntohs(local.sin_port);
-}
-
 /* A fleet of VMs in three regions, each with the same workers "w0", "w1", ...
    The first VM of each region has the largest capacity. */
 class Fleet3 : public Gossip {
@@ -460,7 +445,7 @@
             node->region = "region" + std::to_string(i % 3);
             node->capacity = i < 6 ? 500 : 120;
             node->index = i;
-            node->port = i == 0 ? FreeUdpPort() : 0;
+            node->port = i == 0 ? FreePort() : 0;
             if (i > 0) {
                 node->seeds.push_back("127.0.0.1:" +
                                       std::to_string(nodes[0]->port));
