--- a/tests/test_gate_notice.cc
+++ b/tests/test_gate_notice.cc
@@ -432,8 +432,9 @@
         for (const auto &caller : rig.callers) {
             answered += caller->IsComplete();
         }
-        return answered == 10;
+        return answered == 10 && worker->requests.size() >= 2;
     }));
+    rig.RunFor(50);
     EXPECT_EQ(worker->requests.size(), 2u);
 }
 
