Holders: a VM that has heard no other one yet does not take itself for the only one

Cause: 61 VMs started 0.2 to 0.5 s before the VMs that are their seeds. Lists delay the workers: 833 reservations and 8 run calls silent for 250 ms within 2.5 s, VMs take their services for cut, resumed streams read their prompts and are lost again. Change: a VM with seeds other than itself waits until it hears one, 3 s at most; the time to settle begins then. Test: ResumedAtSize.WorkersAreAskedByFewVmsIfTheSeedStartsLast (19 lists a worker before at 20 VMs, 3 at most now); Holders.WaitForOtherVms (table).

--- a/src/decide/holders.c
+++ b/src/decide/holders.c
@@ -90,12 +90,34 @@
     return false;
 }
 
+void
+Holders_BeginWait(HoldersWait *wait, const Holders *known, int64_t now_us)
+{
+    *wait = (HoldersWait){
+        .began_us = now_us,
+        .since_us = now_us,
+        .same_us = now_us,
+        .known = *known,
+    };
+}
+
 bool
-Holders_HaveSettled(int64_t same_us, int64_t since_us)
+Holders_HaveSettled(HoldersWait *wait, const Holders *known, int64_t now_us)
 {
-    return (same_us >= HOLDERS_SETTLE_MS * INT64_C(1000) &&
-            since_us >= HOLDERS_SETTLE_MS * INT64_C(1000)) ||
-           since_us >= HOLDERS_SETTLE_MAX_MS * INT64_C(1000);
+    int64_t known_us;
+
+    if (!Holders_IsEqual(known, &wait->known)) {
+        wait->known = *known;
+        wait->same_us = now_us;
+    }
+    if (known->is_alone) {
+        wait->since_us = now_us;
+        return now_us - wait->began_us >= HOLDERS_ALONE_MAX_MS * CLK_US_PER_MS;
+    }
+    known_us = now_us - wait->since_us;
+    return (now_us - wait->same_us >= HOLDERS_SETTLE_MS * CLK_US_PER_MS &&
+            known_us >= HOLDERS_SETTLE_MS * CLK_US_PER_MS) ||
+           known_us >= HOLDERS_SETTLE_MAX_MS * CLK_US_PER_MS;
 }
 
 void
--- a/src/decide/holders.h
+++ b/src/decide/holders.h
@@ -14,6 +14,8 @@
 
 #include "resumption.h"
 
+#include "../clock.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -27,14 +29,27 @@
 #define HOLDERS_SETTLE_MS 300
 /* ... but no later than this, as new prompts replace the old ones. */
 #define HOLDERS_SETTLE_MAX_MS 1000
+/* A VM that has heard no other one may have been started before the VMs by
+   which it finds the others. Then it waits for them up to this time. */
+#define HOLDERS_ALONE_MAX_MS 3000
 
 /* The VMs that share the workers, as this VM knows them. */
 typedef struct Holders {
     uint64_t self;                   /* Address of this VM. */
     uint64_t addresses[HOLDERS_MAX]; /* In ascending order. */
     uint32_t count;
+    bool is_alone; /* This VM has heard no other one, though there may be some.
+                    */
 } Holders;
 
+/* The wait of a VM that starts until it asks its workers. */
+typedef struct HoldersWait {
+    int64_t began_us; /* When it had learned all workers. */
+    int64_t since_us; /* The same, or when it last heard nobody. */
+    int64_t same_us;  /* Since when the holders are the same. */
+    Holders known;    /* As seen last. */
+} HoldersWait;
+
 /* What one holder tells of a prompt. */
 typedef struct HoldersAnswer {
     uint64_t holder;         /* Its address. */
@@ -58,10 +73,11 @@
                        uint64_t of[HOLDERS_PER_WORKER]);
 /* Whether this VM asks the worker. */
 bool Holders_IsOwn(const Holders *holders, uint64_t worker);
-/* Whether a VM may ask its workers for the first time: `same_us` is the time
-   for which it has known these holders, `since_us` the time since it has known
-   all workers. */
-bool Holders_HaveSettled(int64_t same_us, int64_t since_us);
+void Holders_BeginWait(HoldersWait *wait, const Holders *known,
+                       int64_t now_us);
+/* Whether a VM that starts may ask its workers for the first time. */
+bool Holders_HaveSettled(HoldersWait *wait, const Holders *known,
+                         int64_t now_us);
 
 /* Stores an answer in place of an earlier one of the holder. */
 void Holders_NoteAnswer(HoldersAnswers *answers, const HoldersAnswer *answer);
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -248,6 +248,7 @@
 Gos_ListHolders(const Gos *gos, Holders *holders)
 {
     Peers_ListHolders(&gos->peers, holders);
+    holders->is_alone = Gos_CountLivePeers(gos) == 0 && has_other_seed(gos);
 }
 
 bool
--- a/src/gate/survey.c
+++ b/src/gate/survey.c
@@ -51,10 +51,8 @@
     Gate *gate;
     LIST_HEAD(SurveyList, Survey) list;
     struct event *timer;
-    bool is_waiting;  /* Until it is known which VMs share the workers. */
-    int64_t since_us; /* When that wait began. */
-    Holders holders;  /* As seen last in that wait. */
-    int64_t same_us;  /* Since when they are the same. */
+    bool is_waiting; /* Until it is known which VMs share the workers. */
+    HoldersWait wait;
 };
 
 static Survey *find_or_add(Gate *gate, const char *service);
@@ -109,12 +107,11 @@
 Survey_BeginAll(Gate *gate)
 {
     Surveys *surveys = gate->surveys;
+    Holders holders = {0};
 
+    gate->options.list_holders(gate->options.context, &holders);
+    Holders_BeginWait(&surveys->wait, &holders, Clk_Now(gate->options.clk));
     surveys->is_waiting = true;
-    surveys->since_us = Clk_Now(gate->options.clk);
-    surveys->same_us = surveys->since_us;
-    surveys->holders = (Holders){0};
-    gate->options.list_holders(gate->options.context, &surveys->holders);
     Loop_ArmTimer(surveys->timer, SURVEY_TICK_MS);
 }
 
@@ -218,16 +215,11 @@
 wait_for_holders(Surveys *surveys)
 {
     const GateOptions *options = &surveys->gate->options;
-    int64_t now_us = Clk_Now(options->clk);
     Holders holders = {0};
 
     options->list_holders(options->context, &holders);
-    if (!Holders_IsEqual(&holders, &surveys->holders)) {
-        surveys->holders = holders;
-        surveys->same_us = now_us;
-    }
-    return !Holders_HaveSettled(now_us - surveys->same_us,
-                                now_us - surveys->since_us);
+    return !Holders_HaveSettled(&surveys->wait, &holders,
+                                Clk_Now(options->clk));
 }
 
 static void
--- a/tests/fleet_rig.h
+++ b/tests/fleet_rig.h
@@ -76,8 +76,24 @@
         g_hash_table_destroy(regions_);
     }
 
+    /* Names a port of other VMs at which no VM listens yet as the seed. */
+    uint16_t
+    ReserveSeed()
+    {
+        sockaddr_in local = {};
+        uint16_t port = FreePort();
+        local.sin_family = AF_INET;
+        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        local.sin_port = htons(port);
+        reserved_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        EXPECT_EQ(bind(reserved_, (sockaddr *)&local, sizeof(local)), 0);
+        seed_ = "127.0.0.1:" + std::to_string(port);
+        return port;
+    }
+
+    /* `port` for other VMs; 0: any. */
     void
-    AddVm()
+    AddVm(uint16_t port = 0)
     {
         LsError err = {};
         EdgeOptions options = Edge_DefaultOptions();
@@ -94,7 +110,12 @@
         options.seeds[0] = seed_.c_str();
         options.seed_count = seed_.empty() ? 0 : 1;
         options.is_source_reachable = [](void *) { return true; };
-        edges.push_back(NewEdge(&options, &err));
+        options.peers.port = port;
+        if (port != 0) {
+            close(reserved_);
+        }
+        edges.push_back(port != 0 ? Edge_New(&options, &err)
+                                  : NewEdge(&options, &err));
         ASSERT_NE(edges.back(), nullptr) << err.message;
         peer_ports.push_back(options.peers.port);
         if (seed_.empty()) {
@@ -358,6 +379,7 @@
     std::shared_ptr<std::deque<ScriptedReply>> script_;
     std::deque<std::string> names_; /* Their texts keep their addresses. */
     std::string seed_;
+    int reserved_ = -1;            /* Keeps its port from being taken. */
     std::vector<std::string> ids_; /* Of the workers' current starts. */
     std::map<size_t, Cut> cuts_;   /* Of the VMs that are cut off. */
     std::vector<std::unique_ptr<Worker>> refusing_;
--- a/tests/test_decide_holders.cc
+++ b/tests/test_decide_holders.cc
@@ -94,15 +94,12 @@
             std::set<uint64_t> own;
             int64_t since_us = starts_[(size_t)vm];
             int64_t now_us = since_us;
-            int64_t same_us = since_us;
             Holders view = GetView(vm, now_us);
-            while (!Holders_HaveSettled(now_us - same_us, now_us - since_us)) {
+            HoldersWait wait;
+            Holders_BeginWait(&wait, &view, now_us);
+            while (!Holders_HaveSettled(&wait, &view, now_us)) {
                 now_us += 25 * kMs;
-                Holders next = GetView(vm, now_us);
-                if (!Holders_IsEqual(&next, &view)) {
-                    view = next;
-                    same_us = now_us;
-                }
+                view = GetView(vm, now_us);
             }
             for (uint64_t worker : workers) {
                 if (Holders_IsOwn(&view, worker)) {
@@ -181,6 +178,54 @@
     }
 }
 
+struct WaitCase {
+    const char *name;
+    int heard_ms; /* When the first other VM is heard; -1: never. */
+    int last_ms;  /* When the last one is. */
+    bool has_others;
+    int settled_ms; /* The VM looks each 25 ms. */
+};
+
+const WaitCase wait_cases[] = {
+    {"the only VM", -1, -1, false, 300},
+    {"others are heard at once", 0, 0, true, 300},
+    {"others are heard one by one", 0, 200, true, 500},
+    {"others start all the time", 0, 5000, true, 1000},
+    {"the first other VM starts late", 700, 700, true, 1000},
+    {"the others start late, one by one", 700, 5000, true, 1675},
+    {"no other VM is left", -1, -1, true, 3000},
+};
+
+/* A VM that hears nobody yet does not ask all workers at once. */
+TEST(Holders, WaitForOtherVms)
+{
+    for (const WaitCase &row : wait_cases) {
+        SCOPED_TRACE(row.name);
+        const int kStepMs = 25;
+        HoldersWait wait;
+        int now_ms = 0;
+        auto get_view = [&] {
+            Holders view = {};
+            view.self = 1;
+            Holders_Add(&view, 1);
+            for (int ms = row.heard_ms;
+                 row.heard_ms >= 0 && ms <= std::min(now_ms, row.last_ms);
+                 ms += 100) {
+                Holders_Add(&view, 2 + (uint64_t)ms);
+            }
+            view.is_alone = row.has_others && view.count == 1;
+            return view;
+        };
+        Holders view = get_view();
+        Holders_BeginWait(&wait, &view, 0);
+        while (!Holders_HaveSettled(&wait, &view, now_ms * kMs)) {
+            now_ms += kStepMs;
+            view = get_view();
+        }
+        EXPECT_EQ(now_ms, row.settled_ms);
+    }
+}
+
 struct JudgeCase {
     const char *name;
     std::vector<HoldersAnswer> answers; /* holder, survey, version, worker. */
--- a/tests/test_gate_resumed_at_size.cc
+++ b/tests/test_gate_resumed_at_size.cc
@@ -103,6 +103,46 @@
     }
 }
 
+/* A VM that has heard no other one yet is not the only one. */
+TEST(ResumedAtSize, WorkersAreAskedByFewVmsIfTheSeedStartsLast)
+{
+    const int kWorkers = 24;
+    for (int vms : {9, 20}) {
+        SCOPED_TRACE(std::to_string(vms) + " VMs");
+        FleetRig rig(resumable, 0, 0);
+        uint16_t seed_port = rig.ReserveSeed();
+        for (int i = 0; i < kWorkers; i++) {
+            rig.versions.push_back(i % 2 == 0 ? "v1" : "v2");
+            rig.AddWorker({Stream(3, 9)});
+            rig.workers.back()->kept_parts = {"aa", Part(i)};
+        }
+        for (int vm = 1; vm < vms; vm++) {
+            rig.AddVm();
+            CompleteSweep(rig.edges.back());
+        }
+        rig.RunFor(600);
+        rig.AddVm(seed_port);
+        CompleteSweep(rig.edges.back());
+        rig.RunFor(1200);
+        for (const auto &worker : rig.workers) {
+            EXPECT_GE(worker->lists, 1);
+            EXPECT_LE(worker->lists, 3);
+        }
+        int streamed = 0;
+        std::vector<Caller *> again;
+        for (int i = 0; i < kWorkers; i++) {
+            again.push_back(
+                rig.Call((size_t)(i % vms),
+                         Resumption("id-" + std::to_string(i), Part(i))));
+        }
+        rig.RunFor(1500);
+        for (const Caller *caller : again) {
+            streamed += caller->IsComplete() && caller->Status() == 200;
+        }
+        EXPECT_EQ(streamed, kWorkers);
+    }
+}
+
 /* New prompts have replaced the old one before any VM asks for it. */
 TEST(ResumedAtSize, ResumptionOfAPromptThatWasReplaced)
 {
