--- a/soak/run.sh
+++ b/soak/run.sh
@@ -4,11 +4,11 @@
 # Usage: soak/run.sh BUILD FIRST COUNT [flags of the soak program]
 # FIRST is the first seed; "kept" runs the seeds of soak/seeds.txt instead,
 # which have failed before; COUNT is ignored then. SOAK_JOBS sets the number
-# of parallel runs.
+# of parallel runs, and SOAK_OUT the directory for their output.
 set -uo pipefail
 build=$1 first=$2 count=$3
 shift 3
-out=$build/soak-out jobs=${SOAK_JOBS:-$(($(nproc) / 2 + 1))}
+out=${SOAK_OUT:-$build/soak-out} jobs=${SOAK_JOBS:-$(($(nproc) / 2 + 1))}
 mkdir -p "$out"
 if [ "$first" = kept ]; then
     seeds=$(sed -n 's/^\([0-9][0-9]*\).*/\1/p' soak/seeds.txt)
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -69,6 +69,8 @@
 /* Added to the seed for the random numbers that draw silences, so that these
    use none of those that draw the other faults. */
 #define SOAK_SILENCE_SEED 0x51
+/* With two builds: time between the changes of two VMs. */
+#define SOAK_CHANGE_MS 1200
 /* From this time after SIGTERM a VM may end requests to exit in time. */
 #define SOAK_LATE_MS (SOAK_GRACE_MS * 5 / 6)
 
@@ -78,6 +80,7 @@
 typedef struct SoakVm {
     Soak *soak;
     guint number;
+    const char *gate;    /* Path of the executable that it starts next. */
     pid_t pid;           /* 0 if no process runs */
     char settings[256];  /* Path of the settings file. */
     char log[256];       /* Path of the log file. */
@@ -119,9 +122,10 @@
     GRand *rand;
     Sim *sim;
     LoadGen *load_gen;
-    const char *gate; /* Path of the gate executable. */
-    const char *out;  /* Directory for settings and logs. */
-    uint16_t port;    /* First of three consecutive ports. */
+    const char *gate;     /* Path of the gate executable. */
+    const char *old_gate; /* That of an earlier build, or NULL. */
+    const char *out;      /* Directory for settings and logs. */
+    uint16_t port;        /* First of three consecutive ports. */
     guint vm_count;
     SoakVm vms[LOAD_GEN_VMS_MAX];
     struct event *child_signal;
@@ -129,12 +133,15 @@
     GRand *silence_rand;
     struct event *series_timer;  /* Starts the next series of silences. */
     struct event *planned_timer; /* Starts the work planned in a series. */
+    struct event *change_timer;  /* Changes the build of the next VM. */
+    guint change_count;          /* Changes so far. */
+    guint first_changed;         /* VM that is changed first. */
     GPtrArray *active_faults;    /* SoakActiveFault * */
     bool is_shutting_down;       /* Processes are not restarted. */
 };
 
-static int run_soak(const char *gate, const char *out, guint seed,
-                    guint vm_count, guint seconds);
+static int run_soak(const char *gate, const char *old_gate, const char *out,
+                    guint seed, guint vm_count, guint seconds);
 static void begin_soak(Soak *self, guint seed);
 static void end_soak(Soak *self);
 static void write_settings(Soak *self, SoakVm *vm);
@@ -148,6 +155,7 @@
 static void end_fault(SoakActiveFault *active);
 static void on_next_series(evutil_socket_t fd, short what, void *context);
 static void on_planned(evutil_socket_t fd, short what, void *context);
+static void on_next_change(evutil_socket_t fd, short what, void *context);
 static guint count_running(const Soak *self);
 static void excuse_relayed(Soak *self, guint vm);
 static void run_for(Soak *self, guint ms);
@@ -230,6 +238,9 @@
 main(int argc, char **argv)
 {
     struct arg_str *gate = arg_str1(NULL, "gate", "FILE", "gate executable");
+    struct arg_str *old_gate =
+        arg_str0(NULL, "old-gate", "FILE",
+                 "executable of an earlier build: VMs change between both");
     struct arg_str *out =
         arg_str1(NULL, "out", "DIR", "directory for settings and logs");
     struct arg_int *seed = arg_int0(NULL, "seed", "N", "default: 1");
@@ -237,7 +248,7 @@
     struct arg_int *seconds = arg_int0(NULL, "seconds", "N", "default: 10");
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_end *end = arg_end(8);
-    void *table[] = {gate, out, seed, vms, seconds, help, end};
+    void *table[] = {gate, old_gate, out, seed, vms, seconds, help, end};
     int errors;
     int status = 2;
 
@@ -260,7 +271,9 @@
                 LOAD_GEN_VMS_MAX);
     }
     else {
-        status = run_soak(gate->sval[0], out->sval[0], (guint)seed->ival[0],
+        status = run_soak(gate->sval[0],
+                          old_gate->count > 0 ? old_gate->sval[0] : NULL,
+                          out->sval[0], (guint)seed->ival[0],
                           (guint)vms->ival[0], (guint)seconds->ival[0]);
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
@@ -268,10 +281,11 @@
 }
 
 static int
-run_soak(const char *gate, const char *out, guint seed, guint vm_count,
-         guint seconds)
+run_soak(const char *gate, const char *old_gate, const char *out, guint seed,
+         guint vm_count, guint seconds)
 {
-    Soak self = {.gate = gate, .out = out, .vm_count = vm_count};
+    Soak self = {
+        .gate = gate, .old_gate = old_gate, .out = out, .vm_count = vm_count};
     LedgerEnds ends;
     int64_t end_us;
     guint served;
@@ -281,11 +295,15 @@
     begin_soak(&self, seed);
     Loop_ArmTimer(self.timer, SOAK_INTERVAL_MIN_MS);
     Loop_ArmTimer(self.series_timer, SOAK_SERIES_MIN_MS);
+    if (old_gate != NULL) {
+        Loop_ArmTimer(self.change_timer, SOAK_CHANGE_MS);
+    }
     run_for(&self, seconds * 1000);
 
     event_del(self.timer);
     event_del(self.series_timer);
     event_del(self.planned_timer);
+    event_del(self.change_timer);
     Sim_EndSilences(self.sim);
     while (self.active_faults->len > 0) {
         end_fault(g_ptr_array_index(self.active_faults, 0));
@@ -354,6 +372,8 @@
     self->timer = evtimer_new(self->base, on_next_fault, self);
     self->series_timer = evtimer_new(self->base, on_next_series, self);
     self->planned_timer = evtimer_new(self->base, on_planned, self);
+    self->change_timer = evtimer_new(self->base, on_next_change, self);
+    self->first_changed = seed % self->vm_count;
     self->child_signal = evsignal_new(self->base, SIGCHLD, on_child, self);
     event_add(self->child_signal, NULL);
     load.base = self->base;
@@ -370,6 +390,7 @@
         SoakVm *vm = &self->vms[i];
         vm->soak = self;
         vm->number = i;
+        vm->gate = self->old_gate != NULL ? self->old_gate : self->gate;
         vm->timer = evtimer_new(self->base, on_vm_timer, vm);
         g_snprintf(vm->settings, sizeof(vm->settings), "%s/vm%u.json",
                    self->out, i);
@@ -403,6 +424,7 @@
     event_free(self->timer);
     event_free(self->series_timer);
     event_free(self->planned_timer);
+    event_free(self->change_timer);
     Ledger_Clear(&self->ledger);
     g_ptr_array_free(self->active_faults, TRUE);
     g_rand_free(self->rand);
@@ -438,7 +460,7 @@
 static void
 start_vm(SoakVm *vm)
 {
-    char *argv[] = {(char *)vm->soak->gate, (char *)"--settings", vm->settings,
+    char *argv[] = {(char *)vm->gate, (char *)"--settings", vm->settings,
                     NULL};
     char *envp[] = {NULL};
     posix_spawn_file_actions_t files;
@@ -645,6 +667,34 @@
     work->begin(self, work, pick);
 }
 
+/* Changes the build of one VM, once the one before runs: all of them forward
+   from the old build, back to it, half of them forward and back, and so on. */
+static void
+on_next_change(evutil_socket_t fd, short what, void *context)
+{
+    Soak *self = context;
+    guint all = self->vm_count;
+    guint half = (all + 1) / 2;
+    guint step = self->change_count % (2 * all + 2 * half);
+    guint group = step < 2 * all ? all : half;
+    SoakVm *vm;
+
+    (void)fd;
+    (void)what;
+    Loop_ArmTimer(self->change_timer, SOAK_CHANGE_MS);
+    if (count_running(self) < self->vm_count) {
+        return;
+    }
+    step -= step < 2 * all ? 0 : 2 * all;
+    vm = &self->vms[(self->first_changed + step % group) % all];
+    vm->gate = step < group ? self->gate : self->old_gate;
+    print_fault(self, "begins",
+                step < group ? "vm_change_forward" : "vm_change_back",
+                vm->number);
+    signal_vm(vm, SIGTERM);
+    self->change_count++;
+}
+
 /* Reads in the VM's log which calls at other VMs failed, and excuses those
    whose VM was killed or paused meanwhile. */
 static void
