Gossip: VMs say what they serve, and requests are passed on only to VMs that serve them

Cause: a VM passed requests on to any VM that sent messages. One of a build that knows no such requests answers 404 on that listener. Change: News.serves, a set that each VM fills in; nothing is taken from its absence. The build before says answers_reach, and serves all three. Test: OtherBuild.GetsNoRequestUnlessItSaysThatItServesThem, red before (the other VM had requests).

--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -1718,7 +1718,7 @@
   (ProtobufCMessageInit) gossip__reach__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__news__field_descriptors[28] =
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[29] =
 {
   {
     "vm",
@@ -2056,6 +2056,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "serves",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, serves),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__news__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -2079,6 +2091,7 @@
   4,   /* field[4] = region */
   6,   /* field[6] = revision */
   13,   /* field[13] = seeking */
+  28,   /* field[28] = serves */
   23,   /* field[23] = stopping */
   19,   /* field[19] = suspects */
   15,   /* field[15] = table */
@@ -2087,11 +2100,12 @@
   11,   /* field[11] = vms */
   16,   /* field[16] = watches */
 };
-static const ProtobufCIntRange gossip__news__number_ranges[2 + 1] =
+static const ProtobufCIntRange gossip__news__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 35, 26 },
-  { 0, 28 }
+  { 40, 28 },
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor gossip__news__descriptor =
 {
@@ -2101,10 +2115,10 @@
   "Gossip__News",
   "gossip",
   sizeof(Gossip__News),
-  28,
+  29,
   gossip__news__field_descriptors,
   gossip__news__field_indices_by_name,
-  2,  gossip__news__number_ranges,
+  3,  gossip__news__number_ranges,
   (ProtobufCMessageInit) gossip__news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -497,13 +497,20 @@
   size_t n_reaches;
   Gossip__Reach **reaches;
   /*
-   * The sender answers questions in `reaches`.
+   * The sender answers questions in `reaches`. If `serves` is 0, it is of a
+   * build that answers `lookups` and serves requests passed on, too.
    */
   protobuf_c_boolean answers_reach;
+  /*
+   * What other VMs may rely on, a sum: 1: answers `reaches`. 2: answers
+   * `lookups`. 4: serves requests that other VMs pass on. Other bits tell
+   * nothing. A VM that doesn't say so is not asked.
+   */
+  uint32_t serves;
 };
 #define GOSSIP__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/src/gate/detour.c
+++ b/src/gate/detour.c
@@ -258,7 +258,8 @@
     for (uint32_t i = 0; i < peer_count; i++) {
         FleetWorker *vm = get_vm(gate, &peers[i]);
         bool hears_none = peers[i].tells_reach && peers[i].reached == 0;
-        if (!hears_none && !Health_IsBlocked(&vm->health, now_us) &&
+        if ((peers[i].serves & GATE_SERVES_DETOURS) != 0 && !hears_none &&
+            !Health_IsBlocked(&vm->health, now_us) &&
             !Task_IsExcluded(task, vm)) {
             loads[count] = get_load(vm, &peers[i]);
             candidates[count++] = vm;
@@ -525,7 +526,7 @@
         bool is_silent = !peers[i].tells_reach;
         others.silent += is_silent;
         others.mute +=
-            is_silent && !peers[i].answers_reach &&
+            is_silent && (peers[i].serves & GATE_SERVES_REACH) == 0 &&
             peers[i].received_us > row->round.failed_us + REACH_ANSWER_US / 2;
     }
     return others;
--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -313,6 +313,7 @@
     gossip.list_cut = list_cut;
     gossip.list_reaches = list_reaches;
     gossip.on_reach = on_reach;
+    gossip.serves_detours = true;
     gossip.is_stopping = is_stopping;
     gossip.update_load = update_load;
     gossip.get_versions = get_versions;
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -141,14 +141,21 @@
                          GateControlCall *control_call);
 } GateCodec;
 
+/* What another VM says that it serves; values of News.serves. */
+enum {
+    GATE_SERVES_REACH = 1 << 0,   /* Questions for workers that it hears. */
+    GATE_SERVES_LOOKUPS = 1 << 1, /* Questions for versions of streams. */
+    GATE_SERVES_DETOURS = 1 << 2, /* Requests that are passed on to it. */
+};
+
 /* Another VM that may run a request at workers that this VM can't reach. */
 typedef struct GatePeer {
     char vm[FLEET_NAME_MAX];
     char address[FLEET_ADDRESS_MAX]; /* Its listener for other VMs. */
     bool is_near;                    /* It is in this VM's region. */
     int64_t received_us;             /* Time of its last message. */
-    bool answers_reach; /* Its version answers questions for workers. */
-    bool tells_reach;   /* It says whether it hears workers of the service. */
+    uint32_t serves;                 /* A set of GATE_SERVES_... */
+    bool tells_reach; /* It says whether it hears workers of the service. */
     uint64_t reached; /* Hash of one that it hears, as in FleetWorker; 0: none.
                        */
     int64_t reached_us; /* When it heard that one last. */
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -217,7 +217,7 @@
 set_reach(GatePeer *row, const Peer *peer, uint64_t service)
 {
     row->received_us = peer->received_us;
-    row->answers_reach = peer->answers_reach;
+    row->serves = peer->serves;
     row->tells_reach = false;
     row->reached = 0;
     row->reached_us = 0;
@@ -374,6 +374,7 @@
                             hub->capacity, hub->age_ms);
     }
     peer->watches = news->watches;
+    peer->serves = Gos_DecodeServes(news);
     peer->is_stopping = news->stopping;
     peer->cut_count = (uint32_t)MIN(news->n_cut, PEERS_CUT_MAX);
     memcpy(peer->cut, news->cut, peer->cut_count * sizeof(*peer->cut));
@@ -405,7 +406,6 @@
     const GosOptions *options = &gos->options;
     int64_t now_us = Clk_Now(options->clk);
 
-    peer->answers_reach = news->answers_reach;
     peer->reach_count = (uint32_t)MIN(news->n_reaches, PEERS_REACHES_MAX);
     for (uint32_t i = 0; i < peer->reach_count; i++) {
         peer->reaches[i] = Gos_DecodeReach(news, i, now_us);
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -62,6 +62,7 @@
     /* Called when another VM has told whether it hears workers of a service.
        NULL is allowed. */
     void (*on_reach)(void *context, const GateReach *reach);
+    bool serves_detours; /* Requests of other VMs are served. */
     /* Whether this VM takes no requests of others. NULL is allowed. */
     bool (*is_stopping)(void *context);
     /* Brings this VM's forecasts of the workers' memory up to date. NULL is
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -3,6 +3,7 @@
 
 #include "../metrics.h"
 
+static uint32_t get_own_serves(const GosOptions *options);
 static void add_suspects(const Gos *gos, GosMessage *message);
 static void add_limits(Gos *gos, GosMessage *message);
 static void add_reaches(const Gos *gos, GosMessage *message);
@@ -56,6 +57,7 @@
         news->n_cut =
             options->list_cut(options->context, message->cut, PEERS_CUT_MAX);
     }
+    news->serves = get_own_serves(options);
     if (options->list_reaches != NULL) {
         news->answers_reach = true;
         add_reaches(gos, message);
@@ -64,6 +66,23 @@
         options->is_stopping != NULL && options->is_stopping(options->context);
 }
 
+static uint32_t
+get_own_serves(const GosOptions *options)
+{
+    return (options->list_reaches != NULL ? GATE_SERVES_REACH : 0) |
+           (options->answer_lookup != NULL ? GATE_SERVES_LOOKUPS : 0) |
+           (options->serves_detours ? GATE_SERVES_DETOURS : 0);
+}
+
+uint32_t
+Gos_DecodeServes(const Gossip__News *news)
+{
+    if (news->serves == 0 && news->answers_reach) {
+        return GATE_SERVES_REACH | GATE_SERVES_LOOKUPS | GATE_SERVES_DETOURS;
+    }
+    return news->serves;
+}
+
 /* Adds parts of prompts under which workers crashed. */
 static void
 add_suspects(const Gos *gos, GosMessage *message)
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -116,9 +116,11 @@
 /* Stores what a message says of parts of prompts. Returns whether any of it is
    news. */
 bool Gos_MergeSuspects(const Gos *gos, const Gossip__News *news);
-/* Stores the limits of workers that a message tells. */
+/* Returns what the sender serves, a set of GATE_SERVES_... */
+uint32_t Gos_DecodeServes(const Gossip__News *news);
 /* Returns the i-th row on the workers that the sender hears. */
 GateReach Gos_DecodeReach(const Gossip__News *news, size_t i, int64_t now_us);
+/* Stores the limits of workers that a message tells. */
 void Gos_MergeLimits(const Gos *gos, const Gossip__News *news);
 /* Stores which versions began the streams of another VM. */
 void Gos_MergeOrigins(const Gos *gos, const Gossip__News *news);
--- a/src/gate/peers.h
+++ b/src/gate/peers.h
@@ -54,7 +54,7 @@
     uint32_t cut_count;
     GateReach reaches[PEERS_REACHES_MAX]; /* The workers that it hears. */
     uint32_t reach_count;
-    bool answers_reach;
+    uint32_t serves;          /* A set of GATE_SERVES_..., as it said. */
     int64_t suspect_until_us; /* It was silent as a hub; until then it counts
                                  as a hub only if it sends a message. */
     Report report;            /* Its load. */
