Lookups: holders are the VMs that say that they answer

Cause: each live VM (in large fleets each hub) counted as a holder. One of a build without lookups never answers: each lookup waited 400 ms for it, and workers with two such holders ended as not asked. Change: a VM that was heard and doesn't say that it answers is no holder. Hubs pass on what other regions' hubs said (Hub.serves_told); a hub of which nobody told stays a holder, as a smaller set of holders than the hubs have would take their workers for asked. Removing one leaves the order of the others. Tests: OtherBuild.IsAHolderOnlyIfItSaysThatItAnswersLookups and OtherBuild.HubsOfOtherRegionsAreHoldersAsTheyAreToldToServe, both red before.

--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -882,7 +882,7 @@
   (ProtobufCMessageInit) gossip__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__hub__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gossip__hub__field_descriptors[5] =
 {
   {
     "address",
@@ -932,17 +932,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "serves_told",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Hub, serves_told),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__hub__field_indices_by_name[] = {
   0,   /* field[0] = address */
   3,   /* field[3] = age_ms */
   2,   /* field[2] = capacity */
   1,   /* field[1] = region */
+  4,   /* field[4] = serves_told */
 };
 static const ProtobufCIntRange gossip__hub__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gossip__hub__descriptor =
 {
@@ -952,7 +965,7 @@
   "Gossip__Hub",
   "gossip",
   sizeof(Gossip__Hub),
-  4,
+  5,
   gossip__hub__field_descriptors,
   gossip__hub__field_indices_by_name,
   1,  gossip__hub__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -137,10 +137,14 @@
    * Time since any VM last heard it directly.
    */
   uint32_t age_ms;
+  /*
+   * What the hub said last that it serves, plus 1; 0: the sender doesn't know.
+   */
+  uint32_t serves_told;
 };
 #define GOSSIP__HUB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__hub__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -370,11 +370,16 @@
     }
     for (size_t i = 0; i < news->n_hubs; i++) {
         const Gossip__Hub *hub = news->hubs[i];
-        Peers_NoteCandidate(&gos->peers, hub->address, hub->region,
-                            hub->capacity, hub->age_ms);
+        Peer *candidate =
+            Peers_NoteCandidate(&gos->peers, hub->address, hub->region,
+                                hub->capacity, hub->age_ms);
+        if (candidate != NULL && hub->serves_told != 0) {
+            Peers_NoteServes(candidate, hub->serves_told - 1,
+                             now_us - (int64_t)hub->age_ms * CLK_US_PER_MS);
+        }
     }
     peer->watches = news->watches;
-    peer->serves = Gos_DecodeServes(news);
+    Peers_NoteServes(peer, Gos_DecodeServes(news), now_us);
     peer->is_stopping = news->stopping;
     peer->cut_count = (uint32_t)MIN(news->n_cut, PEERS_CUT_MAX);
     memcpy(peer->cut, news->cut, peer->cut_count * sizeof(*peer->cut));
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -380,6 +380,11 @@
         row->region = peer->region;
         row->capacity = peer->capacity;
         row->age_ms = (uint32_t)((now_us - peer->heard_us) / CLK_US_PER_MS);
+        /* Only what the hub said to this VM is passed on. */
+        row->serves_told =
+            peer->received_us != 0 && peer->serves_us == peer->received_us
+                ? peer->serves + 1
+                : 0;
         message->hubs[news->n_hubs++] = row;
         if (news->n_hubs == GOS_HUBS_MAX) {
             return;
--- a/src/gate/peers.c
+++ b/src/gate/peers.c
@@ -39,6 +39,8 @@
 static void update_mode(Peers *peers, int64_t now_us);
 static void suspect_silent_hubs(Peers *peers, int64_t now_us);
 static void choose_hubs(Peers *peers, int64_t now_us);
+static bool may_answer_lookups(const Peer *peer);
+static bool is_any_hub(const Peers *peers, uint64_t address);
 static HubsChoice *get_or_add_choice(Peers *peers, uint32_t region);
 static void update_views(Peers *peers, int64_t now_us);
 static int64_t get_timeout_us(const Peers *peers, const Peer *peer,
@@ -91,7 +93,7 @@
     return peer;
 }
 
-void
+Peer *
 Peers_NoteCandidate(Peers *peers, uint64_t address, uint32_t region,
                     uint32_t capacity, uint32_t age_ms)
 {
@@ -100,17 +102,27 @@
 
     if (address == 0 || address == peers->options.address ||
         age_ms >= HUBS_CANDIDATE_MAX_AGE_MS) {
-        return;
+        return NULL;
     }
     peer = Peers_GetOrAdd(peers, address);
     if (peer == NULL) {
-        return;
+        return NULL;
     }
     peer->region = region;
     peer->capacity = capacity;
     peer->mentioned_us = now_us;
     peer->heard_us =
         MAX(peer->heard_us, now_us - (int64_t)age_ms * CLK_US_PER_MS);
+    return peer;
+}
+
+void
+Peers_NoteServes(Peer *peer, uint32_t serves, int64_t at_us)
+{
+    if (at_us >= peer->serves_us) {
+        peer->serves = serves;
+        peer->serves_us = at_us;
+    }
 }
 
 void
@@ -353,24 +365,40 @@
     const Peer *peer = NULL;
 
     holders->self = peers->options.address;
-    for (guint i = 0; i < peers->hubs_count && !peers->is_mesh; i++) {
-        const HubsChoice *choice = &peers->hubs[i].choice;
-        for (uint32_t k = 0; k < choice->count; k++) {
-            Holders_Add(holders, choice->hubs[k].address);
-        }
-    }
-    if (!peers->is_mesh) {
-        return;
+    if (peers->is_mesh || is_any_hub(peers, holders->self)) {
+        Holders_Add(holders, holders->self);
     }
-    Holders_Add(holders, peers->options.address);
     LIST_FOREACH(peer, &peers->list, links)
     {
-        if (Peers_IsLive(peers, peer)) {
+        if (may_answer_lookups(peer) &&
+            (peers->is_mesh ? Peers_IsLive(peers, peer)
+                            : is_any_hub(peers, peer->address))) {
             Holders_Add(holders, peer->address);
         }
     }
 }
 
+/* Whether lookups go to the peer. Of a hub that neither this VM nor one that
+   says so has heard, nothing is known: without its answer a lookup ends as one
+   that can't be answered, while a holder left out by this VM alone would have
+   others take over workers that it asks. */
+static bool
+may_answer_lookups(const Peer *peer)
+{
+    return peer->serves_us == 0 || (peer->serves & GATE_SERVES_LOOKUPS) != 0;
+}
+
+static bool
+is_any_hub(const Peers *peers, uint64_t address)
+{
+    for (guint i = 0; i < peers->hubs_count; i++) {
+        if (Hubs_Contains(&peers->hubs[i].choice, address)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 ReportDemand
 Peers_SumDemand(const Peers *peers, uint64_t service, bool near_only,
                 const ReportDemand *own, uint32_t *count)
--- a/src/gate/peers.h
+++ b/src/gate/peers.h
@@ -55,6 +55,7 @@
     GateReach reaches[PEERS_REACHES_MAX]; /* The workers that it hears. */
     uint32_t reach_count;
     uint32_t serves;          /* A set of GATE_SERVES_..., as it said. */
+    int64_t serves_us;        /* When it said so, to any VM; 0: not known. */
     int64_t suspect_until_us; /* It was silent as a hub; until then it counts
                                  as a hub only if it sends a message. */
     Report report;            /* Its load. */
@@ -106,9 +107,12 @@
    are PEERS_MAX already. */
 Peer *Peers_GetOrAdd(Peers *peers, uint64_t address);
 /* Notes that another VM had a message `age_ms` ago from a VM that may be a
-   hub. */
-void Peers_NoteCandidate(Peers *peers, uint64_t address, uint32_t region,
-                         uint32_t capacity, uint32_t age_ms);
+   hub. Returns that VM, or NULL if it is not stored. */
+Peer *Peers_NoteCandidate(Peers *peers, uint64_t address, uint32_t region,
+                          uint32_t capacity, uint32_t age_ms);
+/* Notes what the peer said at this time that it serves, unless it said
+   something else since. */
+void Peers_NoteServes(Peer *peer, uint32_t serves, int64_t at_us);
 /* Notes the fleet's size as another VM counts it. */
 void Peers_NoteFleetSize(Peers *peers, uint32_t vms);
 /* Returns the region's row to store a part of its table from `source`, with
--- a/tests/test_gossip_builds.cc
+++ b/tests/test_gossip_builds.cc
@@ -119,4 +119,131 @@
     EXPECT_TRUE(other.listener->requests.empty());
 }
 
+/* A VM's gossip without a gate. */
+class OwnVm {
+  public:
+    OwnVm()
+    {
+        LsError err = {};
+        GosOptions options = Gos_DefaultOptions();
+        const FleetOptions fleet_options = Fleet_DefaultOptions();
+        base = event_base_new();
+        clk = Clk_Default();
+        fleet = Fleet_New(&fleet_options);
+        options.base = base;
+        options.clk = &clk;
+        options.port = port = FreePort();
+        options.vm = "own";
+        options.fleet = fleet;
+        options.incarnation = 7;
+        options.context = this;
+        gos = Gos_New(&options, &err);
+        EXPECT_NE(gos, nullptr) << err.message;
+    }
+
+    ~OwnVm()
+    {
+        Gos_Free(gos);
+        Fleet_Free(fleet);
+        event_base_free(base);
+    }
+
+    Holders
+    GetHolders() const
+    {
+        Holders holders = {};
+        Gos_ListHolders(gos, &holders);
+        return holders;
+    }
+
+    void
+    RunFor(int64_t ms)
+    {
+        int64_t end_us = Clk_Now(&clk) + ms * CLK_US_PER_MS;
+        RunUntil(base, &clk, [&] { return Clk_Now(&clk) >= end_us; });
+    }
+
+    event_base *base;
+    Clk clk;
+    Fleet *fleet;
+    Gos *gos;
+    uint16_t port;
+};
+
+struct ServesCase {
+    const char *name;
+    bool answers_reach;
+    uint32_t serves;
+    bool is_holder;
+};
+
+const ServesCase serves_cases[] = {
+    {"says nothing", false, 0, false},
+    {"says only that it answers questions for workers", true,
+     GATE_SERVES_REACH, false},
+    {"answers lookups", true, GATE_SERVES_REACH | GATE_SERVES_LOOKUPS, true},
+    {"says more than this build knows", true,
+     GATE_SERVES_LOOKUPS | UINT32_C(1) << 31, true},
+    {"the build before the set", true, 0, true},
+};
+
+/* A holder that answers no lookup makes each one wait for its time-out, and
+   its workers count as not asked. */
+TEST(OtherBuild, IsAHolderOnlyIfItSaysThatItAnswersLookups)
+{
+    for (const ServesCase &row : serves_cases) {
+        SCOPED_TRACE(row.name);
+        OwnVm own;
+        OtherVm other(own.base, own.port, [&](Gossip__News *news) {
+            news->answers_reach = row.answers_reach;
+            news->serves = row.serves;
+        });
+        own.RunFor(300);
+        ASSERT_EQ(Gos_CountLivePeers(own.gos), 1U);
+        Holders holders = own.GetHolders();
+        EXPECT_TRUE(Holders_Contains(&holders, holders.self));
+        EXPECT_EQ(Holders_Contains(&holders, other.address), row.is_holder);
+    }
+}
+
+/* In a large fleet the hubs are the holders. A VM hears the hubs of other
+   regions by way of its own; one of a build that names no set of theirs must
+   not make it forget what another one told. */
+TEST(OtherBuild, HubsOfOtherRegionsAreHoldersAsTheyAreToldToServe)
+{
+    OwnVm own;
+    const uint64_t remote = (uint64_t)INADDR_LOOPBACK << 16 | 9;
+    Gossip__Hub row = GOSSIP__HUB__INIT;
+    Gossip__Hub *rows[] = {&row};
+    OtherVm hub(own.base, own.port, [&](Gossip__News *news) {
+        news->vms = 100;
+        news->capacity = 900;
+        news->serves = GATE_SERVES_LOOKUPS;
+        news->hubs = rows;
+        news->n_hubs = 1;
+    });
+    row.address = remote;
+    row.region = 77;
+    row.capacity = 500;
+    const struct {
+        const char *name;
+        uint32_t serves_told;
+        bool is_holder;
+    } steps[] = {
+        {"nothing told yet", 0, true},
+        {"told to answer lookups", 1 + GATE_SERVES_LOOKUPS, true},
+        {"nothing told", 0, true},
+        {"told to serve nothing", 1, false},
+        {"nothing told, again", 0, false},
+    };
+    for (const auto &step : steps) {
+        SCOPED_TRACE(step.name);
+        row.serves_told = step.serves_told;
+        own.RunFor(700);
+        Holders holders = own.GetHolders();
+        EXPECT_TRUE(Holders_Contains(&holders, hub.address));
+        EXPECT_EQ(Holders_Contains(&holders, remote), step.is_holder);
+    }
+}
+
 } // namespace
