Tests: the replay of late callers checks what they take

The check had been lost as a printed line was taken out again. It passes, as it did before the line was lost.

--- a/tests/test_decide_precedence.cc
+++ b/tests/test_decide_precedence.cc
@@ -162,6 +162,7 @@
 {
     for (double load : {1.05, 1.1, 1.2, 1.3, 1.5, 2.0, 10.0}) {
         SCOPED_TRACE(load);
+        EXPECT_LE(Play(load, 1).late_per_s, 0.01 * capacity_per_s);
     }
 }
 
