Reservation: a resumed stream fetches its prompt from the worker that read it

Callers saw: streams that went on after a loss of VMs read their whole prompts anew when the worker that had read them was full. Cause: only a run at that worker itself found the prompt; any other one, chosen while the reader was full, had it read by a prefill worker or read it itself. Change: the run at another worker names the reader (Kv-Fetch), which keeps the prompt until new ones replace it; request_end tells prompt_source (kept, fetched, prefill, none), prompts_fetched counts. Test: ResumedAtSize.ResumedStreamFetchesItsPromptFromTheWorkerThatReadIt; red before without Reservation_FindReader (case "it is full").

--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -52,7 +52,10 @@
     const char *kv_address; /* Worker with the prompt's KV memory, or NULL. */
     const char *kv_handle;  /* Handle of that memory, or NULL. */
     const char *lease;      /* Reservation at the worker, or NULL. */
-    int64_t last_event;     /* Resume after this event, or GATE_NO_EVENT. */
+    /* Worker that may still keep the prompt in its memory, from which the
+       called one fetches it, or NULL. */
+    const char *fetch_address;
+    int64_t last_event; /* Resume after this event, or GATE_NO_EVENT. */
 } GateCallOptions;
 
 /* Header of a worker's answer, decoded. */
--- a/src/gate/reservation.c
+++ b/src/gate/reservation.c
@@ -10,6 +10,11 @@
    may try, and the share of its lifetime within which the fetch must begin. */
 #define RESERVATION_OFFERS_MAX 3
 #define RESERVATION_HANDLE_FETCH_SHARE 0.7
+/* Runs of a request that may fetch the prompt from its reader: the time of a
+   further failure would be lost. */
+#define RESERVATION_FETCHES_MAX 2
+/* Price of such a fetch: new prompts may replace this one before. */
+#define RESERVATION_FETCH_US (20 * CLK_US_PER_MS)
 /* A prompt is not read while all decode workers have less memory left, by the
    forecast with the request, than this number of usual answers. The answers of
    a worker's streams differ from what is expected by about as much in sum: if
@@ -119,6 +124,22 @@
                : NULL;
 }
 
+FleetWorker *
+Reservation_FindReader(const GateTask *task)
+{
+    const Gate *gate = task->gate;
+    int64_t now_us = Task_Now(task);
+    FleetWorker *reader =
+        task->reader != 0 && task->fetches < RESERVATION_FETCHES_MAX
+            ? Fleet_FindByHash(gate->options.fleet, task->reader)
+            : NULL;
+
+    return reader != NULL && Fleet_IsUsable(reader, now_us) &&
+                   !Health_IsBlocked(&reader->health, now_us)
+               ? reader
+               : NULL;
+}
+
 bool
 Reservation_HasHandle(const GateTask *task)
 {
@@ -156,15 +177,19 @@
              const RankWorker *rank, const void *context)
 {
     const RankWeights *weights = &task->gate->options.weights;
+    const FleetWorker *source = task->kv.handle[0] != '\0'
+                                    ? task->kv.worker
+                                    : Reservation_FindReader(task);
     uint32_t unread_tokens =
         worker->hash == task->reader ? 0 : task->request.prompt_tokens;
 
     (void)context;
-    if (task->kv.handle[0] != '\0') {
+    if (source != NULL && (task->kv.worker != NULL || source != worker)) {
         return Rank_GetDecodeCost(weights, rank,
                                   Task_GetDistance(task->gate,
-                                                   task->kv.worker->entry.zone,
-                                                   worker->entry.zone));
+                                                   source->entry.zone,
+                                                   worker->entry.zone)) +
+               (task->kv.worker != NULL ? 0 : RESERVATION_FETCH_US);
     }
     return Rank_GetLocalPrefillCost(weights, rank, unread_tokens) +
            get_pause_cost(task, worker, rank, context);
@@ -176,7 +201,8 @@
                const RankWorker *rank, const void *context)
 {
     (void)context;
-    return task->kv.handle[0] != '\0' || worker->hash == task->reader
+    return task->kv.handle[0] != '\0' || worker->hash == task->reader ||
+                   Reservation_FindReader(task) != NULL
                ? 0
                : Rank_GetPauseCost(&task->gate->options.weights, rank,
                                    task->request.prompt_tokens);
--- a/src/gate/reservation.h
+++ b/src/gate/reservation.h
@@ -7,7 +7,12 @@
    second and the prefill is wasted, so memory is reserved first. A stream that
    outgrows its worker's memory makes the worker preempt its newest stream,
    whose prompt must be read again, so the reservation covers a part of the
-   answer too. */
+   answer too.
+
+   After a loss of all VMs hundreds of streams are resumed at once. Reading
+   their prompts anew costs more than the rest of their answers, so they run at
+   the worker that has read the prompt, or at one that fetches it from there.
+ */
 #ifndef LS_RESERVATION_H
 #define LS_RESERVATION_H
 
@@ -29,6 +34,9 @@
    prefill and KV transfer in *cost_us if there is a usable one. */
 FleetWorker *Reservation_ChoosePrefillWorker(GateTask *task, int64_t *cost_us);
 
+/* Returns the worker that has read the prompt of a resumed stream and may
+   still keep it, so that it need not be read anew, or NULL. */
+FleetWorker *Reservation_FindReader(const GateTask *task);
 /* Whether the prompt was read and its KV memory can still be fetched. */
 bool Reservation_HasHandle(const GateTask *task);
 /* Clears the task's KV handle. `notify_worker`: the memory was not fetched, so
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -34,6 +34,7 @@
 static const char *get_wait_cause(GateTask *task);
 static bool has_call_budget(GateTask *task);
 static void begin_run(GateTask *task);
+static void set_prompt_source(GateTask *task, GateCallOptions *options);
 static void on_run_data(void *context, const void *data, size_t size);
 static void on_run_end(void *context, ClientOutcome outcome);
 static void on_silent_end(GateTask *task, ClientOutcome outcome);
@@ -335,6 +336,7 @@
         options.kv_handle = task->kv.handle;
         task->kv.offers++;
     }
+    set_prompt_source(task, &options);
     Sse_Reset(&task->current->sse);
     if (task->lease[0] != '\0') {
         options.lease = task->lease;
@@ -355,6 +357,31 @@
     Task_SetTimer(task);
 }
 
+/* Lets the assigned worker fetch the prompt of a resumed stream if no other
+   one was chosen to read it. */
+static void
+set_prompt_source(GateTask *task, GateCallOptions *options)
+{
+    const FleetWorker *worker = task->assigned.worker;
+    FleetWorker *reader = Reservation_FindReader(task);
+
+    if (options->kv_handle != NULL) {
+        task->prompt_source = "prefill";
+    }
+    else if (reader != NULL && reader == worker) {
+        task->prompt_source = "kept";
+    }
+    else if (reader != NULL && !worker->is_vm) {
+        options->fetch_address = reader->entry.address;
+        task->fetches++;
+        task->prompt_source = "fetched";
+        Met_Add(MET_PROMPTS_FETCHED, 1);
+    }
+    else {
+        task->prompt_source = "none";
+    }
+}
+
 static void
 on_run_data(void *context, const void *data, size_t size)
 {
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -260,7 +260,7 @@
         LOG_LEVEL_INFO, "request_end",
         json_pack(
             "{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:I,s:I,"
-            "s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:b}",
+            "s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:s,s:b}",
             "request", task->request.id, "route", task->route->name, "worker",
             task->worker, "outcome", outcome, "status", status,
             "retry_after_ms", (int)task->retry_after_ms, "took_us",
@@ -282,7 +282,9 @@
             task->request.resumes != NULL ? task->request.resumes : "",
             "version",
             Fleet_GetVersionName(task->gate->options.fleet, task->version),
-            "relayed", (int)task->is_relayed));
+            "prompt_source",
+            task->prompt_source != NULL ? task->prompt_source : "", "relayed",
+            (int)task->is_relayed));
     Stream_ReleaseAll(task);
     free_task(task);
 }
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -121,6 +121,8 @@
     /* Hash of the worker that has read the prompt of a resumed stream and may
        still keep it; 0: none. */
     uint64_t reader;
+    uint32_t fetches;          /* Runs that fetched the prompt from there. */
+    const char *prompt_source; /* Of the last run, for the log. */
     /* Waits until the version of a resumed stream is known. */
     bool resuming;
     uint32_t sends;          /* Calls begun, reservations not counted. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -97,7 +97,10 @@
                                                   : TASK_RUN;
     if (task->service->is_engine) {
         uint32_t tokens = task->request.prompt_tokens;
-        current->prefill_tokens = current->stage == TASK_DECODE ? 0 : tokens;
+        current->prefill_tokens =
+            current->stage == TASK_DECODE || options->fetch_address != NULL
+                ? 0
+                : tokens;
         current->kv = current->stage == TASK_PREFILL
                           ? Forecast_OfPrompt(tokens)
                           : Task_GetForecast(task);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -41,6 +41,9 @@
     [MET_STREAMS_HELD_BACK] = {"streams_held_back",
                                "Looks of new streams for room that found none "
                                "while begun ones waited for it."},
+    [MET_PROMPTS_FETCHED] = {"prompts_fetched",
+                             "Runs of resumed streams that fetch the prompt "
+                             "from the worker that has read it."},
     [MET_USES_UNTOLD] = {"uses_untold",
                          "Workers in use that had no room in a message to "
                          "other VMs."},
--- a/tests/fleet_rig.h
+++ b/tests/fleet_rig.h
@@ -136,6 +136,13 @@
             replies.begin(), replies.end()));
     }
 
+    /* The worker as a VM knows it. */
+    FleetWorker *
+    FindWorker(size_t vm, size_t i)
+    {
+        return Fleet_Find(Edge_GetFleet(edges[vm]), ids_[i].c_str());
+    }
+
     /* The worker left long ago. */
     void
     RemoveWorker(size_t i)
--- a/tests/test_gate_resumed_at_size.cc
+++ b/tests/test_gate_resumed_at_size.cc
@@ -178,6 +178,69 @@
     }
 }
 
+struct FetchCase {
+    const char *name;
+    bool is_full; /* The worker that has read the prompt takes no more. */
+    bool is_gone;
+    bool is_blocked;   /* It has not responded in time. */
+    const char *first; /* What reaches worker 0, which has read the prompt. */
+    const char *other; /* What reaches worker 1. */
+};
+
+const FetchCase fetch_cases[] = {
+    {"it has room", false, false, false, "", nullptr},
+    {"it is full", true, false, false, nullptr, "Kv-Fetch: "},
+    {"it is gone", false, true, false, nullptr, ""},
+    {"it does not respond", true, false, true, nullptr, ""},
+};
+
+/* The prompt of a resumed stream is not read twice. */
+TEST(ResumedAtSize, ResumedStreamFetchesItsPromptFromTheWorkerThatReadIt)
+{
+    for (const FetchCase &row : fetch_cases) {
+        SCOPED_TRACE(row.name);
+        FleetRig rig(resumable, 1, 0);
+        rig.versions = {"v1", "v1", "v2"};
+        for (int i = 0; i < 3; i++) {
+            rig.AddWorker({Stream(3, 9)});
+            rig.workers.back()->kept_parts = {"aa"};
+        }
+        rig.workers[0]->kept_parts = {"aa", Part(0)};
+        CompleteSweep(rig.edges[0]);
+        rig.RunFor(800);
+        FleetWorker *reader = rig.FindWorker(0, 0);
+        int64_t now_us = Clk_Now(&rig.clk);
+        if (row.is_full) {
+            reader->full_until_us = now_us + 10 * CLK_US_PER_S;
+        }
+        if (row.is_blocked) {
+            Health_NoteUnresponsive(&reader->health, now_us);
+        }
+        if (row.is_gone) {
+            rig.RemoveWorker(0);
+        }
+        Caller *again = rig.Call(0, Resumption("id-1", Part(0)));
+        rig.RunFor(500);
+        EXPECT_TRUE(again->IsComplete());
+        EXPECT_EQ(again->Status(), 200);
+        const char *expected[] = {row.first, row.other, nullptr};
+        for (size_t i = 0; i < 3; i++) {
+            const auto &requests = rig.workers[i]->requests;
+            EXPECT_EQ(requests.size(), expected[i] != nullptr ? 1u : 0u) << i;
+            if (expected[i] == nullptr || requests.empty()) {
+                continue;
+            }
+            std::string fetch =
+                *expected[i] != '\0'
+                    ? expected[i] + rig.workers[0]->address + "\r\n"
+                    : "Host: ";
+            EXPECT_NE(requests[0].find(fetch), std::string::npos);
+            EXPECT_EQ(requests[0].find("Kv-Fetch: ") != std::string::npos,
+                      *expected[i] != '\0');
+        }
+    }
+}
+
 /* The workers crashed, so that they keep nothing, and the VM that began the
    stream is gone. Any other VM finds the record. */
 TEST(ResumedAtSize, RecordIsFoundFromEachVmAfterWorkersCrashed)
