--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -277,7 +277,7 @@
         LOG_LEVEL_INFO, "request_end",
         json_pack(
             "{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:I,s:I,"
-            "s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:b,s:I,s:b}",
+            "s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:s,s:b,s:I,s:b}",
             "request", task->request.id, "route", task->route->name, "worker",
             task->worker, "outcome", outcome, "status", status,
             "retry_after_ms", (int)task->retry_after_ms, "took_us",
@@ -299,7 +299,9 @@
             task->request.resumes != NULL ? task->request.resumes : "",
             "version",
             Fleet_GetVersionName(task->gate->options.fleet, task->version),
-            "relayed", (int)task->is_relayed, "left_ms",
+            "prompt_source",
+            task->prompt_source != NULL ? task->prompt_source : "", "relayed",
+            (int)task->is_relayed, "left_ms",
             (json_int_t)task->request.left_ms, "retry", (int)task->is_retry));
     Stream_ReleaseAll(task);
     free_task(task);
