Reach: only VMs that serve requests passed on speak for a cut

Cause: a VM that says nothing of the workers that it hears counted as one that may reach them, so a crash of all workers beside a VM of an earlier build was taken for a cut of this VM; no request goes to such a VM. Test: OtherBuild.SilentOnWorkersIsNoSignOfACut, red before (one service_cut). A table's part leaves room for what hubs serve (20 bytes).

--- a/src/gate/detour.c
+++ b/src/gate/detour.c
@@ -523,7 +523,8 @@
     ReachOthers others = {0};
 
     for (uint32_t i = 0; i < count; i++) {
-        bool is_silent = !peers[i].tells_reach;
+        bool is_silent = (peers[i].serves & GATE_SERVES_DETOURS) != 0 &&
+                         !peers[i].tells_reach;
         others.silent += is_silent;
         others.mute +=
             is_silent && (peers[i].serves & GATE_SERVES_REACH) == 0 &&
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -30,7 +30,7 @@
 
 /* Most bytes of a table's part: the sender's versions and the hubs of all
    regions have room beside it. */
-#define GOS_TABLE_MAX_BYTES 1100
+#define GOS_TABLE_MAX_BYTES 1080
 
 /* The arrays of a demand. */
 typedef struct GosRooms {
--- a/tests/test_gossip_builds.cc
+++ b/tests/test_gossip_builds.cc
@@ -119,6 +119,24 @@
     EXPECT_TRUE(other.listener->requests.empty());
 }
 
+/* Beside a VM that says nothing of the workers that it hears, the crash of all
+   workers is no cut: no way round could begin there. */
+TEST(OtherBuild, SilentOnWorkersIsNoSignOfACut)
+{
+    FleetRig rig(once, 1, 0);
+    rig.AddWorker(std::vector<ScriptedReply>(100, Ok()));
+    OtherVm other(rig.base, rig.peer_ports[0]);
+    uint64_t cuts = Met_Get(MET_SERVICES_CUT);
+    rig.RunFor(600);
+    rig.restart_ms = 60000;
+    rig.workers[0]->Crash();
+    for (int i = 0; i < 10; i++) {
+        rig.Call(0, CallText(i));
+        rig.RunFor(150);
+    }
+    EXPECT_EQ(Met_Get(MET_SERVICES_CUT), cuts);
+}
+
 /* A VM's gossip without a gate. */
 class OwnVm {
   public:
