Gossip: content that this build doesn't know is counted, and logged once for each start of a VM

Counters peer_unknown_content and peers_newer, log line peer_newer: unknown fields of messages and of what they hold, unknown things that a VM serves, and unknown values. It is ignored as before. Test: OtherBuild.UnknownContentIsIgnoredAndCounted; red with the call of note_unknown() taken out.

--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -146,6 +146,8 @@
     GATE_SERVES_REACH = 1 << 0,   /* Questions for workers that it hears. */
     GATE_SERVES_LOOKUPS = 1 << 1, /* Questions for versions of streams. */
     GATE_SERVES_DETOURS = 1 << 2, /* Requests that are passed on to it. */
+    GATE_SERVES_KNOWN =
+        GATE_SERVES_REACH | GATE_SERVES_LOOKUPS | GATE_SERVES_DETOURS,
 };
 
 /* Another VM that may run a request at workers that this VM can't reach. */
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -28,6 +28,7 @@
 static void on_timer(evutil_socket_t fd, short what, void *context);
 static void on_table_timer(evutil_socket_t fd, short what, void *context);
 static void handle_message(Gos *gos, const Gossip__News *news);
+static void note_unknown(Peer *peer, const Gossip__News *news);
 static void set_reach(GatePeer *row, const Peer *peer, uint64_t service);
 static void store_reaches(Gos *gos, Peer *peer, const Gossip__News *news);
 static void store_report(Gos *gos, Peer *peer, const Gossip__News *news,
@@ -343,6 +344,7 @@
     if (is_started) {
         peer->previous_incarnation = peer->incarnation;
         peer->incarnation = news->incarnation;
+        peer->is_newer = false;
     }
     if (!Peers_IsLive(&gos->peers, peer)) {
         Log_WriteJson(LOG_LEVEL_INFO, "peer_heard",
@@ -359,6 +361,7 @@
     peer->mentioned_us = now_us;
     peer->heard_us = now_us;
     peer->suspect_until_us = 0;
+    note_unknown(peer, news);
     Peers_NoteFleetSize(&gos->peers, news->vms);
     for (size_t i = 0; i < news->n_peers; i++) {
         Peer *mentioned = news->peers[i] != gos->address
@@ -405,6 +408,23 @@
     check_versions(gos, news);
 }
 
+/* Counts a message with content that this build doesn't know, which is
+   ignored; logged once for each start of the sender. */
+static void
+note_unknown(Peer *peer, const Gossip__News *news)
+{
+    if (!Gos_HasUnknown(news)) {
+        return;
+    }
+    Met_Add(MET_PEER_UNKNOWN_CONTENT, 1);
+    if (!peer->is_newer) {
+        peer->is_newer = true;
+        Met_Add(MET_PEERS_NEWER, 1);
+        Log_WriteJson(LOG_LEVEL_INFO, "peer_newer",
+                      json_pack("{s:s}", "peer", peer->vm));
+    }
+}
+
 static void
 store_reaches(Gos *gos, Peer *peer, const Gossip__News *news)
 {
--- a/src/gate/gossip_lookup.c
+++ b/src/gate/gossip_lookup.c
@@ -10,6 +10,7 @@
     KEPT_BY_SEVERAL = 4,
 };
 
+G_STATIC_ASSERT(KEPT_BY_SEVERAL == GOS_KEPT_MAX);
 G_STATIC_ASSERT(LOOKUP_QUESTIONS_MAX <= GOS_ORIGINS_MAX);
 
 static void begin_message(Gos *gos, GosMessage *message,
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -3,6 +3,7 @@
 
 #include "../metrics.h"
 
+static bool has_unknown_fields(const ProtobufCMessage *message);
 static uint32_t get_own_serves(const GosOptions *options);
 static void add_suspects(const Gos *gos, GosMessage *message);
 static void add_limits(Gos *gos, GosMessage *message);
@@ -78,11 +79,54 @@
 Gos_DecodeServes(const Gossip__News *news)
 {
     if (news->serves == 0 && news->answers_reach) {
-        return GATE_SERVES_REACH | GATE_SERVES_LOOKUPS | GATE_SERVES_DETOURS;
+        return GATE_SERVES_KNOWN;
     }
     return news->serves;
 }
 
+bool
+Gos_HasUnknown(const Gossip__News *news)
+{
+    bool has_unknown = (news->serves & ~(uint32_t)GATE_SERVES_KNOWN) != 0;
+
+    for (size_t i = 0; i < news->n_found && !has_unknown; i++) {
+        has_unknown = news->found[i]->kept > GOS_KEPT_MAX;
+    }
+    return has_unknown || has_unknown_fields(&news->base);
+}
+
+static bool
+has_unknown_fields(const ProtobufCMessage *message)
+{
+    const ProtobufCMessageDescriptor *type = message->descriptor;
+    const uint8_t *bytes = (const uint8_t *)message;
+
+    if (message->n_unknown_fields > 0) {
+        return true;
+    }
+    for (unsigned i = 0; i < type->n_fields; i++) {
+        const ProtobufCFieldDescriptor *field = &type->fields[i];
+        const void *at = bytes + field->offset;
+        if (field->type != PROTOBUF_C_TYPE_MESSAGE) {
+            continue;
+        }
+        if (field->label != PROTOBUF_C_LABEL_REPEATED) {
+            const ProtobufCMessage *inner = *(ProtobufCMessage *const *)at;
+            if (inner != NULL && has_unknown_fields(inner)) {
+                return true;
+            }
+            continue;
+        }
+        for (size_t k = 0;
+             k < *(const size_t *)(bytes + field->quantifier_offset); k++) {
+            if (has_unknown_fields((*(ProtobufCMessage * *const *)at)[k])) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 /* Adds parts of prompts under which workers crashed. */
 static void
 add_suspects(const Gos *gos, GosMessage *message)
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -24,6 +24,7 @@
 #define GOS_ORIGINS_MAX 16
 /* How long the end of a limit is told. */
 #define GOS_LIMIT_NEWS_US (3 * CLK_US_PER_S)
+#define GOS_KEPT_MAX 4 /* Highest known value of Found.kept. */
 /* Largest message; a datagram of this size fits the usual networks without
    fragmentation. */
 #define GOS_MESSAGE_MAX_BYTES 1400
@@ -116,6 +117,8 @@
 /* Stores what a message says of parts of prompts. Returns whether any of it is
    news. */
 bool Gos_MergeSuspects(const Gos *gos, const Gossip__News *news);
+/* Whether the message has fields or values that this build doesn't know. */
+bool Gos_HasUnknown(const Gossip__News *news);
 /* Returns what the sender serves, a set of GATE_SERVES_... */
 uint32_t Gos_DecodeServes(const Gossip__News *news);
 /* Returns the i-th row on the workers that the sender hears. */
--- a/src/gate/peers.h
+++ b/src/gate/peers.h
@@ -54,8 +54,9 @@
     uint32_t cut_count;
     GateReach reaches[PEERS_REACHES_MAX]; /* The workers that it hears. */
     uint32_t reach_count;
-    uint32_t serves;          /* A set of GATE_SERVES_..., as it said. */
-    int64_t serves_us;        /* When it said so, to any VM; 0: not known. */
+    uint32_t serves;   /* A set of GATE_SERVES_..., as it said. */
+    int64_t serves_us; /* When it said so, to any VM; 0: not known. */
+    bool is_newer;     /* It has sent content that this build doesn't know. */
     int64_t suspect_until_us; /* It was silent as a hub; until then it counts
                                  as a hub only if it sends a message. */
     Report report;            /* Its load. */
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -48,6 +48,11 @@
                                  "Bytes received from peers."},
     [MET_PEER_CONNECTS] = {"peer_connects", "Connections opened to peers."},
     [MET_PEER_FRAMES_BAD] = {"peer_frames_bad", "Malformed frames."},
+    [MET_PEER_UNKNOWN_CONTENT] = {"peer_unknown_content",
+                                  "Messages of other VMs with content that "
+                                  "this build doesn't know."},
+    [MET_PEERS_NEWER] = {"peers_newer",
+                         "Starts of other VMs that sent such messages."},
     [MET_CONFIG_READS] = {"config_reads", "Reads of the config service."},
     [MET_CONFIG_ACCEPTED] = {"config_accepted", "Configurations in force."},
     [MET_CONFIG_REFUSED] = {"config_refused", "Configurations refused."},
--- a/tests/test_gossip_builds.cc
+++ b/tests/test_gossip_builds.cc
@@ -224,6 +224,53 @@
     }
 }
 
+/* Unknown fields and values are ignored, counted, and logged once for each
+   start of the sender. */
+TEST(OtherBuild, UnknownContentIsIgnoredAndCounted)
+{
+    Gossip__Found found = GOSSIP__FOUND__INIT;
+    Gossip__Found *rows[] = {&found};
+    found.kept = 9;
+    const struct {
+        const char *name;
+        OtherVm::Fill fill;
+        std::vector<uint8_t> more; /* Wire format. */
+        bool is_unknown;
+    } cases[] = {
+        {"known", [](Gossip__News *news) { news->serves = 7; }, {}, false},
+        {"a field", nullptr, {0xc0, 0x3e, 5}, true},
+        {"a field of a table", nullptr, {0x82, 1, 3, 0xa0, 0x1f, 1}, true},
+        {"a field of a hub", nullptr, {0x7a, 3, 0xa0, 0x1f, 1}, true},
+        {"a thing that it serves",
+         [](Gossip__News *news) { news->serves = UINT32_C(1) << 31; },
+         {},
+         true},
+        {"a value",
+         [&](Gossip__News *news) {
+             news->found = rows;
+             news->n_found = 1;
+         },
+         {},
+         true},
+    };
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        OwnVm own;
+        uint64_t count = Met_Get(MET_PEER_UNKNOWN_CONTENT);
+        uint64_t newer = Met_Get(MET_PEERS_NEWER);
+        OtherVm other(own.base, own.port, row.fill);
+        other.more = row.more;
+        own.RunFor(450);
+        EXPECT_EQ(Gos_CountLivePeers(own.gos), 1U);
+        EXPECT_EQ(Met_Get(MET_PEER_UNKNOWN_CONTENT) >= count + 3,
+                  row.is_unknown);
+        EXPECT_EQ(Met_Get(MET_PEERS_NEWER), newer + row.is_unknown);
+        other.incarnation++;
+        own.RunFor(250);
+        EXPECT_EQ(Met_Get(MET_PEERS_NEWER), newer + 2 * row.is_unknown);
+    }
+}
+
 /* In a large fleet the hubs are the holders. A VM hears the hubs of other
    regions by way of its own; one of a build that names no set of theirs must
    not make it forget what another one told. */
