--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -346,12 +346,13 @@
         peer->incarnation = news->incarnation;
         peer->is_newer = false;
     }
-    if (!Peers_IsLive(&gos->peers, peer)) {
+    if (is_started || !Peers_IsLive(&gos->peers, peer)) {
         Log_WriteJson(LOG_LEVEL_INFO, "peer_heard",
-                      json_pack("{s:s,s:I}", "peer", news->vm, "silent_us",
+                      json_pack("{s:s,s:I,s:I}", "peer", news->vm, "silent_us",
                                 (json_int_t)(peer->received_us != 0
                                                  ? now_us - peer->received_us
-                                                 : 0)));
+                                                 : 0),
+                                "serves", (json_int_t)Gos_DecodeServes(news)));
     }
     peer->sequence = news->number;
     peer->region = news->region;
