Stop: first requests of new connections are answered

Cause: at the end of the notice the process closes connections without a request. A connection that was taken just before has its first request only a round trip later (45 ms between regions). Ruled out: requests on connections that are half closed (none logged), requests that run at the end (each has an answer in the log). Change: a connection without a request so far is kept for a second after it was opened; the process waits for it. Test: GateDrain.FirstRequestsOfNewConnectionsAreAnswered, red before: the two of eight whose request came after the notice had no answer. NewConnectionWithoutARequestIsClosed holds the other side: such a connection does not hold up the stop.

--- a/src/io/server.c
+++ b/src/io/server.c
@@ -22,6 +22,7 @@
 static void accept_backlog(Server *server);
 static bool has_unread_data(const ServerConn *conn);
 static bool is_idle(const ServerConn *conn);
+static uint32_t get_first_wait(const ServerConn *conn);
 static size_t count_unsent(const ServerConn *conn);
 static void on_read(struct bufferevent *bev, void *context);
 static void on_write(struct bufferevent *bev, void *context);
@@ -147,8 +148,11 @@
     while (conn != NULL) {
         ServerConn *next = LIST_NEXT(conn, links);
         /* on_write() does this later for those with unsent bytes. */
-        if (is_idle(conn) &&
-            evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0) {
+        if (is_idle(conn) && get_first_wait(conn) > 0) {
+            arm_wait_timer(conn, get_first_wait(conn));
+        }
+        else if (is_idle(conn) &&
+                 evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0) {
             ServerConn_Close(conn);
         }
         conn = next;
@@ -222,6 +226,7 @@
 ServerConn_FinishExchange(ServerConn *conn)
 {
     drop_body(conn);
+    conn->is_used = true;
     conn->in_exchange = false;
     conn->server->exchanges--;
     if (ServerConn_IsClosing(conn)) {
@@ -295,6 +300,19 @@
            !has_unread_data(conn);
 }
 
+/* Returns the time, in ms, that an idle connection is kept for its first
+   request. */
+static uint32_t
+get_first_wait(const ServerConn *conn)
+{
+    int64_t age_ms =
+        (Clk_Now(conn->server->options.clk) - conn->opened_us) / CLK_US_PER_MS;
+
+    return conn->is_used || age_ms >= SERVER_FIRST_REQUEST_MS
+               ? 0
+               : (uint32_t)(SERVER_FIRST_REQUEST_MS - age_ms);
+}
+
 /* Returns the bytes of responses that the caller's host has not acknowledged.
    Without those in the socket, the progress of a slow reader would show only
    in steps of a third of the socket's buffer. */
@@ -324,6 +342,7 @@
     setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
     conn->server = server;
+    conn->opened_us = Clk_Now(server->options.clk);
     conn->target = g_string_new(NULL);
     Header_InitReader(&conn->reader);
     conn->exchange.conn = conn;
@@ -366,7 +385,8 @@
     (void)bev;
     /* libevent calls this also once when the connection is accepted, before
        any response. */
-    if (conn->lingering || (conn->server->listener == NULL && is_idle(conn))) {
+    if (conn->lingering || (conn->server->listener == NULL && is_idle(conn) &&
+                            get_first_wait(conn) == 0)) {
         begin_linger(conn);
     }
     else if (!conn->in_exchange && !conn->reading) {
--- a/src/io/server.h
+++ b/src/io/server.h
@@ -16,6 +16,9 @@
 /* After the last response on a connection, the server waits this long for the
    caller to read it and to close. */
 #define SERVER_LINGER_MS 1000
+/* The first request of a connection may be on its way for this long: it comes
+   a round trip after the connection, or later if a packet is lost. */
+#define SERVER_FIRST_REQUEST_MS 1000
 /* A connection is closed when more bytes than this wait for a slow reader. */
 #define SERVER_OUT_MAX_BYTES (1024 * 1024)
 /* An idle connection is closed this long after its time-out, so that a request
@@ -78,7 +81,8 @@
    already sent a further request. */
 void Server_BeginShutdown(Server *server);
 /* Stops listening and closes the connections that have no request, once their
-   last response is sent. Requests whose first bytes have reached this VM by
+   last response is sent, new ones after SERVER_FIRST_REQUEST_MS. Requests
+   whose first bytes have reached this VM by
    then are still read and answered. */
 void Server_CloseIdle(Server *server);
 /* Answers the requests that are still being read, and closes their
--- a/src/io/server_conn.h
+++ b/src/io/server_conn.h
@@ -27,11 +27,13 @@
     bool chunked;       /* The streamed response is chunked. */
     bool keep_alive;    /* The caller may send another request. */
     bool lingering;     /* The connection only waits for the caller's close. */
+    bool is_used;       /* A request on it was answered. */
     uint32_t wait_ms;   /* Time-out of the last arm_wait_timer(). */
     size_t unsent;      /* Result of count_unsent() at that time. */
     int error_status;   /* Status for a request that breaks a limit, or 0. */
     size_t header_size; /* Bytes of the request's header so far. */
     int64_t header_us;  /* When the header was complete. */
+    int64_t opened_us;
 } ServerConn;
 
 struct Server {
--- a/tests/test_gate_drain.cc
+++ b/tests/test_gate_drain.cc
@@ -561,6 +561,66 @@
     }
 }
 
+/* A connection was opened before the process stopped to listen, and its first
+   request is on its way: it is answered. */
+TEST_F(GateDrain, FirstRequestsOfNewConnectionsAreAnswered)
+{
+    const int request_after_ms[] = {5, 60, 150, 450};
+    Start("4");
+    ASSERT_GT(pid, 0);
+    std::vector<std::unique_ptr<Caller>> callers;
+    std::vector<int64_t> due_ms;
+    std::vector<bool> begun;
+    stop_us = Clk_Now(&clk);
+    kill(pid, SIGTERM);
+    RunUntil(base, &clk, [&] {
+        int64_t now_ms = GetMs();
+        if (now_ms >= 2800 + (int64_t)callers.size() * 20 &&
+            callers.size() < 8) {
+            due_ms.push_back(now_ms + request_after_ms[callers.size() % 4]);
+            begun.push_back(false);
+            callers.push_back(std::make_unique<Caller>(base, port));
+        }
+        for (size_t i = 0; i < callers.size(); i++) {
+            if (!begun[i] && now_ms >= due_ms[i]) {
+                begun[i] = true;
+                callers[i]->Send(MakeRequest("n" + std::to_string(i),
+                                             {"", 0, 0, 40, 0, 'o', 200}));
+            }
+        }
+        return IsGone() || now_ms > 4500;
+    });
+    EXPECT_EQ(pid, 0);
+    EXPECT_LE(gone_ms, 4000);
+    ASSERT_EQ(callers.size(), 8U);
+    for (size_t i = 0; i < callers.size(); i++) {
+        SCOPED_TRACE(due_ms[i]);
+        EXPECT_EQ(callers[i]->Status(), 200);
+        EXPECT_EQ(worker->runs["n" + std::to_string(i)], 1);
+        EXPECT_NE(callers[i]->text.find("Connection: close"),
+                  std::string::npos);
+    }
+}
+
+/* One that never has a request doesn't hold up the stop. */
+TEST_F(GateDrain, NewConnectionWithoutARequestIsClosed)
+{
+    Start("30");
+    ASSERT_GT(pid, 0);
+    std::unique_ptr<Caller> caller;
+    stop_us = Clk_Now(&clk);
+    kill(pid, SIGTERM);
+    RunUntil(base, &clk, [&] {
+        if (caller == nullptr && GetMs() >= 2900) {
+            caller = std::make_unique<Caller>(base, port);
+        }
+        return IsGone() || GetMs() > 5000;
+    });
+    EXPECT_EQ(pid, 0);
+    ASSERT_NE(caller, nullptr);
+    EXPECT_TRUE(caller->closed);
+}
+
 /* A VM that has just begun its stop, which the others don't know yet, gets
    requests of a VM that is cut off from the workers. What it has no time for
    runs by way of another VM, once; if all stop, it is refused. */
