Stop: connections are kept while the process has other work

What callers saw: in a planned stop, a request on a kept connection after the notice (3 s) was reset without an answer, with seconds of the grace left; it did not run, but its caller can't know. Cause: connections without a request were closed at the end of the notice even if the process had other work for seconds. Change: at the end of the notice it only stops to listen; connections without a request are closed when no other work is left, or at the end. A request on one is taken or refused as Drain_IsTaken() says, and its answer closes it. What remains: a request may still cross the close of an idle connection (RFC 9112, 9.5), as HTTP/1.1 has no way to announce it. Test: GateDrain.RequestsOnKeptConnectionsAfterTheNotice, red before (5 of its 6 rows had no answer).

--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -39,7 +39,7 @@
     struct event *shutdown_timer;
     struct event *prune_timer;
     bool stopping;
-    bool idle_closed; /* Callers' connections without a request are closed. */
+    bool notice_over; /* No connections are accepted any more. */
     bool tasks_ended; /* Requests in progress have been ended. */
     int64_t began_us;
     int64_t stop_us;
@@ -639,14 +639,17 @@
     (void)fd;
     (void)what;
     if (since_ms >= MIN(edge->options.notice_ms, end_ms) &&
-        !edge->idle_closed) {
-        edge->idle_closed = true;
-        Server_CloseIdle(edge->callers);
+        !edge->notice_over) {
+        edge->notice_over = true;
+        Server_StopListening(edge->callers);
     }
     if (now_us >= edge->drain_end_us && !edge->tasks_ended) {
         edge->tasks_ended = true;
         end_remaining(edge);
     }
+    if (is_drained(edge)) {
+        Server_CloseIdle(edge->callers);
+    }
     if (is_drained(edge) || now_us >= edge->exit_us) {
         event_base_loopexit(edge->options.base, NULL);
         return;
@@ -669,7 +672,7 @@
         return Server_CountOpen(edge->callers) == 0 &&
                (relay == NULL || Relay_CountPending(relay) == 0);
     }
-    return edge->idle_closed && Server_CountPending(edge->callers) == 0 &&
+    return edge->notice_over && Server_CountPending(edge->callers) == 0 &&
            (relay == NULL || Relay_CountPending(relay) == 0);
 }
 
@@ -692,6 +695,7 @@
     codec->encode_error(codec->context, NULL, &err, headers, body);
     Server_RefuseUnread(edge->callers, Err_GetHttpStatus(err.code), headers,
                         body->str, body->len);
+    Server_CloseIdle(edge->callers);
     Header_Free(headers);
     g_string_free(body, TRUE);
 }
--- a/src/io/server.c
+++ b/src/io/server.c
@@ -135,15 +135,22 @@
 }
 
 void
-Server_CloseIdle(Server *server)
+Server_StopListening(Server *server)
 {
-    ServerConn *conn;
-
     if (server->listener != NULL) {
         accept_backlog(server);
         evconnlistener_free(server->listener);
         server->listener = NULL;
     }
+}
+
+void
+Server_CloseIdle(Server *server)
+{
+    ServerConn *conn;
+
+    Server_StopListening(server);
+    server->closes_idle = true;
     conn = LIST_FIRST(&server->conns);
     while (conn != NULL) {
         ServerConn *next = LIST_NEXT(conn, links);
@@ -196,12 +203,11 @@
 
     for (conn = LIST_FIRST(&server->conns); conn != NULL;
          conn = LIST_NEXT(conn, links)) {
-        /* Without a listener, connections remain only for their request. A
-           response is lost if its connection is reset by a further request
+        /* A response is lost if its connection is reset by a further request
            before it has arrived. */
-        count += !conn->in_exchange &&
-                 (count_unsent(conn) > 0 ||
-                  (server->listener == NULL && !conn->lingering));
+        bool is_awaited = server->listener == NULL && !conn->lingering &&
+                          (!is_idle(conn) || get_first_wait(conn) > 0);
+        count += !conn->in_exchange && (count_unsent(conn) > 0 || is_awaited);
     }
     return count;
 }
@@ -385,7 +391,7 @@
     (void)bev;
     /* libevent calls this also once when the connection is accepted, before
        any response. */
-    if (conn->lingering || (conn->server->listener == NULL && is_idle(conn) &&
+    if (conn->lingering || (conn->server->closes_idle && is_idle(conn) &&
                             get_first_wait(conn) == 0)) {
         begin_linger(conn);
     }
--- a/src/io/server.h
+++ b/src/io/server.h
@@ -80,18 +80,21 @@
 /* Makes every response from now on close its connection, unless the caller has
    already sent a further request. */
 void Server_BeginShutdown(Server *server);
+/* Stops listening. Connections that have reached this VM by then are still
+   served. */
+void Server_StopListening(Server *server);
 /* Stops listening and closes the connections that have no request, once their
    last response is sent, new ones after SERVER_FIRST_REQUEST_MS. Requests
-   whose first bytes have reached this VM by
-   then are still read and answered. */
+   whose first bytes have reached this VM by then are still read and answered.
+ */
 void Server_CloseIdle(Server *server);
 /* Answers the requests that are still being read, and closes their
    connections. `headers` may be NULL. */
 void Server_RefuseUnread(Server *server, int status, const HeaderList *headers,
                          const void *body, size_t size);
 /* Returns the number of requests without a complete response, of responses
-   that the caller's host has not yet received, and after Server_CloseIdle() of
-   connections whose request is still being read. */
+   that the caller's host has not yet received, and without a listener of
+   connections whose request is still being read, or may be on its way. */
 guint Server_CountPending(const Server *server);
 guint Server_CountOpen(const Server *server); /* All connections. */
 
--- a/src/io/server_conn.h
+++ b/src/io/server_conn.h
@@ -44,6 +44,7 @@
     size_t body_bytes; /* Of the bodies of all requests. */
     uint16_t port;
     bool shutting_down;
+    bool closes_idle;
 };
 
 /* Whether the connection closes after this response. At a planned stop, it
--- a/tests/test_gate_drain.cc
+++ b/tests/test_gate_drain.cc
@@ -561,6 +561,23 @@
     }
 }
 
+/* Connections stay open as long as the process has other work, so that late
+   requests on them are answered. */
+const std::vector<DrainRow> rows_kept = {
+    {"keeps the process at work", 2500, 0, 3500, 0, 'o', 200},
+    {"after the notice", 3200, 0, 100, 0, 'o', 200},
+    {"a second later", 4200, 0, 500, 0, 'o', 200},
+    {"as the other work ends", 5800, 0, 500, 0, 'o', 200},
+    {"stream that ends in time", 3500, 0, 1000, 0, 's', 200},
+    {"stream that can't end in time", 4500, 0, 6000, 0, 's', 503},
+};
+
+TEST_F(GateDrain, RequestsOnKeptConnectionsAfterTheNotice)
+{
+    Start("8");
+    Play(rows_kept, 8000);
+}
+
 /* A connection was opened before the process stopped to listen, and its first
    request is on its way: it is answered. */
 TEST_F(GateDrain, FirstRequestsOfNewConnectionsAreAnswered)
