Detour: what workers said goes along with a request

VM 0, which had been told, passed the request on to VM 2, which had been paused and was told by this answer only. Besides, other VMs' word that a worker leaves made it the last choice and had no end. Cause: a request that is passed on said nothing of the workers; and the time of a leaving worker was kept only by the VM to which it spoke. VMs of before read the number only. Other VMs' word has an end, as the worker's own has; it lapses 2 s after it was repeated last, since the worker may be another start. What only came with a request is not passed on. OddWordsAreIgnored: 24 odd texts.

--- a/src/decide/notice.c
+++ b/src/decide/notice.c
@@ -11,6 +11,39 @@
     state->leave_deadline_us = now_us + serve_us - NOTICE_SEND_MARGIN_US;
 }
 
+void
+Notice_NoteTold(NoticeState *state, int64_t serve_us, int64_t now_us)
+{
+    int64_t deadline_us = now_us + serve_us - NOTICE_SEND_MARGIN_US;
+
+    if (now_us >= state->told_until_us ||
+        deadline_us < state->told_deadline_us) {
+        state->told_deadline_us = deadline_us;
+    }
+    state->told_until_us = now_us + NOTICE_TOLD_US;
+}
+
+bool
+Notice_IsLeaving(const NoticeState *state, int64_t now_us)
+{
+    return state->leaving || now_us < state->told_until_us;
+}
+
+int64_t
+Notice_GetLeft(const NoticeState *state, int64_t now_us)
+{
+    int64_t left_us = INT64_MAX;
+
+    if (state->leaving) {
+        left_us = state->leave_deadline_us - now_us;
+    }
+    if (now_us < state->told_until_us &&
+        state->told_deadline_us - now_us < left_us) {
+        left_us = state->told_deadline_us - now_us;
+    }
+    return left_us;
+}
+
 void
 Notice_NotePause(NoticeState *state, int64_t pause_us, int64_t now_us)
 {
@@ -63,9 +96,9 @@
         (state->trials_max > 0 && state->trials >= state->trials_max)) {
         return NOTICE_CLOSED;
     }
-    if (!state->leaving) {
+    if (!Notice_IsLeaving(state, now_us)) {
         return NOTICE_OPEN;
     }
-    return now_us < state->leave_deadline_us ? NOTICE_LAST_RESORT
+    return Notice_GetLeft(state, now_us) > 0 ? NOTICE_LAST_RESORT
                                              : NOTICE_CLOSED;
 }
--- a/src/gate/detour.c
+++ b/src/gate/detour.c
@@ -4,6 +4,7 @@
 #include "../decide/reach.h"
 #include "../io/loop.h"
 #include "../log.h"
+#include "hearsay.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -273,17 +274,20 @@
 }
 
 void
-Detour_AddHeader(HeaderList *headers, uint32_t runs)
+Detour_AddHeader(const GateTask *task, HeaderList *headers)
 {
-    char text[16];
+    GString *text = g_string_new(NULL);
 
-    g_snprintf(text, sizeof(text), "%u", runs);
-    Header_Add(headers, DETOUR_HEADER, text);
+    g_string_printf(text, "%u", task->runs);
+    Hearsay_Write(task->gate->options.fleet, task->service->name,
+                  Task_Now(task), text);
+    Header_Add(headers, DETOUR_HEADER, text->str);
+    g_string_free(text, TRUE);
     Met_Add(MET_DETOURS, 1);
 }
 
 bool
-Detour_TakeHeader(HeaderList *headers, uint32_t *runs)
+Detour_TakeHeader(Gate *gate, HeaderList *headers, uint32_t *runs)
 {
     const char *text = Header_Find(headers, DETOUR_HEADER);
 
@@ -291,6 +295,7 @@
         return false;
     }
     *runs = (uint32_t)strtoul(text, NULL, 10);
+    Hearsay_Read(gate->options.fleet, text, Clk_Now(gate->options.clk));
     Header_Remove(headers, DETOUR_HEADER);
     return true;
 }
--- a/src/gate/detour.h
+++ b/src/gate/detour.h
@@ -21,7 +21,7 @@
 #define DETOUR_SILENCE_EXTRA_US (700 * CLK_US_PER_MS)
 
 /* Field of a request that another VM passes on: the number of workers on which
-   it may have run already. */
+   it may have run already, and notices of workers (hearsay.h). */
 #define DETOUR_HEADER "Lavenderspool-Relayed"
 
 void Detour_Init(Gate *gate);
@@ -38,9 +38,11 @@
    form of a worker that the gate owns, or NULL. Of two VMs at random it is the
    one with fewer requests of this VM. */
 FleetWorker *Detour_ChooseVm(GateTask *task);
-/* Marks a request that is passed on. */
-void Detour_AddHeader(HeaderList *headers, uint32_t runs);
-/* Reads and removes the mark. Returns false if there is none. */
-bool Detour_TakeHeader(HeaderList *headers, uint32_t *runs);
+/* Marks a request that is passed on, and adds what this VM knows of the
+   service's workers. */
+void Detour_AddHeader(const GateTask *task, HeaderList *headers);
+/* Reads and removes the mark, and notes what it says of workers. Returns false
+   if there is none. */
+bool Detour_TakeHeader(Gate *gate, HeaderList *headers, uint32_t *runs);
 
 #endif
--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -403,6 +403,12 @@
     Notice_NoteLeaving(&worker->notice, fleet->options.drain_us, now_us);
 }
 
+void
+Fleet_NoteTold(const Fleet *fleet, FleetWorker *worker, int64_t now_us)
+{
+    Notice_NoteTold(&worker->notice, fleet->options.drain_us, now_us);
+}
+
 bool
 Fleet_IsLeaving(const FleetWorker *worker)
 {
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -183,6 +183,8 @@
 void Fleet_Unref(FleetWorker *worker); /* NULL is allowed. */
 /* Notes that the worker says that it leaves. */
 void Fleet_NoteLeaving(Fleet *fleet, FleetWorker *worker, int64_t now_us);
+/* Notes that another VM says so. */
+void Fleet_NoteTold(const Fleet *fleet, FleetWorker *worker, int64_t now_us);
 /* Whether the worker leaves, so that it gets work only if no other can
    serve. */
 bool Fleet_IsLeaving(const FleetWorker *worker);
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -444,6 +444,10 @@
             .leaving = from->leaving,
         };
         if (use.worker != NULL) {
+            if (from->leaving) {
+                Fleet_NoteTold(gos->options.fleet, use.worker,
+                               peer->reported_us);
+            }
             Report_AddUse(&peer->report, &use);
         }
     }
--- a/src/gate/gossip_table.c
+++ b/src/gate/gossip_table.c
@@ -56,6 +56,9 @@
             use.phase_changes -= MIN(use.phase_changes, own.phase_changes);
             use.leaving -= MIN(use.leaving, own.leaving);
         }
+        if (use.leaving > 0) {
+            Fleet_NoteTold(gos->options.fleet, use.worker, now_us);
+        }
         Report_AddUse(report, &use);
     }
     for (size_t i = 0; i < table->n_demands; i++) {
--- a/src/gate/relay.c
+++ b/src/gate/relay.c
@@ -135,7 +135,7 @@
     Pos since = {0};
     uint32_t runs;
 
-    if (Detour_TakeHeader(exchange->headers, &runs)) {
+    if (Detour_TakeHeader(relay->options.gate, exchange->headers, &runs)) {
         Gate_OnRelayedRequest(relay->options.gate, exchange, runs);
         return;
     }
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -90,7 +90,7 @@
     }
     codec->encode_call(codec->context, &task->request, &sent, headers);
     if (worker->is_vm) {
-        Detour_AddHeader(headers, task->runs);
+        Detour_AddHeader(task, headers);
     }
     current->stage = options->prefill             ? TASK_PREFILL
                      : options->kv_handle != NULL ? TASK_DECODE
--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -180,7 +180,9 @@
     if (Health_IsBlocked(&worker->health, now_us)) {
         return SUITABILITY_BLOCKED;
     }
-    return Fleet_IsLeaving(worker) ? SUITABILITY_LEAVING : SUITABILITY_SOUND;
+    return Fleet_IsLeaving(worker) || Notice_IsLeaving(&worker->notice, now_us)
+               ? SUITABILITY_LEAVING
+               : SUITABILITY_SOUND;
 }
 
 static void
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -74,6 +74,9 @@
     [MET_RELAYED_REQUESTS] = {"relayed_requests",
                               "Requests that other VMs passed on to this "
                               "one."},
+    [MET_NOTICES_UNTOLD] = {"notices_untold",
+                            "Notices of workers that were left out of a "
+                            "request for another VM, as it had too many."},
     [MET_SURVEYS] = {"surveys", "Rounds in which this VM's share of a "
                                 "service's workers was asked for the prompts "
                                 "that they keep."},
--- a/tests/fleet_rig.h
+++ b/tests/fleet_rig.h
@@ -168,6 +168,13 @@
         }
     }
 
+    /* Returns a worker as a VM knows it. */
+    FleetWorker *
+    Find(size_t vm, size_t i)
+    {
+        return Fleet_Find(Edge_GetFleet(edges[vm]), ids_[i].c_str());
+    }
+
     /* Ends a VM at once. */
     void
     KillVm(size_t vm)
--- a/tests/test_gate_cutoff.cc
+++ b/tests/test_gate_cutoff.cc
@@ -388,4 +388,123 @@
     }
 }
 
+/* What a VM knows of a worker goes along with a request that it passes on: the
+   other VM may not have been told. */
+struct HearsayCase {
+    const char *name;
+    Route route;
+    bool has_limit; /* The worker named a limit; or else see the next two. */
+    bool is_paused;
+    int leaves_ago_ms; /* When it said to the first VM that it leaves. */
+};
+
+const HearsayCase hearsay_cases[] = {
+    {"leaves", once, false, false, 100},
+    {"leaves, its time is over", once, false, false, 3000},
+    {"leaves, its time is over, stream", stream, false, false, 3000},
+    {"pauses", once, false, true, 0},
+    {"named a limit", once, true, false, 0},
+};
+
+TEST(CutOffVm, OtherVmKnowsWhatTheWorkersSaid)
+{
+    for (const HearsayCase &row : hearsay_cases) {
+        SCOPED_TRACE(row.name);
+        CutFleet rig(row.route, 2);
+        rig.RemoveWorker(2);
+        rig.CutOffAndWait(0, FleetRig::REFUSE);
+        rig.AddLoad(1, 4); /* Workers are chosen by load otherwise. */
+        rig.RunFor(300);
+        size_t before = rig.workers[0]->requests.size();
+        FleetWorker *worker = rig.Find(0, 0);
+        int64_t now_us = Clk_Now(&rig.clk);
+        if (row.leaves_ago_ms > 0) {
+            Fleet_NoteLeaving(Edge_GetFleet(rig.edges[0]), worker,
+                              now_us - row.leaves_ago_ms * CLK_US_PER_MS);
+        }
+        if (row.is_paused) {
+            Notice_NotePause(&worker->notice, CLK_US_PER_S, now_us);
+        }
+        if (row.has_limit) {
+            Throttle_NoteLimit(&worker->throttle, 0.5, now_us, 0.0, now_us);
+        }
+        Caller *caller = rig.Call(0, CallText(1));
+        rig.RunFor(80);
+        EXPECT_EQ(caller->Status(), 200) << caller->text;
+        EXPECT_EQ(rig.workers[0]->requests.size(), before);
+        EXPECT_EQ(rig.CountRuns("id-1"), 1);
+    }
+}
+
+/* Other VMs' word that a worker leaves has an end, too: then it gets nothing,
+   even if no other worker is left. */
+TEST(CutOffVm, WordOfAnotherVmHasAnEnd)
+{
+    for (bool is_relayed : {false, true}) {
+        SCOPED_TRACE(is_relayed);
+        CutFleet rig(once, 2);
+        rig.RemoveWorker(1);
+        rig.RemoveWorker(2);
+        for (Edge *edge : rig.edges) {
+            Edge_GetFleet(edge)->options.drain_us =
+                NOTICE_SEND_MARGIN_US + 600 * CLK_US_PER_MS;
+        }
+        Fleet_NoteLeaving(Edge_GetFleet(rig.edges[0]), rig.Find(0, 0),
+                          Clk_Now(&rig.clk));
+        rig.RunFor(300);
+        /* The last worker still serves. */
+        Caller *caller = rig.Call(1, CallText(1));
+        rig.RunFor(100);
+        EXPECT_EQ(caller->Status(), 200) << caller->text;
+        rig.RunFor(600);
+        caller =
+            is_relayed
+                ? rig.Relay(1, CallText(2, "Lavenderspool-Relayed: 0\r\n"))
+                : rig.Call(1, CallText(2));
+        rig.RunFor(200);
+        EXPECT_EQ(caller->Status(), 503) << caller->text;
+        EXPECT_EQ(rig.CountRuns("id-2"), 0);
+        /* Without a VM that repeats it, the word lapses. */
+        memset(&rig.Find(0, 0)->notice, 0, sizeof(NoticeState));
+        rig.RunFor(2600);
+        caller = rig.Call(1, CallText(3));
+        rig.RunFor(200);
+        EXPECT_EQ(caller->Status(), 200) << caller->text;
+    }
+}
+
+/* What can't be read of a VM's word is ignored, and the request is served. */
+TEST(CutOffVm, OddWordsAreIgnored)
+{
+    CutFleet rig(once, 1);
+    char hash[24];
+    g_snprintf(hash, sizeof(hash), "%016" G_GINT64_MODIFIER "x",
+               rig.Find(0, 0)->hash);
+    std::vector<std::string> words = {";",
+                                      ";;;",
+                                      "; l",
+                                      ";zz l 5",
+                                      ";" + std::string(hash),
+                                      std::string(900, ';'),
+                                      ";1234567890123456789012 l 9",
+                                      ";0000000000000001 l 9"};
+    for (const char *more :
+         {" ", " l", " l ", " l x", " l 1e400", " l nan", " p -5", " x 5",
+          " r nan 0", " r inf 0", " r -1 0", " r 5 -1", " r 1e-400 0",
+          " l 99999999999999999999", " p 99999999999999999999",
+          " r 5 99999999999999999999"}) {
+        words.push_back(std::string(";") + hash + more);
+    }
+    for (size_t i = 0; i < words.size(); i++) {
+        SCOPED_TRACE(words[i]);
+        Caller *caller =
+            rig.Relay(0, CallText((int)i, "Lavenderspool-Relayed: 0" +
+                                              words[i] + "\r\n"));
+        rig.RunFor(60);
+        EXPECT_EQ(caller->Status(), 200) << caller->text;
+    }
+    EXPECT_FALSE(Notice_IsPaused(&rig.Find(0, 0)->notice, Clk_Now(&rig.clk)));
+    EXPECT_FALSE(Throttle_IsLimited(&rig.Find(0, 0)->throttle));
+}
+
 } // namespace
