Gate: refused callers come back later the longer a burst has lasted

Cause: a refused stream was told to come back after 1.5 to 3.5 s, however long first tries had lacked room. Callers come back once: in a burst of 12 s most of them met the same burst again and were refused for good.

Change: while first tries lack capacity (decide/precedence) the time for which they have is added to Retry-After, as a burst is expected to last as long again as it has. The cut at a third of the caller's time left holds. The arrivals' own spread keeps them from coming back together.

--- a/src/decide/precedence.c
+++ b/src/decide/precedence.c
@@ -18,6 +18,12 @@
     precedence->timely = decay * precedence->timely + 1;
     precedence->lacking = decay * precedence->lacking + lacks_capacity;
     precedence->noted_us = now_us;
+    if (Precedence_MayBeLate(precedence, now_us)) {
+        precedence->lack_since_us = 0;
+    }
+    else if (precedence->lack_since_us == 0) {
+        precedence->lack_since_us = now_us;
+    }
 }
 
 int64_t
@@ -37,6 +43,15 @@
     return get_lack(precedence, now_us) < PRECEDENCE_LACK_MAX;
 }
 
+int64_t
+Precedence_GetLackTime(const Precedence *precedence, int64_t now_us)
+{
+    return precedence->lack_since_us == 0 ||
+                   Precedence_MayBeLate(precedence, now_us)
+               ? 0
+               : now_us - precedence->lack_since_us;
+}
+
 /* Returns the share of the recent timely requests that lack capacity. */
 static double
 get_lack(const Precedence *precedence, int64_t now_us)
--- a/src/decide/precedence.h
+++ b/src/decide/precedence.h
@@ -10,7 +10,12 @@
    timely requests lack capacity, late ones get only what these can't use. As
    soon as timely requests are served again, late ones are served like them.
    How many lack capacity is measured over a short time, as it changes with the
-   load within a second. */
+   load within a second.
+
+   Callers come back once. In a burst that has lasted for some seconds, those
+   who come back soon are refused for good. A burst is expected to last for as
+   long again as it has, so refused callers are told to come back later by that
+   time. */
 #ifndef LS_PRECEDENCE_H
 #define LS_PRECEDENCE_H
 
@@ -31,6 +36,7 @@
     double timely;  /* Recent ones. */
     double lacking; /* Those of them that found no capacity. */
     int64_t noted_us;
+    int64_t lack_since_us; /* When the lack began; 0 if there is none. */
 } Precedence;
 
 /* Notes a request that can meet its objective, and whether it found no
@@ -43,5 +49,7 @@
                                 int64_t now_us);
 /* Whether a late request may take a place that has become free. */
 bool Precedence_MayBeLate(const Precedence *precedence, int64_t now_us);
+/* Returns the time for which capacity has been lacking, microseconds. */
+int64_t Precedence_GetLackTime(const Precedence *precedence, int64_t now_us);
 
 #endif
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -195,6 +195,11 @@
                                : "all workers are leaving",
                   sizeof(task->cause));
     }
+    if (cause == ADMISSION_FULL) {
+        wait_ms =
+            Precedence_GetLackTime(Task_GetPrecedence(task), Task_Now(task)) /
+            CLK_US_PER_MS;
+    }
     if (cause == ADMISSION_NO_CONFIG) {
         code = LS_ERR_NOT_READY;
     }
--- a/tests/test_decide_precedence.cc
+++ b/tests/test_decide_precedence.cc
@@ -208,4 +208,24 @@
     }
 }
 
+TEST(Precedence, LackLastsUntilRequestsFindCapacity)
+{
+    Precedence precedence = {};
+    int64_t now = second;
+    EXPECT_EQ(Precedence_GetLackTime(&precedence, now), 0);
+    for (; now < 6 * second; now += 50 * ms) {
+        Precedence_NoteTimely(&precedence, true, now);
+    }
+    EXPECT_NEAR((double)Precedence_GetLackTime(&precedence, now), 5e6, 1e5);
+    for (; now < 8 * second; now += 50 * ms) {
+        Precedence_NoteTimely(&precedence, false, now);
+    }
+    EXPECT_EQ(Precedence_GetLackTime(&precedence, now), 0);
+    Precedence_NoteTimely(&precedence, true, now);
+    for (int i = 0; i < 5; i++) {
+        Precedence_NoteTimely(&precedence, true, now);
+    }
+    EXPECT_LE(Precedence_GetLackTime(&precedence, now + second / 10), second);
+}
+
 } // namespace
--- a/tests/test_gate_streams.cc
+++ b/tests/test_gate_streams.cc
@@ -529,6 +529,35 @@
     EXPECT_EQ(back->Status(), 200);
 }
 
+/* The longer a burst has lasted, the later refused callers come back, up to
+   what they honour. */
+TEST(GateStreams, RefusedCallersReturnLaterInALongBurst)
+{
+    GateRig rig;
+    rig.SetRoute({RTE_STREAM, 1, false, 14000, 900}, true);
+    Worker *worker = rig.AddWorker({}, FLEET_PHASE_DECODE);
+    worker->refusals = 100000;
+    double first_s = 0;
+    double last_s = 0;
+    for (int i = 0; i < 70; i++) {
+        rig.Call(Request(
+            "POST", "X-Token-Usage: 1000,100\r\nX-Deadline-Ms: 14000\r\n"));
+        int64_t end_us = Clk_Now(&rig.clk) + 70 * CLK_US_PER_MS;
+        rig.Until([&] { return Clk_Now(&rig.clk) >= end_us; });
+    }
+    for (auto &caller : rig.callers) {
+        size_t at = caller->text.find("Retry-After: ");
+        if (at != std::string::npos) {
+            last_s = atof(caller->text.c_str() + at + 13);
+            first_s = first_s == 0 ? last_s : first_s;
+        }
+    }
+    EXPECT_GE(first_s, 1.5);
+    EXPECT_LE(first_s, 4.5);
+    EXPECT_GE(last_s, 4.5);
+    EXPECT_LE(last_s, 14.0 / 3);
+}
+
 /* Streams of a large fleet that break while the retry budget is spent: it is
    there again shortly after. */
 TEST(GateStreams, BegunStreamWaitsForRetryBudget)
