Gate: a stream that would be late leaves its room in a burst

Change: while a tenth or more of the first tries lack room, a stream for which nothing has been done yet is refused if the time that it has waited and the estimated time to its first event exceed the objective.

Test, red before (served in a burst, too): GateStreams.StreamThatWouldBeLateLeavesRoomInABurst.

--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -33,6 +33,8 @@
 static void take_over(GateTask *task);
 static void note_timely(const GateTask *task);
 static bool may_take_room(const GateTask *task);
+static bool may_begin_late(const GateTask *task, int64_t expected_us);
+static void refuse_late(GateTask *task);
 static bool is_new(const GateTask *task);
 static const char *get_wait_cause(GateTask *task);
 static bool has_call_budget(GateTask *task);
@@ -267,9 +269,7 @@
                            Reservation_HasCandidate(task);
         note_timely(task);
         if (!may_take_room(task)) {
-            g_strlcpy(task->cause, "capacity is left to requests in time",
-                      sizeof(task->cause));
-            Task_Abort(task, ADMISSION_FULL, LS_ERR_UPSTREAM_FAILED);
+            refuse_late(task);
             return;
         }
         if (decode_worker == NULL) {
@@ -292,6 +292,10 @@
         Reservation_HasHandle(task) || task->assigned.worker->is_vm
             ? NULL
             : Reservation_ChoosePrefillWorker(task, &remote_prefill_cost_us);
+    if (!may_begin_late(task, MIN(run_cost_us, remote_prefill_cost_us))) {
+        refuse_late(task);
+        return;
+    }
     if (prefill_worker != NULL && remote_prefill_cost_us < run_cost_us) {
         task->current->expected_us = remote_prefill_cost_us;
         StreamPrepare_BeginPrefill(task, prefill_worker);
@@ -320,6 +324,27 @@
            Precedence_MayBeLate(Task_GetPrecedence(task), Task_Now(task));
 }
 
+/* Whether the task may begin now, though its first event may be late: it is
+   expected after the given time. */
+static bool
+may_begin_late(const GateTask *task, int64_t expected_us)
+{
+    int64_t now_us = Task_Now(task);
+    int64_t slo_us = (int64_t)task->route->slo_ms * CLK_US_PER_MS;
+
+    return slo_us == 0 || task->is_retry || !is_new(task) ||
+           now_us + expected_us - task->began_us <= slo_us ||
+           Precedence_MayBeLate(Task_GetPrecedence(task), now_us);
+}
+
+static void
+refuse_late(GateTask *task)
+{
+    g_strlcpy(task->cause, "capacity is left to requests in time",
+              sizeof(task->cause));
+    Task_Abort(task, ADMISSION_FULL, LS_ERR_UPSTREAM_FAILED);
+}
+
 /* Whether nothing has been done for the request yet. */
 static bool
 is_new(const GateTask *task)
--- a/tests/test_gate_streams.cc
+++ b/tests/test_gate_streams.cc
@@ -529,6 +529,41 @@
     EXPECT_EQ(back->Status(), 200);
 }
 
+/* Prompts of other VMs are yet to be read at the only worker, so that the
+   first event of a new stream is late. In a burst it leaves the room to
+   others; on a calm day it is served. */
+TEST(GateStreams, StreamThatWouldBeLateLeavesRoomInABurst)
+{
+    for (bool is_burst : {false, true}) {
+        SCOPED_TRACE(is_burst ? "burst" : "calm");
+        GateRig rig;
+        rig.SetRoute({RTE_STREAM, 1, false, 14000, 900}, true);
+        auto script = std::make_shared<std::deque<ScriptedReply>>();
+        script->push_back(Stream(0, 1));
+        script->push_back(Stream(0, 1));
+        Worker *worker = rig.AddWorkerWithScript(script, FLEET_PHASE_DECODE);
+        const std::string request = Request(
+            "POST", "X-Token-Usage: 1000,100\r\nX-Deadline-Ms: 14000\r\n");
+        worker->refusals = is_burst ? 100000 : 0;
+        for (int i = 0; i < 12 && is_burst; i++) {
+            rig.Call(request);
+            int64_t end_us = Clk_Now(&rig.clk) + 30 * CLK_US_PER_MS;
+            rig.Until([&] { return Clk_Now(&rig.clk) >= end_us; });
+        }
+        worker->refusals = 0;
+        rig.last_worker->full_until_us = 0;
+        rig.last_worker->peer_prefill_tokens = 100000;
+        Caller *late = rig.Call(request);
+        ASSERT_TRUE(rig.Until([&] { return late->IsComplete(); }));
+        EXPECT_EQ(late->Status(), is_burst ? 503 : 200);
+        if (is_burst) {
+            EXPECT_NE(late->text.find("not_run"), std::string::npos);
+            EXPECT_NE(late->text.find("in time"), std::string::npos);
+        }
+        rig.last_worker->peer_prefill_tokens = 0;
+    }
+}
+
 /* The longer a burst has lasted, the later refused callers come back, up to
    what they honour. */
 TEST(GateStreams, RefusedCallersReturnLaterInALongBurst)
