--- a/tests/test_gate_streams.cc
+++ b/tests/test_gate_streams.cc
@@ -488,6 +488,111 @@
     EXPECT_GE(early, count / 2 * 0.7);
 }
 
+/* A burst: streams in time find no room. A caller that comes back, and is late
+   by then, doesn't take what becomes free, until those in time are served. */
+TEST(GateStreams, LateCallerLeavesRoomToThoseInTime)
+{
+    GateRig rig;
+    Route route = {RTE_STREAM, 1, false, 14000, 900};
+    rig.SetRoute(route, true);
+    auto script = std::make_shared<std::deque<ScriptedReply>>();
+    for (int i = 0; i < 20; i++) {
+        script->push_back(Stream(0, 1));
+    }
+    Worker *worker = rig.AddWorkerWithScript(script, FLEET_PHASE_DECODE);
+    auto call = [&rig](const char *left_ms) {
+        return rig.Call(Request("POST", std::string("X-Token-Usage: 1000,100"
+                                                    "\r\nX-Deadline-Ms: ") +
+                                            left_ms + "\r\n"));
+    };
+    auto run = [&rig](int64_t time_us) {
+        int64_t end_us = Clk_Now(&rig.clk) + time_us;
+        rig.Until([&] { return Clk_Now(&rig.clk) >= end_us; });
+    };
+    worker->refusals = 100000;
+    for (int i = 0; i < 12; i++) {
+        call("14000");
+        run(30 * CLK_US_PER_MS);
+    }
+    worker->refusals = 0;
+    Caller *late = call("11000");
+    ASSERT_TRUE(rig.Until([&] { return late->IsComplete(); }));
+    EXPECT_EQ(late->Status(), 503);
+    EXPECT_NE(late->text.find("Retry-After: "), std::string::npos);
+    EXPECT_NE(late->text.find("not_run"), std::string::npos);
+    Caller *timely = call("14000");
+    ASSERT_TRUE(rig.Until([&] { return timely->IsComplete(); }));
+    EXPECT_EQ(timely->Status(), 200);
+    run(2 * CLK_US_PER_S);
+    Caller *back = call("11000");
+    ASSERT_TRUE(rig.Until([&] { return back->IsComplete(); }));
+    EXPECT_EQ(back->Status(), 200);
+}
+
+/* Prompts of other VMs are yet to be read at the only worker, so that the
+   first event of a new stream is late. In a burst it leaves the room to
+   others; on a calm day it is served. */
+TEST(GateStreams, StreamThatWouldBeLateLeavesRoomInABurst)
+{
+    for (bool is_burst : {false, true}) {
+        SCOPED_TRACE(is_burst ? "burst" : "calm");
+        GateRig rig;
+        rig.SetRoute({RTE_STREAM, 1, false, 14000, 900}, true);
+        auto script = std::make_shared<std::deque<ScriptedReply>>();
+        script->push_back(Stream(0, 1));
+        script->push_back(Stream(0, 1));
+        Worker *worker = rig.AddWorkerWithScript(script, FLEET_PHASE_DECODE);
+        const std::string request = Request(
+            "POST", "X-Token-Usage: 1000,100\r\nX-Deadline-Ms: 14000\r\n");
+        worker->refusals = is_burst ? 100000 : 0;
+        for (int i = 0; i < 12 && is_burst; i++) {
+            rig.Call(request);
+            int64_t end_us = Clk_Now(&rig.clk) + 30 * CLK_US_PER_MS;
+            rig.Until([&] { return Clk_Now(&rig.clk) >= end_us; });
+        }
+        worker->refusals = 0;
+        rig.last_worker->full_until_us = 0;
+        rig.last_worker->peer_prefill_tokens = 100000;
+        Caller *late = rig.Call(request);
+        ASSERT_TRUE(rig.Until([&] { return late->IsComplete(); }));
+        EXPECT_EQ(late->Status(), is_burst ? 503 : 200);
+        if (is_burst) {
+            EXPECT_NE(late->text.find("not_run"), std::string::npos);
+            EXPECT_NE(late->text.find("in time"), std::string::npos);
+        }
+        rig.last_worker->peer_prefill_tokens = 0;
+    }
+}
+
+/* The longer a burst has lasted, the later refused callers come back, up to
+   what they honour. */
+TEST(GateStreams, RefusedCallersReturnLaterInALongBurst)
+{
+    GateRig rig;
+    rig.SetRoute({RTE_STREAM, 1, false, 14000, 900}, true);
+    Worker *worker = rig.AddWorker({}, FLEET_PHASE_DECODE);
+    worker->refusals = 100000;
+    double first_s = 0;
+    double last_s = 0;
+    for (int i = 0; i < 70; i++) {
+        rig.Call(Request(
+            "POST", "X-Token-Usage: 1000,100\r\nX-Deadline-Ms: 14000\r\n"));
+        int64_t end_us = Clk_Now(&rig.clk) + 70 * CLK_US_PER_MS;
+        rig.Until([&] { return Clk_Now(&rig.clk) >= end_us; });
+    }
+    for (auto &caller : rig.callers) {
+        size_t at = caller->text.find("Retry-After: ");
+        if (at != std::string::npos) {
+            last_s = atof(caller->text.c_str() + at + 13);
+            first_s = first_s == 0 ? last_s : first_s;
+        }
+    }
+    EXPECT_GE(first_s, 1.5);
+    EXPECT_LE(first_s, 4.5);
+    EXPECT_GE(last_s, 4.5);
+    EXPECT_LE(last_s, 14.0 / 3);
+}
+
 /* Streams of a large fleet that break while the retry budget is spent: it is
    there again shortly after. */
 TEST(GateStreams, BegunStreamWaitsForRetryBudget)
