Log: where a stream began

A VM that is lost logs no end of its streams, so that the version which began a resumed stream could not be told from the logs. stream_begun names it, with the worker, at the first event.

--- a/src/gate/stream_resume.c
+++ b/src/gate/stream_resume.c
@@ -200,4 +200,13 @@
     task->version = origin.version;
     Origins_Set(&gate->origins, &origin, true, Task_Now(task));
     gate->options.on_load_change(gate->options.context);
+    /* A lost VM logs no end of its streams. */
+    Log_WriteJson(
+        LOG_LEVEL_INFO, "stream_begun",
+        json_pack("{s:s,s:s,s:s,s:s,s:s}", "request", task->request.id,
+                  "resumes",
+                  task->request.resumes != NULL ? task->request.resumes : "",
+                  "service", task->service->name, "worker",
+                  task->current->worker->entry.id, "version",
+                  Fleet_GetVersionName(gate->options.fleet, origin.version)));
 }
