Streams: a refused connection uses up no try

After a crash of many workers these look idle, as no VM counts a call there, and a stream meets one after the other. Six of them used up its list of excluded workers, and it then waited a poll for each further one until its time was over: "no worker is reachable", though sound workers were there.

A connection that was refused has run nothing. The worker is kept from the calls of this VM for the shortest block instead, so that also a service without any sound worker is called at intervals, and the stream goes on to the next worker at once. A stream that finds blocked workers only does not lack room, and holds no new stream back.

Room.StreamGoesOnBesideManyWorkersThatCrashedTogether was red before (new stream, 40 crashed workers: no answer within 500 ms).

--- a/src/gate/reservation.c
+++ b/src/gate/reservation.c
@@ -105,6 +105,16 @@
                              NULL, &cost_us) != NULL;
 }
 
+bool
+Reservation_LacksRoom(GateTask *task)
+{
+    int64_t cost_us = 0;
+    const FleetWorker *best = Task_ChooseWorker(
+        task, FLEET_PHASE_DECODE, get_available_cost, NULL, &cost_us);
+
+    return best != NULL && !Health_IsBlocked(&best->health, Task_Now(task));
+}
+
 FleetWorker *
 Reservation_ChoosePrefillWorker(GateTask *task, int64_t *cost_us)
 {
--- a/src/gate/reservation.h
+++ b/src/gate/reservation.h
@@ -24,6 +24,9 @@
 /* Whether any decode worker can run the request, now or once it has free
    memory. */
 bool Reservation_HasCandidate(GateTask *task);
+/* Whether a worker that responds could run the request once it has free
+   memory, after no worker can run it now. */
+bool Reservation_LacksRoom(GateTask *task);
 /* Returns the prefill worker with the lowest cost for decoding at the assigned
    worker, or NULL if none is usable or all are blocked. Stores the cost of
    prefill and KV transfer in *cost_us if there is a usable one. */
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -261,7 +261,7 @@
         FleetWorker *decode_worker =
             Reservation_ChooseDecodeWorker(task, &run_cost_us);
         task->lacks_room = decode_worker == NULL && task->silent == NULL &&
-                           Reservation_HasCandidate(task);
+                           Reservation_LacksRoom(task);
         if (decode_worker == NULL) {
             TaskWait_BeginWait(task, get_wait_cause(task));
             return;
@@ -552,6 +552,7 @@
     Task_NoteFailure(task, outcome, run,
                      cut_inside_event ? "stream ended inside an event"
                                       : Task_GetCause(current, outcome, run));
+    StreamPrepare_NoteOutcome(task, outcome);
     Blame_NoteBreak(task, outcome, run);
     if (run == LS_RUN_NOT_RUN && outcome == CLIENT_COMPLETE &&
         current->stage == TASK_DECODE && task->kv.worker != NULL) {
@@ -597,9 +598,10 @@
 Stream_RetryOrEnd(GateTask *task, LsRun run, bool has_answer)
 {
     bool is_worker_failed =
-        run != LS_RUN_NOT_RUN || task->current->worker->is_vm ||
-        !task->current->has_reply || task->current->reply.misdirected ||
-        task->current->stage == TASK_PREFILL;
+        !task->current->is_unsent &&
+        (run != LS_RUN_NOT_RUN || task->current->worker->is_vm ||
+         !task->current->has_reply || task->current->reply.misdirected ||
+         task->current->stage == TASK_PREFILL);
     RetryInput input;
 
     if (task->silent != NULL && has_next_event(task, &task->silent->sse)) {
--- a/src/gate/stream_prepare.c
+++ b/src/gate/stream_prepare.c
@@ -27,6 +27,7 @@
 #define STREAM_SLOWNESS_MIN 0.5
 #define STREAM_SLOWNESS_MAX 8.0
 
+static void avoid_unreachable(TaskCall *call);
 static void on_reserve_end(void *context, ClientOutcome outcome);
 static void on_prefill_end(void *context, ClientOutcome outcome);
 
@@ -70,6 +71,18 @@
     task->current->worker->full_until_us = Task_Now(task) + HANDOVER_AGAIN_US;
 }
 
+void
+StreamPrepare_NoteOutcome(GateTask *task, ClientOutcome outcome)
+{
+    TaskCall *current = task->current;
+
+    if (outcome == CLIENT_NOT_SENT && !current->worker->is_vm) {
+        current->is_unsent = true;
+        task->sends--;
+        avoid_unreachable(current);
+    }
+}
+
 void
 StreamPrepare_BeginPrefill(GateTask *task, FleetWorker *worker)
 {
@@ -105,6 +118,14 @@
     call->worker->slowness += STREAM_SLOWNESS_WEIGHT * (ratio - slowness);
 }
 
+/* Keeps requests away from a worker that can't be reached, also if there is no
+   other one. */
+static void
+avoid_unreachable(TaskCall *call)
+{
+    call->worker->full_until_us = Task_Now(call->task) + HEALTH_BLOCK_MIN_US;
+}
+
 static void
 on_reserve_end(void *context, ClientOutcome outcome)
 {
@@ -133,7 +154,10 @@
     else if (!granted) {
         current->reply.misdirected = status == 421;
         Task_NoteFailure(task, outcome, LS_RUN_NOT_RUN, "reservation failed");
-        if (Stream_HasBegun(task)) {
+        if (outcome == CLIENT_NOT_SENT) {
+            avoid_unreachable(current);
+        }
+        else if (Stream_HasBegun(task)) {
             StreamPrepare_AvoidWorker(task);
         }
         else {
@@ -167,6 +191,7 @@
                                (const char *)current->body->data,
                                current->body->len, kv->handle)) {
         Task_NoteFailure(task, outcome, LS_RUN_NOT_RUN, "prefill failed");
+        StreamPrepare_NoteOutcome(task, outcome);
         Blame_NoteBreak(task, outcome,
                         outcome == CLIENT_NOT_SENT ? LS_RUN_NOT_RUN
                                                    : LS_RUN_UNKNOWN);
--- a/src/gate/stream_prepare.h
+++ b/src/gate/stream_prepare.h
@@ -13,6 +13,9 @@
 void StreamPrepare_BeginReserve(GateTask *task);
 /* Keeps requests away from a worker that did not grant a reservation. */
 void StreamPrepare_AvoidWorker(GateTask *task);
+/* Takes note of a prefill or run that has ended. One that reached no worker
+   uses up no try: many workers may have crashed together. */
+void StreamPrepare_NoteOutcome(GateTask *task, ClientOutcome outcome);
 /* Lets the prefill worker read the prompt. */
 void StreamPrepare_BeginPrefill(GateTask *task, FleetWorker *worker);
 /* Updates the worker's slowness from the duration of a prefill. */
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -57,7 +57,8 @@
     bool truncated;         /* The body was longer than the limit. */
     /* When the call began, or when its last event with an ID came. */
     int64_t progress_us;
-    bool is_quiet; /* Its worker was found to be silent. */
+    bool is_quiet;  /* Its worker was found to be silent. */
+    bool is_unsent; /* It reached no worker, which is kept from calls. */
     /* Valid beyond the call's end. */
     Sse sse;               /* Splits a stream. */
     ClientFraming framing; /* Of the answer. */
--- a/tests/test_gate_room.cc
+++ b/tests/test_gate_room.cc
@@ -140,4 +140,60 @@
     EXPECT_FALSE(begun->IsComplete());
 }
 
+struct CrashCase {
+    const char *name;
+    bool is_begun;
+};
+
+const CrashCase crash_cases[] = {
+    {"new stream", false},
+    {"resumed stream", true},
+};
+
+/* Many workers have crashed together. They look idle, and no VM has called
+   them since. A refused connection uses up no try of the stream. */
+TEST(Room, StreamGoesOnBesideManyWorkersThatCrashedTogether)
+{
+    for (const CrashCase &row : crash_cases) {
+        SCOPED_TRACE(row.name);
+        FleetRig rig(resumable, 1, 0);
+        const size_t crashed = 40;
+        rig.restart_ms = 60000;
+        for (size_t i = 0; i <= crashed; i++) {
+            rig.versions.push_back("v1");
+            rig.AddWorker({Stream(0, 9)});
+        }
+        rig.workers[0]->kept_parts = {"b1"};
+        rig.AddLoad(0, 4);
+        for (size_t i = 1; i <= crashed; i++) {
+            rig.workers[i]->Crash();
+        }
+        const Caller *caller = rig.Call(
+            0, row.is_begun ? Resumption("id-1") : Prompt("id-1", 15000));
+        rig.RunFor(500);
+        EXPECT_EQ(caller->Status(), 200) << caller->text;
+        EXPECT_TRUE(caller->IsComplete());
+    }
+}
+
+/* No worker accepts a connection. None is called again at once. */
+TEST(Room, StreamCallsWorkersThatCrashedAtIntervals)
+{
+    FleetRig rig(resumable, 1, 0);
+    rig.restart_ms = 60000;
+    for (size_t i = 0; i < 10; i++) {
+        rig.versions.push_back("v1");
+        rig.AddWorker({});
+        rig.workers[i]->kept_parts = {"b1"};
+    }
+    for (size_t i = 0; i < 10; i++) {
+        rig.workers[i]->Crash();
+    }
+    uint64_t before = Met_Get(MET_CALLS_FAILED);
+    const Caller *caller = rig.Call(0, Prompt("id-1", 15000));
+    rig.RunFor(1500);
+    EXPECT_EQ(caller->Status(), 503) << caller->text;
+    EXPECT_LE(Met_Get(MET_CALLS_FAILED) - before, 10u * 5);
+}
+
 } // namespace
