Reservation: a begun stream uses memory that is kept free for growth

Resumed streams waited for room for 3 s beside 94 workers of their version and were told "no capacity". Few of these workers had refused them (no_room: 0 to 12 of 94): the VM itself did not ask, as each worker has memory for three and a half usual answers kept free, so that streams which grow longer than expected are not preempted. New streams pay for that with a later start, those that were begun with the rest of their answer.

A begun stream now leaves one usual answer free.

Room.BegunStreamUsesMemoryThatIsKeptFreeForGrowth was red before (resumed stream, 40,000 of 60,000 tokens in use: still waiting after 500 ms).

--- a/src/gate/reservation.c
+++ b/src/gate/reservation.c
@@ -15,6 +15,9 @@
    a worker's streams differ from what is expected by about as much in sum: if
    they are short, nearly all memory can be used. */
 #define RESERVATION_MARGIN_ANSWERS 3.5
+/* The same for a stream that was begun: only workers of its version can go on
+   with it, and its caller leaves after some seconds. */
+#define RESERVATION_MARGIN_BEGUN_ANSWERS 1
 /* Share of the expected answer that a reservation covers. Without it, streams
    outgrow the worker's memory and one is preempted. With the whole answer, the
    memory of every seventh stream stays unused (docs/design/007). */
@@ -147,12 +150,15 @@
                    const RankWorker *rank, const void *context)
 {
     bool is_prefilled = task->kv.handle[0] != '\0';
+    double margin_answers = task->last_event == GATE_NO_EVENT
+                                ? RESERVATION_MARGIN_ANSWERS
+                                : RESERVATION_MARGIN_BEGUN_ANSWERS;
 
     if (Task_Now(task) < worker->full_until_us ||
         (!is_prefilled && Begun_IsHeld(context, worker)) ||
         (!is_prefilled && rank->kv_capacity_tokens > 0 && rank->has_kv_load &&
          (double)rank->kv_peak_tokens +
-                 RESERVATION_MARGIN_ANSWERS * task->gate->mean_answer_tokens >
+                 margin_answers * task->gate->mean_answer_tokens >
              (double)rank->kv_capacity_tokens)) {
         return RANK_UNUSABLE_US;
     }
--- a/tests/test_gate_room.cc
+++ b/tests/test_gate_room.cc
@@ -140,6 +140,45 @@
     EXPECT_FALSE(begun->IsComplete());
 }
 
+struct MarginCase {
+    const char *name;
+    bool is_begun;
+    uint32_t used_tokens; /* Of the worker's 60,000. */
+    int status;           /* 0: it still waits. */
+};
+
+const MarginCase margin_cases[] = {
+    {"new stream, worker half empty", false, 15000, 200},
+    {"new stream, too little for its growth and that of others", false, 40000,
+     0},
+    {"resumed stream, the same", true, 40000, 200},
+    {"resumed stream, worker full", true, 55000, 0},
+};
+
+/* Memory is kept free for running streams whose answers are longer than
+   expected. New streams don't use it; one that was begun does. */
+TEST(Room, BegunStreamUsesMemoryThatIsKeptFreeForGrowth)
+{
+    for (const MarginCase &row : margin_cases) {
+        SCOPED_TRACE(row.name);
+        FleetRig rig(patient, 1, 0);
+        rig.versions = {"v1"};
+        rig.AddWorker({Stream(row.is_begun ? 3 : 0, 9)});
+        rig.workers[0]->kept_parts = {"b1"};
+        auto *worker = (FleetWorker *)g_ptr_array_index(
+            Edge_GetFleet(rig.edges[0])->rows, 0);
+        Forecast used = Forecast_OfPrompt(row.used_tokens);
+        Forecast_Add(&worker->kv, &used);
+        std::string request =
+            row.is_begun ? Resumption("id-1") : Prompt("id-1", 15000);
+        size_t at = request.find("1000,100");
+        request.replace(at, 8, "2000,8000");
+        const Caller *caller = rig.Call(0, request);
+        rig.RunFor(500);
+        EXPECT_EQ(caller->Status(), row.status) << caller->text;
+    }
+}
+
 struct CrashCase {
     const char *name;
     bool is_begun;
