Survey: new prompts wait until the old ones are named

The later a stream had begun, the likelier its prompt was still named (of one worker those from 29.1 s on were, those until 27.6 s not, loss at 29.8 s): each new prompt replaces the oldest one, and by then each worker had read two or three.

A VM that has just started now lets new streams wait until the workers that it asks have answered for the first time, for half of the latency objective at most. It is no change for VMs that ask no worker: in a large fleet only the hubs' own callers wait.

Ruled out: asking sooner. VMs that start together know each other some 0.3 s later, and until then each would ask all workers. Workers that had left or changed their phase: all were listed as decode workers.

ResumedAtSize.NewPromptsWaitUntilOldOnesAreNamed was red before (the new prompt was sent first). The other two tests bound the wait.

--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -10,6 +10,7 @@
 #include "stream_prepare.h"
 #include "stream_resume.h"
 #include "successor.h"
+#include "survey.h"
 #include "task_wait.h"
 
 #include "../log.h"
@@ -22,6 +23,8 @@
 #define STREAM_ONCE_IDLE_MAX_MS 0
 /* Weight of a new sample in the moving means of memory and event interval. */
 #define STREAM_MEAN_WEIGHT 0.05
+/* Time between looks at the first survey of the workers. */
+#define STREAM_SURVEY_POLL_US (20 * CLK_US_PER_MS)
 /* Used until an event interval is known. */
 #define STREAM_DEFAULT_EVENT_INTERVAL_US 30000
 
@@ -31,6 +34,7 @@
 static HandoverLimits get_limits(const GateTask *task);
 static void expect_progress(GateTask *task);
 static void take_over(GateTask *task);
+static bool must_wait_for_survey(const GateTask *task);
 static const char *get_wait_cause(GateTask *task);
 static bool has_call_budget(GateTask *task);
 static void begin_run(GateTask *task);
@@ -254,6 +258,12 @@
     if (task->version == 0 && task->last_event != GATE_NO_EVENT) {
         StreamResume_Recall(task);
     }
+    if (must_wait_for_survey(task)) {
+        task->waiting = true;
+        task->step_deadline_us = Task_Now(task) + STREAM_SURVEY_POLL_US;
+        Task_SetTimer(task);
+        return;
+    }
     if (task->kv.handle[0] != '\0' && !Reservation_HasHandle(task)) {
         Reservation_ReleaseHandle(task, true);
     }
@@ -291,6 +301,20 @@
     begin_run(task);
 }
 
+/* Whether the prompt of a new stream would replace those that the workers keep
+   from before this VM started, and have not named yet. */
+static bool
+must_wait_for_survey(const GateTask *task)
+{
+    int64_t waited_us = Task_Now(task) - task->began_us;
+    int64_t slo_us = (int64_t)task->route->slo_ms * CLK_US_PER_MS;
+
+    return task->last_event == GATE_NO_EVENT && task->sends == 0 &&
+           task->silent == NULL && !task->is_relayed &&
+           waited_us < slo_us / 2 &&
+           Survey_IsFirst(task->gate, task->service->name);
+}
+
 /* Returns why no worker can run the request now. */
 static const char *
 get_wait_cause(GateTask *task)
--- a/src/gate/survey.c
+++ b/src/gate/survey.c
@@ -26,6 +26,7 @@
     uint32_t asked; /* Calls that were queued. */
     uint32_t answered;
     uint32_t dropped; /* Parts beyond SURVEY_PARTS_MAX. */
+    bool is_first;    /* The last one is the first one. */
     bool has_ended;   /* All answers to one survey at least are known. */
 } Survey;
 
@@ -118,6 +119,23 @@
     Loop_ArmTimer(surveys->timer, SURVEY_TICK_MS);
 }
 
+bool
+Survey_IsFirst(const Gate *gate, const char *service)
+{
+    const Survey *survey = NULL;
+
+    if (gate->surveys->is_waiting) {
+        return true;
+    }
+    LIST_FOREACH(survey, &gate->surveys->list, links)
+    {
+        if (strcmp(survey->service, service) == 0) {
+            return survey->is_first && is_running(survey);
+        }
+    }
+    return false;
+}
+
 ResumptionSurvey
 Survey_Find(Gate *gate, const char *service, uint64_t part, int64_t since_us,
             SurveyPart *kept)
@@ -264,6 +282,7 @@
         survey->kept_us = now_us;
         survey->has_ended = false;
     }
+    survey->is_first = survey->began_us == 0;
     survey->began_us = now_us;
     survey->answered = 0;
     survey->dropped = 0;
--- a/src/gate/survey.h
+++ b/src/gate/survey.h
@@ -42,6 +42,9 @@
    VMs share them, as this VM has just started: what they keep from before is
    replaced soon. */
 void Survey_BeginAll(Gate *gate);
+/* Whether the own workers have not yet answered for the first time since this
+   VM started. */
+bool Survey_IsFirst(const Gate *gate, const char *service);
 /* Returns what the own workers told of the prompt that ends with this part,
    and begins a survey if none was made since `since_us`; 0: any one counts.
    Stores who keeps the prompt in *kept if only one version does. To
--- a/tests/test_gate_resumed_at_size.cc
+++ b/tests/test_gate_resumed_at_size.cc
@@ -174,4 +174,58 @@
     }
 }
 
+/* The workers keep prompts from before the VM started. A new one would replace
+   them. */
+TEST(ResumedAtSize, NewPromptsWaitUntilOldOnesAreNamed)
+{
+    FleetRig rig({RTE_STREAM, 3, true, 15000, 900}, 1, 0);
+    rig.versions = {"v1"};
+    rig.AddWorker({Stream(0, 9)});
+    rig.workers[0]->kept_parts = {"aa", Part(0)};
+    CompleteSweep(rig.edges[0]);
+    const Caller *fresh = rig.Call(0, Prompt("id-1", Part(1)));
+    int64_t end_us = Clk_Now(&rig.clk) + CLK_US_PER_S;
+    while (rig.workers[0]->requests.empty() && Clk_Now(&rig.clk) < end_us) {
+        rig.RunFor(2);
+    }
+    EXPECT_EQ(rig.workers[0]->lists, 1);
+    EXPECT_EQ(rig.workers[0]->changes, 1);
+    rig.RunFor(200);
+    EXPECT_EQ(fresh->Status(), 200) << fresh->text;
+}
+
+/* A worker that says nothing holds new streams up for a part of their latency
+   objective only. */
+TEST(ResumedAtSize, NewPromptsDoNotWaitForASilentWorker)
+{
+    FleetRig rig({RTE_STREAM, 3, true, 15000, 900}, 1, 0);
+    rig.versions = {"v1", "v1"};
+    rig.AddWorker({Stream(0, 9)});
+    rig.AddWorker({});
+    rig.workers[1]->is_silent = true;
+    rig.AddLoad(1, 6);
+    CompleteSweep(rig.edges[0]);
+    const Caller *fresh = rig.Call(0, Prompt("id-1", Part(1)));
+    rig.RunFor(600);
+    EXPECT_EQ(fresh->Status(), 200) << fresh->text;
+}
+
+/* Later questions, for a resumption, hold no new stream up. */
+TEST(ResumedAtSize, NewPromptsDoNotWaitForLaterQuestions)
+{
+    FleetRig rig({RTE_STREAM, 3, true, 15000, 900}, 1, 0);
+    rig.versions = {"v1", "v2"};
+    rig.AddWorker({Stream(0, 9)});
+    rig.AddWorker({});
+    CompleteSweep(rig.edges[0]);
+    rig.RunFor(600);
+    rig.workers[1]->is_silent = true;
+    rig.AddLoad(1, 6);
+    rig.Call(0, Resumption("id-0", Part(0)));
+    rig.RunFor(100);
+    const Caller *fresh = rig.Call(0, Prompt("id-1", Part(1)));
+    rig.RunFor(100);
+    EXPECT_EQ(fresh->Status(), 200) << fresh->text;
+}
+
 } // namespace
