Streams: a resumed stream waits for the retry budget

VMs that have just started have little retry budget. When callers resume all streams within a tenth of a second, prefill workers refuse some of them as full; the second refusal needs budget, and the stream was refused at once ("prefill failed", or "retry budget spent"). A stream that broke within one answer waits for the budget. One that was begun with an earlier request has as much to lose, and now waits, too, as long as its caller does.

Room.ResumedStreamWaitsForRetryBudget was red before: 503 at once.

--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -642,9 +642,10 @@
     input = Task_GetRetryInput(task, run);
     input.repeatable = task->route->can_resume;
     input.has_answer = has_answer && !Stream_HasBegun(task);
-    /* A stream that has begun waits for the budget, as for a worker. */
-    input.has_budget = task->streaming || task->silent != NULL ||
-                       task->counted_calls == 0 ||
+    /* A stream that has begun, also with an earlier request, waits for the
+       budget, as for a worker. */
+    input.has_budget = task->last_event != GATE_NO_EVENT || task->streaming ||
+                       task->silent != NULL || task->counted_calls == 0 ||
                        Task_HasBudget(task, task->prefilled ? 2 : 1);
     /* A worker that is full at present counts, as the task can wait. A stream
        that has begun also waits for one that starts. */
--- a/tests/test_gate_room.cc
+++ b/tests/test_gate_room.cc
@@ -179,6 +179,28 @@
     }
 }
 
+/* VMs that have just started have little retry budget, as they know little of
+   what was used before. */
+TEST(Room, ResumedStreamWaitsForRetryBudget)
+{
+    FleetRig rig(resumable, 1, 0);
+    BudgetOptions budget = Budget_DefaultOptions();
+    auto script = std::vector<ScriptedReply>{Refusal(), Stream(3, 9)};
+    rig.versions = {"v1"};
+    rig.AddWorker(script);
+    rig.workers[0]->kept_parts = {"b1"};
+    budget.ratio = 0;
+    budget.slack = 0;
+    Edge_SetBudget(rig.edges[0], &budget);
+    const Caller *again = rig.Call(0, Resumption("id-1"));
+    rig.RunFor(600);
+    EXPECT_EQ(again->Status(), 0) << again->text;
+    budget.ratio = 50;
+    Edge_SetBudget(rig.edges[0], &budget);
+    rig.RunFor(300);
+    EXPECT_EQ(again->Status(), 200) << again->text;
+}
+
 struct CrashCase {
     const char *name;
     bool is_begun;
