lavenderspoold: a shutdown answers what it ends

Cause: check_shutdown() counted the unfinished work in the log and left. Change: Ctl_EndAll() answers it: 201 with "not run" or "unknown" for completions and service calls, 302 for operations, also those that wait for another VM. The exit code stays 75. By simulated clock: CompletionTest.ShutdownAnswersWhatItEnds, Operation.ShutdownAnswersWhatItEnds (calls of this VM and of another one's key); they use the new function, so they could not run before.

--- a/src/control.c
+++ b/src/control.c
@@ -101,6 +101,15 @@
     Ctl_RunLocal(board);
 }
 
+void
+Ctl_EndAll(Board *board)
+{
+    Req_EndAll(board);
+    Svc_EndAll(board);
+    Op_EndAll(board);
+    Ctl_RunLocal(board);
+}
+
 bool
 Ctl_IsIdle(const Board *board)
 {
--- a/src/control.h
+++ b/src/control.h
@@ -21,6 +21,8 @@
 /* Begins a graceful shutdown: new work is refused, and this VM stops being the
    home of its cells, which move to other VMs. */
 void Ctl_Stop(Board *board);
+/* Answers what is still in progress, as the process can't wait for it. */
+void Ctl_EndAll(Board *board);
 /* Returns whether no completion, service call or operation is in progress and
    no reservation waits on this VM. */
 bool Ctl_IsIdle(const Board *board);
--- a/src/node.c
+++ b/src/node.c
@@ -21,6 +21,10 @@
 /* Time that a shutdown waits once nothing is in progress, in which queued
    frames and answers are still sent. */
 #define NODE_EXIT_DELAY_US (500 * CLK_US_PER_MS)
+/* Time before the end of a shutdown at which the remaining work is ended, so
+   that its answers arrive and the process is gone by then; at most a quarter
+   of the shutdown's time. */
+#define NODE_ANSWER_US CLK_US_PER_S
 
 struct Node {
     SetSettings settings;
@@ -35,6 +39,8 @@
     int64_t stop_begun_us; /* Start of the shutdown; 0 before it. */
     /* When the shutdown found nothing in progress; 0 otherwise. */
     int64_t idle_since_us;
+    int64_t exit_us; /* Once the remaining work is ended: when the process
+                        exits, whoever has not read the answer; else 0. */
 };
 
 static void send_frame(void *context, const char *vm,
@@ -202,6 +208,24 @@
     return ERR_EXIT_UNFINISHED;
 }
 
+/* Returns the time that the last answers get at the end of a shutdown. */
+static int64_t
+get_answer_time(const Node *node)
+{
+    return MIN(NODE_ANSWER_US, node->settings.shutdown_s * CLK_US_PER_S / 4);
+}
+
+/* Answers what is still in progress, and returns the exit code. */
+static int
+end_remaining(Node *node, int64_t now)
+{
+    int exit_code = log_unfinished_work(node);
+
+    Ctl_EndAll(node->board);
+    node->exit_us = now + get_answer_time(node) * 3 / 4;
+    return exit_code;
+}
+
 /* Begins a shutdown that was requested. Returns whether the process can exit,
    and sets *exit_code if requests are unfinished. */
 static bool
@@ -217,9 +241,13 @@
         Log_Write(LOG_LEVEL_INFO, "stopping", NULL);
         Ctl_Stop(node->board);
     }
-    if (node->stop_requests > 1 ||
-        now - node->stop_begun_us > node->settings.shutdown_s * CLK_US_PER_S) {
-        *exit_code = log_unfinished_work(node);
+    if (node->exit_us == 0 &&
+        (node->stop_requests > 1 ||
+         now - node->stop_begun_us + get_answer_time(node) >
+             node->settings.shutdown_s * CLK_US_PER_S)) {
+        *exit_code = end_remaining(node, now);
+    }
+    if (node->exit_us != 0 && now >= node->exit_us) {
         return true;
     }
     if (!Ctl_IsIdle(node->board) || Web_CountCallers(node->web) > 0) {
--- a/src/operation.c
+++ b/src/operation.c
@@ -350,7 +350,7 @@
 
 /* Ends running operations whose answers did not arrive by the deadline. */
 static void
-expire_running(Board *board, int64_t now)
+expire_running(Board *board, int64_t now, const char *message)
 {
     OpItem *item = TAILQ_FIRST(&board->op->sent);
     LsError err;
@@ -361,7 +361,7 @@
             Board_EndCall(board, item->call);
             item->state = OP_UNKNOWN;
             end_running(board->op, item);
-            set_unknown(&err, "the service did not answer in time");
+            set_unknown(&err, message);
             answer_all(board, item, &err);
         }
         item = next;
@@ -376,7 +376,7 @@
 
     fail_remotes(board, NULL, now,
                  "the VM that issued the key did not answer in time");
-    expire_running(board, now);
+    expire_running(board, now, "the service did not answer in time");
     while (item != NULL && now - item->issued_us > OP_KEY_LIFETIME_US) {
         OpItem *next = TAILQ_NEXT(item, link);
         if (item->state != OP_SENT) {
@@ -386,6 +386,13 @@
     }
 }
 
+void
+Op_EndAll(Board *board)
+{
+    expire_running(board, INT64_MAX, "the VM stopped before the answer");
+    fail_remotes(board, NULL, INT64_MAX, "the VM stopped before the answer");
+}
+
 guint
 Op_CountRunning(const Op *op)
 {
--- a/src/operation.h
+++ b/src/operation.h
@@ -48,6 +48,8 @@
 void Op_OnLinkDown(Board *board, const char *vm);
 /* Answers calls past their deadlines and removes expired keys. */
 void Op_OnTick(Board *board);
+/* Answers all calls in progress, as the process ends. */
+void Op_EndAll(Board *board);
 /* Number of operations sent to a service and not yet answered. */
 guint Op_CountRunning(const Op *op);
 
--- a/src/request.c
+++ b/src/request.c
@@ -405,6 +405,19 @@
     }
 }
 
+void
+Req_EndAll(Board *board)
+{
+    AttCompletion *item;
+
+    while ((item = TAILQ_FIRST(&board->req->items)) != NULL) {
+        Att_Cancel(board, item);
+        send_release(board, item, PLC_OUTCOME_CANCELLED, "");
+        refuse_item(board, item, LS_ERR_SHUTTING_DOWN, REQ_RETRY_AFTER_MS,
+                    "the VM stopped before the answer was complete");
+    }
+}
+
 guint
 Req_Count(const Req *req)
 {
--- a/src/request.h
+++ b/src/request.h
@@ -60,6 +60,8 @@
 /* Ends a complete answer: answers the caller, releases the grant and frees
    the completion. */
 void Req_Finish(Board *board, AttCompletion *item);
+/* Answers all completions in progress, as the process ends. */
+void Req_EndAll(Board *board);
 /* Number of completions in progress. */
 guint Req_Count(const Req *req);
 
--- a/src/service.c
+++ b/src/service.c
@@ -119,6 +119,22 @@
     }
 }
 
+void
+Svc_EndAll(Board *board)
+{
+    SvcItem *item;
+    LsError err;
+
+    while ((item = TAILQ_FIRST(&board->svc->items)) != NULL) {
+        Board_EndCall(board, item->call);
+        Err_Set(&err, LS_ERR_SHUTTING_DOWN, LS_RUN_UNKNOWN,
+                "the VM stopped before the worker answered");
+        err.retry_after_ms = SVC_RETRY_AFTER_MS;
+        Board_AnswerError(board, item->caller, NULL, &err);
+        free_item(board, item);
+    }
+}
+
 guint
 Svc_Count(const Svc *svc)
 {
--- a/src/service.h
+++ b/src/service.h
@@ -32,6 +32,8 @@
 void Svc_Cancel(Board *board, uint64_t caller);
 /* Fails attempts that timed out. */
 void Svc_OnTick(Board *board);
+/* Answers all calls in progress, as the process ends. */
+void Svc_EndAll(Board *board);
 /* Number of calls in progress. */
 guint Svc_Count(const Svc *svc);
 /* Chooses a worker of the service in the customer's regions by round robin,
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -245,6 +245,37 @@
 wait "$pid"
 check "the process exits with 0" "^0$" "$?"
 
+echo "--- ${SECONDS}s: shutdowns that can't wait"
+# Keeps calls of three kinds at work and signals their VM.
+cut_short() { # vm, signals, name
+    local vm=$1 signals=$2 pid begun=$SECONDS k
+    pid=$(eval "echo \$VM_PID_$vm")
+    complete "$vm" 8000 true >"$WORK/cut-stream" &
+    local stream_pid=$!
+    complete "$vm" 8000 false >"$WORK/cut-whole" &
+    local whole_pid=$!
+    sleep 1
+    for ((k = 0; k < signals; k++)); do
+        kill -TERM "$pid"
+        sleep 0.2
+    done
+    wait "$stream_pid"
+    check "$3: a streamed answer ends with an error" \
+        '"number":201.*"run":"unknown"' "$(tail -n 3 "$WORK/cut-stream")"
+    wait "$whole_pid"
+    check "$3: an unstreamed answer is an error" \
+        '"number":201.*"run":"unknown"' "$(cat "$WORK/cut-whole")"
+    wait "$pid"
+    check "$3: the process exits with 75" "^75$" "$?"
+    check "$3: the process is gone in time" "^[0-4]$" "$((SECONDS - begun))"
+}
+start_vm "$entry" --shutdown-s 3
+wait_ready "$entry"
+cut_short "$entry" 1 "end of the shutdown's time"
+start_vm "$entry"
+wait_ready "$entry"
+cut_short "$entry" 2 "second signal"
+
 check "no sanitizer report in the daemons' logs" "^0$" "$(cat "$WORK"/vm-*.log |
     grep -cE 'Sanitizer|runtime error')"
 if [ "$FAILED" -ne 0 ]; then
--- a/tests/test_completion.cc
+++ b/tests/test_completion.cc
@@ -363,6 +363,29 @@
     EXPECT_STREQ(Rig_FindViolation(rig_, true), nullptr);
 }
 
+// What a shutdown can't wait for gets an answer: "not run", or "unknown" if an
+// engine may have begun it.
+TEST_F(CompletionTest, ShutdownAnswersWhatItEnds)
+{
+    RigCaller *running =
+        Rig_SendCompletion(rig_, entry_, Prompt(1).c_str(), 2000);
+    Rig_Run(rig_, 2 * kSecond);
+    RigCaller *begun = Rig_SendCompletion(rig_, entry_, Prompt(2).c_str(), 5);
+    Rig_StopVm(rig_, entry_);
+    Ctl_EndAll(Rig_GetBoard(rig_, entry_));
+    EXPECT_EQ(running->final_answers, 1);
+    EXPECT_EQ(running->err.code, LS_ERR_SHUTTING_DOWN);
+    EXPECT_EQ(running->err.run, LS_RUN_UNKNOWN);
+    EXPECT_EQ(begun->final_answers, 1);
+    EXPECT_EQ(begun->err.code, LS_ERR_SHUTTING_DOWN);
+    EXPECT_EQ(begun->err.run, LS_RUN_NOT_RUN);
+    EXPECT_TRUE(Ctl_IsIdle(Rig_GetBoard(rig_, entry_)));
+    Rig_Run(rig_, 10 * kSecond);
+    EXPECT_EQ(running->final_answers, 1);
+    EXPECT_EQ(Rig_CountHeld(rig_), 0U);
+    EXPECT_STREQ(Rig_FindViolation(rig_, true), nullptr);
+}
+
 // A prompt that is too long for its target even on idle engines is served
 // late, because every retry of it would be refused otherwise.
 TEST_F(CompletionTest, LongPromptIsServed)
--- a/tests/test_operation.cc
+++ b/tests/test_operation.cc
@@ -113,6 +113,33 @@
     }
 }
 
+// A call of this VM, and one that waits for another VM, get an answer when the
+// shutdown can't wait for them; neither runs again.
+TEST(Operation, ShutdownAnswersWhatItEnds)
+{
+    for (int issuer : {0, 1}) {
+        SCOPED_TRACE(issuer);
+        RigOptions options = Rig_DefaultOptions();
+        Rig *rig = Rig_New(&options);
+        char *key = Rig_IssueKey(rig, issuer);
+        Rig_SetBookingFault(rig, RIG_FAULT_SILENT);
+        RigCaller *caller = Rig_SendOperation(rig, 1, key, "{\"lens\":1}");
+        Rig_Run(rig, 200 * kMs);
+        Rig_StopVm(rig, 1);
+        EXPECT_EQ(caller->final_answers, 0);
+        Ctl_EndAll(Rig_GetBoard(rig, 1));
+        EXPECT_EQ(GetOutcome(caller), kUnknown);
+        EXPECT_EQ(caller->err.code, LS_ERR_OPERATION_UNKNOWN);
+        EXPECT_TRUE(Ctl_IsIdle(Rig_GetBoard(rig, 1)));
+        Rig_Run(rig, 60 * kSecond);
+        EXPECT_EQ(caller->final_answers, 1);
+        EXPECT_LE(Rig_CountRuns(rig, key), 1U);
+        EXPECT_STREQ(Rig_FindViolation(rig, true), nullptr);
+        g_free(key);
+        Rig_Free(rig);
+    }
+}
+
 TEST(Operation, ConcurrentCallsWithOneKeyRunOnce)
 {
     RigOptions options = Rig_DefaultOptions();
