Configuration: an upstream's address is checked

What was seen: of 21 odd addresses of an upstream (ports 70000, 65536, 0, -1, "+80", "80x", beyond 64 bits, bad IPs, "user@IP") 19 were taken without an error; each call to such an upstream failed later. Cause: any text with a colon was an address. Change: "IP:port" or "[IPv6]:port", port 1 to 65535; else error 401 with part, entry and field. As for other fields, the version is refused and the one in force stays. OddManifestsAreRefusedAndTheListIsFollowed, 18 manifests: none was red.

--- a/src/configuration.c
+++ b/src/configuration.c
@@ -1,5 +1,6 @@
 #include "configuration.h"
 
+#include <arpa/inet.h>
 #include <jansson.h>
 #include <string.h>
 
@@ -499,6 +500,28 @@
     g_ptr_array_add(members, upstream);
 }
 
+/* Whether the text is "IP:port" or "[IPv6]:port". */
+static bool
+is_address(const char *text)
+{
+    const char *colon = strrchr(text, ':');
+    size_t size = colon != NULL ? (size_t)(colon - text) : 0;
+    bool is_ipv6 = text[0] == '[' && size > 1 && text[size - 1] == ']';
+    struct in6_addr binary;
+    guint64 port;
+    char *ip;
+    bool is_ip;
+
+    if (colon == NULL || !g_ascii_string_to_unsigned(
+                             colon + 1, 10, 1, UINT16_MAX, &port, NULL)) {
+        return false;
+    }
+    ip = is_ipv6 ? g_strndup(text + 1, size - 2) : g_strndup(text, size);
+    is_ip = inet_pton(is_ipv6 ? AF_INET6 : AF_INET, ip, &binary) == 1;
+    g_free(ip);
+    return is_ip;
+}
+
 static bool
 read_upstream(const ItemContext *context, const json_t *item,
               ConConfig *config)
@@ -515,9 +538,10 @@
         !read_role(context, item, upstream)) {
         return false;
     }
-    if (address == NULL || strchr(address, ':') == NULL ||
-        strlen(address) >= CON_ADDRESS_MAX) {
-        return refuse_field(context, "address", "needs \"IP:port\"");
+    if (address == NULL || strlen(address) >= CON_ADDRESS_MAX ||
+        !is_address(address)) {
+        return refuse_field(context, "address",
+                            "needs \"IP:port\", or \"[IP]:port\" for IPv6");
     }
     g_strlcpy(upstream->address, address, CON_ADDRESS_MAX);
     if (state != NULL && strcmp(state, "active") != 0 &&
--- a/tests/test_config.cc
+++ b/tests/test_config.cc
@@ -235,4 +235,211 @@
     wire__frame__free_unpacked(snapshot, nullptr);
 }
 
+std::string
+Upstream(const std::string &field, const std::string &value)
+{
+    const std::pair<const char *, const char *> fields[] = {
+        {"id", "\"e1\""},
+        {"serves", "\"m\""},
+        {"zone", "\"z\""},
+        {"region", "\"r\""},
+        {"role", "\"both\""},
+        {"address", "\"127.0.0.1:80\""},
+        {"slots", "8"},
+        {"memory_blocks", "100"},
+        {"block_tokens", "16"},
+        {"prefill_tokens_per_s", "1000"},
+        {"token_interval_us", "20000"},
+        {"link_bytes_per_s", "1e9"},
+    };
+    std::string entry;
+    bool is_known = false;
+    for (const auto &row : fields) {
+        is_known = is_known || field == row.first;
+        entry += std::string(entry.empty() ? "{" : ",") + "\"" + row.first +
+                 "\":" + (field == row.first ? value : row.second);
+    }
+    return entry +
+           (is_known || field.empty() ? "" : ",\"" + field + "\":" + value) +
+           "}";
+}
+
+std::string
+Nested(int depth)
+{
+    return std::string((size_t)depth, '[') + std::string((size_t)depth, ']');
+}
+
+struct OddCase {
+    const char *name;
+    std::string entry;
+    int number;          // Of the error; 0: the entry is taken.
+    const char *message; // Part of it.
+};
+
+std::vector<OddCase>
+MakeOddCases()
+{
+    std::string long_name = "\"" + std::string(156, 'x') + "\"";
+    std::vector<OddCase> rows = {
+        {"sound", Upstream("", ""), 0, ""},
+        {"nested 2,000 deep", Nested(2000), 401, "upstreams[0]"},
+        {"nested 200,000 deep", Nested(200000), 400, "p: line 1"},
+        {"nested in a field, 2,000", Upstream("slots", Nested(2000)), 401,
+         "upstreams[0].slots"},
+        {"nested in a field, 200,000", Upstream("slots", Nested(200000)), 400,
+         "p: line 1"},
+        {"nested in an unknown field", Upstream("x", Nested(2000)), 0, ""},
+        {"beyond 64 bits", Upstream("slots", "99999999999999999999"), 400,
+         "too big integer"},
+        {"slots 2^32", Upstream("slots", "4294967296"), 401,
+         "upstreams[0].slots"},
+        {"slots 2^32 + 8", Upstream("slots", "4294967304"), 401,
+         "upstreams[0].slots"},
+        {"slots 2^63 - 1", Upstream("slots", "9223372036854775807"), 401,
+         "upstreams[0].slots"},
+        {"slots 1e400", Upstream("slots", "1e400"), 400, "overflow"},
+        {"slots -1", Upstream("slots", "-1"), 401, "upstreams[0].slots"},
+        {"slots 0", Upstream("slots", "0"), 401, "upstreams[0].slots"},
+        {"link 1e308", Upstream("link_bytes_per_s", "1e308"), 401,
+         "upstreams[0].link_bytes_per_s"},
+        {"empty entry", "{}", 401, "upstreams[0].id"},
+        {"not an object", "7", 401, "upstreams[0]"},
+        {"null", "null", 401, "upstreams[0]"},
+        {"bytes that can't be read", "\"\xff\xfe\"", 400, "p: line 1"},
+        {"a NUL in a name", Upstream("id", "\"a\\u0000b\""), 400, "p: line 1"},
+        {"empty name", Upstream("id", "\"\""), 401, "upstreams[0].id"},
+        {"long name", Upstream("id", long_name), 401, "upstreams[0].id"},
+        {"long service", Upstream("serves", long_name), 401,
+         "upstreams[0].serves"},
+        {"name with spaces", Upstream("id", "\"a b\""), 401,
+         "upstreams[0].id"},
+        {"unknown model", Upstream("serves", "\"none\""), 401, "none"},
+        {"unknown role", Upstream("role", "\"x\""), 401, "upstreams[0].role"},
+        {"unknown state", Upstream("state", "\"x\""), 401,
+         "upstreams[0].state"},
+        {"twice", Upstream("", "") + "," + Upstream("", ""), 401,
+         "upstreams[1].id"},
+    };
+    for (const char *address : {"127.0.0.1:70000",
+                                "127.0.0.1:65536",
+                                "127.0.0.1:0",
+                                "127.0.0.1:-1",
+                                "127.0.0.1:+80",
+                                "127.0.0.1:80x",
+                                "127.0.0.1:",
+                                "127.0.0.1:99999999999999999999",
+                                "127.0.0.1: 80",
+                                "127.0.0.1",
+                                "999.1.1.1:80",
+                                "1.2.3:80",
+                                ":80",
+                                "",
+                                " 127.0.0.1:80",
+                                "127.0.0.1:80/x",
+                                "u@127.0.0.1:80",
+                                "::1:80",
+                                "[::1:80",
+                                "[]:80",
+                                "[127.0.0.1]:80"}) {
+        rows.push_back(
+            {address, Upstream("address", "\"" + std::string(address) + "\""),
+             401, "upstreams[0].address"});
+    }
+    for (const char *address : {"127.0.0.1:1", "10.0.0.1:65535", "[::1]:80"}) {
+        rows.push_back(
+            {address, Upstream("address", "\"" + std::string(address) + "\""),
+             0, ""});
+    }
+    return rows;
+}
+
+// Whatever an entry of the upstream list holds, the version in force stays,
+// the error names the entry, and the next version is read.
+TEST(Config, OddUpstreamIsRefusedAndTheListIsFollowed)
+{
+    int version = 1;
+    ConfigReader vm;
+    vm.Answer(Manifest(version, kPart), version);
+    vm.Answer(kPart, version);
+    for (const OddCase &row : MakeOddCases()) {
+        SCOPED_TRACE(row.name);
+        uint64_t before = vm.Version();
+        std::string part = std::string(kPart, sizeof(kPart) - 2) +
+                           ",\"upstreams\":[" + row.entry + "]}";
+        GPtrArray *parts =
+            g_ptr_array_new_with_free_func((GDestroyNotify)Con_FreePart);
+        LsError err = {};
+        version++;
+        g_ptr_array_add(parts, Con_NewPart("p", part.data(), part.size()));
+        std::string manifest = Manifest(version, part);
+        ConConfig *config =
+            Con_LoadConfig(manifest.data(), manifest.size(), parts, &err);
+        EXPECT_EQ(config != nullptr, row.number == 0);
+        EXPECT_EQ((int)err.code, row.number);
+        EXPECT_NE(std::string(err.message).find(row.message),
+                  std::string::npos)
+            << err.message;
+        Con_UnloadConfig(config);
+        g_ptr_array_unref(parts);
+        vm.Advance(2 * kSecond);
+        ASSERT_EQ(vm.calls.size(), 1u);
+        vm.Answer(manifest, version);
+        ASSERT_EQ(vm.calls.size(), 1u);
+        vm.Answer(part, version);
+        EXPECT_EQ(vm.Version(), row.number == 0 ? (uint64_t)version : before);
+        EXPECT_EQ(std::string(Cfg_GetLastError(vm.cfg)), err.message);
+        version++;
+        vm.Advance(2 * kSecond);
+        vm.Answer(Manifest(version, kPart), version);
+        if (!vm.calls.empty()) {
+            vm.Answer(kPart, version); // It isn't the part in force.
+        }
+        EXPECT_EQ(vm.Version(), (uint64_t)version);
+    }
+}
+
+// The same for manifests and for answers of the configuration service.
+TEST(Config, OddManifestsAreRefusedAndTheListIsFollowed)
+{
+    const std::string manifests[] = {
+        "",
+        "7",
+        "[]",
+        "{}",
+        Nested(2000),
+        Nested(200000),
+        "{\"version\":0,\"parts\":[]}",
+        "{\"version\":-1,\"parts\":[]}",
+        "{\"version\":1e400,\"parts\":[]}",
+        "{\"version\":99999999999999999999,\"parts\":[]}",
+        "{\"version\":\"9\",\"parts\":[]}",
+        "{\"version\":9,\"parts\":7}",
+        "{\"version\":9,\"parts\":[7]}",
+        "{\"version\":9,\"parts\":[{}]}",
+        "{\"version\":9,\"parts\":[" + Nested(2000) + "]}",
+        "{\"version\":9,\"parts\":[{\"name\":\"p\",\"sha256\":\"x\"}]}",
+        "\xff\xfe",
+        "{\"version\":9"};
+    ConfigReader vm;
+    int version = 10;
+    vm.Answer(Manifest(version, kPart), version);
+    vm.Answer(kPart, version);
+    for (const std::string &manifest : manifests) {
+        SCOPED_TRACE(manifest.substr(0, 60));
+        vm.Advance(2 * kSecond);
+        ASSERT_EQ(vm.calls.size(), 1u);
+        vm.Answer(manifest, version);
+        EXPECT_EQ(vm.Version(), (uint64_t)version);
+        vm.Advance(2 * kSecond);
+        ASSERT_EQ(vm.calls.size(), 1u);
+        version++;
+        vm.Answer(Manifest(version, kPart), version);
+        if (!vm.calls.empty()) {
+            vm.Answer(kPart, version); // It isn't the part in force.
+        }
+        EXPECT_EQ(vm.Version(), (uint64_t)version);
+    }
+}
+
 } // namespace
