--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -28,6 +28,7 @@
 static void on_timer(evutil_socket_t fd, short what, void *context);
 static void on_table_timer(evutil_socket_t fd, short what, void *context);
 static void handle_message(Gos *gos, const Gossip__News *news);
+static void note_mentioned(Gos *gos, const Gossip__News *news);
 static void note_unknown(Peer *peer, const Gossip__News *news);
 static void set_reach(GatePeer *row, const Peer *peer, uint64_t service);
 static void store_reaches(Gos *gos, Peer *peer, const Gossip__News *news);
@@ -364,24 +365,7 @@
     peer->suspect_until_us = 0;
     note_unknown(peer, news);
     Peers_NoteFleetSize(&gos->peers, news->vms);
-    for (size_t i = 0; i < news->n_peers; i++) {
-        Peer *mentioned = news->peers[i] != gos->address
-                              ? Peers_GetOrAdd(&gos->peers, news->peers[i])
-                              : NULL;
-        if (mentioned != NULL) {
-            mentioned->mentioned_us = now_us;
-        }
-    }
-    for (size_t i = 0; i < news->n_hubs; i++) {
-        const Gossip__Hub *hub = news->hubs[i];
-        Peer *candidate =
-            Peers_NoteCandidate(&gos->peers, hub->address, hub->region,
-                                hub->capacity, hub->age_ms);
-        if (candidate != NULL && hub->serves_told != 0) {
-            Peers_NoteServes(candidate, hub->serves_told - 1,
-                             now_us - (int64_t)hub->age_ms * CLK_US_PER_MS);
-        }
-    }
+    note_mentioned(gos, news);
     peer->watches = news->watches;
     Peers_NoteServes(peer, Gos_DecodeServes(news), now_us);
     peer->is_stopping = news->stopping;
@@ -409,6 +393,32 @@
     check_versions(gos, news);
 }
 
+/* Notes the other VMs that a message names. */
+static void
+note_mentioned(Gos *gos, const Gossip__News *news)
+{
+    int64_t now_us = Clk_Now(gos->options.clk);
+
+    for (size_t i = 0; i < news->n_peers; i++) {
+        Peer *mentioned = news->peers[i] != gos->address
+                              ? Peers_GetOrAdd(&gos->peers, news->peers[i])
+                              : NULL;
+        if (mentioned != NULL) {
+            mentioned->mentioned_us = now_us;
+        }
+    }
+    for (size_t i = 0; i < news->n_hubs; i++) {
+        const Gossip__Hub *hub = news->hubs[i];
+        Peer *candidate =
+            Peers_NoteCandidate(&gos->peers, hub->address, hub->region,
+                                hub->capacity, hub->age_ms);
+        if (candidate != NULL && hub->serves_told != 0) {
+            Peers_NoteServes(candidate, hub->serves_told - 1,
+                             now_us - (int64_t)hub->age_ms * CLK_US_PER_MS);
+        }
+    }
+}
+
 /* Counts a message with content that this build doesn't know, which is
    ignored; logged once for each start of the sender. */
 static void
