--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -376,7 +376,9 @@
     peer->watches = news->watches;
     peer->is_stopping = news->stopping;
     peer->cut_count = (uint32_t)MIN(news->n_cut, PEERS_CUT_MAX);
-    memcpy(peer->cut, news->cut, peer->cut_count * sizeof(*peer->cut));
+    for (uint32_t i = 0; i < peer->cut_count; i++) {
+        peer->cut[i] = news->cut[i];
+    }
     store_reaches(gos, peer, news);
     if (Gos_MergeSuspects(gos, news)) {
         gos->options.on_suspects_change(gos->options.context);
