Reservation: pauses have a price where a decode worker reads the prompt, and none in the choice of that worker

A worker that ran a few streams so cost up to 400 ms more than an idle one of another zone or region. Change: the price is weighed only against a prefill worker, at the decode worker that was chosen. Test: GateStreams.PausesHaveNoPriceWhereThePromptIsNotRead, red before (went to the other zone).

--- a/src/gate/reservation.c
+++ b/src/gate/reservation.c
@@ -92,7 +92,8 @@
 int64_t
 Reservation_GetRunCost(const GateTask *task)
 {
-    return Task_GetCost(task, task->assigned.worker, get_run_cost, NULL);
+    return Task_GetCost(task, task->assigned.worker, get_run_cost, NULL) +
+           Reservation_GetPauseCost(task);
 }
 
 int64_t
@@ -191,8 +192,7 @@
                                                    worker->entry.zone)) +
                (task->kv.worker != NULL ? 0 : RESERVATION_FETCH_US);
     }
-    return Rank_GetLocalPrefillCost(weights, rank, unread_tokens) +
-           get_pause_cost(task, worker, rank, context);
+    return Rank_GetLocalPrefillCost(weights, rank, unread_tokens);
 }
 
 /* Returns the price of the pauses that the run causes at a worker. */
--- a/tests/test_gate_streams.cc
+++ b/tests/test_gate_streams.cc
@@ -363,6 +363,26 @@
     EXPECT_EQ(prefill->requests.size(), 1u);
 }
 
+/* A prefill worker reads the prompt, so that no stream pauses at the decode
+   worker: a remote one is no better for running fewer. */
+TEST(GateStreams, PausesHaveNoPriceWhereThePromptIsNotRead)
+{
+    GateRig rig;
+    rig.SetRoute(resumable, true);
+    Worker *prefill = rig.AddWorker({PrefillReply()}, FLEET_PHASE_PREFILL);
+    Worker *near = rig.AddWorker({Stream(0, 2)}, FLEET_PHASE_DECODE);
+    rig.last_worker->peer_inflight = 1;
+    Worker *remote = rig.AddWorker({Stream(0, 2)}, FLEET_PHASE_DECODE);
+    g_strlcpy(rig.last_worker->entry.zone, "zone-b",
+              sizeof(rig.last_worker->entry.zone));
+    Caller *caller = rig.Call(Request("POST", "X-Token-Usage: 9000,100\r\n"));
+    ASSERT_TRUE(rig.UntilEnd(caller));
+    EXPECT_EQ(caller->Status(), 200);
+    EXPECT_EQ(prefill->requests.size(), 1u);
+    EXPECT_EQ(near->requests.size(), 1u);
+    EXPECT_TRUE(remote->requests.empty());
+}
+
 /* News about a worker that runs a stream: it is only silent elsewhere, or
    wants no new work. What it runs goes on, and runs nowhere else. */
 struct NewsCase {
