Precedence: one request without capacity shows no lack, and an old lack is over

At a VM with few requests one first try that found no room counted as a lack of half of them for some 0.66 s, in which each late caller was refused, room or not. And the time since when capacity lacks was cleared only by a request that found some: with one lack now and one an hour later, the second was told to come back after a third of its caller's time, as for a burst of an hour. A resumed stream was told so, too, though new streams lack room for another reason. Change: a lack needs more than one recent request; before a request is noted, a lack whose share has fallen meanwhile ends; the time is added for new requests only.

--- a/src/decide/precedence.c
+++ b/src/decide/precedence.c
@@ -4,6 +4,8 @@
 #include <math.h>
 
 /* A single request that lacks capacity doesn't show a lack. */
+#define PRECEDENCE_LACKING_MIN 1.0
+/* Keeps the share low while few requests are known. */
 #define PRECEDENCE_PRIOR 1.0
 
 static double get_lack(const Precedence *precedence, int64_t now_us);
@@ -15,13 +17,14 @@
 {
     double decay = get_decay(precedence, now_us);
 
-    precedence->timely = decay * precedence->timely + 1;
-    precedence->lacking = decay * precedence->lacking + lacks_capacity;
-    precedence->noted_us = now_us;
     if (Precedence_MayBeLate(precedence, now_us)) {
         precedence->lack_since_us = 0;
     }
-    else if (precedence->lack_since_us == 0) {
+    precedence->timely = decay * precedence->timely + 1;
+    precedence->lacking = decay * precedence->lacking + lacks_capacity;
+    precedence->noted_us = now_us;
+    if (precedence->lack_since_us == 0 &&
+        !Precedence_MayBeLate(precedence, now_us)) {
         precedence->lack_since_us = now_us;
     }
 }
@@ -57,9 +60,11 @@
 get_lack(const Precedence *precedence, int64_t now_us)
 {
     double decay = get_decay(precedence, now_us);
+    double lacking = decay * precedence->lacking;
 
-    return decay * precedence->lacking /
-           (decay * precedence->timely + PRECEDENCE_PRIOR);
+    return lacking <= PRECEDENCE_LACKING_MIN
+               ? 0
+               : lacking / (decay * precedence->timely + PRECEDENCE_PRIOR);
 }
 
 static double
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -195,7 +195,7 @@
                                : "all workers are leaving",
                   sizeof(task->cause));
     }
-    if (cause == ADMISSION_FULL) {
+    if (cause == ADMISSION_FULL && task->last_event == GATE_NO_EVENT) {
         wait_ms =
             Precedence_GetLackTime(Task_GetPrecedence(task), Task_Now(task)) /
             CLK_US_PER_MS;
