Reservation: nothing is fetched from a worker that failed the request

A resumed stream ran at the worker that has read its prompt; the worker failed, and the next run named it as the source of the prompt. It may be gone or started anew with nothing in memory, and the worker that fetches is held responsible. Workers that are excluded are no source.

--- a/src/gate/reservation.c
+++ b/src/gate/reservation.c
@@ -149,6 +149,7 @@
             : NULL;
 
     return reader != NULL && Fleet_IsUsable(reader, now_us) &&
+                   !Task_IsExcluded(task, reader) &&
                    !Health_IsBlocked(&reader->health, now_us)
                ? reader
                : NULL;
--- a/tests/test_gate_resumed_at_size.cc
+++ b/tests/test_gate_resumed_at_size.cc
@@ -241,6 +241,33 @@
     }
 }
 
+/* The worker that has read the prompt fails during the run: it may have been
+   started again, and keeps nothing then. */
+TEST(ResumedAtSize, NothingIsFetchedFromAWorkerThatFailed)
+{
+    FleetRig rig(resumable, 1, 0);
+    rig.versions = {"v1", "v1", "v2"};
+    rig.AddWorker({{StreamHead("Transfer-Encoding: chunked\r\n") +
+                    Chunk(Events(3, 5))}});
+    rig.AddWorker({Stream(6, 9)});
+    rig.AddWorker({Stream(3, 9)});
+    for (auto &worker : rig.workers) {
+        worker->kept_parts = {"aa"};
+    }
+    rig.workers[0]->kept_parts = {"aa", Part(0)};
+    CompleteSweep(rig.edges[0]);
+    rig.RunFor(800);
+    Caller *again = rig.Call(0, Resumption("id-1", Part(0)));
+    rig.RunFor(100);
+    ASSERT_EQ(rig.workers[0]->requests.size(), 1u);
+    rig.workers[0]->CloseAll();
+    rig.RunFor(500);
+    EXPECT_TRUE(again->IsComplete());
+    ASSERT_EQ(rig.workers[1]->requests.size(), 1u);
+    EXPECT_EQ(rig.workers[1]->requests[0].find("Kv-Fetch: "),
+              std::string::npos);
+}
+
 /* The workers crashed, so that they keep nothing, and the VM that began the
    stream is gone. Any other VM finds the record. */
 TEST(ResumedAtSize, RecordIsFoundFromEachVmAfterWorkersCrashed)
