Notices: a leaving that other VMs tell of ends the wait of callers, too

Since a worker whose leaving is only told by other VMs gets nothing when its time is over, but the wait for workers took it for one that had asked for a pause without an end: a caller waited up to 2 s and was told that there is no capacity, though no worker takes requests.

--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -89,7 +89,7 @@
         }
         is_turned_away = true;
         *is_limited |= Throttle_IsLimited(&worker->throttle);
-        if (!worker->notice.leaving) {
+        if (!Notice_IsLeaving(&worker->notice, now_us)) {
             /* The pause is over if a trial is running. */
             int64_t end_us = MAX(worker->notice.paused_until_us, open_us);
             *until_us = *until_us == 0 ? end_us : MIN(*until_us, end_us);
--- a/tests/test_gate_notice.cc
+++ b/tests/test_gate_notice.cc
@@ -400,6 +400,21 @@
     }
 }
 
+/* Only other VMs have told that the last worker leaves, and its time is over:
+   no wait brings the caller a worker. */
+TEST(GateNotice, CallersAreRefusedAtOnceIfOthersSayThatAllWorkersLeave)
+{
+    GateRig rig;
+    rig.SetRoute(stream, true);
+    rig.AddWorker({Stream(0, 9)}, FLEET_PHASE_DECODE);
+    Notice_NoteTold(&rig.last_worker->notice, 0, Clk_Now(&rig.clk));
+    int64_t begin_us = Clk_Now(&rig.clk);
+    Caller *caller = rig.Call(Prompt());
+    ASSERT_TRUE(rig.UntilEnd(caller));
+    EXPECT_EQ(caller->Status(), 503);
+    EXPECT_LT(Clk_Now(&rig.clk) - begin_us, 100 * CLK_US_PER_MS);
+}
+
 /* A stream waits for a pause that ends in time. */
 TEST(GateNotice, StreamWaitsForTheEndOfAShortPause)
 {
