--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -7,6 +7,7 @@
 #include "blame.h"
 #include "detour.h"
 #include "reservation.h"
+#include "stream_precedence.h"
 #include "stream_prepare.h"
 #include "stream_resume.h"
 #include "successor.h"
@@ -34,11 +35,7 @@
 static HandoverLimits get_limits(const GateTask *task);
 static void expect_progress(GateTask *task);
 static void take_over(GateTask *task);
-static void note_timely(const GateTask *task);
-static bool may_take_room(const GateTask *task);
-static bool may_begin_late(const GateTask *task, int64_t expected_us);
 static void refuse_late(GateTask *task);
-static bool is_new(const GateTask *task);
 static bool must_wait_for_survey(const GateTask *task);
 static const char *get_wait_cause(GateTask *task);
 static bool has_call_budget(GateTask *task);
@@ -278,8 +275,8 @@
             Reservation_ChooseDecodeWorker(task, &run_cost_us);
         task->lacks_room = decode_worker == NULL && task->silent == NULL &&
                            Reservation_LacksRoom(task);
-        note_timely(task);
-        if (!may_take_room(task)) {
+        StreamPrecedence_NoteTimely(task);
+        if (!StreamPrecedence_MayTakeRoom(task)) {
             refuse_late(task);
             return;
         }
@@ -303,7 +300,8 @@
         Reservation_HasHandle(task) || task->assigned.worker->is_vm
             ? NULL
             : Reservation_ChoosePrefillWorker(task, &remote_prefill_cost_us);
-    if (!may_begin_late(task, MIN(run_cost_us, remote_prefill_cost_us))) {
+    if (!StreamPrecedence_MayBegin(task,
+                                   MIN(run_cost_us, remote_prefill_cost_us))) {
         refuse_late(task);
         return;
     }
@@ -316,38 +314,6 @@
     begin_run(task);
 }
 
-/* Notes whether a first try finds room when it comes. */
-static void
-note_timely(const GateTask *task)
-{
-    if (!task->is_retry && is_new(task) && task->waiting_since_us == 0 &&
-        task->sends == 0) {
-        Precedence_NoteTimely(Task_GetPrecedence(task), task->lacks_room,
-                              Task_Now(task));
-    }
-}
-
-/* Whether the task may take room that a request in time could use. */
-static bool
-may_take_room(const GateTask *task)
-{
-    return !task->is_retry || !is_new(task) ||
-           Precedence_MayBeLate(Task_GetPrecedence(task), Task_Now(task));
-}
-
-/* Whether the task may begin now, though its first event may be late: it is
-   expected after the given time. */
-static bool
-may_begin_late(const GateTask *task, int64_t expected_us)
-{
-    int64_t now_us = Task_Now(task);
-    int64_t slo_us = (int64_t)task->route->slo_ms * CLK_US_PER_MS;
-
-    return slo_us == 0 || task->is_retry || !is_new(task) ||
-           now_us + expected_us - task->began_us <= slo_us ||
-           Precedence_MayBeLate(Task_GetPrecedence(task), now_us);
-}
-
 static void
 refuse_late(GateTask *task)
 {
@@ -356,14 +322,6 @@
     Task_Abort(task, ADMISSION_FULL, LS_ERR_UPSTREAM_FAILED);
 }
 
-/* Whether nothing has been done for the request yet. */
-static bool
-is_new(const GateTask *task)
-{
-    return !Stream_HasBegun(task) && task->last_event == GATE_NO_EVENT &&
-           task->runs == 0 && !task->prefilled;
-}
-
 /* Whether the prompt of a new stream would replace those that the workers keep
    from before this VM started, and have not named yet. */
 static bool
