Log what a VM knows of its way to the workers, and a request's attempts

Cause: the logs can't tell why a VM takes its service for lost: which other VMs it took into account, and whether one of them hears a worker. A request's line has its runs, but not the route's attempts, nor what its VM knew of the way. Ruled out: joining the lines of all VMs by a script, as it needs all logs. Change: vms, vms_hearing in service_cut, service_lost, service_reached; service, reach, attempts, runs_before in request_end; counter services_lost.

--- a/src/gate/detour.c
+++ b/src/gate/detour.c
@@ -85,6 +85,7 @@
                                 const GatePeer *peers, uint32_t count);
 static void set_verdict(DetourService *row, ReachVerdict verdict);
 static void log_verdict(const DetourService *row, const char *event);
+static const char *get_verdict_name(ReachVerdict verdict);
 static FleetWorker *choose_named(DetourService *row);
 static bool is_active(const DetourService *row);
 static void advance(DetourService *row);
@@ -135,6 +136,14 @@
     return row != NULL && row->verdict == REACH_CUT;
 }
 
+const char *
+Detour_GetStateName(const Gate *gate, const char *service)
+{
+    const DetourService *row = find(gate, service);
+
+    return get_verdict_name(row != NULL ? row->verdict : REACH_OPEN);
+}
+
 bool
 Detour_IsLost(const Gate *gate, const char *service)
 {
@@ -557,6 +566,7 @@
         log_verdict(row, "service_cut");
     }
     else if (verdict == REACH_LOST) {
+        Met_Add(MET_SERVICES_LOST, 1);
         row->next_round_us = Clk_Now(gate->options.clk) + DETOUR_LOST_ROUND_US;
         log_verdict(row, "service_lost");
     }
@@ -576,8 +586,12 @@
     uint32_t count;
     ReachWorker *workers = list_workers(row, &count);
     int64_t heard_us = 0;
+    GatePeer peers[DETOUR_PEERS_MAX];
+    uint32_t peer_count = row->gate->options.list_peers(
+        row->gate->options.context, row->name, peers, DETOUR_PEERS_MAX);
     uint32_t unanswered = 0;
     int failed = 0;
+    int told = 0;
 
     for (uint32_t i = 0; i < count; i++) {
         heard_us = MAX(heard_us, workers[i].heard_us);
@@ -588,12 +602,15 @@
     for (uint32_t i = 0; i < row->round.count; i++) {
         failed += row->round.probes[i].outcome == REACH_FAILED;
     }
+    for (uint32_t i = 0; i < peer_count; i++) {
+        told += peers[i].reached != 0;
+    }
     g_free(workers);
     Log_WriteJson(
         LOG_LEVEL_WARNING, event,
         json_pack(
-            "{s:s,s:I,s:i,s:i,s:i,s:i,s:I,s:I}", "service", row->name,
-            "after_us",
+            "{s:s,s:i,s:i,s:I,s:i,s:i,s:i,s:i,s:I,s:I}", "service", row->name,
+            "vms", (int)peer_count, "vms_hearing", told, "after_us",
             (json_int_t)(row->changed_us != 0 ? now_us - row->changed_us : 0),
             "workers", (int)count, "unanswered", (int)unanswered, "tried",
             (int)row->round.count, "failed", failed, "round_us",
@@ -601,6 +618,19 @@
             (json_int_t)(heard_us != 0 ? now_us - heard_us : -1)));
 }
 
+static const char *
+get_verdict_name(ReachVerdict verdict)
+{
+    static const char *const names[] = {
+        [REACH_UNDECIDED] = "in doubt",
+        [REACH_OPEN] = "open",
+        [REACH_LOST] = "lost",
+        [REACH_CUT] = "cut",
+    };
+
+    return names[verdict];
+}
+
 /* Returns a worker of the service that was heard lately, the same one as long
    as it answers, or NULL. */
 static FleetWorker *
--- a/src/gate/detour.h
+++ b/src/gate/detour.h
@@ -32,6 +32,8 @@
 void Detour_NoteUnanswered(const GateTask *task);
 /* Whether this VM is cut off from the service's workers. */
 bool Detour_IsCut(const Gate *gate, const char *service);
+/* Returns what this VM knows of its way to the service's workers, for logs. */
+const char *Detour_GetStateName(const Gate *gate, const char *service);
 /* Whether this VM reaches no worker of the service, cut off or not. */
 bool Detour_IsLost(const Gate *gate, const char *service);
 /* Returns another VM that reaches the workers of the task's service, in the
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -282,7 +282,7 @@
         LOG_LEVEL_INFO, "request_end",
         json_pack(
             "{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:I,s:I,"
-            "s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:s,s:b,s:I,s:b}",
+            "s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:s,s:b,s:I,s:b,s:s,s:s,s:i,s:i}",
             "request", task->request.id, "route", task->route->name, "worker",
             task->worker, "outcome", outcome, "status", status,
             "retry_after_ms", (int)task->retry_after_ms, "took_us",
@@ -307,7 +307,11 @@
             "prompt_source",
             task->prompt_source != NULL ? task->prompt_source : "", "relayed",
             (int)task->is_relayed, "left_ms",
-            (json_int_t)task->request.left_ms, "retry", (int)task->is_retry));
+            (json_int_t)task->request.left_ms, "retry", (int)task->is_retry,
+            "service", task->service->name, "reach",
+            Detour_GetStateName(task->gate, task->service->name), "attempts",
+            (int)task->route->attempts, "runs_before",
+            (int)task->runs_elsewhere));
     Stream_ReleaseAll(task);
     free_task(task);
 }
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -76,6 +76,10 @@
     [MET_SERVICES_CUT] = {"services_cut",
                           "Times at which this VM found itself cut off from "
                           "the workers of a service."},
+    [MET_SERVICES_LOST] =
+        {"services_lost",
+         "Services of which no VM reaches a worker, as far as "
+         "this VM knows"},
     [MET_DETOURS] = {"detours",
                      "Requests passed on to another VM, as this one "
                      "can't reach the workers."},
