Tests: regions that are cut off, and attempts of requests passed on (red)

Cause: of RECOVER, the VMs that a VM of a fleet with hubs hears are its region's hubs only; of BUDGET, a call at another VM counts as one run. Ruled out: that only workers' own errors are counted wrongly: broken connections, silent workers, streams, VMs that die and requests of earlier builds are red, too.

--- a/tests/fleet_rig.h
+++ b/tests/fleet_rig.h
@@ -54,6 +54,8 @@
         clk = Clk_Default();
         regions_ = g_hash_table_new(g_str_hash, g_str_equal);
         g_hash_table_insert(regions_, (gpointer) "zone-a", (gpointer) "reg-a");
+        g_hash_table_insert(regions_, (gpointer) "zone-b", (gpointer) "reg-b");
+        g_hash_table_insert(regions_, (gpointer) "zone-c", (gpointer) "reg-c");
         script_ =
             std::make_shared<std::deque<ScriptedReply>>(4000, Stream(0, 9));
         for (int i = 0; i < vm_count; i++) {
@@ -93,7 +95,7 @@
 
     /* `port` for other VMs; 0: any. */
     void
-    AddVm(uint16_t port = 0)
+    AddVm(uint16_t port = 0, const char *zone = "zone-a")
     {
         LsError err = {};
         EdgeOptions options = Edge_DefaultOptions();
@@ -103,7 +105,7 @@
         options.codec = Pf_GetCodec();
         options.decoder = Pf_GetDecoder();
         options.vm = names_.back().c_str();
-        options.zone = "zone-a";
+        options.zone = zone;
         options.regions = regions_;
         options.seed = (guint32)names_.size();
         options.budget.ratio = 50; /* The slack is 0 at the start. */
@@ -136,6 +138,16 @@
             replies.begin(), replies.end()));
     }
 
+    /* The script may be shared by several workers. */
+    void
+    AddWorkerWithScript(std::shared_ptr<std::deque<ScriptedReply>> script)
+    {
+        workers.push_back(std::make_unique<Worker>(base, script));
+        ids_.push_back("");
+        restart_us_.push_back(0);
+        ListWorker(workers.size() - 1);
+    }
+
     /* The worker as a VM knows it. */
     FleetWorker *
     FindWorker(size_t vm, size_t i)
@@ -274,6 +286,28 @@
         }
     }
 
+    /* Runs of a request at all workers. */
+    int
+    CountRuns(const std::string &id) const
+    {
+        int count = 0;
+        for (const auto &worker : workers) {
+            count += CountRunsAt(*worker, id);
+        }
+        return count;
+    }
+
+    /* Workers that a request was sent to. */
+    int
+    CountWorkers(const std::string &id) const
+    {
+        int count = 0;
+        for (const auto &worker : workers) {
+            count += CountRunsAt(*worker, id) > 0;
+        }
+        return count;
+    }
+
     int
     CountCrashes() const
     {
@@ -308,13 +342,15 @@
     std::vector<std::string> versions;
 
   private:
-    void
-    AddWorkerWithScript(std::shared_ptr<std::deque<ScriptedReply>> script)
+    static int
+    CountRunsAt(const Worker &worker, const std::string &id)
     {
-        workers.push_back(std::make_unique<Worker>(base, script));
-        ids_.push_back("");
-        restart_us_.push_back(0);
-        ListWorker(workers.size() - 1);
+        int count = 0;
+        for (const std::string &request : worker.requests) {
+            count += request.find("X-Request-Id: " + id + "\r\n") !=
+                     std::string::npos;
+        }
+        return count;
     }
 
     void
--- a/tests/test_gate_cutoff.cc
+++ b/tests/test_gate_cutoff.cc
@@ -61,19 +61,6 @@
         }
         RunFor(1500);
     }
-
-    int
-    CountRuns(const std::string &id) const
-    {
-        int count = 0;
-        for (const auto &worker : workers) {
-            for (const std::string &request : worker->requests) {
-                count += request.find("X-Request-Id: " + id + "\r\n") !=
-                         std::string::npos;
-            }
-        }
-        return count;
-    }
 };
 
 TEST(CutOffVm, ServesByWayOfTheOthers)
--- a/tests/test_gossip_builds.cc
+++ b/tests/test_gossip_builds.cc
@@ -3,6 +3,7 @@
 #include "fleet_rig.h"
 
 #include <set>
+#include <xxhash.h>
 
 extern "C" {
 #include "gate/gossip.h"
@@ -137,6 +138,41 @@
     EXPECT_EQ(Met_Get(MET_SERVICES_CUT), cuts);
 }
 
+/* A VM of an earlier build uses what the field says is left, and tells nothing
+   of it: one attempt. */
+TEST(OtherBuild, IsLeftOneAttempt)
+{
+    for (uint32_t attempts : {1U, 2U, 3U}) {
+        const Route route = {RTE_IDEMPOTENT, attempts, false, 3000, 400};
+        FleetRig rig(route, 1, 0);
+        for (int i = 0; i < 2; i++) {
+            rig.AddWorker(std::vector<ScriptedReply>(100, Ok()));
+        }
+        Gossip__Reach reach = GOSSIP__REACH__INIT;
+        Gossip__Reach *reaches[] = {&reach};
+        reach.service = XXH3_64bits("svc", 3);
+        reach.worker = rig.Find(0, 0)->hash;
+        reach.age_ms = 1;
+        OtherVm other(rig.base, rig.peer_ports[0], [&](Gossip__News *news) {
+            news->serves = GATE_SERVES_KNOWN;
+            news->reaches = reaches;
+            news->n_reaches = 1;
+        });
+        rig.RunFor(600);
+        rig.CutOff(0, FleetRig::REFUSE);
+        for (int i = 0; i < 8; i++) {
+            rig.Call(0, CallText(i));
+            rig.RunFor(250);
+        }
+        EXPECT_FALSE(other.listener->requests.empty());
+        for (const std::string &text : other.listener->requests) {
+            size_t at = text.find("Lavenderspool-Relayed: ");
+            ASSERT_NE(at, std::string::npos);
+            EXPECT_EQ(std::stoul(text.substr(at + 23)), attempts - 1);
+        }
+    }
+}
+
 /* A VM's gossip without a gate. */
 class OwnVm {
   public:
