Detour: a request that is passed on is given one attempt

What callers saw: repeatable calls at VMs that are cut off ran on three workers where their route allows two, and on four and five of three. Cause: the VM that serves for another one used all attempts that were left, while the first VM counted its call as one run; nothing is learned from a VM that falls silent, dies, or is of another build. Ruled out: a count in the answer: it doesn't arrive in just those cases, nor from earlier builds. Change: the called VM gets one attempt, whoever calls it; the number in the mark makes earlier builds keep to that. The answer names the worker that the request was sent to: it is left out of the next attempt, instead of the VM, which may serve that one, and a refusal after such a send counts for the retry budget. Conclusion: the bound holds without anything from the other VM.

--- a/src/gate/detour.c
+++ b/src/gate/detour.c
@@ -35,6 +35,7 @@
 #define DETOUR_VMS_MAX 256
 /* A VM of another region counts as having this many requests more. */
 #define DETOUR_REMOTE_REQUESTS 3
+#define DETOUR_HASH_MAX 17 /* Bytes of a hash as text, with the 0. */
 
 /* A service whose workers are in doubt, or were. */
 typedef struct DetourService {
@@ -284,11 +285,12 @@
 }
 
 void
-Detour_AddHeader(const GateTask *task, HeaderList *headers)
+Detour_AddMark(const GateTask *task, HeaderList *headers)
 {
     GString *text = g_string_new(NULL);
 
-    g_string_printf(text, "%u", task->runs);
+    g_string_printf(text, "%u", MAX(task->route->attempts, 1) - 1);
+    Hearsay_WriteFailed(task->excluded, task->excluded_count, text);
     Hearsay_Write(task->gate->options.fleet, task->service->name,
                   Task_Now(task), text);
     Header_Add(headers, DETOUR_HEADER, text->str);
@@ -296,18 +298,54 @@
     Met_Add(MET_DETOURS, 1);
 }
 
-bool
-Detour_TakeHeader(Gate *gate, HeaderList *headers, uint32_t *runs)
+char *
+Detour_TakeMark(HeaderList *headers)
+{
+    char *mark = g_strdup(Header_Find(headers, DETOUR_HEADER));
+
+    Header_Remove(headers, DETOUR_HEADER);
+    return mark;
+}
+
+void
+Detour_ReadMark(GateTask *task, const char *mark)
+{
+    const GateOptions *options = &task->gate->options;
+    FleetWorker *failed[TASK_EXCLUDED_MAX];
+    uint32_t count = Hearsay_Read(options->fleet, mark, Task_Now(task), failed,
+                                  TASK_EXCLUDED_MAX);
+
+    for (uint32_t i = 0; i < count; i++) {
+        Task_ExcludeWorker(task, failed[i]);
+    }
+}
+
+void
+Detour_AddAnswer(const GateTask *task, HeaderList *headers)
+{
+    char text[DETOUR_HASH_MAX];
+
+    if (!task->is_relayed || task->last_worker == 0) {
+        return;
+    }
+    g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x",
+               task->last_worker);
+    Header_Remove(headers, DETOUR_HEADER);
+    Header_Add(headers, DETOUR_HEADER, text);
+}
+
+uint64_t
+Detour_TakeAnswer(HeaderList *headers)
 {
     const char *text = Header_Find(headers, DETOUR_HEADER);
+    guint64 hash = 0;
 
-    if (text == NULL) {
-        return false;
+    if (text != NULL &&
+        !g_ascii_string_to_unsigned(text, 16, 0, G_MAXUINT64, &hash, NULL)) {
+        hash = 0;
     }
-    *runs = (uint32_t)strtoul(text, NULL, 10);
-    Hearsay_Read(gate->options.fleet, text, Clk_Now(gate->options.clk));
     Header_Remove(headers, DETOUR_HEADER);
-    return true;
+    return hash;
 }
 
 static DetourService *
--- a/src/gate/detour.h
+++ b/src/gate/detour.h
@@ -17,11 +17,15 @@
 #define DETOUR_COST_US (20 * CLK_US_PER_MS)
 
 /* Time for which a silent call at another VM is kept beyond the usual limit:
-   the other VM itself looks for another worker meanwhile. */
+   that VM may wait for capacity, or for another worker after a refusal. */
 #define DETOUR_SILENCE_EXTRA_US (700 * CLK_US_PER_MS)
 
-/* Field of a request that another VM passes on: the number of workers on which
-   it may have run already, and notices of workers (hearsay.h). */
+/* Mark of a request that another VM passes on: the number of the route's
+   attempts less the one that the called VM gets, notices of workers
+   (hearsay.h), and the workers that have failed the request. Earlier builds
+   take the number for the attempts that are used up.
+   In the answer to such a request: the hash of the last worker that it was
+   sent to, in hexadecimal; absent if there is none. */
 #define DETOUR_HEADER "Lavenderspool-Relayed"
 
 void Detour_Init(Gate *gate);
@@ -42,9 +46,16 @@
 FleetWorker *Detour_ChooseVm(GateTask *task);
 /* Marks a request that is passed on, and adds what this VM knows of the
    service's workers. */
-void Detour_AddHeader(const GateTask *task, HeaderList *headers);
-/* Reads and removes the mark, and notes what it says of workers. Returns false
-   if there is none. */
-bool Detour_TakeHeader(Gate *gate, HeaderList *headers, uint32_t *runs);
+void Detour_AddMark(const GateTask *task, HeaderList *headers);
+/* Removes the mark and returns it, for g_free(); NULL if there is none. */
+char *Detour_TakeMark(HeaderList *headers);
+/* Notes what the mark says of workers. */
+void Detour_ReadMark(GateTask *task, const char *mark);
+/* Adds to the answer of a request that another VM passed on the worker that it
+   was sent to. */
+void Detour_AddAnswer(const GateTask *task, HeaderList *headers);
+/* Removes that from the headers for the caller. Returns the worker's hash, or
+   0 if there is none. */
+uint64_t Detour_TakeAnswer(HeaderList *headers);
 
 #endif
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -272,11 +272,11 @@
 void Gate_OnRequest(void *context, ServerExchange *exchange);
 void Gate_OnDisconnect(void *context, ServerExchange *exchange);
 /* Handles a request that another VM passes on, as it can't reach the workers.
-   `runs` is the number of workers on which it may have run already. Such a
-   request is not passed on again, and the other VM has counted it for the
-   retry budget. */
+   `mark` is the field with which that VM has marked it (detour.h). Such a
+   request runs on one worker, is not passed on again, and the other VM has
+   counted it for the retry budget. */
 void Gate_OnRelayedRequest(void *context, ServerExchange *exchange,
-                           uint32_t runs);
+                           const char *mark);
 /* Stores the hashes of the names of services whose workers this VM can't
    reach, up to `max`, and returns their number. */
 uint32_t Gate_ListCut(const Gate *gate, uint64_t *services, uint32_t max);
--- a/src/gate/hearsay.c
+++ b/src/gate/hearsay.c
@@ -12,13 +12,15 @@
 #define HEARSAY_LEAVES 'l' /* Time for which it gets requests, ms. */
 #define HEARSAY_PAUSES 'p' /* Time for which it wants none, ms. */
 #define HEARSAY_LIMIT 'r'  /* Requests a second. */
+#define HEARSAY_FAILED 'f' /* 0: it has failed the request. */
 #define HEARSAY_PREFIX ";%016" G_GINT64_MODIFIER "x %c "
 /* Longest time that is taken from another VM, ms. */
 #define HEARSAY_MAX_MS ((int64_t)24 * 3600 * 1000)
 
 static bool write_worker(const FleetWorker *worker, int64_t now_us,
                          GString *text);
-static void read_notice(Fleet *fleet, const char *text, int64_t now_us);
+static FleetWorker *read_notice(Fleet *fleet, const char *text,
+                                int64_t now_us);
 static bool read_ms(const char *text, int64_t *ms);
 
 void
@@ -75,18 +77,36 @@
 }
 
 void
-Hearsay_Read(Fleet *fleet, const char *text, int64_t now_us)
+Hearsay_WriteFailed(FleetWorker *const *workers, uint32_t count, GString *text)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if (!workers[i]->is_vm) {
+            g_string_append_printf(text, HEARSAY_PREFIX "0", workers[i]->hash,
+                                   HEARSAY_FAILED);
+        }
+    }
+}
+
+uint32_t
+Hearsay_Read(Fleet *fleet, const char *text, int64_t now_us,
+             FleetWorker **failed, uint32_t max)
 {
     gchar **notices = g_strsplit(text, ";", -1);
+    uint32_t count = 0;
 
     /* The part before the first one isn't a notice. */
     for (guint i = 1; notices[0] != NULL && notices[i] != NULL; i++) {
-        read_notice(fleet, notices[i], now_us);
+        FleetWorker *worker = read_notice(fleet, notices[i], now_us);
+        if (worker != NULL && count < max) {
+            failed[count++] = worker;
+        }
     }
     g_strfreev(notices);
+    return count;
 }
 
-static void
+/* Returns the worker if the notice says that it has failed the request. */
+static FleetWorker *
 read_notice(Fleet *fleet, const char *text, int64_t now_us)
 {
     gchar **words = g_strsplit(text, " ", 5);
@@ -119,6 +139,7 @@
         }
     }
     g_strfreev(words);
+    return kind == HEARSAY_FAILED ? worker : NULL;
 }
 
 static bool
--- a/src/gate/hearsay.h
+++ b/src/gate/hearsay.h
@@ -15,7 +15,13 @@
 /* Appends the notices of the workers of the service to the text. */
 void Hearsay_Write(const Fleet *fleet, const char *service, int64_t now_us,
                    GString *text);
-/* Notes the notices in a text of another VM. What can't be read is skipped. */
-void Hearsay_Read(Fleet *fleet, const char *text, int64_t now_us);
+/* Appends the workers that have failed the request; VMs are left out. */
+void Hearsay_WriteFailed(FleetWorker *const *workers, uint32_t count,
+                         GString *text);
+/* Notes the notices in a text of another VM. What can't be read is skipped.
+   Stores up to `max` workers that have failed the request, which the fleet
+   owns, and returns their number. */
+uint32_t Hearsay_Read(Fleet *fleet, const char *text, int64_t now_us,
+                      FleetWorker **failed, uint32_t max);
 
 #endif
--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -201,7 +201,7 @@
     int64_t cost_us = 0;
     RetryInput input;
 
-    Task_ExcludeWorker(task, task->current->worker);
+    Task_ExcludeFailed(task);
     next = Task_ChooseWorker(task, FLEET_PHASE_NONE, get_cost, NULL, &cost_us);
     task->runs += run != LS_RUN_NOT_RUN;
     input = Task_GetRetryInput(task, run);
--- a/src/gate/relay.c
+++ b/src/gate/relay.c
@@ -133,10 +133,11 @@
     Relay *relay = context;
     GByteArray *data;
     Pos since = {0};
-    uint32_t runs;
+    char *mark = Detour_TakeMark(exchange->headers);
 
-    if (Detour_TakeHeader(relay->options.gate, exchange->headers, &runs)) {
-        Gate_OnRelayedRequest(relay->options.gate, exchange, runs);
+    if (mark != NULL) {
+        Gate_OnRelayedRequest(relay->options.gate, exchange, mark);
+        g_free(mark);
         return;
     }
     if (sscanf(exchange->target, RELAY_DELTA_PATH, &since.era,
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -504,6 +504,7 @@
         }
         note_version(task);
         if (!task->streaming) {
+            Detour_AddAnswer(task, current->headers);
             Server_BeginStream(task->exchange, current->reply.status,
                                current->headers);
             task->streaming = true;
@@ -683,7 +684,7 @@
         return;
     }
     if (is_worker_failed) {
-        Task_ExcludeWorker(task, task->current->worker);
+        Task_ExcludeFailed(task);
     }
     task->runs += run != LS_RUN_NOT_RUN;
     input = Task_GetRetryInput(task, run);
--- a/src/gate/successor.c
+++ b/src/gate/successor.c
@@ -14,8 +14,7 @@
 
     return task->silent == NULL && is_repeatable &&
            task->excluded_count < TASK_EXCLUDED_MAX &&
-           task->runs + 1 < task->route->attempts &&
-           task->sends < RETRY_SENDS_MAX &&
+           task->runs + 1 < task->attempts && task->sends < RETRY_SENDS_MAX &&
            Task_GetLeftMs(task) >= RETRY_LEFT_MIN_MS;
 }
 
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -17,8 +17,10 @@
 #define TASK_LEFT_FACTOR_MAX 4
 
 static void on_timer(evutil_socket_t fd, short what, void *context);
+static void answer_task_error(GateTask *task, const LsError *err);
 static void answer_error(const Gate *gate, ServerExchange *exchange,
-                         const char *id, const LsError *err);
+                         const char *id, HeaderList *headers,
+                         const LsError *err);
 static int64_t get_caller_left_ms(const GateTask *task);
 static void note_left(GateTask *task);
 static void begin_service(GateTask *task);
@@ -70,12 +72,6 @@
     return precedence;
 }
 
-bool
-Task_HasRunHere(const GateTask *task)
-{
-    return task->runs > task->runs_elsewhere;
-}
-
 bool
 Task_MayBeRunning(const GateTask *task)
 {
@@ -166,6 +162,7 @@
     ServerExchange *exchange = task->exchange;
 
     task->exchange = NULL;
+    Detour_AddAnswer(task, current->headers);
     Server_SendResponse(exchange, status, current->headers,
                         current->body->data, current->body->len);
     Task_End(task, "passed", status);
@@ -216,8 +213,7 @@
         Admission_GetRetryAfter(cause, get_caller_left_ms(task), wait_ms,
                                 g_rand_int(task->gate->rand));
     task->retry_after_ms = err.retry_after_ms;
-    answer_error(task->gate, task->exchange, task->request.id, &err);
-    task->exchange = NULL;
+    answer_task_error(task, &err);
     Task_End(task, "refused", Err_GetHttpStatus(code));
 }
 
@@ -236,8 +232,7 @@
     }
     Err_Set(&err, code, LS_RUN_UNKNOWN, "%s",
             task->cause[0] != '\0' ? task->cause : "no answer in time");
-    answer_error(task->gate, task->exchange, task->request.id, &err);
-    task->exchange = NULL;
+    answer_task_error(task, &err);
     Task_End(task, "failed", Err_GetHttpStatus(code));
 }
 
@@ -253,7 +248,7 @@
         return;
     }
     may_have_run =
-        Task_HasRunHere(task) || task->streaming || Task_MayBeRunning(task);
+        task->runs > 0 || task->streaming || Task_MayBeRunning(task);
     Task_EndCall(task);
     if (may_have_run) {
         Task_Fail(task, code);
@@ -282,7 +277,7 @@
         LOG_LEVEL_INFO, "request_end",
         json_pack(
             "{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:I,s:I,"
-            "s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:s,s:b,s:I,s:b,s:s,s:s,s:i,s:i}",
+            "s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:s,s:b,s:I,s:b,s:s,s:s,s:i}",
             "request", task->request.id, "route", task->route->name, "worker",
             task->worker, "outcome", outcome, "status", status,
             "retry_after_ms", (int)task->retry_after_ms, "took_us",
@@ -310,8 +305,7 @@
             (json_int_t)task->request.left_ms, "retry", (int)task->is_retry,
             "service", task->service->name, "reach",
             Detour_GetStateName(task->gate, task->service->name), "attempts",
-            (int)task->route->attempts, "runs_before",
-            (int)task->runs_elsewhere));
+            (int)task->attempts));
     Stream_ReleaseAll(task);
     free_task(task);
 }
@@ -351,7 +345,7 @@
                       request.id != NULL ? request.id : "", "cause",
                       err.message, "config",
                       (json_int_t)(gate->table ? gate->table->version : 0)));
-        answer_error(gate, exchange, request.id, &err);
+        answer_error(gate, exchange, request.id, Header_New(), &err);
         g_free(request.id);
         g_free(request.host);
         g_free(request.resumes);
@@ -366,6 +360,7 @@
     task->caller = exchange->caller;
     task->table = Rte_Ref(gate->table);
     task->route = route;
+    task->attempts = route->attempts;
     service = Rte_ChooseService(route, g_rand_int(gate->rand));
     task->service = Rte_FindService(gate->table, service);
     task->timer = evtimer_new(gate->options.base, on_timer, task);
@@ -438,7 +433,8 @@
 }
 
 void
-Gate_OnRelayedRequest(void *context, ServerExchange *exchange, uint32_t runs)
+Gate_OnRelayedRequest(void *context, ServerExchange *exchange,
+                      const char *mark)
 {
     GateTask *task = begin_task(context, exchange);
 
@@ -447,8 +443,9 @@
     }
     task->is_relayed = true;
     task->caller = 0; /* The connection is the other VM's. */
-    task->runs = runs;
-    task->runs_elsewhere = runs;
+    /* The other VM counts one run, whatever becomes of this VM. */
+    task->attempts = 1;
+    Detour_ReadMark(task, mark);
     Met_Add(MET_RELAYED_REQUESTS, 1);
     if (Detour_IsLost(task->gate, task->service->name)) {
         g_strlcpy(task->cause, "this VM reaches no worker either",
@@ -513,12 +510,22 @@
     Task_SetTimer(task);
 }
 
+static void
+answer_task_error(GateTask *task, const LsError *err)
+{
+    HeaderList *headers = Header_New();
+
+    Detour_AddAnswer(task, headers);
+    answer_error(task->gate, task->exchange, task->request.id, headers, err);
+    task->exchange = NULL;
+}
+
+/* Frees `headers`, which the answer gets beside those of the error. */
 static void
 answer_error(const Gate *gate, ServerExchange *exchange, const char *id,
-             const LsError *err)
+             HeaderList *headers, const LsError *err)
 {
     const GateCodec *codec = gate->options.codec;
-    HeaderList *headers = Header_New();
     GString *body = g_string_new(NULL);
 
     codec->encode_error(codec->context, id, err, headers, body);
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -58,6 +58,9 @@
     bool truncated;         /* The body was longer than the limit. */
     /* When the call began, or when its last event with an ID came. */
     int64_t progress_us;
+    /* Hash of the last worker that the called VM sent the request to, as it
+       told; 0: not known, or no VM was called. */
+    uint64_t worker_behind;
     bool is_quiet;  /* Its worker was found to be silent. */
     bool is_unsent; /* It reached no worker, which is kept from calls. */
     /* Valid beyond the call's end. */
@@ -117,6 +120,7 @@
     FleetWorker *excluded[TASK_EXCLUDED_MAX];
     guint excluded_count;
     char worker[FLEET_ID_MAX]; /* Of the last call. */
+    uint64_t last_worker;      /* Hash of that one; 0: none was called. */
     /* Software version of the workers that make the stream's events, as in
        FleetWorker; 0 until its first event. */
     uint32_t version;
@@ -127,14 +131,14 @@
     const char *prompt_source; /* Of the last run, for the log. */
     /* Waits until the version of a resumed stream is known. */
     bool resuming;
-    uint32_t sends;          /* Calls begun, reservations not counted. */
-    uint32_t runs;           /* Workers on which the request may have run. */
-    uint32_t runs_elsewhere; /* Those of `runs` that the VM called which passed
-                                the request on; it answers for them. */
-    uint32_t counted_calls;  /* Calls counted for the retry budget, which
-                                charges all but the first. */
-    bool prefilled;          /* A prefill succeeded; further ones count as
-                                calls for the retry budget. */
+    uint32_t sends;         /* Calls begun, reservations not counted. */
+    uint32_t runs;          /* Workers on which the request may have run, not
+                               counting those of a VM that passed it on. */
+    uint32_t attempts;      /* Workers on which this VM may run it. */
+    uint32_t counted_calls; /* Calls counted for the retry budget, which
+                               charges all but the first. */
+    bool prefilled;         /* A prefill succeeded; further ones count as
+                               calls for the retry budget. */
     /* Start of the worker that may have crashed under the last call; 0 for
        none. */
     uint64_t crash_worker;
@@ -221,8 +225,6 @@
 int64_t Task_Now(const GateTask *task);
 /* Returns the precedence of timely requests for the task's service. */
 Precedence *Task_GetPrecedence(const GateTask *task);
-/* Whether the request may have run at a worker that this VM called. */
-bool Task_HasRunHere(const GateTask *task);
 /* Whether the call in progress may be running the request. */
 bool Task_MayBeRunning(const GateTask *task);
 /* Returns the time until the task's deadline. */
@@ -262,6 +264,9 @@
 /* Excludes a worker that failed from the task's further choices. Returns false
    if the task has excluded too many already. */
 bool Task_ExcludeWorker(GateTask *task, FleetWorker *worker);
+/* The same for what failed the current call: the worker behind the called VM
+   if that VM named one, as it may serve the next attempt. */
+void Task_ExcludeFailed(GateTask *task);
 /* Whether the worker failed the task. */
 bool Task_IsExcluded(const GateTask *task, const FleetWorker *worker);
 /* Whether the ended call has run, judging by its outcome and answer. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -90,7 +90,7 @@
     }
     codec->encode_call(codec->context, &task->request, &sent, headers);
     if (worker->is_vm) {
-        Detour_AddHeader(task, headers);
+        Detour_AddMark(task, headers);
     }
     current->stage = options->prefill             ? TASK_PREFILL
                      : options->kv_handle != NULL ? TASK_DECODE
@@ -107,6 +107,7 @@
     }
     init_call(task, worker);
     g_strlcpy(task->worker, worker->entry.id, sizeof(task->worker));
+    task->last_worker = worker->hash;
     current->framing = CLIENT_FRAMING_NONE;
     count_call(task);
     task->sends++;
@@ -307,8 +308,9 @@
     int64_t now_us = Task_Now(task);
 
     if (current->stage != TASK_RESERVE) {
-        correct_call_count(task, outcome == CLIENT_NOT_SENT ||
-                                     (worker->is_vm && run == LS_RUN_NOT_RUN));
+        bool is_unsent = worker->is_vm && run == LS_RUN_NOT_RUN &&
+                         current->worker_behind == 0;
+        correct_call_count(task, outcome == CLIENT_NOT_SENT || is_unsent);
     }
     if (current->has_reply && current->reply.misdirected) {
         worker->replaced = true;
@@ -317,7 +319,8 @@
     else if (outcome == CLIENT_NOT_SENT) {
         Task_NoteUnresponsive(current);
     }
-    else if (run != LS_RUN_NOT_RUN) {
+    else if (run != LS_RUN_NOT_RUN &&
+             (current->worker_behind == 0 || outcome != CLIENT_COMPLETE)) {
         Health_NoteFailure(&worker->health, now_us);
     }
     g_strlcpy(task->cause, cause, sizeof(task->cause));
@@ -356,9 +359,9 @@
 {
     RetryInput input = {
         .run = run,
-        .ran_before = Task_HasRunHere(task),
+        .ran_before = task->runs > 0,
         .runs = task->runs,
-        .attempts = task->route->attempts,
+        .attempts = task->attempts,
         .sends = task->sends,
         .left_ms = Task_GetLeftMs(task),
     };
@@ -614,6 +617,9 @@
     }
     current->headers = Header_New();
     codec->encode_answer(codec->context, headers, current->headers);
+    if (current->worker->is_vm) {
+        current->worker_behind = Detour_TakeAnswer(current->headers);
+    }
     if (current->reply.has_load) {
         Fleet_NoteLoad(current->worker, current->reply.running,
                        current->reply.waiting, now_us);
--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -118,6 +118,24 @@
     return true;
 }
 
+void
+Task_ExcludeFailed(GateTask *task)
+{
+    const TaskCall *current = task->current;
+    FleetWorker *behind = current->worker_behind != 0
+                              ? Fleet_FindByHash(task->gate->options.fleet,
+                                                 current->worker_behind)
+                              : NULL;
+    bool is_refusal = current->has_reply && current->reply.not_run;
+
+    if (behind != NULL && !Task_IsExcluded(task, behind)) {
+        Task_ExcludeWorker(task, behind);
+    }
+    if (behind == NULL || is_refusal) {
+        Task_ExcludeWorker(task, current->worker);
+    }
+}
+
 /* Returns the best worker that this choice has not excluded, or NULL. Of equal
    ones it is the first one from row `offset` on. */
 static FleetWorker *
