Detour, gossip: the other VMs and the words on reach in files of their own

Ruled out: nothing; code is moved only, names of moved functions follow their files. Change: detour_vm.c (the VMs that serve, marks), gossip_reach.c. Conclusion: no change of what the code does.

--- a/src/gate/detour.h
+++ b/src/gate/detour.h
@@ -28,6 +28,9 @@
    sent to, in hexadecimal; absent if there is none. */
 #define DETOUR_HEADER "Lavenderspool-Relayed"
 
+/* Other VMs of which one call learns at most. */
+#define DETOUR_PEERS_MAX 64
+
 void Detour_Init(Gate *gate);
 /* Ends all probes and frees what the module keeps. */
 void Detour_Clear(Gate *gate);
@@ -40,22 +43,27 @@
 const char *Detour_GetStateName(const Gate *gate, const char *service);
 /* Whether this VM reaches no worker of the service, cut off or not. */
 bool Detour_IsLost(const Gate *gate, const char *service);
+
+/* The other VMs (detour_vm.c). */
+
+void DetourVm_Init(Gate *gate);
+void DetourVm_Clear(Gate *gate);
 /* Returns another VM that reaches the workers of the task's service, in the
    form of a worker that the gate owns, or NULL. Of two VMs at random it is the
    one with fewer requests of this VM. */
-FleetWorker *Detour_ChooseVm(GateTask *task);
+FleetWorker *DetourVm_Choose(GateTask *task);
 /* Marks a request that is passed on, and adds what this VM knows of the
    service's workers. */
-void Detour_AddMark(const GateTask *task, HeaderList *headers);
+void DetourVm_AddMark(const GateTask *task, HeaderList *headers);
 /* Removes the mark and returns it, for g_free(); NULL if there is none. */
-char *Detour_TakeMark(HeaderList *headers);
+char *DetourVm_TakeMark(HeaderList *headers);
 /* Notes what the mark says of workers. */
-void Detour_ReadMark(GateTask *task, const char *mark);
+void DetourVm_ReadMark(GateTask *task, const char *mark);
 /* Adds to the answer of a request that another VM passed on the worker that it
    was sent to. */
-void Detour_AddAnswer(const GateTask *task, HeaderList *headers);
+void DetourVm_AddAnswer(const GateTask *task, HeaderList *headers);
 /* Removes that from the headers for the caller. Returns the worker's hash, or
    0 if there is none. */
-uint64_t Detour_TakeAnswer(HeaderList *headers);
+uint64_t DetourVm_TakeAnswer(HeaderList *headers);
 
 #endif
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -18,9 +18,7 @@
 #define GOS_INTERVAL_MS 250
 /* Time from a change to the message about it. */
 #define GOS_UPDATE_DELAY_MS 30
-#define GOS_SEED_INTERVALS 8 /* Intervals between messages to all seeds. */
-/* Age of a VM's last message up to which requests are passed on to it. */
-#define GOS_SERVING_MAX_AGE_US (1200 * CLK_US_PER_MS)
+#define GOS_SEED_INTERVALS 8   /* Intervals between messages to all seeds. */
 #define GOS_MAJORITY_RATIO 0.6 /* Share of the VMs that is a majority. */
 
 static bool has_other_seed(const Gos *gos);
@@ -30,8 +28,6 @@
 static void handle_message(Gos *gos, const Gossip__News *news);
 static void note_mentioned(Gos *gos, const Gossip__News *news);
 static void note_unknown(Peer *peer, const Gossip__News *news);
-static void set_reach(GatePeer *row, const Peer *peer, uint64_t service);
-static void store_reaches(Gos *gos, Peer *peer, const Gossip__News *news);
 static void store_report(Gos *gos, Peer *peer, const Gossip__News *news,
                          bool is_started);
 static void check_versions(Gos *gos, const Gossip__News *news);
@@ -43,7 +39,6 @@
 static ReportDemand sum_demand(const Gos *gos, const char *service,
                                bool near_only, uint32_t *count);
 static uint64_t parse_address(const char *text);
-static void format_address(uint64_t address, char text[FLEET_ADDRESS_MAX]);
 static uint64_t hash_text(const char *text);
 
 GosOptions
@@ -188,51 +183,6 @@
                               : known / (peers + 1.0);
 }
 
-uint32_t
-Gos_ListServing(const Gos *gos, const char *service, GatePeer *to,
-                uint32_t max)
-{
-    uint64_t hash = hash_text(service);
-    int64_t now_us = Clk_Now(gos->options.clk);
-    const Peer *peer = NULL;
-    uint32_t count = 0;
-
-    LIST_FOREACH(peer, &gos->peers.list, links)
-    {
-        bool is_serving = peer->received_us != 0 && !peer->is_stopping &&
-                          now_us - peer->received_us < GOS_SERVING_MAX_AGE_US;
-        for (uint32_t i = 0; i < peer->cut_count && is_serving; i++) {
-            is_serving = peer->cut[i] != hash;
-        }
-        if (is_serving && count < max) {
-            GatePeer *row = &to[count++];
-            g_strlcpy(row->vm, peer->vm, sizeof(row->vm));
-            format_address(peer->address, row->address);
-            row->is_near = peer->region == gos->peers.options.region;
-            set_reach(row, peer, hash);
-        }
-    }
-    return count;
-}
-
-static void
-set_reach(GatePeer *row, const Peer *peer, uint64_t service)
-{
-    row->received_us = peer->received_us;
-    row->serves = peer->serves;
-    row->tells_reach = false;
-    row->reached = 0;
-    row->reached_us = 0;
-    for (uint32_t i = 0; i < peer->reach_count; i++) {
-        const GateReach *reach = &peer->reaches[i];
-        if (reach->service == service) {
-            row->tells_reach = true;
-            row->reached = reach->worker;
-            row->reached_us = reach->heard_us;
-        }
-    }
-}
-
 bool
 Gos_NeedsSource(const Gos *gos)
 {
@@ -379,7 +329,7 @@
     for (uint32_t i = 0; i < peer->cut_count; i++) {
         peer->cut[i] = news->cut[i];
     }
-    store_reaches(gos, peer, news);
+    Gos_StoreReaches(gos, peer, news);
     if (Gos_MergeSuspects(gos, news)) {
         gos->options.on_suspects_change(gos->options.context);
     }
@@ -444,22 +394,6 @@
     }
 }
 
-static void
-store_reaches(Gos *gos, Peer *peer, const Gossip__News *news)
-{
-    const GosOptions *options = &gos->options;
-    int64_t now_us = Clk_Now(options->clk);
-
-    peer->reach_count = (uint32_t)MIN(news->n_reaches, PEERS_REACHES_MAX);
-    for (uint32_t i = 0; i < peer->reach_count; i++) {
-        peer->reaches[i] = Gos_DecodeReach(news, i, now_us);
-    }
-    for (uint32_t i = 0; i < peer->reach_count && options->on_reach != NULL;
-         i++) {
-        options->on_reach(options->context, &peer->reaches[i]);
-    }
-}
-
 static void
 store_report(Gos *gos, Peer *peer, const Gossip__News *news, bool is_started)
 {
@@ -538,7 +472,7 @@
         theirs.digest == own.digest) {
         return;
     }
-    format_address(news->address, address);
+    Gos_FormatAddress(news->address, address);
     options->on_peer_versions(options->context, address, &theirs);
 }
 
@@ -665,18 +599,6 @@
            (strtoul(colon + 1, NULL, 10) & UINT16_MAX);
 }
 
-/* Formats IPv4 address << 16 | port as "IP:port". */
-static void
-format_address(uint64_t address, char text[FLEET_ADDRESS_MAX])
-{
-    struct in_addr ip = {.s_addr = htonl((uint32_t)(address >> 16))};
-    char ip_text[INET_ADDRSTRLEN];
-
-    inet_ntop(AF_INET, &ip, ip_text, sizeof(ip_text));
-    g_snprintf(text, FLEET_ADDRESS_MAX, "%s:%u", ip_text,
-               (unsigned)(address & UINT16_MAX));
-}
-
 static uint64_t
 hash_text(const char *text)
 {
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -7,9 +7,6 @@
 static uint32_t get_own_serves(const GosOptions *options);
 static void add_suspects(const Gos *gos, GosMessage *message);
 static void add_limits(Gos *gos, GosMessage *message);
-static void add_reaches(const Gos *gos, GosMessage *message);
-static uint32_t encode_age(int64_t at_us, int64_t now_us);
-static int64_t decode_age(uint32_t age_ms, int64_t now_us);
 static guint fill_demands(const Report *report, Gossip__Demand *rows,
                           GosRooms *rooms, Gossip__Demand **demands);
 static void fill_rooms(const ReportRooms *from, GosRooms *rooms,
@@ -61,7 +58,7 @@
     news->serves = get_own_serves(options);
     if (options->list_reaches != NULL) {
         news->answers_reach = true;
-        add_reaches(gos, message);
+        Gos_AddReaches(gos, message);
     }
     news->stopping =
         options->is_stopping != NULL && options->is_stopping(options->context);
@@ -143,8 +140,8 @@
         gossip__suspect__init(to);
         to->part = from->part;
         to->depth = from->depth;
-        to->sound_age_ms = encode_age(from->sound_us, now_us);
-        to->probe_age_ms = encode_age(from->probe_us, now_us);
+        to->sound_age_ms = Gos_EncodeAge(from->sound_us, now_us);
+        to->probe_age_ms = Gos_EncodeAge(from->probe_us, now_us);
         to->crashes = message->crashes + (size_t)i * SUSPECTS_CRASHES_MAX;
         to->n_crashes = from->crash_count;
         for (uint32_t k = 0; k < from->crash_count; k++) {
@@ -152,7 +149,7 @@
                 &message->crash_rows[i * SUSPECTS_CRASHES_MAX + k];
             gossip__crash__init(crash);
             crash->worker = from->crashes[k].worker;
-            crash->age_ms = encode_age(from->crashes[k].at_us, now_us);
+            crash->age_ms = Gos_EncodeAge(from->crashes[k].at_us, now_us);
             crash->weight = from->crashes[k].weight;
             crash->lead_ms = (uint32_t)((from->crashes[k].at_us -
                                          from->crashes[k].began_us) /
@@ -177,8 +174,8 @@
         SuspectsRow row = {
             .part = from->part,
             .depth = from->depth,
-            .sound_us = decode_age(from->sound_age_ms, now_us),
-            .probe_us = decode_age(from->probe_age_ms, now_us),
+            .sound_us = Gos_DecodeAge(from->sound_age_ms, now_us),
+            .probe_us = Gos_DecodeAge(from->probe_age_ms, now_us),
         };
         for (size_t k = 0;
              k < from->n_crashes && row.crash_count < SUSPECTS_CRASHES_MAX;
@@ -186,7 +183,7 @@
             const Gossip__Crash *crash = from->crashes[k];
             SuspectsCrash *to = &row.crashes[row.crash_count++];
             to->worker = crash->worker;
-            to->at_us = decode_age(crash->age_ms, now_us);
+            to->at_us = Gos_DecodeAge(crash->age_ms, now_us);
             to->began_us = to->at_us - (int64_t)crash->lead_ms * CLK_US_PER_MS;
             to->weight =
                 crash->weight >= SUSPECTS_FULL ? SUSPECTS_FULL : SUSPECTS_WEAK;
@@ -196,42 +193,6 @@
     return changed;
 }
 
-/* Adds the workers that this VM hears, for the services that are in doubt. */
-static void
-add_reaches(const Gos *gos, GosMessage *message)
-{
-    GateReach reaches[PEERS_REACHES_MAX];
-    int64_t now_us = Clk_Now(gos->options.clk);
-    Gossip__News *news = &message->news;
-    uint32_t count = gos->options.list_reaches(gos->options.context, reaches,
-                                               PEERS_REACHES_MAX);
-
-    news->reaches = message->reaches;
-    for (uint32_t i = 0; i < count; i++) {
-        Gossip__Reach *row = &message->reach_rows[i];
-        gossip__reach__init(row);
-        row->service = reaches[i].service;
-        row->worker = reaches[i].worker;
-        row->age_ms = encode_age(reaches[i].heard_us, now_us);
-        row->asks = reaches[i].asks;
-        message->reaches[news->n_reaches++] = row;
-    }
-}
-
-GateReach
-Gos_DecodeReach(const Gossip__News *news, size_t i, int64_t now_us)
-{
-    const Gossip__Reach *row = news->reaches[i];
-    GateReach reach = {
-        .service = row->service,
-        .worker = row->age_ms != 0 ? row->worker : 0,
-        .heard_us = decode_age(row->age_ms, now_us),
-        .asks = row->asks,
-    };
-
-    return reach;
-}
-
 /* Adds limits that workers name or that were lifted lately, other ones each
    time. */
 static void
@@ -256,7 +217,7 @@
         gossip__limit__init(row);
         row->worker = worker->hash;
         row->requests_per_s = (float)throttle->limit;
-        row->age_ms = encode_age(throttle->told_us, now_us);
+        row->age_ms = Gos_EncodeAge(throttle->told_us, now_us);
         message->limits[news->n_limits++] = row;
     }
     gos->next_limit = rows->len > 0 ? (gos->next_limit + i) % rows->len : 0;
@@ -275,7 +236,7 @@
             from->requests_per_s > 0 ? from->requests_per_s : THROTTLE_NONE;
         if (worker != NULL &&
             Throttle_NoteLimit(&worker->throttle, limit,
-                               decode_age(from->age_ms, now_us),
+                               Gos_DecodeAge(from->age_ms, now_us),
                                g_rand_double(gos->rand), now_us) &&
             gos->options.on_limit_change != NULL) {
             gos->options.on_limit_change(gos->options.context, worker);
@@ -333,16 +294,15 @@
     }
 }
 
-/* Encodes a point of time as its age plus 1, and none as 0. */
-static uint32_t
-encode_age(int64_t at_us, int64_t now_us)
+uint32_t
+Gos_EncodeAge(int64_t at_us, int64_t now_us)
 {
     return at_us == 0 ? 0
                       : (uint32_t)(MAX(now_us - at_us, 0) / CLK_US_PER_MS) + 1;
 }
 
-static int64_t
-decode_age(uint32_t age_ms, int64_t now_us)
+int64_t
+Gos_DecodeAge(uint32_t age_ms, int64_t now_us)
 {
     return age_ms == 0 ? 0 : now_us - (int64_t)(age_ms - 1) * CLK_US_PER_MS;
 }
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -122,6 +122,10 @@
 bool Gos_HasUnknown(const Gossip__News *news);
 /* Returns what the sender serves, a set of GATE_SERVES_... */
 uint32_t Gos_DecodeServes(const Gossip__News *news);
+/* Adds the workers that this VM hears, for the services that are in doubt. */
+void Gos_AddReaches(const Gos *gos, GosMessage *message);
+/* Stores what the peer says of the workers that it hears. */
+void Gos_StoreReaches(Gos *gos, Peer *peer, const Gossip__News *news);
 /* Returns the i-th row on the workers that the sender hears. */
 GateReach Gos_DecodeReach(const Gossip__News *news, size_t i, int64_t now_us);
 /* Stores the limits of workers that a message tells. */
@@ -144,6 +148,12 @@
    false if it has neither, but the sender's load. */
 bool Gos_HandleLookups(Gos *gos, const Gossip__News *news);
 
+/* Encodes a point of time as its age plus 1, and none as 0. */
+uint32_t Gos_EncodeAge(int64_t at_us, int64_t now_us);
+int64_t Gos_DecodeAge(uint32_t age_ms, int64_t now_us);
+/* Formats IPv4 address << 16 | port as "IP:port". */
+void Gos_FormatAddress(uint64_t address, char text[FLEET_ADDRESS_MAX]);
+
 /* Sends a packed message to a VM's address. */
 void Gos_SendTo(Gos *gos, uint64_t address, const GosMessage *message);
 /* Stores the part of a region's table that a message carries. */
--- a/src/gate/relay.c
+++ b/src/gate/relay.c
@@ -133,7 +133,7 @@
     Relay *relay = context;
     GByteArray *data;
     Pos since = {0};
-    char *mark = Detour_TakeMark(exchange->headers);
+    char *mark = DetourVm_TakeMark(exchange->headers);
 
     if (mark != NULL) {
         Gate_OnRelayedRequest(relay->options.gate, exchange, mark);
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -504,7 +504,7 @@
         }
         note_version(task);
         if (!task->streaming) {
-            Detour_AddAnswer(task, current->headers);
+            DetourVm_AddAnswer(task, current->headers);
             Server_BeginStream(task->exchange, current->reply.status,
                                current->headers);
             task->streaming = true;
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -162,7 +162,7 @@
     ServerExchange *exchange = task->exchange;
 
     task->exchange = NULL;
-    Detour_AddAnswer(task, current->headers);
+    DetourVm_AddAnswer(task, current->headers);
     Server_SendResponse(exchange, status, current->headers,
                         current->body->data, current->body->len);
     Task_End(task, "passed", status);
@@ -445,7 +445,7 @@
     task->caller = 0; /* The connection is the other VM's. */
     /* The other VM counts one run, whatever becomes of this VM. */
     task->attempts = 1;
-    Detour_ReadMark(task, mark);
+    DetourVm_ReadMark(task, mark);
     Met_Add(MET_RELAYED_REQUESTS, 1);
     if (Detour_IsLost(task->gate, task->service->name)) {
         g_strlcpy(task->cause, "this VM reaches no worker either",
@@ -515,7 +515,7 @@
 {
     HeaderList *headers = Header_New();
 
-    Detour_AddAnswer(task, headers);
+    DetourVm_AddAnswer(task, headers);
     answer_error(task->gate, task->exchange, task->request.id, headers, err);
     task->exchange = NULL;
 }
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -90,7 +90,7 @@
     }
     codec->encode_call(codec->context, &task->request, &sent, headers);
     if (worker->is_vm) {
-        Detour_AddMark(task, headers);
+        DetourVm_AddMark(task, headers);
     }
     current->stage = options->prefill             ? TASK_PREFILL
                      : options->kv_handle != NULL ? TASK_DECODE
@@ -618,7 +618,7 @@
     current->headers = Header_New();
     codec->encode_answer(codec->context, headers, current->headers);
     if (current->worker->is_vm) {
-        current->worker_behind = Detour_TakeAnswer(current->headers);
+        current->worker_behind = DetourVm_TakeAnswer(current->headers);
     }
     if (current->reply.has_load) {
         Fleet_NoteLoad(current->worker, current->reply.running,
--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -174,7 +174,7 @@
     }
     if (phase != FLEET_PHASE_PREFILL && !task->is_relayed &&
         Detour_IsCut(task->gate, task->service->name)) {
-        FleetWorker *vm = Detour_ChooseVm(task);
+        FleetWorker *vm = DetourVm_Choose(task);
         if (vm != NULL) {
             *best_us = DETOUR_COST_US;
             return vm;
