Gossip: hubs name the VMs that reach a service, for those that look for one

Cause: a VM of a large fleet hears its region's hubs only. If they are cut off, it knows no VM that hears a worker, and takes its service for lost (vms 0, vms_hearing 0 in service_lost); what other VMs reach is told nowhere. Change: a VM that is cut off goes on looking for VMs that serve. Hubs pass that on to their region and to other regions' hubs, and name the VMs that say that they hear a worker (Proxy, up to 20 in a message of its own with each table), with their load; other regions' VMs come after the own region's. The caller's VM chooses by the load at the other VM. VMs that are asked try their worker again at intervals that grow with the fleet: some 250 connections a second of all VMs while one needs a proof, 125 later. Earlier builds ignore the new fields.

--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &gossip__reach__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gossip__proxy__init
+                     (Gossip__Proxy         *message)
+{
+  static const Gossip__Proxy init_value = GOSSIP__PROXY__INIT;
+  *message = init_value;
+}
+size_t gossip__proxy__get_packed_size
+                     (const Gossip__Proxy *message)
+{
+  assert(message->base.descriptor == &gossip__proxy__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__proxy__pack
+                     (const Gossip__Proxy *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__proxy__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__proxy__pack_to_buffer
+                     (const Gossip__Proxy *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__proxy__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Proxy *
+       gossip__proxy__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Proxy *)
+     protobuf_c_message_unpack (&gossip__proxy__descriptor,
+                                allocator, len, data);
+}
+void   gossip__proxy__free_unpacked
+                     (Gossip__Proxy *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__proxy__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gossip__news__init
                      (Gossip__News         *message)
 {
@@ -1654,7 +1699,7 @@
   (ProtobufCMessageInit) gossip__found__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__reach__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gossip__reach__field_descriptors[7] =
 {
   {
     "service",
@@ -1704,17 +1749,56 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seeks",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Reach, seeks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "urgent",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Reach, urgent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "serving",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Reach, serving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__reach__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   3,   /* field[3] = asks */
+  4,   /* field[4] = seeks */
   0,   /* field[0] = service */
+  6,   /* field[6] = serving */
+  5,   /* field[5] = urgent */
   1,   /* field[1] = worker */
 };
 static const ProtobufCIntRange gossip__reach__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gossip__reach__descriptor =
 {
@@ -1724,14 +1808,130 @@
   "Gossip__Reach",
   "gossip",
   sizeof(Gossip__Reach),
-  4,
+  7,
   gossip__reach__field_descriptors,
   gossip__reach__field_indices_by_name,
   1,  gossip__reach__number_ranges,
   (ProtobufCMessageInit) gossip__reach__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__news__field_descriptors[29] =
+static const ProtobufCFieldDescriptor gossip__proxy__field_descriptors[7] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Proxy, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Proxy, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Proxy, region),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Proxy, worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Proxy, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "told_age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Proxy, told_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "serving",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Proxy, serving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__proxy__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  4,   /* field[4] = age_ms */
+  2,   /* field[2] = region */
+  0,   /* field[0] = service */
+  6,   /* field[6] = serving */
+  5,   /* field[5] = told_age_ms */
+  3,   /* field[3] = worker */
+};
+static const ProtobufCIntRange gossip__proxy__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor gossip__proxy__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Proxy",
+  "Proxy",
+  "Gossip__Proxy",
+  "gossip",
+  sizeof(Gossip__Proxy),
+  7,
+  gossip__proxy__field_descriptors,
+  gossip__proxy__field_indices_by_name,
+  1,  gossip__proxy__number_ranges,
+  (ProtobufCMessageInit) gossip__proxy__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[30] =
 {
   {
     "vm",
@@ -2069,6 +2269,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "proxies",
+    37,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gossip__News, n_proxies),
+    offsetof(Gossip__News, proxies),
+    &gossip__proxy__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "serves",
     40,
@@ -2100,11 +2312,12 @@
   2,   /* field[2] = number */
   21,   /* field[21] = origins */
   8,   /* field[8] = peers */
+  28,   /* field[28] = proxies */
   26,   /* field[26] = reaches */
   4,   /* field[4] = region */
   6,   /* field[6] = revision */
   13,   /* field[13] = seeking */
-  28,   /* field[28] = serves */
+  29,   /* field[29] = serves */
   23,   /* field[23] = stopping */
   19,   /* field[19] = suspects */
   15,   /* field[15] = table */
@@ -2117,8 +2330,8 @@
 {
   { 1, 0 },
   { 35, 26 },
-  { 40, 28 },
-  { 0, 29 }
+  { 40, 29 },
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor gossip__news__descriptor =
 {
@@ -2128,7 +2341,7 @@
   "Gossip__News",
   "gossip",
   sizeof(Gossip__News),
-  29,
+  30,
   gossip__news__field_descriptors,
   gossip__news__field_indices_by_name,
   3,  gossip__news__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Gossip__Lookup Gossip__Lookup;
 typedef struct Gossip__Found Gossip__Found;
 typedef struct Gossip__Reach Gossip__Reach;
+typedef struct Gossip__Proxy Gossip__Proxy;
 typedef struct Gossip__News Gossip__News;
 typedef struct Gossip__Entry Gossip__Entry;
 typedef struct Gossip__Picture Gossip__Picture;
@@ -400,10 +401,63 @@
    * The sender looks for a worker that others hear.
    */
   protobuf_c_boolean asks;
+  /*
+   * Who looks for VMs that reach the workers: 1: the sender; 2: a VM of its
+   * region; 3: a VM of another region. 0: nobody, as far as it knows.
+   */
+  uint32_t seeks;
+  /*
+   * One that looks needs a worker that was heard just now.
+   */
+  protobuf_c_boolean urgent;
+  /*
+   * Requests of other VMs in progress at the sender.
+   */
+  uint32_t serving;
 };
 #define GOSSIP__REACH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__reach__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A VM that reaches the workers of a service, as a hub was told.
+ */
+struct  Gossip__Proxy
+{
+  ProtobufCMessage base;
+  /*
+   * As in Reach.
+   */
+  uint64_t service;
+  /*
+   * As in News.
+   */
+  uint64_t address;
+  /*
+   * As in News.
+   */
+  uint32_t region;
+  /*
+   * As in Reach.
+   */
+  uint64_t worker;
+  /*
+   * Time since the VM heard that worker, plus 1.
+   */
+  uint32_t age_ms;
+  /*
+   * Time since the VM said so, plus 1.
+   */
+  uint32_t told_age_ms;
+  /*
+   * As in Reach.
+   */
+  uint32_t serving;
+};
+#define GOSSIP__PROXY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__proxy__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -505,6 +559,11 @@
    * build that answers `lookups` and serves requests passed on, too.
    */
   protobuf_c_boolean answers_reach;
+  /*
+   * From hubs, while somebody looks for them.
+   */
+  size_t n_proxies;
+  Gossip__Proxy **proxies;
   /*
    * What other VMs may rely on, a sum: 1: answers `reaches`. 2: answers
    * `lookups`. 4: serves requests that other VMs pass on. Other bits tell
@@ -514,7 +573,7 @@
 };
 #define GOSSIP__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
@@ -773,6 +832,25 @@
 void   gossip__reach__free_unpacked
                      (Gossip__Reach *message,
                       ProtobufCAllocator *allocator);
+/* Gossip__Proxy methods */
+void   gossip__proxy__init
+                     (Gossip__Proxy         *message);
+size_t gossip__proxy__get_packed_size
+                     (const Gossip__Proxy   *message);
+size_t gossip__proxy__pack
+                     (const Gossip__Proxy   *message,
+                      uint8_t             *out);
+size_t gossip__proxy__pack_to_buffer
+                     (const Gossip__Proxy   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Proxy *
+       gossip__proxy__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__proxy__free_unpacked
+                     (Gossip__Proxy *message,
+                      ProtobufCAllocator *allocator);
 /* Gossip__News methods */
 void   gossip__news__init
                      (Gossip__News         *message);
@@ -865,6 +943,9 @@
 typedef void (*Gossip__Reach_Closure)
                  (const Gossip__Reach *message,
                   void *closure_data);
+typedef void (*Gossip__Proxy_Closure)
+                 (const Gossip__Proxy *message,
+                  void *closure_data);
 typedef void (*Gossip__News_Closure)
                  (const Gossip__News *message,
                   void *closure_data);
@@ -891,6 +972,7 @@
 extern const ProtobufCMessageDescriptor gossip__lookup__descriptor;
 extern const ProtobufCMessageDescriptor gossip__found__descriptor;
 extern const ProtobufCMessageDescriptor gossip__reach__descriptor;
+extern const ProtobufCMessageDescriptor gossip__proxy__descriptor;
 extern const ProtobufCMessageDescriptor gossip__news__descriptor;
 extern const ProtobufCMessageDescriptor gossip__entry__descriptor;
 extern const ProtobufCMessageDescriptor gossip__picture__descriptor;
--- a/src/gate/detour.c
+++ b/src/gate/detour.c
@@ -24,11 +24,18 @@
 #define DETOUR_UNREACHED_MAX 2
 /* Time for which another VM's question is answered. */
 #define DETOUR_ASKED_US (500 * CLK_US_PER_MS)
-/* A worker that was heard within this time is named to the other VMs. */
+/* A worker that was heard within this time, and that in which it is tried
+   again, is named to the other VMs. */
 #define DETOUR_HEARD_US (250 * CLK_US_PER_MS)
-/* While other VMs ask, it is tried again once it was not heard for this time,
-   as they need to know that it lives on. */
-#define DETOUR_REFRESH_US (20 * CLK_US_PER_MS)
+/* While other VMs need to know that it lives on, it is tried again once it was
+   not heard for this time; and while they look for VMs that serve, for the
+   longer one. All VMs of a large fleet may be asked at once, and the service
+   has few workers: the times grow with the fleet, by the second value for each
+   VM. */
+#define DETOUR_URGENT_US (20 * CLK_US_PER_MS)
+#define DETOUR_URGENT_VM_US (4 * CLK_US_PER_MS)
+#define DETOUR_REFRESH_US (1000 * CLK_US_PER_MS)
+#define DETOUR_REFRESH_VM_US (8 * CLK_US_PER_MS)
 
 /* A service whose workers are in doubt, or were. */
 typedef struct DetourService {
@@ -43,8 +50,11 @@
     ReachRound round;     /* The last one. */
     uint32_t rounds;
     int64_t next_round_us;
-    int64_t asked_until_us; /* Other VMs ask for a worker until then. */
-    uint64_t named;         /* The last worker that was named to them. */
+    int64_t asked_until_us;  /* Other VMs need a living worker until then. */
+    int64_t sought_until_us; /* They look for VMs that serve until then. */
+    uint32_t vms;            /* As in GateReach. */
+    uint32_t sample_max;     /* Connections of the round that is due. */
+    uint64_t named;          /* The last worker that was named to them. */
 } DetourService;
 
 /* A connection that shows whether a worker can be reached. */
@@ -75,6 +85,8 @@
 static void log_verdict(const DetourService *row, const char *event);
 static const char *get_verdict_name(ReachVerdict verdict);
 static FleetWorker *choose_named(DetourService *row);
+static bool is_wanted(const DetourService *row);
+static int64_t get_refresh_us(const DetourService *row);
 static bool is_active(const DetourService *row);
 static void advance(DetourService *row);
 static void refresh_named(DetourService *row);
@@ -105,6 +117,7 @@
         Reach_IsSuspicious(workers, count)) {
         row->is_suspicious = true;
         row->is_due = row->verdict == REACH_OPEN;
+        row->sample_max = REACH_SAMPLE_MAX;
         advance(row);
         if (!evtimer_pending(gate->detour_timer, NULL)) {
             Loop_ArmTimer(gate->detour_timer, DETOUR_TICK_MS);
@@ -174,7 +187,6 @@
 uint32_t
 Gate_ListReaches(const Gate *gate, GateReach *reaches, uint32_t max)
 {
-    int64_t now_us = Clk_Now(gate->options.clk);
     DetourService *row = NULL;
     uint32_t count = 0;
 
@@ -182,13 +194,16 @@
     {
         GateReach reach = {.service = row->hash};
         const FleetWorker *named = choose_named(row);
-        reach.asks = row->is_suspicious && (row->verdict == REACH_UNDECIDED ||
-                                            row->verdict == REACH_LOST);
-        if (!reach.asks && named != NULL) {
+        bool is_closed = row->is_suspicious && row->verdict != REACH_OPEN;
+        reach.asks = is_closed && row->verdict != REACH_CUT;
+        reach.seeker = is_closed ? GATE_SEEKER_VM : GATE_SEEKER_NONE;
+        reach.is_urgent = reach.asks;
+        reach.serving = gate->relayed_count;
+        if (!is_closed && named != NULL) {
             reach.worker = named->hash;
             reach.heard_us = named->heard_us;
         }
-        if ((reach.asks || now_us < row->asked_until_us) && count < max) {
+        if ((is_closed || is_wanted(row)) && count < max) {
             reaches[count++] = reach;
         }
     }
@@ -198,6 +213,7 @@
 void
 Gate_OnReach(Gate *gate, const GateReach *reach)
 {
+    int64_t now_us = Clk_Now(gate->options.clk);
     DetourService *row = NULL;
     GHashTableIter iter;
     gpointer name;
@@ -208,7 +224,8 @@
             break;
         }
     }
-    if (row == NULL && reach->asks && gate->table != NULL) {
+    if (row == NULL && (reach->asks || reach->seeker != GATE_SEEKER_NONE) &&
+        gate->table != NULL) {
         g_hash_table_iter_init(&iter, gate->table->services);
         while (row == NULL && g_hash_table_iter_next(&iter, &name, NULL)) {
             if (XXH3_64bits(name, strlen(name)) == reach->service) {
@@ -219,10 +236,16 @@
     if (row == NULL) {
         return;
     }
-    if (reach->asks) {
-        row->asked_until_us = Clk_Now(gate->options.clk) + DETOUR_ASKED_US;
-
-        gate->options.on_load_change(gate->options.context);
+    if (reach->asks || reach->is_urgent) {
+        row->asked_until_us = now_us + DETOUR_ASKED_US;
+    }
+    if (reach->asks || reach->seeker != GATE_SEEKER_NONE) {
+        bool is_first = !is_wanted(row);
+        row->sought_until_us = now_us + DETOUR_ASKED_US;
+        row->vms = reach->vms;
+        if (reach->asks || is_first) {
+            gate->options.on_load_change(gate->options.context);
+        }
     }
     /* The timer judges: in large fleets such messages come by the hundred. */
     if (is_active(row) && !evtimer_pending(gate->detour_timer, NULL)) {
@@ -360,7 +383,7 @@
         row->round.failed_us = now_us;
     }
     free_probe(running);
-    if (now_us < row->asked_until_us) {
+    if (is_wanted(row)) {
         row->gate->options.on_load_change(row->gate->options.context);
     }
     judge(row);
@@ -559,7 +582,7 @@
     const Gate *gate = row->gate;
     const GPtrArray *rows = gate->options.fleet->rows;
     int64_t now_us = Clk_Now(gate->options.clk);
-    int64_t since_us = now_us - DETOUR_HEARD_US;
+    int64_t since_us = now_us - DETOUR_HEARD_US - get_refresh_us(row);
     FleetWorker *best = row->named != 0
                             ? Fleet_FindByHash(gate->options.fleet, row->named)
                             : NULL;
@@ -583,12 +606,29 @@
     return best;
 }
 
+/* Whether other VMs want to know if this VM hears a worker. */
+static bool
+is_wanted(const DetourService *row)
+{
+    return Clk_Now(row->gate->options.clk) <
+           MAX(row->asked_until_us, row->sought_until_us);
+}
+
+/* Returns the time after which the worker that is named is tried again. */
+static int64_t
+get_refresh_us(const DetourService *row)
+{
+    bool is_urgent = Clk_Now(row->gate->options.clk) < row->asked_until_us;
+
+    return is_urgent ? MAX(DETOUR_URGENT_US, row->vms * DETOUR_URGENT_VM_US)
+                     : MAX(DETOUR_REFRESH_US, row->vms * DETOUR_REFRESH_VM_US);
+}
+
 /* Whether this VM or another one is in doubt about the service. */
 static bool
 is_active(const DetourService *row)
 {
-    return row->verdict != REACH_OPEN || row->is_due ||
-           Clk_Now(row->gate->options.clk) < row->asked_until_us;
+    return row->verdict != REACH_OPEN || row->is_due || is_wanted(row);
 }
 
 /* Tries the worker again that is named to the other VMs, or looks for one. */
@@ -600,8 +640,9 @@
 
     if (named == NULL) {
         row->is_due = true;
+        row->sample_max = DETOUR_AGAIN_SAMPLE;
     }
-    else if (named->heard_us < now_us - DETOUR_REFRESH_US &&
+    else if (named->heard_us < now_us - get_refresh_us(row) &&
              !is_any_pending(row)) {
         row->rounds++;
         row->round = (ReachRound){.began_us = now_us};
@@ -619,7 +660,7 @@
     if (row->verdict != REACH_OPEN) {
         judge(row);
     }
-    else if (now_us < row->asked_until_us) {
+    else if (is_wanted(row)) {
         refresh_named(row);
     }
     if (now_us < row->next_round_us) {
@@ -627,7 +668,7 @@
     }
     if (row->verdict == REACH_OPEN && row->is_due) {
         row->verdict = REACH_UNDECIDED;
-        begin_round(row, REACH_SAMPLE_MAX);
+        begin_round(row, row->sample_max);
         gate->options.on_load_change(gate->options.context);
     }
     else if (row->verdict == REACH_LOST || row->verdict == REACH_CUT) {
--- a/src/gate/detour_vm.c
+++ b/src/gate/detour_vm.c
@@ -46,6 +46,7 @@
     Gate *gate = task->gate;
     GatePeer peers[DETOUR_PEERS_MAX];
     int64_t now_us = Task_Now(task);
+    bool is_any_hearing = false;
     FleetWorker *candidates[DETOUR_PEERS_MAX];
     uint32_t loads[DETOUR_PEERS_MAX];
     uint32_t count = 0;
@@ -61,6 +62,14 @@
         if ((peers[i].serves & GATE_SERVES_DETOURS) != 0 && !hears_none &&
             !Health_IsBlocked(&vm->health, now_us) &&
             !Task_IsExcluded(task, vm)) {
+            if (peers[i].tells_reach && !is_any_hearing) {
+                /* Those that don't say so are the second choice. */
+                is_any_hearing = true;
+                count = 0;
+            }
+            if (is_any_hearing && !peers[i].tells_reach) {
+                continue;
+            }
             loads[count] = get_load(vm, &peers[i]);
             candidates[count++] = vm;
         }
@@ -191,5 +200,6 @@
 static uint32_t
 get_load(const FleetWorker *vm, const GatePeer *peer)
 {
-    return vm->inflight + (peer->is_near ? 0 : DETOUR_REMOTE_REQUESTS);
+    return MAX(vm->inflight, peer->serving) +
+           (peer->is_near ? 0 : DETOUR_REMOTE_REQUESTS);
 }
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -164,14 +164,28 @@
     uint64_t reached; /* Hash of one that it hears, as in FleetWorker; 0: none.
                        */
     int64_t reached_us; /* When it heard that one last. */
+    uint32_t serving;   /* Requests of other VMs in progress there. */
 } GatePeer;
 
+/* Who looks for VMs that reach the workers of a service; values of
+   Reach.seeks. */
+typedef enum GateSeeker {
+    GATE_SEEKER_NONE,
+    GATE_SEEKER_VM,     /* The VM that says so. */
+    GATE_SEEKER_REGION, /* A VM of its region. */
+    GATE_SEEKER_FAR,    /* A VM of another region. */
+} GateSeeker;
+
 /* Whether a VM hears workers of a service. */
 typedef struct GateReach {
     uint64_t service; /* Hash of the service's name. */
     uint64_t worker;  /* As GatePeer.reached. */
     int64_t heard_us; /* As GatePeer.reached_us. */
     bool asks;        /* It looks for a worker that others hear. */
+    GateSeeker seeker;
+    bool is_urgent;   /* Who seeks needs a worker that was heard just now. */
+    uint32_t serving; /* Requests of other VMs in progress. */
+    uint32_t vms;     /* Live VMs, which may all be asked at once. */
 } GateReach;
 
 /* Work of all requests for a service of model workers since Gate_New(). */
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -440,6 +440,7 @@
         }
         else {
             Gos_AddHubs(gos, &message);
+            Gos_AddProxies(gos, &message);
         }
         Gos_PackMessage(&message);
         Gos_SendTo(gos, peer->address, &message);
--- a/src/gate/gossip_lookup.c
+++ b/src/gate/gossip_lookup.c
@@ -13,8 +13,6 @@
 G_STATIC_ASSERT(KEPT_BY_SEVERAL == GOS_KEPT_MAX);
 G_STATIC_ASSERT(LOOKUP_QUESTIONS_MAX <= GOS_ORIGINS_MAX);
 
-static void begin_message(Gos *gos, GosMessage *message,
-                          Gossip__Table *no_load);
 static void answer_all(Gos *gos, const Gossip__News *news);
 static uint32_t encode_kept(ResumptionSurvey survey);
 static ResumptionSurvey decode_kept(uint32_t kept);
@@ -29,7 +27,7 @@
     Gossip__Table no_load;
     GosMessage message;
 
-    begin_message(gos, &message, &no_load);
+    Gos_BeginWithoutLoad(gos, &message, &no_load);
     message.news.lookups = pointers;
     message.news.n_lookups = MIN(count, LOOKUP_QUESTIONS_MAX);
     for (size_t i = 0; i < message.news.n_lookups; i++) {
@@ -76,18 +74,6 @@
     return true;
 }
 
-/* Begins a message without load, so that the rest has room. */
-static void
-begin_message(Gos *gos, GosMessage *message, Gossip__Table *no_load)
-{
-    Gos_BeginMessage(gos, message);
-    gossip__table__init(no_load);
-    message->news.table = no_load;
-    message->news.n_demands = 0;
-    message->news.n_suspects = 0;
-    message->news.n_limits = 0;
-}
-
 static void
 answer_all(Gos *gos, const Gossip__News *news)
 {
@@ -97,7 +83,7 @@
     Gossip__Table no_load;
     GosMessage message;
 
-    begin_message(gos, &message, &no_load);
+    Gos_BeginWithoutLoad(gos, &message, &no_load);
     message.news.found = pointers;
     for (size_t i = 0; i < MIN(news->n_lookups, LOOKUP_QUESTIONS_MAX); i++) {
         const Gossip__Lookup *from = news->lookups[i];
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -64,6 +64,17 @@
         options->is_stopping != NULL && options->is_stopping(options->context);
 }
 
+void
+Gos_BeginWithoutLoad(Gos *gos, GosMessage *message, Gossip__Table *no_load)
+{
+    Gos_BeginMessage(gos, message);
+    gossip__table__init(no_load);
+    message->news.table = no_load;
+    message->news.n_demands = 0;
+    message->news.n_suspects = 0;
+    message->news.n_limits = 0;
+}
+
 static uint32_t
 get_own_serves(const GosOptions *options)
 {
@@ -408,9 +419,12 @@
     }
     while (gossip__news__get_packed_size(news) > GOS_MESSAGE_MAX_BYTES &&
            news->n_suspects + news->n_limits + news->n_origins +
-                   news->n_reaches >
+                   news->n_reaches + news->n_proxies >
                0) {
-        if (news->n_suspects > 0) {
+        if (news->n_proxies > 0) {
+            news->n_proxies--;
+        }
+        else if (news->n_suspects > 0) {
             news->n_suspects--;
         }
         else if (news->n_origins > 0) {
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -6,6 +6,7 @@
 #include "gossip.h"
 #include "gossip.pb-c.h"
 #include "peers.h"
+#include "proxies.h"
 
 #define GOS_USES_MAX 48       /* Workers in one message. */
 #define GOS_PEERS_MAX 6       /* Addresses of other VMs in one message. */
@@ -22,6 +23,8 @@
 #define GOS_LIMITS_MAX 8
 /* Streams that began in one message, some 30 bytes each. */
 #define GOS_ORIGINS_MAX 16
+/* VMs that reach workers in one message, some 40 bytes each. */
+#define GOS_PROXIES_MAX 20
 /* How long the end of a limit is told. */
 #define GOS_LIMIT_NEWS_US (3 * CLK_US_PER_S)
 #define GOS_KEPT_MAX 4 /* Highest known value of Found.kept. */
@@ -61,6 +64,8 @@
     uint64_t cut[PEERS_CUT_MAX];
     Gossip__Reach reach_rows[PEERS_REACHES_MAX];
     Gossip__Reach *reaches[PEERS_REACHES_MAX];
+    Gossip__Proxy proxy_rows[GOS_PROXIES_MAX];
+    Gossip__Proxy *proxies[GOS_PROXIES_MAX];
     uint64_t peers[GOS_PEERS_MAX];
     uint8_t data[GOS_MESSAGE_MAX_BYTES];
     size_t size; /* Of the packed message in `data`. */
@@ -82,6 +87,16 @@
     uint64_t leaving[GOS_TABLE_ROWS_MAX];
 } GosTablePart;
 
+/* A service for which other VMs look for VMs that reach its workers. The times
+   are those of the last such words; 0: none. */
+typedef struct GosSought {
+    uint64_t service;       /* Hash of its name; 0: the row is free. */
+    int64_t near_us;        /* From VMs of this region. */
+    int64_t far_us;         /* From hubs of other regions. */
+    int64_t near_urgent_us; /* Urgent ones. */
+    int64_t far_urgent_us;
+} GosSought;
+
 struct Gos {
     GosOptions options;
     int fd;
@@ -93,7 +108,11 @@
     uint32_t next_limit;           /* First worker whose limit is told. */
     uint64_t seeds[GOS_SEEDS_MAX]; /* Addresses; 0 for none. */
     GRand *rand;
-    Report own; /* Demands of this VM; its uses are those of the fleet. */
+    GosSought sought[PEERS_REACHES_MAX];
+    Proxies proxies;
+    uint32_t
+        proxy_turn; /* First of the proxies that the next message tells. */
+    Report own;     /* Demands of this VM; its uses are those of the fleet. */
     Peers peers;
     struct event *readable;
     struct event *timer;
@@ -105,6 +124,10 @@
    demand on the services, parts of prompts under which workers crash, and
    limits that workers name. */
 void Gos_BeginMessage(Gos *gos, GosMessage *message);
+/* Starts a message that tells no load, so that the rest has room. `no_load` is
+   its empty table. */
+void Gos_BeginWithoutLoad(Gos *gos, GosMessage *message,
+                          Gossip__Table *no_load);
 void Gos_AddUses(Gos *gos, GosMessage *message);  /* Use of the workers. */
 void Gos_AddPeers(Gos *gos, GosMessage *message); /* Some live peers. */
 /* Adds streams of this VM that began lately, and notes that they are told. */
@@ -124,7 +147,10 @@
 uint32_t Gos_DecodeServes(const Gossip__News *news);
 /* Adds the workers that this VM hears, for the services that are in doubt. */
 void Gos_AddReaches(const Gos *gos, GosMessage *message);
-/* Stores what the peer says of the workers that it hears. */
+/* Adds VMs that reach workers which others look for, if this VM is a hub.
+   Returns whether there are any. */
+bool Gos_AddProxies(Gos *gos, GosMessage *message);
+/* Stores what the peer says of the workers that it and others hear. */
 void Gos_StoreReaches(Gos *gos, Peer *peer, const Gossip__News *news);
 /* Returns the i-th row on the workers that the sender hears. */
 GateReach Gos_DecodeReach(const Gossip__News *news, size_t i, int64_t now_us);
--- a/src/gate/gossip_table.c
+++ b/src/gate/gossip_table.c
@@ -8,6 +8,7 @@
 static uint32_t count_parts(const Report *report);
 static void send_table(Gos *gos, uint32_t region, uint32_t members,
                        const Report *report, bool is_own);
+static void send_proxies(Gos *gos);
 static void send_table_part(Gos *gos, const GosMessage *message, bool is_own);
 
 void
@@ -93,6 +94,7 @@
     Report_Merge(&sum, &gos->own);
     send_table(gos, peers->options.region, members, &sum, true);
     Report_Clear(&sum);
+    send_proxies(gos);
     for (guint i = 0;
          i < peers->regions->len && gos->periods % HUBS_REMOTE_PERIODS == 0;
          i++) {
@@ -183,6 +185,21 @@
     }
 }
 
+/* Sends the VMs that reach workers which others look for, in a message of
+   their own: a table may fill one. */
+static void
+send_proxies(Gos *gos)
+{
+    GosMessage message;
+    Gossip__Table none;
+
+    Gos_BeginWithoutLoad(gos, &message, &none);
+    if (Gos_AddProxies(gos, &message)) {
+        Gos_PackMessage(&message);
+        send_table_part(gos, &message, true);
+    }
+}
+
 static void
 send_table_part(Gos *gos, const GosMessage *message, bool is_own)
 {
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -442,6 +442,7 @@
         return;
     }
     task->is_relayed = true;
+    task->gate->relayed_count++;
     task->caller = 0; /* The connection is the other VM's. */
     /* The other VM counts one run, whatever becomes of this VM. */
     task->attempts = 1;
@@ -539,6 +540,7 @@
 free_task(GateTask *task)
 {
     LIST_REMOVE(task, links);
+    task->gate->relayed_count -= task->is_relayed;
     event_free(task->timer);
     for (guint i = 0; i < task->excluded_count; i++) {
         Fleet_Unref(task->excluded[i]);
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -188,6 +188,7 @@
     LIST_HEAD(DetourVmList, DetourVm) detour_vms;
     LIST_HEAD(DetourProbeList, DetourProbe) detour_probes;
     struct event *detour_timer;
+    uint32_t relayed_count; /* Requests of other VMs in progress. */
     bool stopping;
     GHashTable *drain_times; /* Service name to DrainTime. */
     int64_t drain_late_us;   /* As in Gate_SetDrain(). */
--- a/tests/test_gate_cut_regions.cc
+++ b/tests/test_gate_cut_regions.cc
@@ -96,6 +96,8 @@
      FleetRig::REFUSE, 2, 12, true, 0, 1},
     {"the same, the hubs of the other region reach", repeatable,
      FleetRig::HANG, 2, 12, false, 0, 2},
+    {"three regions of 23 VMs, few reach", repeatable, FleetRig::REFUSE, 3, 23,
+     true, 2, 3},
     {"two regions are cut, VMs of the third one reach", once, FleetRig::HANG,
      3, 9, true, 0, 3},
 };
@@ -122,6 +124,7 @@
             }
             reaching.insert(chosen.begin(), chosen.end());
         }
+        rig.RunFor(1500);
         for (size_t vm = 0; vm < rig.edges.size(); vm++) {
             if (reaching.count(vm) == 0) {
                 rig.CutOff(vm, row.cut);
