Resumption: a VM that is out of step takes no version for the only one

What other operators saw: during a release a VM was cut off from the others, or stood still, while workers of a new version joined; streams that had begun there were resumed at that VM and went on at a worker of another version. Cause: without a record, a VM goes on at the only version that it has seen in the callers' time. It takes that for proof, though it may have missed workers that joined, and the stream's record. Ruled out: a version that the VM has never seen, in a record or an answer of others: it is refused, as no worker of it is known (bind_version). Change: the only version counts only while the VM is in step: it was not stopped or suspended for 0.7 s within the last 0.7 s, and at least as many of the VMs that it expects messages from are heard as are silent (the region's hubs in a large fleet). Else the holders and workers are asked, as where two versions are known. The time of a suspension is read from the boot-time clock.

--- a/src/clock.c
+++ b/src/clock.c
@@ -1,6 +1,9 @@
 #include "clock.h"
 
 #include <glib.h>
+#include <time.h>
+
+static int64_t read_clock(clockid_t id);
 
 Clk
 Clk_Default(void)
@@ -27,3 +30,20 @@
 {
     return clk->paused ? clk->paused_us : g_get_monotonic_time();
 }
+
+int64_t
+Clk_GetSuspended(const Clk *clk)
+{
+    return clk->paused
+               ? 0
+               : read_clock(CLOCK_BOOTTIME) - read_clock(CLOCK_MONOTONIC);
+}
+
+static int64_t
+read_clock(clockid_t id)
+{
+    struct timespec ts = {0};
+
+    clock_gettime(id, &ts);
+    return (int64_t)ts.tv_sec * CLK_US_PER_S + ts.tv_nsec / 1000;
+}
--- a/src/clock.h
+++ b/src/clock.h
@@ -20,5 +20,8 @@
 void Clk_Pause(Clk *clk, int64_t now_us);  /* Stops it at now_us. */
 void Clk_Advance(Clk *clk, int64_t by_us); /* Works on a paused clock only. */
 int64_t Clk_Now(const Clk *clk);           /* Returns microseconds. */
+/* Returns the time for which the machine was suspended since its start, in
+   microseconds: the clock does not count it. 0 for a paused clock. */
+int64_t Clk_GetSuspended(const Clk *clk);
 
 #endif
--- a/src/decide/resumption.h
+++ b/src/decide/resumption.h
@@ -30,7 +30,7 @@
 typedef struct ResumptionState {
     bool has_record; /* The VMs know which version began the stream. */
     /* Versions that were in service within the callers' time; 0 if this VM
-       has not watched for so long. */
+       has not watched for so long, or is out of step with the others. */
     uint32_t versions;
     ResumptionSurvey survey;
 } ResumptionState;
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -35,6 +35,7 @@
 static uint32_t list_no_peers(void *context, const char *service,
                               GatePeer *peers, uint32_t max);
 static void list_only_holder(void *context, Holders *holders);
+static bool is_always_in_step(void *context);
 static void ignore_lookups(void *context, uint64_t holder,
                            const LookupQuestion *rows, uint32_t count);
 
@@ -53,6 +54,7 @@
         .on_load_change = ignore_load_change,
         .list_peers = list_no_peers,
         .list_holders = list_only_holder,
+        .is_in_step = is_always_in_step,
         .send_lookups = ignore_lookups,
     };
     return options;
@@ -436,6 +438,13 @@
     Holders_Add(holders, holders->self);
 }
 
+static bool
+is_always_in_step(void *context)
+{
+    (void)context;
+    return true;
+}
+
 static void
 ignore_lookups(void *context, uint64_t holder, const LookupQuestion *rows,
                uint32_t count)
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -230,6 +230,8 @@
        returns their number. */
     uint32_t (*list_peers)(void *context, const char *service, GatePeer *peers,
                            uint32_t max);
+    /* Whether this VM knows what the other VMs knew some 100 ms ago. */
+    bool (*is_in_step)(void *context);
     /* Stores the VMs that share the workers, this one included if it is one
        of them. */
     void (*list_holders)(void *context, Holders *holders);
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -18,10 +18,17 @@
 #define GOS_INTERVAL_MS 250
 /* Time from a change to the message about it. */
 #define GOS_UPDATE_DELAY_MS 30
-#define GOS_SEED_INTERVALS 8   /* Intervals between messages to all seeds. */
+#define GOS_SEED_INTERVALS 8 /* Intervals between messages to all seeds. */
+/* A VM that was stopped for so long, or heard no message for it, is out of
+   step. Messages and tables come each 250 ms or more often. */
+#define GOS_STEP_US (700 * CLK_US_PER_MS)
+/* VMs that were heard within this time are missed once they are silent. */
+#define GOS_MISSED_US (60 * CLK_US_PER_S)
 #define GOS_MAJORITY_RATIO 0.6 /* Share of the VMs that is a majority. */
 
 static bool has_other_seed(const Gos *gos);
+static bool is_expected(const Gos *gos, const Peer *peer);
+static void note_stop(Gos *gos);
 static void on_readable(evutil_socket_t fd, short what, void *context);
 static void on_timer(evutil_socket_t fd, short what, void *context);
 static void on_table_timer(evutil_socket_t fd, short what, void *context);
@@ -63,6 +70,8 @@
     };
 
     gos->options = *options;
+    gos->ran_us = Clk_Now(options->clk);
+    gos->suspended_us = Clk_GetSuspended(options->clk);
     gos->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (inet_pton(AF_INET, options->ip, &local.sin_addr) != 1 || gos->fd < 0 ||
         bind(gos->fd, (struct sockaddr *)&local, sizeof(local)) != 0) {
@@ -196,6 +205,60 @@
            GOS_MAJORITY_RATIO * Gos_CountVms(gos);
 }
 
+bool
+Gos_IsInStep(Gos *gos)
+{
+    int64_t now_us = Clk_Now(gos->options.clk);
+    const Peer *peer = NULL;
+    uint32_t heard = 0;
+    uint32_t missed = 0;
+
+    note_stop(gos);
+    LIST_FOREACH(peer, &gos->peers.list, links)
+    {
+        if (peer->received_us != 0 && is_expected(gos, peer) &&
+            now_us - peer->received_us < GOS_MISSED_US) {
+            bool is_silent = now_us - peer->received_us >= GOS_STEP_US;
+            heard += !is_silent;
+            missed += is_silent;
+        }
+    }
+    return now_us >= gos->stopped_until_us && heard >= missed &&
+           (gos->peers.is_mesh || heard > 0);
+}
+
+/* Whether the peer sends messages each GOS_INTERVAL_MS. */
+static bool
+is_expected(const Gos *gos, const Peer *peer)
+{
+    HubsChoice hubs = Peers_GetHubs(&gos->peers);
+
+    if (gos->peers.is_mesh) {
+        return true;
+    }
+    return Hubs_Contains(&hubs, peer->address) ||
+           (Hubs_Contains(&hubs, gos->address) &&
+            peer->region == gos->peers.options.region);
+}
+
+/* Notes that the process did not run for a while. */
+static void
+note_stop(Gos *gos)
+{
+    int64_t now_us = Clk_Now(gos->options.clk);
+    int64_t suspended_us = Clk_GetSuspended(gos->options.clk);
+    int64_t stopped_us =
+        now_us - gos->ran_us + suspended_us - gos->suspended_us;
+
+    if (stopped_us >= GOS_STEP_US) {
+        gos->stopped_until_us = now_us + GOS_STEP_US;
+        Log_WriteJson(LOG_LEVEL_WARNING, "vm_was_stopped",
+                      json_pack("{s:I}", "for_us", (json_int_t)stopped_us));
+    }
+    gos->ran_us = now_us;
+    gos->suspended_us = suspended_us;
+}
+
 void
 Gos_ListHolders(const Gos *gos, Holders *holders)
 {
@@ -261,6 +324,7 @@
 
     (void)fd;
     (void)what;
+    note_stop(gos);
     gos->update_pending = false;
     if (is_regular) {
         gos->regular_us = now_us + GOS_INTERVAL_MS * CLK_US_PER_MS;
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -118,6 +118,11 @@
     struct event *timer;
     struct event *table_timer; /* Pending while other VMs want tables. */
     bool update_pending;       /* The timer is set for a change. */
+    /* When the process was last known to run, and the machine's suspended time
+       then. */
+    int64_t ran_us;
+    int64_t suspended_us;
+    int64_t stopped_until_us; /* Until then it counts as stopped before. */
 };
 
 /* Starts a message with what each one carries: this VM, its versions, its
--- a/src/gate/stream_resume.c
+++ b/src/gate/stream_resume.c
@@ -37,10 +37,15 @@
     uint32_t answered;
     ResumptionState state = {
         .has_record = found != NULL,
-        .versions = Fleet_CountVersions(
-            gate->options.fleet, task->service->name, since_us, now_us, &only),
     };
-    ResumptionStep step = Resumption_Decide(&state);
+    ResumptionStep step;
+
+    /* Workers of another version may have joined without this VM's notice. */
+    if (gate->options.is_in_step(gate->options.context)) {
+        state.versions = Fleet_CountVersions(
+            gate->options.fleet, task->service->name, since_us, now_us, &only);
+    }
+    step = Resumption_Decide(&state);
 
     if (step != RESUMPTION_FOLLOW_RECORD && !task->is_relayed &&
         Detour_IsCut(gate, task->service->name)) {
--- a/tests/virtual_time.cc
+++ b/tests/virtual_time.cc
@@ -3,6 +3,8 @@
    while all its sockets are idle. So a busy machine changes no order of
    events. Linked into a test, it replaces the C library's clock_gettime() and
    epoll_wait(), which GLib and libevent call. */
+#include "virtual_time.h"
+
 #include <atomic>
 #include <cstdint>
 #include <ctime>
@@ -23,6 +25,7 @@
 constexpr int64_t kIdleNs = 100000;
 
 std::atomic<int64_t> now_ns{1000 * kNsPerS};
+std::atomic<int64_t> suspended_ns{0};
 
 /* Returns what has happened at the sockets, after kIdleNs at most. */
 int
@@ -36,14 +39,23 @@
 
 } // namespace
 
+/* Lets time pass in which the process does nothing, as if it were stopped. If
+   it is suspended, the monotonic clock stands still meanwhile. */
+void
+VirtualTime_Stop(int64_t ms, bool is_suspended)
+{
+    (is_suspended ? suspended_ns : now_ns) += ms * kNsPerMs;
+}
+
 extern "C" int
 clock_gettime(clockid_t id, timespec *ts) noexcept
 {
     if (id != CLOCK_MONOTONIC && id != CLOCK_MONOTONIC_COARSE &&
-        id != CLOCK_MONOTONIC_RAW) {
+        id != CLOCK_MONOTONIC_RAW && id != CLOCK_BOOTTIME) {
         return (int)syscall(SYS_clock_gettime, id, ts);
     }
     int64_t ns = now_ns.fetch_add(kReadNs);
+    ns += id == CLOCK_BOOTTIME ? suspended_ns.load() : 0;
     *ts = {(time_t)(ns / kNsPerS), (long)(ns % kNsPerS)};
     return 0;
 }
