Tests: the mark of a request passed on does not reach its caller

Cause: the answer of the VM that serves names its worker, in a field that the first VM takes out; nothing checked that. Ruled out: nothing. Conclusion: callers see no such field.

--- a/src/gate/gossip_reach.c
+++ b/src/gate/gossip_reach.c
@@ -300,7 +300,8 @@
     if (row->seeks == GATE_SEEKER_NONE && sought->far_us > since_us) {
         row->seeks = GATE_SEEKER_FAR;
     }
-    /* VMs of other regions take no part in what is far for the hub, too. */
+    /* Hubs of other regions must not take what came from there for this
+       region's need. */
     row->urgent |=
         sought->near_urgent_us > since_us ||
         (row->seeks == GATE_SEEKER_FAR && sought->far_urgent_us > since_us);
--- a/tests/test_gate_cutoff.cc
+++ b/tests/test_gate_cutoff.cc
@@ -74,6 +74,8 @@
             rig.RunFor(60);
             EXPECT_EQ(caller->Status(), 200) << i << ": " << caller->text;
             EXPECT_TRUE(caller->IsComplete());
+            EXPECT_EQ(caller->text.find("Lavenderspool-Relayed"),
+                      std::string::npos);
             EXPECT_EQ(rig.CountRuns("id-" + std::to_string(i)), 1);
             if (row.route.kind == RTE_STREAM) {
                 EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
