--- a/review/rig.c
+++ b/review/rig.c
@@ -102,6 +102,7 @@
 static void on_child(evutil_socket_t fd, short what, void *context);
 static void on_kill(evutil_socket_t fd, short what, void *context);
 static void write_settings(Rig *rig, uint32_t vm);
+static void note_pid(const Rig *rig, pid_t pid);
 static void on_store_request(void *context, ServerExchange *exchange);
 static void on_store_disconnect(void *context, ServerExchange *exchange);
 static void on_watch_end(evutil_socket_t fd, short what, void *context);
@@ -488,9 +489,26 @@
     }
     posix_spawn_file_actions_destroy(&files);
     g_free(variable);
+    note_pid(rig, vm->pid);
     Rig_Note(rig, "VM %u started at %s", number, vm->ip);
 }
 
+/* Writes the process's ID to a file, so that run.sh can end it should this
+   program fail. */
+static void
+note_pid(const Rig *rig, pid_t pid)
+{
+    char path[512];
+    FILE *file;
+
+    g_snprintf(path, sizeof(path), "%s/pids", rig->options.out);
+    file = fopen(path, "a");
+    if (file != NULL) {
+        fprintf(file, "%d\n", (int)pid);
+        fclose(file);
+    }
+}
+
 void
 Rig_Signal(Rig *rig, uint32_t number, int signal_number)
 {
@@ -1031,12 +1049,6 @@
     return &rig->requests[request];
 }
 
-uint32_t
-Rig_GetNumber(const RigWorker *worker)
-{
-    return worker->number;
-}
-
 bool
 Rig_IsDecode(const RigWorker *worker)
 {
--- a/review/rig.h
+++ b/review/rig.h
@@ -126,7 +126,6 @@
                            uint32_t prompt, uint32_t events, uint32_t hint);
 uint32_t Rig_CountRequests(const Rig *rig);
 RigRequest *Rig_GetRequest(Rig *rig, uint32_t request);
-uint32_t Rig_GetNumber(const RigWorker *worker); /* From 0 on. */
 bool Rig_IsDecode(const RigWorker *worker);
 
 #endif
