--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -14,7 +14,7 @@
     # The program failed before it could end the VMs that it had started.
     while read -r pid; do
         kill -KILL "$pid" 2>/dev/null
-    done <"$out/pids"
+    done < <(cat "$out/pids" 2>/dev/null)
     status=2
 fi
 exit $status
--- a/review/rig.c
+++ b/review/rig.c
@@ -26,6 +26,7 @@
 #define RIG_FIRST_STORE 100     /* Last part of the store's address. */
 #define RIG_GRACE_MS 8000       /* Setting grace-s. */
 #define RIG_SLOTS 128
+#define RIG_PLAIN_SLOTS 6
 #define RIG_HANDLE_TTL_US (500 * CLK_US_PER_MS)
 #define RIG_TICK_MS 5
 #define RIG_TRANSFER_US (5 * CLK_US_PER_MS)
@@ -38,7 +39,7 @@
     ServerExchange *exchange;
     struct event *timer;
     RigRequest *request;
-    char id[32];
+    char id[RIG_ID_SIZE];
     bool is_prefill;
     bool is_begun;         /* The head of the stream was sent. */
     uint32_t next;         /* Next event. */
@@ -53,6 +54,7 @@
     char address[32];
     uint32_t number;
     bool is_decode;
+    bool is_plain;
     uint32_t running;
     int64_t read_until_us; /* When the prompts that wait have been read. */
 };
@@ -102,6 +104,7 @@
 static void on_child(evutil_socket_t fd, short what, void *context);
 static void on_kill(evutil_socket_t fd, short what, void *context);
 static void write_settings(Rig *rig, uint32_t vm);
+static void on_output(evutil_socket_t fd, short what, void *context);
 static void note_pid(const Rig *rig, pid_t pid);
 static void on_store_request(void *context, ServerExchange *exchange);
 static void on_store_disconnect(void *context, ServerExchange *exchange);
@@ -110,6 +113,7 @@
 static void add_item(json_t *items, const char *key, json_t *value);
 static json_t *get_config(void);
 static json_t *get_route(const char *name, bool can_resume);
+static json_t *get_plain_route(void);
 static void on_request(void *context, ServerExchange *exchange);
 static void on_disconnect(void *context, ServerExchange *exchange);
 static void answer(RigWorker *worker, ServerExchange *exchange, int status,
@@ -123,7 +127,9 @@
                       bool is_prefill, int64_t begin_us);
 static void note_run(RigJob *job);
 static void on_job_timer(evutil_socket_t fd, short what, void *context);
+static void end_plain(RigJob *job);
 static void end_job(RigJob *job);
+static RigRequest *add_request(RigCaller *caller);
 static RigRequest *find_request(Rig *rig, const char *id);
 static void on_caller_read(struct bufferevent *bev, void *context);
 static void on_caller_event(struct bufferevent *bev, short what,
@@ -190,7 +196,8 @@
 Rig_New(const RigOptions *options)
 {
     Rig *rig = g_new0(Rig, 1);
-    uint32_t count = options->prefills + options->decodes;
+    uint32_t models = options->prefills + options->decodes;
+    uint32_t count = models + options->plains;
 
     rig->options = *options;
     rig->clk = Clk_Default();
@@ -216,9 +223,13 @@
         RigWorker *worker = &rig->workers[i];
         worker->rig = rig;
         worker->number = i;
-        worker->is_decode = i >= options->prefills;
+        worker->is_plain = i >= models;
+        worker->is_decode = i >= options->prefills && i < models;
         g_snprintf(worker->id, sizeof(worker->id), "i-%c%u",
-                   worker->is_decode ? 'd' : 'p', i);
+                   worker->is_plain    ? 'a'
+                   : worker->is_decode ? 'd'
+                                       : 'p',
+                   i);
         worker->server = open_server(rig, RIG_FIRST_STORE + 1 + i, worker,
                                      on_request, on_disconnect);
         g_snprintf(worker->address, sizeof(worker->address), "%s%u:%u",
@@ -247,6 +258,11 @@
             kill(rig->vms[i].pid, SIGKILL);
             waitpid(rig->vms[i].pid, NULL, 0);
         }
+        event_free(rig->vms[i].output);
+        close(rig->vms[i].output_fd);
+        if (rig->vms[i].log_file != NULL) {
+            fclose(rig->vms[i].log_file);
+        }
         event_free(rig->kill_timers[i]);
     }
     for (uint32_t i = 0; i < rig->caller_count; i++) {
@@ -470,6 +486,7 @@
 Rig_StartVm(Rig *rig, uint32_t number)
 {
     RigVm *vm = &rig->vms[number];
+    int ends[2];
     char *argv[] = {(char *)rig->options.gate, (char *)"--metrics-port",
                     (char *)RIG_METRICS_PORT, NULL};
     char *variable =
@@ -479,20 +496,61 @@
 
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addchdir_np(&files, rig->options.root);
-    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, vm->log,
-                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
-    posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    if (pipe2(ends, O_CLOEXEC) != 0) {
+        fprintf(stderr, "can't open a pipe\n");
+        exit(2);
+    }
+    posix_spawn_file_actions_adddup2(&files, ends[1], STDOUT_FILENO);
+    posix_spawn_file_actions_adddup2(&files, ends[1], STDERR_FILENO);
     if (posix_spawn(&vm->pid, rig->options.gate, &files, NULL, argv, envp) !=
         0) {
         fprintf(stderr, "can't start %s\n", rig->options.gate);
         exit(2);
     }
     posix_spawn_file_actions_destroy(&files);
+    close(ends[1]);
+    evutil_make_socket_nonblocking(ends[0]);
+    vm->log_file = fopen(vm->log, "a");
+    vm->output_fd = ends[0];
+    vm->log_file = fopen(vm->log, "a");
+    vm->output =
+        event_new(rig->base, ends[0], EV_READ | EV_PERSIST, on_output, vm);
+    event_add(vm->output, NULL);
     g_free(variable);
     note_pid(rig, vm->pid);
     Rig_Note(rig, "VM %u started at %s", number, vm->ip);
 }
 
+void
+Rig_SetLogRead(Rig *rig, uint32_t vm, bool is_read)
+{
+    Rig_Note(rig, "the log of VM %u is %s", vm,
+             is_read ? "read again" : "not read");
+    if (is_read) {
+        event_add(rig->vms[vm].output, NULL);
+    }
+    else {
+        event_del(rig->vms[vm].output);
+    }
+}
+
+/* Copies what a VM writes to its log file. */
+static void
+on_output(evutil_socket_t fd, short what, void *context)
+{
+    RigVm *vm = context;
+    char text[65536];
+    ssize_t size = read(fd, text, sizeof(text));
+
+    (void)what;
+    if (size <= 0) {
+        event_del(vm->output);
+    }
+    else if (vm->log_file != NULL) {
+        fwrite(text, 1, (size_t)size, vm->log_file);
+    }
+}
+
 /* Writes the process's ID to a file, so that run.sh can end it should this
    program fail. */
 static void
@@ -620,15 +678,22 @@
     add_item(items, "op/config", get_config());
     for (uint32_t i = 0; i < rig->worker_count; i++) {
         const RigWorker *worker = &rig->workers[i];
+        json_t *entry;
         char key[32];
         g_snprintf(key, sizeof(key), "servers/%s", worker->id);
-        add_item(items, key,
-                 json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:s,s:i,s:I}",
-                           "service", "llm", "addr", worker->address, "zone",
-                           zones[i % 3], "version", "v1", "slots", RIG_SLOTS,
-                           "state", "ready", "cold-left-ms", 0, "phase",
-                           worker->is_decode ? "decode" : "prefill",
-                           "sequence", 0, "born", (json_int_t)1700000000000));
+        entry =
+            json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service",
+                      worker->is_plain ? "app" : "llm", "addr",
+                      worker->address, "zone", zones[i % 3], "version", "v1",
+                      "slots", worker->is_plain ? RIG_PLAIN_SLOTS : RIG_SLOTS,
+                      "state", "ready", "cold-left-ms", 0, "sequence", 0,
+                      "born", (json_int_t)1700000000000);
+        if (!worker->is_plain) {
+            json_object_set_new(
+                entry, "phase",
+                json_string(worker->is_decode ? "decode" : "prefill"));
+        }
+        add_item(items, key, entry);
     }
     root = json_pack("{s:o,s:b,s:i}", "items", items, "truncated", 0, "as-of",
                      500);
@@ -657,16 +722,18 @@
 get_config(void)
 {
     return json_pack(
-        "{s:i,s:[o,o],s:[{s:s,s:s,s:i,s:s,s:b,s:{s:i,s:i,s:i,s:b,s:b,s:i,s:i,"
+        "{s:i,s:[o,o,o],s:[{s:s,s:s,s:i,s:s,s:b},{s:s,s:s,s:i,s:s,s:b,s:{s:i,"
+        "s:i,s:i,s:b,s:b,s:i,s:i,"
         "s:f,s:f,s:f,s:f}}],s:{s:i,s:i,s:i,s:i}}",
         "version", 7, "routes", get_route("once", false),
-        get_route("resume", true), "services", "name", "llm", "health",
-        "/healthz", "max-conns", 630, "protocol", "h1", "tls", 0, "engine",
-        "slots", RIG_SLOTS, "kv-tokens", 59729, "kv-token-bytes", 18432,
-        "moves", 1, "backups", 1, "stride", RIG_STRIDE, "most", 12,
-        "handle-ttl-s", 0.5, "swap-s", 6.0, "pin-ms", 4000.0, "hold-ms",
-        2000.0, "limits", "header-bytes", 16384, "body-bytes", 4194304,
-        "header-ms", 3000, "idle-ms", 15000);
+        get_route("resume", true), get_plain_route(), "services", "name",
+        "app", "health", "/healthz", "max-conns", 110, "protocol", "h1", "tls",
+        0, "name", "llm", "health", "/healthz", "max-conns", 630, "protocol",
+        "h1", "tls", 0, "engine", "slots", RIG_SLOTS, "kv-tokens", 59729,
+        "kv-token-bytes", 18432, "moves", 1, "backups", 1, "stride",
+        RIG_STRIDE, "most", 12, "handle-ttl-s", 0.5, "swap-s", 6.0, "pin-ms",
+        4000.0, "hold-ms", 2000.0, "limits", "header-bytes", 16384,
+        "body-bytes", 4194304, "header-ms", 3000, "idle-ms", 15000);
 }
 
 static json_t *
@@ -683,6 +750,16 @@
                      (int)can_resume, "gap-target-ms", 300);
 }
 
+static json_t *
+get_plain_route(void)
+{
+    return json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i}", "name", "read",
+                     "host", RIG_HOST, "prefix", "/read/", "kind",
+                     "idempotent", "timeout-ms", RIG_PLAIN_TIMEOUT_MS,
+                     "latency-slo-ms", 200, "priority", 2, "service", "app",
+                     "attempts", 2);
+}
+
 /* Requests to a worker. */
 static void
 on_request(void *context, ServerExchange *exchange)
@@ -697,7 +774,7 @@
     bool is_prefill = Header_Find(headers, "X-Stage") != NULL;
     bool is_misdirected =
         (expected != NULL && strcmp(expected, worker->id) != 0) ||
-        (!is_control && is_prefill == worker->is_decode);
+        (!is_control && !worker->is_plain && is_prefill == worker->is_decode);
 
     exchange->owner = NULL;
     if (rig->options.on_request != NULL) {
@@ -757,6 +834,9 @@
     int64_t now_us = Rig_Now(worker->rig);
     int64_t per_ms = is_prefill ? RIG_PREFILL_PER_MS : RIG_DECODE_PER_MS;
 
+    if (worker->is_plain) {
+        return RIG_PLAIN_RUN_MS * CLK_US_PER_MS;
+    }
     if (Header_Find(exchange->headers, "X-Kv-Source") != NULL) {
         return RIG_TRANSFER_US + RIG_FIRST_TOKEN_US;
     }
@@ -876,7 +956,7 @@
     if (job->is_prefill) {
         char *handle = g_strdup_printf("k%u", rig->next_handle++);
         int64_t *until_us = g_new(int64_t, 1);
-        char id[32];
+        char id[RIG_ID_SIZE];
         *until_us = Rig_Now(rig) + RIG_HANDLE_TTL_US;
         g_snprintf(text, sizeof(text),
                    "{\"kv-handle\":\"%s\",\"tokens\":1,\"version\":1}",
@@ -888,6 +968,10 @@
         answer(worker, exchange, 200, id, false, text);
         return;
     }
+    if (worker->is_plain) {
+        end_plain(job);
+        return;
+    }
     if (!job->is_begun) {
         HeaderList *headers = Header_New();
         Header_Add(headers, "Content-Type", "text/event-stream");
@@ -911,6 +995,22 @@
     Server_SendData(exchange, text, strlen(text));
 }
 
+static void
+end_plain(RigJob *job)
+{
+    ServerExchange *exchange = job->exchange;
+    const char *worker_id = job->worker->id;
+    HeaderList *headers = Header_New();
+
+    Header_Add(headers, "X-Request-Id",
+               Header_Find(exchange->headers, "X-Request-Id"));
+    Header_Add(headers, "X-Response-Stamp", worker_id);
+    exchange->owner = NULL;
+    end_job(job);
+    Server_SendResponse(exchange, 200, headers, "ok", 2);
+    Header_Free(headers);
+}
+
 /* The VM has closed its connection, and the worker stops. */
 static void
 on_disconnect(void *context, ServerExchange *exchange)
@@ -952,7 +1052,7 @@
 find_request(Rig *rig, const char *id)
 {
     for (uint32_t i = rig->request_count; i-- > 0;) {
-        if (strcmp(rig->requests[i].id, id) == 0) {
+        if (strncmp(rig->requests[i].id, id, RIG_ID_SIZE - 1) == 0) {
             return &rig->requests[i];
         }
     }
@@ -1011,18 +1111,12 @@
     RigRequest *request;
     char *text;
 
-    if (rig->request_count == RIG_REQUESTS_MAX) {
+    request = add_request(caller);
+    if (request == NULL) {
         return NULL;
     }
-    request = &rig->requests[rig->request_count++];
-    g_snprintf(request->id, sizeof(request->id), "%08x%08x",
-               (unsigned)getpid(), rig->request_count);
     request->events = events;
     request->hint = hint;
-    request->sent_us = Rig_Now(rig);
-    request->ended_us = RIG_NEVER;
-    request->run_us = RIG_NEVER;
-    request->cut_us = RIG_NEVER;
     text = g_strdup_printf(
         "POST %s HTTP/1.1\r\nHost: " RIG_HOST "\r\nX-Request-Id: %s\r\n"
         "X-Model: m\r\nX-Token-Usage: %u,%u\r\nX-Length-Hint: %u\r\n"
@@ -1031,12 +1125,53 @@
         path, request->id, prompt, 170 * RIG_STRIDE, hint * RIG_STRIDE,
         0x5c1e07a2U, rig->request_count, (unsigned)getpid(), prompt - 200,
         RIG_DEADLINE_MS);
-    caller->request = request;
     bufferevent_write(caller->bev, text, strlen(text));
     g_free(text);
     return request;
 }
 
+RigRequest *
+Rig_SendPlain(RigCaller *caller, uint32_t id_size)
+{
+    RigRequest *request = add_request(caller);
+    char *padding;
+    char *text;
+
+    if (request == NULL) {
+        return NULL;
+    }
+    padding = g_strnfill(id_size - strlen(request->id), 'x');
+    text = g_strdup_printf("GET /read/1 HTTP/1.1\r\nHost: " RIG_HOST
+                           "\r\nX-Request-Id: %s%s\r\n"
+                           "X-Deadline-Ms: %d\r\n\r\n",
+                           request->id, padding, 2 * RIG_PLAIN_TIMEOUT_MS);
+    bufferevent_write(caller->bev, text, strlen(text));
+    g_free(text);
+    g_free(padding);
+    return request;
+}
+
+/* Adds a row for a request of the caller, or returns NULL. */
+static RigRequest *
+add_request(RigCaller *caller)
+{
+    Rig *rig = caller->rig;
+    RigRequest *request;
+
+    if (rig->request_count == RIG_REQUESTS_MAX) {
+        return NULL;
+    }
+    request = &rig->requests[rig->request_count++];
+    g_snprintf(request->id, sizeof(request->id), "%08x%08x",
+               (unsigned)getpid(), rig->request_count);
+    request->sent_us = Rig_Now(rig);
+    request->ended_us = RIG_NEVER;
+    request->run_us = RIG_NEVER;
+    request->cut_us = RIG_NEVER;
+    caller->request = request;
+    return request;
+}
+
 uint32_t
 Rig_CountRequests(const Rig *rig)
 {
--- a/review/rig.h
+++ b/review/rig.h
@@ -17,6 +17,12 @@
 #define RIG_CALLERS_MAX 64
 #define RIG_REQUESTS_MAX 4096
 #define RIG_HOST "h.example"
+/* Bytes of the part of an identifier by which requests are told apart, with
+   the terminating 0. */
+#define RIG_ID_SIZE 17
+/* Of plain requests: the route's timeout and a worker's time. */
+#define RIG_PLAIN_TIMEOUT_MS 1200
+#define RIG_PLAIN_RUN_MS 30
 /* As on the sheet of zupan-najem: 11 tokens in an event, 3.41 ms a step. */
 #define RIG_STRIDE 11
 #define RIG_EVENT_US (11 * 3410)
@@ -33,7 +39,7 @@
 
 /* What became of one client attempt, as its caller and the workers saw it. */
 typedef struct RigRequest {
-    char id[32];
+    char id[RIG_ID_SIZE];
     uint32_t events;  /* Events of a complete answer. */
     uint32_t hint;    /* The caller's estimate of that number. */
     int64_t sent_us;  /* Last byte sent by the caller. */
@@ -66,7 +72,10 @@
     char settings[512];
     char log[512];
     char zone[16];
-    pid_t pid; /* 0 once it has ended. */
+    pid_t pid;            /* 0 once it has ended. */
+    struct event *output; /* Of the pipe of its standard output and error. */
+    int output_fd;
+    FILE *log_file;
     int64_t exited_us;
 } RigVm;
 
@@ -88,6 +97,7 @@
     uint32_t vms;       /* Number of gates. */
     uint32_t prefills;  /* Number of prefill workers. */
     uint32_t decodes;   /* Number of decode workers. */
+    uint32_t plains;    /* Number of workers of plain requests. */
     uint32_t seconds;   /* Longest time that the case may take. */
     void *context;      /* Of the callbacks. */
     void (*on_tick)(void *context, int64_t now_us); /* Each 5 ms. */
@@ -124,6 +134,11 @@
    events of the answer. */
 RigRequest *Rig_SendStream(RigCaller *caller, const char *path,
                            uint32_t prompt, uint32_t events, uint32_t hint);
+/* Sends a plain request that may be repeated, with an identifier of
+   `id_size` bytes, RIG_ID_SIZE - 1 at least. */
+RigRequest *Rig_SendPlain(RigCaller *caller, uint32_t id_size);
+/* Stops or continues to read a VM's log. */
+void Rig_SetLogRead(Rig *rig, uint32_t vm, bool is_read);
 uint32_t Rig_CountRequests(const Rig *rig);
 RigRequest *Rig_GetRequest(Rig *rig, uint32_t request);
 bool Rig_IsDecode(const RigWorker *worker);
