--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -577,6 +577,8 @@
     return codec->matches_control(codec->context, headers);
 }
 
+/* An answer that names no request may be a late copy of the answer to an
+   earlier control call on the connection. The own answer may still follow. */
 static bool
 matches_request(void *context, const HeaderList *headers)
 {
@@ -584,6 +586,11 @@
     const GateTask *task = call->task;
     const GateCodec *codec = task->gate->options.codec;
 
+    if (Client_IsReused(call->call) &&
+        codec->matches_control(codec->context, headers)) {
+        Met_Add(MET_ANSWERS_FOREIGN, 1);
+        return false;
+    }
     return codec->matches_request(codec->context, headers, task->request.id);
 }
 
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -130,6 +130,9 @@
                           "Parts of prompts blamed for crashes of workers."},
     [MET_PROMPTS_BLOCKED] = {"prompts_blocked",
                              "Requests refused for a part that is blamed."},
+    [MET_ANSWERS_FOREIGN] = {"answers_foreign",
+                             "Answers without an ID that came on a used "
+                             "connection and belong to no request."},
     [MET_GRACE_TAKEN] = {"grace_taken",
                          "Requests that came after the begin of a planned "
                          "stop and were sent to a worker."},
--- a/tests/test_gate_endless.cc
+++ b/tests/test_gate_endless.cc
@@ -241,6 +241,73 @@
     EXPECT_FALSE(rig.last_worker->lacks_reservations);
 }
 
+struct CopyCase {
+    const char *name;
+    std::string copy;
+    int answer_after_ms;
+};
+
+const CopyCase copy_cases[] = {
+    {"of a reservation",
+     "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"hold\":\"L1\"}", 0},
+    {"of a reservation, the run answers later",
+     "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"hold\":\"L1\"}", 200},
+    {"of a refused reservation",
+     "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", 200},
+    {"of an answer to DELETE", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+     200},
+};
+
+/* The second copy of the answer to a control call, which names no request,
+   arrives when the connection carries a run: it must not count as the answer
+   to that, or two workers run the request (review/2). */
+TEST(GateEndless, LateCopyOfAControlAnswerIsNoAnswerToARun)
+{
+    for (const CopyCase &row : copy_cases) {
+        SCOPED_TRACE(row.name);
+        GateRig rig;
+        rig.SetRoute({RTE_STREAM, 2, true}, true);
+        Worker *first = rig.AddWorker({{row.copy}}, FLEET_PHASE_DECODE);
+        Caller *caller =
+            rig.Call(Request("POST", "X-Token-Usage: 1000,100\r\n"));
+        ASSERT_TRUE(rig.Until([&] { return first->requests.size() == 1; }));
+        EXPECT_EQ(first->reservations, 1);
+        Worker *second = rig.AddWorker({Stream(0, 9)}, FLEET_PHASE_DECODE);
+        rig.RunFor(row.answer_after_ms);
+        std::string answer = Stream(0, 9).bytes;
+        answer.replace(answer.find("%ID"), 3, "id-1");
+        first->SendToLast(answer);
+        ASSERT_TRUE(rig.UntilEnd(caller));
+        EXPECT_EQ(caller->Status(), 200);
+        EXPECT_NE(caller->DechunkedBody().find("id: 9\n"), std::string::npos);
+        EXPECT_TRUE(second->requests.empty());
+        EXPECT_EQ(first->closed, 0);
+    }
+}
+
+/* The worker runs the request and answers nothing but the copy: it is closed
+   before the request goes on at another one. */
+TEST(GateEndless, WorkerWithNothingButACopyIsClosedBeforeTheNextRuns)
+{
+    GateRig rig;
+    rig.SetRoute({RTE_STREAM, 2, true, 8000, 400}, true);
+    Worker *first = rig.AddWorker({{copy_cases[0].copy}}, FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Request("POST", "X-Token-Usage: 1000,100\r\n"));
+    ASSERT_TRUE(rig.Until([&] { return first->requests.size() == 1; }));
+    Worker *second = rig.AddWorker({Stream(0, 9)}, FLEET_PHASE_DECODE);
+    int64_t run_us = 0;
+    int64_t closed_us = 0;
+    ASSERT_TRUE(rig.Until([&] {
+        int64_t now_us = Clk_Now(&rig.clk);
+        run_us = run_us == 0 && !second->requests.empty() ? now_us : run_us;
+        closed_us = closed_us == 0 && first->closed > 0 ? now_us : closed_us;
+        return caller->IsComplete() && closed_us != 0;
+    }));
+    EXPECT_EQ(caller->Status(), 200);
+    /* Two workers may run a stream for 400 ms. */
+    EXPECT_LT(closed_us - run_us, 400 * CLK_US_PER_MS);
+}
+
 /* A server without the gate, for callers that send their bodies slowly. */
 class SlowCallers : public testing::Test {
   protected:
