--- a/src/log.c
+++ b/src/log.c
@@ -1,17 +1,25 @@
 #include "log.h"
 
+#include <errno.h>
 #include <glib.h>
+#include <limits.h>
 #include <poll.h>
 #include <stdarg.h>
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define LOG_DOMAIN "lavenderspool"
 #define LOG_VM_MAX 64
 #define LOG_LINES_PER_S 300 /* Further lines are dropped and counted. */
+/* Longest text in a field; callers choose the length of identifiers. */
+#define LOG_TEXT_MAX_BYTES 512
+/* Longest line, with its end: a pipe that poll() finds writable takes as much
+   without blocking. */
+#define LOG_LINE_MAX_BYTES PIPE_BUF
 
 static char log_vm[LOG_VM_MAX];
 static LogLevel log_level = LOG_LEVEL_WARNING;
@@ -19,10 +27,14 @@
 static atomic_int_fast64_t log_rate_second; /* Second that is being counted. */
 static atomic_uint log_rate_lines;          /* Lines in log_rate_second. */
 static atomic_uint log_dropped_lines;
+static GMutex log_out_mutex; /* Held from poll() to the end of the write. */
 
 static void write_object(LogLevel level, const char *event, json_t *line);
+static void shorten_texts(json_t *line);
 static void write_stdout_line(const char *text);
 static bool admit_line(void);
+static bool write_all(const char *line, size_t size);
+static char *shorten_line(json_t *line);
 static GLogWriterOutput write_line(GLogLevelFlags level,
                                    const GLogField *fields, gsize n_fields,
                                    gpointer user_data);
@@ -87,21 +99,55 @@
 static void
 write_stdout_line(const char *text)
 {
-    struct pollfd out = {.fd = STDOUT_FILENO, .events = POLLOUT};
-    char *line;
+    char *line = g_strconcat(text, "\n", NULL);
+    size_t size = strlen(line);
 
-    if (!admit_line() || poll(&out, 1, 0) != 1 ||
-        (out.revents & POLLOUT) == 0) {
-        atomic_fetch_add(&log_dropped_lines, 1);
-        return;
-    }
-    line = g_strconcat(text, "\n", NULL);
-    if (write(STDOUT_FILENO, line, strlen(line)) < 0) {
+    if (size > LOG_LINE_MAX_BYTES || !admit_line() || !write_all(line, size)) {
         atomic_fetch_add(&log_dropped_lines, 1);
     }
     g_free(line);
 }
 
+/* Writes a line of at most LOG_LINE_MAX_BYTES. Returns false if standard
+   output can't take it at once. */
+static bool
+write_all(const char *line, size_t size)
+{
+    struct pollfd out = {.fd = STDOUT_FILENO, .events = POLLOUT};
+    ssize_t written = -1;
+
+    g_mutex_lock(&log_out_mutex);
+    if (poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0) {
+        written = send(STDOUT_FILENO, line, size, MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (written < 0 && errno == ENOTSOCK) {
+            written = write(STDOUT_FILENO, line, size);
+        }
+    }
+    g_mutex_unlock(&log_out_mutex);
+    return written >= 0;
+}
+
+/* Cuts long texts to LOG_TEXT_MAX_BYTES, between two characters. */
+static void
+shorten_texts(json_t *line)
+{
+    const char *key;
+    json_t *value;
+    void *next;
+
+    json_object_foreach_safe(line, next, key, value)
+    {
+        const char *text = json_string_value(value);
+        if (text != NULL && json_string_length(value) > LOG_TEXT_MAX_BYTES) {
+            const char *end =
+                g_utf8_find_prev_char(text, text + LOG_TEXT_MAX_BYTES + 1);
+            json_object_set_new(
+                line, key,
+                json_stringn(text, end != NULL ? (size_t)(end - text) : 0));
+        }
+    }
+}
+
 /* Counts a line and returns whether it is within LOG_LINES_PER_S. */
 static bool
 admit_line(void)
@@ -114,6 +160,30 @@
     return atomic_fetch_add(&log_rate_lines, 1) < LOG_LINES_PER_S;
 }
 
+/* Returns the line without its texts, but for those that each line has. Free
+   the result with free(). */
+static char *
+shorten_line(json_t *line)
+{
+    static const char *const kept[] = {"event", "time", "level", "vm"};
+    const char *key;
+    json_t *value;
+    void *next;
+
+    json_object_foreach_safe(line, next, key, value)
+    {
+        bool is_kept = !json_is_string(value);
+        for (gsize i = 0; i < G_N_ELEMENTS(kept); i++) {
+            is_kept = is_kept || strcmp(key, kept[i]) == 0;
+        }
+        if (!is_kept) {
+            json_object_del(line, key);
+        }
+    }
+    json_object_set_new(line, "shortened", json_true());
+    return json_dumps(line, JSON_COMPACT);
+}
+
 /* GLib log writer: writes the message of one record as a JSON line. The
    message is a JSON object in this project's records and plain text in
    libraries'. */
@@ -139,6 +209,7 @@
         json_decref(line);
         line = json_pack("{s:s, s:s}", "event", "library", "text", message);
     }
+    shorten_texts(line);
     now = g_date_time_new_now_utc();
     stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
     json_object_set_new(line, "time", json_string(stamp));
@@ -150,6 +221,11 @@
                             json_integer((json_int_t)dropped));
     }
     text = json_dumps(line, JSON_COMPACT);
+    if (text != NULL && strlen(text) >= LOG_LINE_MAX_BYTES) {
+        /* Escaped characters, or many fields. */
+        free(text);
+        text = shorten_line(line);
+    }
     write_stdout_line(text != NULL ? text : "{}");
     free(text);
     g_free(stamp);
