Fleet: a worker that answers 421 gets requests again after 2 s

Cause: a 421 marked the worker as replaced for good.

Change: it gets nothing for 2 s; a request with the caller's own condition marks nothing.

Test: WorkerServesAgainAfterA421, both rows failed before. Two tests that reset the mark use its new name.

--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -117,7 +117,7 @@
         memset(&worker->notice, 0, sizeof(worker->notice));
         memset(&worker->throttle, 0, sizeof(worker->throttle));
         worker->malformed_notice_logged = false;
-        worker->replaced = false;
+        worker->misdirected_until_us = 0;
         worker->load_us = 0;
         worker->slowness = 1.0;
     }
@@ -393,10 +393,16 @@
 Fleet_IsReady(const FleetWorker *worker, int64_t now_us)
 {
     return Fleet_IsListed(worker, now_us) && !worker->entry.draining &&
-           !worker->notice.leaving && !worker->replaced &&
+           !worker->notice.leaving && now_us >= worker->misdirected_until_us &&
            now_us >= worker->doubted_until_us;
 }
 
+void
+Fleet_NoteMisdirected(FleetWorker *worker, int64_t now_us)
+{
+    worker->misdirected_until_us = now_us + FLEET_MISDIRECTED_US;
+}
+
 void
 Fleet_NoteLeaving(Fleet *fleet, FleetWorker *worker, int64_t now_us)
 {
@@ -418,7 +424,7 @@
 bool
 Fleet_IsUsable(const FleetWorker *worker, int64_t now_us)
 {
-    if (worker->entry.draining || worker->replaced ||
+    if (worker->entry.draining || now_us < worker->misdirected_until_us ||
         now_us < worker->doubted_until_us ||
         Notice_GetUse(&worker->notice, now_us) == NOTICE_CLOSED) {
         return false;
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -18,6 +18,9 @@
 #define FLEET_ADDRESS_MAX 48
 #define FLEET_NAME_MAX 64
 
+/* How long a worker that refused a request as not meant for it gets none: its
+   entry changes meanwhile if another one has its address. */
+#define FLEET_MISDIRECTED_US (2 * CLK_US_PER_S)
 /* How long a worker stays usable after its entry was removed without a drain
    notice. The ranking adds RankWeights.unlisted_us to its cost in that time,
    so that it gets work only if each listed worker would cost that much more
@@ -65,9 +68,12 @@
                                  removed from then on; 0: no such end. */
     int64_t doubted_until_us; /* The worker had left, but the source's copy
                                  lists it: no work until then; 0: none. */
-    bool replaced;            /* Another worker answers at its address. */
-    bool is_vm;               /* It is another VM that reaches the workers; no
-                                 fleet holds it (detour.h). */
+    int64_t misdirected_until_us; /* It said that a request was not for it:
+                                     another worker may answer at its address,
+                                     or it may have another phase. No work
+                                     until then. */
+    bool is_vm;         /* It is another VM that reaches the workers; no
+                           fleet holds it (detour.h). */
     bool sweep_pending; /* The running sweep has not set the entry yet. */
     HealthState health;
     NoticeState notice;           /* What it says of itself. */
@@ -181,6 +187,9 @@
 
 FleetWorker *Fleet_Ref(FleetWorker *worker);
 void Fleet_Unref(FleetWorker *worker); /* NULL is allowed. */
+/* Notes that the worker refused a request as not meant for it. It gets none
+   for FLEET_MISDIRECTED_US. */
+void Fleet_NoteMisdirected(FleetWorker *worker, int64_t now_us);
 /* Notes that the worker says that it leaves. */
 void Fleet_NoteLeaving(Fleet *fleet, FleetWorker *worker, int64_t now_us);
 /* Notes that another VM says so. */
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -35,6 +35,8 @@
     uint32_t output_max;    /* Caller's limit of that length; 0: unknown. */
     int64_t last_event;     /* The caller resumes after this event, or
                                GATE_NO_EVENT. */
+    bool is_conditional;    /* The caller names a condition for which a worker
+                               may refuse the request. */
     char *resumes; /* ID of the caller's request that brought the first
                       event of the stream, or NULL. */
     /* Identifiers of the prompt's parts, in order, without the last part,
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -312,8 +312,9 @@
                          current->worker_behind == 0;
         correct_call_count(task, outcome == CLIENT_NOT_SENT || is_unsent);
     }
-    if (current->has_reply && current->reply.misdirected) {
-        worker->replaced = true;
+    if (current->has_reply && current->reply.misdirected &&
+        !task->request.is_conditional) {
+        Fleet_NoteMisdirected(worker, now_us);
         Client_CloseIdle(task->gate->options.client, worker->entry.address);
     }
     else if (outcome == CLIENT_NOT_SENT) {
--- a/tests/test_gate_faulty_answer.cc
+++ b/tests/test_gate_faulty_answer.cc
@@ -67,8 +67,8 @@
             first->Disconnect();
         }
         if (std::string(row.status).compare(0, 3, "421") == 0) {
-            rig.last_worker->replaced =
-                false; /* The entry was written anew. */
+            rig.last_worker->misdirected_until_us =
+                0; /* The entry was written anew. */
         }
         rig.RunFor(300);
         Caller *second = rig.Call(MakeRequest("id-1", is_stream));
@@ -232,4 +232,32 @@
     }
 }
 
+/* A 421 says that this request was not for this worker, not that the worker is
+   gone: the only worker of a service must not be left out until it starts
+   anew. */
+TEST(FaultyAnswer, WorkerServesAgainAfterA421)
+{
+    const struct {
+        const char *name;
+        const char *field;
+        int wait_ms;
+    } rows[] = {
+        {"the caller asked for a version", "X-Expect-Version: 9\r\n", 0},
+        {"another reason, some time later", "", 2100},
+    };
+    for (const auto &row : rows) {
+        SCOPED_TRACE(row.name);
+        GateRig rig;
+        rig.SetRoute({RTE_IDEMPOTENT, 1, false});
+        rig.AddWorker({{Answer(421, "", "")}, Ok(), Ok()});
+        Caller *first = rig.Call(Request("POST", row.field));
+        ASSERT_TRUE(rig.UntilEnd(first));
+        EXPECT_NE(first->Status(), 200);
+        rig.RunFor(row.wait_ms);
+        Caller *second = rig.Call(Request());
+        ASSERT_TRUE(rig.UntilEnd(second));
+        EXPECT_EQ(second->Status(), 200);
+    }
+}
+
 } // namespace
--- a/tests/test_gate_fuzz.cc
+++ b/tests/test_gate_fuzz.cc
@@ -137,7 +137,7 @@
         EXPECT_EQ(rig.last_worker->inflight, 0u);
         memset(&rig.last_worker->health, 0, sizeof(rig.last_worker->health));
         memset(&rig.last_worker->notice, 0, sizeof(rig.last_worker->notice));
-        rig.last_worker->replaced = false;
+        rig.last_worker->misdirected_until_us = 0;
         rig.last_worker->full_until_us = 0;
         Caller *next = rig.Call(request);
         ASSERT_TRUE(rig.Until([&] { return next->IsComplete(); }));
