--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -8,6 +8,7 @@
 #include "detour.h"
 #include "grace.h"
 #include "reservation.h"
+#include "stream_events.h"
 #include "stream_precedence.h"
 #include "stream_prepare.h"
 #include "stream_resume.h"
@@ -25,19 +26,14 @@
 #define STREAM_ONCE_IDLE_MAX_MS 0
 /* Weight of a new sample in the moving means of memory and event interval. */
 #define STREAM_MEAN_WEIGHT 0.05
-/* Bytes of a stream without a new event: comments and repeated events may come
-   without end. */
-#define STREAM_IDLE_MAX_BYTES ((size_t)4 * SSE_EVENT_MAX_BYTES)
 /* Time between looks at the first survey of the workers. */
 #define STREAM_SURVEY_POLL_US (20 * CLK_US_PER_MS)
 /* Used until an event interval is known. */
 #define STREAM_DEFAULT_EVENT_INTERVAL_US 30000
 
-static void update_mean(double *mean, double sample);
 static void add_demand(const GateTask *task);
 static void on_run_silent(GateTask *task);
 static HandoverLimits get_limits(const GateTask *task);
-static void expect_progress(GateTask *task);
 static void take_over(GateTask *task);
 static void refuse_late(GateTask *task);
 static bool must_wait_for_survey(const GateTask *task);
@@ -49,13 +45,6 @@
 static void on_run_end(void *context, ClientOutcome outcome);
 static void on_silent_end(GateTask *task, ClientOutcome outcome);
 static void forward_or_retry(GateTask *task);
-static bool has_next_event(const GateTask *task, Sse *sse);
-static bool forward_events(GateTask *task);
-static bool is_endless(const TaskCall *call);
-static void note_version(GateTask *task);
-static void note_event_time(GateTask *task);
-static void update_event_interval(GateTask *task);
-static void finish_prefill(TaskCall *call);
 
 void
 Stream_Begin(GateTask *task)
@@ -65,8 +54,8 @@
     double tokens =
         task->request.prompt_tokens + task->request.output_tokens / 2.0;
 
-    update_mean(&gate->mean_tokens, tokens);
-    update_mean(&gate->mean_answer_tokens, task->request.output_tokens);
+    Stream_UpdateMean(&gate->mean_tokens, tokens);
+    Stream_UpdateMean(&gate->mean_answer_tokens, task->request.output_tokens);
     if (task->service->kv_tokens > 0 &&
         task->request.prompt_tokens > task->service->kv_tokens) {
         g_strlcpy(task->cause, "prompt exceeds a worker's KV memory",
@@ -83,9 +72,8 @@
     Stream_Advance(task);
 }
 
-/* Adds a sample to a moving mean, which is 0 before the first one. */
-static void
-update_mean(double *mean, double sample)
+void
+Stream_UpdateMean(double *mean, double sample)
 {
     *mean =
         *mean == 0 ? sample : *mean + STREAM_MEAN_WEIGHT * (sample - *mean);
@@ -224,9 +212,8 @@
     return limits;
 }
 
-/* Sets the step's deadline after progress of the run. */
-static void
-expect_progress(GateTask *task)
+void
+Stream_ExpectProgress(GateTask *task)
 {
     TaskCall *current = task->current;
 
@@ -241,7 +228,7 @@
 take_over(GateTask *task)
 {
     Successor_TakeOver(task, CLIENT_INTERRUPTED, LS_RUN_UNKNOWN, "silent");
-    expect_progress(task);
+    Stream_ExpectProgress(task);
 }
 
 void
@@ -404,7 +391,7 @@
     /* From here on the call counts the memory and uses the reservation. */
     Reservation_UnassignWorker(task, false);
     Fleet_Unref(worker);
-    expect_progress(task);
+    Stream_ExpectProgress(task);
     if (task->silent != NULL) {
         task->step_deadline_us =
             task->current->began_us + HANDOVER_ACCEPT_MAX_US;
@@ -452,9 +439,9 @@
     Sse_Feed(&current->sse, data, size);
     current->idle_bytes += size;
     if (current == task->silent) {
-        if (!has_next_event(task, &current->sse) ||
+        if (!StreamEvents_HasNext(task, &current->sse) ||
             Successor_Decide(task, true, false) != HANDOVER_RETURN) {
-            if (is_endless(current)) {
+            if (StreamEvents_IsEndless(current)) {
                 Client_RejectBody(current->call);
             }
             return;
@@ -474,133 +461,13 @@
 static void
 forward_or_retry(GateTask *task)
 {
-    if (!forward_events(task)) {
+    if (!StreamEvents_Forward(task)) {
         Task_NoteFailure(task, CLIENT_MALFORMED, LS_RUN_UNKNOWN,
                          "event missing or endless in stream");
         Stream_RetryOrEnd(task, LS_RUN_UNKNOWN, false);
     }
 }
 
-/* Whether a complete event is there that the caller does not have. */
-static bool
-has_next_event(const GateTask *task, Sse *sse)
-{
-    size_t offset = 0;
-    size_t begin = 0;
-    SseEvent event;
-
-    while (Sse_Next(sse, &offset, &event)) {
-        if (event.has_id && event.id > task->last_event) {
-            Sse_Drop(sse, begin);
-            return true;
-        }
-        begin = offset;
-    }
-    Sse_Drop(sse, begin);
-    return false;
-}
-
-/* Sends the caller the complete events. Returns false if the worker skipped an
-   event, or sends bytes without end. */
-static bool
-forward_events(GateTask *task)
-{
-    TaskCall *current = task->current;
-    size_t offset = 0;
-    SseEvent event;
-
-    while (Sse_Next(&task->current->sse, &offset, &event)) {
-        if (event.has_id && event.id <= task->last_event) {
-            continue; /* The caller already has this event. */
-        }
-        if (event.has_id && task->last_event != GATE_NO_EVENT &&
-            event.id != task->last_event + 1) {
-            return false;
-        }
-        note_version(task);
-        if (!task->streaming) {
-            DetourVm_AddAnswer(task, current->headers);
-            Server_BeginStream(task->exchange, current->reply.status,
-                               current->headers);
-            task->streaming = true;
-            task->first_event_us = Task_Now(task);
-            Met_Observe(MET_FIRST_EVENT_US, Task_Now(task) - task->began_us);
-        }
-        Health_NoteSuccess(&current->worker->health, Task_Now(task));
-        if (current->events++ == 0) {
-            current->first_event_us = Task_Now(task);
-        }
-        if (!current->is_sound &&
-            Task_Now(task) - current->first_event_us >= SUSPECTS_BEGIN_US) {
-            current->is_sound = true;
-            Blame_NoteSound(task);
-        }
-        if (current->prefill_tokens > 0) {
-            StreamPrepare_UpdateSlowness(current,
-                                         Task_Now(task) - current->began_us);
-            finish_prefill(current);
-        }
-        Server_SendData(task->exchange, event.data, event.size);
-        note_event_time(task);
-        task->events++;
-        if (event.has_id) {
-            /* Comments are no progress: a stalled worker may send them. */
-            task->last_event = event.id;
-            expect_progress(task);
-        }
-    }
-    Sse_Drop(&task->current->sse, offset);
-    if (is_endless(current)) {
-        return false;
-    }
-    Task_SetTimer(task);
-    return true;
-}
-
-/* Whether the stream's bytes bring no new event. */
-static bool
-is_endless(const TaskCall *call)
-{
-    return Sse_IsEventTooLong(&call->sse) ||
-           call->idle_bytes > STREAM_IDLE_MAX_BYTES;
-}
-
-/* Notes the software version that made an event. */
-static void
-note_version(GateTask *task)
-{
-    const Fleet *fleet = task->gate->options.fleet;
-    uint32_t version = task->current->version;
-
-    if (task->current->worker->is_vm) {
-        return; /* That VM keeps to the version, and tells it. */
-    }
-    if (!task->streaming) {
-        StreamResume_NoteBegun(task);
-    }
-    else if (task->version != version && task->version != 0) {
-        Met_Add(MET_STREAMS_JOINED, 1);
-        Log_WriteJson(
-            LOG_LEVEL_ERROR, "stream_joined",
-            json_pack("{s:s,s:s,s:s,s:s}", "request", task->request.id,
-                      "worker", task->current->worker->entry.id, "began",
-                      Fleet_GetVersionName(fleet, task->version), "goes_on",
-                      Fleet_GetVersionName(fleet, version)));
-    }
-}
-
-static void
-note_event_time(GateTask *task)
-{
-    int64_t now_us = Task_Now(task);
-
-    if (task->last_event_us != 0) {
-        task->longest_gap_us =
-            MAX(task->longest_gap_us, now_us - task->last_event_us);
-    }
-    task->last_event_us = now_us;
-}
-
 static void
 on_run_end(void *context, ClientOutcome outcome)
 {
@@ -641,7 +508,7 @@
         Server_EndStream(exchange);
         Blame_NoteSound(task);
         Grace_NoteStream(task);
-        update_event_interval(task);
+        StreamEvents_UpdateInterval(task);
         Task_End(task, "streamed", 200);
         return;
     }
@@ -685,7 +552,7 @@
     Successor_SwapCalls(task);
     Successor_TakeOver(task, outcome, run, cause);
     if (Task_MayBeRunning(task)) {
-        expect_progress(task);
+        Stream_ExpectProgress(task);
         Task_SetTimer(task);
     }
 }
@@ -700,7 +567,8 @@
          task->current->stage == TASK_PREFILL);
     RetryInput input;
 
-    if (task->silent != NULL && has_next_event(task, &task->silent->sse)) {
+    if (task->silent != NULL &&
+        StreamEvents_HasNext(task, &task->silent->sse)) {
         Task_ExcludeWorker(task, task->current->worker);
         task->runs += run != LS_RUN_NOT_RUN;
         Successor_Cancel(task);
@@ -740,26 +608,3 @@
                input.has_candidate ? ADMISSION_FAULT : ADMISSION_NO_WORKER,
                LS_ERR_UPSTREAM_FAILED);
 }
-
-/* Updates the mean interval between events at the end of a stream. */
-static void
-update_event_interval(GateTask *task)
-{
-    Gate *gate = task->gate;
-    double event_interval_us;
-
-    if (task->events < 2) {
-        return;
-    }
-    event_interval_us =
-        (double)(Task_Now(task) - task->first_event_us) / (task->events - 1);
-    update_mean(&gate->event_interval_us, event_interval_us);
-}
-
-/* Removes the call's prompt from the worker's load once it has been read. */
-static void
-finish_prefill(TaskCall *call)
-{
-    call->worker->prefill_tokens -= call->prefill_tokens;
-    call->prefill_tokens = 0;
-}
--- a/src/gate/stream.h
+++ b/src/gate/stream.h
@@ -1,5 +1,5 @@
-/* Stream, internal part: what stream.c shares with stream_prepare.c. The
-   functions for other modules are in task.h. */
+/* Stream, internal part: what stream.c shares with the other modules of a
+   stream. The functions for modules beyond are in task.h. */
 #ifndef LS_STREAM_H
 #define LS_STREAM_H
 
@@ -19,5 +19,9 @@
 /* Continues after a failed call: with another worker if the route and the
    budget allow it and there is one, or else ends the task. */
 void Stream_RetryOrEnd(GateTask *task, LsRun run, bool has_answer);
+/* Sets the step's deadline after progress of the run. */
+void Stream_ExpectProgress(GateTask *task);
+/* Adds a sample to a moving mean, which is 0 before the first one. */
+void Stream_UpdateMean(double *mean, double sample);
 
 #endif
--- /dev/null
+++ b/src/gate/stream_events.c
@@ -0,0 +1,156 @@
+/* Stream events: the events of a run, on their way to the caller. See
+   stream_events.h. */
+#include "stream_events.h"
+#include "blame.h"
+#include "detour.h"
+#include "stream.h"
+#include "stream_prepare.h"
+#include "stream_resume.h"
+
+#include "../log.h"
+
+/* Bytes of a stream without a new event: comments and repeated events may come
+   without end. */
+#define STREAM_IDLE_MAX_BYTES ((size_t)4 * SSE_EVENT_MAX_BYTES)
+
+static void note_version(GateTask *task);
+static void note_event_time(GateTask *task);
+static void finish_prefill(TaskCall *call);
+
+bool
+StreamEvents_HasNext(const GateTask *task, Sse *sse)
+{
+    size_t offset = 0;
+    size_t begin = 0;
+    SseEvent event;
+
+    while (Sse_Next(sse, &offset, &event)) {
+        if (event.has_id && event.id > task->last_event) {
+            Sse_Drop(sse, begin);
+            return true;
+        }
+        begin = offset;
+    }
+    Sse_Drop(sse, begin);
+    return false;
+}
+
+bool
+StreamEvents_Forward(GateTask *task)
+{
+    TaskCall *current = task->current;
+    size_t offset = 0;
+    SseEvent event;
+
+    while (Sse_Next(&task->current->sse, &offset, &event)) {
+        if (event.has_id && event.id <= task->last_event) {
+            continue; /* The caller already has this event. */
+        }
+        if (event.has_id && task->last_event != GATE_NO_EVENT &&
+            event.id != task->last_event + 1) {
+            return false;
+        }
+        note_version(task);
+        if (!task->streaming) {
+            DetourVm_AddAnswer(task, current->headers);
+            Server_BeginStream(task->exchange, current->reply.status,
+                               current->headers);
+            task->streaming = true;
+            task->first_event_us = Task_Now(task);
+            Met_Observe(MET_FIRST_EVENT_US, Task_Now(task) - task->began_us);
+        }
+        Health_NoteSuccess(&current->worker->health, Task_Now(task));
+        if (current->events++ == 0) {
+            current->first_event_us = Task_Now(task);
+        }
+        if (!current->is_sound &&
+            Task_Now(task) - current->first_event_us >= SUSPECTS_BEGIN_US) {
+            current->is_sound = true;
+            Blame_NoteSound(task);
+        }
+        if (current->prefill_tokens > 0) {
+            StreamPrepare_UpdateSlowness(current,
+                                         Task_Now(task) - current->began_us);
+            finish_prefill(current);
+        }
+        Server_SendData(task->exchange, event.data, event.size);
+        note_event_time(task);
+        task->events++;
+        if (event.has_id) {
+            /* Comments are no progress: a stalled worker may send them. */
+            task->last_event = event.id;
+            Stream_ExpectProgress(task);
+        }
+    }
+    Sse_Drop(&task->current->sse, offset);
+    if (StreamEvents_IsEndless(current)) {
+        return false;
+    }
+    Task_SetTimer(task);
+    return true;
+}
+
+bool
+StreamEvents_IsEndless(const TaskCall *call)
+{
+    return Sse_IsEventTooLong(&call->sse) ||
+           call->idle_bytes > STREAM_IDLE_MAX_BYTES;
+}
+
+void
+StreamEvents_UpdateInterval(GateTask *task)
+{
+    Gate *gate = task->gate;
+    double event_interval_us;
+
+    if (task->events < 2) {
+        return;
+    }
+    event_interval_us =
+        (double)(Task_Now(task) - task->first_event_us) / (task->events - 1);
+    Stream_UpdateMean(&gate->event_interval_us, event_interval_us);
+}
+
+/* Notes the software version that made an event. */
+static void
+note_version(GateTask *task)
+{
+    const Fleet *fleet = task->gate->options.fleet;
+    uint32_t version = task->current->version;
+
+    if (task->current->worker->is_vm) {
+        return; /* That VM keeps to the version, and tells it. */
+    }
+    if (!task->streaming) {
+        StreamResume_NoteBegun(task);
+    }
+    else if (task->version != version && task->version != 0) {
+        Met_Add(MET_STREAMS_JOINED, 1);
+        Log_WriteJson(
+            LOG_LEVEL_ERROR, "stream_joined",
+            json_pack("{s:s,s:s,s:s,s:s}", "request", task->request.id,
+                      "worker", task->current->worker->entry.id, "began",
+                      Fleet_GetVersionName(fleet, task->version), "goes_on",
+                      Fleet_GetVersionName(fleet, version)));
+    }
+}
+
+static void
+note_event_time(GateTask *task)
+{
+    int64_t now_us = Task_Now(task);
+
+    if (task->last_event_us != 0) {
+        task->longest_gap_us =
+            MAX(task->longest_gap_us, now_us - task->last_event_us);
+    }
+    task->last_event_us = now_us;
+}
+
+/* Removes the call's prompt from the worker's load once it has been read. */
+static void
+finish_prefill(TaskCall *call)
+{
+    call->worker->prefill_tokens -= call->prefill_tokens;
+    call->prefill_tokens = 0;
+}
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -269,10 +269,12 @@
     check "$3: the process exits with 75" "^75$" "$?"
     check "$3: the process is gone in time" "^[0-4]$" "$((SECONDS - begun))"
 }
-start_vm "$entry" --shutdown-s 3
+# TSan's runtime sleeps for a second at the exit, which is not the process's.
+exit_at_once="atexit_sleep_ms=0${TSAN_OPTIONS:+:$TSAN_OPTIONS}"
+TSAN_OPTIONS=$exit_at_once start_vm "$entry" --shutdown-s 3
 wait_ready "$entry"
 cut_short "$entry" 1 "end of the shutdown's time"
-start_vm "$entry"
+TSAN_OPTIONS=$exit_at_once start_vm "$entry"
 wait_ready "$entry"
 cut_short "$entry" 2 "second signal"
 
