--- a/src/decide/drain.c
+++ b/src/decide/drain.c
@@ -49,12 +49,12 @@
 }
 
 int64_t
-Drain_GetBound(const DrainTime *time, int64_t unknown_us)
+Drain_GetBound(const DrainTime *time, int64_t usual_us)
 {
     double mean_us = time->mean_us;
 
     if (mean_us == 0) {
-        mean_us = (double)unknown_us;
+        mean_us = (double)usual_us;
     }
     return (int64_t)fmax(DRAIN_BOUND_FACTOR * mean_us,
                          mean_us + DRAIN_DEVIATIONS * time->deviation_us);
--- a/src/decide/drain.h
+++ b/src/decide/drain.h
@@ -76,9 +76,9 @@
    have not read their answers. */
 int64_t Drain_GetExit(int64_t stop_us, int64_t grace_us);
 void Drain_NoteTime(DrainTime *time, int64_t took_us);
-/* Returns an upper bound of the times, or of `unknown_us` if none was noted.
- */
-int64_t Drain_GetBound(const DrainTime *time, int64_t unknown_us);
+/* Returns an upper bound of the times. `usual_us` stands for their mean if
+   none was noted. */
+int64_t Drain_GetBound(const DrainTime *time, int64_t usual_us);
 /* Returns an upper bound of the time that a plain call takes. `expected_us`
    is the estimate for its worker, 0 if none is chosen. */
 int64_t Drain_GetCallBound(const DrainTimes *times, int64_t slo_us,
