--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -1,20 +1,16 @@
 /* Edge: process of a gate on one VM. See edge.h. */
 #include "edge.h"
 
-#include "../decide/admission.h"
-#include "../decide/drain.h"
 #include "../io/loop.h"
 #include "../log.h"
 #include "../metrics.h"
 #include "relay.h"
+#include "shutdown.h"
 
 #include <string.h>
 
-#define EDGE_SHUTDOWN_TICK_MS 100 /* Interval of checks during a shutdown. */
 /* Interval between removals of workers that left the source some time ago. */
 #define EDGE_PRUNE_INTERVAL_MS 5000
-/* The same once the remaining requests have been ended. */
-#define EDGE_END_TICK_MS 20
 /* A VM that watches the source, but is behind another VM for longer than this,
    asks that VM: its own watch may be lost. */
 #define EDGE_BEHIND_MAX_US (900 * CLK_US_PER_MS)
@@ -36,15 +32,9 @@
     Server *callers;
     Server *health;
     Server *metrics;
-    struct event *shutdown_timer;
+    Shutdown *shutdown;
     struct event *prune_timer;
-    bool stopping;
-    bool notice_over; /* No connections are accepted any more. */
-    bool tasks_ended; /* Requests in progress have been ended. */
     int64_t began_us;
-    int64_t stop_us;
-    int64_t drain_end_us; /* When the remaining requests are ended. */
-    int64_t exit_us;      /* When the loop ends at the latest. */
     /* What this VM knew when it learned that another VM knows something newer,
        and the time of that. */
     GosVersions behind;
@@ -55,9 +45,7 @@
 static void on_health(void *context, ServerExchange *exchange);
 static void on_metrics(void *context, ServerExchange *exchange);
 static void ignore_disconnect(void *context, ServerExchange *exchange);
-static void on_shutdown_tick(evutil_socket_t fd, short what, void *context);
-static bool is_drained(const Edge *edge);
-static void end_remaining(Edge *edge);
+static void prepare_shutdown(Edge *edge);
 static void on_prune(evutil_socket_t fd, short what, void *context);
 static bool start_peering(Edge *edge, LsError *err);
 static BudgetPeerUsage get_peer_usage(void *context, const char *service);
@@ -154,7 +142,6 @@
     feed.context = edge;
     feed.on_limits = on_limits;
     edge->feed = Feed_New(&feed);
-    edge->shutdown_timer = evtimer_new(options->base, on_shutdown_tick, edge);
     edge->prune_timer = evtimer_new(options->base, on_prune, edge);
     Loop_ArmTimer(edge->prune_timer, EDGE_PRUNE_INTERVAL_MS);
 
@@ -189,6 +176,7 @@
         Edge_Free(edge);
         return NULL;
     }
+    prepare_shutdown(edge);
     return edge;
 }
 
@@ -212,7 +200,7 @@
     Server_Free(edge->metrics);
     Client_Free(edge->client);
     Fleet_Free(edge->fleet);
-    event_free(edge->shutdown_timer);
+    Shutdown_Free(edge->shutdown);
     event_free(edge->prune_timer);
     g_free(edge);
 }
@@ -264,22 +252,25 @@
 void
 Edge_BeginShutdown(Edge *edge)
 {
-    if (edge->stopping) {
-        return;
-    }
-    edge->stopping = true;
-    edge->stop_us = Clk_Now(edge->options.clk);
-    edge->drain_end_us = Drain_GetEnd(
-        edge->stop_us, (int64_t)edge->options.grace_ms * CLK_US_PER_MS);
-    edge->exit_us = Drain_GetExit(
-        edge->stop_us, (int64_t)edge->options.grace_ms * CLK_US_PER_MS);
-    Server_BeginShutdown(edge->callers);
-    Gate_BeginShutdown(edge->gate);
-    Gate_SetDrain(edge->gate, edge->drain_end_us);
-    Log_WriteJson(LOG_LEVEL_INFO, "stopping",
-                  json_pack("{s:i}", "exchanges",
-                            (int)Server_CountPending(edge->callers)));
-    Loop_ArmTimer(edge->shutdown_timer, EDGE_SHUTDOWN_TICK_MS);
+    Shutdown_Begin(edge->shutdown);
+}
+
+/* Prepares the stop, which needs all parts of the edge. */
+static void
+prepare_shutdown(Edge *edge)
+{
+    ShutdownOptions shutdown = {
+        .base = edge->options.base,
+        .clk = edge->options.clk,
+        .codec = edge->options.codec,
+        .gate = edge->gate,
+        .callers = edge->callers,
+        .relay = edge->relay,
+        .notice_ms = edge->options.notice_ms,
+        .grace_ms = edge->options.grace_ms,
+    };
+
+    edge->shutdown = Shutdown_New(&shutdown);
 }
 
 static bool
@@ -496,7 +487,7 @@
 {
     const Edge *edge = context;
 
-    return edge->stopping;
+    return Shutdown_HasBegun(edge->shutdown);
 }
 
 static void
@@ -602,7 +593,8 @@
 on_health(void *context, ServerExchange *exchange)
 {
     Edge *edge = context;
-    bool ready = !edge->stopping && Gate_GetTable(edge->gate) != NULL;
+    bool ready = !Shutdown_HasBegun(edge->shutdown) &&
+                 Gate_GetTable(edge->gate) != NULL;
 
     if (strcmp(exchange->target, edge->options.ready_path) != 0) {
         Server_SendResponse(exchange, 404, NULL, "", 0);
@@ -633,82 +625,6 @@
     (void)exchange;
 }
 
-/* Ends the loop when the load balancer sends no more requests and none is in
-   progress, or when the grace is over. */
-static void
-on_shutdown_tick(evutil_socket_t fd, short what, void *context)
-{
-    Edge *edge = context;
-    int64_t now_us = Clk_Now(edge->options.clk);
-    int64_t since_ms = (now_us - edge->stop_us) / CLK_US_PER_MS;
-    int64_t end_ms = (edge->drain_end_us - edge->stop_us) / CLK_US_PER_MS;
-    int64_t next_us;
-
-    (void)fd;
-    (void)what;
-    if (since_ms >= MIN(edge->options.notice_ms, end_ms) &&
-        !edge->notice_over) {
-        edge->notice_over = true;
-        Server_StopListening(edge->callers);
-    }
-    if (now_us >= edge->drain_end_us && !edge->tasks_ended) {
-        edge->tasks_ended = true;
-        end_remaining(edge);
-    }
-    if (is_drained(edge)) {
-        Server_CloseIdle(edge->callers);
-    }
-    if (is_drained(edge) || now_us >= edge->exit_us) {
-        Gate_LogDrain(edge->gate);
-        event_base_loopexit(edge->options.base, NULL);
-        return;
-    }
-    next_us = edge->tasks_ended ? MIN(EDGE_END_TICK_MS * CLK_US_PER_MS,
-                                      edge->exit_us - now_us)
-                                : CLAMP(edge->drain_end_us - now_us, 1000,
-                                        EDGE_SHUTDOWN_TICK_MS * CLK_US_PER_MS);
-    Loop_ArmTimerUs(edge->shutdown_timer, next_us);
-}
-
-/* Whether no caller needs the process any more. */
-static bool
-is_drained(const Edge *edge)
-{
-    const Relay *relay = edge->relay;
-
-    if (edge->tasks_ended) {
-        /* Callers read their last answers. */
-        return Server_CountOpen(edge->callers) == 0 &&
-               (relay == NULL || Relay_CountPending(relay) == 0);
-    }
-    return edge->notice_over && Server_CountPending(edge->callers) == 0 &&
-           (relay == NULL || Relay_CountPending(relay) == 0);
-}
-
-/* Ends the requests in progress, and refuses those that are being read. */
-static void
-end_remaining(Edge *edge)
-{
-    const GateCodec *codec = edge->options.codec;
-    HeaderList *headers = Header_New();
-    GString *body = g_string_new(NULL);
-    LsError err;
-
-    Log_WriteJson(LOG_LEVEL_WARNING, "shutdown_cut",
-                  json_pack("{s:i}", "exchanges",
-                            (int)Server_CountPending(edge->callers)));
-    Gate_EndAll(edge->gate);
-    Err_Set(&err, LS_ERR_SHUTTING_DOWN, LS_RUN_NOT_RUN,
-            "the request was not read before the VM stopped");
-    err.retry_after_ms = ADMISSION_RETRY_MIN_MS;
-    codec->encode_error(codec->context, NULL, &err, headers, body);
-    Server_RefuseUnread(edge->callers, Err_GetHttpStatus(err.code), headers,
-                        body->str, body->len);
-    Server_CloseIdle(edge->callers);
-    Header_Free(headers);
-    g_string_free(body, TRUE);
-}
-
 static void
 on_prune(evutil_socket_t fd, short what, void *context)
 {
