--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -280,6 +280,12 @@
     Grace_Begin(gate, end_us);
 }
 
+void
+Gate_LogRequests(const Gate *gate)
+{
+    Grace_LogRequests(gate);
+}
+
 void
 Gate_LogDrain(const Gate *gate)
 {
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -283,6 +283,8 @@
 /* From now on, requests are taken only as Drain_IsTaken() says: the remaining
    ones are ended at `end_us`. */
 void Gate_SetDrain(Gate *gate, int64_t end_us);
+/* Logs the requests in progress. */
+void Gate_LogRequests(const Gate *gate);
 /* Logs what was taken, refused and cut since then. */
 void Gate_LogDrain(const Gate *gate);
 /* Ends all requests: refuses those that have not run, and fails the rest. */
--- a/src/gate/grace.c
+++ b/src/gate/grace.c
@@ -3,6 +3,8 @@
 
 #include "../log.h"
 
+static void log_request(const GateTask *task, LogLevel level,
+                        const char *event);
 static DrainTimes *find_times(const GateTask *task);
 static int64_t get_call_bound(const GateTask *task, int64_t expected_us);
 static int64_t get_stream_bound(const GateTask *task, int64_t expected_us);
@@ -123,15 +125,18 @@
         else {
             gate->grace.cut_in_progress++;
         }
-        Log_WriteJson(
-            LOG_LEVEL_WARNING, "request_cut",
-            json_pack("{s:s,s:b,s:b,s:I,s:i,s:i,s:i}", "request",
-                      task->request.id, "after_stop", (int)task->is_after_stop,
-                      "stream", (int)(task->route->kind == RTE_STREAM),
-                      "age_us", (json_int_t)(Task_Now(task) - task->began_us),
-                      "events", (int)task->events, "output_tokens",
-                      (int)task->request.output_tokens, "output_max",
-                      (int)task->request.output_max));
+        log_request(task, LOG_LEVEL_WARNING, "request_cut");
+    }
+}
+
+void
+Grace_LogRequests(const Gate *gate)
+{
+    const GateTask *task = NULL;
+
+    LIST_FOREACH(task, &gate->tasks, links)
+    {
+        log_request(task, LOG_LEVEL_INFO, "request_open");
     }
 }
 
@@ -152,6 +157,25 @@
                                    : -1)));
 }
 
+/* Logs how far the request has come. */
+static void
+log_request(const GateTask *task, LogLevel level, const char *event)
+{
+    const TaskCall *current = task->current;
+
+    Log_WriteJson(
+        level, event,
+        json_pack("{s:s,s:b,s:b,s:I,s:I,s:s,s:i,s:i,s:i,s:i}", "request",
+                  task->request.id, "after_stop", (int)task->is_after_stop,
+                  "stream", (int)(task->route->kind == RTE_STREAM), "age_us",
+                  (json_int_t)(Task_Now(task) - task->began_us), "body_us",
+                  (json_int_t)(task->arrived_us - task->began_us), "worker",
+                  current->call != NULL ? current->worker->entry.id : "",
+                  "runs", (int)task->runs, "events", (int)task->events,
+                  "output_tokens", (int)task->request.output_tokens,
+                  "output_max", (int)task->request.output_max));
+}
+
 static DrainTimes *
 find_times(const GateTask *task)
 {
--- a/src/gate/grace.h
+++ b/src/gate/grace.h
@@ -21,6 +21,8 @@
 void Grace_NoteEnd(GateTask *task);
 /* Counts the requests that are about to be ended without an answer. */
 void Grace_NoteCut(Gate *gate);
+/* Logs each request in progress. */
+void Grace_LogRequests(const Gate *gate);
 /* Logs the counts of the stop. */
 void Grace_LogCount(const Gate *gate);
 
--- a/src/gate/shutdown.c
+++ b/src/gate/shutdown.c
@@ -9,18 +9,27 @@
 #define SHUTDOWN_TICK_MS 100 /* Interval of checks. */
 /* The same once the remaining requests have been ended. */
 #define SHUTDOWN_END_TICK_MS 20
+/* A check that is later than this is logged: the loop was held up. */
+#define SHUTDOWN_LATE_US (50 * CLK_US_PER_MS)
+/* With less of the grace left, the requests in progress are logged, in case
+   that the process is killed before it can end them. */
+#define SHUTDOWN_LOG_LEFT_US CLK_US_PER_S
 
 struct Shutdown {
     ShutdownOptions options;
     struct event *timer;
     bool has_begun;
-    bool notice_over; /* No connections are accepted any more. */
-    bool tasks_ended; /* Requests in progress have been ended. */
+    bool notice_over;  /* No connections are accepted any more. */
+    bool tasks_logged; /* Requests in progress have been logged. */
+    bool tasks_ended;  /* They have been ended. */
+    int64_t due_us;    /* When the next check is due. */
     int64_t begin_us;
     int64_t drain_end_us; /* When the remaining requests are ended. */
     int64_t exit_us;      /* When the loop ends at the latest. */
 };
 
+static void arm_timer(Shutdown *shutdown, int64_t after_us);
+static void log_late_check(const Shutdown *shutdown, int64_t now_us);
 static void on_tick(evutil_socket_t fd, short what, void *context);
 static bool is_drained(const Shutdown *shutdown);
 static void end_remaining(Shutdown *shutdown);
@@ -64,7 +73,7 @@
     Log_WriteJson(LOG_LEVEL_INFO, "stopping",
                   json_pack("{s:i}", "exchanges",
                             (int)Server_CountPending(options->callers)));
-    Loop_ArmTimer(shutdown->timer, SHUTDOWN_TICK_MS);
+    arm_timer(shutdown, SHUTDOWN_TICK_MS * CLK_US_PER_MS);
 }
 
 bool
@@ -73,6 +82,25 @@
     return shutdown != NULL && shutdown->has_begun;
 }
 
+static void
+arm_timer(Shutdown *shutdown, int64_t after_us)
+{
+    shutdown->due_us = Clk_Now(shutdown->options.clk) + after_us;
+    Loop_ArmTimerUs(shutdown->timer, after_us);
+}
+
+static void
+log_late_check(const Shutdown *shutdown, int64_t now_us)
+{
+    if (now_us - shutdown->due_us > SHUTDOWN_LATE_US) {
+        Log_WriteJson(
+            LOG_LEVEL_WARNING, "shutdown_held_up",
+            json_pack("{s:I,s:I}", "late_us",
+                      (json_int_t)(now_us - shutdown->due_us), "left_us",
+                      (json_int_t)(shutdown->drain_end_us - now_us)));
+    }
+}
+
 /* Ends the loop when the load balancer sends no more requests and none is in
    progress, or when the grace is over. */
 static void
@@ -88,11 +116,17 @@
 
     (void)fd;
     (void)what;
+    log_late_check(shutdown, now_us);
     if (since_ms >= MIN(options->notice_ms, end_ms) &&
         !shutdown->notice_over) {
         shutdown->notice_over = true;
         Server_StopListening(options->callers);
     }
+    if (now_us >= shutdown->drain_end_us - SHUTDOWN_LOG_LEFT_US &&
+        !shutdown->tasks_logged) {
+        shutdown->tasks_logged = true;
+        Gate_LogRequests(options->gate);
+    }
     if (now_us >= shutdown->drain_end_us && !shutdown->tasks_ended) {
         shutdown->tasks_ended = true;
         end_remaining(shutdown);
@@ -110,7 +144,7 @@
                         shutdown->exit_us - now_us)
                   : CLAMP(shutdown->drain_end_us - now_us, 1000,
                           SHUTDOWN_TICK_MS * CLK_US_PER_MS);
-    Loop_ArmTimerUs(shutdown->timer, next_us);
+    arm_timer(shutdown, next_us);
 }
 
 /* Whether no caller needs the process any more. */
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -310,6 +310,7 @@
     task->service = Rte_FindService(gate->table, service);
     task->timer = evtimer_new(gate->options.base, on_timer, task);
     task->began_us = exchange->received_us;
+    task->arrived_us = Task_Now(task);
     task->deadline_us =
         task->began_us + (int64_t)route->timeout_ms * CLK_US_PER_MS;
     if (request.left_ms > 0) {
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -104,8 +104,9 @@
     bool is_relayed;     /* Another VM passed the request on. */
     bool is_after_stop;  /* It came after the begin of a planned stop. */
     uint32_t unreached;  /* Calls of this task that reached no worker. */
-    bool is_retry; /* The caller was refused before, judging by its time. */
-    int64_t began_us;
+    bool is_retry;    /* The caller was refused before, judging by its time. */
+    int64_t began_us; /* When its first byte came. */
+    int64_t arrived_us;       /* When its last byte came. */
     int64_t deadline_us;      /* Earlier of the caller's and the route's. */
     int64_t step_deadline_us; /* End of the current step (a call without any
                                  data, or a wait); 0 for none. */
--- a/src/log.c
+++ b/src/log.c
@@ -14,7 +14,9 @@
 
 #define LOG_DOMAIN "lavenderspool"
 #define LOG_VM_MAX 64
-#define LOG_LINES_PER_S 300 /* Further lines are dropped and counted. */
+/* Further lines are dropped and counted. Those of warnings and errors have a
+   limit of their own, so that a burst of others doesn't hide them. */
+#define LOG_LINES_PER_S 300
 /* Longest text in a field; callers choose the length of identifiers. */
 #define LOG_TEXT_MAX_BYTES 512
 /* Longest line, with its end: a pipe that poll() finds writable takes as much
@@ -24,15 +26,21 @@
 static char log_vm[LOG_VM_MAX];
 static LogLevel log_level = LOG_LEVEL_WARNING;
 
-static atomic_int_fast64_t log_rate_second; /* Second that is being counted. */
-static atomic_uint log_rate_lines;          /* Lines in log_rate_second. */
+/* Lines within one second. */
+typedef struct LogRate {
+    atomic_int_fast64_t second; /* The one that is being counted. */
+    atomic_uint lines;
+} LogRate;
+
+static LogRate log_rate;         /* Of lines that are no warnings. */
+static LogRate log_warning_rate; /* Of warnings and errors. */
 static atomic_uint log_dropped_lines;
 static GMutex log_out_mutex; /* Held from poll() to the end of the write. */
 
 static void write_object(LogLevel level, const char *event, json_t *line);
 static void shorten_texts(json_t *line);
-static void write_stdout_line(const char *text);
-static bool admit_line(void);
+static void write_stdout_line(const char *text, bool is_warning);
+static bool admit_line(LogRate *rate);
 static bool write_all(const char *line, size_t size);
 static char *shorten_line(json_t *line);
 static GLogWriterOutput write_line(GLogLevelFlags level,
@@ -97,12 +105,14 @@
 /* Writes a line to standard output, or drops it if that would block or exceed
    LOG_LINES_PER_S. */
 static void
-write_stdout_line(const char *text)
+write_stdout_line(const char *text, bool is_warning)
 {
+    LogRate *rate = is_warning ? &log_warning_rate : &log_rate;
     char *line = g_strconcat(text, "\n", NULL);
     size_t size = strlen(line);
 
-    if (size > LOG_LINE_MAX_BYTES || !admit_line() || !write_all(line, size)) {
+    if (size > LOG_LINE_MAX_BYTES || !admit_line(rate) ||
+        !write_all(line, size)) {
         atomic_fetch_add(&log_dropped_lines, 1);
     }
     g_free(line);
@@ -150,14 +160,14 @@
 
 /* Counts a line and returns whether it is within LOG_LINES_PER_S. */
 static bool
-admit_line(void)
+admit_line(LogRate *rate)
 {
     int_fast64_t second = g_get_monotonic_time() / G_USEC_PER_SEC;
 
-    if (atomic_exchange(&log_rate_second, second) != second) {
-        atomic_store(&log_rate_lines, 0);
+    if (atomic_exchange(&rate->second, second) != second) {
+        atomic_store(&rate->lines, 0);
     }
-    return atomic_fetch_add(&log_rate_lines, 1) < LOG_LINES_PER_S;
+    return atomic_fetch_add(&rate->lines, 1) < LOG_LINES_PER_S;
 }
 
 /* Returns the line without its texts, but for those that each line has. Free
@@ -226,7 +236,9 @@
         free(text);
         text = shorten_line(line);
     }
-    write_stdout_line(text != NULL ? text : "{}");
+    write_stdout_line(text != NULL ? text : "{}",
+                      (level & (G_LOG_LEVEL_WARNING | G_LOG_LEVEL_ERROR |
+                                G_LOG_LEVEL_CRITICAL)) != 0);
     free(text);
     g_free(stamp);
     g_date_time_unref(now);
--- a/tests/test_gate_log.cc
+++ b/tests/test_gate_log.cc
@@ -122,4 +122,29 @@
     }
 }
 
+/* Issue 56: the warning of a cut was among hundreds of lines of a second. */
+TEST(GateLog, WarningsAreWrittenBesideABurstOfLines)
+{
+    int ends[2]; /* Reader, writer. */
+    ASSERT_EQ(pipe(ends), 0);
+    fcntl(ends[1], F_SETPIPE_SZ, 1 << 20);
+    pid_t pid = fork();
+    if (pid == 0) {
+        dup2(ends[1], STDOUT_FILENO);
+        Log_Begin("vm-1", LOG_LEVEL_INFO);
+        for (int i = 0; i < 5000; i++) {
+            Log_WriteJson(LOG_LEVEL_INFO, "request_end", json_object());
+        }
+        Log_WriteJson(LOG_LEVEL_WARNING, "shutdown_cut", json_object());
+        _exit(0);
+    }
+    int status = -1;
+    EXPECT_EQ(waitpid(pid, &status, 0), pid);
+    close(ends[1]);
+    std::string text = ReadAll(ends[0]);
+    close(ends[0]);
+    EXPECT_NE(text.find("\"shutdown_cut\""), std::string::npos);
+    EXPECT_NE(text.find("\"lines_dropped_before\""), std::string::npos);
+}
+
 } // namespace
