Test: planned stops of a process that gets no processor for a time (red)

Real processes, stopped by SIGSTOP around the stop signal or in the last part of the grace, and killed when the grace after the sending of SIGTERM is over.

--- /dev/null
+++ b/tests/test_gate_held_up.cc
@@ -0,0 +1,58 @@
+/* Tests of a planned stop whose process gets no processor for a time: around
+   the stop signal, or in the last part of the grace. The kill counts from the
+   sending of the signal. What the process has taken is answered before. */
+#include "drain_rig.h"
+
+namespace {
+
+class GateHeldUp : public GateDrain {};
+
+/* The signal is sent while the process waits for a processor. */
+const std::vector<DrainRow> rows_around_signal = {
+    {"call that ends in time", 1000, 0, 1000, 0, 'o', 200},
+    {"stream that ends in time", 1100, 0, 1000, 0, 's', 200},
+    {"is never answered", 1000, 0, -1, 0, 'o', 502},
+    {"is never answered, sent late", 2700, 0, -1, 0, 'i', 502},
+};
+
+TEST_F(GateHeldUp, SignalIsHandledLate)
+{
+    for (int late_ms : {200, 500, 900}) {
+        SCOPED_TRACE(late_ms);
+        Start("4");
+        Play(rows_around_signal, {4000, {SIGTERM}, {{0, late_ms}}});
+        Reset();
+    }
+}
+
+/* The process is held up as it would end the remaining requests, until shortly
+   before the kill. */
+const std::vector<DrainRow> rows_at_end = {
+    {"is never answered", 500, 0, -1, 0, 'o', 502},
+    {"is answered meanwhile", 500, 0, 3150, 0, 'o', 200},
+    {"is never answered, may be repeated", 2700, 0, -1, 0, 'i', 502},
+};
+
+TEST_F(GateHeldUp, EndOfTheGraceIsHandledLate)
+{
+    Start("4");
+    Play(rows_at_end, {4000, {SIGTERM}, {{3600, 280}}});
+}
+
+/* The same until after the kill: what was taken has its answer, the rest is
+   refused. */
+const std::vector<DrainRow> rows_before_kill = {
+    {"call that ends before", 2500, 0, 600, 0, 'o', 200},
+    {"call in the last part of the grace", 3500, 0, 150, 0, 'o', 503},
+    {"the same, may be repeated", 3500, 0, 150, 0, 'i', 503},
+};
+
+TEST_F(GateHeldUp, KillComesBeforeTheEnd)
+{
+    Start("4");
+    DrainPlay play = {4000, {SIGTERM}, {{3600, 600}}};
+    play.ends_itself = false;
+    Play(rows_before_kill, play);
+}
+
+} // namespace
