--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -250,9 +250,10 @@
 }
 
 void
-Edge_BeginShutdown(Edge *edge)
+Edge_BeginShutdown(Edge *edge, int64_t signal_us)
 {
-    Shutdown_Begin(edge->shutdown);
+    Shutdown_Begin(edge->shutdown,
+                   signal_us != 0 ? signal_us : Clk_Now(edge->options.clk));
 }
 
 /* Prepares the stop, which needs all parts of the edge. */
--- a/src/gate/edge.h
+++ b/src/gate/edge.h
@@ -64,10 +64,11 @@
    runs. */
 void Edge_SetBudget(Edge *edge, const BudgetOptions *budget);
 void Edge_SetSeeds(Edge *edge, const char *const *seeds, guint count);
-/* Begins the shutdown: the health endpoint answers 503. After `notice_ms`, the
-   edge stops listening, and the loop ends when no request is in progress.
-   Shortly before `grace_ms` has passed, the remaining requests are ended, and
-   the loop ends. */
-void Edge_BeginShutdown(Edge *edge);
+/* Begins the shutdown at a signal that was not sent before `signal_us`, or
+   just now if that is 0: the health endpoint answers 503. After `notice_ms`,
+   the edge stops listening, and the loop ends when no request is in progress.
+   Shortly before `grace_ms` has passed since the signal, the remaining
+   requests are ended, and the loop ends. */
+void Edge_BeginShutdown(Edge *edge, int64_t signal_us);
 
 #endif
--- a/src/gate/shutdown.c
+++ b/src/gate/shutdown.c
@@ -55,7 +55,7 @@
 }
 
 void
-Shutdown_Begin(Shutdown *shutdown)
+Shutdown_Begin(Shutdown *shutdown, int64_t signal_us)
 {
     const ShutdownOptions *options = &shutdown->options;
     int64_t grace_us = (int64_t)options->grace_ms * CLK_US_PER_MS;
@@ -65,8 +65,8 @@
     }
     shutdown->has_begun = true;
     shutdown->begin_us = Clk_Now(options->clk);
-    shutdown->drain_end_us = Drain_GetEnd(shutdown->begin_us, grace_us);
-    shutdown->exit_us = Drain_GetExit(shutdown->begin_us, grace_us);
+    shutdown->drain_end_us = Drain_GetEnd(signal_us, grace_us);
+    shutdown->exit_us = Drain_GetExit(signal_us, grace_us);
     Server_BeginShutdown(options->callers);
     Gate_BeginShutdown(options->gate);
     Gate_SetDrain(options->gate, shutdown->drain_end_us);
--- a/src/gate/shutdown.h
+++ b/src/gate/shutdown.h
@@ -24,9 +24,10 @@
 
 Shutdown *Shutdown_New(const ShutdownOptions *options);
 void Shutdown_Free(Shutdown *shutdown); /* NULL is allowed. */
-/* Begins the stop; the event loop ends when it is complete. Further calls do
-   nothing. */
-void Shutdown_Begin(Shutdown *shutdown);
+/* Begins the stop; the event loop ends when it is complete. The grace counts
+   from `signal_us`, before which the stop signal was not sent. Further calls
+   do nothing. */
+void Shutdown_Begin(Shutdown *shutdown, int64_t signal_us);
 bool Shutdown_HasBegun(const Shutdown *shutdown); /* NULL is allowed. */
 
 #endif
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -313,7 +313,7 @@
     rig.SetRoute(at_most_once);
     Worker *worker = rig.AddWorker({Ok()});
     Caller *caller = rig.Call("");
-    Edge_BeginShutdown(rig.edge);
+    Edge_BeginShutdown(rig.edge, 0);
     caller->Send(Request());
     ASSERT_TRUE(rig.Until([&] { return caller->IsComplete(); }));
     EXPECT_EQ(caller->Status(), 200);
--- a/tests/test_gate_change.cc
+++ b/tests/test_gate_change.cc
@@ -290,12 +290,12 @@
              rig->Apply(rig->config);
          }
      }},
-    {"planned stop", [](ChangingRig *rig) { Edge_BeginShutdown(rig->edge); },
-     true, true},
+    {"planned stop",
+     [](ChangingRig *rig) { Edge_BeginShutdown(rig->edge, 0); }, true, true},
     {"planned stop, then route gone and entries drain",
      [](ChangingRig *rig) {
          Config config = rig->config;
-         Edge_BeginShutdown(rig->edge);
+         Edge_BeginShutdown(rig->edge, 0);
          config.prefix = "/elsewhere/";
          rig->Apply(config);
          rig->ChangeEntries(DrainEntry);
@@ -730,7 +730,7 @@
     std::string request = Request("POST", "X-Token-Usage: 1000,100\r\n");
     Caller *caller = rig.Call(request);
     ASSERT_TRUE(rig.Until([&] { return worker->requests.size() == 1; }));
-    Edge_BeginShutdown(rig.edge);
+    Edge_BeginShutdown(rig.edge, 0);
     worker->SendToAll(
         Replace(chunked_head + Chunk(Events(0, 2)), "%ID", "id-1"));
     ASSERT_TRUE(rig.Until(
@@ -935,7 +935,7 @@
 void
 Stop(ChangingRig *rig)
 {
-    Edge_BeginShutdown(rig->edge);
+    Edge_BeginShutdown(rig->edge, 0);
 }
 
 const SlowReaderCase slow_reader_cases[] = {
--- a/tests/test_gate_cutoff.cc
+++ b/tests/test_gate_cutoff.cc
@@ -215,8 +215,8 @@
     }
     Caller *caller = rig.Call(0, CallText(1));
     rig.RunFor(100);
-    Edge_BeginShutdown(rig.edges[1]);
-    Edge_BeginShutdown(rig.edges[2]);
+    Edge_BeginShutdown(rig.edges[1], 0);
+    Edge_BeginShutdown(rig.edges[2], 0);
     rig.RunFor(200);
     for (auto &worker : rig.workers) {
         worker->is_silent = false;
--- a/tests/test_gate_drain.cc
+++ b/tests/test_gate_drain.cc
@@ -270,7 +270,7 @@
     Caller *caller = rig.Call(Request("POST", "X-Token-Usage: 1000,100\r\n"));
     rig.RunFor(100);
     EXPECT_TRUE(caller->text.empty());
-    Edge_BeginShutdown(rig.edge);
+    Edge_BeginShutdown(rig.edge, 0);
     ASSERT_TRUE(rig.UntilEnd(caller));
     worker->refusals = 0;
     EXPECT_EQ(caller->Status(), 503);
--- a/tests/test_gate_late_streams.cc
+++ b/tests/test_gate_late_streams.cc
@@ -203,7 +203,7 @@
         rig->Call(MakeRequest(last));
         rig->RunFor(100);
         int64_t stop_us = Clk_Now(&rig->clk);
-        Edge_BeginShutdown(rig->edge);
+        Edge_BeginShutdown(rig->edge, 0);
         size_t sent = 0;
         rig->Until([&] {
             int64_t now_us = Clk_Now(&rig->clk);
