--- a/src/gate/shutdown.c
+++ b/src/gate/shutdown.c
@@ -9,7 +9,7 @@
 #define SHUTDOWN_TICK_MS 100 /* Interval of checks. */
 /* The same once the remaining requests have been ended. */
 #define SHUTDOWN_END_TICK_MS 20
-/* A check that is later than this is logged: the loop was held up. */
+/* The loop was held up if a check is later than this. */
 #define SHUTDOWN_LATE_US (50 * CLK_US_PER_MS)
 /* With less of the grace left, the requests in progress are logged, in case
    that the process is killed before it can end them. */
@@ -21,6 +21,7 @@
     bool has_begun;
     bool notice_over;  /* No connections are accepted any more. */
     bool tasks_logged; /* Requests in progress have been logged. */
+    bool end_delayed;  /* Their end was put off once. */
     bool tasks_ended;  /* They have been ended. */
     int64_t due_us;    /* When the next check is due. */
     int64_t begin_us;
@@ -29,6 +30,7 @@
 };
 
 static void arm_timer(Shutdown *shutdown, int64_t after_us);
+static bool is_held_up(const Shutdown *shutdown, int64_t now_us);
 static void log_late_check(const Shutdown *shutdown, int64_t now_us);
 static void on_tick(evutil_socket_t fd, short what, void *context);
 static bool is_drained(const Shutdown *shutdown);
@@ -89,10 +91,16 @@
     Loop_ArmTimerUs(shutdown->timer, after_us);
 }
 
+static bool
+is_held_up(const Shutdown *shutdown, int64_t now_us)
+{
+    return now_us - shutdown->due_us > SHUTDOWN_LATE_US;
+}
+
 static void
 log_late_check(const Shutdown *shutdown, int64_t now_us)
 {
-    if (now_us - shutdown->due_us > SHUTDOWN_LATE_US) {
+    if (is_held_up(shutdown, now_us)) {
         Log_WriteJson(
             LOG_LEVEL_WARNING, "shutdown_held_up",
             json_pack("{s:I,s:I}", "late_us",
@@ -127,9 +135,19 @@
         shutdown->tasks_logged = true;
         Gate_LogRequests(options->gate);
     }
+    if (now_us >= shutdown->drain_end_us && !shutdown->tasks_ended &&
+        !shutdown->end_delayed && is_held_up(shutdown, now_us)) {
+        shutdown->end_delayed = true;
+        /* Answers that have come meanwhile are read before the end. */
+        arm_timer(shutdown, SHUTDOWN_END_TICK_MS * CLK_US_PER_MS);
+        return;
+    }
     if (now_us >= shutdown->drain_end_us && !shutdown->tasks_ended) {
         shutdown->tasks_ended = true;
         end_remaining(shutdown);
+        /* The loop writes the last answers, also if it was held up. */
+        shutdown->exit_us = MAX(shutdown->exit_us,
+                                now_us + SHUTDOWN_END_TICK_MS * CLK_US_PER_MS);
     }
     if (is_drained(shutdown)) {
         Server_CloseIdle(options->callers);
