--- a/tests/test_gate_held_up.cc
+++ b/tests/test_gate_held_up.cc
@@ -56,4 +56,20 @@
     Play(rows_before_kill, play);
 }
 
+/* A process that has nothing to do runs often enough to know that no signal
+   has come: it does not give up a large part of its grace. */
+TEST_F(GateHeldUp, IdleProcessKeepsItsGrace)
+{
+    Start("4");
+    ASSERT_GT(pid, 0);
+    int64_t end_us = Clk_Now(&clk) + 1900 * CLK_US_PER_MS;
+    RunUntil(base, &clk, [&] { return Clk_Now(&clk) > end_us; });
+    stop_us = Clk_Now(&clk);
+    kill(pid, SIGTERM);
+    RunUntil(base, &clk, [&] { return IsGone() || GetMs() > 4500; });
+    size_t at = log.find("\"sent_ago_max_us\":");
+    ASSERT_NE(at, std::string::npos);
+    EXPECT_LT(atoi(log.c_str() + log.find(':', at) + 1), 500000);
+}
+
 } // namespace
