--- a/src/decide/drain.c
+++ b/src/decide/drain.c
@@ -70,8 +70,7 @@
 int64_t
 Drain_GetStreamBound(const DrainTimes *times, const DrainStream *stream)
 {
-    int64_t first_us =
-        Drain_GetBound(&times->first, stream->slo_us / 2) - stream->waited_us;
+    int64_t first_us = Drain_GetBound(&times->first, stream->slo_us / 2);
     int64_t interval_us =
         get_longer(Drain_GetBound(&times->interval, DRAIN_DEFAULT_INTERVAL_US),
                    stream->interval_us);
@@ -80,8 +79,11 @@
         interval_us > DRAIN_UNKNOWN_US / stream->events) {
         return DRAIN_UNKNOWN_US;
     }
-    /* The bound of the first event may be over already. */
-    first_us = get_longer(get_longer(first_us, stream->expected_us), 0);
+    /* Beyond its bound, nothing is known of the rest. */
+    if (stream->worked_us < first_us) {
+        first_us -= stream->worked_us;
+    }
+    first_us = get_longer(first_us, stream->expected_us);
     return first_us + stream->gap_us + interval_us * (stream->events - 1);
 }
 
--- a/src/decide/drain.h
+++ b/src/decide/drain.h
@@ -49,14 +49,14 @@
 /* What was measured of a service's answers. */
 typedef struct DrainTimes {
     DrainTime call;     /* Of a plain call. */
-    DrainTime first;    /* From a stream's arrival to its first event. */
+    DrainTime first;    /* From a stream's first call to its first event. */
     DrainTime interval; /* Between the events of a stream. */
 } DrainTimes;
 
 /* A stream that would begin, or that has not had an event yet. */
 typedef struct DrainStream {
     int64_t slo_us;      /* Objective up to the first event. */
-    int64_t waited_us;   /* Since its arrival. */
+    int64_t worked_us;   /* Since its first call was sent; 0: it was not. */
     int64_t expected_us; /* Estimate up to the first event; 0: unknown. */
     int64_t gap_us;      /* Longest pause between events that is in time. */
     uint32_t events;     /* Most events that may come; 0: unknown. */
--- a/src/gate/grace.c
+++ b/src/gate/grace.c
@@ -79,9 +79,10 @@
 {
     DrainTimes *times = find_times(task);
 
-    if (task->first_event_us != 0 &&
+    if (task->first_event_us != 0 && task->work_us != 0 &&
+        task->work_us <= task->first_event_us &&
         task->request.last_event == GATE_NO_EVENT) {
-        Drain_NoteTime(&times->first, task->first_event_us - task->began_us);
+        Drain_NoteTime(&times->first, task->first_event_us - task->work_us);
     }
     if (task->events > 1) {
         Drain_NoteTime(&times->interval,
@@ -202,7 +203,7 @@
 {
     DrainStream stream = {
         .slo_us = (int64_t)task->route->slo_ms * CLK_US_PER_MS,
-        .waited_us = Task_Now(task) - task->began_us,
+        .worked_us = task->work_us != 0 ? Task_Now(task) - task->work_us : 0,
         .expected_us = expected_us,
         .gap_us = (int64_t)task->route->gap_ms * CLK_US_PER_MS,
         .events = count_events_left(task),
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -578,6 +578,7 @@
     if (is_worker_failed) {
         Task_ExcludeFailed(task);
     }
+    task->work_us = 0;
     task->runs += run != LS_RUN_NOT_RUN;
     input = Task_GetRetryInput(task, run);
     input.repeatable = task->route->can_resume;
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -106,8 +106,10 @@
     uint32_t unreached;  /* Calls of this task that reached no worker. */
     bool is_retry;    /* The caller was refused before, judging by its time. */
     int64_t began_us; /* When its first byte came. */
-    int64_t arrived_us;       /* When its last byte came. */
-    int64_t deadline_us;      /* Earlier of the caller's and the route's. */
+    int64_t arrived_us;  /* When its last byte came. */
+    int64_t work_us;     /* When the present try's first call was sent; 0: it
+                            was not, or the task waits again. */
+    int64_t deadline_us; /* Earlier of the caller's and the route's. */
     int64_t step_deadline_us; /* End of the current step (a call without any
                                  data, or a wait); 0 for none. */
     TaskCall calls[2];
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -424,6 +424,7 @@
 
     current->worker = Fleet_Ref(worker);
     current->began_us = Task_Now(task);
+    task->work_us = task->work_us != 0 ? task->work_us : current->began_us;
     current->heard_us = current->began_us;
     current->progress_us = current->began_us;
     current->has_reply = false;
--- a/src/gate/task_wait.c
+++ b/src/gate/task_wait.c
@@ -21,6 +21,7 @@
     bool is_limited;
     AdmissionWaitPlan wait_plan;
 
+    task->work_us = 0;
     if (task->waiting_since_us == 0) {
         task->waiting_since_us = now_us;
         Begun_NoteWait(task);
--- a/tests/test_decide_drain.cc
+++ b/tests/test_decide_drain.cc
@@ -79,7 +79,7 @@
     const char *name;
     int64_t first_ms;    /* Mean; 0: none was measured. */
     int64_t interval_ms; /* Mean; 0: none was measured. */
-    int64_t waited_ms;
+    int64_t worked_ms;
     int64_t expected_ms;
     int64_t slowest_ms; /* Interval of a stream in progress. */
     uint32_t events;
@@ -89,11 +89,10 @@
 /* Objective 900 ms, pauses of 300 ms. */
 const StreamCase stream_cases[] = {
     {"twice the means", 200, 10, 0, 0, 0, 101, 400 + 300 + 2000},
-    {"it has waited", 200, 10, 300, 0, 0, 101, 100 + 300 + 2000},
-    {"it has waited for longer than usual", 200, 10, 900, 0, 0, 101,
-     0 + 300 + 2000},
-    {"the same, its worker has a queue", 200, 10, 900, 250, 0, 101,
-     250 + 300 + 2000},
+    {"its calls have begun", 200, 10, 300, 0, 0, 101, 100 + 300 + 2000},
+    {"longer ago than usual", 200, 10, 900, 0, 0, 101, 400 + 300 + 2000},
+    {"the same, its worker has a queue", 200, 10, 900, 450, 0, 101,
+     450 + 300 + 2000},
     {"a worker with a long queue", 200, 10, 0, 700, 0, 101, 700 + 300 + 2000},
     {"others are slow", 200, 10, 0, 0, 45, 101, 400 + 300 + 4500},
     {"others are quick", 200, 10, 0, 0, 5, 101, 400 + 300 + 2000},
@@ -114,7 +113,7 @@
         times.interval.mean_us = (double)(row.interval_ms * ms);
         stream.slo_us = 900 * ms;
         stream.gap_us = 300 * ms;
-        stream.waited_us = row.waited_ms * ms;
+        stream.worked_us = row.worked_ms * ms;
         stream.expected_us = row.expected_ms * ms;
         stream.interval_us = row.slowest_ms * ms;
         stream.events = row.events;
--- a/tests/test_gate_late_streams.cc
+++ b/tests/test_gate_late_streams.cc
@@ -130,6 +130,8 @@
     int first_ms;
     bool surely_fits;
     Caller *caller;
+    int body_ms; /* Time in which its body comes, after `at_ms`. */
+    int max;     /* Its caller's limit; 0: events_max. */
 };
 
 class GateLateStreams : public testing::Test {
@@ -158,12 +160,14 @@
     {
         return "POST /r/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + stream.id +
                "\r\nX-Token-Usage: " + std::to_string(prompt_tokens) + "," +
-               std::to_string(events_max) +
+               std::to_string(stream.max > 0 ? stream.max : events_max) +
                "\r\nX-Length-Hint: " + std::to_string(stream.hint) +
                "\r\nX-Events: " + std::to_string(stream.events) +
                "\r\nX-Pace-Ms: " + std::to_string(stream.pace_ms) +
                "\r\nX-First-Ms: " + std::to_string(stream.first_ms) +
-               "\r\nContent-Length: 1\r\n\r\nb";
+               (stream.body_ms > 0
+                    ? "\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n"
+                    : "\r\nContent-Length: 1\r\n\r\nb");
     }
 
     /* Opens a connection that has had a stream at the usual pace. */
@@ -172,9 +176,10 @@
     {
         LateStream warm = *stream;
         warm.id += "-warm";
+        warm.body_ms = 0;
         warm.events = warm.hint = 30;
         warm.pace_ms = pace_ms;
-        warm.first_ms = 2 * pace_ms;
+        warm.first_ms = MAX(2 * pace_ms, warm_first_ms);
         stream->caller = rig->Call(MakeRequest(warm));
     }
 
@@ -205,8 +210,18 @@
         int64_t stop_us = Clk_Now(&rig->clk);
         Edge_BeginShutdown(rig->edge, 0);
         size_t sent = 0;
+        size_t ended = 0; /* Bodies. */
         rig->Until([&] {
             int64_t now_us = Clk_Now(&rig->clk);
+            while (ended < sent &&
+                   now_us - stop_us >=
+                       (streams[ended].at_ms + streams[ended].body_ms) *
+                           CLK_US_PER_MS) {
+                if (streams[ended].body_ms > 0) {
+                    streams[ended].caller->Send("0\r\n\r\n");
+                }
+                ended++;
+            }
             while (sent < streams.size() &&
                    now_us - stop_us >= streams[sent].at_ms * CLK_US_PER_MS) {
                 streams[sent].caller->Send(MakeRequest(streams[sent]));
@@ -245,6 +260,7 @@
         return served;
     }
 
+    int warm_first_ms = 0;
     std::unique_ptr<GateRig> rig;
     std::unique_ptr<PacedWorker> worker;
 };
@@ -311,6 +327,29 @@
     EXPECT_EQ(Judge(streams), 100);
 }
 
+/* Issue 56: the time in which a body comes in chunks brings a stream no nearer
+   to its first event. */
+TEST_F(GateLateStreams, BodyInChunksIsNoProgress)
+{
+    Begin(RTE_STREAM, false);
+    warm_first_ms = 1200;
+    std::vector<LateStream> streams;
+    for (int i = 0; i < 60; i++) {
+        LateStream stream = {};
+        stream.id = "late-" + std::to_string(i);
+        stream.at_ms = 50 + i * 50;
+        stream.body_ms = 2500;
+        stream.events = i % 2 == 0 ? 90 : 10;
+        stream.hint = stream.max = stream.events;
+        stream.pace_ms = 40;
+        stream.first_ms = 1600;
+        streams.push_back(stream);
+    }
+    Play(streams, 20);
+    EXPECT_GT(Judge(streams), 0);
+    EXPECT_EQ(Met_Get(MET_GRACE_CUT), 0u);
+}
+
 /* A stream whose worker ends before the first event is not sent to another
    one that would be cut: its caller has an answer, and can go elsewhere. */
 TEST(GateLateStreamsRetry, NoRunBeginsThatMayBeCut)
