Tests: a worker that was dark keeps its port as it starts again

Change: Restart() binds before the listener ends, as Crash() does; the message of a failed bind() names the port beside errno. Conclusion: this gap is closed.

--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -345,12 +345,12 @@
             is_dark_ = false;
             is_silent = false;
             fillers_.clear();
+            fd_ = Bind(port_);
             evconnlistener_free(listener_);
             for (bufferevent *bev : conns_) {
                 SetReset(bufferevent_getfd(bev));
             }
             CloseAll();
-            fd_ = Bind(port_);
         }
         Listen();
     }
@@ -507,7 +507,7 @@
         /* Bound before the last listener ends. */
         setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
         EXPECT_EQ(bind(fd, (sockaddr *)&local, sizeof(local)), 0)
-            << strerror(errno);
+            << "port " << port << ": " << strerror(errno);
         return fd;
     }
 
--- a/tests/test_gate_rig.cc
+++ b/tests/test_gate_rig.cc
@@ -44,4 +44,46 @@
     close(ends[1]);
 }
 
+/* Another process tries to get the port of a worker that is dark or crashed
+   and starts again. */
+TEST(Rig, WorkerKeepsItsPort)
+{
+    for (bool is_dark : {true, false}) {
+        SCOPED_TRACE(is_dark ? "dark" : "crashed");
+        event_base *base = event_base_new();
+        auto replies = std::make_shared<std::deque<ScriptedReply>>();
+        auto worker = std::make_unique<Worker>(base, replies);
+        sockaddr_in local = {};
+        local.sin_family = AF_INET;
+        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        local.sin_port = htons((uint16_t)std::stoi(
+            worker->address.substr(worker->address.find(':') + 1)));
+        std::atomic<bool> is_over{false};
+        std::atomic<int> tries{0};
+        std::atomic<int> taken{0};
+        std::thread other([&] {
+            while (!is_over) {
+                int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+                taken += bind(fd, (sockaddr *)&local, sizeof(local)) == 0;
+                tries++;
+                close(fd);
+            }
+        });
+        for (int i = 0; i < 500; i++) {
+            int before = tries;
+            is_dark ? worker->GoDark() : worker->Crash();
+            worker->Restart();
+            while (tries == before) {
+                std::this_thread::yield();
+            }
+        }
+        is_over = true;
+        other.join();
+        EXPECT_EQ(taken, 0);
+        EXPECT_TRUE(worker->IsUp());
+        worker.reset();
+        event_base_free(base);
+    }
+}
+
 } // namespace
