--- /dev/null
+++ b/tests/test_gate_rig.cc
@@ -0,0 +1,89 @@
+/* Tests of the gate's test rig: what another process may do meanwhile changes
+   nothing in a test. */
+#include "gate_rig.h"
+
+#include <atomic>
+#include <set>
+#include <sys/wait.h>
+#include <thread>
+
+namespace {
+
+/* Two processes that run side by side. A VM of one would hear what is sent to
+   a VM of the other one that has ended. */
+TEST(Rig, PortsBelongToOneProcess)
+{
+    const size_t count = 300;
+    int ends[2];
+    uint16_t others[count];
+    ASSERT_EQ(pipe(ends), 0);
+    pid_t pid = fork();
+    if (pid == 0) {
+        /* It begins with blocks of its own, as each process does. */
+        PortBlocks blocks;
+        for (uint16_t &port : others) {
+            port = blocks.Next();
+        }
+        ssize_t size = write(ends[1], others, sizeof(others));
+        pause();
+        _exit(size == (ssize_t)sizeof(others) ? 0 : 1);
+    }
+    ASSERT_GT(pid, 0);
+    EXPECT_EQ(read(ends[0], others, sizeof(others)), (ssize_t)sizeof(others));
+    std::set<uint16_t> taken(others, others + count);
+    EXPECT_EQ(taken.size(), count);
+    EXPECT_EQ(taken.count(0), 0U);
+    for (int i = 0; i < 3 * PortBlocks::claims_max * PortBlocks::size; i++) {
+        uint16_t port = FreePort();
+        EXPECT_GT(port, 0);
+        EXPECT_EQ(taken.count(port), 0U);
+    }
+    kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
+    close(ends[0]);
+    close(ends[1]);
+}
+
+/* Another process tries to get the port of a worker that is dark or crashed
+   and starts again. */
+TEST(Rig, WorkerKeepsItsPort)
+{
+    for (bool is_dark : {true, false}) {
+        SCOPED_TRACE(is_dark ? "dark" : "crashed");
+        event_base *base = event_base_new();
+        auto replies = std::make_shared<std::deque<ScriptedReply>>();
+        auto worker = std::make_unique<Worker>(base, replies);
+        sockaddr_in local = {};
+        local.sin_family = AF_INET;
+        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        local.sin_port = htons((uint16_t)std::stoi(
+            worker->address.substr(worker->address.find(':') + 1)));
+        std::atomic<bool> is_over{false};
+        std::atomic<int> tries{0};
+        std::atomic<int> taken{0};
+        std::thread other([&] {
+            while (!is_over) {
+                int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+                taken += bind(fd, (sockaddr *)&local, sizeof(local)) == 0;
+                tries++;
+                close(fd);
+            }
+        });
+        for (int i = 0; i < 500; i++) {
+            int before = tries;
+            is_dark ? worker->GoDark() : worker->Crash();
+            worker->Restart();
+            while (tries == before) {
+                std::this_thread::yield();
+            }
+        }
+        is_over = true;
+        other.join();
+        EXPECT_EQ(taken, 0);
+        EXPECT_TRUE(worker->IsUp());
+        worker.reset();
+        event_base_free(base);
+    }
+}
+
+} // namespace
