--- a/tests/test_gate_held_up.cc
+++ b/tests/test_gate_held_up.cc
@@ -25,6 +25,24 @@
     }
 }
 
+/* Requests that come while the process is held up are read in the same step as
+   the signal, and taken like those that come after it. */
+const std::vector<DrainRow> rows_beside_signal = {
+    {"stream beyond the grace", 100, 0, 6000, 0, 's', 503},
+    {"the same, may be resumed", 100, 0, 6000, 0, 'r', 503},
+    {"stream that ends in time", 100, 0, 500, 0, 's', 200},
+    {"call that ends in time", 100, 0, 100, 0, 'o', 200},
+};
+
+TEST_F(GateHeldUp, SignalIsHandledBeforeRequestsOfTheSameStep)
+{
+    Start("4");
+    /* The first streams wait for a survey of the workers. */
+    int64_t end_us = Clk_Now(&clk) + 600 * CLK_US_PER_MS;
+    RunUntil(base, &clk, [&] { return Clk_Now(&clk) > end_us; });
+    Play(rows_beside_signal, {4000, {SIGTERM}, {{0, 500}}});
+}
+
 /* The process is held up as it would end the remaining requests, until shortly
    before the kill. */
 const std::vector<DrainRow> rows_at_end = {
