Soak: the ledger judges what a stopping VM takes late

Change: what is sent 3 s after the stop signal must be answered whole, unless its worker fell silent meanwhile, which no VM can foresee. What was sent before may be cut in the last sixth of the grace, but not a second after its worker has sent the whole answer. Late requests are counted.

--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -46,6 +46,9 @@
     row->kind = kind;
     row->vm = vm;
     row->sent_us = now_us;
+    row->is_late = ledger->stop_us[vm] != 0 &&
+                   now_us - ledger->stop_us[vm] > LEDGER_STOP_LATE_US;
+    row->is_at_end = ledger->is_ending[vm];
     g_hash_table_insert(ledger->rows, g_strdup(id), row);
 }
 
@@ -70,6 +73,23 @@
     row->workers |= 1U << worker;
 }
 
+void
+Ledger_RecordAnswer(Ledger *ledger, const char *id, int64_t now_us)
+{
+    LedgerRow *row = Ledger_Find(ledger, id);
+
+    if (row != NULL) {
+        row->answered_us = now_us;
+    }
+}
+
+void
+Ledger_RecordStop(Ledger *ledger, uint32_t vm, int64_t at_us)
+{
+    ledger->stop_us[vm] = at_us;
+    ledger->is_ending[vm] = false;
+}
+
 void
 Ledger_RecordEnd(Ledger *ledger, const char *id, int status, bool is_complete,
                  int64_t now_us)
@@ -116,7 +136,7 @@
 void
 Ledger_ExcuseVm(Ledger *ledger, uint32_t vm, int64_t now_us)
 {
-    LedgerVmFault fault = {vm, now_us};
+    LedgerVmFault fault = {vm, now_us, INT64_MAX};
     GHashTableIter iter;
     gpointer value;
 
@@ -130,6 +150,36 @@
     }
 }
 
+void
+Ledger_RecordSilence(Ledger *ledger, guint worker)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, ledger->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        LedgerRow *row = value;
+        row->is_held_up |= !row->is_ended && row->workers & 1U << worker;
+    }
+}
+
+void
+Ledger_ExcuseStop(Ledger *ledger, uint32_t vm, int64_t now_us)
+{
+    LedgerVmFault fault = {vm, now_us,
+                           ledger->stop_us[vm] + LEDGER_STOP_LATE_US};
+    GHashTableIter iter;
+    gpointer value;
+
+    ledger->is_ending[vm] = true;
+    g_array_append_val(ledger->vm_faults, fault);
+    g_hash_table_iter_init(&iter, ledger->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        LedgerRow *row = value;
+        row->is_at_end |= row->vm == vm && !row->is_ended;
+    }
+}
+
 void
 Ledger_ExcuseRelayed(Ledger *ledger, const char *id, uint32_t via)
 {
@@ -139,7 +189,8 @@
         const LedgerVmFault *fault =
             &g_array_index(ledger->vm_faults, LedgerVmFault, i);
         row->is_excused |= fault->vm == via && fault->at_us >= row->sent_us &&
-                           fault->at_us <= row->ended_us;
+                           fault->at_us <= row->ended_us &&
+                           row->sent_us <= fault->sent_max_us;
     }
 }
 
@@ -179,9 +230,10 @@
             Ledger_AddFinding(
                 ledger,
                 "LOST: %s (%s, VM %u) ended without a complete response, "
-                "status %d, %lld ms after it was sent; its workers went on",
+                "status %d, %lld ms after it was sent%s; its workers went on",
                 (const char *)id, Ledger_GetKindName(row->kind), row->vm,
-                row->status, (long long)(row->ended_us - row->sent_us) / 1000);
+                row->status, (long long)(row->ended_us - row->sent_us) / 1000,
+                row->is_late ? ", late to a stopping VM" : "");
         }
     }
 }
@@ -214,6 +266,8 @@
             count = &ends->lost;
         }
         ends->accepted++;
+        ends->late += row->is_late;
+        ends->late_run += row->is_late && row->runs > 0;
         ++*count;
     }
 }
@@ -261,8 +315,14 @@
 static bool
 is_lost(const LedgerRow *row)
 {
+    bool is_delivered = row->answered_us != 0 &&
+                        row->ended_us - row->answered_us >= LEDGER_DELIVERY_US;
+    bool may_be_cut =
+        row->is_at_end && (!row->is_late || row->is_held_up) && !is_delivered;
+
     return is_accepted(row) && row->is_ended && !row->is_complete &&
-           !row->has_left && !row->is_at_limit && !row->is_excused;
+           !row->has_left && !row->is_at_limit && !row->is_excused &&
+           !may_be_cut;
 }
 
 /* Statuses by which the gate tells the caller that the request did not run. */
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -9,6 +9,11 @@
 
 /* A request that ends this close to its time limit ends because of it. */
 #define LEDGER_LIMIT_SLACK_MS 500
+/* What a VM takes later than this after its stop signal must be answered. */
+#define LEDGER_STOP_LATE_US (3 * G_USEC_PER_SEC)
+/* Time from the end of a worker's answer, within which the caller has it. */
+#define LEDGER_DELIVERY_US G_USEC_PER_SEC
+#define LEDGER_VMS_MAX 32
 
 typedef enum LedgerKind {
     LEDGER_READ,   /* Idempotent: may run more than once. */
@@ -29,6 +34,11 @@
     bool has_left;    /* The caller has disconnected before. */
     bool is_at_limit; /* It ended at its time limit. */
     bool is_excused;  /* One of its workers, or its VM, failed meanwhile. */
+    /* Sent LEDGER_STOP_LATE_US after the stop signal of its VM. */
+    bool is_late;
+    bool is_at_end;      /* The end of its VM's grace came meanwhile. */
+    bool is_held_up;     /* Its worker fell silent for a time. */
+    int64_t answered_us; /* A worker has sent its whole answer, or 0. */
     int64_t sent_us;
     int64_t ended_us;
 } LedgerRow;
@@ -43,18 +53,26 @@
     guint excused; /* No complete response, for a reason outside of the VM. */
     guint lost;    /* No complete response, without such a reason. */
     guint open;    /* Not ended. */
+    /* Of all of these, those sent late to a stopping VM, and of these, those
+       that a worker began to run. */
+    guint late;
+    guint late_run;
 } LedgerEnds;
 
 /* A VM was killed, stopped late, or paused. */
 typedef struct LedgerVmFault {
     uint32_t vm;
     int64_t at_us;
+    int64_t sent_max_us; /* Requests sent later are not excused. */
 } LedgerVmFault;
 
 typedef struct Ledger {
     GHashTable *rows;    /* Request identifier to LedgerRow. */
     GArray *vm_faults;   /* LedgerVmFault elements. */
     GPtrArray *findings; /* Violations, one line of text each. */
+    /* Time of the stop signal of each VM, or 0 if it doesn't stop. */
+    int64_t stop_us[LEDGER_VMS_MAX];
+    bool is_ending[LEDGER_VMS_MAX]; /* The end of its grace has come. */
     /* Workers on which the routes allow a repeatable request; 0: any number.
      */
     uint32_t attempts_max;
@@ -77,6 +95,10 @@
 /* Records that a worker, 0 to 31, begins to run a request; `id` may be NULL. A
    request that no caller sent is a finding. */
 void Ledger_RecordRun(Ledger *ledger, const char *id, guint worker);
+/* Records that a worker has sent a whole answer, without impediment. */
+void Ledger_RecordAnswer(Ledger *ledger, const char *id, int64_t now_us);
+/* Records when a VM was sent its stop signal; 0: it runs again. */
+void Ledger_RecordStop(Ledger *ledger, uint32_t vm, int64_t at_us);
 /* Records how a request ended for its caller; `status` is 0 without a
    response. */
 void Ledger_RecordEnd(Ledger *ledger, const char *id, int status,
@@ -88,6 +110,13 @@
    received, if they end without a complete response. */
 void Ledger_ExcuseWorker(Ledger *ledger, guint worker);
 void Ledger_ExcuseVm(Ledger *ledger, uint32_t vm, int64_t now_us);
+/* Notes that a worker falls silent for a time: a VM can't foresee how long the
+   streams take that it has begun to run. */
+void Ledger_RecordSilence(Ledger *ledger, guint worker);
+/* Lets a stopping VM break off, from now on, what was not sent late or was
+   held up by its worker, unless a worker has sent its whole answer
+   LEDGER_DELIVERY_US before. */
+void Ledger_ExcuseStop(Ledger *ledger, uint32_t vm, int64_t now_us);
 /* Excuses a request that its VM passed on to another VM, `via`, if that one
    failed before the request ended. */
 void Ledger_ExcuseRelayed(Ledger *ledger, const char *id, uint32_t via);
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -206,6 +206,100 @@
     }
 }
 
+struct StopCase {
+    const char *name;
+    int64_t sent_ms;     /* After the stop signal. */
+    uint32_t stopped_vm; /* The request's VM is 0; it passes on to 1. */
+    int64_t answered_ms; /* End of the worker's answer, or 0. */
+    int status;
+    bool is_complete;
+    int64_t ended_ms;
+    bool is_lost;
+    int silent_worker; /* One falls silent meanwhile; 9: none. */
+};
+
+const StopCase stop_cases[] = {
+    {"sent before the signal, cut at the end", -500, 0, 0, 200, false, 7750,
+     false, 9},
+    {"sent early, cut at the end", 2900, 0, 0, 200, false, 7750, false, 9},
+    {"sent early, cut too soon", 2900, 0, 0, 200, false, 6000, true, 9},
+    {"sent early, cut as the worker has just ended", 2900, 0, 7000, 200, false,
+     7750, false, 9},
+    {"sent early, cut though the worker had ended", 2900, 0, 6000, 200, false,
+     7750, true, 9},
+    {"sent late, cut at the end", 3100, 0, 0, 200, false, 7750, true, 9},
+    {"sent late, cut by the kill", 3100, 0, 0, 0, false, 8000, true, 9},
+    {"sent late, complete", 3100, 0, 7000, 200, true, 7100, false, 9},
+    {"sent late, its worker never answers", 3100, 0, 0, 504, true, 7700, false,
+     9},
+    {"sent early, passed on to a VM that stops", 2900, 1, 0, 200, false, 7750,
+     false, 9},
+    {"sent late, passed on to a VM that stops", 3100, 1, 0, 200, false, 7750,
+     true, 9},
+    {"sent late, held up by its worker", 3100, 0, 0, 200, false, 7750, false,
+     0},
+    {"sent late, another worker is silent", 3100, 0, 0, 200, false, 7750, true,
+     1},
+    {"held up by its worker, cut too soon", 3100, 0, 0, 200, false, 6000, true,
+     0},
+};
+
+TEST(Soak, LedgerFindsWhatAStopBreaksOff)
+{
+    const int64_t stop_ms = 10000;
+    for (const StopCase &row : stop_cases) {
+        SCOPED_TRACE(row.name);
+        Ledger ledger;
+        LedgerEnds ends;
+        const int64_t excuse_us = (stop_ms + 6667) * 1000;
+        const int64_t ended_us = (stop_ms + row.ended_ms) * 1000;
+        Ledger_Init(&ledger);
+        Ledger_LowerLimits(&ledger, 3000, 14000);
+        if (row.sent_ms >= 0) {
+            Ledger_RecordStop(&ledger, row.stopped_vm, stop_ms * 1000);
+        }
+        Ledger_AddRequest(&ledger, "l1", LEDGER_STREAM, 0,
+                          (stop_ms + row.sent_ms) * 1000);
+        Ledger_RecordStop(&ledger, row.stopped_vm, stop_ms * 1000);
+        Ledger_RecordRun(&ledger, "l1", 0);
+        Ledger_RecordSilence(&ledger, (guint)row.silent_worker);
+        if (row.answered_ms != 0) {
+            Ledger_RecordAnswer(&ledger, "l1",
+                                (stop_ms + row.answered_ms) * 1000);
+        }
+        if (ended_us >= excuse_us) {
+            Ledger_ExcuseStop(&ledger, row.stopped_vm, excuse_us);
+        }
+        Ledger_RecordEnd(&ledger, "l1", row.status, row.is_complete, ended_us);
+        if (ended_us < excuse_us) {
+            Ledger_ExcuseStop(&ledger, row.stopped_vm, excuse_us);
+        }
+        Ledger_ExcuseRelayed(&ledger, "l1", 1);
+        Ledger_Check(&ledger);
+        Ledger_CountEnds(&ledger, &ends);
+        EXPECT_EQ(ends.late, row.stopped_vm == 0 && row.sent_ms > 3000);
+        EXPECT_EQ(ends.late_run, ends.late);
+        ASSERT_EQ(ledger.findings->len, row.is_lost ? 1u : 0u);
+        if (row.is_lost) {
+            EXPECT_EQ(
+                std::string((char *)ledger.findings->pdata[0]).find("LOST"),
+                0u);
+        }
+        Ledger_Clear(&ledger);
+    }
+}
+
+TEST(Soak, LedgerForgetsAStopWithTheNextStart)
+{
+    Ledger ledger;
+    Ledger_Init(&ledger);
+    Ledger_RecordStop(&ledger, 0, 10 * CLK_US_PER_S);
+    Ledger_RecordStop(&ledger, 0, 0);
+    Ledger_AddRequest(&ledger, "r1", LEDGER_STREAM, 0, 15 * CLK_US_PER_S);
+    EXPECT_FALSE(Ledger_Find(&ledger, "r1")->is_late);
+    Ledger_Clear(&ledger);
+}
+
 struct ProxyCase {
     const char *name;
     ProxyMode mode;
