Soak: streams as long as the grace, callers of stopping VMs, held stops

Change: long streams of up to 12 s at the pace of their worker, limits and hints in the headers of all streams, 20 more requests a second to each stopping VM, and stops beside SIGSTOP for 0.1 to 0.8 s. VMs of earlier builds are not held and excused as before.

--- a/soak/load_generator.c
+++ b/soak/load_generator.c
@@ -17,6 +17,16 @@
 #define LOAD_GEN_DISCONNECT_MAX_MS 400
 #define LOAD_GEN_NO_EVENT (-1)
 #define LOAD_GEN_FIRST_PARTS 5 /* First parts of prompts, shared by many. */
+/* Requests to each stopping VM beside the others, until its process is gone.
+ */
+#define LOAD_GEN_STOPPING_PER_S 20
+/* Share of the streams that are long, and of those beside the others. */
+#define LOAD_GEN_LONG_RATIO 0.03
+#define LOAD_GEN_STOPPING_LONG_RATIO 0.5
+/* Longest limit of a stream's length, and most by which its hint is wrong, as
+   multiples of its length. */
+#define LOAD_GEN_LIMIT_RATIO_MAX 2.0
+#define LOAD_GEN_HINT_RATIO_MAX 10.0
 
 typedef struct LoadGenCall {
     LIST_ENTRY(LoadGenCall) links;
@@ -42,6 +52,7 @@
     struct event *timer;
     uint32_t number;     /* Number of the next request. */
     double requests_due; /* Whole requests and a fraction carried over. */
+    double stopping_due; /* The same for each stopping VM. */
     LIST_HEAD(LoadGenCallList, LoadGenCall) open;
     guint open_count;
     double crash_ratio;
@@ -51,7 +62,9 @@
 };
 
 static void on_tick(evutil_socket_t fd, short what, void *context);
-static void begin_call(LoadGen *load_gen);
+static void begin_call(LoadGen *load_gen, guint vm, double long_ratio);
+static void add_lengths(LoadGen *load_gen, const char *id,
+                        HeaderList *headers);
 static void on_disconnect(evutil_socket_t fd, short what, void *context);
 static void on_head(void *context, int status, const HeaderList *headers);
 static void on_data(void *context, const void *data, size_t size);
@@ -130,25 +143,37 @@
 on_tick(evutil_socket_t fd, short what, void *context)
 {
     LoadGen *load_gen = context;
+    const LoadGenOptions *options = &load_gen->options;
 
     (void)fd;
     (void)what;
     load_gen->requests_due +=
-        load_gen->options.requests_per_s * LOAD_GEN_TICK_MS / 1000.0;
+        options->requests_per_s * LOAD_GEN_TICK_MS / 1000.0;
     for (; load_gen->requests_due >= 1; load_gen->requests_due -= 1) {
-        begin_call(load_gen);
+        begin_call(load_gen, g_rand_int(options->rand) % options->vm_count,
+                   LOAD_GEN_LONG_RATIO);
+    }
+    load_gen->stopping_due +=
+        LOAD_GEN_STOPPING_PER_S * LOAD_GEN_TICK_MS / 1000.0;
+    for (; load_gen->stopping_due >= 1; load_gen->stopping_due -= 1) {
+        for (guint vm = 0; vm < options->vm_count; vm++) {
+            if (options->ledger->stop_us[vm] != 0) {
+                begin_call(load_gen, vm, LOAD_GEN_STOPPING_LONG_RATIO);
+            }
+        }
     }
     Loop_ArmTimer(load_gen->timer, LOAD_GEN_TICK_MS);
 }
 
 static void
-begin_call(LoadGen *load_gen)
+begin_call(LoadGen *load_gen, guint vm, double long_ratio)
 {
     const LoadGenOptions *options = &load_gen->options;
     LoadGenCall *call = g_new0(LoadGenCall, 1);
     char target[64];
     char parts[64];
     char limit[16];
+    bool is_long;
     HeaderList *headers = Header_New();
     ClientCallOptions call_options = {
         .method = "POST",
@@ -165,11 +190,14 @@
 
     call->load_gen = load_gen;
     call->kind = (LedgerKind)(g_rand_int(options->rand) % LEDGER_KIND_COUNT);
-    call->vm = g_rand_int(options->rand) % options->vm_count;
+    call->vm = vm;
+    is_long = call->kind >= LEDGER_STREAM &&
+              g_rand_double(options->rand) < long_ratio;
     call->last_event = LOAD_GEN_NO_EVENT;
     call->body = g_byte_array_new();
     Sse_Init(&call->sse);
-    g_snprintf(call->id, sizeof(call->id), "r%u", load_gen->number++);
+    g_snprintf(call->id, sizeof(call->id), "%c%u", is_long ? SIM_LONG : 'r',
+               load_gen->number++);
     g_snprintf(target, sizeof(target), "/%s/%s",
                Ledger_GetKindName(call->kind), call->id);
     call_options.address = options->addresses[call->vm];
@@ -191,7 +219,7 @@
                    load_gen->number % LOAD_GEN_FIRST_PARTS, part,
                    load_gen->number);
         Header_Add(headers, "X-Prompt-Prefix", parts);
-        Header_Add(headers, "X-Token-Usage", "5000,800");
+        add_lengths(load_gen, call->id, headers);
     }
     Ledger_AddRequest(options->ledger, call->id, call->kind, call->vm,
                       Clk_Now(options->clk));
@@ -208,6 +236,24 @@
     Header_Free(headers);
 }
 
+/* Adds the limit of a stream's length, and a hint that may be wrong. */
+static void
+add_lengths(LoadGen *load_gen, const char *id, HeaderList *headers)
+{
+    GRand *rand = load_gen->options.rand;
+    double tokens = Sim_CountEvents(id) * SIM_TOKENS_PER_EVENT;
+    char text[32];
+
+    g_snprintf(text, sizeof(text), "5000,%u",
+               (guint)(tokens * g_rand_double_range(
+                                    rand, 1, LOAD_GEN_LIMIT_RATIO_MAX)));
+    Header_Add(headers, "X-Token-Usage", text);
+    tokens *= g_rand_double_range(rand, 1, LOAD_GEN_HINT_RATIO_MAX) /
+              g_rand_double_range(rand, 1, LOAD_GEN_HINT_RATIO_MAX);
+    g_snprintf(text, sizeof(text), "%u", (guint)MAX(tokens, 1));
+    Header_Add(headers, "X-Length-Hint", text);
+}
+
 static void
 on_disconnect(evutil_socket_t fd, short what, void *context)
 {
--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -16,7 +16,14 @@
 /* Mean time of a plain run, of a prefill, and until the first event of a
    stream. */
 #define SIM_RUN_MEAN_MS 15
-#define SIM_EVENT_INTERVAL_MS 12 /* Time between the events of a stream. */
+/* Time between the events of a worker's streams, drawn with each start. */
+#define SIM_INTERVAL_MIN_MS 30
+#define SIM_INTERVAL_MAX_MS 60
+/* Number of events of a short and of a long stream. */
+#define SIM_EVENTS_MIN 3
+#define SIM_EVENTS_MAX 13
+#define SIM_LONG_EVENTS_MIN 10
+#define SIM_LONG_EVENTS_MAX 200
 /* Added to SIM_DRAIN_MS before a request counts as too late: allows for the
    time from the store's acknowledgement of a draining entry until the response
    to the VMs' watches. */
@@ -99,6 +106,7 @@
     guint number;
     guint starts; /* Number of starts; part of the identifier. */
     char id[32];
+    uint32_t interval_ms; /* Time between the events of its streams. */
     bool draining;
     int64_t draining_since_us; /* Time of the mark as draining. */
     bool leaving;
@@ -193,6 +201,7 @@
 static void begin_job(SimWorker *worker, ServerExchange *exchange);
 static void excuse_request(const Sim *sim, const char *id, bool is_broken);
 static void on_job_timer(evutil_socket_t fd, short what, void *context);
+static void note_answer(const SimJob *job);
 static void crash_on_part(SimJob *job);
 static void end_job(SimJob *job);
 static void send_response(const SimWorker *worker, ServerExchange *exchange,
@@ -375,7 +384,7 @@
     sim->version += (uint64_t)g_rand_int_range(sim->rand, 1, 5);
     text = g_strdup_printf(
         "{\"version\":%llu,\"services\":[{\"name\":\"app\"},{\"name\":\"llm\","
-        "\"engine\":{\"kv-tokens\":60000,\"stride\":11,\"hold-ms\":2000,"
+        "\"engine\":{\"kv-tokens\":60000,\"stride\":%d,\"hold-ms\":2000,"
         "\"handle-ttl-s\":0.5}}],\"limits\":{},\"routes\":["
         "{\"name\":\"read\",\"host\":\"" SIM_HOST "\",\"prefix\":\"/read/\","
         "\"service\":\"app\",\"kind\":\"idempotent\",\"attempts\":2,"
@@ -390,7 +399,7 @@
         "\"/resume/\",\"service\":\"llm\",\"kind\":\"stream\",\"attempts\":2,"
         "\"can-resume\":true,\"timeout-ms\":%d,\"latency-slo-ms\":900,"
         "\"gap-target-ms\":300}]}",
-        (unsigned long long)sim->version, plain_ms,
+        (unsigned long long)sim->version, SIM_TOKENS_PER_EVENT, plain_ms,
         1 + g_rand_int(sim->rand) % 2, plain_ms, stream_ms, stream_ms);
     Ledger_LowerLimits(sim->ledger, (uint32_t)plain_ms, (uint32_t)stream_ms);
     put_item(sim, SIM_CONFIG_KEY, text);
@@ -437,6 +446,8 @@
         g_free(key);
     }
     worker->starts++;
+    worker->interval_ms = (uint32_t)g_rand_int_range(
+        sim->rand, SIM_INTERVAL_MIN_MS, SIM_INTERVAL_MAX_MS);
     worker->draining = false;
     worker->leaving = false;
     worker->pause_until_us = 0;
@@ -525,6 +536,7 @@
     }
     worker->silenced_us = Clk_Now(sim->clk) - SIM_RELEASE_MS * CLK_US_PER_MS;
     Proxy_SetHeld(worker->proxy, true);
+    Ledger_RecordSilence(sim->ledger, number);
     Loop_ArmTimer(worker->silence_timer, silence_ms);
     return true;
 }
@@ -550,7 +562,12 @@
 uint32_t
 Sim_CountEvents(const char *id)
 {
-    return 3 + g_str_hash(id) % 40;
+    guint hash = g_str_hash(id);
+
+    return id[0] == SIM_LONG
+               ? SIM_LONG_EVENTS_MIN +
+                     hash % (SIM_LONG_EVENTS_MAX - SIM_LONG_EVENTS_MIN)
+               : SIM_EVENTS_MIN + hash % (SIM_EVENTS_MAX - SIM_EVENTS_MIN);
 }
 
 static void
@@ -1081,6 +1098,9 @@
     if (!job->is_prefill) {
         Ledger_RecordRun(sim->ledger, id, worker->number);
         excuse_request(sim, id, worker->is_cut);
+        if (is_released(worker)) {
+            Ledger_RecordSilence(sim->ledger, worker->number);
+        }
     }
     Loop_ArmTimer(job->timer, (uint32_t)g_rand_int_range(sim->rand, 1,
                                                          2 * SIM_RUN_MEAN_MS));
@@ -1149,6 +1169,7 @@
             return;
         }
         if (job->next >= job->end) {
+            note_answer(job);
             Server_EndStream(exchange);
             end_job(job);
             return;
@@ -1157,16 +1178,31 @@
                    job->id, get_version(job->worker));
         job->next++;
         Server_SendData(exchange, body, strlen(body));
-        Loop_ArmTimer(job->timer, SIM_EVENT_INTERVAL_MS);
+        Loop_ArmTimer(job->timer, job->worker->interval_ms);
     }
     else {
         bool failed = g_rand_double(sim->rand) < sim->failed_ratio;
         send_response(job->worker, exchange, failed ? 500 : 200, job->id,
                       false, job->id);
+        note_answer(job);
         end_job(job);
     }
 }
 
+/* Notes that the worker sends its whole answer now, unless a fault holds it
+   back. */
+static void
+note_answer(const SimJob *job)
+{
+    const SimWorker *worker = job->worker;
+    const Sim *sim = worker->sim;
+
+    if (!worker->is_cut &&
+        !event_pending(worker->silence_timer, EV_TIMEOUT, NULL)) {
+        Ledger_RecordAnswer(sim->ledger, job->id, Clk_Now(sim->clk));
+    }
+}
+
 /* Crashes the job's worker, which starts again some time later, and counts
    that for the part. */
 static void
--- a/soak/sim_platform.h
+++ b/soak/sim_platform.h
@@ -44,6 +44,11 @@
    crashes as it begins to answer. */
 #define SIM_CRASH_PART "bad"
 
+/* Tokens in one event of a stream. */
+#define SIM_TOKENS_PER_EVENT 11
+/* Start of the identifiers of requests that are answered by long streams. */
+#define SIM_LONG 'l'
+
 typedef struct Sim Sim;
 
 /* Publishes a first configuration and starts all workers. The pointers passed
@@ -102,7 +107,8 @@
    `failed_ratio`, that a plain run ends with status 500. Prefills do not
    fail. */
 void Sim_SetFailures(Sim *sim, double lost_ratio, double failed_ratio);
-/* Returns the number of events in the stream that answers a request. */
+/* Returns the number of events in the stream that answers a request. One whose
+   identifier begins with SIM_LONG lasts up to 12 s. */
 uint32_t Sim_CountEvents(const char *id);
 
 #endif
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -71,6 +71,10 @@
 #define SOAK_SILENCE_SEED 0x51
 /* With two builds: time between the changes of two VMs. */
 #define SOAK_CHANGE_MS 1200
+/* A held stop: the process gets no processor for this long from its SIGTERM
+   on. */
+#define SOAK_HOLD_MIN_MS 100
+#define SOAK_HOLD_MAX_MS 800
 /* From this time after SIGTERM a VM may end requests to exit in time. */
 #define SOAK_LATE_MS (SOAK_GRACE_MS * 5 / 6)
 
@@ -80,14 +84,16 @@
 typedef struct SoakVm {
     Soak *soak;
     guint number;
-    const char *gate;    /* Path of the executable that it starts next. */
-    pid_t pid;           /* 0 if no process runs */
-    char settings[256];  /* Path of the settings file. */
-    char log[256];       /* Path of the log file. */
-    char address[32];    /* "IP:port" */
-    struct event *timer; /* Restart, or SIGKILL after the grace period. */
-    bool is_stopping;    /* The soak test has sent SIGTERM or SIGKILL. */
-    bool is_late;        /* SOAK_LATE_MS have passed since. */
+    const char *gate;         /* Path of the executable that it starts next. */
+    pid_t pid;                /* 0 if no process runs */
+    char settings[256];       /* Path of the settings file. */
+    char log[256];            /* Path of the log file. */
+    char address[32];         /* "IP:port" */
+    struct event *timer;      /* Restart, or SIGKILL after the grace period. */
+    struct event *hold_timer; /* Ends a held stop. */
+    bool is_old;              /* The process is of the earlier build. */
+    bool is_stopping;         /* The soak test has sent SIGTERM or SIGKILL. */
+    bool is_late;             /* SOAK_LATE_MS have passed since. */
     bool is_paused;
 } SoakVm;
 
@@ -137,6 +143,7 @@
     guint change_count;          /* Changes so far. */
     guint first_changed;         /* VM that is changed first. */
     GPtrArray *active_faults;    /* SoakActiveFault * */
+    bool has_quiet_stops;        /* No silence begins while a VM stops. */
     bool is_shutting_down;       /* Processes are not restarted. */
 };
 
@@ -148,6 +155,8 @@
 static void start_vm(SoakVm *vm);
 static void signal_vm(SoakVm *vm, int signal_number);
 static void on_child(evutil_socket_t fd, short what, void *context);
+static void hold_vm(SoakVm *vm, guint hold_ms);
+static void on_hold_end(evutil_socket_t fd, short what, void *context);
 static void on_vm_timer(evutil_socket_t fd, short what, void *context);
 static const SoakFault *draw_fault(GRand *rand);
 static void on_next_fault(evutil_socket_t fd, short what, void *context);
@@ -164,6 +173,7 @@
 
 static void kill_vm(Soak *self, const SoakFault *fault, guint pick);
 static void stop_vm(Soak *self, const SoakFault *fault, guint pick);
+static void stop_held_vm(Soak *self, const SoakFault *fault, guint pick);
 static void pause_vm(Soak *self, const SoakFault *fault, guint pick);
 static void resume_vm(Soak *self, const SoakFault *fault, guint pick);
 static void reload_vm(Soak *self, const SoakFault *fault, guint pick);
@@ -194,6 +204,7 @@
 static const SoakFault faults[] = {
     {"vm_kill", 3, 0, false, kill_vm, NULL, 0},
     {"vm_stop", 3, 0, false, stop_vm, NULL, 0},
+    {"vm_held_stop", 2, 0, false, stop_held_vm, NULL, 0},
     {"vm_pause", 2, 0, true, pause_vm, resume_vm, 0},
     {"vm_reload", 2, 0, false, reload_vm, NULL, 0},
     {"vm_kill_all", 1, 0, true, kill_all_vms, NULL, 0},
@@ -232,6 +243,7 @@
     {"planned_short_timeouts", 1, 0, false, shorten_timeouts, NULL, 0},
     {"planned_reload", 1, 0, false, reload_vm, NULL, 0},
     {"planned_stop", 1, 0, false, stop_vm, NULL, 0},
+    {"planned_held_stop", 1, 0, false, stop_held_vm, NULL, 0},
 };
 
 int
@@ -326,6 +338,11 @@
     LoadGen_Stop(self.load_gen);
     self.is_shutting_down = true;
     for (guint i = 0; i < vm_count; i++) {
+        if (g_rand_boolean(self.rand)) {
+            hold_vm(&self.vms[i],
+                    (guint)g_rand_int_range(self.rand, SOAK_HOLD_MIN_MS,
+                                            SOAK_HOLD_MAX_MS));
+        }
         signal_vm(&self.vms[i], SIGTERM);
     }
     do {
@@ -342,9 +359,10 @@
     }
     Ledger_CountEnds(&self.ledger, &ends);
     printf("%u accepted: %u answered, %u refused, %u left by their callers, "
-           "%u broken off outside of the VM, %u lost, %u open\n",
+           "%u broken off outside of the VM, %u lost, %u open\n"
+           "%u were sent late to a stopping VM, of which %u ran\n",
            ends.accepted, ends.answered, ends.refused, ends.left, ends.excused,
-           ends.lost, ends.open);
+           ends.lost, ends.open, ends.late, ends.late_run);
     for (guint i = 0; i < self.ledger.findings->len; i++) {
         printf("FINDING %s\n",
                (const char *)g_ptr_array_index(self.ledger.findings, i));
@@ -379,6 +397,7 @@
     self->first_changed = seed % self->vm_count;
     self->child_signal = evsignal_new(self->base, SIGCHLD, on_child, self);
     event_add(self->child_signal, NULL);
+    self->has_quiet_stops = seed % 2 == 1;
     load.base = self->base;
     load.clk = &self->clk;
     load.ledger = &self->ledger;
@@ -395,6 +414,7 @@
         vm->number = i;
         vm->gate = self->old_gate != NULL ? self->old_gate : self->gate;
         vm->timer = evtimer_new(self->base, on_vm_timer, vm);
+        vm->hold_timer = evtimer_new(self->base, on_hold_end, vm);
         g_snprintf(vm->settings, sizeof(vm->settings), "%s/vm%u.json",
                    self->out, i);
         g_snprintf(vm->log, sizeof(vm->log), "%s/vm%u.log", self->out, i);
@@ -420,6 +440,7 @@
             waitpid(self->vms[i].pid, NULL, 0);
         }
         event_free(self->vms[i].timer);
+        event_free(self->vms[i].hold_timer);
     }
     LoadGen_Free(self->load_gen);
     Sim_Free(self->sim);
@@ -477,6 +498,7 @@
     }
     posix_spawn_file_actions_destroy(&files);
     Sim_RecordVmStart(vm->soak->sim, vm->number);
+    vm->is_old = vm->gate == vm->soak->old_gate;
     vm->is_stopping = false;
     vm->is_late = false;
     vm->is_paused = false;
@@ -496,6 +518,8 @@
         }
         if (!vm->is_stopping) {
             Loop_ArmTimer(vm->timer, SOAK_LATE_MS);
+            Ledger_RecordStop(&vm->soak->ledger, vm->number,
+                              Clk_Now(&vm->soak->clk));
         }
         vm->is_stopping = true;
     }
@@ -506,6 +530,32 @@
     kill(vm->pid, signal_number);
 }
 
+/* Takes the processor from a process that is about to be stopped. It answers
+   for what it accepts as in any planned stop. */
+static void
+hold_vm(SoakVm *vm, guint hold_ms)
+{
+    /* Earlier builds count the grace from the handling of the signal. */
+    if (vm->pid != 0 && !vm->is_stopping && !vm->is_paused && !vm->is_old) {
+        kill(vm->pid, SIGSTOP);
+        Loop_ArmTimer(vm->hold_timer, hold_ms);
+    }
+}
+
+static void
+on_hold_end(evutil_socket_t fd, short what, void *context)
+{
+    const SoakVm *vm = context;
+
+    (void)fd;
+    (void)what;
+    if (vm->pid != 0) {
+        kill(vm->pid, SIGCONT);
+    }
+    Sim_RecordVmStart(vm->soak->sim, vm->number);
+    Sim_RecordDisruption(vm->soak->sim);
+}
+
 static void
 on_child(evutil_socket_t fd, short what, void *context)
 {
@@ -526,6 +576,7 @@
                 WIFSIGNALED(status) ? WTERMSIG(status) : WEXITSTATUS(status));
         }
         vm->pid = 0;
+        Ledger_RecordStop(&self->ledger, i, 0);
         event_del(vm->timer);
         if (!self->is_shutting_down) {
             Loop_ArmTimer(vm->timer, SOAK_RESTART_DELAY_MS);
@@ -542,8 +593,15 @@
     (void)what;
     if (vm->pid != 0 && !vm->is_late) {
         vm->is_late = true;
-        Ledger_ExcuseVm(&vm->soak->ledger, vm->number,
-                        Clk_Now(&vm->soak->clk));
+        /* Earlier builds take what they can't answer. */
+        if (vm->is_old) {
+            Ledger_ExcuseVm(&vm->soak->ledger, vm->number,
+                            Clk_Now(&vm->soak->clk));
+        }
+        else {
+            Ledger_ExcuseStop(&vm->soak->ledger, vm->number,
+                              Clk_Now(&vm->soak->clk));
+        }
         Loop_ArmTimer(vm->timer, SOAK_GRACE_MS - SOAK_LATE_MS);
     }
     else if (vm->pid != 0) {
@@ -639,6 +697,9 @@
 
     (void)fd;
     (void)what;
+    for (guint i = 0; self->has_quiet_stops && i < self->vm_count; i++) {
+        share = self->ledger.stop_us[i] != 0 ? 0 : share;
+    }
     for (guint i = 0; i < SIM_WORKER_COUNT; i++) {
         bool is_silent = g_rand_double(self->silence_rand) < share;
         guint silence_ms = (guint)g_rand_int_range(
@@ -771,6 +832,16 @@
     signal_vm(&self->vms[pick % self->vm_count], SIGTERM);
 }
 
+static void
+stop_held_vm(Soak *self, const SoakFault *fault, guint pick)
+{
+    SoakVm *vm = &self->vms[pick % self->vm_count];
+
+    hold_vm(vm, SOAK_HOLD_MIN_MS + pick / self->vm_count %
+                                       (SOAK_HOLD_MAX_MS - SOAK_HOLD_MIN_MS));
+    stop_vm(self, fault, pick);
+}
+
 static void
 pause_vm(Soak *self, const SoakFault *fault, guint pick)
 {
