--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -13,6 +13,10 @@
 
 /* Timers fire slightly late, so deadlines are set early by this time. */
 #define TASK_TIMER_MARGIN_US (5 * CLK_US_PER_MS)
+/* The loop was held up if a timer fires later than this. What has come
+   meanwhile is read first, for this time. */
+#define TASK_TIMER_LATE_US (50 * CLK_US_PER_MS)
+#define TASK_TIMER_DELAY_US (5 * CLK_US_PER_MS)
 
 /* Longest time left of a caller, as a multiple of the route's timeout. */
 #define TASK_LEFT_FACTOR_MAX 4
@@ -95,6 +99,8 @@
     if (task->step_deadline_us != 0 && task->step_deadline_us < deadline_us) {
         deadline_us = task->step_deadline_us;
     }
+    task->timer_us = MAX(deadline_us, Task_Now(task));
+    task->timer_delayed = false;
     Loop_ArmTimerUs(task->timer, deadline_us - Task_Now(task));
 }
 
@@ -436,6 +442,12 @@
 
     (void)fd;
     (void)what;
+    if (Task_Now(task) - task->timer_us > TASK_TIMER_LATE_US &&
+        !task->timer_delayed) {
+        task->timer_delayed = true;
+        Loop_ArmTimerUs(task->timer, TASK_TIMER_DELAY_US);
+        return;
+    }
     if (Task_Now(task) >= task->deadline_us) {
         if (task->current->worker != NULL) {
             Task_NoteUnresponsive(task->current);
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -110,6 +110,8 @@
     int64_t work_us;     /* When the present try's first call was sent; 0: it
                             was not, or the task waits again. */
     int64_t deadline_us; /* Earlier of the caller's and the route's. */
+    int64_t timer_us;    /* When the timer is due. */
+    bool timer_delayed;  /* It was late, and was put off once. */
     int64_t step_deadline_us; /* End of the current step (a call without any
                                  data, or a wait); 0 for none. */
     TaskCall calls[2];
--- a/tests/test_gate_held_up.cc
+++ b/tests/test_gate_held_up.cc
@@ -43,6 +43,19 @@
     Play(rows_beside_signal, {4000, {SIGTERM}, {{0, 500}}});
 }
 
+/* The time limits pass while the process is held up; the answers are there. */
+const std::vector<DrainRow> rows_at_limit = {
+    {"answered within its limit", 100, 0, 300, 700, 'o', 200},
+    {"the same, may be repeated", 100, 0, 300, 700, 'i', 200},
+    {"is never answered", 100, 0, -1, 700, 'o', 504},
+};
+
+TEST_F(GateHeldUp, TimeLimitPassesBeforeTheAnswerIsRead)
+{
+    Start("4");
+    Play(rows_at_limit, {4000, {SIGTERM}, {{300, 700}}});
+}
+
 /* The process is held up as it would end the remaining requests, until shortly
    before the kill. */
 const std::vector<DrainRow> rows_at_end = {
