--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -44,6 +44,8 @@
 static void on_limits(void *context, const RteLimits *limits);
 static void on_health(void *context, ServerExchange *exchange);
 static void on_metrics(void *context, ServerExchange *exchange);
+static void on_caller_request(void *context, ServerExchange *exchange);
+static void on_caller_disconnect(void *context, ServerExchange *exchange);
 static void ignore_disconnect(void *context, ServerExchange *exchange);
 static void prepare_shutdown(Edge *edge);
 static void on_prune(evutil_socket_t fd, short what, void *context);
@@ -149,9 +151,9 @@
     callers.clk = options->clk;
     callers.ip = options->callers.ip;
     callers.port = options->callers.port;
-    callers.context = edge->gate;
-    callers.on_request = Gate_OnRequest;
-    callers.on_disconnect = Gate_OnDisconnect;
+    callers.context = edge;
+    callers.on_request = on_caller_request;
+    callers.on_disconnect = on_caller_disconnect;
     edge->callers = Server_New(&callers, err);
 
     health.base = options->base;
@@ -619,6 +621,31 @@
     g_free(text);
 }
 
+/* Requests that are read in the same step as the stop signal are taken only as
+   after it. */
+static void
+on_caller_request(void *context, ServerExchange *exchange)
+{
+    Edge *edge = context;
+    const EdgeOptions *options = &edge->options;
+    int64_t signal_us = options->get_stop_signal != NULL
+                            ? options->get_stop_signal(options->context)
+                            : 0;
+
+    if (signal_us != 0) {
+        Edge_BeginShutdown(edge, signal_us);
+    }
+    Gate_OnRequest(edge->gate, exchange);
+}
+
+static void
+on_caller_disconnect(void *context, ServerExchange *exchange)
+{
+    const Edge *edge = context;
+
+    Gate_OnDisconnect(edge->gate, exchange);
+}
+
 static void
 ignore_disconnect(void *context, ServerExchange *exchange)
 {
--- a/tests/test_gate_held_up.cc
+++ b/tests/test_gate_held_up.cc
@@ -43,6 +43,16 @@
     Play(rows_beside_signal, {4000, {SIGTERM}, {{0, 500}}});
 }
 
+/* The same with more connections than libevent reads in one step. */
+TEST_F(GateHeldUp, SignalIsHandledBeforeManyRequests)
+{
+    std::vector<DrainRow> rows(120, rows_beside_signal[0]);
+    Start("4");
+    int64_t end_us = Clk_Now(&clk) + 600 * CLK_US_PER_MS;
+    RunUntil(base, &clk, [&] { return Clk_Now(&clk) > end_us; });
+    Play(rows, {4000, {SIGTERM}, {{0, 500}}});
+}
+
 /* The time limits pass while the process is held up; the answers are there. */
 const std::vector<DrainRow> rows_at_limit = {
     {"answered within its limit", 100, 0, 300, 700, 'o', 200},
