--- a/src/decide/drain.h
+++ b/src/decide/drain.h
@@ -29,7 +29,7 @@
 #define DRAIN_EXIT_SHARE 0.6
 /* With less time left, no request is taken: a short one ends in time also if
    the process gets no processor for most of it. */
-#define DRAIN_LEFT_MIN_US 300000
+#define DRAIN_LEFT_MIN_US 250000
 /* Deviations from the mean time within which nearly all calls end. */
 #define DRAIN_DEVIATIONS 4
 /* An upper bound of times, as a multiple of their mean. */
--- a/src/gate/edge.h
+++ b/src/gate/edge.h
@@ -40,11 +40,11 @@
     uint32_t lease_ms;
     guint32 seed;
     void *context;
-    /* Whether the source of configuration and workers itself answers this VM;
-       data from another VM doesn't count. */
     /* Returns when a stop signal may have been sent that the loop has not
        handled yet, or 0; NULL is allowed. */
     int64_t (*get_stop_signal)(void *context);
+    /* Whether the source of configuration and workers itself answers this VM;
+       data from another VM doesn't count. */
     bool (*is_source_reachable)(void *context);
 } EdgeOptions;
 
--- a/src/io/stop_signal.c
+++ b/src/io/stop_signal.c
@@ -8,7 +8,7 @@
 #include <time.h>
 
 /* A longer wait for the signal is taken for an idle one. */
-#define STOP_SIGNAL_LATE_MAX_US CLK_US_PER_S
+#define STOP_SIGNAL_LATE_MAX_US (3 * CLK_US_PER_S)
 
 static atomic_int_fast64_t awake_us; /* When the loop last began to wait. */
 static atomic_int_fast64_t sent_min_us;
