Soak: a loop that clang-tidy reads as a division by zero

Cause: a loop up to vm_count let clang-tidy 14 take it for 0 in print_fault().

Change: the loop goes over all places of VMs; those not in use never stop.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -697,7 +697,7 @@
 
     (void)fd;
     (void)what;
-    for (guint i = 0; self->has_quiet_stops && i < self->vm_count; i++) {
+    for (guint i = 0; self->has_quiet_stops && i < LOAD_GEN_VMS_MAX; i++) {
         share = self->ledger.stop_us[i] != 0 ? 0 : share;
     }
     for (guint i = 0; i < SIM_WORKER_COUNT; i++) {
