Tests: half as many at a time, for the ports of outgoing connections

Seen: ASan suite of (-j 8) beside a second suite of mine: 60 of 79 passed, 19 failed with bind() to any port, "Address already in use", and the soak with "can't listen on 127.0.0.1:0". Cause: connections in TIME_WAIT, 22,976 of 28,232 ports four minutes later. Change: tools/run_tests.sh runs half as many tests at a time. No test is changed.

--- a/tools/run_tests.sh
+++ b/tools/run_tests.sh
@@ -4,7 +4,9 @@
 # summary of the plain build is printed last. Usage: tools/run_tests.sh [BUILD]
 set -uo pipefail
 build=${1:-build}
-jobs=$(nproc)
+# Closed connections keep their ports for a minute: with as many tests as
+# processors at a time, all ports of outgoing connections may be taken.
+jobs=$((($(nproc) + 1) / 2))
 known=$(sed -n 's/^test: *\([^ ]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null |
     paste -sd'|')
 skip=()
