Test rig: the last log lines of a process are read after its end

Cause: the rig read the log and then looked whether the process was gone; what it wrote in between, shortly before a quick exit, was never read. Change: the log is read once more when the process is gone. The checks are as before. stop_signal.h names the cap of 3 s.

--- a/src/io/stop_signal.h
+++ b/src/io/stop_signal.h
@@ -4,7 +4,7 @@
    process learns of it later: its handler runs once the process has a
    processor, and its event loop sees the signal when the callback in progress
    has returned. The signal was not sent before the process last ran without
-   it. */
+   it, which is taken to be at most 3 s before the handler ran. */
 #ifndef LS_STOP_SIGNAL_H
 #define LS_STOP_SIGNAL_H
 
--- a/tests/drain_rig.h
+++ b/tests/drain_rig.h
@@ -362,6 +362,7 @@
         if (pid > 0 && waitpid(pid, &exit_status, WNOHANG) == pid) {
             gone_ms = GetMs();
             pid = 0;
+            ReadLog(); /* Its last lines may have come since. */
         }
         return pid == 0;
     }
