--- a/src/gate/feed.c
+++ b/src/gate/feed.c
@@ -99,10 +99,11 @@
     if (worker != NULL) {
         Log_WriteJson(
             LOG_LEVEL_INFO, "worker",
-            json_pack("{s:s,s:s,s:s,s:s,s:i,s:b,s:b,s:I,s:I}", "worker", id,
-                      "version", entry.version, "address", entry.address,
-                      "service", entry.service, "phase", (int)entry.phase,
-                      "draining", (int)worker->entry.draining, "doubted",
+            json_pack("{s:s,s:I,s:s,s:s,s:s,s:i,s:b,s:b,s:I,s:I}", "worker",
+                      id, "born", (json_int_t)entry.born_ms, "version",
+                      entry.version, "address", entry.address, "service",
+                      entry.service, "phase", (int)entry.phase, "draining",
+                      (int)worker->entry.draining, "doubted",
                       (int)(now_us < worker->doubted_until_us), "era",
                       (json_int_t)position.era, "revision",
                       (json_int_t)position.revision));
--- a/src/gate/stream_resume.c
+++ b/src/gate/stream_resume.c
@@ -212,10 +212,11 @@
     /* A lost VM logs no end of its streams. */
     Log_WriteJson(
         LOG_LEVEL_INFO, "stream_begun",
-        json_pack("{s:s,s:s,s:s,s:s,s:s}", "request", task->request.id,
+        json_pack("{s:s,s:s,s:s,s:s,s:I,s:s}", "request", task->request.id,
                   "resumes",
                   task->request.resumes != NULL ? task->request.resumes : "",
                   "service", task->service->name, "worker",
-                  task->current->worker->entry.id, "version",
+                  task->current->worker->entry.id, "born",
+                  (json_int_t)task->current->worker->entry.born_ms, "version",
                   Fleet_GetVersionName(gate->options.fleet, origin.version)));
 }
