--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -448,7 +448,10 @@
     int crash_delay_ms = 5;
     /* Identifiers of the parts of prompts that it tells to keep in memory. */
     std::vector<std::string> kept_parts;
-    int lists = 0; /* How often it was asked for them. */
+    int64_t born_ms = 0; /* Start that it tells; 0: it tells none. */
+    int states = 0;      /* Questions for it. */
+    bool closes_after_state = false; /* The answer ends its connection. */
+    int lists = 0;                   /* How often it was asked for them. */
     /* Those that it kept before; its changes name them, and `kept_parts`. */
     std::vector<std::string> replaced_parts;
     int changes = 0;         /* How often it was asked for its changes. */
@@ -614,6 +617,11 @@
             bufferevent_write(bev, answer.data(), answer.size());
             return;
         }
+        if (text.find("GET /v1/report ") == 0) {
+            self->states++;
+            self->SendState(bev);
+            return;
+        }
         if (text.find("GET /v1/kv-list ") == 0) {
             self->lists++;
             self->SendList(bev);
@@ -682,6 +690,20 @@
         }
     }
 
+    void
+    SendState(bufferevent *bev)
+    {
+        if (born_ms != 0) {
+            SendBody(bev,
+                     "{\"phase\":\"decode\",\"born\":" +
+                         std::to_string(born_ms) + "}",
+                     closes_after_state ? "Connection: close\r\n" : "");
+            return;
+        }
+        std::string answer = "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n";
+        bufferevent_write(bev, answer.data(), answer.size());
+    }
+
     void
     SendList(bufferevent *bev)
     {
@@ -719,10 +741,12 @@
     }
 
     static void
-    SendBody(bufferevent *bev, const std::string &body)
+    SendBody(bufferevent *bev, const std::string &body,
+             const std::string &more = "")
     {
-        std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
-                             std::to_string(body.size()) + "\r\n\r\n" + body;
+        std::string answer = "HTTP/1.1 200 OK\r\n" + more +
+                             "Content-Length: " + std::to_string(body.size()) +
+                             "\r\n\r\n" + body;
         bufferevent_write(bev, answer.data(), answer.size());
     }
 
@@ -1011,7 +1035,11 @@
         g_strlcpy(entry.version, version.c_str(), sizeof(entry.version));
         entry.phase = phase;
         entry.slots = 8;
+        entry.born_ms = born_ms;
         entry.position.revision = (uint64_t)count_;
+        if (worker != nullptr) {
+            worker->born_ms = born_ms;
+        }
         last_worker =
             Fleet_SetEntry(Edge_GetFleet(edge), &entry, Clk_Now(&clk));
         return worker;
@@ -1053,6 +1081,7 @@
     GHashTable *regions;
     uint32_t lease_max_ms = 2000; /* 0: no reservations. */
     std::string version = "v1"; /* Software version of workers to be added. */
+    int64_t born_ms = 0;        /* Start of workers to be added; 0: unknown. */
     FleetWorker *last_worker = nullptr; /* Added last, in the gate's fleet. */
     std::vector<std::unique_ptr<Worker>> workers;
     std::vector<std::unique_ptr<Caller>> callers;
