--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -10,6 +10,7 @@
 #define FLEET_VERSION_KEEP_US (600 * CLK_US_PER_S)
 
 static bool is_same_start(const FleetEntry *a, const FleetEntry *b);
+static bool is_earlier_start(const FleetEntry *known, const FleetEntry *entry);
 static void note_era(Fleet *fleet, uint64_t era, int64_t now_us);
 static void note_version(Fleet *fleet, const FleetWorker *worker,
                          int64_t now_us);
@@ -94,7 +95,8 @@
 
     note_era(fleet, from->position.era, now_us);
     if (worker != NULL &&
-        Pos_IsBefore(from->position, worker->entry.position)) {
+        (Pos_IsBefore(from->position, worker->entry.position) ||
+         is_earlier_start(&worker->entry, from))) {
         worker->sweep_pending = false;
         return NULL;
     }
@@ -145,6 +147,16 @@
     return a->born_ms == b->born_ms && strcmp(a->address, b->address) == 0;
 }
 
+/* Whether the entry is of a start before the known one: the source has
+   returned from a copy that is older than the worker's start. The worker
+   writes its entry again. */
+static bool
+is_earlier_start(const FleetEntry *known, const FleetEntry *entry)
+{
+    return entry->position.era > known->position.era && entry->born_ms != 0 &&
+           entry->born_ms < known->born_ms;
+}
+
 static void
 note_era(Fleet *fleet, uint64_t era, int64_t now_us)
 {
