--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -120,6 +120,7 @@
         memset(&worker->throttle, 0, sizeof(worker->throttle));
         worker->malformed_notice_logged = false;
         worker->misdirected_until_us = 0;
+        worker->tells_no_start = false;
         worker->load_us = 0;
         worker->slowness = 1.0;
     }
@@ -409,6 +410,14 @@
            now_us >= worker->doubted_until_us;
 }
 
+uint64_t
+Fleet_GetStartLabel(const FleetWorker *worker, int64_t born_ms)
+{
+    uint64_t start[] = {worker->hash, (uint64_t)born_ms};
+
+    return born_ms != 0 ? XXH3_64bits(start, sizeof(start)) | 1 : 0;
+}
+
 void
 Fleet_NoteMisdirected(FleetWorker *worker, int64_t now_us)
 {
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -103,6 +103,7 @@
                               changed its phase: until then others are tried
                               first. */
     bool lacks_reservations; /* The worker does not support reservations. */
+    bool tells_no_start;     /* It doesn't say when it started. */
     double service_us;       /* Moving average of a call's duration. */
     double slowness;         /* Moving average of measured prefill time over
                                 expected prefill time. */
@@ -187,6 +188,9 @@
 
 FleetWorker *Fleet_Ref(FleetWorker *worker);
 void Fleet_Unref(FleetWorker *worker); /* NULL is allowed. */
+/* Returns what identifies a start of the worker; 0 if the time of the start,
+   Unix milliseconds, is not known (0). */
+uint64_t Fleet_GetStartLabel(const FleetWorker *worker, int64_t born_ms);
 /* Notes that the worker refused a request as not meant for it. It gets none
    for FLEET_MISDIRECTED_US. */
 void Fleet_NoteMisdirected(FleetWorker *worker, int64_t now_us);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -131,6 +131,13 @@
     /* Builds the call that ends a lease. */
     void (*encode_release)(void *context, const char *lease,
                            GateControlCall *control_call);
+    /* Builds the call that asks a worker for its state. */
+    void (*encode_state)(void *context, const char *worker,
+                         GateControlCall *control_call);
+    /* Reads the time of the worker's start from the answer; false if it has
+       none. */
+    bool (*decode_state)(void *context, const char *body, size_t size,
+                         int64_t *born_ms);
     /* Builds the call that asks a worker for the prompts that it keeps, or, if
        `changes`, for those that it has begun to keep or replaced lately. */
     void (*encode_list)(void *context, const char *worker, bool changes,
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -40,6 +40,7 @@
 static const char *get_wait_cause(GateTask *task);
 static bool has_call_budget(GateTask *task);
 static void begin_run(GateTask *task);
+static uint32_t get_idle_max_ms(const GateTask *task);
 static void set_prompt_source(GateTask *task, GateCallOptions *options);
 static void on_run_data(void *context, const void *data, size_t size);
 static void on_run_end(void *context, ClientOutcome outcome);
@@ -139,7 +140,12 @@
         return;
     }
     Task_NoteFailure(task, CLIENT_INTERRUPTED, LS_RUN_NOT_RUN, "silent");
-    if (task->current->stage == TASK_RESERVE && Stream_HasBegun(task)) {
+    if (task->current->stage == TASK_CHECK) {
+        Reservation_UnassignWorker(task, true);
+    }
+    if ((task->current->stage == TASK_RESERVE ||
+         task->current->stage == TASK_CHECK) &&
+        Stream_HasBegun(task)) {
         StreamPrepare_AvoidWorker(task);
         Task_EndCall(task);
         Reservation_UnassignWorker(task, false);
@@ -307,6 +313,11 @@
         StreamPrepare_BeginPrefill(task, prefill_worker);
         return;
     }
+    if (!Task_HasConnection(task, task->assigned.worker,
+                            get_idle_max_ms(task))) {
+        StreamPrepare_BeginCheck(task);
+        return;
+    }
     task->current->expected_us = run_cost_us - Reservation_GetPauseCost(task);
     begin_run(task);
 }
@@ -362,7 +373,6 @@
 begin_run(GateTask *task)
 {
     FleetWorker *worker = Fleet_Ref(task->assigned.worker);
-    bool once = !task->route->can_resume;
     GateCallOptions options = {
         .worker = worker->entry.id,
         .left_ms = Task_GetLeftMs(task),
@@ -383,8 +393,7 @@
     if (task->lease[0] != '\0') {
         options.lease = task->lease;
     }
-    Task_BeginCall(task, worker, &options,
-                   once ? STREAM_ONCE_IDLE_MAX_MS : UINT32_MAX, on_run_data,
+    Task_BeginCall(task, worker, &options, get_idle_max_ms(task), on_run_data,
                    on_run_end);
     task->waiting_since_us = 0;
     TaskWait_EndWait(task, ADMISSION_WAIT_SERVED);
@@ -399,6 +408,13 @@
     Task_SetTimer(task);
 }
 
+/* Returns the longest idle time of a connection for the run. */
+static uint32_t
+get_idle_max_ms(const GateTask *task)
+{
+    return task->route->can_resume ? UINT32_MAX : STREAM_ONCE_IDLE_MAX_MS;
+}
+
 /* Lets the assigned worker fetch the prompt of a resumed stream if no other
    one was chosen to read it. */
 static void
--- a/src/gate/stream_prepare.c
+++ b/src/gate/stream_prepare.c
@@ -19,6 +19,8 @@
 #define STREAM_LEASE_MS 300
 #define STREAM_LEASE_FACTOR 2
 #define STREAM_LEASE_LATENCY_MARGIN_MS 50 /* Latency to the worker. */
+/* Questions for a worker's start in a row whose connections were not kept. */
+#define STREAM_CHECKS_MAX 3
 /* Time for which a prefill worker that refused is not called again: it may be
    changing its phase. */
 #define STREAM_PHASE_CHANGE_BACKOFF_US (1500 * CLK_US_PER_MS)
@@ -29,6 +31,8 @@
 
 static void avoid_unreachable(TaskCall *call);
 static void on_reserve_end(void *context, ClientOutcome outcome);
+static void on_check_end(void *context, ClientOutcome outcome);
+static bool is_start_known(TaskCall *call);
 static void on_prefill_end(void *context, ClientOutcome outcome);
 
 bool
@@ -55,7 +59,8 @@
     codec->encode_reserve(codec->context, worker->entry.id,
                           Reservation_GetLeaseTokens(task), (uint32_t)ttl_ms,
                           &control_call);
-    Task_BeginControlCall(task, worker, &control_call, on_reserve_end);
+    Task_BeginControlCall(task, worker, TASK_RESERVE, &control_call,
+                          on_reserve_end);
     Header_Free(control_call.headers);
     task->lease_until_us =
         task->current->began_us +
@@ -65,6 +70,34 @@
     Task_SetTimer(task);
 }
 
+void
+StreamPrepare_BeginCheck(GateTask *task)
+{
+    const GateCodec *codec = task->gate->options.codec;
+    FleetWorker *worker = Fleet_Ref(task->assigned.worker);
+    GateControlCall control_call = {.headers = Header_New()};
+
+    if (task->checks >= STREAM_CHECKS_MAX) {
+        /* The worker closes its connections. */
+        task->checks = 0;
+        worker->full_until_us = Task_Now(task) + HANDOVER_AGAIN_US;
+        Reservation_UnassignWorker(task, true);
+        TaskWait_BeginWait(task, "worker keeps no connection");
+    }
+    else {
+        task->checks++;
+        Met_Add(MET_STARTS_CHECKED, 1);
+        codec->encode_state(codec->context, worker->entry.id, &control_call);
+        Task_BeginControlCall(task, worker, TASK_CHECK, &control_call,
+                              on_check_end);
+        task->step_deadline_us =
+            task->current->began_us + STREAM_RESERVE_TIMEOUT_US;
+        Task_SetTimer(task);
+    }
+    Header_Free(control_call.headers);
+    Fleet_Unref(worker);
+}
+
 void
 StreamPrepare_AvoidWorker(GateTask *task)
 {
@@ -175,6 +208,79 @@
     }
 }
 
+static void
+on_check_end(void *context, ClientOutcome outcome)
+{
+    TaskCall *current = context;
+    GateTask *task = current->task;
+    FleetWorker *worker = current->worker;
+    int status = current->has_reply ? current->reply.status : 0;
+    bool is_known = outcome == CLIENT_COMPLETE && is_start_known(current);
+    bool may_go_on = true;
+
+    current->call = NULL;
+    if (outcome == CLIENT_COMPLETE && (status == 503 || status == 429)) {
+        worker->full_until_us = Task_Now(task) + STREAM_FULL_BACKOFF_US;
+    }
+    else if (!is_known && outcome == CLIENT_COMPLETE) {
+        Fleet_NoteMisdirected(worker, Task_Now(task));
+    }
+    else if (!is_known) {
+        Task_NoteFailure(task, outcome, LS_RUN_NOT_RUN, "start not told");
+        if (outcome == CLIENT_NOT_SENT) {
+            avoid_unreachable(current);
+        }
+        else if (Stream_HasBegun(task)) {
+            StreamPrepare_AvoidWorker(task);
+        }
+        else {
+            may_go_on = Task_ExcludeWorker(task, worker);
+        }
+    }
+    Task_EndCall(task);
+    if (!is_known) {
+        Reservation_UnassignWorker(task, true);
+    }
+    if (may_go_on) {
+        Stream_Advance(task);
+    }
+    else {
+        TaskWait_BeginWait(task, "no worker is reachable");
+    }
+}
+
+/* Whether the worker's answer tells the start of its entry, or shows that it
+   tells none. */
+static bool
+is_start_known(TaskCall *call)
+{
+    const GateCodec *codec = call->task->gate->options.codec;
+    FleetWorker *worker = call->worker;
+    int64_t born_ms = 0;
+    bool is_told =
+        call->reply.status == 200 &&
+        codec->decode_state(codec->context, (const char *)call->body->data,
+                            call->body->len, &born_ms);
+    bool is_known = is_told && born_ms == worker->entry.born_ms;
+
+    if (is_told && !is_known) {
+        Met_Add(MET_STARTS_UNKNOWN, 1);
+        Log_WriteJson(
+            LOG_LEVEL_INFO, "worker_start_unknown",
+            json_pack("{s:s,s:s,s:I,s:I}", "request", call->task->request.id,
+                      "worker", worker->entry.id, "born", (json_int_t)born_ms,
+                      "entry_born", (json_int_t)worker->entry.born_ms));
+    }
+    if (!is_told && (call->reply.status == 200 || call->reply.status == 404)) {
+        Log_WriteJson(LOG_LEVEL_WARNING, "worker_tells_no_start",
+                      json_pack("{s:s,s:i}", "worker", worker->entry.id,
+                                "status", call->reply.status));
+        worker->tells_no_start = true;
+        is_known = true;
+    }
+    return is_known;
+}
+
 static void
 on_prefill_end(void *context, ClientOutcome outcome)
 {
--- a/src/gate/stream_prepare.h
+++ b/src/gate/stream_prepare.h
@@ -11,6 +11,9 @@
 /* Reserves a slot and memory at the assigned worker. A refused reservation,
    unlike a refused run, doesn't count for the retry budget. */
 void StreamPrepare_BeginReserve(GateTask *task);
+/* Asks the assigned worker for its start, so that the connection is known to
+   lead to the start that its entry tells of. */
+void StreamPrepare_BeginCheck(GateTask *task);
 /* Keeps requests away from a worker that did not grant a reservation. */
 void StreamPrepare_AvoidWorker(GateTask *task);
 /* Takes note of a prefill or run that has ended. One that reached no worker
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -27,6 +27,7 @@
     TASK_DECODE,  /* Decoding of a prompt that another worker has read. */
     TASK_PREFILL, /* Prefill only. */
     TASK_RESERVE, /* Reservation of a slot and memory, before the run. */
+    TASK_CHECK,   /* Question for the worker's start, before the run. */
     TASK_STAGE_COUNT,
 } TaskStage;
 
@@ -138,7 +139,9 @@
     const char *prompt_source; /* Of the last run, for the log. */
     /* Waits until the version of a resumed stream is known. */
     bool resuming;
-    uint32_t sends;         /* Calls begun, reservations not counted. */
+    uint32_t checks;        /* Questions for a worker's start since the last
+                               run. */
+    uint32_t sends;         /* Calls begun that carry the request. */
     uint32_t runs;          /* Workers on which the request may have run, not
                                counting those of a VM that passed it on. */
     uint32_t attempts;      /* Workers on which this VM may run it. */
@@ -263,8 +266,18 @@
 /* Sends a control call. Its answer is stored in task->current. `on_end` gets
    the TaskCall, and must set its `call` to NULL. */
 void Task_BeginControlCall(GateTask *task, FleetWorker *worker,
+                           TaskStage stage,
                            const GateControlCall *control_call,
                            void (*on_end)(void *, ClientOutcome));
+/* Returns the label of a connection on which the run may be sent to the
+   worker, as in ClientCallOptions; 0: on any. The events of a stream that goes
+   on elsewhere must come from workers of one software version, and a worker
+   may start again at another one under its identifier before its entry says
+   so. */
+uint64_t Task_GetStartLabel(const GateTask *task, const FleetWorker *worker);
+/* Whether there is such a connection. */
+bool Task_HasConnection(const GateTask *task, const FleetWorker *worker,
+                        uint32_t idle_max_ms);
 /* Sends a control call that frees something which also lapses by itself, and
    ignores its answer. A worker that has asked for a pause gets none. */
 void Task_SendControlCall(const GateTask *task, FleetWorker *worker,
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -25,6 +25,8 @@
 
 static Budget *find_budget(GateTask *task);
 static void publish_budget(GateTask *task);
+static uint64_t get_call_name(const GateTask *task);
+static uint64_t get_told_label(void *context);
 static void init_call(GateTask *task, FleetWorker *worker);
 static void count_call(GateTask *task);
 static void correct_call_count(GateTask *task, bool is_unsent);
@@ -77,7 +79,7 @@
         .with_length = strcmp(task->exchange->method, "GET") != 0 &&
                        strcmp(task->exchange->method, "HEAD") != 0,
         .idle_max_ms = idle_max_ms,
-        .name = XXH3_64bits(task->request.id, strlen(task->request.id)),
+        .name = get_call_name(task),
         .context = current,
         .matches_request = matches_request,
         .on_head = on_head,
@@ -105,6 +107,10 @@
                           ? Forecast_OfPrompt(tokens)
                           : Task_GetForecast(task);
     }
+    if (current->stage != TASK_PREFILL) {
+        call.label = Task_GetStartLabel(task, worker);
+        task->checks = 0;
+    }
     init_call(task, worker);
     g_strlcpy(task->worker, worker->entry.id, sizeof(task->worker));
     task->last_worker = worker->hash;
@@ -117,7 +123,7 @@
 }
 
 void
-Task_BeginControlCall(GateTask *task, FleetWorker *worker,
+Task_BeginControlCall(GateTask *task, FleetWorker *worker, TaskStage stage,
                       const GateControlCall *control_call,
                       void (*on_end)(void *, ClientOutcome))
 {
@@ -132,17 +138,66 @@
         .idle_max_ms = UINT32_MAX,
         .context = current,
         .matches_request = matches_control,
+        .get_label = stage == TASK_CHECK ? get_told_label : NULL,
         .on_head = on_control_head,
         .on_data = Task_AppendBody,
         .on_end = on_end,
     };
 
-    current->stage = TASK_RESERVE;
+    current->stage = stage;
     init_call(task, worker);
     current->call = Client_BeginCall(task->gate->options.client, &call);
     log_call(task);
 }
 
+uint64_t
+Task_GetStartLabel(const GateTask *task, const FleetWorker *worker)
+{
+    if (!task->route->can_resume || worker->is_vm || worker->tells_no_start) {
+        return 0;
+    }
+    return Fleet_GetStartLabel(worker, worker->entry.born_ms);
+}
+
+bool
+Task_HasConnection(const GateTask *task, const FleetWorker *worker,
+                   uint32_t idle_max_ms)
+{
+    ClientCallOptions call = {
+        .address = worker->entry.address,
+        .idle_max_ms = idle_max_ms,
+        .name = get_call_name(task),
+        .label = Task_GetStartLabel(task, worker),
+    };
+
+    return call.label == 0 ||
+           Client_HasLabel(task->gate->options.client, &call);
+}
+
+/* Returns the name of the request's calls, as in ClientCallOptions. */
+static uint64_t
+get_call_name(const GateTask *task)
+{
+    return XXH3_64bits(task->request.id, strlen(task->request.id));
+}
+
+/* Returns the label of a connection by the start that the worker has told on
+   it. */
+static uint64_t
+get_told_label(void *context)
+{
+    const TaskCall *call = context;
+    const GateCodec *codec = call->task->gate->options.codec;
+    int64_t born_ms = 0;
+
+    if (call->reply.status != 200 ||
+        !codec->decode_state(codec->context, (const char *)call->body->data,
+                             call->body->len, &born_ms)) {
+        return 0;
+    }
+    return Fleet_GetStartLabel(call->worker, born_ms);
+}
+
 void
 Task_SendControlCall(const GateTask *task, FleetWorker *worker,
                      const char *address, const GateControlCall *control_call)
@@ -307,7 +362,7 @@
     FleetWorker *worker = current->worker;
     int64_t now_us = Task_Now(task);
 
-    if (current->stage != TASK_RESERVE) {
+    if (current->stage != TASK_RESERVE && current->stage != TASK_CHECK) {
         bool is_unsent = worker->is_vm && run == LS_RUN_NOT_RUN &&
                          current->worker_behind == 0;
         correct_call_count(task, outcome == CLIENT_NOT_SENT || is_unsent);
@@ -522,7 +577,8 @@
 static const char *
 get_stage_name(TaskStage stage)
 {
-    static const char *const names[] = {"run", "decode", "prefill", "reserve"};
+    static const char *const names[] = {"run", "decode", "prefill", "reserve",
+                                        "check"};
 
     return names[stage];
 }
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -38,6 +38,7 @@
     uint64_t body_size;     /* Bytes of the response's body so far. */
     uint64_t received_size; /* All bytes since the call began. */
     uint32_t calls;         /* That it has carried. */
+    uint64_t label;         /* As in ClientCallOptions; 0: none. */
     uint64_t refused[CLIENT_REFUSED_MAX]; /* Their names. */
     uint32_t refused_count;
     bool connected;
@@ -161,6 +162,12 @@
     return call;
 }
 
+bool
+Client_HasLabel(Client *client, const ClientCallOptions *options)
+{
+    return find_idle(client, options) != NULL;
+}
+
 void
 Client_EndCall(ClientCall *call)
 {
@@ -246,6 +253,7 @@
         if (conn->call != NULL || conn->parsing || !conn->connected ||
             idle_ms >= conn->idle_ms || idle_ms >= options->idle_max_ms ||
             strcmp(conn->address, options->address) != 0 ||
+            (options->label != 0 && conn->label != options->label) ||
             has_refused(conn, options->name)) {
             continue;
         }
@@ -593,6 +601,9 @@
     conn->call = NULL;
     evbuffer_free(call->request);
     g_free(call);
+    if (outcome == CLIENT_COMPLETE && options.get_label != NULL) {
+        conn->label = options.get_label(options.context);
+    }
     if (outcome == CLIENT_COMPLETE && sent_all && !extra &&
         (options.connect_only || (http_should_keep_alive(&conn->parser) &&
                                   note_refused(conn, options.name)))) {
--- a/src/io/client.h
+++ b/src/io/client.h
@@ -72,6 +72,9 @@
        on which a call of this name was refused carries no other one of it, as
        a faulty server may write the refusal once more. */
     uint64_t name;
+    /* Uses an idle connection of this label, which must exist
+       (Client_HasLabel()); 0: any connection. */
+    uint64_t label;
     uint32_t connect_ms;  /* Connect time-out; 0: CLIENT_CONNECT_TIMEOUT_MS. */
     uint32_t idle_max_ms; /* Longest idle time of a connection to reuse; 0:
                              opens a new connection. */
@@ -79,6 +82,9 @@
     /* Whether a response belongs to this call; if NULL, the first one does.
        Other responses are late ones to earlier calls and are dropped. */
     bool (*matches_request)(void *context, const HeaderList *headers);
+    /* Returns a label for the connection once the response is complete; 0:
+       none. May be NULL. */
+    uint64_t (*get_label)(void *context);
     /* The header, then the parts of the body, of the call's response. Each
        may be NULL. */
     void (*on_head)(void *context, int status, const HeaderList *headers);
@@ -102,6 +108,8 @@
 /* Starts a call and copies what it sends. No callback runs before the return.
    The call belongs to the client and is freed before on_end(). */
 ClientCall *Client_BeginCall(Client *client, const ClientCallOptions *options);
+/* Whether a call with these options, and a label, can begin. */
+bool Client_HasLabel(Client *client, const ClientCallOptions *options);
 /* Cancels a call: closes its connection, and no callback follows. */
 void Client_EndCall(ClientCall *call);
 /* Returns the framing of the call's response. To be called from on_head(). */
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -99,6 +99,10 @@
     [MET_ORIGINS_DROPPED] = {"origins_dropped",
                              "Records of begun streams that were dropped "
                              "before their time, as there were too many."},
+    [MET_STARTS_CHECKED] = {"starts_checked",
+                            "Workers asked for their start"},
+    [MET_STARTS_UNKNOWN] = {"starts_unknown",
+                            "Workers that told another start than their entry"},
     [MET_SUCCESSORS] = {"successors", "Silent calls for which another worker "
                                       "was looked for."},
     [MET_SUCCESSORS_TOOK_OVER] = {"successors_took_over",
