--- a/src/gate/survey.c
+++ b/src/gate/survey.c
@@ -11,6 +11,8 @@
 
 /* Time between looks at the holders and at calls in progress. */
 #define SURVEY_TICK_MS 25
+/* Questions for a worker's start whose connections were not kept. */
+#define SURVEY_CHECKS_MAX 3
 
 /* The surveys of one service. */
 typedef struct Survey {
@@ -34,6 +36,7 @@
 typedef struct SurveyStep {
     uint64_t worker; /* Hash. */
     bool changes;    /* Asks what changed lately, and not what is kept now. */
+    uint32_t checks; /* Questions for the worker's start before it. */
 } SurveyStep;
 
 typedef struct SurveyCall {
@@ -41,9 +44,9 @@
     Survey *survey;
     ClientCall *call;
     int64_t began_us;
-    bool changes;     /* As in SurveyStep. */
+    SurveyStep step;
+    bool is_check;    /* Asks for the worker's start, before the step. */
     uint32_t version; /* Of the worker. */
-    uint64_t worker;  /* Its hash. */
     int status;
     GByteArray *body;
 } SurveyCall;
@@ -64,7 +67,9 @@
 static bool can_ask(const FleetWorker *worker, const char *service,
                     int64_t now_us);
 static void ask_next(Survey *survey);
-static void ask(Survey *survey, FleetWorker *worker, bool changes);
+static void ask(Survey *survey, FleetWorker *worker, const SurveyStep *step);
+static uint64_t get_told_label(void *context);
+static void note_answer(SurveyCall *call, ClientOutcome outcome);
 static bool is_running(const Survey *survey);
 static void end_late_calls(Survey *survey);
 static void on_head(void *context, int status, const HeaderList *headers);
@@ -320,13 +325,15 @@
         FleetWorker *worker = Fleet_FindByHash(fleet, step.worker);
         g_array_set_size(survey->queue, last);
         if (worker != NULL) {
-            ask(survey, worker, step.changes);
+            ask(survey, worker, &step);
         }
     }
 }
 
+/* Asks the worker. Its answer counts for the software version of its entry, so
+   the connection must lead to the start that the entry tells of. */
 static void
-ask(Survey *survey, FleetWorker *worker, bool changes)
+ask(Survey *survey, FleetWorker *worker, const SurveyStep *step)
 {
     const GateOptions *options = &survey->gate->options;
     GateControlCall control_call = {.headers = Header_New()};
@@ -336,20 +343,33 @@
         .target = control_call.target,
         .headers = control_call.headers,
         .idle_max_ms = UINT32_MAX,
+        .label = worker->tells_no_start
+                     ? 0
+                     : Fleet_GetStartLabel(worker, worker->entry.born_ms),
         .context = call,
         .on_head = on_head,
         .on_data = on_data,
         .on_end = on_end,
     };
 
-    options->codec->encode_list(options->codec->context, worker->entry.id,
-                                changes, &control_call);
+    call->step = *step;
+    call->is_check = client_call.label != 0 &&
+                     !Client_HasLabel(options->client, &client_call);
+    if (call->is_check) {
+        options->codec->encode_state(options->codec->context, worker->entry.id,
+                                     &control_call);
+        client_call.label = 0;
+        client_call.get_label = get_told_label;
+        call->step.checks++;
+    }
+    else {
+        options->codec->encode_list(options->codec->context, worker->entry.id,
+                                    step->changes, &control_call);
+    }
     client_call.method = control_call.method;
     call->survey = survey;
     call->began_us = Clk_Now(options->clk);
-    call->changes = changes;
     call->version = worker->version;
-    call->worker = worker->hash;
     call->body = g_byte_array_new();
     LIST_INSERT_HEAD(&survey->calls, call, links);
     survey->call_count++;
@@ -358,6 +378,26 @@
     Header_Free(control_call.headers);
 }
 
+/* Returns the label of a connection by the start that the worker has told on
+   it. */
+static uint64_t
+get_told_label(void *context)
+{
+    const SurveyCall *call = context;
+    const GateOptions *options = &call->survey->gate->options;
+    const FleetWorker *worker =
+        Fleet_FindByHash(options->fleet, call->step.worker);
+    int64_t born_ms = 0;
+
+    if (worker == NULL || call->status != 200 ||
+        !options->codec->decode_state(options->codec->context,
+                                      (const char *)call->body->data,
+                                      call->body->len, &born_ms)) {
+        return 0;
+    }
+    return Fleet_GetStartLabel(worker, born_ms);
+}
+
 /* Whether answers are awaited. */
 static bool
 is_running(const Survey *survey)
@@ -414,19 +454,8 @@
 {
     SurveyCall *call = context;
     Survey *survey = call->survey;
-    const GateCodec *codec = survey->gate->options.codec;
 
-    if (outcome == CLIENT_COMPLETE && call->status == 200 &&
-        codec->decode_list(codec->context, (const char *)call->body->data,
-                           call->body->len, note_part, call)) {
-        survey->answered++;
-    }
-    else if (outcome == CLIENT_COMPLETE && call->changes) {
-        /* The worker tells no changes. */
-        SurveyStep list = {call->worker, .changes = false};
-        g_array_append_val(survey->queue, list);
-        survey->asked++;
-    }
+    note_answer(call, outcome);
     free_call(call);
     ask_next(survey);
     if (!is_running(survey)) {
@@ -434,6 +463,45 @@
     }
 }
 
+/* Notes what the worker tells, or queues the next call that it needs. */
+static void
+note_answer(SurveyCall *call, ClientOutcome outcome)
+{
+    Survey *survey = call->survey;
+    const GateOptions *options = &survey->gate->options;
+    FleetWorker *worker = Fleet_FindByHash(options->fleet, call->step.worker);
+    SurveyStep step = call->step;
+
+    if (outcome != CLIENT_COMPLETE) {
+        return;
+    }
+    if (call->is_check) {
+        uint64_t told = get_told_label(call);
+        if (told == 0 && worker != NULL &&
+            (call->status == 200 || call->status == 404)) {
+            worker->tells_no_start = true;
+        }
+        else if (worker == NULL || step.checks >= SURVEY_CHECKS_MAX ||
+                 told != Fleet_GetStartLabel(worker, worker->entry.born_ms)) {
+            return;
+        }
+        g_array_append_val(survey->queue, step);
+        return;
+    }
+    if (call->status == 200 &&
+        options->codec->decode_list(options->codec->context,
+                                    (const char *)call->body->data,
+                                    call->body->len, note_part, call)) {
+        survey->answered++;
+    }
+    else if (step.changes) {
+        /* The worker tells no changes. */
+        step.changes = false;
+        g_array_append_val(survey->queue, step);
+        survey->asked++;
+    }
+}
+
 static void
 note_part(void *context, uint64_t part)
 {
@@ -454,7 +522,7 @@
     if (row->version != call->version) {
         row->version = SURVEY_SEVERAL;
     }
-    row->worker = call->worker;
+    row->worker = call->step.worker;
 }
 
 static void
--- a/tests/test_gate_restarted.cc
+++ b/tests/test_gate_restarted.cc
@@ -169,11 +169,13 @@
         Worker *kept = rig.AddDecode("v1", {Stream(3, 9)});
         kept->kept_parts = {"b1"};
         kept->born_ms = born;
+        Worker *same = rig.AddDecode("v1", {Stream(3, 9)});
         Worker *newer = rig.AddDecode("v2", {Stream(3, 9)});
         Caller *again = rig.Call(Resumption("id-1"));
         ASSERT_TRUE(rig.UntilEnd(again));
         EXPECT_EQ(again->Status(), born == earlier_ms ? 200 : 503)
             << again->text;
+        EXPECT_TRUE(same->requests.empty());
         EXPECT_TRUE(newer->requests.empty());
     }
 }
