--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -25,6 +25,7 @@
 
 static Budget *find_budget(GateTask *task);
 static void publish_budget(GateTask *task);
+static json_t *describe_budget(const GateTask *task);
 static void init_call(GateTask *task, FleetWorker *worker);
 static void count_call(GateTask *task);
 static void correct_call_count(GateTask *task, bool is_unsent);
@@ -376,14 +377,15 @@
     static const char *const names[] = {"elsewhere", "pass", "refuse", "fail"};
     RetryNext next = Retry_Decide(input);
 
-    Log_WriteJson(LOG_LEVEL_INFO, "retry",
-                  json_pack("{s:s,s:s,s:s,s:b,s:b,s:b,s:i,s:i,s:I}", "request",
-                            task->request.id, "next", names[next], "run",
-                            Err_GetRunName(input->run), "repeatable",
-                            input->repeatable, "budget", input->has_budget,
-                            "candidate", input->has_candidate, "runs",
-                            (int)input->runs, "attempts", (int)input->attempts,
-                            "left_ms", (json_int_t)input->left_ms));
+    Log_WriteJson(
+        LOG_LEVEL_INFO, "retry",
+        json_pack("{s:s,s:s,s:s,s:s,s:b,s:b,s:b,s:i,s:i,s:I,s:o}", "request",
+                  task->request.id, "service", task->service->name, "next",
+                  names[next], "run", Err_GetRunName(input->run), "repeatable",
+                  input->repeatable, "budget", input->has_budget, "candidate",
+                  input->has_candidate, "runs", (int)input->runs, "attempts",
+                  (int)input->attempts, "left_ms", (json_int_t)input->left_ms,
+                  "budget_use", describe_budget(task)));
     return next;
 }
 
@@ -402,6 +404,23 @@
     return budget;
 }
 
+/* Returns what the retry budget is reckoned from, for the log. */
+static json_t *
+describe_budget(const GateTask *task)
+{
+    const GateOptions *options = &task->gate->options;
+    BudgetPeerUsage peers =
+        options->get_peer_usage(options->context, task->service->name);
+    double requests;
+    double extras;
+
+    Gate_GetBudgetUse(task->gate, task->service->name, &requests, &extras);
+    return json_pack("{s:f,s:f,s:i,s:i,s:f,s:f}", "requests", requests,
+                     "extras", extras, "vms", (int)peers.vm_count, "peers",
+                     (int)peers.peer_count, "peer_requests", peers.requests,
+                     "peer_extras", peers.extras);
+}
+
 /* Reports this VM's use of the service's budget, for the other VMs. */
 static void
 publish_budget(GateTask *task)
