--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &gossip__proxy__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gossip__loan__init
+                     (Gossip__Loan         *message)
+{
+  static const Gossip__Loan init_value = GOSSIP__LOAN__INIT;
+  *message = init_value;
+}
+size_t gossip__loan__get_packed_size
+                     (const Gossip__Loan *message)
+{
+  assert(message->base.descriptor == &gossip__loan__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__loan__pack
+                     (const Gossip__Loan *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__loan__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__loan__pack_to_buffer
+                     (const Gossip__Loan *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__loan__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Loan *
+       gossip__loan__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Loan *)
+     protobuf_c_message_unpack (&gossip__loan__descriptor,
+                                allocator, len, data);
+}
+void   gossip__loan__free_unpacked
+                     (Gossip__Loan *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__loan__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gossip__news__init
                      (Gossip__News         *message)
 {
@@ -1931,7 +1976,71 @@
   (ProtobufCMessageInit) gossip__proxy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__news__field_descriptors[30] =
+static const ProtobufCFieldDescriptor gossip__loan__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Loan, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Loan, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "calls",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Loan, calls),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__loan__field_indices_by_name[] = {
+  2,   /* field[2] = calls */
+  1,   /* field[1] = number */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange gossip__loan__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gossip__loan__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Loan",
+  "Loan",
+  "Gossip__Loan",
+  "gossip",
+  sizeof(Gossip__Loan),
+  3,
+  gossip__loan__field_descriptors,
+  gossip__loan__field_indices_by_name,
+  1,  gossip__loan__number_ranges,
+  (ProtobufCMessageInit) gossip__loan__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[33] =
 {
   {
     "vm",
@@ -2293,6 +2402,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "most_vms",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, most_vms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loan_asks",
+    42,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gossip__News, n_loan_asks),
+    offsetof(Gossip__News, loan_asks),
+    &gossip__loan__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loans",
+    43,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gossip__News, n_loans),
+    offsetof(Gossip__News, loans),
+    &gossip__loan__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__news__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -2308,7 +2453,10 @@
   14,   /* field[14] = hubs */
   1,   /* field[1] = incarnation */
   20,   /* field[20] = limits */
+  31,   /* field[31] = loan_asks */
+  32,   /* field[32] = loans */
   24,   /* field[24] = lookups */
+  30,   /* field[30] = most_vms */
   2,   /* field[2] = number */
   21,   /* field[21] = origins */
   8,   /* field[8] = peers */
@@ -2331,7 +2479,7 @@
   { 1, 0 },
   { 35, 26 },
   { 40, 29 },
-  { 0, 30 }
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor gossip__news__descriptor =
 {
@@ -2341,7 +2489,7 @@
   "Gossip__News",
   "gossip",
   sizeof(Gossip__News),
-  30,
+  33,
   gossip__news__field_descriptors,
   gossip__news__field_indices_by_name,
   3,  gossip__news__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Gossip__Found Gossip__Found;
 typedef struct Gossip__Reach Gossip__Reach;
 typedef struct Gossip__Proxy Gossip__Proxy;
+typedef struct Gossip__Loan Gossip__Loan;
 typedef struct Gossip__News Gossip__News;
 typedef struct Gossip__Entry Gossip__Entry;
 typedef struct Gossip__Picture Gossip__Picture;
@@ -460,6 +461,30 @@
     , 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * A question for calls of a service's retry budget, or what is lent.
+ */
+struct  Gossip__Loan
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the service's name.
+   */
+  uint64_t service;
+  /*
+   * Of the question, which the answer repeats.
+   */
+  uint32_t number;
+  /*
+   * Wanted, or lent.
+   */
+  uint32_t calls;
+};
+#define GOSSIP__LOAN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__loan__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * Content of one datagram: the sender's load and versions. One with `lookups`
  * or `found` holds nothing on the load, and an empty table, so that earlier
@@ -566,14 +591,26 @@
   Gossip__Proxy **proxies;
   /*
    * What other VMs may rely on, a sum: 1: answers `reaches`. 2: answers
-   * `lookups`. 4: serves requests that other VMs pass on. Other bits tell
-   * nothing. A VM that doesn't say so is not asked.
+   * `lookups`. 4: serves requests that other VMs pass on. 8: answers
+   * `loan_asks`. Other bits tell nothing. A VM that doesn't say so is not
+   * asked.
    */
   uint32_t serves;
+  /*
+   * Most VMs that the fleet has ever had, as far as the sender knows.
+   */
+  uint32_t most_vms;
+  /*
+   * Messages with these two tell no load, like those with `lookups`.
+   */
+  size_t n_loan_asks;
+  Gossip__Loan **loan_asks;
+  size_t n_loans;
+  Gossip__Loan **loans;
 };
 #define GOSSIP__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -851,6 +888,25 @@
 void   gossip__proxy__free_unpacked
                      (Gossip__Proxy *message,
                       ProtobufCAllocator *allocator);
+/* Gossip__Loan methods */
+void   gossip__loan__init
+                     (Gossip__Loan         *message);
+size_t gossip__loan__get_packed_size
+                     (const Gossip__Loan   *message);
+size_t gossip__loan__pack
+                     (const Gossip__Loan   *message,
+                      uint8_t             *out);
+size_t gossip__loan__pack_to_buffer
+                     (const Gossip__Loan   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Loan *
+       gossip__loan__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__loan__free_unpacked
+                     (Gossip__Loan *message,
+                      ProtobufCAllocator *allocator);
 /* Gossip__News methods */
 void   gossip__news__init
                      (Gossip__News         *message);
@@ -946,6 +1002,9 @@
 typedef void (*Gossip__Proxy_Closure)
                  (const Gossip__Proxy *message,
                   void *closure_data);
+typedef void (*Gossip__Loan_Closure)
+                 (const Gossip__Loan *message,
+                  void *closure_data);
 typedef void (*Gossip__News_Closure)
                  (const Gossip__News *message,
                   void *closure_data);
@@ -973,6 +1032,7 @@
 extern const ProtobufCMessageDescriptor gossip__found__descriptor;
 extern const ProtobufCMessageDescriptor gossip__reach__descriptor;
 extern const ProtobufCMessageDescriptor gossip__proxy__descriptor;
+extern const ProtobufCMessageDescriptor gossip__loan__descriptor;
 extern const ProtobufCMessageDescriptor gossip__news__descriptor;
 extern const ProtobufCMessageDescriptor gossip__entry__descriptor;
 extern const ProtobufCMessageDescriptor gossip__picture__descriptor;
--- a/src/decide/budget.c
+++ b/src/decide/budget.c
@@ -3,8 +3,15 @@
 
 #include <string.h>
 
+static double get_slack(const Budget *budget, uint32_t vms, int64_t now_us);
+static void count(const Budget *budget, int64_t window_us, int64_t now_us,
+                  double *requests, double *extras);
+static double get_own_left(const Budget *budget, uint32_t vms,
+                           int64_t window_us, int64_t now_us);
+static uint32_t count_loans(const BudgetLoan *loans, int64_t now_us);
+static BudgetLoan *find_loan(BudgetLoan *loans, int64_t now_us);
+static int64_t get_bucket_us(const Budget *budget);
 static int64_t get_bucket_number(const Budget *budget, int64_t now_us);
-static double count_round_extras(const Budget *budget, int64_t now_us);
 static BudgetBucket *get_bucket(Budget *budget, int64_t now_us);
 
 BudgetOptions
@@ -28,66 +35,106 @@
     get_bucket(budget, now_us)->requests++;
 }
 
-void
-Budget_NoteExtra(Budget *budget, int64_t now_us)
+BudgetSource
+Budget_NoteExtra(Budget *budget, uint32_t vms, int64_t now_us)
 {
+    BudgetLoan *loan = NULL;
+
+    for (uint32_t i = 0; i < BUDGET_LOANS_MAX; i++) {
+        BudgetLoan *row = &budget->borrowed[i];
+        if (row->calls > 0 && now_us < row->until_us &&
+            (loan == NULL || row->until_us < loan->until_us)) {
+            loan = row;
+        }
+    }
+    if (loan != NULL &&
+        get_own_left(budget, vms, budget->options.window_us, now_us) < 1.0) {
+        loan->calls--;
+        return BUDGET_LOAN;
+    }
     get_bucket(budget, now_us)->extras++;
-    budget->extra_times_us[budget->extra_index++ % BUDGET_ROUND_EXTRAS_MAX] =
-        now_us;
+    return BUDGET_OWN;
 }
 
 void
-Budget_CancelExtra(Budget *budget, int64_t now_us)
+Budget_CancelExtra(Budget *budget, BudgetSource source, int64_t now_us)
 {
     BudgetBucket *bucket = get_bucket(budget, now_us);
 
-    if (bucket->extras > 0) {
+    if (source == BUDGET_OWN && bucket->extras > 0) {
         bucket->extras--;
-        budget
-            ->extra_times_us[--budget->extra_index % BUDGET_ROUND_EXTRAS_MAX] =
-            0;
     }
 }
 
 uint32_t
-Budget_GetRemaining(const Budget *budget, const BudgetPeerUsage *peer_usage,
-                    int64_t now_us)
+Budget_GetRemaining(const Budget *budget, uint32_t vms, int64_t now_us)
+{
+    double own = get_own_left(budget, vms, budget->options.window_us, now_us);
+
+    return (own >= 1.0 ? (uint32_t)own : 0) +
+           count_loans(budget->borrowed, now_us);
+}
+
+bool
+Budget_IsLow(const Budget *budget, uint32_t vms, int64_t now_us)
 {
     const BudgetOptions *options = &budget->options;
-    double vms = peer_usage->vm_count > 0 ? peer_usage->vm_count : 1;
-    double group_size = peer_usage->peer_count + 1.0;
-    double requests;
-    double extras;
-    double left;
-    double round_extras = count_round_extras(budget, now_us);
-    /* Age of the process, windows. */
-    double age =
-        (double)(now_us - options->started_us) / (double)options->window_us;
-    double share;
-
-    Budget_GetUsed(budget, now_us, &requests, &extras);
-    group_size = group_size < vms ? group_size : vms;
-    left = BUDGET_SAFETY_FACTOR *
-               (options->ratio * (requests + peer_usage->requests) +
-                options->slack * (age < 1.0 ? age : 1.0) * group_size / vms) -
-           extras - peer_usage->extras;
-    /* Even share of what the group may spend in this round. */
-    share = (left + round_extras) / group_size - round_extras;
-    left = share < left ? share : left;
-    return left >= 1.0 ? (uint32_t)left : 0;
+
+    return (options->slack > 0 || options->ratio > 0) &&
+           Budget_GetRemaining(budget, vms, now_us) < BUDGET_LOW;
+}
+
+uint32_t
+Budget_Lend(Budget *budget, uint32_t vms, uint32_t wanted, int64_t now_us)
+{
+    /* The calls arrive later than those that this VM sends now, so the
+       requests that allow them must be younger by that. */
+    int64_t delay_us = BUDGET_LOAN_US + BUDGET_TRANSIT_US;
+    double spare = get_own_left(budget, vms,
+                                budget->options.window_us - delay_us, now_us) /
+                   2;
+    BudgetLoan *loan = find_loan(budget->lent, now_us);
+
+    if (spare < 1.0 || loan == NULL) {
+        return 0;
+    }
+    loan->calls = spare < wanted ? (uint32_t)spare : wanted;
+    loan->until_us = now_us + delay_us + budget->options.window_us;
+    return loan->calls;
+}
+
+void
+Budget_Borrow(Budget *budget, uint32_t calls, int64_t asked_us, int64_t now_us)
+{
+    BudgetLoan *loan = find_loan(budget->borrowed, now_us);
+
+    if (loan != NULL) {
+        loan->calls = calls;
+        loan->until_us = asked_us + BUDGET_LOAN_US;
+    }
 }
 
 void
 Budget_GetUsed(const Budget *budget, int64_t now_us, double *requests,
                double *extras)
+{
+    count(budget, budget->options.window_us, now_us, requests, extras);
+}
+
+/* Counts the requests of the last `window_us`, and the extra calls that may
+   arrive in the last window of the budget. */
+static void
+count(const Budget *budget, int64_t window_us, int64_t now_us,
+      double *requests, double *extras)
 {
     int64_t number = get_bucket_number(budget, now_us);
+    int64_t window_buckets = window_us / get_bucket_us(budget);
 
     *requests = 0;
     *extras = 0;
-    for (int i = 0; i < 2 * BUDGET_BUCKETS; i++) {
+    for (int i = 0; i < BUDGET_BUCKETS + 2; i++) {
         const BudgetBucket *bucket = &budget->buckets[i];
-        if (bucket->number > number - BUDGET_BUCKETS) {
+        if (bucket->number > number - window_buckets) {
             *requests += bucket->requests;
         }
         /* A window may begin inside a bucket, so one more bucket counts. */
@@ -97,30 +144,76 @@
     }
 }
 
-/* Returns this VM's extra calls of the current round. */
+/* Returns this VM's part of the slack. */
+static double
+get_slack(const Budget *budget, uint32_t vms, int64_t now_us)
+{
+    const BudgetOptions *options = &budget->options;
+    int64_t wait_us =
+        BUDGET_LEARN_US +
+        (options->is_first_start ? 0 : BUDGET_TRANSIT_US + options->window_us);
+
+    if (vms == 0 || now_us - options->started_us < wait_us) {
+        return 0;
+    }
+    return options->slack / vms;
+}
+
+/* Returns the extra calls that the VM has left without loans, if the requests
+   of the last `window_us` count. */
 static double
-count_round_extras(const Budget *budget, int64_t now_us)
+get_own_left(const Budget *budget, uint32_t vms, int64_t window_us,
+             int64_t now_us)
+{
+    double requests;
+    double extras;
+
+    count(budget, window_us, now_us, &requests, &extras);
+    return budget->options.ratio / 2 * requests +
+           get_slack(budget, vms, now_us) - count_loans(budget->lent, now_us) -
+           extras;
+}
+
+static uint32_t
+count_loans(const BudgetLoan *loans, int64_t now_us)
 {
-    double count = 0;
+    uint32_t calls = 0;
+
+    for (uint32_t i = 0; i < BUDGET_LOANS_MAX; i++) {
+        calls += now_us < loans[i].until_us ? loans[i].calls : 0;
+    }
+    return calls;
+}
 
-    for (int i = 0; i < BUDGET_ROUND_EXTRAS_MAX; i++) {
-        count += budget->extra_times_us[i] != 0 &&
-                 now_us - budget->extra_times_us[i] < BUDGET_ROUND_US;
+/* Returns a free row, or NULL. */
+static BudgetLoan *
+find_loan(BudgetLoan *loans, int64_t now_us)
+{
+    for (uint32_t i = 0; i < BUDGET_LOANS_MAX; i++) {
+        if (loans[i].calls == 0 || now_us >= loans[i].until_us) {
+            return &loans[i];
+        }
     }
-    return count;
+    return NULL;
+}
+
+static int64_t
+get_bucket_us(const Budget *budget)
+{
+    return (budget->options.window_us + BUDGET_TRANSIT_US) / BUDGET_BUCKETS;
 }
 
 static int64_t
 get_bucket_number(const Budget *budget, int64_t now_us)
 {
-    return now_us / (budget->options.window_us / BUDGET_BUCKETS) + 1;
+    return now_us / get_bucket_us(budget) + 1;
 }
 
 static BudgetBucket *
 get_bucket(Budget *budget, int64_t now_us)
 {
     int64_t number = get_bucket_number(budget, now_us);
-    BudgetBucket *bucket = &budget->buckets[number % (2 * BUDGET_BUCKETS)];
+    BudgetBucket *bucket = &budget->buckets[number % (BUDGET_BUCKETS + 2)];
 
     if (bucket->number != number) {
         memset(bucket, 0, sizeof(*bucket));
--- a/src/decide/budget.h
+++ b/src/decide/budget.h
@@ -1,15 +1,23 @@
 /* Budget: limits the calls that the VMs send beyond the first call of each
-   request, without coordination for each call.
+   request, so that together they stay within a bound in any window.
 
    A failing service would stay down if every failed request were sent again.
-   On the other hand, a burst at one VM must be able to use what the other VMs
-   leave unused. Over a sliding window the fleet may send `ratio` x its
-   requests + `slack` extra calls. VMs that exchange gossip directly with each
-   other form a group, which shares the group's part of the budget. Each VM
-   subtracts what its peers used and spends the rest in rounds: at most an even
-   share in each round, so that the group can't overspend before its members
-   learn of each other's calls. A VM without reachable peers uses its own part
-   only. */
+   The bound of the fleet is `ratio` x its requests + `slack` in any window.
+   What VMs tell each other may be late or lost, VMs are held up, cut off and
+   started at any time, so no VM may rely on what it knows of the others'
+   calls. Each one has a part of its own:
+
+   - half of `ratio` for each of its own requests. An extra call may arrive up
+     to a window after the requests that allow it, so two windows' requests may
+     meet in one window: half of them is no more than those of the window with
+     most.
+   - an even part of `slack`, for the most VMs that it has ever known. A VM
+   that starts has none until the calls of its earlier process are out of all
+     windows, and all VMs know of it.
+
+   A VM that meets a burst borrows from others. What a VM has lent it doesn't
+   use itself until the borrower's calls are out of all windows; a
+   loan that gets lost is used by nobody. */
 #ifndef LS_BUDGET_H
 #define LS_BUDGET_H
 
@@ -18,57 +26,77 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define BUDGET_BUCKETS 10 /* Buckets of the sliding window. */
-/* Share of the fleet's budget that the VMs may use, as their counts differ. */
-#define BUDGET_SAFETY_FACTOR 0.75
-/* Length of a round: the time in which each VM learns what its peers used. */
-#define BUDGET_ROUND_US (400 * CLK_US_PER_MS)
-/* Extra calls of one VM that are counted in a round, at most. */
-#define BUDGET_ROUND_EXTRAS_MAX 64
+#define BUDGET_BUCKETS 25 /* Buckets of the window and the transit time. */
+/* A call reaches its worker's host within this time, or its connection is
+   reset: time-out of the connection, and of unacknowledged bytes. */
+#define BUDGET_TRANSIT_US (2500 * CLK_US_PER_MS)
+/* Time within which all VMs that exchange messages know of one that starts. */
+#define BUDGET_LEARN_US (3 * CLK_US_PER_S)
+/* A loan is used within this time of the request for it. It ends before a
+   lender that starts anew has a part of the slack again. */
+#define BUDGET_LOAN_US (3 * CLK_US_PER_S)
+/* Loans that a VM has, or has given, at a time; further ones are refused. */
+#define BUDGET_LOANS_MAX 32
+/* A VM with fewer extra calls left than this asks for a loan. */
+#define BUDGET_LOW 2
 
 typedef struct BudgetOptions {
     double ratio; /* Extra calls allowed for each request. */
     double slack; /* Extra calls of the fleet allowed in any window. */
     int64_t window_us;
-    /* Start of the process. The usage before a restart is unknown, so the
-       slack grows from 0 to its full value over the first window. */
-    int64_t started_us;
+    int64_t started_us;  /* Start of the process. */
+    bool is_first_start; /* No VM of the fleet ran before. */
 } BudgetOptions;
 
 typedef struct BudgetBucket {
     /* Number of the bucket since the clock's zero, from 1 on; 0 if unused. */
     int64_t number;
     uint32_t requests;
-    uint32_t extras;
+    uint32_t extras; /* Without those on loans. */
 } BudgetBucket;
 
-/* Usage of the other VMs of the group within the last window. */
-typedef struct BudgetPeerUsage {
-    uint32_t vm_count;   /* VMs of the fleet, with this one. */
-    uint32_t peer_count; /* Other VMs of the group. */
-    double requests;
-    double extras;
-} BudgetPeerUsage;
+/* Extra calls that another VM has lent to this one, or this one to another. */
+typedef struct BudgetLoan {
+    uint32_t calls; /* 0: the row is free. */
+    int64_t until_us;
+} BudgetLoan;
+
+/* From what an extra call is taken. */
+typedef enum BudgetSource {
+    BUDGET_NONE,
+    BUDGET_OWN,
+    BUDGET_LOAN,
+} BudgetSource;
 
-/* Budget of one service on this VM. */
+/* Budget of one service on this VM. All times must count the time for which
+   the machine was suspended. */
 typedef struct Budget {
     BudgetOptions options;
-    BudgetBucket buckets[2 * BUDGET_BUCKETS];
-    int64_t extra_times_us[BUDGET_ROUND_EXTRAS_MAX]; /* Last extra calls. */
-    uint32_t extra_index; /* Next index in extra_times_us, before modulo. */
+    BudgetBucket buckets[BUDGET_BUCKETS + 2];
+    BudgetLoan borrowed[BUDGET_LOANS_MAX];
+    BudgetLoan lent[BUDGET_LOANS_MAX];
 } Budget;
 
 BudgetOptions Budget_DefaultOptions(void);
 void Budget_Init(Budget *budget, const BudgetOptions *options);
 void Budget_NoteRequest(Budget *budget, int64_t now_us);
-void Budget_NoteExtra(Budget *budget, int64_t now_us);
+/* Counts an extra call that is sent now, and returns from what it is taken. */
+BudgetSource Budget_NoteExtra(Budget *budget, uint32_t vms, int64_t now_us);
 /* Undoes Budget_NoteExtra() for a call of which nothing was sent. Has no
-   effect if no extra call was counted in the current bucket. */
-void Budget_CancelExtra(Budget *budget, int64_t now_us);
-/* Returns how many extra calls this VM may send now. */
-uint32_t Budget_GetRemaining(const Budget *budget,
-                             const BudgetPeerUsage *peer_usage,
+   effect on a loan, or if no extra call was counted in the current bucket. */
+void Budget_CancelExtra(Budget *budget, BudgetSource source, int64_t now_us);
+/* Returns how many extra calls this VM may send now. `vms` is the most VMs
+   that the fleet has ever had, as far as this VM knows; 0: it doesn't know. */
+uint32_t Budget_GetRemaining(const Budget *budget, uint32_t vms,
                              int64_t now_us);
+/* Whether the VM should ask another one for a loan. */
+bool Budget_IsLow(const Budget *budget, uint32_t vms, int64_t now_us);
+/* Lends up to `wanted` calls to another VM, and returns their number. */
+uint32_t Budget_Lend(Budget *budget, uint32_t vms, uint32_t wanted,
+                     int64_t now_us);
+/* Adds calls that another VM has lent, as this VM asked it at `asked_us`. */
+void Budget_Borrow(Budget *budget, uint32_t calls, int64_t asked_us,
+                   int64_t now_us);
 /* Gets this VM's requests and extra calls of the last window. */
 void Budget_GetUsed(const Budget *budget, int64_t now_us, double *requests,
                     double *extras);
--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -50,7 +50,11 @@
 static void prepare_shutdown(Edge *edge);
 static void on_prune(evutil_socket_t fd, short what, void *context);
 static bool start_peering(Edge *edge, LsError *err);
-static BudgetPeerUsage get_peer_usage(void *context, const char *service);
+static uint32_t get_vm_count(void *context);
+static void ask_loan(void *context, const char *service, uint32_t calls);
+static uint32_t lend(void *context, uint64_t service, uint32_t wanted);
+static void borrow(void *context, uint64_t service, uint32_t calls,
+                   int64_t asked_us);
 static double get_share(void *context, const char *service);
 static void on_budget_change(void *context, const char *service,
                              double requests, double extras);
@@ -124,7 +128,8 @@
     gate.budget = options->budget;
     gate.seed = options->seed;
     gate.context = edge;
-    gate.get_peer_usage = get_peer_usage;
+    gate.get_vm_count = get_vm_count;
+    gate.ask_loan = ask_loan;
     gate.get_share = get_share;
     gate.on_budget_change = on_budget_change;
     gate.get_peer_rooms = get_peer_rooms;
@@ -291,6 +296,7 @@
     gossip.region =
         g_hash_table_lookup(edge->options.regions, edge->options.zone);
     gossip.region = gossip.region != NULL ? gossip.region : "";
+    gossip.regions = edge->options.regions;
     gossip.capacity = edge->options.capacity;
     gossip.seed = edge->options.seed;
     gossip.incarnation = (uint64_t)g_random_int() << 32 | g_random_int();
@@ -304,6 +310,8 @@
     gossip.on_limit_change = on_limit_change;
     gossip.answer_lookup = answer_lookup;
     gossip.on_lookup_answer = on_lookup_answer;
+    gossip.lend = lend;
+    gossip.borrow = borrow;
     gossip.list_cut = list_cut;
     gossip.list_reaches = list_reaches;
     gossip.on_reach = on_reach;
@@ -339,20 +347,38 @@
     return true;
 }
 
-static BudgetPeerUsage
-get_peer_usage(void *context, const char *service)
+static uint32_t
+get_vm_count(void *context)
+{
+    const Edge *edge = context;
+
+    return edge->gossip != NULL ? Gos_GetMostVms(edge->gossip) : 1;
+}
+
+static void
+ask_loan(void *context, const char *service, uint32_t calls)
 {
     const Edge *edge = context;
-    BudgetPeerUsage peer_usage = {.vm_count = 1};
 
     if (edge->gossip != NULL) {
-        ReportDemand sum =
-            Gos_SumNearDemand(edge->gossip, service, &peer_usage.peer_count);
-        peer_usage.vm_count = Gos_CountVms(edge->gossip);
-        peer_usage.requests = sum.requests;
-        peer_usage.extras = sum.extras;
+        Gos_AskLoan(edge->gossip, service, calls);
     }
-    return peer_usage;
+}
+
+static uint32_t
+lend(void *context, uint64_t service, uint32_t wanted)
+{
+    const Edge *edge = context;
+
+    return Gate_Lend(edge->gate, service, wanted);
+}
+
+static void
+borrow(void *context, uint64_t service, uint32_t calls, int64_t asked_us)
+{
+    const Edge *edge = context;
+
+    Gate_Borrow(edge->gate, service, calls, asked_us);
 }
 
 static double
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -24,7 +24,8 @@
 static void note_limit(Gate *gate, FleetWorker *worker, double limit,
                        int64_t now_us);
 static void log_malformed_notice(FleetWorker *worker, const char *field);
-static BudgetPeerUsage get_no_peer_usage(void *context, const char *service);
+static uint32_t get_single_vm(void *context);
+static void ask_nobody(void *context, const char *service, uint32_t calls);
 static double get_whole_share(void *context, const char *service);
 static void ignore_budget_change(void *context, const char *service,
                                  double requests, double extras);
@@ -47,7 +48,8 @@
         .vm = "",
         .weights = Rank_DefaultWeights(),
         .budget = Budget_DefaultOptions(),
-        .get_peer_usage = get_no_peer_usage,
+        .get_vm_count = get_single_vm,
+        .ask_loan = ask_nobody,
         .get_share = get_whole_share,
         .on_budget_change = ignore_budget_change,
         .get_peer_rooms = get_no_rooms,
@@ -67,7 +69,8 @@
     Gate *gate = g_new0(Gate, 1);
 
     gate->options = *options;
-    gate->options.budget.started_us = Clk_Now(options->clk);
+    gate->options.budget.started_us =
+        Clk_Now(options->clk) + Clk_GetSuspended(options->clk);
     gate->rand = g_rand_new_with_seed(options->seed);
     Client_SetObserver(options->client, gate, on_response);
     gate->budgets =
@@ -153,19 +156,6 @@
     return demand != NULL ? *demand : none;
 }
 
-void
-Gate_GetBudgetUse(const Gate *gate, const char *service, double *requests,
-                  double *extras)
-{
-    const Budget *budget = g_hash_table_lookup(gate->budgets, service);
-
-    *requests = 0;
-    *extras = 0;
-    if (budget != NULL) {
-        Budget_GetUsed(budget, Clk_Now(gate->options.clk), requests, extras);
-    }
-}
-
 const RankWeights *
 Gate_GetWeights(const Gate *gate)
 {
@@ -253,21 +243,6 @@
                             "requests_per_s", worker->throttle.limit));
 }
 
-void
-Gate_SetBudget(Gate *gate, const BudgetOptions *options)
-{
-    GHashTableIter iter;
-    gpointer budget;
-    int64_t started_us = gate->options.budget.started_us;
-
-    gate->options.budget = *options;
-    gate->options.budget.started_us = started_us;
-    g_hash_table_iter_init(&iter, gate->budgets);
-    while (g_hash_table_iter_next(&iter, NULL, &budget)) {
-        ((Budget *)budget)->options = gate->options.budget;
-    }
-}
-
 void
 Gate_BeginShutdown(Gate *gate)
 {
@@ -390,14 +365,19 @@
     }
 }
 
-static BudgetPeerUsage
-get_no_peer_usage(void *context, const char *service)
+static uint32_t
+get_single_vm(void *context)
 {
-    BudgetPeerUsage alone = {.vm_count = 1};
+    (void)context;
+    return 1;
+}
 
+static void
+ask_nobody(void *context, const char *service, uint32_t calls)
+{
     (void)context;
     (void)service;
-    return alone;
+    (void)calls;
 }
 
 static double
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -152,8 +152,11 @@
     GATE_SERVES_REACH = 1 << 0,   /* Questions for workers that it hears. */
     GATE_SERVES_LOOKUPS = 1 << 1, /* Questions for versions of streams. */
     GATE_SERVES_DETOURS = 1 << 2, /* Requests that are passed on to it. */
+    GATE_SERVES_LOANS = 1 << 3,   /* Questions for parts of retry budgets. */
+    /* What a build serves that doesn't say what it serves. */
     GATE_SERVES_KNOWN =
         GATE_SERVES_REACH | GATE_SERVES_LOOKUPS | GATE_SERVES_DETOURS,
+    GATE_SERVES_ALL = GATE_SERVES_KNOWN | GATE_SERVES_LOANS,
 };
 
 /* Another VM that may run a request at workers that this VM can't reach. */
@@ -214,8 +217,11 @@
     BudgetOptions budget;
     guint32 seed;
     void *context;
-    /* Returns the other VMs' use of a service's budget in its window. */
-    BudgetPeerUsage (*get_peer_usage)(void *context, const char *service);
+    /* Returns the most VMs that the fleet has ever had, as far as this VM
+       knows; 0: it doesn't know. */
+    uint32_t (*get_vm_count)(void *context);
+    /* Asks another VM for a part of its retry budget, `calls` calls. */
+    void (*ask_loan)(void *context, const char *service, uint32_t calls);
     /* Returns this VM's part of the requests for a service, 0 to 1. */
     double (*get_share)(void *context, const char *service);
     /* This VM's use of a service's budget has changed. */
@@ -275,8 +281,15 @@
 void Gate_LogLimit(Gate *gate, const FleetWorker *worker);
 /* Logs and counts the parts that were blamed or cleared. */
 void Gate_LogSuspects(Gate *gate);
-/* Changes the budget of all services; `started_us` is ignored. */
+/* Changes the ratio, slack and window of the budgets of all services. */
 void Gate_SetBudget(Gate *gate, const BudgetOptions *options);
+/* Lends calls of a service's budget (the hash of its name) to another VM, up
+   to `wanted`, and returns their number. */
+uint32_t Gate_Lend(Gate *gate, uint64_t service, uint32_t wanted);
+/* Adds calls that another VM has lent, which was asked at `asked_us`, the time
+   for which the machine was suspended included. */
+void Gate_Borrow(Gate *gate, uint64_t service, uint32_t calls,
+                 int64_t asked_us);
 /* From now on, streams without capacity are ended instead of waiting: refused
    if they have not run, and failed otherwise. */
 void Gate_BeginShutdown(Gate *gate);
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -385,6 +385,7 @@
     peer->suspect_until_us = 0;
     note_unknown(peer, news);
     Peers_NoteFleetSize(&gos->peers, news->vms);
+    Peers_NoteMostVms(&gos->peers, news->region, news->most_vms);
     note_mentioned(gos, news);
     peer->watches = news->watches;
     Peers_NoteServes(peer, Gos_DecodeServes(news), now_us);
@@ -402,7 +403,7 @@
     }
     Gos_MergeLimits(gos, news);
     Gos_MergeOrigins(gos, news);
-    if (Gos_HandleLookups(gos, news)) {
+    if (Gos_HandleLookups(gos, news) || Gos_HandleLoans(gos, news)) {
         /* Such a message tells no load. */
     }
     else if (news->table != NULL) {
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -37,6 +37,7 @@
     uint16_t port; /* UDP; 0 takes any free port. */
     const char *vm;
     const char *region;
+    GHashTable *regions;  /* Zone to region, of all VMs; NULL: not known. */
     uint32_t capacity;    /* Processor share of the VM, permille: VMs with more
                              of it are preferred as hubs. */
     uint64_t incarnation; /* Random; differs with each start. */
@@ -76,6 +77,11 @@
     /* Called with another VM's answer to a question. */
     void (*on_lookup_answer)(void *context, uint64_t holder,
                              const LookupAnswer *answer);
+    /* Lends calls of a retry budget to another VM: as Gate_Lend() and
+       Gate_Borrow(). Both are NULL, or neither. */
+    uint32_t (*lend)(void *context, uint64_t service, uint32_t wanted);
+    void (*borrow)(void *context, uint64_t service, uint32_t calls,
+                   int64_t asked_us);
     /* Gets what this VM knows; NULL if on_peer_versions is NULL. */
     GosVersions (*get_versions)(void *context);
     /* Called when the VM at this peer address knows something else than this
@@ -100,6 +106,12 @@
    of the last minute and at least 6, since a silent VM may still be running on
    the other side of a network partition. */
 uint32_t Gos_CountVms(const Gos *gos);
+/* Returns the most VMs that the fleet has ever had, as far as this VM or one
+   that it heard knows; 0 if it has heard none of some region. */
+uint32_t Gos_GetMostVms(const Gos *gos);
+/* Asks another VM for calls of a service's retry budget, unless a question is
+   open or the last ones were in vain. */
+void Gos_AskLoan(Gos *gos, const char *service, uint32_t calls);
 /* This VM's load on a service, which is sent to the other VMs. All values are
    0 until it is set. */
 void Gos_SetDemand(Gos *gos, const char *service, const ReportDemand *demand);
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -31,6 +31,7 @@
     news->region = gos->peers.options.region;
     news->capacity = options->capacity;
     news->vms = Peers_CountLive(&gos->peers) + 1;
+    news->most_vms = gos->peers.most_vms;
     if (options->get_versions != NULL) {
         GosVersions own = options->get_versions(options->context);
         news->config_version = own.config_version;
@@ -80,7 +81,8 @@
 {
     return (options->list_reaches != NULL ? GATE_SERVES_REACH : 0) |
            (options->answer_lookup != NULL ? GATE_SERVES_LOOKUPS : 0) |
-           (options->serves_detours ? GATE_SERVES_DETOURS : 0);
+           (options->serves_detours ? GATE_SERVES_DETOURS : 0) |
+           (options->lend != NULL ? GATE_SERVES_LOANS : 0);
 }
 
 uint32_t
@@ -95,7 +97,7 @@
 bool
 Gos_HasUnknown(const Gossip__News *news)
 {
-    bool has_unknown = (news->serves & ~(uint32_t)GATE_SERVES_KNOWN) != 0;
+    bool has_unknown = (news->serves & ~(uint32_t)GATE_SERVES_ALL) != 0;
 
     for (size_t i = 0; i < news->n_found && !has_unknown; i++) {
         has_unknown = news->found[i]->kept > GOS_KEPT_MAX;
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -97,6 +97,17 @@
     int64_t far_urgent_us;
 } GosSought;
 
+/* A question for a part of a retry budget. Its times count the time for which
+   the machine was suspended. */
+typedef struct GosLoanAsk {
+    uint64_t service; /* Hash of its name; 0: the row is free. */
+    uint64_t lender;  /* Address of the VM that was asked. */
+    uint32_t number;
+    int64_t asked_us;    /* 0: it was answered. */
+    uint32_t vain_count; /* Questions in a row by which nothing was lent. */
+    int64_t vain_us;     /* Time of the last of these. */
+} GosLoanAsk;
+
 struct Gos {
     GosOptions options;
     int fd;
@@ -109,6 +120,8 @@
     uint64_t seeds[GOS_SEEDS_MAX]; /* Addresses; 0 for none. */
     GRand *rand;
     GosSought sought[PEERS_REACHES_MAX];
+    GosLoanAsk loan_asks[GOS_DEMANDS_MAX];
+    uint32_t loan_number; /* Of the last question. */
     Proxies proxies;
     uint32_t
         proxy_turn; /* First of the proxies that the next message tells. */
@@ -179,6 +192,11 @@
    false if it has neither, but the sender's load. */
 bool Gos_HandleLookups(Gos *gos, const Gossip__News *news);
 
+/* Answers the questions of a message for parts of retry budgets, and notes
+   the answers in it. Returns false if it has neither, but the sender's load.
+ */
+bool Gos_HandleLoans(Gos *gos, const Gossip__News *news);
+
 /* Encodes a point of time as its age plus 1, and none as 0. */
 uint32_t Gos_EncodeAge(int64_t at_us, int64_t now_us);
 int64_t Gos_DecodeAge(uint32_t age_ms, int64_t now_us);
--- a/src/gate/peers.c
+++ b/src/gate/peers.c
@@ -58,6 +58,7 @@
     LIST_INIT(&peers->list);
     peers->regions = g_ptr_array_new_with_free_func(free_region);
     peers->peak_vms = PEERS_VMS_MIN;
+    peers->most_vms = PEERS_VMS_MIN;
     peers->peak_us = Clk_Now(options->clk);
     peers->is_mesh = true;
 }
@@ -133,6 +134,22 @@
     }
 }
 
+void
+Peers_NoteMostVms(Peers *peers, uint32_t region, uint32_t vms)
+{
+    bool is_known = false;
+
+    for (uint32_t i = 0; i < peers->heard_region_count; i++) {
+        is_known |= peers->heard_regions[i] == region;
+    }
+    if (!is_known && peers->heard_region_count < PEERS_REGIONS_MAX) {
+        peers->heard_regions[peers->heard_region_count++] = region;
+    }
+    if (vms <= PEERS_MAX) {
+        peers->most_vms = MAX(peers->most_vms, vms);
+    }
+}
+
 Report *
 Peers_BeginTablePart(Peers *peers, uint32_t region, uint64_t source,
                      uint32_t members, uint32_t part, uint32_t part_count)
@@ -168,6 +185,7 @@
             Report_DropDemands(&row->parts[i]);
         }
     }
+    Peers_NoteMostVms(peers, region, 0);
     row->source = source;
     row->received_us = now_us;
     row->members = members;
@@ -482,6 +500,7 @@
     bool is_mesh;
 
     Peers_NoteFleetSize(peers, count);
+    Peers_NoteMostVms(peers, peers->options.region, count);
     if (count >= peers->peak_vms ||
         now_us - peers->peak_us > PEERS_FORGET_US) {
         peers->peak_vms = MAX(count, PEERS_VMS_MIN);
--- a/src/gate/peers.h
+++ b/src/gate/peers.h
@@ -93,8 +93,11 @@
     GPtrArray *regions; /* PeersRegion pointers. */
     guint count;
     guint remote_count; /* Peers of other regions or of an unknown region. */
-    uint32_t peak_vms;  /* Highest recent VM count, this VM included. */
-    int64_t peak_us;    /* Time of that count. */
+    uint32_t most_vms;  /* Highest VM count ever known, also by a peer. */
+    uint32_t heard_regions[PEERS_REGIONS_MAX]; /* Of all VMs ever heard. */
+    uint32_t heard_region_count;
+    uint32_t peak_vms;      /* Highest recent VM count, this VM included. */
+    int64_t peak_us;        /* Time of that count. */
     int64_t large_until_us; /* Until then the fleet counts as large. */
     bool is_mesh;           /* The fleet is small. */
     bool is_direct; /* This VM is a hub and has its region's load itself. */
@@ -116,6 +119,9 @@
 void Peers_NoteServes(Peer *peer, uint32_t serves, int64_t at_us);
 /* Notes the fleet's size as another VM counts it. */
 void Peers_NoteFleetSize(Peers *peers, uint32_t vms);
+/* Notes the most VMs that a VM of this region has ever known the fleet to
+   have; 0: it doesn't say. */
+void Peers_NoteMostVms(Peers *peers, uint32_t region, uint32_t vms);
 /* Returns the region's row to store a part of its table from `source`, with
    its uses and demands dropped; NULL if the part is not wanted, as another
    hub's tables are current. */
--- a/src/gate/stream_prepare.c
+++ b/src/gate/stream_prepare.c
@@ -4,6 +4,7 @@
 #include "blame.h"
 #include "reservation.h"
 #include "stream.h"
+#include "task_budget.h"
 #include "task_wait.h"
 
 #include "../decide/handover.h"
@@ -205,7 +206,7 @@
         Stream_RetryOrEnd(task, LS_RUN_NOT_RUN, false);
         return;
     }
-    task->prefilled = true;
+    TaskBudget_NotePrefilled(task);
     g_strlcpy(kv->address, current->worker->entry.address,
               sizeof(kv->address));
     kv->worker = Fleet_Ref(current->worker);
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -36,10 +36,11 @@
     ClientCall *call; /* NULL if no call is in progress. */
     FleetWorker *worker;
     TaskStage stage;
-    bool counted;     /* Included in the task's counted_calls. */
-    bool extra;       /* Charged to the retry budget. */
-    bool trial;       /* At a worker that has asked for a pause. */
-    uint32_t version; /* Of the worker's software, as in FleetWorker. */
+    bool counted;       /* Included in the task's counted_calls. */
+    BudgetSource extra; /* What it is charged to, as a call beyond the first.
+                         */
+    bool trial;         /* At a worker that has asked for a pause. */
+    uint32_t version;   /* Of the worker's software, as in FleetWorker. */
     /* Prompt tokens that this call adds to the worker. */
     uint32_t prefill_tokens;
     Forecast kv;         /* KV memory that this call adds. */
--- /dev/null
+++ b/src/gate/task_budget.h
@@ -0,0 +1,21 @@
+/* Task budget (TaskBudget_): counts the calls of requests against the retry
+   budgets of their services, and lends and borrows parts of these. */
+#ifndef LS_TASK_BUDGET_H
+#define LS_TASK_BUDGET_H
+
+#include "task.h"
+
+#include <jansson.h>
+
+/* Charges the current call, which begins, if it may be one beyond the first.
+ */
+void TaskBudget_CountCall(GateTask *task);
+/* Corrects the count after a failed call: one that has reached no worker
+   doesn't count, a failed prefill that has does. */
+void TaskBudget_CorrectCount(GateTask *task, bool is_unsent);
+/* Corrects the count after a prefill: the first one that succeeds is free. */
+void TaskBudget_NotePrefilled(GateTask *task);
+/* Returns what the budget is reckoned from, for the log. */
+json_t *TaskBudget_Describe(const GateTask *task);
+
+#endif
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -2,6 +2,7 @@
    retry budget. See task.h. */
 #include "detour.h"
 #include "task.h"
+#include "task_budget.h"
 
 #include "../log.h"
 
@@ -23,12 +24,7 @@
 /* Time between two events of a stream while it is unknown. */
 #define TASK_DEFAULT_EVENT_INTERVAL_US 30000
 
-static Budget *find_budget(GateTask *task);
-static void publish_budget(GateTask *task);
-static json_t *describe_budget(const GateTask *task);
 static void init_call(GateTask *task, FleetWorker *worker);
-static void count_call(GateTask *task);
-static void correct_call_count(GateTask *task, bool is_unsent);
 static void end_call(TaskCall *call);
 static void end_trial(TaskCall *call, bool accepted);
 static const char *get_stage_name(TaskStage stage);
@@ -40,24 +36,6 @@
 static bool matches_control(void *context, const HeaderList *headers);
 static void on_head(void *context, int status, const HeaderList *headers);
 
-void
-Task_NoteRequest(GateTask *task)
-{
-    Budget_NoteRequest(find_budget(task), Task_Now(task));
-    publish_budget(task);
-}
-
-bool
-Task_HasBudget(GateTask *task, uint32_t calls)
-{
-    const GateOptions *options = &task->gate->options;
-    BudgetPeerUsage peer_usage =
-        options->get_peer_usage(options->context, task->service->name);
-
-    return Budget_GetRemaining(find_budget(task), &peer_usage,
-                               Task_Now(task)) >= calls;
-}
-
 void
 Task_BeginCall(GateTask *task, FleetWorker *worker,
                const GateCallOptions *options, uint32_t idle_max_ms,
@@ -110,7 +88,7 @@
     g_strlcpy(task->worker, worker->entry.id, sizeof(task->worker));
     task->last_worker = worker->hash;
     current->framing = CLIENT_FRAMING_NONE;
-    count_call(task);
+    TaskBudget_CountCall(task);
     task->sends++;
     current->call = Client_BeginCall(task->gate->options.client, &call);
     Header_Free(headers);
@@ -311,7 +289,7 @@
     if (current->stage != TASK_RESERVE) {
         bool is_unsent = worker->is_vm && run == LS_RUN_NOT_RUN &&
                          current->worker_behind == 0;
-        correct_call_count(task, outcome == CLIENT_NOT_SENT || is_unsent);
+        TaskBudget_CorrectCount(task, outcome == CLIENT_NOT_SENT || is_unsent);
     }
     if (current->has_reply && current->reply.misdirected &&
         !task->request.is_conditional) {
@@ -385,55 +363,10 @@
                   input->repeatable, "budget", input->has_budget, "candidate",
                   input->has_candidate, "runs", (int)input->runs, "attempts",
                   (int)input->attempts, "left_ms", (json_int_t)input->left_ms,
-                  "budget_use", describe_budget(task)));
+                  "budget_use", TaskBudget_Describe(task)));
     return next;
 }
 
-static Budget *
-find_budget(GateTask *task)
-{
-    Gate *gate = task->gate;
-    Budget *budget = g_hash_table_lookup(gate->budgets, task->service->name);
-
-    if (budget == NULL) {
-        budget = g_new0(Budget, 1);
-        Budget_Init(budget, &gate->options.budget);
-        g_hash_table_insert(gate->budgets, g_strdup(task->service->name),
-                            budget);
-    }
-    return budget;
-}
-
-/* Returns what the retry budget is reckoned from, for the log. */
-static json_t *
-describe_budget(const GateTask *task)
-{
-    const GateOptions *options = &task->gate->options;
-    BudgetPeerUsage peers =
-        options->get_peer_usage(options->context, task->service->name);
-    double requests;
-    double extras;
-
-    Gate_GetBudgetUse(task->gate, task->service->name, &requests, &extras);
-    return json_pack("{s:f,s:f,s:i,s:i,s:f,s:f}", "requests", requests,
-                     "extras", extras, "vms", (int)peers.vm_count, "peers",
-                     (int)peers.peer_count, "peer_requests", peers.requests,
-                     "peer_extras", peers.extras);
-}
-
-/* Reports this VM's use of the service's budget, for the other VMs. */
-static void
-publish_budget(GateTask *task)
-{
-    const GateOptions *options = &task->gate->options;
-    double requests;
-    double extras;
-
-    Budget_GetUsed(find_budget(task), Task_Now(task), &requests, &extras);
-    options->on_budget_change(options->context, task->service->name, requests,
-                              extras);
-}
-
 /* Sets up task->current for a call at the worker, and adds the call to the
    worker's load. */
 static void
@@ -457,45 +390,6 @@
     task->gate->options.on_load_change(task->gate->options.context);
 }
 
-/* Counts a call as it begins. A prefill counts only if an earlier one
-   succeeded; if it fails, correct_call_count() counts it at its end. */
-static void
-count_call(GateTask *task)
-{
-    TaskCall *current = task->current;
-
-    current->counted = current->stage != TASK_PREFILL || task->prefilled;
-    current->extra = current->counted && task->counted_calls > 0;
-    if (current->extra) {
-        Budget_NoteExtra(find_budget(task), Task_Now(task));
-        publish_budget(task);
-    }
-    task->counted_calls += current->counted;
-}
-
-/* Corrects the count of calls after a failed call: a call that has reached no
-   worker doesn't count, a failed prefill that has does. */
-static void
-correct_call_count(GateTask *task, bool is_unsent)
-{
-    TaskCall *current = task->current;
-
-    if (is_unsent && current->counted) {
-        task->counted_calls--;
-        if (current->extra) {
-            Budget_CancelExtra(find_budget(task), Task_Now(task));
-        }
-    }
-    if (!is_unsent && current->stage == TASK_PREFILL && !current->counted) {
-        if (task->counted_calls > 0) {
-            Budget_NoteExtra(find_budget(task), Task_Now(task));
-        }
-        task->counted_calls++;
-    }
-    current->counted = false;
-    current->extra = false;
-}
-
 /* Cancels the call if it is in progress, and clears it but for the fields that
    stay valid. */
 static void
--- a/tests/test_decide.cc
+++ b/tests/test_decide.cc
@@ -23,9 +23,6 @@
 
 namespace {
 
-/* Start time of a process that has run for longer than any window. */
-const int64_t long_ago = -3600 * CLK_US_PER_S;
-
 struct RetryCase {
     const char *name;
     RetryInput input;
@@ -78,116 +75,6 @@
     }
 }
 
-/* Every call of a service fails for a minute. Nine VMs learn of each other's
-   calls with a delay of 250 ms, or not at all, and one of them has half of the
-   load. The fleet must not exceed its budget of extra calls in any window. */
-TEST(Decide, FleetStaysWithinBudgetWhileAllCallsFail)
-{
-    const size_t vms = 9;
-    const int64_t lag = 250 * CLK_US_PER_MS;
-    BudgetOptions options = {0.2, 58.0, 10 * CLK_US_PER_S, long_ago};
-    for (uint32_t peer_count : {8u, 0u}) {
-        std::vector<Budget> budgets(vms);
-        std::vector<BudgetPeerUsage> peer_usage(vms);
-        std::vector<int64_t> requests, extras;
-        int64_t next_update = 0;
-        size_t step = 0;
-        for (Budget &budget : budgets) {
-            Budget_Init(&budget, &options);
-        }
-        for (int64_t now = CLK_US_PER_S; now < 60 * CLK_US_PER_S;
-             now += 37000) {
-            if (now >= next_update) {
-                next_update = now + lag;
-                for (size_t i = 0; i < vms; i++) {
-                    peer_usage[i] = {(uint32_t)vms, peer_count, 0, 0};
-                    for (size_t k = 0; k < vms; k++) {
-                        double peer_requests, peer_extras;
-                        Budget_GetUsed(&budgets[k], now, &peer_requests,
-                                       &peer_extras);
-                        peer_usage[i].requests +=
-                            peer_count && k != i ? peer_requests : 0;
-                        peer_usage[i].extras +=
-                            peer_count && k != i ? peer_extras : 0;
-                    }
-                }
-            }
-            size_t vm = ++step % 2 == 0 ? 0 : step / 2 % vms;
-            Budget_NoteRequest(&budgets[vm], now);
-            requests.push_back(now);
-            for (size_t i = 0; i < vms; i++) {
-                while (Budget_GetRemaining(&budgets[i], &peer_usage[i], now) >
-                       0) {
-                    Budget_NoteExtra(&budgets[i], now);
-                    extras.push_back(now);
-                }
-            }
-        }
-        for (int64_t from = 0; from < 50 * CLK_US_PER_S; from += 250000) {
-            auto within = [&](const std::vector<int64_t> &times) {
-                return std::count_if(
-                    times.begin(), times.end(), [&](int64_t t) {
-                        return t >= from && t < from + options.window_us;
-                    });
-            };
-            EXPECT_LE((double)within(extras),
-                      options.ratio * (double)within(requests) + options.slack)
-                << peer_count << " " << from;
-        }
-        EXPECT_GT(extras.size(), 100u);
-    }
-}
-
-/* One VM meets a burst while the others are idle. It must be able to use their
-   parts of the budget. */
-TEST(Decide, BurstAtOneVmUsesBudgetOfIdleVms)
-{
-    BudgetOptions options = {0.2, 58.0, 10 * CLK_US_PER_S, long_ago};
-    Budget budget;
-    BudgetPeerUsage peer_usage = {9, 8, 200, 0};
-    uint32_t used = 0;
-    Budget_Init(&budget, &options);
-    for (int64_t now = CLK_US_PER_S; now < 5 * CLK_US_PER_S; now += 50000) {
-        if (Budget_GetRemaining(&budget, &peer_usage, now) > 0) {
-            Budget_NoteExtra(&budget, now);
-            used++;
-        }
-    }
-    EXPECT_GT(used, 30u); /* Of the fleet's 73; this VM's is 4. */
-}
-
-/* If all VMs restart at once, none of them knows how much of the slack was
-   used before. The slack must grow back over one window. */
-TEST(Decide, RestartedVmHasNoSlack)
-{
-    BudgetOptions options = {0.2, 160.0, 10 * CLK_US_PER_S};
-    BudgetPeerUsage alone = {1, 0, 0, 0};
-    Budget budget;
-    const int64_t start_us = 100 * CLK_US_PER_S;
-    options.started_us = start_us;
-    Budget_Init(&budget, &options);
-    EXPECT_EQ(Budget_GetRemaining(&budget, &alone, start_us), 0u);
-    EXPECT_LE(
-        Budget_GetRemaining(&budget, &alone, start_us + 5 * CLK_US_PER_S),
-        60u);
-    EXPECT_GE(
-        Budget_GetRemaining(&budget, &alone, start_us + 10 * CLK_US_PER_S),
-        110u);
-}
-
-TEST(Decide, CancelledExtraCallIsRefunded)
-{
-    Budget budget;
-    BudgetOptions options = {0.0, 4.0, 10 * CLK_US_PER_S, long_ago};
-    BudgetPeerUsage alone = {1, 0, 0, 0};
-    Budget_Init(&budget, &options);
-    uint32_t left = Budget_GetRemaining(&budget, &alone, 1);
-    Budget_NoteExtra(&budget, 1);
-    EXPECT_EQ(Budget_GetRemaining(&budget, &alone, 1), left - 1);
-    Budget_CancelExtra(&budget, 1);
-    EXPECT_EQ(Budget_GetRemaining(&budget, &alone, 1), left);
-}
-
 /* A worker stops responding several times before it answers again. */
 TEST(Decide, UnresponsiveWorkerIsBlockedLongerEachTime)
 {
--- a/tests/test_decide_budget.cc
+++ b/tests/test_decide_budget.cc
@@ -1,6 +1,6 @@
 /* Tests of the retry budget of fleets whose VMs hear of each other late, not
-   at all, or end and start again. In bursts, or all the time, every VM sends
-   as many extra calls as it may. */
+   at all, or end and start again. In bursts, or all the time, the VMs send as
+   many extra calls as they may. */
 #include <gtest/gtest.h>
 
 extern "C" {
@@ -8,7 +8,6 @@
 }
 
 #include <algorithm>
-#include <deque>
 #include <random>
 #include <vector>
 
@@ -18,8 +17,7 @@
 const int64_t second = CLK_US_PER_S;
 const int64_t step_us = 10 * ms;
 const int64_t burst_us = 3 * second;
-/* A VM that was not heard for this long leaves the others' sums. */
-const int64_t live_us = 2 * second;
+const int64_t added_us = 21 * second;
 
 struct FleetCase {
     const char *name;
@@ -34,41 +32,38 @@
     double killed_share; /* Each 4 s; they start again 0.3 s later. */
     int64_t rolling_us;  /* Time between the restarts of single VMs; 0: none.
                           */
+    size_t added;        /* VMs that are added to the fleet. */
 };
 
 const FleetCase fleet_cases[] = {
-    {"calm", 9, 58, 60, 0, 200 * ms, 0, 0, 0, 0},
-    {"bursts", 9, 58, 60, 9 * second, 200 * ms, 0, 0, 0, 0},
-    {"bursts, large", 70, 180, 200, 9 * second, 200 * ms, 0, 0, 0, 0},
-    {"messages are late", 9, 58, 60, 9 * second, 1500 * ms, 0, 0, 0, 0},
+    {"calm", 9, 58, 60, 0, 200 * ms, 0, 0, 0, 0, 0},
+    {"bursts", 9, 58, 60, 9 * second, 200 * ms, 0, 0, 0, 0, 0},
+    {"bursts, large", 70, 180, 200, 9 * second, 200 * ms, 0, 0, 0, 0, 0},
+    {"messages are late", 9, 58, 60, 9 * second, 1500 * ms, 0, 0, 0, 0, 0},
     {"messages are late, large", 70, 180, 200, 9 * second, 1500 * ms, 0, 0, 0,
-     0},
-    {"a third is held up", 9, 58, 60, 9 * second, 200 * ms, 0.3, 0, 0, 0},
-    {"a third is held up, large", 70, 180, 200, 9 * second, 200 * ms, 0.3, 0,
      0, 0},
+    {"a third is held up", 9, 58, 60, 9 * second, 200 * ms, 0.3, 0, 0, 0, 0},
+    {"a third is held up, large", 70, 180, 200, 9 * second, 200 * ms, 0.3, 0,
+     0, 0, 0},
     {"halves are cut from each other", 9, 58, 60, 9 * second, 200 * ms, 0,
-     30 * second, 0, 0},
-    {"many are killed again and again", 9, 58, 60, 0, 200 * ms, 0, 0, 0.6, 0},
+     30 * second, 0, 0, 0},
+    {"many are killed again and again", 9, 58, 60, 0, 200 * ms, 0, 0, 0.6, 0,
+     0},
     {"many are killed again and again, large", 70, 180, 200, 0, 200 * ms, 0, 0,
-     0.6, 0},
-    {"all are killed again and again", 9, 58, 60, 0, 200 * ms, 0, 0, 1, 0},
-    {"rolling restarts", 70, 180, 200, 0, 200 * ms, 0, 0, 0, 300 * ms},
+     0.6, 0, 0},
+    {"all are killed again and again", 9, 58, 60, 0, 200 * ms, 0, 0, 1, 0, 0},
+    {"rolling restarts", 70, 180, 200, 0, 200 * ms, 0, 0, 0, 300 * ms, 0},
     {"all at once, largest", 300, 630, 1000, 9 * second, 400 * ms, 0.3,
-     20 * second, 0.3, 500 * ms},
-};
-
-/* What a VM tells the others. */
-struct Message {
-    int64_t at_us;
-    double requests;
-    double extras;
+     20 * second, 0.3, 500 * ms, 0},
+    {"VMs are added", 9, 58, 60, 0, 200 * ms, 0, 0, 0, 0, 9},
+    {"VMs are added, large", 70, 180, 200, 9 * second, 200 * ms, 0, 0, 0, 0,
+     30},
 };
 
 struct Vm {
     Budget budget;
     int64_t down_until_us = 0;
     int64_t deaf_until_us = 0;
-    std::deque<Message> messages; /* Those that the others may still use. */
 };
 
 class Fleet {
@@ -85,8 +80,8 @@
     {
         for (; now_us < until_us; now_us += step_us) {
             MakeTrouble();
-            if (now_us % (100 * ms) == 0) {
-                Tell();
+            if (row.added != 0 && now_us == added_us) {
+                Add();
             }
             Send();
         }
@@ -94,8 +89,9 @@
 
     /* Checks each window of the run. */
     void
-    Check() const
+    Check()
     {
+        std::sort(extras.begin(), extras.end());
         for (size_t last = 0, first = 0; last < extras.size(); last++) {
             int64_t to = extras[last];
             int64_t from = to - window_us;
@@ -114,6 +110,12 @@
         return extras.size();
     }
 
+    size_t
+    CountLoans() const
+    {
+        return loans;
+    }
+
   private:
     static constexpr double ratio = 0.2;
     static constexpr int64_t window_us = 10 * second;
@@ -125,11 +127,12 @@
     int64_t now_us = second;
     double due = 0;
     size_t next_restart = 0;
+    size_t loans = 0;
 
     void
     Start(size_t vm, int64_t at_us)
     {
-        BudgetOptions options = {ratio, row.slack, window_us, at_us};
+        BudgetOptions options = {ratio, row.slack, window_us, at_us, false};
         vms[vm] = Vm();
         Budget_Init(&vms[vm].budget, &options);
     }
@@ -153,6 +156,24 @@
         return vms[vm].down_until_us <= now_us;
     }
 
+    /* Adds VMs, which don't know that they are new. */
+    void
+    Add()
+    {
+        vms.resize(row.vms + row.added);
+        for (size_t i = row.vms; i < vms.size(); i++) {
+            Start(i, now_us);
+        }
+    }
+
+    /* Returns how long a call takes until it arrives; a silent link or worker
+       holds some up. */
+    int64_t
+    DrawTransit()
+    {
+        return Draw(0.5) ? 0 : (int64_t)(random() % BUDGET_TRANSIT_US);
+    }
+
     void
     MakeTrouble()
     {
@@ -176,46 +197,38 @@
         return to != from && !is_cut && vms[to].deaf_until_us <= now_us;
     }
 
-    void
-    Tell()
+    /* Returns the VMs of the fleet, as a VM knows them that learns of an
+       added one at the latest time. */
+    uint32_t
+    GetVmCount(size_t vm) const
     {
-        for (size_t i = 0; i < vms.size(); i++) {
-            Message message = {now_us, 0, 0};
-            if (IsUp(i) && vms[i].deaf_until_us <= now_us) {
-                Budget_GetUsed(&vms[i].budget, now_us, &message.requests,
-                               &message.extras);
-                vms[i].messages.push_back(message);
-            }
-            while (vms[i].messages.size() > 1 &&
-                   vms[i].messages[1].at_us <= now_us - row.lag_us) {
-                vms[i].messages.pop_front();
-            }
-        }
+        bool knows = vm >= row.vms || now_us >= added_us + BUDGET_LEARN_US;
+        return (uint32_t)(knows ? vms.size() : row.vms);
     }
 
-    BudgetPeerUsage
-    GetPeerUsage(size_t vm) const
+    /* Asks a random VM for a loan. One of ten answers is lost. */
+    void
+    Borrow(size_t vm)
     {
-        BudgetPeerUsage usage = {(uint32_t)vms.size(), 0, 0, 0};
-        for (size_t i = 0; i < vms.size(); i++) {
-            int64_t age_us = vms[i].messages.empty()
-                                 ? INT64_MAX
-                                 : now_us - vms[i].messages[0].at_us;
-            if (CanHear(vm, i) && IsUp(i) && age_us >= row.lag_us &&
-                age_us < row.lag_us + live_us) {
-                usage.peer_count++;
-                usage.requests += vms[i].messages[0].requests;
-                usage.extras += vms[i].messages[0].extras;
-            }
+        size_t lender = random() % vms.size();
+        if (!CanHear(lender, vm) || !IsUp(lender) ||
+            !Budget_IsLow(&vms[vm].budget, GetVmCount(vm), now_us)) {
+            return;
+        }
+        uint32_t calls =
+            Budget_Lend(&vms[lender].budget, GetVmCount(lender), 4, now_us);
+        if (calls > 0 && CanHear(vm, lender) && !Draw(0.1)) {
+            Budget_Borrow(&vms[vm].budget, calls, now_us - row.lag_us, now_us);
+            loans++;
         }
-        return usage;
     }
 
     void
     Send()
     {
         for (due += row.requests_per_s * step_us / second; due >= 1; due--) {
-            size_t vm = random() % vms.size();
+            bool is_busiest = vms.size() == 9 && Draw(0.5);
+            size_t vm = is_busiest ? 0 : random() % vms.size();
             requests.push_back(now_us);
             if (IsUp(vm)) {
                 Budget_NoteRequest(&vms[vm].budget, now_us);
@@ -223,20 +236,26 @@
         }
         for (size_t i = 0; i < vms.size(); i++) {
             Budget *budget = &vms[i].budget;
-            BudgetPeerUsage usage = GetPeerUsage(i);
-            while (IsUp(i) && IsBurst() &&
-                   Budget_GetRemaining(budget, &usage, now_us) > 0) {
-                Budget_NoteExtra(budget, now_us);
-                extras.push_back(now_us);
+            if (!IsUp(i) || !IsBurst(i)) {
+                continue;
+            }
+            Borrow(i);
+            while (Budget_GetRemaining(budget, GetVmCount(i), now_us) > 0) {
+                Budget_NoteExtra(budget, GetVmCount(i), now_us);
+                extras.push_back(now_us + DrawTransit());
             }
         }
     }
 
+    /* Whether the VM has requests that fail: all VMs all the time, or two
+       thirds of them in turn, in bursts. */
     bool
-    IsBurst() const
+    IsBurst(size_t vm) const
     {
+        int64_t period_us = row.pause_us + burst_us;
         return row.pause_us == 0 ||
-               now_us % (row.pause_us + burst_us) < burst_us;
+               (now_us % period_us < burst_us &&
+                (vm + (size_t)(now_us / period_us)) % 3 != 0);
     }
 
     double
@@ -260,12 +279,104 @@
 
 TEST(DecideBudget, FleetStaysWithinBudgetThatItCannotExchange)
 {
+    size_t loans = 0;
     for (const FleetCase &row : fleet_cases) {
         Fleet fleet(row);
         fleet.Run(61 * second);
         fleet.Check();
         EXPECT_GT(fleet.CountExtras(), 100u) << row.name;
+        loans += fleet.CountLoans();
+    }
+    EXPECT_GT(loans, 100u);
+}
+
+/* One VM has half of the load, or all of it. It must be able to use the parts
+   of the others, and the fleet must not exceed its budget. */
+TEST(DecideBudget, BurstAtOneVmUsesBudgetOfIdleVms)
+{
+    BudgetOptions options = {0.2, 58, 10 * second, -3600 * second, false};
+    std::vector<Budget> budgets(9);
+    uint32_t used = 0;
+    for (Budget &budget : budgets) {
+        Budget_Init(&budget, &options);
+    }
+    for (int64_t now_us = second; now_us < 5 * second; now_us += 50 * ms) {
+        size_t lender = 1 + (size_t)(now_us / (50 * ms)) % 8;
+        if (Budget_IsLow(&budgets[0], 9, now_us)) {
+            uint32_t calls = Budget_Lend(&budgets[lender], 9, 4, now_us);
+            Budget_Borrow(&budgets[0], calls, now_us, now_us);
+        }
+        if (Budget_GetRemaining(&budgets[0], 9, now_us) > 0) {
+            Budget_NoteExtra(&budgets[0], 9, now_us);
+            used++;
+        }
+    }
+    EXPECT_GT(used, 30u); /* This VM's own part is 6. */
+    EXPECT_LE(used, 58u);
+}
+
+struct StartCase {
+    const char *name;
+    bool is_first_start;
+    uint32_t vms;
+    int64_t after_us; /* After the start. */
+    uint32_t left;
+};
+
+/* What a VM may use after its start, with a slack of 58. */
+const StartCase start_cases[] = {
+    {"none while its earlier process's calls count", false, 9, 10 * second, 0},
+    {"none while others may not know of it", false, 9, 15 * second, 0},
+    {"its part afterwards", false, 9, 15500 * ms, 6},
+    {"soon if no VM ran before", true, 9, 3 * second, 6},
+    {"none while it does not know the fleet", true, 0, 20 * second, 0},
+};
+
+TEST(DecideBudget, RestartedVmHasNoSlack)
+{
+    for (const StartCase &row : start_cases) {
+        BudgetOptions options = {0.2, 58, 10 * second, 100 * second,
+                                 row.is_first_start};
+        Budget budget;
+        Budget_Init(&budget, &options);
+        EXPECT_EQ(
+            Budget_GetRemaining(&budget, row.vms, 100 * second + row.after_us),
+            row.left)
+            << row.name;
+    }
+}
+
+TEST(DecideBudget, CancelledExtraCallIsRefunded)
+{
+    Budget budget;
+    BudgetOptions options = {0, 4, 10 * second, -3600 * second, false};
+    Budget_Init(&budget, &options);
+    uint32_t left = Budget_GetRemaining(&budget, 1, 1);
+    BudgetSource source = Budget_NoteExtra(&budget, 1, 1);
+    EXPECT_EQ(Budget_GetRemaining(&budget, 1, 1), left - 1);
+    Budget_CancelExtra(&budget, source, 1);
+    EXPECT_EQ(Budget_GetRemaining(&budget, 1, 1), left);
+}
+
+/* What is lent is used by one VM only, and a loan ends. */
+TEST(DecideBudget, LoanIsUsedOnceAndEnds)
+{
+    BudgetOptions options = {0, 18, 10 * second, -3600 * second, false};
+    Budget lender;
+    Budget borrower;
+    Budget_Init(&lender, &options);
+    Budget_Init(&borrower, &options);
+    EXPECT_EQ(Budget_Lend(&lender, 2, 6, second), 4u);
+    EXPECT_EQ(Budget_GetRemaining(&lender, 2, second), 5u);
+    Budget_Borrow(&borrower, 4, second, second);
+    EXPECT_EQ(Budget_GetRemaining(&borrower, 2, second), 13u);
+    for (int i = 0; i < 10; i++) {
+        Budget_NoteExtra(&borrower, 2, second);
     }
+    EXPECT_EQ(Budget_GetRemaining(&borrower, 2, second), 3u);
+    EXPECT_EQ(Budget_GetRemaining(&borrower, 2, second + BUDGET_LOAN_US), 0u);
+    EXPECT_EQ(Budget_GetRemaining(&lender, 2, 16 * second), 5u);
+    EXPECT_EQ(Budget_GetRemaining(&lender, 2, 17 * second), 9u);
 }
 
 } // namespace
--- /dev/null
+++ b/tests/test_gate_loan.cc
@@ -0,0 +1,69 @@
+/* Tests of the retry budget at several VMs, with loans between them. */
+#include "fleet_rig.h"
+
+extern "C" {
+#include "metrics.h"
+}
+
+namespace {
+
+const Route repeatable = {RTE_IDEMPOTENT, 2, false, 3000, 200};
+
+/* A VM of the rig has a part of the slack after this time. */
+const int64_t settled_ms = 16000;
+
+/* VMs of all three regions, as a VM that has heard none of some region doesn't
+   know the fleet. Fleets count six VMs at least. */
+class LoanRig : public FleetRig {
+  public:
+    LoanRig(const Route &route, double slack) : FleetRig(route, 1, 0)
+    {
+        BudgetOptions budget = Budget_DefaultOptions();
+        budget.ratio = 0;
+        budget.slack = slack;
+        AddVm(0, "zone-b");
+        AddVm(0, "zone-c");
+        for (Edge *edge : edges) {
+            Edge_SetBudget(edge, &budget);
+        }
+    }
+
+    int
+    CountArrivals() const
+    {
+        int count = 0;
+        for (const auto &worker : workers) {
+            for (const std::string &request : worker->requests) {
+                count += request.find(" /r/x ") != std::string::npos;
+            }
+        }
+        return count;
+    }
+};
+
+std::string
+CallText(int i)
+{
+    return "GET /r/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-" +
+           std::to_string(i) + "\r\nX-Deadline-Ms: 3000\r\n\r\n";
+}
+
+/* A burst of requests that all workers turn away comes to one VM. */
+TEST(Loan, BusyVmUsesBudgetOfIdleOnes)
+{
+    const int requests = 30;
+    LoanRig rig(repeatable, 24);
+    rig.AddWorker(std::vector<ScriptedReply>(200, Refusal()));
+    rig.AddWorker(std::vector<ScriptedReply>(200, Refusal()));
+    rig.RunFor(settled_ms);
+    for (int i = 0; i < requests; i++) {
+        rig.Call(0, CallText(i));
+        rig.RunFor(60);
+    }
+    int extras = rig.CountArrivals() - requests;
+    EXPECT_GT(extras, 6);  /* The VM's own part is 4. */
+    EXPECT_LE(extras, 12); /* The three VMs' parts. */
+    EXPECT_EQ(Met_Get(MET_EXTRAS_UNBUDGETED), 0u);
+}
+
+} // namespace
--- a/tests/test_gossip_messages.cc
+++ b/tests/test_gossip_messages.cc
@@ -24,7 +24,7 @@
     &gossip__lookup__descriptor,  &gossip__found__descriptor,
     &gossip__reach__descriptor,   &gossip__proxy__descriptor,
     &gossip__news__descriptor,    &gossip__entry__descriptor,
-    &gossip__picture__descriptor,
+    &gossip__picture__descriptor, &gossip__loan__descriptor,
 };
 
 std::vector<std::string>
