--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -21,8 +21,7 @@
 static bool is_in_time(const GateTask *task, const FleetWorker *worker);
 static void begin_call(GateTask *task, FleetWorker *worker);
 static void on_end(void *context, ClientOutcome outcome);
-static void retry_or_end(GateTask *task, LsRun run, bool has_answer,
-                         bool was_sent);
+static void retry_or_end(GateTask *task, LsRun run, bool has_answer);
 
 void
 Plain_Begin(GateTask *task)
@@ -193,13 +192,12 @@
     }
     Task_NoteFailure(task, outcome, run, cause);
     Blame_NoteBreak(task, outcome, run);
-    retry_or_end(task, run, has_answer, outcome != CLIENT_NOT_SENT);
+    retry_or_end(task, run, has_answer);
 }
 
-/* Continues after a failed call: calls another worker, or ends the task.
-   `was_sent`: the call may have reached the worker. */
+/* Continues after a failed call: calls another worker, or ends the task. */
 static void
-retry_or_end(GateTask *task, LsRun run, bool has_answer, bool was_sent)
+retry_or_end(GateTask *task, LsRun run, bool has_answer)
 {
     FleetWorker *next;
     int64_t cost_us = 0;
@@ -211,7 +209,7 @@
     input = Task_GetRetryInput(task, run);
     input.repeatable = task->route->kind == RTE_IDEMPOTENT;
     input.has_answer = has_answer && task->silent == NULL;
-    input.has_budget = !was_sent || Task_HasBudget(task, 1);
+    input.has_budget = task->counted_calls == 0 || Task_HasBudget(task, 1);
     input.has_candidate = next != NULL && is_in_time(task, next) &&
                           Grace_IsEnough(task, cost_us);
     switch (Task_DecideRetry(task, &input)) {
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -38,7 +38,8 @@
 static void refuse_late(GateTask *task);
 static bool must_wait_for_survey(const GateTask *task);
 static const char *get_wait_cause(GateTask *task);
-static bool has_call_budget(GateTask *task);
+static bool has_call_budget(GateTask *task, bool with_prefill);
+static void wait_for_budget(GateTask *task);
 static void begin_run(GateTask *task);
 static void set_prompt_source(GateTask *task, GateCallOptions *options);
 static void on_run_data(void *context, const void *data, size_t size);
@@ -277,8 +278,8 @@
             TaskWait_BeginWait(task, get_wait_cause(task));
             return;
         }
-        if (!has_call_budget(task)) {
-            TaskWait_BeginWait(task, "retry budget spent");
+        if (!has_call_budget(task, false)) {
+            wait_for_budget(task);
             return;
         }
         Reservation_AssignWorker(task, decode_worker);
@@ -302,6 +303,13 @@
         !Grace_MayBegin(task, MIN(run_cost_us, remote_prefill_cost_us))) {
         return;
     }
+    /* Other requests may have spent the budget during the reservation. */
+    if (!has_call_budget(task, prefill_worker != NULL &&
+                                   remote_prefill_cost_us < run_cost_us)) {
+        Reservation_UnassignWorker(task, true);
+        wait_for_budget(task);
+        return;
+    }
     if (prefill_worker != NULL && remote_prefill_cost_us < run_cost_us) {
         task->current->expected_us = remote_prefill_cost_us;
         StreamPrepare_BeginPrefill(task, prefill_worker);
@@ -345,17 +353,24 @@
 }
 
 /* Whether the retry budget allows the calls that are still needed: the run,
-   and the prefill if an earlier one's KV memory can't be fetched any more. The
-   first call of a request is free. */
+   and the prefill if an earlier one's KV memory can't be fetched any more, or
+   if one follows and may fail. The first call of a request is free. */
 static bool
-has_call_budget(GateTask *task)
+has_call_budget(GateTask *task, bool with_prefill)
 {
     uint32_t calls = task->counted_calls > 0;
 
-    calls += task->prefilled && !Reservation_HasHandle(task);
+    calls += (task->prefilled && !Reservation_HasHandle(task)) ||
+             (with_prefill && task->counted_calls > 0);
     return calls == 0 || Task_HasBudget(task, calls);
 }
 
+static void
+wait_for_budget(GateTask *task)
+{
+    TaskWait_BeginWait(task, "retry budget spent");
+}
+
 /* Runs the request at the assigned worker, from the KV memory at the prefill
    worker if there is any. */
 static void
--- a/tests/test_gate_loan.cc
+++ b/tests/test_gate_loan.cc
@@ -8,6 +8,7 @@
 namespace {
 
 const Route repeatable = {RTE_IDEMPOTENT, 2, false, 3000, 200};
+const Route resumable = {RTE_STREAM, 3, true, 15000, 3000};
 
 /* A VM of the rig has a part of the slack after this time. */
 const int64_t settled_ms = 16000;
@@ -66,4 +67,37 @@
     EXPECT_EQ(Met_Get(MET_EXTRAS_UNBUDGETED), 0u);
 }
 
+std::string
+StreamText(int i)
+{
+    return "POST /r/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-" +
+           std::to_string(i) +
+           "\r\nX-Token-Usage: 1000,100\r\n"
+           "X-Prompt-Prefix: aa:200,b" +
+           std::to_string(i) +
+           ":800\r\nX-Deadline-Ms: 14000\r\nContent-Length: 1\r\n\r\nb";
+}
+
+/* Many streams lose their workers together. Each finds budget left, and
+   reserves room elsewhere before it goes on. */
+TEST(Loan, StreamsThatPrepareTogetherKeepTheBudget)
+{
+    const int streams = 12;
+    LoanRig rig(resumable, 12);
+    rig.versions = {"v1", "v1"};
+    rig.AddWorker(
+        std::vector<ScriptedReply>(20, Stream(0, 3, ScriptedReply::RESET)));
+    rig.AddWorker(
+        std::vector<ScriptedReply>(20, Stream(0, 3, ScriptedReply::RESET)));
+    rig.RunFor(settled_ms);
+    for (int i = 0; i < streams; i++) {
+        rig.Call(0, StreamText(i));
+    }
+    rig.RunFor(3000);
+    int extras = rig.CountArrivals() - streams;
+    EXPECT_GT(extras, 0);
+    EXPECT_LE(extras, 6); /* The three VMs' parts. */
+    EXPECT_EQ(Met_Get(MET_EXTRAS_UNBUDGETED), 0u);
+}
+
 } // namespace
