--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -2,17 +2,21 @@
 #include "ledger.h"
 
 #include <stdarg.h>
+#include <stdio.h>
 #include <string.h>
 
+static guint get_service(LedgerKind kind);
+static void check_budget(Ledger *ledger);
 static void excuse_row(LedgerRow *row);
 static bool is_accepted(const LedgerRow *row);
 static bool is_lost(const LedgerRow *row);
 static bool is_refusal_status(int status);
 
 void
-Ledger_Init(Ledger *ledger)
+Ledger_Init(Ledger *ledger, const BudgetCheckOptions *budget)
 {
     memset(ledger, 0, sizeof(*ledger));
+    BudgetCheck_Init(&ledger->budget, budget);
     ledger->rows =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     ledger->vm_faults = g_array_new(FALSE, FALSE, sizeof(LedgerVmFault));
@@ -22,6 +26,7 @@
 void
 Ledger_Clear(Ledger *ledger)
 {
+    BudgetCheck_Clear(&ledger->budget);
     g_hash_table_destroy(ledger->rows);
     g_array_free(ledger->vm_faults, TRUE);
     g_ptr_array_free(ledger->findings, TRUE);
@@ -39,19 +44,52 @@
 
 void
 Ledger_AddRequest(Ledger *ledger, const char *id, LedgerKind kind, uint32_t vm,
-                  int64_t now_us)
+                  int64_t limit_ms, int64_t now_us)
 {
     LedgerRow *row = g_new0(LedgerRow, 1);
 
     row->kind = kind;
     row->vm = vm;
     row->sent_us = now_us;
+    row->limit_ms = limit_ms;
+    BudgetCheck_NoteRequest(&ledger->budget, get_service(kind), now_us);
     row->is_late = ledger->stop_us[vm] != 0 &&
                    now_us - ledger->stop_us[vm] > LEDGER_STOP_LATE_US;
     row->is_at_end = ledger->is_ending[vm];
     g_hash_table_insert(ledger->rows, g_strdup(id), row);
 }
 
+void
+Ledger_RecordArrival(Ledger *ledger, const char *id, bool took_prefill,
+                     int64_t limit_ms, int64_t now_us)
+{
+    LedgerRow *row = Ledger_Find(ledger, id);
+    int64_t excess_ms;
+
+    if (row == NULL) {
+        return;
+    }
+    if (took_prefill && !row->has_prefill) {
+        row->has_prefill = true;
+    }
+    else if (row->arrivals++ > 0) {
+        BudgetCheck_NoteExtra(&ledger->budget, get_service(row->kind), now_us);
+    }
+    excess_ms = limit_ms - (row->limit_ms - (now_us - row->sent_us) / 1000);
+    if (row->limit_ms == 0 || excess_ms <= LEDGER_TIME_SLACK_MS) {
+        return;
+    }
+    if (now_us - ledger->vm_held_us[row->vm] < LEDGER_IN_TOUCH_US) {
+        ledger->late_limits++;
+        return;
+    }
+    Ledger_AddFinding(ledger,
+                      "BUDGET: %s (%s, VM %u) gave a worker %lld ms more "
+                      "than its caller has left",
+                      id, Ledger_GetKindName(row->kind), row->vm,
+                      (long long)excess_ms);
+}
+
 LedgerRow *
 Ledger_Find(Ledger *ledger, const char *id)
 {
@@ -95,16 +133,21 @@
                  int64_t now_us)
 {
     LedgerRow *row = Ledger_Find(ledger, id);
-    uint32_t limit_ms = row->kind < LEDGER_STREAM ? ledger->plain_limit_ms
-                                                  : ledger->stream_limit_ms;
+    int64_t limit_ms = row->kind < LEDGER_STREAM ? ledger->plain_limit_ms
+                                                 : ledger->stream_limit_ms;
+
+    /* A caller that takes up a stream has less time left. */
+    if (row->limit_ms > 0 && row->limit_ms < limit_ms) {
+        limit_ms = row->limit_ms;
+    }
 
     row->status = status;
     row->is_complete = is_complete;
     row->is_ended = true;
     row->ended_us = now_us;
     row->is_at_limit =
-        limit_ms > 0 && now_us - row->sent_us >=
-                            ((int64_t)limit_ms - LEDGER_LIMIT_SLACK_MS) * 1000;
+        limit_ms > 0 &&
+        now_us - row->sent_us >= (limit_ms - LEDGER_LIMIT_SLACK_MS) * 1000;
 }
 
 void
@@ -201,6 +244,7 @@
     gpointer id;
     gpointer value;
 
+    check_budget(ledger);
     g_hash_table_iter_init(&iter, ledger->rows);
     while (g_hash_table_iter_next(&iter, &id, &value)) {
         const LedgerRow *row = value;
@@ -238,6 +282,30 @@
     }
 }
 
+/* Checks the retry budget of each service, and prints how much of it was used
+   at most. */
+static void
+check_budget(Ledger *ledger)
+{
+    static const char *const services[] = {"app", "llm"};
+
+    for (guint i = 0; i < BUDGET_CHECK_SERVICES; i++) {
+        BudgetCheckWindow worst = BudgetCheck_FindWorst(&ledger->budget, i);
+        printf("budget of %s: %u of %.1f extra arrivals in a window at most, "
+               "%u in all\n",
+               services[i], worst.extras, worst.allowed,
+               ledger->budget.extras_us[i]->len);
+        if (worst.extras > worst.allowed) {
+            Ledger_AddFinding(ledger,
+                              "BUDGET: %u extra arrivals at %s in a window, "
+                              "%.1f allowed",
+                              worst.extras, services[i], worst.allowed);
+        }
+    }
+    printf("time left: %u arrivals with too much from VMs held up lately\n",
+           ledger->late_limits);
+}
+
 void
 Ledger_CountEnds(const Ledger *ledger, LedgerEnds *ends)
 {
@@ -296,6 +364,12 @@
     return names[kind];
 }
 
+static guint
+get_service(LedgerKind kind)
+{
+    return kind >= LEDGER_STREAM;
+}
+
 static void
 excuse_row(LedgerRow *row)
 {
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -3,6 +3,8 @@
 #ifndef LS_LEDGER_H
 #define LS_LEDGER_H
 
+#include "budget_check.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -13,7 +15,11 @@
 #define LEDGER_STOP_LATE_US (3 * G_USEC_PER_SEC)
 /* Time from the end of a worker's answer, within which the caller has it. */
 #define LEDGER_DELIVERY_US G_USEC_PER_SEC
-#define LEDGER_VMS_MAX 32
+#define LEDGER_VMS_MAX 100
+/* A worker may be given this much more time than the caller has left. */
+#define LEDGER_TIME_SLACK_MS 500
+/* A VM that was held up within this time is not held to that. */
+#define LEDGER_IN_TOUCH_US (3 * G_USEC_PER_SEC)
 
 typedef enum LedgerKind {
     LEDGER_READ,   /* Idempotent: may run more than once. */
@@ -25,15 +31,19 @@
 
 typedef struct LedgerRow {
     LedgerKind kind;
-    uint32_t vm;      /* Index of the VM that received the request. */
-    uint32_t runs;    /* Number of times a worker began to run it. */
-    uint32_t workers; /* Set of the workers that began to run it, as bits. */
-    int status;       /* HTTP status that the caller received, 0 if none. */
-    bool is_complete; /* The caller received the complete response. */
-    bool is_ended;    /* The caller's connection or its response has ended. */
-    bool has_left;    /* The caller has disconnected before. */
-    bool is_at_limit; /* It ended at its time limit. */
-    bool is_excused;  /* One of its workers, or its VM, failed meanwhile. */
+    uint32_t vm;       /* Index of the VM that received the request. */
+    uint32_t runs;     /* Number of times a worker began to run it. */
+    uint32_t arrivals; /* Number of times it reached a worker, but for the
+                          first prefill that a worker took. */
+    bool has_prefill;  /* A worker took a prefill. */
+    int64_t limit_ms;  /* Time that its caller waits, from sent_us on. */
+    uint32_t workers;  /* Set of the workers that began to run it, as bits. */
+    int status;        /* HTTP status that the caller received, 0 if none. */
+    bool is_complete;  /* The caller received the complete response. */
+    bool is_ended;     /* The caller's connection or its response has ended. */
+    bool has_left;     /* The caller has disconnected before. */
+    bool is_at_limit;  /* It ended at its time limit. */
+    bool is_excused;   /* One of its workers, or its VM, failed meanwhile. */
     /* Sent LEDGER_STOP_LATE_US after the stop signal of its VM. */
     bool is_late;
     bool is_at_end;      /* The end of its VM's grace came meanwhile. */
@@ -67,8 +77,13 @@
 } LedgerVmFault;
 
 typedef struct Ledger {
-    GHashTable *rows;    /* Request identifier to LedgerRow. */
-    GArray *vm_faults;   /* LedgerVmFault elements. */
+    GHashTable *rows;  /* Request identifier to LedgerRow. */
+    GArray *vm_faults; /* LedgerVmFault elements. */
+    BudgetCheck budget;
+    /* Last time that each VM was started or held up. */
+    int64_t vm_held_us[LEDGER_VMS_MAX];
+    guint late_limits;   /* Arrivals with too much time, of VMs held up lately.
+                          */
     GPtrArray *findings; /* Violations, one line of text each. */
     /* Time of the stop signal of each VM, or 0 if it doesn't stop. */
     int64_t stop_us[LEDGER_VMS_MAX];
@@ -82,13 +97,17 @@
     uint32_t stream_limit_ms;
 } Ledger;
 
-void Ledger_Init(Ledger *ledger);
+void Ledger_Init(Ledger *ledger, const BudgetCheckOptions *budget);
 void Ledger_Clear(Ledger *ledger);
 /* Appends a line that describes a violated guarantee. */
 void Ledger_AddFinding(Ledger *ledger, const char *format, ...)
     G_GNUC_PRINTF(2, 3);
 void Ledger_AddRequest(Ledger *ledger, const char *id, LedgerKind kind,
-                       uint32_t vm, int64_t now_us);
+                       uint32_t vm, int64_t limit_ms, int64_t now_us);
+/* Records that a request reached a worker, which it gives `limit_ms`;
+   `took_prefill`: as a prefill, which the worker took. */
+void Ledger_RecordArrival(Ledger *ledger, const char *id, bool took_prefill,
+                          int64_t limit_ms, int64_t now_us);
 /* Returns the row of a request, owned by the ledger, or NULL if no caller
    sent the request or `id` is NULL. */
 LedgerRow *Ledger_Find(Ledger *ledger, const char *id);
--- a/soak/load_generator.c
+++ b/soak/load_generator.c
@@ -20,14 +20,27 @@
 /* Requests to each stopping VM beside the others, until its process is gone.
  */
 #define LOAD_GEN_STOPPING_PER_S 20
-/* Share of the streams that are long, and of those beside the others. */
-#define LOAD_GEN_LONG_RATIO 0.03
+/* Share of the streams beside the others that are long. */
 #define LOAD_GEN_STOPPING_LONG_RATIO 0.5
+/* Longest time until a caller takes up a stream that broke off, and shortest
+   time that it must have left. */
+#define LOAD_GEN_TAKE_UP_MAX_MS 600
+#define LOAD_GEN_TAKE_UP_LEFT_MS 1500
 /* Longest limit of a stream's length, and most by which its hint is wrong, as
    multiples of its length. */
 #define LOAD_GEN_LIMIT_RATIO_MAX 2.0
 #define LOAD_GEN_HINT_RATIO_MAX 10.0
 
+/* What a caller has of a stream, and needs to take it up. */
+typedef struct LoadGenStream {
+    char origin[48];    /* Identifier of the request that began it. */
+    char parts[64];     /* Parts of its prompt; "" for no stream. */
+    int64_t last_event; /* Number of the last event, or LOAD_GEN_NO_EVENT. */
+    unsigned version;   /* Of the worker that made it; 0 for no event. */
+    int64_t end_us;     /* Until then the caller waits. */
+    int64_t due_us;     /* When it is taken up. */
+} LoadGenStream;
+
 typedef struct LoadGenCall {
     LIST_ENTRY(LoadGenCall) links;
     LoadGen *load_gen;
@@ -41,8 +54,7 @@
     bool has_stamp;
     bool has_finding; /* A finding was added for this request. */
     Sse sse;
-    int64_t last_event; /* Number of the last event, or LOAD_GEN_NO_EVENT. */
-    unsigned version;   /* Of the worker that made it; 0 for no event. */
+    LoadGenStream stream;
     GByteArray *body;
 } LoadGenCall;
 
@@ -57,12 +69,20 @@
     guint open_count;
     double crash_ratio;
     guint crash_part; /* Number of the part on which workers crash. */
+    GArray *broken;   /* LoadGenStream elements that will be taken up. */
+    guint taken_up;
+    guint turn; /* Of VMs and kinds while `counting`. */
     bool counting;
     guint served[LOAD_GEN_VMS_MAX][LEDGER_KIND_COUNT];
 };
 
 static void on_tick(evutil_socket_t fd, short what, void *context);
-static void begin_call(LoadGen *load_gen, guint vm, double long_ratio);
+static void take_up_due(LoadGen *load_gen);
+static void begin_random_call(LoadGen *load_gen, guint vm, double long_ratio);
+static void begin_call(LoadGen *load_gen, guint vm, LedgerKind kind,
+                       bool is_long, const LoadGenStream *taken);
+static void add_parts(LoadGen *load_gen, LoadGenCall *call);
+static void note_broken(const LoadGenCall *call, ClientOutcome outcome);
 static void add_lengths(LoadGen *load_gen, const char *id,
                         HeaderList *headers);
 static void on_disconnect(evutil_socket_t fd, short what, void *context);
@@ -82,6 +102,7 @@
     load_gen->options = *options;
     load_gen->client = Client_New(options->base, options->clk);
     LIST_INIT(&load_gen->open);
+    load_gen->broken = g_array_new(FALSE, FALSE, sizeof(LoadGenStream));
     load_gen->timer = evtimer_new(options->base, on_tick, load_gen);
     Loop_ArmTimer(load_gen->timer, LOAD_GEN_TICK_MS);
     return load_gen;
@@ -95,6 +116,7 @@
         Client_EndCall(call->call);
         free_call(call);
     }
+    g_array_free(load_gen->broken, TRUE);
     event_free(load_gen->timer);
     Client_Free(load_gen->client);
     g_free(load_gen);
@@ -110,9 +132,16 @@
 void
 LoadGen_Stop(LoadGen *load_gen)
 {
+    g_array_set_size(load_gen->broken, 0);
     event_del(load_gen->timer);
 }
 
+guint
+LoadGen_CountTakenUp(const LoadGen *load_gen)
+{
+    return load_gen->taken_up;
+}
+
 guint
 LoadGen_CountOpen(const LoadGen *load_gen)
 {
@@ -150,30 +179,71 @@
     load_gen->requests_due +=
         options->requests_per_s * LOAD_GEN_TICK_MS / 1000.0;
     for (; load_gen->requests_due >= 1; load_gen->requests_due -= 1) {
-        begin_call(load_gen, g_rand_int(options->rand) % options->vm_count,
-                   LOAD_GEN_LONG_RATIO);
+        begin_random_call(load_gen,
+                          g_rand_int(options->rand) % options->vm_count,
+                          options->long_ratio);
     }
     load_gen->stopping_due +=
         LOAD_GEN_STOPPING_PER_S * LOAD_GEN_TICK_MS / 1000.0;
     for (; load_gen->stopping_due >= 1; load_gen->stopping_due -= 1) {
         for (guint vm = 0; vm < options->vm_count; vm++) {
             if (options->ledger->stop_us[vm] != 0) {
-                begin_call(load_gen, vm, LOAD_GEN_STOPPING_LONG_RATIO);
+                begin_random_call(load_gen, vm, LOAD_GEN_STOPPING_LONG_RATIO);
             }
         }
     }
+    take_up_due(load_gen);
     Loop_ArmTimer(load_gen->timer, LOAD_GEN_TICK_MS);
 }
 
+/* Takes up the streams whose time has come, each at any VM. */
 static void
-begin_call(LoadGen *load_gen, guint vm, double long_ratio)
+take_up_due(LoadGen *load_gen)
+{
+    const LoadGenOptions *options = &load_gen->options;
+
+    for (guint i = load_gen->broken->len; i-- > 0;) {
+        LoadGenStream stream =
+            g_array_index(load_gen->broken, LoadGenStream, i);
+        if (Clk_Now(options->clk) >= stream.due_us) {
+            g_array_remove_index_fast(load_gen->broken, i);
+            load_gen->taken_up++;
+            begin_call(load_gen, g_rand_int(options->rand) % options->vm_count,
+                       LEDGER_RESUME, false, &stream);
+        }
+    }
+}
+
+/* Sends a request of a random kind. While the requests served are counted,
+   each VM gets each kind in turn. */
+static void
+begin_random_call(LoadGen *load_gen, guint vm, double long_ratio)
+{
+    GRand *rand = load_gen->options.rand;
+    LedgerKind kind = (LedgerKind)(g_rand_int(rand) % LEDGER_KIND_COUNT);
+    guint turn = load_gen->turn++;
+
+    if (load_gen->counting) {
+        vm = turn / LEDGER_KIND_COUNT % load_gen->options.vm_count;
+        kind = (LedgerKind)(turn % LEDGER_KIND_COUNT);
+    }
+    begin_call(load_gen, vm, kind,
+               kind >= LEDGER_STREAM && g_rand_double(rand) < long_ratio,
+               NULL);
+}
+
+/* Sends a request, or one that takes up a stream. */
+static void
+begin_call(LoadGen *load_gen, guint vm, LedgerKind kind, bool is_long,
+           const LoadGenStream *taken)
 {
     const LoadGenOptions *options = &load_gen->options;
     LoadGenCall *call = g_new0(LoadGenCall, 1);
     char target[64];
-    char parts[64];
     char limit[16];
-    bool is_long;
+    int64_t now_us = Clk_Now(options->clk);
+    int64_t limit_ms =
+        kind < LEDGER_STREAM ? SIM_PLAIN_TIMEOUT_MS : SIM_STREAM_TIMEOUT_MS;
     HeaderList *headers = Header_New();
     ClientCallOptions call_options = {
         .method = "POST",
@@ -189,11 +259,10 @@
     };
 
     call->load_gen = load_gen;
-    call->kind = (LedgerKind)(g_rand_int(options->rand) % LEDGER_KIND_COUNT);
+    call->kind = kind;
     call->vm = vm;
-    is_long = call->kind >= LEDGER_STREAM &&
-              g_rand_double(options->rand) < long_ratio;
-    call->last_event = LOAD_GEN_NO_EVENT;
+    call->stream.last_event = LOAD_GEN_NO_EVENT;
+    call->stream.end_us = now_us + limit_ms * CLK_US_PER_MS;
     call->body = g_byte_array_new();
     Sse_Init(&call->sse);
     g_snprintf(call->id, sizeof(call->id), "%c%u", is_long ? SIM_LONG : 'r',
@@ -203,26 +272,23 @@
     call_options.address = options->addresses[call->vm];
     Header_Add(headers, "Host", SIM_HOST);
     Header_Add(headers, "X-Request-Id", call->id);
-    g_snprintf(limit, sizeof(limit), "%d",
-               call->kind < LEDGER_STREAM ? SIM_PLAIN_TIMEOUT_MS
-                                          : SIM_STREAM_TIMEOUT_MS);
+    g_strlcpy(call->stream.origin, call->id, sizeof(call->stream.origin));
+    if (taken != NULL) {
+        call->stream = *taken;
+        limit_ms = (taken->end_us - now_us) / CLK_US_PER_MS;
+        g_snprintf(limit, sizeof(limit), "%lld", (long long)taken->last_event);
+        Header_Add(headers, "Last-Event-Id", limit);
+        Header_Add(headers, "Resumes", taken->origin);
+    }
+    g_snprintf(limit, sizeof(limit), "%lld", (long long)limit_ms);
     Header_Add(headers, "X-Deadline-Ms", limit);
     if (call->kind >= LEDGER_STREAM) {
-        bool crashes = load_gen->crash_ratio > 0 &&
-                       g_rand_double(options->rand) < load_gen->crash_ratio;
-        char part[32] = "";
-        if (crashes) {
-            g_snprintf(part, sizeof(part), "," SIM_CRASH_PART "%u:300",
-                       load_gen->crash_part);
-        }
-        g_snprintf(parts, sizeof(parts), "f%u:200%s,e%u:4500",
-                   load_gen->number % LOAD_GEN_FIRST_PARTS, part,
-                   load_gen->number);
-        Header_Add(headers, "X-Prompt-Prefix", parts);
-        add_lengths(load_gen, call->id, headers);
+        add_parts(load_gen, call);
+        Header_Add(headers, "X-Prompt-Prefix", call->stream.parts);
+        add_lengths(load_gen, call->stream.origin, headers);
     }
     Ledger_AddRequest(options->ledger, call->id, call->kind, call->vm,
-                      Clk_Now(options->clk));
+                      limit_ms, now_us);
     LIST_INSERT_HEAD(&load_gen->open, call, links);
     load_gen->open_count++;
     if (g_rand_double(options->rand) < options->disconnect_ratio) {
@@ -236,6 +302,27 @@
     Header_Free(headers);
 }
 
+/* Names the parts of the prompt, unless a stream is taken up. */
+static void
+add_parts(LoadGen *load_gen, LoadGenCall *call)
+{
+    bool crashes =
+        load_gen->crash_ratio > 0 &&
+        g_rand_double(load_gen->options.rand) < load_gen->crash_ratio;
+    char part[32] = "";
+
+    if (crashes) {
+        g_snprintf(part, sizeof(part), "," SIM_CRASH_PART "%u:300",
+                   load_gen->crash_part);
+    }
+    if (call->stream.parts[0] == '\0') {
+        g_snprintf(call->stream.parts, sizeof(call->stream.parts),
+                   "f%u:200%s,e%u:4500",
+                   load_gen->number % LOAD_GEN_FIRST_PARTS, part,
+                   load_gen->number);
+    }
+}
+
 /* Adds the limit of a stream's length, and a hint that may be wrong. */
 static void
 add_lengths(LoadGen *load_gen, const char *id, HeaderList *headers)
@@ -315,9 +402,32 @@
         check_response(call);
         load_gen->served[call->vm][call->kind] += !call->has_finding;
     }
+    note_broken(call, outcome);
     free_call(call);
 }
 
+/* Notes a stream that broke off, and that its caller will take up. */
+static void
+note_broken(const LoadGenCall *call, ClientOutcome outcome)
+{
+    const LoadGenOptions *options = &call->load_gen->options;
+    LoadGenStream stream = call->stream;
+    bool is_broken = outcome != CLIENT_COMPLETE && call->status == 200;
+    /* A refusal leaves the stream as it was. */
+    bool is_refused = outcome == CLIENT_COMPLETE && call->status >= 500;
+
+    stream.due_us =
+        Clk_Now(options->clk) +
+        g_rand_int_range(options->rand, 1, LOAD_GEN_TAKE_UP_MAX_MS) *
+            CLK_US_PER_MS;
+    if (options->takes_up && call->kind == LEDGER_RESUME &&
+        stream.last_event >= 0 && (is_broken || is_refused) &&
+        stream.due_us + LOAD_GEN_TAKE_UP_LEFT_MS * CLK_US_PER_MS <
+            stream.end_us) {
+        g_array_append_val(call->load_gen->broken, stream);
+    }
+}
+
 /* Checks that all events come from workers of one software version, which each
    event names as its last word. */
 static void
@@ -329,15 +439,16 @@
     if (name == NULL || sscanf(name, " v%u", &version) != 1) {
         return;
     }
-    if (call->version != 0 && call->version != version && !call->has_finding) {
+    if (call->stream.version != 0 && call->stream.version != version &&
+        !call->has_finding) {
         Ledger_AddFinding(call->load_gen->options.ledger,
                           "ORDER: %s received event %lld of version %u after "
                           "events of version %u",
                           call->id, (long long)event->id, version,
-                          call->version);
+                          call->stream.version);
         call->has_finding = true;
     }
-    call->version = version;
+    call->stream.version = version;
 }
 
 static void
@@ -347,15 +458,16 @@
     SseEvent event;
 
     while (Sse_Next(&call->sse, &offset, &event)) {
-        if (event.has_id && event.id != call->last_event + 1 &&
+        if (event.has_id && event.id != call->stream.last_event + 1 &&
             !call->has_finding) {
             Ledger_AddFinding(call->load_gen->options.ledger,
                               "ORDER: %s received event %lld after event %lld",
                               call->id, (long long)event.id,
-                              (long long)call->last_event);
+                              (long long)call->stream.last_event);
             call->has_finding = true;
         }
-        call->last_event = event.has_id ? event.id : call->last_event;
+        call->stream.last_event =
+            event.has_id ? event.id : call->stream.last_event;
         check_version(call, &event);
     }
     Sse_Drop(&call->sse, offset);
@@ -373,11 +485,12 @@
         call->has_finding = true;
     }
     else if (call->kind >= LEDGER_STREAM) {
-        if (call->last_event + 1 != Sim_CountEvents(call->id)) {
+        if (call->stream.last_event + 1 !=
+            Sim_CountEvents(call->stream.origin)) {
             Ledger_AddFinding(
                 ledger, "ORDER: %s ended normally after event %lld of %u",
-                call->id, (long long)call->last_event,
-                Sim_CountEvents(call->id));
+                call->id, (long long)call->stream.last_event,
+                Sim_CountEvents(call->stream.origin));
             call->has_finding = true;
         }
     }
--- a/soak/load_generator.h
+++ b/soak/load_generator.h
@@ -10,7 +10,7 @@
 
 #include <event2/event.h>
 
-#define LOAD_GEN_VMS_MAX 12
+#define LOAD_GEN_VMS_MAX LEDGER_VMS_MAX
 
 typedef struct LoadGenOptions {
     struct event_base *base;
@@ -22,6 +22,9 @@
     uint32_t requests_per_s;                 /* To all VMs together. */
     /* Share of callers, 0 to 1, that disconnect before their response. */
     double disconnect_ratio;
+    /* Callers take up streams that broke off, at any VM. */
+    bool takes_up;
+    double long_ratio; /* Share of the streams that are long. */
 } LoadGenOptions;
 
 typedef struct LoadGen LoadGen;
@@ -36,6 +39,8 @@
 void LoadGen_SetCrashRatio(LoadGen *load_gen, double ratio);
 /* Sends no further requests; open requests continue. */
 void LoadGen_Stop(LoadGen *load_gen);
+/* Returns the number of streams that were taken up. */
+guint LoadGen_CountTakenUp(const LoadGen *load_gen);
 /* Returns the number of open requests. */
 guint LoadGen_CountOpen(const LoadGen *load_gen);
 /* Resets the counts of served requests by VM and kind. */
--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -8,8 +8,6 @@
 #include <string.h>
 #include <sys/queue.h>
 
-/* Concurrent requests that a worker reports as its slots. */
-#define SIM_SLOTS 8
 /* Requests that a worker runs beyond its slots before it refuses. */
 #define SIM_EXTRA_SLOTS 2
 #define SIM_STORE_DELAY_MS 900 /* Response delay of SIM_STORE_SLOW. */
@@ -106,7 +104,10 @@
     guint number;
     guint starts; /* Number of starts; part of the identifier. */
     char id[32];
-    uint32_t interval_ms; /* Time between the events of its streams. */
+    uint32_t interval_ms;      /* Time between the events of its streams. */
+    int64_t born_ms;           /* Unix time of its start. */
+    struct event *entry_timer; /* Pending until its entry is written. */
+    GPtrArray *kept; /* Last parts of the prompts that it has read lately. */
     bool draining;
     int64_t draining_since_us; /* Time of the mark as draining. */
     bool leaving;
@@ -144,6 +145,7 @@
     const Clk *clk;
     Ledger *ledger;
     GRand *rand;
+    SimOptions options;
     Server *store;
     Proxy *store_proxy;
     SimStoreState store_state;
@@ -186,10 +188,17 @@
 static void on_restart(evutil_socket_t fd, short what, void *context);
 static void on_silence_end(evutil_socket_t fd, short what, void *context);
 static bool is_released(const SimWorker *worker);
+static bool is_harmed(const SimWorker *worker);
 static void add_notices(const SimWorker *worker, HeaderList *headers);
 static bool refuse_in_pause(SimWorker *worker, ServerExchange *exchange,
                             const char *id);
 static void publish_worker(SimWorker *worker);
+static void on_entry(evutil_socket_t fd, short what, void *context);
+static void keep_part(SimWorker *worker, const ServerExchange *exchange);
+static void send_state(const SimWorker *worker, ServerExchange *exchange);
+static void send_kept(const SimWorker *worker, ServerExchange *exchange,
+                      bool changes);
+static bool handle_worker_request(SimWorker *worker, ServerExchange *exchange);
 static void on_store_request(void *context, ServerExchange *exchange);
 static void on_store_disconnect(void *context, ServerExchange *exchange);
 static void on_store_timer(evutil_socket_t fd, short what, void *context);
@@ -215,7 +224,8 @@
                            void (*on_disconnect)(void *, ServerExchange *));
 
 Sim *
-Sim_New(struct event_base *base, const Clk *clk, Ledger *ledger, GRand *rand)
+Sim_New(struct event_base *base, const Clk *clk, Ledger *ledger, GRand *rand,
+        const SimOptions *options)
 {
     Sim *sim = g_new0(Sim, 1);
 
@@ -223,6 +233,7 @@
     sim->clk = clk;
     sim->ledger = ledger;
     sim->rand = rand;
+    sim->options = *options;
     sim->items =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_item);
     sim->wanted =
@@ -246,6 +257,9 @@
         sim->workers[i].proxy = Proxy_New(base, 1);
         sim->workers[i].limit_times_us =
             g_array_new(FALSE, FALSE, sizeof(int64_t));
+        sim->workers[i].entry_timer =
+            evtimer_new(base, on_entry, &sim->workers[i]);
+        sim->workers[i].kept = g_ptr_array_new_with_free_func(g_free);
         sim->workers[i].restart_timer =
             evtimer_new(base, on_restart, &sim->workers[i]);
         sim->workers[i].silence_timer =
@@ -262,6 +276,8 @@
         Sim_CrashWorker(sim, i);
         Proxy_Free(sim->workers[i].proxy);
         g_array_free(sim->workers[i].limit_times_us, TRUE);
+        event_free(sim->workers[i].entry_timer);
+        g_ptr_array_free(sim->workers[i].kept, TRUE);
         event_free(sim->workers[i].restart_timer);
         event_free(sim->workers[i].silence_timer);
     }
@@ -370,6 +386,7 @@
 Sim_RecordVmStart(Sim *sim, guint vm)
 {
     sim->vm_started_us[vm] = Clk_Now(sim->clk);
+    sim->ledger->vm_held_us[vm] = sim->vm_started_us[vm];
 }
 
 void
@@ -427,6 +444,8 @@
     Server_Free(worker->server);
     worker->server = NULL;
     worker->running = 0;
+    event_del(worker->entry_timer);
+    g_ptr_array_set_size(worker->kept, 0);
     Proxy_SetTarget(worker->proxy, 1); /* No server listens on port 1. */
     Proxy_ResetAll(worker->proxy);
 }
@@ -435,12 +454,13 @@
 Sim_StartWorker(Sim *sim, guint number)
 {
     SimWorker *worker = &sim->workers[number];
+    bool keeps_id = sim->options.keeps_ids && worker->id[0] != '\0';
     char *key;
 
     if (worker->server != NULL) {
         return;
     }
-    if (worker->id[0] != '\0') {
+    if (worker->id[0] != '\0' && !keeps_id) {
         key = g_strdup_printf("servers/%s", worker->id);
         put_item(sim, key, NULL);
         g_free(key);
@@ -453,12 +473,30 @@
     worker->pause_until_us = 0;
     worker->limit = 0;
     memset(worker->told, 0, sizeof(worker->told));
-    g_snprintf(worker->id, sizeof(worker->id), "w%u-%u", number,
-               worker->starts);
+    worker->born_ms = MAX(g_get_real_time() / 1000, worker->born_ms + 1);
+    if (!keeps_id) {
+        g_snprintf(worker->id, sizeof(worker->id), "w%u-%u", number,
+                   worker->starts);
+    }
     worker->server =
         open_server(sim, worker, on_worker_request, on_worker_disconnect);
     Proxy_SetTarget(worker->proxy, Server_GetPort(worker->server));
-    publish_worker(worker);
+    if (keeps_id) {
+        Loop_ArmTimer(
+            worker->entry_timer,
+            (uint32_t)g_rand_int_range(sim->rand, 1, SIM_ENTRY_DELAY_MAX_MS));
+    }
+    else {
+        publish_worker(worker);
+    }
+}
+
+static void
+on_entry(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    publish_worker(context);
 }
 
 void
@@ -640,11 +678,12 @@
     char *key = g_strdup_printf("servers/%s", worker->id);
     char *text = g_strdup_printf(
         "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"zone-%c\","
-        "\"version\":\"v%u\",\"slots\":%d,\"state\":\"%s\",\"phase\":\"%s\","
-        "\"sequence\":0}",
+        "\"version\":\"v%u\",\"slots\":%u,\"state\":\"%s\",\"phase\":\"%s\","
+        "\"born\":%lld,\"sequence\":0}",
         phase[0] != '\0' ? "llm" : "app", Proxy_GetPort(worker->proxy),
-        'a' + (char)(worker->number % 2), get_version(worker), SIM_SLOTS,
-        worker->draining ? "draining" : "ready", phase);
+        'a' + (char)(worker->number % 2), get_version(worker),
+        worker->sim->options.slots, worker->draining ? "draining" : "ready",
+        phase, (long long)worker->born_ms);
 
     put_item(worker->sim, key, text);
     g_free(text);
@@ -770,6 +809,27 @@
 on_worker_request(void *context, ServerExchange *exchange)
 {
     SimWorker *worker = context;
+    Sim *sim = worker->sim;
+    char *id = g_strdup(Header_Find(exchange->headers, "X-Request-Id"));
+    const char *limit = Header_Find(exchange->headers, "X-Deadline-Ms");
+    bool is_prefill = Header_Find(exchange->headers, "X-Stage") != NULL;
+    int64_t limit_ms = limit != NULL ? atoll(limit) : INT32_MAX;
+    bool is_control = strncmp(exchange->target, "/v1/", 4) == 0;
+    bool is_run = handle_worker_request(worker, exchange);
+
+    if (!is_control) {
+        /* A link that was harmed lately may have held the request up. */
+        Ledger_RecordArrival(sim->ledger, id, is_run && is_prefill,
+                             is_harmed(worker) ? 0 : limit_ms,
+                             Clk_Now(sim->clk));
+    }
+    g_free(id);
+}
+
+/* Returns whether the worker runs the request. */
+static bool
+handle_worker_request(SimWorker *worker, ServerExchange *exchange)
+{
     Sim *sim = worker->sim;
     const char *id = Header_Find(exchange->headers, "X-Request-Id");
     const char *source = Header_Find(exchange->headers, "X-Kv-Source");
@@ -778,7 +838,7 @@
 
     if (is_misdirected(worker, exchange)) {
         send_response(worker, exchange, 421, id, true, "");
-        return;
+        return false;
     }
     check_leaving(worker, id);
     check_limit(worker, id);
@@ -786,28 +846,29 @@
         check_part(worker, id, part);
     }
     if (refuse_in_pause(worker, exchange, id)) {
-        return;
+        return false;
     }
     if (strncmp(exchange->method, "DELETE", 6) == 0) {
         send_response(worker, exchange, 200, NULL, false, "");
     }
     else if (strcmp(exchange->target, "/v1/hold-take") == 0) {
-        bool full = worker->running >= SIM_SLOTS;
+        bool full = worker->running >= sim->options.slots;
         send_response(worker, exchange, full ? 503 : 200, NULL, full,
                       "{\"hold\":\"L1\"}");
     }
+    else if (strcmp(exchange->target, "/v1/report") == 0) {
+        send_state(worker, exchange);
+    }
     else if (strcmp(exchange->target, "/v1/kv-list") == 0) {
-        send_response(worker, exchange, 200, NULL, false,
-                      "{\"epoch\":1,\"next\":1,\"held\":[]}");
+        send_kept(worker, exchange, false);
     }
     else if (strcmp(exchange->target, "/v1/kv-events?since=0") == 0) {
-        send_response(worker, exchange, 200, NULL, false,
-                      "{\"epoch\":1,\"next\":1,\"lost\":false,\"events\":[]}");
+        send_kept(worker, exchange, true);
     }
     else if (strcmp(exchange->target, "/v1/order") == 0) {
         send_response(worker, exchange, 409, NULL, false, "");
     }
-    else if (worker->running >= SIM_SLOTS + SIM_EXTRA_SLOTS ||
+    else if (worker->running >= sim->options.slots + SIM_EXTRA_SLOTS ||
              (source != NULL &&
               !g_hash_table_remove(sim->kv_handles,
                                    strrchr(source, '/') + 1))) {
@@ -826,7 +887,60 @@
                 (long long)since_draining_us / CLK_US_PER_MS - SIM_DRAIN_MS);
         }
         begin_job(worker, exchange);
+        return true;
+    }
+    return false;
+}
+
+/* Keeps the last part of the request's prompt, in place of the oldest one. */
+static void
+keep_part(SimWorker *worker, const ServerExchange *exchange)
+{
+    const char *parts = Header_Find(exchange->headers, "X-Prompt-Prefix");
+    const char *last = parts != NULL ? strrchr(parts, ',') : NULL;
+
+    if (last == NULL) {
+        return;
+    }
+    if (worker->kept->len == SIM_KEPT_MAX) {
+        g_ptr_array_remove_index(worker->kept, 0);
     }
+    g_ptr_array_add(worker->kept, g_strndup(last + 1, strcspn(last + 1, ":")));
+}
+
+static void
+send_state(const SimWorker *worker, ServerExchange *exchange)
+{
+    char body[128];
+
+    g_snprintf(body, sizeof(body), "{\"phase\":\"%s\",\"born\":%lld}",
+               get_phase(worker->number), (long long)worker->born_ms);
+    send_response(worker, exchange, 200, NULL, false, body);
+}
+
+static void
+send_kept(const SimWorker *worker, ServerExchange *exchange, bool changes)
+{
+    GString *rows = g_string_new(NULL);
+    char *body;
+
+    for (guint i = 0; i < worker->kept->len; i++) {
+        const char *part = g_ptr_array_index(worker->kept, i);
+        if (changes) {
+            g_string_append_printf(rows, "%s[%u,\"+\",\"\",\"%s\",1,\"m\"]",
+                                   i > 0 ? "," : "", i + 1, part);
+        }
+        else {
+            g_string_append_printf(rows, "%s[\"\",\"%s\",1,\"m\"]",
+                                   i > 0 ? "," : "", part);
+        }
+    }
+    body =
+        g_strdup_printf("{\"epoch\":1,\"next\":1,\"lost\":false,\"%s\":[%s]}",
+                        changes ? "events" : "held", rows->str);
+    send_response(worker, exchange, 200, NULL, false, body);
+    g_free(body);
+    g_string_free(rows, TRUE);
 }
 
 /* Returns whether the request's VM may not know of the drain, as the store was
@@ -995,6 +1109,17 @@
            SIM_RELEASE_MS * CLK_US_PER_MS;
 }
 
+/* Returns whether a fault held up bytes to the worker lately. */
+static bool
+is_harmed(const SimWorker *worker)
+{
+    int64_t harmed_us = MAX(worker->impaired_us, worker->released_us);
+
+    return worker->is_cut ||
+           event_pending(worker->silence_timer, EV_TIMEOUT, NULL) ||
+           Clk_Now(worker->sim->clk) - harmed_us < SIM_STABLE_US;
+}
+
 /* Adds what the worker says of itself. */
 static void
 add_notices(const SimWorker *worker, HeaderList *headers)
@@ -1078,6 +1203,7 @@
     Sim *sim = worker->sim;
     const char *id = Header_Find(exchange->headers, "X-Request-Id");
     const char *last = Header_Find(exchange->headers, "Last-Event-Id");
+    const char *resumes = Header_Find(exchange->headers, "Resumes");
     const char *phase = get_phase(worker->number);
     SimJob *job = g_new0(SimJob, 1);
 
@@ -1089,7 +1215,10 @@
     if (job->is_stream) {
         find_crash_part(exchange, job->part, sizeof(job->part));
     }
-    job->end = Sim_CountEvents(job->id);
+    if (job->is_stream) {
+        keep_part(worker, exchange);
+    }
+    job->end = Sim_CountEvents(resumes != NULL ? resumes : job->id);
     job->next = last != NULL ? (uint32_t)atoi(last) + 1 : 0;
     job->timer = evtimer_new(sim->base, on_job_timer, job);
     exchange->owner = job;
--- a/soak/sim_platform.h
+++ b/soak/sim_platform.h
@@ -36,25 +36,36 @@
                              gets 410. */
 } SimStoreState;
 
+/* Longest time from a start to its entry, with SimOptions.keeps_ids. */
+#define SIM_ENTRY_DELAY_MAX_MS 1200
 /* Longest time until what a restored store has lost is written again. */
 #define SIM_REWRITE_MAX_MS 1500
-#define SIM_VMS_MAX 32
+#define SIM_VMS_MAX 100
 
 /* Start of the identifiers of parts of prompts on which a decode worker
    crashes as it begins to answer. */
 #define SIM_CRASH_PART "bad"
 
+/* Prompts that a worker keeps. */
+#define SIM_KEPT_MAX 24
 /* Tokens in one event of a stream. */
 #define SIM_TOKENS_PER_EVENT 11
 /* Start of the identifiers of requests that are answered by long streams. */
 #define SIM_LONG 'l'
 
+typedef struct SimOptions {
+    /* Workers start again under the identifier that they had, with a later
+       `born`, and write their entry up to SIM_ENTRY_DELAY_MAX_MS later. */
+    bool keeps_ids;
+    guint slots; /* Concurrent requests that a worker reports. */
+} SimOptions;
+
 typedef struct Sim Sim;
 
 /* Publishes a first configuration and starts all workers. The pointers passed
    in must outlive the platform. */
 Sim *Sim_New(struct event_base *base, const Clk *clk, Ledger *ledger,
-             GRand *rand);
+             GRand *rand, const SimOptions *options);
 void Sim_Free(Sim *sim);
 /* Return proxies that the platform owns. Workers are numbered from 0 to
    SIM_WORKER_COUNT - 1: plain, then prefill, then decode workers. */
@@ -79,8 +90,8 @@
 void Sim_ChangeConfig(Sim *sim, bool is_short);
 /* Stops a worker without removing its entry from the store. */
 void Sim_CrashWorker(Sim *sim, guint worker);
-/* Starts a stopped worker under a new identifier and replaces its entry in
-   the store. */
+/* Starts a stopped worker, under a new identifier unless it keeps its own, and
+   replaces its entry in the store. */
 void Sim_StartWorker(Sim *sim, guint worker);
 /* Marks a worker as draining in the store; it still serves requests. */
 void Sim_DrainWorker(Sim *sim, guint worker);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -19,7 +19,22 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define SOAK_REQUESTS_PER_S 120 /* To all VMs together. */
+/* To all VMs together, and to each one at least. */
+#define SOAK_REQUESTS_PER_S 120
+#define SOAK_VM_REQUESTS_PER_S 3
+/* Share of the streams that are long, and while callers take streams up. */
+#define SOAK_LONG_RATIO 0.03
+#define SOAK_TAKEN_LONG_RATIO 0.25
+/* Slots of a worker, and for more VMs than SOAK_SMALL_VMS_MAX. */
+#define SOAK_SLOTS 8
+#define SOAK_LARGE_SLOTS 48
+#define SOAK_SMALL_VMS_MAX 12
+/* Retry budget, and a small one for a demand that is far above it. */
+#define SOAK_RATIO 0.2
+#define SOAK_SLACK 58
+#define SOAK_TIGHT_RATIO 0.05
+#define SOAK_TIGHT_SLACK 20
+#define SOAK_WINDOW_S 10
 /* Share of callers that disconnect before their response. */
 #define SOAK_DISCONNECT_RATIO 0.05
 /* Time that VMs have to load the configuration before the first request. */
@@ -78,6 +93,19 @@
 /* From this time after SIGTERM a VM may end requests to exit in time. */
 #define SOAK_LATE_MS (SOAK_GRACE_MS * 5 / 6)
 
+typedef struct SoakOptions {
+    const char *gate;     /* Path of the gate executable. */
+    const char *old_gate; /* That of an earlier build, or NULL. */
+    const char *out;      /* Directory for settings and logs. */
+    guint seed;
+    guint vm_count;
+    guint seconds;
+    bool restarts;        /* Workers keep their identifiers, and callers take
+                             up streams. */
+    double failing_ratio; /* Share of the answers that are lost all the time,
+                             with a small retry budget; 0: as usual. */
+} SoakOptions;
+
 typedef struct Soak Soak;
 
 /* One VM: a gate process, its settings file and its log file. */
@@ -128,11 +156,10 @@
     GRand *rand;
     Sim *sim;
     LoadGen *load_gen;
-    const char *gate;     /* Path of the gate executable. */
-    const char *old_gate; /* That of an earlier build, or NULL. */
-    const char *out;      /* Directory for settings and logs. */
-    uint16_t port;        /* First of three consecutive ports. */
+    SoakOptions options;
+    uint16_t port; /* First of three consecutive ports. */
     guint vm_count;
+    bool is_started; /* All VMs have been started once. */
     SoakVm vms[LOAD_GEN_VMS_MAX];
     struct event *child_signal;
     struct event *timer; /* Starts the next fault. */
@@ -147,9 +174,8 @@
     bool is_shutting_down;       /* Processes are not restarted. */
 };
 
-static int run_soak(const char *gate, const char *old_gate, const char *out,
-                    guint seed, guint vm_count, guint seconds);
-static void begin_soak(Soak *self, guint seed);
+static int run_soak(const SoakOptions *options);
+static void begin_soak(Soak *self);
 static void end_soak(Soak *self);
 static void write_settings(Soak *self, SoakVm *vm);
 static void start_vm(SoakVm *vm);
@@ -258,15 +284,23 @@
     struct arg_int *seed = arg_int0(NULL, "seed", "N", "default: 1");
     struct arg_int *vms = arg_int0(NULL, "vms", "N", "default: 3");
     struct arg_int *seconds = arg_int0(NULL, "seconds", "N", "default: 10");
+    struct arg_lit *restarts =
+        arg_lit0(NULL, "restarts",
+                 "workers keep their identifiers, callers take up streams");
+    struct arg_dbl *failing =
+        arg_dbl0(NULL, "failing", "R",
+                 "share of answers that are lost, with a small retry budget");
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_end *end = arg_end(8);
-    void *table[] = {gate, old_gate, out, seed, vms, seconds, help, end};
+    void *table[] = {gate,    old_gate, out,     seed, vms,
+                     seconds, restarts, failing, help, end};
     int errors;
     int status = 2;
 
     seed->ival[0] = 1;
     vms->ival[0] = 3;
     seconds->ival[0] = 10;
+    failing->dval[0] = 0;
     errors = arg_parse(argc, argv, table);
     if (help->count > 0) {
         printf("Usage: %s", argv[0]);
@@ -283,40 +317,47 @@
                 LOAD_GEN_VMS_MAX);
     }
     else {
-        status = run_soak(gate->sval[0],
-                          old_gate->count > 0 ? old_gate->sval[0] : NULL,
-                          out->sval[0], (guint)seed->ival[0],
-                          (guint)vms->ival[0], (guint)seconds->ival[0]);
+        SoakOptions options = {
+            .gate = gate->sval[0],
+            .old_gate = old_gate->count > 0 ? old_gate->sval[0] : NULL,
+            .out = out->sval[0],
+            .seed = (guint)seed->ival[0],
+            .vm_count = (guint)vms->ival[0],
+            .seconds = (guint)seconds->ival[0],
+            .restarts = restarts->count > 0,
+            .failing_ratio = failing->dval[0],
+        };
+        status = run_soak(&options);
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return status;
 }
 
 static int
-run_soak(const char *gate, const char *old_gate, const char *out, guint seed,
-         guint vm_count, guint seconds)
+run_soak(const SoakOptions *options)
 {
-    Soak self = {
-        .gate = gate, .old_gate = old_gate, .out = out, .vm_count = vm_count};
+    Soak self = {.options = *options, .vm_count = options->vm_count};
+    guint vm_count = options->vm_count;
     LedgerEnds ends;
     int64_t end_us;
     guint served;
     guint all;
     int status;
 
-    begin_soak(&self, seed);
+    begin_soak(&self);
     Loop_ArmTimer(self.timer, SOAK_INTERVAL_MIN_MS);
     Loop_ArmTimer(self.series_timer, SOAK_SERIES_MIN_MS);
-    if (old_gate != NULL) {
+    if (options->old_gate != NULL) {
         Loop_ArmTimer(self.change_timer, SOAK_CHANGE_MS);
     }
-    run_for(&self, seconds * 1000);
+    run_for(&self, options->seconds * 1000);
 
     event_del(self.timer);
     event_del(self.series_timer);
     event_del(self.planned_timer);
     event_del(self.change_timer);
     Sim_EndSilences(self.sim);
+    Sim_SetFailures(self.sim, 0, 0);
     while (self.active_faults->len > 0) {
         end_fault(g_ptr_array_index(self.active_faults, 0));
     }
@@ -367,29 +408,45 @@
         printf("FINDING %s\n",
                (const char *)g_ptr_array_index(self.ledger.findings, i));
     }
-    printf("seed %u: %u findings\n", seed, self.ledger.findings->len);
+    printf("%u streams were taken up\n", LoadGen_CountTakenUp(self.load_gen));
+    printf("seed %u: %u findings\n", options->seed, self.ledger.findings->len);
     status = self.ledger.findings->len > 0;
     end_soak(&self);
     return status;
 }
 
 static void
-begin_soak(Soak *self, guint seed)
+begin_soak(Soak *self)
 {
+    const SoakOptions *options = &self->options;
+    guint seed = options->seed;
     LoadGenOptions load = {0};
+    bool is_tight = options->failing_ratio > 0;
+    BudgetCheckOptions budget = {
+        .ratio = is_tight ? SOAK_TIGHT_RATIO : SOAK_RATIO,
+        .slack = is_tight ? SOAK_TIGHT_SLACK : SOAK_SLACK,
+        .window_us = SOAK_WINDOW_S * CLK_US_PER_S,
+    };
+    SimOptions sim = {
+        .keeps_ids = options->restarts,
+        .slots = options->vm_count > SOAK_SMALL_VMS_MAX ? SOAK_LARGE_SLOTS
+                                                        : SOAK_SLOTS,
+    };
 
     signal(SIGPIPE, SIG_IGN);
-    mkdir(self->out, 0755);
+    mkdir(options->out, 0755);
     self->base = event_base_new();
     self->clk = Clk_Default();
     self->rand = g_rand_new_with_seed(seed);
     self->silence_rand = g_rand_new_with_seed(seed + SOAK_SILENCE_SEED);
     self->active_faults = g_ptr_array_new();
-    Ledger_Init(&self->ledger);
+    Ledger_Init(&self->ledger, &budget);
     /* VMs of earlier builds that serve for each other use more. */
     self->ledger.attempts_max =
-        self->old_gate == NULL ? SIM_REPEATABLE_ATTEMPTS : 0;
-    self->sim = Sim_New(self->base, &self->clk, &self->ledger, self->rand);
+        options->old_gate == NULL ? SIM_REPEATABLE_ATTEMPTS : 0;
+    self->sim =
+        Sim_New(self->base, &self->clk, &self->ledger, self->rand, &sim);
+    Sim_SetFailures(self->sim, options->failing_ratio, 0);
     self->timer = evtimer_new(self->base, on_next_fault, self);
     self->series_timer = evtimer_new(self->base, on_next_series, self);
     self->planned_timer = evtimer_new(self->base, on_planned, self);
@@ -403,7 +460,11 @@
     load.ledger = &self->ledger;
     load.rand = self->rand;
     load.vm_count = self->vm_count;
-    load.requests_per_s = SOAK_REQUESTS_PER_S;
+    load.requests_per_s =
+        MAX(SOAK_REQUESTS_PER_S, SOAK_VM_REQUESTS_PER_S * self->vm_count);
+    load.takes_up = options->restarts;
+    load.long_ratio =
+        options->restarts ? SOAK_TAKEN_LONG_RATIO : SOAK_LONG_RATIO;
     load.disconnect_ratio = SOAK_DISCONNECT_RATIO;
     /* All VMs use the same three consecutive ports, each on its own loopback
        address. */
@@ -412,12 +473,13 @@
         SoakVm *vm = &self->vms[i];
         vm->soak = self;
         vm->number = i;
-        vm->gate = self->old_gate != NULL ? self->old_gate : self->gate;
+        vm->gate =
+            options->old_gate != NULL ? options->old_gate : options->gate;
         vm->timer = evtimer_new(self->base, on_vm_timer, vm);
         vm->hold_timer = evtimer_new(self->base, on_hold_end, vm);
         g_snprintf(vm->settings, sizeof(vm->settings), "%s/vm%u.json",
-                   self->out, i);
-        g_snprintf(vm->log, sizeof(vm->log), "%s/vm%u.log", self->out, i);
+                   options->out, i);
+        g_snprintf(vm->log, sizeof(vm->log), "%s/vm%u.log", options->out, i);
         g_snprintf(vm->address, sizeof(vm->address), "127.0.1.%u:%u", i + 1,
                    self->port);
         load.addresses[i] = vm->address;
@@ -426,6 +488,10 @@
         start_vm(vm);
     }
     run_for(self, SOAK_START_MS);
+    self->is_started = true;
+    for (guint i = 0; i < self->vm_count; i++) {
+        write_settings(self, &self->vms[i]);
+    }
     self->load_gen = LoadGen_New(&load);
 }
 
@@ -461,19 +527,21 @@
 {
     char *text = g_strdup_printf(
         "{\"node\":\"vm%u\",\"zone\":\"zone-%c\",\"ip\":\"127.0.1.%u\","
+        "\"first-start\":%s,"
         "\"listen\":{\"front\":\"127.0.1.%u:%u\",\"ready\":"
         "\"127.0.1.%u:%u\",\"control\":\"127.0.1.%u:%u\"},"
         "\"zones\":{\"zone-a\":\"r\",\"zone-b\":\"r\"},"
         "\"seed-addrs\":[\"127.0.1.1:%u\"],"
         "\"platform\":{\"addr\":\"127.0.0.1:%u\"},"
         "\"bounds\":{\"drain-ms\":%d,\"grace-s\":%d,\"lease-ms\":3000,"
-        "\"budget-ratio\":0.2,\"budget-slack\":58,"
-        "\"budget-window-s\":10}}\n",
+        "\"budget-ratio\":%.3f,\"budget-slack\":%.0f,"
+        "\"budget-window-s\":%d}}\n",
         vm->number, 'a' + (int)(vm->number % 2), vm->number + 1,
-        vm->number + 1, self->port, vm->number + 1, self->port + 1,
-        vm->number + 1, self->port + 2, self->port + 2,
-        Proxy_GetPort(Sim_GetStoreProxy(self->sim)), SIM_DRAIN_MS,
-        SOAK_GRACE_MS / 1000);
+        self->is_started ? "false" : "true", vm->number + 1, self->port,
+        vm->number + 1, self->port + 1, vm->number + 1, self->port + 2,
+        self->port + 2, Proxy_GetPort(Sim_GetStoreProxy(self->sim)),
+        SIM_DRAIN_MS, SOAK_GRACE_MS / 1000, self->ledger.budget.options.ratio,
+        self->ledger.budget.options.slack, SOAK_WINDOW_S);
 
     if (!g_file_set_contents(vm->settings, text, -1, NULL)) {
         g_error("soak: can't write %s", vm->settings);
@@ -498,7 +566,7 @@
     }
     posix_spawn_file_actions_destroy(&files);
     Sim_RecordVmStart(vm->soak->sim, vm->number);
-    vm->is_old = vm->gate == vm->soak->old_gate;
+    vm->is_old = vm->gate == vm->soak->options.old_gate;
     vm->is_stopping = false;
     vm->is_late = false;
     vm->is_paused = false;
@@ -751,7 +819,7 @@
     }
     step -= step < 2 * all ? 0 : 2 * all;
     vm = &self->vms[(self->first_changed + step % group) % all];
-    vm->gate = step < group ? self->gate : self->old_gate;
+    vm->gate = step < group ? self->options.gate : self->options.old_gate;
     print_fault(self, "begins",
                 step < group ? "vm_change_forward" : "vm_change_back",
                 vm->number);
@@ -973,7 +1041,8 @@
 {
     (void)fault;
     (void)pick;
-    Sim_SetFailures(self->sim, SOAK_LOST_RATIO, SOAK_FAILED_RATIO);
+    Sim_SetFailures(self->sim, SOAK_LOST_RATIO + self->options.failing_ratio,
+                    SOAK_FAILED_RATIO);
 }
 
 static void
@@ -981,7 +1050,7 @@
 {
     (void)fault;
     (void)pick;
-    Sim_SetFailures(self->sim, 0, 0);
+    Sim_SetFailures(self->sim, self->options.failing_ratio, 0);
 }
 
 static void
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+const BudgetCheckOptions budget = {0.2, 2, 10 * CLK_US_PER_S};
+
 struct LedgerCase {
     const char *name;
     LedgerKind kind;
@@ -36,8 +38,8 @@
     for (const LedgerCase &row : ledger_cases) {
         SCOPED_TRACE(row.name);
         Ledger ledger;
-        Ledger_Init(&ledger);
-        Ledger_AddRequest(&ledger, "r1", row.kind, 0, 0);
+        Ledger_Init(&ledger, &budget);
+        Ledger_AddRequest(&ledger, "r1", row.kind, 0, 0, 0);
         for (int i = 0; i < row.runs; i++) {
             Ledger_RecordRun(&ledger, "r1", 0);
         }
@@ -56,7 +58,7 @@
 TEST(Soak, LedgerFindsRunsWithoutRequest)
 {
     Ledger ledger;
-    Ledger_Init(&ledger);
+    Ledger_Init(&ledger, &budget);
     Ledger_RecordRun(&ledger, "r9", 0);
     ASSERT_EQ(ledger.findings->len, 1u);
     Ledger_Clear(&ledger);
@@ -135,7 +137,7 @@
     bool is_relayed = false;
 
     Ledger_LowerLimits(ledger, 3000, 14000);
-    Ledger_AddRequest(ledger, "r1", row.kind, 0, 0);
+    Ledger_AddRequest(ledger, "r1", row.kind, 0, 0, 0);
     for (int i = 0; i < row.runs; i++) {
         Ledger_RecordRun(ledger, "r1", (guint)i);
     }
@@ -190,7 +192,7 @@
     for (const LostCase &row : lost_cases) {
         SCOPED_TRACE(row.name);
         Ledger ledger;
-        Ledger_Init(&ledger);
+        Ledger_Init(&ledger, &budget);
         LedgerEnds ends = PlayLostCase(row, &ledger);
         EXPECT_EQ(ends.accepted, row.count != nullptr ? 1u : 0u);
         if (row.count != nullptr) {
@@ -253,12 +255,12 @@
         LedgerEnds ends;
         const int64_t excuse_us = (stop_ms + 6667) * 1000;
         const int64_t ended_us = (stop_ms + row.ended_ms) * 1000;
-        Ledger_Init(&ledger);
+        Ledger_Init(&ledger, &budget);
         Ledger_LowerLimits(&ledger, 3000, 14000);
         if (row.sent_ms >= 0) {
             Ledger_RecordStop(&ledger, row.stopped_vm, stop_ms * 1000);
         }
-        Ledger_AddRequest(&ledger, "l1", LEDGER_STREAM, 0,
+        Ledger_AddRequest(&ledger, "l1", LEDGER_STREAM, 0, 0,
                           (stop_ms + row.sent_ms) * 1000);
         Ledger_RecordStop(&ledger, row.stopped_vm, stop_ms * 1000);
         Ledger_RecordRun(&ledger, "l1", 0);
@@ -292,10 +294,10 @@
 TEST(Soak, LedgerForgetsAStopWithTheNextStart)
 {
     Ledger ledger;
-    Ledger_Init(&ledger);
+    Ledger_Init(&ledger, &budget);
     Ledger_RecordStop(&ledger, 0, 10 * CLK_US_PER_S);
     Ledger_RecordStop(&ledger, 0, 0);
-    Ledger_AddRequest(&ledger, "r1", LEDGER_STREAM, 0, 15 * CLK_US_PER_S);
+    Ledger_AddRequest(&ledger, "r1", LEDGER_STREAM, 0, 0, 15 * CLK_US_PER_S);
     EXPECT_FALSE(Ledger_Find(&ledger, "r1")->is_late);
     Ledger_Clear(&ledger);
 }
@@ -375,4 +377,78 @@
     }
 }
 
+struct ArrivalCase {
+    const char *name;
+    int requests;
+    int arrivals;     /* Of each request, 10 ms apart. */
+    bool is_prefill;  /* The first one is a prefill that is taken. */
+    int64_t limit_ms; /* That each arrival gives; its caller waits 3 s. */
+    int64_t after_ms; /* From the request to its first arrival. */
+    bool was_held_up; /* Its VM was held up just before. */
+    const char *finding;
+};
+
+const ArrivalCase arrival_cases[] = {
+    {"one arrival each", 20, 1, false, 2900, 0, false, nullptr},
+    {"a prefill and a run each", 20, 2, true, 2900, 0, false, nullptr},
+    {"repeats within the budget", 2, 2, false, 2900, 0, false, nullptr},
+    {"repeats beyond the budget", 4, 2, false, 2900, 0, false, "BUDGET"},
+    {"repeated prefills count", 4, 3, true, 2900, 0, false, "BUDGET"},
+    {"time that the caller has", 1, 1, false, 2000, 1000, false, nullptr},
+    {"time that the caller no longer has", 1, 1, false, 3000, 1000, false,
+     "BUDGET"},
+    {"the same of a VM that was held up", 1, 1, false, 3000, 1000, true,
+     nullptr},
+};
+
+TEST(Soak, LedgerChecksTheRetryBudgetAndTheTimeLeft)
+{
+    for (const ArrivalCase &row : arrival_cases) {
+        SCOPED_TRACE(row.name);
+        Ledger ledger;
+        Ledger_Init(&ledger, &budget);
+        int64_t now_us = 100 * CLK_US_PER_S;
+        ledger.vm_held_us[0] = row.was_held_up ? now_us : 0;
+        for (int i = 0; i < row.requests; i++) {
+            std::string id = "r" + std::to_string(i);
+            Ledger_AddRequest(&ledger, id.c_str(), LEDGER_RESUME, 0, 3000,
+                              now_us);
+            for (int k = 0; k < row.arrivals; k++) {
+                Ledger_RecordArrival(&ledger, id.c_str(),
+                                     row.is_prefill && k == 0, row.limit_ms,
+                                     now_us + (row.after_ms + 10 * k) *
+                                                  CLK_US_PER_MS);
+            }
+            now_us += 30 * CLK_US_PER_MS;
+        }
+        Ledger_Check(&ledger);
+        ASSERT_EQ(ledger.findings->len, row.finding != nullptr ? 1u : 0u);
+        if (row.finding != nullptr) {
+            EXPECT_EQ(
+                strncmp((const char *)g_ptr_array_index(ledger.findings, 0),
+                        row.finding, strlen(row.finding)),
+                0);
+        }
+        Ledger_Clear(&ledger);
+    }
+}
+
+/* A window counts wherever it begins, and the requests of the one before. */
+TEST(Soak, BudgetIsCheckedInAnyWindow)
+{
+    BudgetCheck check;
+    BudgetCheck_Init(&check, &budget);
+    for (int i = 0; i < 50; i++) {
+        BudgetCheck_NoteRequest(&check, 0, i * 10 * CLK_US_PER_MS);
+    }
+    for (int i = 0; i < 13; i++) {
+        BudgetCheck_NoteExtra(&check, 0, (9 + i / 3) * CLK_US_PER_S);
+    }
+    BudgetCheckWindow worst = BudgetCheck_FindWorst(&check, 0);
+    EXPECT_EQ(worst.extras, 13u);
+    EXPECT_DOUBLE_EQ(worst.allowed, 12);
+    EXPECT_EQ(BudgetCheck_FindWorst(&check, 1).extras, 0u);
+    BudgetCheck_Clear(&check);
+}
+
 } // namespace
