--- a/src/gate/reservation.c
+++ b/src/gate/reservation.c
@@ -59,6 +59,12 @@
     const FleetWorker *worker = task->assigned.worker;
     int64_t now_us = Task_Now(task);
 
+    if (worker != NULL && (worker->entry.born_ms != task->assigned.born_ms ||
+                           worker->version != task->assigned.version)) {
+        /* It has started again, and knows nothing of the reservation. */
+        Reservation_UnassignWorker(task, false);
+        return false;
+    }
     if (task->lease[0] != '\0' && now_us < task->lease_until_us &&
         Fleet_IsUsable(worker, now_us) &&
         ((!Health_IsBlocked(&worker->health, now_us) &&
@@ -268,6 +274,8 @@
 Reservation_AssignWorker(GateTask *task, FleetWorker *worker)
 {
     task->assigned.worker = Fleet_Ref(worker);
+    task->assigned.born_ms = worker->entry.born_ms;
+    task->assigned.version = worker->version;
     task->assigned.kv = Task_GetForecast(task);
     Forecast_Add(&worker->kv, &task->assigned.kv);
 }
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -85,6 +85,9 @@
 typedef struct TaskAssignment {
     FleetWorker *worker; /* NULL if none is chosen. */
     Forecast kv;         /* KV memory counted as used. */
+    /* Its start and software version as it was chosen. */
+    int64_t born_ms;
+    uint32_t version;
 } TaskAssignment;
 
 struct GateTask {
--- a/tests/test_gate_restarted.cc
+++ b/tests/test_gate_restarted.cc
@@ -226,6 +226,33 @@
     EXPECT_EQ(other->requests.size(), 1u);
 }
 
+/* A worker starts again between its reservation and the run of a stream that
+   has begun at the version of its start before. */
+TEST(RestartedWorker, ReservationOfAnEarlierStartIsNotUsed)
+{
+    RestartRig rig;
+    rig.lease_max_ms = 2000;
+    rig.SetRoute(resumable, true, 2);
+    Worker *first = rig.AddDecode("v1", {{Begun(3)}});
+    Caller *caller = rig.Call(Prompt("id-1"));
+    ASSERT_TRUE(rig.Until(
+        [&] { return caller->text.find("id: 2\n") != std::string::npos; }));
+    Worker *restarted = rig.AddDecode("v1", {Stream(3, 9)});
+    restarted->holds_reservations = true;
+    first->Crash();
+    ASSERT_TRUE(rig.Until([&] { return !restarted->reservation.empty(); }));
+    restarted->born_ms = later_ms;
+    rig.SetEntry("v2", later_ms, {0, 50});
+    restarted->GrantReservations();
+    rig.RunFor(300);
+    EXPECT_TRUE(restarted->requests.empty());
+    EXPECT_FALSE(caller->IsComplete());
+    Worker *same = rig.AddDecode("v1", {Stream(3, 9)});
+    ASSERT_TRUE(rig.UntilEnd(caller));
+    EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+    EXPECT_EQ(same->requests.size(), 1u);
+}
+
 /* The worker closes each connection with its first answer. */
 TEST(RestartedWorker, WorkerThatKeepsNoConnectionGetsNoStream)
 {
