--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -33,6 +33,12 @@
     if (!Blame_IsAllowed(task) || !Grace_MayBegin(task, 0)) {
         return;
     }
+    if (task->counted_calls > 0 && !Task_HasBudget(task, 1)) {
+        task->waiting = true;
+        task->step_deadline_us = Task_Now(task) + HANDOVER_AGAIN_US;
+        Task_SetTimer(task);
+        return;
+    }
     worker =
         Task_ChooseWorker(task, FLEET_PHASE_NONE, get_cost, NULL, &cost_us);
     if (worker == NULL) {
@@ -214,10 +220,10 @@
                           Grace_IsEnough(task, cost_us);
     switch (Task_DecideRetry(task, &input)) {
     case RETRY_ELSEWHERE:
+        Task_EndCall(task);
         if (!Blame_IsAllowed(task)) {
             return;
         }
-        Task_EndCall(task);
         task->current->expected_us = cost_us;
         begin_call(task, next);
         return;
