--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -137,7 +137,9 @@
     }
     /* Budget for two calls: a repeated prefill is followed by a run. */
     if (task->current->stage == TASK_PREFILL && !Task_HasBudget(task, 2)) {
-        Task_SetTimer(task); /* No other call is allowed: keep waiting. */
+        /* No other call is allowed: keep waiting. */
+        task->step_deadline_us = Task_Now(task) + HANDOVER_AGAIN_US;
+        Task_SetTimer(task);
         return;
     }
     Task_NoteFailure(task, CLIENT_INTERRUPTED, LS_RUN_NOT_RUN, "silent");
--- a/tests/test_gate_loan.cc
+++ b/tests/test_gate_loan.cc
@@ -100,4 +100,29 @@
     EXPECT_EQ(Met_Get(MET_EXTRAS_UNBUDGETED), 0u);
 }
 
+/* A prefill worker falls silent while no budget is left for another call. */
+TEST(Loan, SilentPrefillIsGivenUpOnceThereIsBudget)
+{
+    GateRig rig;
+    BudgetOptions budget = Budget_DefaultOptions();
+    rig.SetRoute(resumable, true);
+    Worker *prefill = rig.AddWorker({}, FLEET_PHASE_PREFILL);
+    prefill->is_silent = true;
+    rig.AddWorker({Stream(0, 9)}, FLEET_PHASE_DECODE);
+    budget.ratio = 0;
+    budget.slack = 0;
+    Edge_SetBudget(rig.edge, &budget);
+    Caller *caller = rig.Call(
+        "POST /r/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-1\r\n"
+        "X-Token-Usage: 40000,100\r\nX-Prompt-Prefix: aa:200,b1:39800\r\n"
+        "X-Deadline-Ms: 14000\r\nContent-Length: 1\r\n\r\nb");
+    ASSERT_TRUE(rig.Until([&] { return prefill->unanswered > 0; }));
+    rig.RunFor(5000);
+    EXPECT_EQ(caller->Status(), 0) << caller->text;
+    budget.ratio = 50;
+    Edge_SetBudget(rig.edge, &budget);
+    rig.RunFor(1000);
+    EXPECT_EQ(caller->Status(), 200) << caller->text;
+}
+
 } // namespace
