--- a/src/decide/budget.c
+++ b/src/decide/budget.c
@@ -90,12 +90,12 @@
     /* The calls arrive later than those that this VM sends now, so the
        requests that allow them must be younger by that. */
     int64_t delay_us = BUDGET_LOAN_US + BUDGET_TRANSIT_US;
-    double spare = get_own_left(budget, vms,
-                                budget->options.window_us - delay_us, now_us) /
-                   2;
+    double left = get_own_left(budget, vms,
+                               budget->options.window_us - delay_us, now_us);
+    double spare = left < 2 ? 1 : left / 2;
     BudgetLoan *loan = find_loan(budget->lent, now_us);
 
-    if (spare < 1.0 || loan == NULL) {
+    if (left < 1.0 || loan == NULL) {
         return 0;
     }
     loan->calls = spare < wanted ? (uint32_t)spare : wanted;
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -386,6 +386,7 @@
     note_unknown(peer, news);
     Peers_NoteFleetSize(&gos->peers, news->vms);
     Peers_NoteMostVms(&gos->peers, news->region, news->most_vms);
+    gos->peers.knows_fleet |= news->most_vms != 0;
     note_mentioned(gos, news);
     peer->watches = news->watches;
     Peers_NoteServes(peer, Gos_DecodeServes(news), now_us);
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -107,7 +107,7 @@
    the other side of a network partition. */
 uint32_t Gos_CountVms(const Gos *gos);
 /* Returns the most VMs that the fleet has ever had, as far as this VM or one
-   that it heard knows; 0 if it has heard none of some region. */
+   that it heard knows; 0 if neither has heard a VM of each region. */
 uint32_t Gos_GetMostVms(const Gos *gos);
 /* Asks another VM for calls of a service's retry budget, unless a question is
    open or the last ones were in vain. */
--- a/src/gate/gossip_loan.c
+++ b/src/gate/gossip_loan.c
@@ -13,6 +13,7 @@
 #define LOAN_VAIN_MAX 4
 #define LOAN_PAUSE_US (500 * CLK_US_PER_MS)
 
+static bool is_only_vm(const Gos *gos);
 static bool has_heard(const Peers *peers, const char *region);
 static int64_t get_now(const Gos *gos);
 static GosLoanAsk *find_ask(Gos *gos, uint64_t service);
@@ -27,7 +28,8 @@
     GHashTableIter iter;
     gpointer region;
 
-    if (gos->options.regions != NULL) {
+    if (gos->options.regions != NULL && !peers->knows_fleet &&
+        !is_only_vm(gos)) {
         g_hash_table_iter_init(&iter, gos->options.regions);
         while (g_hash_table_iter_next(&iter, NULL, &region)) {
             if (!has_heard(peers, region)) {
@@ -68,6 +70,7 @@
         return;
     }
     ask->number = ++gos->loan_number;
+    ask->calls = calls;
     ask->asked_us = now_us;
     gossip__loan__init(&loan);
     loan.service = hash;
@@ -108,13 +111,25 @@
         else {
             ask->vain_count = 0;
         }
-        options->borrow(options->context, loan->service, loan->calls,
-                        asked_us);
+        options->borrow(options->context, loan->service,
+                        MIN(loan->calls, ask->calls), asked_us);
     }
     return true;
 }
 
-/* Whether any VM of the region was ever heard, this one included. */
+/* Whether the settings name no other VM, and none was heard. */
+static bool
+is_only_vm(const Gos *gos)
+{
+    bool is_only = gos->peers.heard_region_count == 0;
+
+    for (size_t i = 0; i < GOS_SEEDS_MAX; i++) {
+        is_only &= gos->seeds[i] == 0 || gos->seeds[i] == gos->address;
+    }
+    return is_only;
+}
+
+/* Whether any other VM of the region was ever heard. */
 static bool
 has_heard(const Peers *peers, const char *region)
 {
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -31,7 +31,7 @@
     news->region = gos->peers.options.region;
     news->capacity = options->capacity;
     news->vms = Peers_CountLive(&gos->peers) + 1;
-    news->most_vms = gos->peers.most_vms;
+    news->most_vms = Gos_GetMostVms(gos);
     if (options->get_versions != NULL) {
         GosVersions own = options->get_versions(options->context);
         news->config_version = own.config_version;
--- a/src/gate/peers.c
+++ b/src/gate/peers.c
@@ -500,7 +500,9 @@
     bool is_mesh;
 
     Peers_NoteFleetSize(peers, count);
-    Peers_NoteMostVms(peers, peers->options.region, count);
+    if (count > 1) {
+        Peers_NoteMostVms(peers, peers->options.region, count);
+    }
     if (count >= peers->peak_vms ||
         now_us - peers->peak_us > PEERS_FORGET_US) {
         peers->peak_vms = MAX(count, PEERS_VMS_MIN);
--- a/src/gate/peers.h
+++ b/src/gate/peers.h
@@ -96,8 +96,9 @@
     uint32_t most_vms;  /* Highest VM count ever known, also by a peer. */
     uint32_t heard_regions[PEERS_REGIONS_MAX]; /* Of all VMs ever heard. */
     uint32_t heard_region_count;
-    uint32_t peak_vms;      /* Highest recent VM count, this VM included. */
-    int64_t peak_us;        /* Time of that count. */
+    bool knows_fleet;  /* A peer that knows VMs of all regions was heard. */
+    uint32_t peak_vms; /* Highest recent VM count, this VM included. */
+    int64_t peak_us;   /* Time of that count. */
     int64_t large_until_us; /* Until then the fleet counts as large. */
     bool is_mesh;           /* The fleet is small. */
     bool is_direct; /* This VM is a hub and has its region's load itself. */
