--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -293,7 +293,9 @@
 {
     uint32_t count = 0;
 
-    if (fleet->complete_us == 0 || fleet->complete_us > since_us) {
+    if (fleet->complete_us == 0 || fleet->complete_us > since_us ||
+        (fleet->unknown_start_us != 0 &&
+         fleet->unknown_start_us >= since_us)) {
         return 0;
     }
     for (guint i = 0; i < fleet->versions->len; i++) {
@@ -410,6 +412,12 @@
            now_us >= worker->doubted_until_us;
 }
 
+void
+Fleet_NoteUnknownStart(Fleet *fleet, int64_t now_us)
+{
+    fleet->unknown_start_us = now_us;
+}
+
 uint64_t
 Fleet_GetStartLabel(const FleetWorker *worker, int64_t born_ms)
 {
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -135,6 +135,8 @@
     GPtrArray *rows;      /* All FleetWorkers, for iteration. */
     GPtrArray *versions;  /* FleetVersions. */
     int64_t complete_us;  /* When all entries were first known; 0: not yet. */
+    /* When a worker last told a start that no entry tells of; 0: never. */
+    int64_t unknown_start_us;
 } Fleet;
 
 FleetOptions Fleet_DefaultOptions(void);
@@ -188,6 +190,9 @@
 
 FleetWorker *Fleet_Ref(FleetWorker *worker);
 void Fleet_Unref(FleetWorker *worker); /* NULL is allowed. */
+/* Notes that a worker has told a start that no entry tells of: its version is
+   not known. */
+void Fleet_NoteUnknownStart(Fleet *fleet, int64_t now_us);
 /* Returns what identifies a start of the worker; 0 if the time of the start,
    Unix milliseconds, is not known (0). */
 uint64_t Fleet_GetStartLabel(const FleetWorker *worker, int64_t born_ms);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -134,8 +134,8 @@
     /* Builds the call that asks a worker for its state. */
     void (*encode_state)(void *context, const char *worker,
                          GateControlCall *control_call);
-    /* Reads the time of the worker's start from the answer; false if it has
-       none. */
+    /* Reads the time of the worker's start from the answer; 0 if it tells
+       none. Returns false if it is no answer to that call. */
     bool (*decode_state)(void *context, const char *body, size_t size,
                          int64_t *born_ms);
     /* Builds the call that asks a worker for the prompts that it keeps, or, if
--- a/src/gate/stream_prepare.c
+++ b/src/gate/stream_prepare.c
@@ -78,6 +78,10 @@
     FleetWorker *worker = Fleet_Ref(task->assigned.worker);
     GateControlCall control_call = {.headers = Header_New()};
 
+    if (task->checked_worker != worker->hash) {
+        task->checked_worker = worker->hash;
+        task->checks = 0;
+    }
     if (task->checks >= STREAM_CHECKS_MAX) {
         /* The worker closes its connections. */
         task->checks = 0;
@@ -264,7 +268,9 @@
                             call->body->len, &born_ms);
     bool is_known = is_told && born_ms == worker->entry.born_ms;
 
-    if (is_told && !is_known) {
+    if (is_told && !is_known && born_ms != 0) {
+        Fleet_NoteUnknownStart(call->task->gate->options.fleet,
+                               Task_Now(call->task));
         Met_Add(MET_STARTS_UNKNOWN, 1);
         Log_WriteJson(
             LOG_LEVEL_INFO, "worker_start_unknown",
@@ -272,7 +278,7 @@
                       "worker", worker->entry.id, "born", (json_int_t)born_ms,
                       "entry_born", (json_int_t)worker->entry.born_ms));
     }
-    if (!is_told && (call->reply.status == 200 || call->reply.status == 404)) {
+    if ((is_told && born_ms == 0) || call->reply.status == 404) {
         Log_WriteJson(LOG_LEVEL_WARNING, "worker_tells_no_start",
                       json_pack("{s:s,s:i}", "worker", worker->entry.id,
                                 "status", call->reply.status));
--- a/src/gate/survey.c
+++ b/src/gate/survey.c
@@ -477,14 +477,12 @@
     }
     if (call->is_check) {
         uint64_t told = get_told_label(call);
-        if (told == 0 && worker != NULL &&
-            (call->status == 200 || call->status == 404)) {
-            worker->tells_no_start = true;
-        }
-        else if (worker == NULL || step.checks >= SURVEY_CHECKS_MAX ||
-                 told != Fleet_GetStartLabel(worker, worker->entry.born_ms)) {
+        if (worker == NULL || step.checks > SURVEY_CHECKS_MAX ||
+            (call->status != 404 &&
+             told != Fleet_GetStartLabel(worker, worker->entry.born_ms))) {
             return;
         }
+        worker->tells_no_start |= call->status == 404;
         g_array_append_val(survey->queue, step);
         return;
     }
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -143,16 +143,16 @@
     const char *prompt_source; /* Of the last run, for the log. */
     /* Waits until the version of a resumed stream is known. */
     bool resuming;
-    uint32_t checks;        /* Questions for a worker's start since the last
-                               run. */
-    uint32_t sends;         /* Calls begun that carry the request. */
-    uint32_t runs;          /* Workers on which the request may have run, not
-                               counting those of a VM that passed it on. */
-    uint32_t attempts;      /* Workers on which this VM may run it. */
-    uint32_t counted_calls; /* Calls counted for the retry budget, which
-                               charges all but the first. */
-    bool prefilled;         /* A prefill succeeded; further ones count as
-                               calls for the retry budget. */
+    uint64_t checked_worker; /* Hash of the last worker asked for its start. */
+    uint32_t checks;         /* Questions for its start since the last run. */
+    uint32_t sends;          /* Calls begun that carry the request. */
+    uint32_t runs;           /* Workers on which the request may have run, not
+                                counting those of a VM that passed it on. */
+    uint32_t attempts;       /* Workers on which this VM may run it. */
+    uint32_t counted_calls;  /* Calls counted for the retry budget, which
+                                charges all but the first. */
+    bool prefilled;          /* A prefill succeeded; further ones count as
+                                calls for the retry budget. */
     /* Start of the worker that may have crashed under the last call; 0 for
        none. */
     uint64_t crash_worker;
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -115,6 +115,8 @@
         .body = control_call->body,
         .body_size = strlen(control_call->body),
         .idle_max_ms = UINT32_MAX,
+        /* The run must be able to use the connection. */
+        .name = stage == TASK_CHECK ? get_call_name(task) : 0,
         .context = current,
         .matches_request = matches_control,
         .get_label = stage == TASK_CHECK ? get_told_label : NULL,
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -448,8 +448,9 @@
     int crash_delay_ms = 5;
     /* Identifiers of the parts of prompts that it tells to keep in memory. */
     std::vector<std::string> kept_parts;
-    int64_t born_ms = 0; /* Start that it tells; 0: it tells none. */
-    int states = 0;      /* Questions for it. */
+    int64_t born_ms = 0;    /* Start that it tells; 0: it tells none. */
+    int states = 0;         /* Questions for it. */
+    std::string state_body; /* What it answers instead; "" for its start. */
     bool closes_after_state = false; /* The answer ends its connection. */
     int lists = 0;                   /* How often it was asked for them. */
     /* Those that it kept before; its changes name them, and `kept_parts`. */
@@ -693,6 +694,10 @@
     void
     SendState(bufferevent *bev)
     {
+        if (!state_body.empty()) {
+            SendBody(bev, state_body);
+            return;
+        }
         if (born_ms != 0) {
             SendBody(bev,
                      "{\"phase\":\"decode\",\"born\":" +
--- a/tests/test_gate_restarted.cc
+++ b/tests/test_gate_restarted.cc
@@ -253,6 +253,72 @@
     EXPECT_EQ(same->requests.size(), 1u);
 }
 
+/* The connection on which a run was refused carries it no more: the worker is
+   asked on another one. */
+TEST(RestartedWorker, RefusedRunIsSentAgainOnAnotherConnection)
+{
+    RestartRig rig;
+    Worker *worker = rig.AddDecode("v1", {Refusal(), Stream(0, 9)});
+    Caller *caller = rig.Call(Prompt("id-1"));
+    rig.RunFor(300);
+    EXPECT_EQ(caller->DechunkedBody(), Events(0, 9)) << caller->text;
+    EXPECT_EQ(worker->requests.size(), 2u);
+    EXPECT_EQ(worker->states, 2);
+}
+
+struct OddStateCase {
+    const char *name;
+    const char *body;
+    size_t runs;
+};
+
+const OddStateCase odd_state_cases[] = {
+    {"late answer to a reservation", "{\"hold\":\"L1\"}", 0},
+    {"no JSON", "{", 0},
+    {"a state without a start", "{\"phase\":\"decode\"}", 1},
+};
+
+/* A worker that tells no start gets streams as before; an answer to another
+   question does not show that it tells none. */
+TEST(RestartedWorker, OddAnswerIsNoState)
+{
+    for (const OddStateCase &row : odd_state_cases) {
+        SCOPED_TRACE(row.name);
+        RestartRig rig;
+        Worker *worker = rig.AddDecode("v1", {Stream(0, 9)});
+        worker->state_body = row.body;
+        rig.Call(Prompt("id-1"));
+        rig.RunFor(300);
+        EXPECT_EQ(worker->requests.size(), row.runs);
+    }
+}
+
+/* One version was in service for long, as far as this VM knows; then a worker
+   tells a start that no entry tells of. */
+TEST(RestartedWorker, OnlyVersionIsUncertainAfterAnUnknownStart)
+{
+    for (bool has_unknown : {false, true}) {
+        SCOPED_TRACE(has_unknown);
+        RestartRig rig;
+        Feed_BeginSweep(Edge_GetFeed(rig.edge), 0);
+        rig.AddDecode("v1", {Stream(3, 9), Stream(3, 9)});
+        Feed_EndSweep(Edge_GetFeed(rig.edge));
+        rig.RunFor(25000);
+        rig.last_worker->inflight += 4; /* It costs more. */
+        if (has_unknown) {
+            Worker *restarted = rig.AddDecode("v1", {});
+            restarted->born_ms = later_ms;
+            Caller *caller = rig.Call(Prompt("id-2"));
+            ASSERT_TRUE(rig.Until([&] { return restarted->states > 0; }));
+            caller->Disconnect();
+            rig.RunFor(50);
+        }
+        Caller *again = rig.Call(Resumption("id-1"));
+        ASSERT_TRUE(rig.UntilEnd(again));
+        EXPECT_EQ(again->Status(), has_unknown ? 503 : 200) << again->text;
+    }
+}
+
 /* The worker closes each connection with its first answer. */
 TEST(RestartedWorker, WorkerThatKeepsNoConnectionGetsNoStream)
 {
