--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -518,8 +518,9 @@
 
     Log_WriteJson(
         LOG_LEVEL_DEBUG, "call",
-        json_pack("{s:s,s:s,s:s,s:I,s:I,s:i}", "request", task->request.id,
-                  "worker", current->worker->entry.id, "stage",
+        json_pack("{s:s,s:s,s:I,s:s,s:I,s:I,s:i}", "request", task->request.id,
+                  "worker", current->worker->entry.id, "left_ms",
+                  (json_int_t)Task_GetLeftMs(task), "stage",
                   get_stage_name(current->stage), "expected_us",
                   (json_int_t)current->expected_us, "load_age_us",
                   (json_int_t)(current->began_us - current->worker->load_us),
--- a/src/io/server.c
+++ b/src/io/server.c
@@ -1,6 +1,7 @@
 #include "server_conn.h"
 
 #include "../log.h"
+#include "arrival.h"
 #include "loop.h"
 
 #include <arpa/inet.h>
@@ -36,6 +37,7 @@
 static int parse_body(http_parser *parser, const char *at, size_t size);
 static int parse_end(http_parser *parser);
 static void begin_request(ServerConn *conn);
+static void note_arrival(ServerConn *conn);
 static void parse_input(ServerConn *conn);
 static void arm_wait_timer(ServerConn *conn, uint32_t ms);
 static void arm_body_timer(const ServerConn *conn);
@@ -459,6 +461,20 @@
                              SERVER_IDLE_SLACK_MS);
 }
 
+/* Notes when the first bytes of a request came. */
+static void
+note_arrival(ServerConn *conn)
+{
+    int64_t now_us = Clk_Now(conn->server->options.clk);
+    int64_t wait_us = Arrival_GetWait(bufferevent_getfd(conn->bev));
+
+    conn->exchange.received_us = now_us;
+    if (wait_us > 0) {
+        Log_WriteJson(LOG_LEVEL_INFO, "request_read_late",
+                      json_pack("{s:I}", "wait_us", (json_int_t)wait_us));
+    }
+}
+
 /* Parses the received bytes up to the end of one request. */
 static void
 parse_input(ServerConn *conn)
@@ -474,7 +490,7 @@
         evbuffer_peek(in, -1, NULL, &piece, 1);
         if (!conn->reading) {
             conn->reading = true;
-            conn->exchange.received_us = Clk_Now(conn->server->options.clk);
+            note_arrival(conn);
             Loop_ArmTimer(conn->timer, limits->header_ms);
         }
         parsed = http_parser_execute(&conn->parser, &parser_settings,
