--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -50,8 +50,7 @@
 /* What the gate adds to the request in one call at a worker. */
 typedef struct GateCallOptions {
     const char *worker; /* ID of the only worker that may run it, or NULL. */
-    int64_t left_ms;
-    bool prefill;           /* Only read the prompt. */
+    bool prefill;       /* Only read the prompt. */
     const char *kv_address; /* Worker with the prompt's KV memory, or NULL. */
     const char *kv_handle;  /* Handle of that memory, or NULL. */
     const char *lease;      /* Reservation at the worker, or NULL. */
@@ -96,6 +95,9 @@
 /* Formats of callers and workers. Each callback gets `context` first. */
 typedef struct GateCodec {
     void *context;
+    /* Name of the field with the time left, in ms, which a call gets as it is
+       sent. */
+    const char *left_name;
     /* Fills in *request; the gate frees its strings. */
     LsResult (*decode_request)(void *context, const ServerExchange *exchange,
                                GateRequest *request, LsError *err);
--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -144,7 +144,6 @@
     bool once = task->route->kind == RTE_NON_IDEMPOTENT;
     GateCallOptions options = {
         .worker = worker->entry.id,
-        .left_ms = Task_GetLeftMs(task),
         .last_event = GATE_NO_EVENT,
     };
     HandoverCall call = {
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -390,7 +390,6 @@
     FleetWorker *worker = Fleet_Ref(task->assigned.worker);
     GateCallOptions options = {
         .worker = worker->entry.id,
-        .left_ms = Task_GetLeftMs(task),
         .last_event = task->last_event,
     };
 
--- a/src/gate/stream_prepare.c
+++ b/src/gate/stream_prepare.c
@@ -122,7 +122,6 @@
 {
     GateCallOptions options = {
         .worker = worker->entry.id,
-        .left_ms = Task_GetLeftMs(task),
         .prefill = true,
         .last_event = task->last_event,
     };
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -53,6 +53,8 @@
         .method = task->exchange->method,
         .target = task->exchange->target,
         .headers = headers,
+        .left_name = codec->left_name,
+        .left_until_us = task->deadline_us,
         .body = task->exchange->body->data,
         .body_size = task->exchange->body->len,
         .with_length = strcmp(task->exchange->method, "GET") != 0 &&
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -55,8 +55,9 @@
     ClientCallOptions options; /* Its strings, headers and body are valid
                                   within Client_BeginCall() only. */
     ClientConn *conn;
-    size_t size; /* Bytes of the request. */
-    struct evbuffer *request;
+    size_t size;              /* Bytes of the request. */
+    struct evbuffer *request; /* Its head, without the time left. */
+    struct evbuffer *rest;    /* What follows the time left. */
 };
 
 struct Client {
@@ -73,6 +74,7 @@
 static bool note_refused(ClientConn *conn, uint64_t name);
 static ClientConn *open_conn(Client *client, const char *address);
 static void write_call(ClientCall *call, const ClientCallOptions *options);
+static void free_call(ClientCall *call);
 static void send_call(ClientConn *conn);
 static void on_read(struct bufferevent *bev, void *context);
 static bool is_overhead_excessive(const ClientConn *conn);
@@ -138,6 +140,7 @@
 
     call->options = *options;
     call->request = evbuffer_new();
+    call->rest = evbuffer_new();
     write_call(call, options);
     if (conn != NULL) {
         evtimer_del(conn->timer);
@@ -174,8 +177,7 @@
     ClientConn *conn = call->conn;
 
     conn->call = NULL;
-    evbuffer_free(call->request);
-    g_free(call);
+    free_call(call);
     if (conn->parsing) {
         conn->close_pending = true;
         return;
@@ -361,18 +363,36 @@
         evbuffer_add_printf(out, "Content-Length: %zu\r\n",
                             options->body_size);
     }
-    evbuffer_add(out, "\r\n", 2);
+    evbuffer_add(call->rest, "\r\n", 2);
     if (options->body_size > 0) {
-        evbuffer_add(out, options->body, options->body_size);
+        evbuffer_add(call->rest, options->body, options->body_size);
     }
-    call->size = evbuffer_get_length(out);
+}
+
+static void
+free_call(ClientCall *call)
+{
+    evbuffer_free(call->request);
+    evbuffer_free(call->rest);
+    g_free(call);
 }
 
 static void
 send_call(ClientConn *conn)
 {
-    evbuffer_add_buffer(bufferevent_get_output(conn->bev),
-                        conn->call->request);
+    ClientCall *call = conn->call;
+    const ClientCallOptions *options = &call->options;
+
+    if (options->left_name != NULL) {
+        int64_t left_ms =
+            (options->left_until_us - Clk_Now(conn->client->clk)) /
+            CLK_US_PER_MS;
+        evbuffer_add_printf(call->request, "%s: %" G_GINT64_FORMAT "\r\n",
+                            options->left_name, MAX(left_ms, 1));
+    }
+    evbuffer_add_buffer(call->request, call->rest);
+    call->size = evbuffer_get_length(call->request);
+    evbuffer_add_buffer(bufferevent_get_output(conn->bev), call->request);
 }
 
 static void
@@ -599,8 +619,7 @@
     bool extra = evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0;
 
     conn->call = NULL;
-    evbuffer_free(call->request);
-    g_free(call);
+    free_call(call);
     if (outcome == CLIENT_COMPLETE && options.get_label != NULL) {
         conn->label = options.get_label(options.context);
     }
@@ -655,8 +674,7 @@
 close_conn(ClientConn *conn)
 {
     if (conn->call != NULL) {
-        evbuffer_free(conn->call->request);
-        g_free(conn->call);
+        free_call(conn->call);
     }
     LIST_REMOVE(conn, links);
     bufferevent_free(conn->bev);
--- a/src/io/client.h
+++ b/src/io/client.h
@@ -61,6 +61,10 @@
     const char *target;
     const HeaderList *headers; /* End-to-end fields. The framing is added, and
                                   Host if it is missing. May be NULL. */
+    /* Field with the time, in ms, from the sending of the call to
+       `left_until_us`; at least 1. NULL: none. The string must stay valid. */
+    const char *left_name;
+    int64_t left_until_us;
     const void *body;
     size_t body_size;
     bool with_length; /* Sends Content-Length for an empty body too. */
