--- a/tests/test_gate_time_left.cc
+++ b/tests/test_gate_time_left.cc
@@ -1,10 +1,9 @@
-/* Tests of the time that workers are told is left, when the process is held
-   up between a call's begin and its sending. */
-#include "gate_rig.h"
+/* Tests of the time that workers are told is left: when the process is held
+   up between a call's begin and its sending, and after waits of other kinds.
+   What waits in the socket is in test_gate_time_left_held_up.cc. */
+#include "fleet_rig.h"
 #include "virtual_time.h"
 
-#include <fcntl.h>
-
 namespace {
 
 const int kLeftMs = 3000;
@@ -124,4 +123,88 @@
     EXPECT_LT(CallHeldUp(900), kSlackMs);
 }
 
+/* What the last request of a worker tells beyond what is left to a caller
+   whose first byte came at `first_us`. */
+int
+GetExcess(const Worker &worker, int64_t first_us)
+{
+    if (worker.requests.empty()) {
+        ADD_FAILURE() << "no request";
+        return kLeftMs;
+    }
+    int64_t waited_ms = (worker.times_us.back() - first_us) / CLK_US_PER_MS;
+    return GetDeadline(worker.requests.back()) - (kLeftMs - (int)waited_ms);
+}
+
+std::string
+TimedRequest(const std::string &more = "")
+{
+    return Request("POST", "X-Deadline-Ms: " + std::to_string(kLeftMs) +
+                               "\r\n" + more);
+}
+
+TEST(TimeLeftAfterWait, BodyComesSlowly)
+{
+    GateRig rig;
+    std::string request = TimedRequest();
+    rig.SetRoute({});
+    Worker *worker = rig.AddWorker({Ok()});
+    int64_t first_us = Clk_Now(&rig.clk);
+    Caller *caller = rig.Call(request.substr(0, 20));
+    rig.RunFor(700);
+    caller->Send(request.substr(20, request.size() - 21));
+    rig.RunFor(700);
+    caller->Send(request.substr(request.size() - 1));
+    ASSERT_TRUE(rig.UntilEnd(caller));
+    EXPECT_EQ(caller->Status(), 200);
+    EXPECT_LT(GetExcess(*worker, first_us), kSlackMs);
+    EXPECT_GT(GetExcess(*worker, first_us), -kSlackMs);
+}
+
+TEST(TimeLeftAfterWait, CallIsRepeated)
+{
+    GateRig rig;
+    rig.SetRoute({});
+    auto script = std::make_shared<std::deque<ScriptedReply>>();
+    script->push_back({""});
+    script->push_back(Ok());
+    Worker *workers[] = {rig.AddWorkerWithScript(script, FLEET_PHASE_NONE),
+                         rig.AddWorkerWithScript(script, FLEET_PHASE_NONE)};
+    int64_t first_us = Clk_Now(&rig.clk);
+    Caller *caller = rig.Call(TimedRequest());
+    rig.RunFor(1000);
+    size_t first = workers[0]->requests.empty() ? 1 : 0;
+    workers[first]->CloseAll();
+    ASSERT_TRUE(rig.UntilEnd(caller));
+    EXPECT_EQ(caller->Status(), 200);
+    EXPECT_LT(GetExcess(*workers[1 - first], first_us), kSlackMs);
+    EXPECT_GT(GetExcess(*workers[1 - first], first_us), -kSlackMs);
+}
+
+/* The VM is cut off from the workers, and another one sends it on. */
+TEST(TimeLeftAfterWait, RequestIsRelayed)
+{
+    const Route route = {RTE_NON_IDEMPOTENT, 2, false, 5000, 400};
+    FleetRig rig(route, 3, 0);
+    std::string request = TimedRequest();
+    rig.AddWorker(std::vector<ScriptedReply>(100, Ok()));
+    rig.RunFor(600);
+    rig.CutOff(0, FleetRig::REFUSE);
+    for (int i = 0; i < 6; i++) {
+        rig.Call(0, TimedRequest());
+        rig.RunFor(20);
+    }
+    rig.RunFor(1500);
+    size_t before = rig.workers[0]->requests.size();
+    int64_t first_us = Clk_Now(&rig.clk);
+    Caller *caller = rig.Call(0, request.substr(0, request.size() - 1));
+    rig.RunFor(1000);
+    caller->Send(request.substr(request.size() - 1));
+    rig.RunFor(200);
+    EXPECT_EQ(caller->Status(), 200);
+    EXPECT_EQ(rig.workers[0]->requests.size(), before + 1);
+    EXPECT_LT(GetExcess(*rig.workers[0], first_us), kSlackMs);
+    EXPECT_GT(GetExcess(*rig.workers[0], first_us), -kSlackMs);
+}
+
 } // namespace
