--- a/src/io/client.c
+++ b/src/io/client.c
@@ -1,4 +1,4 @@
-#include "client.h"
+#include "client_request.h"
 
 #include "loop.h"
 
@@ -27,7 +27,8 @@
     Client *client;
     char address[CLIENT_ADDRESS_MAX];
     struct bufferevent *bev;
-    struct event *timer; /* Connect time-out, later idle time-out. */
+    struct event *timer;  /* Connect time-out, later idle time-out. */
+    struct event *sender; /* Sends the call. */
     http_parser parser;
     ClientCall *call; /* NULL while idle. */
     HeaderList *headers;
@@ -56,7 +57,7 @@
                                   within Client_BeginCall() only. */
     ClientConn *conn;
     size_t size; /* Bytes of the request. */
-    struct evbuffer *request;
+    ClientRequest request;
 };
 
 struct Client {
@@ -72,8 +73,10 @@
 static bool has_refused(const ClientConn *conn, uint64_t name);
 static bool note_refused(ClientConn *conn, uint64_t name);
 static ClientConn *open_conn(Client *client, const char *address);
-static void write_call(ClientCall *call, const ClientCallOptions *options);
+static void free_call(ClientCall *call);
+static void on_send(evutil_socket_t fd, short what, void *context);
 static void send_call(ClientConn *conn);
+static bool has_sent(const ClientConn *conn);
 static void on_read(struct bufferevent *bev, void *context);
 static bool is_overhead_excessive(const ClientConn *conn);
 static void on_event(struct bufferevent *bev, short what, void *context);
@@ -137,8 +140,7 @@
         options->connect_only ? NULL : find_idle(client, options);
 
     call->options = *options;
-    call->request = evbuffer_new();
-    write_call(call, options);
+    call->request = ClientRequest_New(options);
     if (conn != NULL) {
         evtimer_del(conn->timer);
     }
@@ -157,7 +159,8 @@
     conn->head_request = strcmp(options->method, "HEAD") == 0;
     call->conn = conn;
     if (conn->connected) {
-        send_call(conn);
+        /* Not at once: the connection's end may be known to the loop. */
+        event_active(conn->sender, EV_WRITE, 0);
     }
     return call;
 }
@@ -174,8 +177,7 @@
     ClientConn *conn = call->conn;
 
     conn->call = NULL;
-    evbuffer_free(call->request);
-    g_free(call);
+    free_call(call);
     if (conn->parsing) {
         conn->close_pending = true;
         return;
@@ -211,8 +213,7 @@
     struct bufferevent *bev = call->conn->bev;
     int unacked = 0;
 
-    return call->conn->connected &&
-           evbuffer_get_length(bufferevent_get_output(bev)) == 0 &&
+    return call->conn->connected && has_sent(call->conn) &&
            ioctl(bufferevent_getfd(bev), TIOCOUTQ, &unacked) == 0 &&
            unacked == 0;
 }
@@ -326,6 +327,7 @@
     http_parser_init(&conn->parser, HTTP_RESPONSE);
     conn->parser.data = conn;
     conn->timer = evtimer_new(client->base, on_timer, conn);
+    conn->sender = event_new(client->base, -1, 0, on_send, conn);
     /* Callbacks are deferred, since a connect that fails at once must not call
        back from within Client_BeginCall(). */
     conn->bev = bufferevent_socket_new(
@@ -342,37 +344,40 @@
 }
 
 static void
-write_call(ClientCall *call, const ClientCallOptions *options)
+free_call(ClientCall *call)
 {
-    struct evbuffer *out = call->request;
-    const HeaderList *headers = options->headers;
+    ClientRequest_Clear(&call->request);
+    g_free(call);
+}
 
-    evbuffer_add_printf(out, "%s %s HTTP/1.1\r\n", options->method,
-                        options->target);
-    if (headers == NULL || Header_Find(headers, "Host") == NULL) {
-        evbuffer_add_printf(out, "Host: %s\r\n", options->address);
-    }
-    for (guint i = 0; headers != NULL && i < headers->fields->len; i++) {
-        const HeaderField *field =
-            &g_array_index(headers->fields, HeaderField, i);
-        evbuffer_add_printf(out, "%s: %s\r\n", field->name, field->value);
-    }
-    if (options->body_size > 0 || options->with_length) {
-        evbuffer_add_printf(out, "Content-Length: %zu\r\n",
-                            options->body_size);
-    }
-    evbuffer_add(out, "\r\n", 2);
-    if (options->body_size > 0) {
-        evbuffer_add(out, options->body, options->body_size);
-    }
-    call->size = evbuffer_get_length(out);
+static void
+on_send(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    send_call(context);
 }
 
 static void
 send_call(ClientConn *conn)
 {
-    evbuffer_add_buffer(bufferevent_get_output(conn->bev),
-                        conn->call->request);
+    ClientCall *call = conn->call;
+    struct evbuffer *bytes = call->request.head;
+
+    call->size = ClientRequest_Complete(&call->request, &call->options,
+                                        Clk_Now(conn->client->clk));
+    /* The bufferevent would write in the loop's next turn. It writes what is
+       not taken now, and reports errors. */
+    evbuffer_write(bytes, bufferevent_getfd(conn->bev));
+    evbuffer_add_buffer(bufferevent_get_output(conn->bev), bytes);
+}
+
+/* Whether all bytes of the call have been written. */
+static bool
+has_sent(const ClientConn *conn)
+{
+    return (conn->call->size > 0 || conn->call->options.connect_only) &&
+           evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0;
 }
 
 static void
@@ -594,13 +599,11 @@
 {
     ClientCall *call = conn->call;
     ClientCallOptions options = call->options;
-    bool sent_all =
-        evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0;
+    bool sent_all = has_sent(conn);
     bool extra = evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0;
 
     conn->call = NULL;
-    evbuffer_free(call->request);
-    g_free(call);
+    free_call(call);
     if (outcome == CLIENT_COMPLETE && options.get_label != NULL) {
         conn->label = options.get_label(options.context);
     }
@@ -655,12 +658,12 @@
 close_conn(ClientConn *conn)
 {
     if (conn->call != NULL) {
-        evbuffer_free(conn->call->request);
-        g_free(conn->call);
+        free_call(conn->call);
     }
     LIST_REMOVE(conn, links);
     bufferevent_free(conn->bev);
     event_free(conn->timer);
+    event_free(conn->sender);
     Header_Free(conn->headers);
     Header_ClearReader(&conn->reader);
     g_free(conn);
