--- a/soak/soak.c
+++ b/soak/soak.c
@@ -587,6 +587,7 @@
     if (signal_number == SIGTERM || signal_number == SIGKILL) {
         if (vm->is_paused) {
             kill(vm->pid, SIGCONT);
+            Sim_RecordVmStart(vm->soak->sim, vm->number);
         }
         if (!vm->is_stopping) {
             Loop_ArmTimer(vm->timer, SOAK_LATE_MS);
