--- a/soak/load_generator.c
+++ b/soak/load_generator.c
@@ -227,8 +227,9 @@
         if (Clk_Now(options->clk) >= stream.due_us) {
             g_array_remove_index_fast(load_gen->broken, i);
             load_gen->taken_up++;
-            begin_call(load_gen, g_rand_int(options->rand) % options->vm_count,
-                       LEDGER_RESUME, false, &stream);
+            guint vm = (guint)g_rand_int_range(options->rand, 0,
+                                               (gint32)options->vm_count);
+            begin_call(load_gen, vm, LEDGER_RESUME, false, &stream);
         }
     }
 }
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -175,6 +175,7 @@
 };
 
 static int run_soak(const SoakOptions *options);
+static void wait_for_recovery(Soak *self);
 static void begin_soak(Soak *self);
 static void end_soak(Soak *self);
 static void write_settings(Soak *self, SoakVm *vm);
@@ -339,8 +340,6 @@
     Soak self = {.options = *options, .vm_count = options->vm_count};
     guint vm_count = options->vm_count;
     LedgerEnds ends;
-    int64_t end_us;
-    char *unserved;
     guint served;
     guint all;
     int status;
@@ -363,20 +362,7 @@
     }
     /* The end of "answers_lost" sets failing_ratio again. */
     Sim_SetFailures(self.sim, 0, 0);
-    LoadGen_ResetServed(self.load_gen);
-    end_us = Clk_Now(&self.clk) + SOAK_RECOVERY_MS * CLK_US_PER_MS;
-    while (!LoadGen_HasServedAll(self.load_gen) &&
-           Clk_Now(&self.clk) < end_us) {
-        run_for(&self, 50);
-    }
-    unserved = LoadGen_ListUnserved(self.load_gen);
-    if (unserved[0] != '\0') {
-        Ledger_AddFinding(&self.ledger,
-                          "RECOVER: not all VMs served all kinds of request "
-                          "within %d ms after the last fault: %s",
-                          SOAK_RECOVERY_MS, unserved);
-    }
-    g_free(unserved);
+    wait_for_recovery(&self);
 
     /* Shuts down while requests are open: the gates end each request that they
        have read, then exit. A late exit is a finding (STOP). */
@@ -419,6 +405,28 @@
     return status;
 }
 
+/* Checks that all VMs serve all kinds of request again. */
+static void
+wait_for_recovery(Soak *self)
+{
+    int64_t end_us = Clk_Now(&self->clk) + SOAK_RECOVERY_MS * CLK_US_PER_MS;
+    char *unserved;
+
+    LoadGen_ResetServed(self->load_gen);
+    while (!LoadGen_HasServedAll(self->load_gen) &&
+           Clk_Now(&self->clk) < end_us) {
+        run_for(self, 50);
+    }
+    unserved = LoadGen_ListUnserved(self->load_gen);
+    if (unserved[0] != '\0') {
+        Ledger_AddFinding(&self->ledger,
+                          "RECOVER: not all VMs served all kinds of request "
+                          "within %d ms after the last fault: %s",
+                          SOAK_RECOVERY_MS, unserved);
+    }
+    g_free(unserved);
+}
+
 static void
 begin_soak(Soak *self)
 {
@@ -565,6 +573,9 @@
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, vm->log,
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    /* A copy of a connection would keep it open after the soak has closed it.
+     */
+    posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
     if (posix_spawn(&vm->pid, argv[0], &files, NULL, argv, envp) != 0) {
         g_error("soak: can't start %s", argv[0]);
     }
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -311,14 +311,15 @@
         !Grace_MayBegin(task, MIN(run_cost_us, remote_prefill_cost_us))) {
         return;
     }
-    /* Other requests may have spent the budget during the reservation. */
-    if (!has_call_budget(task, prefill_worker != NULL &&
-                                   remote_prefill_cost_us < run_cost_us)) {
+    /* Other requests may have spent the budget during the reservation. What is
+       left may do for a run that reads the prompt itself. */
+    if (!has_call_budget(task, false)) {
         Reservation_UnassignWorker(task, true);
         wait_for_budget(task);
         return;
     }
-    if (prefill_worker != NULL && remote_prefill_cost_us < run_cost_us) {
+    if (prefill_worker != NULL && remote_prefill_cost_us < run_cost_us &&
+        has_call_budget(task, true)) {
         task->current->expected_us = remote_prefill_cost_us;
         StreamPrepare_BeginPrefill(task, prefill_worker);
         return;
