--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -10,6 +10,7 @@
 
 /* Requests that a worker runs beyond its slots before it refuses. */
 #define SIM_EXTRA_SLOTS 2
+#define SIM_SLOT_TOKENS 7500   /* KV memory of a worker for each slot. */
 #define SIM_STORE_DELAY_MS 900 /* Response delay of SIM_STORE_SLOW. */
 /* Mean time of a plain run, of a prefill, and until the first event of a
    stream. */
@@ -401,7 +402,7 @@
     sim->version += (uint64_t)g_rand_int_range(sim->rand, 1, 5);
     text = g_strdup_printf(
         "{\"version\":%llu,\"services\":[{\"name\":\"app\"},{\"name\":\"llm\","
-        "\"engine\":{\"kv-tokens\":60000,\"stride\":%d,\"hold-ms\":2000,"
+        "\"engine\":{\"kv-tokens\":%u,\"stride\":%d,\"hold-ms\":2000,"
         "\"handle-ttl-s\":0.5}}],\"limits\":{},\"routes\":["
         "{\"name\":\"read\",\"host\":\"" SIM_HOST "\",\"prefix\":\"/read/\","
         "\"service\":\"app\",\"kind\":\"idempotent\",\"attempts\":2,"
@@ -416,8 +417,9 @@
         "\"/resume/\",\"service\":\"llm\",\"kind\":\"stream\",\"attempts\":2,"
         "\"can-resume\":true,\"timeout-ms\":%d,\"latency-slo-ms\":900,"
         "\"gap-target-ms\":300}]}",
-        (unsigned long long)sim->version, SIM_TOKENS_PER_EVENT, plain_ms,
-        1 + g_rand_int(sim->rand) % 2, plain_ms, stream_ms, stream_ms);
+        (unsigned long long)sim->version, sim->options.slots * SIM_SLOT_TOKENS,
+        SIM_TOKENS_PER_EVENT, plain_ms, 1 + g_rand_int(sim->rand) % 2,
+        plain_ms, stream_ms, stream_ms);
     Ledger_LowerLimits(sim->ledger, (uint32_t)plain_ms, (uint32_t)stream_ms);
     put_item(sim, SIM_CONFIG_KEY, text);
     g_free(text);
