--- a/src/decide/budget.h
+++ b/src/decide/budget.h
@@ -11,13 +11,13 @@
      to a window after the requests that allow it, so two windows' requests may
      meet in one window: half of them is no more than those of the window with
      most.
-   - an even part of `slack`, for the most VMs that it has ever known. A VM
-   that starts has none until the calls of its earlier process are out of all
-     windows, and all VMs know of it.
+   - an even part of `slack`, by the most VMs that the fleet has ever had. A VM
+     that starts has none until the calls of its earlier process are out of
+     all windows and all VMs know of it.
 
    A VM that meets a burst borrows from others. What a VM has lent it doesn't
-   use itself until the borrower's calls are out of all windows; a
-   loan that gets lost is used by nobody. */
+   use itself until the borrower's calls are out of all windows; a loan that
+   gets lost is used by nobody. */
 #ifndef LS_BUDGET_H
 #define LS_BUDGET_H
 
--- a/tests/test_gate_joined.cc
+++ b/tests/test_gate_joined.cc
@@ -1,35 +1,12 @@
 /* Tests that a stream never holds events of two software versions: neither in
    one answer nor when its caller resumes it. */
 #include "fleet_rig.h"
+#include "resumed_stream.h"
 
 namespace {
 
 const Route resumable = {RTE_STREAM, 3, true, 15000};
 
-std::string
-Begun(int events)
-{
-    return StreamHead("Transfer-Encoding: chunked\r\n") +
-           Chunk(Events(0, events - 1));
-}
-
-std::string
-Prompt(const std::string &id, const std::string &more = "")
-{
-    return "POST /r/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
-           "\r\nX-Token-Usage: 1000,100\r\n"
-           "X-Prompt-Prefix: aa:200,b1:800\r\n" +
-           more + "Content-Length: 1\r\n\r\nb";
-}
-
-/* The request with which a caller resumes `id` after event 2. */
-std::string
-Resumption(const std::string &id)
-{
-    return Prompt(id + "-again",
-                  "Last-Event-Id: 2\r\nResumes: " + id + "\r\n");
-}
-
 /* How the first worker, of version v1, ends its part of the stream. */
 enum Ending { BREAKS, FALLS_SILENT, LEAVES };
 
--- a/tests/test_gate_restarted.cc
+++ b/tests/test_gate_restarted.cc
@@ -1,7 +1,7 @@
 /* Tests that a stream goes on at the software version that began it while
    workers start again, at another version, under the identifier that they had.
  */
-#include "gate_rig.h"
+#include "resumed_stream.h"
 
 namespace {
 
@@ -10,30 +10,6 @@
 const int64_t earlier_ms = 1000;
 const int64_t later_ms = 2000;
 
-std::string
-Begun(int events)
-{
-    return StreamHead("Transfer-Encoding: chunked\r\n") +
-           Chunk(Events(0, events - 1));
-}
-
-std::string
-Prompt(const std::string &id, const std::string &more = "")
-{
-    return "POST /r/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
-           "\r\nX-Token-Usage: 1000,100\r\n"
-           "X-Prompt-Prefix: aa:200,b1:800\r\n" +
-           more + "Content-Length: 1\r\n\r\nb";
-}
-
-/* The request with which a caller resumes `id` after event 2. */
-std::string
-Resumption(const std::string &id)
-{
-    return Prompt(id + "-again",
-                  "Last-Event-Id: 2\r\nResumes: " + id + "\r\n");
-}
-
 class RestartRig : public GateRig {
   public:
     RestartRig()
