--- a/src/gate/lookup.c
+++ b/src/gate/lookup.c
@@ -6,7 +6,6 @@
 #include "../io/loop.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 typedef struct Lookup {
     TAILQ_ENTRY(Lookup) links;
@@ -36,7 +35,6 @@
 static void note_own(Gate *gate, const char *service, uint64_t self,
                      Lookup *lookup);
 static bool is_over(const Lookup *lookup, int64_t now_us);
-static const char *find_service(const Gate *gate, uint64_t hash);
 
 Lookups *
 Lookup_New(Gate *gate)
@@ -131,7 +129,8 @@
 {
     LookupAnswer answer = {.request = question->request,
                            .survey = RESUMPTION_NOT_ASKED};
-    const char *service = find_service(gate, question->service);
+    const RteService *service =
+        Rte_FindServiceByHash(gate->table, question->service);
     Holders holders = {0};
     SurveyPart kept = {0};
 
@@ -143,7 +142,7 @@
         return answer;
     }
     answer.survey = question->has_part
-                        ? Survey_Find(gate, service, question->part,
+                        ? Survey_Find(gate, service->name, question->part,
                                       question->since_us, &kept)
                         : RESUMPTION_KEPT_BY_NONE;
     answer.version = kept.version;
@@ -297,22 +296,3 @@
     }
     return now_us - lookup->began_us >= timeout_us;
 }
-
-static const char *
-find_service(const Gate *gate, uint64_t hash)
-{
-    GHashTableIter iter;
-    gpointer row;
-
-    if (gate->table == NULL) {
-        return NULL;
-    }
-    g_hash_table_iter_init(&iter, gate->table->services);
-    while (g_hash_table_iter_next(&iter, NULL, &row)) {
-        const char *name = ((const RteService *)row)->name;
-        if (XXH3_64bits(name, strlen(name)) == hash) {
-            return name;
-        }
-    }
-    return NULL;
-}
--- a/src/gate/routes.c
+++ b/src/gate/routes.c
@@ -1,6 +1,7 @@
 #include "routes.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 static void free_route(gpointer data);
 static void free_service(gpointer data);
@@ -115,6 +116,25 @@
     return g_hash_table_lookup(table->services, name);
 }
 
+const RteService *
+Rte_FindServiceByHash(const RteTable *table, uint64_t hash)
+{
+    GHashTableIter iter;
+    gpointer row;
+
+    if (table == NULL) {
+        return NULL;
+    }
+    g_hash_table_iter_init(&iter, table->services);
+    while (g_hash_table_iter_next(&iter, NULL, &row)) {
+        const RteService *service = row;
+        if (XXH3_64bits(service->name, strlen(service->name)) == hash) {
+            return service;
+        }
+    }
+    return NULL;
+}
+
 const char *
 Rte_ChooseService(const RteRoute *route, uint32_t random_value)
 {
--- a/src/gate/routes.h
+++ b/src/gate/routes.h
@@ -81,6 +81,9 @@
                               const char *path);
 /* Returns NULL if there is no such service. */
 const RteService *Rte_FindService(const RteTable *table, const char *name);
+/* Finds a service by the hash of its name, as messages between VMs name it;
+   NULL if there is none, or no table (NULL). */
+const RteService *Rte_FindServiceByHash(const RteTable *table, uint64_t hash);
 /* Returns the name of one of the route's services, chosen in proportion to
    the weights. The name belongs to the route. */
 const char *Rte_ChooseService(const RteRoute *route, uint32_t random_value);
--- a/src/gate/task_budget.c
+++ b/src/gate/task_budget.c
@@ -3,14 +3,10 @@
 
 #include "../log.h"
 
-#include <string.h>
-#include <xxhash.h>
-
 /* Calls for which a VM asks another one at a time. */
 #define LOAN_CALLS 4
 
 static Budget *find_budget(Gate *gate, const char *service);
-static const char *find_service(const Gate *gate, uint64_t hash);
 static void publish_budget(Gate *gate, const char *service);
 static void borrow_if_low(Gate *gate, const char *service);
 static uint32_t get_vm_count(const Gate *gate);
@@ -156,12 +152,12 @@
 uint32_t
 Gate_Lend(Gate *gate, uint64_t service, uint32_t wanted)
 {
-    const char *name = find_service(gate, service);
+    const RteService *row = Rte_FindServiceByHash(gate->table, service);
     uint32_t lent = 0;
 
-    if (name != NULL) {
-        lent = Budget_Lend(find_budget(gate, name), get_vm_count(gate), wanted,
-                           get_now(gate));
+    if (row != NULL) {
+        lent = Budget_Lend(find_budget(gate, row->name), get_vm_count(gate),
+                           wanted, get_now(gate));
         Met_Add(MET_EXTRAS_LENT, lent);
     }
     return lent;
@@ -170,12 +166,13 @@
 void
 Gate_Borrow(Gate *gate, uint64_t service, uint32_t calls, int64_t asked_us)
 {
-    const char *name = find_service(gate, service);
+    const RteService *row = Rte_FindServiceByHash(gate->table, service);
 
-    if (name != NULL) {
-        Budget_Borrow(find_budget(gate, name), calls, asked_us, get_now(gate));
+    if (row != NULL) {
+        Budget_Borrow(find_budget(gate, row->name), calls, asked_us,
+                      get_now(gate));
         Met_Add(MET_EXTRAS_BORROWED, calls);
-        borrow_if_low(gate, name);
+        borrow_if_low(gate, row->name);
     }
 }
 
@@ -192,26 +189,6 @@
     return budget;
 }
 
-/* Returns the name of a configured service by its hash, or NULL. */
-static const char *
-find_service(const Gate *gate, uint64_t hash)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    if (gate->table == NULL) {
-        return NULL;
-    }
-    g_hash_table_iter_init(&iter, gate->table->services);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const RteService *service = value;
-        if (XXH3_64bits(service->name, strlen(service->name)) == hash) {
-            return service->name;
-        }
-    }
-    return NULL;
-}
-
 /* Reports this VM's use of the service's budget, for the other VMs. */
 static void
 publish_budget(Gate *gate, const char *service)
