--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -178,6 +178,10 @@
     const char *cause;
 
     current->call = NULL;
+    if (outcome == CLIENT_COMPLETE &&
+        current->framing == CLIENT_FRAMING_CLOSE) {
+        Task_LogUntilClose(current);
+    }
     run = Task_GetRun(current, outcome);
     has_answer = Task_HasAnswer(current, outcome);
     cause = Task_GetCause(current, outcome, run);
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -512,6 +512,10 @@
     bool cut_before_event;
 
     current->call = NULL;
+    if (outcome == CLIENT_COMPLETE &&
+        current->framing == CLIENT_FRAMING_CLOSE) {
+        Task_LogUntilClose(current);
+    }
     if (current == task->silent) {
         on_silent_end(task, outcome);
         return;
--- a/src/gate/stream_events.c
+++ b/src/gate/stream_events.c
@@ -76,6 +76,10 @@
         Server_SendData(task->exchange, event.data, event.size);
         note_event_time(task);
         task->events++;
+        task->unnumbered += !event.has_id;
+        if (event.has_id && task->first_event == GATE_NO_EVENT) {
+            task->first_event = event.id;
+        }
         if (event.has_id) {
             /* Comments are no progress: a stalled worker may send them. */
             task->last_event = event.id;
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -227,7 +227,7 @@
         LOG_LEVEL_INFO, "request_end",
         json_pack(
             "{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:I,s:I,"
-            "s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:s,s:b,s:I,s:b,s:s,s:s,s:i}",
+            "s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:s,s:b,s:I,s:b,s:s,s:s,s:i,s:I,s:i}",
             "request", task->request.id, "route", task->route->name, "worker",
             task->worker, "outcome", outcome, "status", status,
             "retry_after_ms", (int)task->retry_after_ms, "took_us",
@@ -255,7 +255,8 @@
             (json_int_t)task->request.left_ms, "retry", (int)task->is_retry,
             "service", task->service->name, "reach",
             Detour_GetStateName(task->gate, task->service->name), "attempts",
-            (int)task->attempts));
+            (int)task->attempts, "first_event", (json_int_t)task->first_event,
+            "unnumbered", (int)task->unnumbered));
     Stream_ReleaseAll(task);
     Grace_NoteEnd(task);
     free_task(task);
@@ -325,6 +326,7 @@
         task->deadline_us = MIN(task->deadline_us, caller_deadline_us);
     }
     task->deadline_us -= TASK_TIMER_MARGIN_US;
+    task->first_event = GATE_NO_EVENT;
     task->last_event = GATE_NO_EVENT;
     task->is_after_stop = gate->drain_end_us != 0;
     for (guint i = 0; i < G_N_ELEMENTS(task->calls); i++) {
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -165,7 +165,9 @@
     bool lacks_room;
     int64_t waiting_since_us; /* When the wait began; a run resets it to 0. */
     bool streaming;           /* The caller was sent the stream's header. */
+    int64_t first_event;      /* ID of the first event sent to the caller. */
     int64_t last_event;       /* ID of the last event sent to the caller. */
+    uint32_t unnumbered;      /* Events sent that have no ID. */
     int64_t first_event_us; /* When the first event was sent; 0 if none was. */
     int64_t last_event_us;  /* When the last one was sent. */
     int64_t longest_gap_us; /* Longest time between two events. */
@@ -309,6 +311,8 @@
 /* Appends data to the body of the answer, up to TASK_BODY_MAX bytes. `call` is
    the TaskCall. */
 void Task_AppendBody(void *call, const void *data, size_t size);
+/* Logs the end of an answer that only the end of its connection shows. */
+void Task_LogUntilClose(const TaskCall *call);
 /* Returns the name, for logs, of the framing of the last answer to a call. */
 const char *Task_GetFramingName(const GateTask *task);
 /* Returns a short text for logs and callers on why a call failed. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -310,6 +310,21 @@
     }
 }
 
+void
+Task_LogUntilClose(const TaskCall *call)
+{
+    const GateTask *task = call->task;
+
+    Log_WriteJson(LOG_LEVEL_INFO, "answer_until_close",
+                  json_pack("{s:s,s:s,s:I,s:i,s:I,s:i,s:I}", "request",
+                            task->request.id, "worker", call->worker->entry.id,
+                            "born", (json_int_t)call->worker->entry.born_ms,
+                            "events", (int)call->events, "last_event",
+                            (json_int_t)task->last_event, "bytes",
+                            (int)call->body->len, "after_us",
+                            (json_int_t)(Task_Now(task) - call->began_us)));
+}
+
 const char *
 Task_GetFramingName(const GateTask *task)
 {
