--- /dev/null
+++ b/src/decide/answer_end.c
@@ -0,0 +1,42 @@
+/* Answer end: whether an answer without framing is complete. See
+   answer_end.h. */
+#include "answer_end.h"
+
+AnswerEndStep
+AnswerEnd_Decide(const AnswerEndState *state)
+{
+    bool is_over = state->waited_us >= ANSWER_END_MAX_US ||
+                   state->failures >= ANSWER_END_FAILURES_MAX;
+
+    switch (state->reply) {
+    case ANSWER_END_NOT_ASKED:
+        /* Workers without streams tell no start. */
+        return state->has_older_connection && !state->is_stream
+                   ? ANSWER_END_ASK_OLDER
+                   : ANSWER_END_ASK;
+    case ANSWER_END_SAME_START:
+        return ANSWER_END_COMPLETE;
+    case ANSWER_END_OTHER_START:
+        return ANSWER_END_BROKEN;
+    case ANSWER_END_TURNED_AWAY:
+    case ANSWER_END_TELLS_NO_START:
+        if (state->is_older_connection) {
+            return ANSWER_END_COMPLETE;
+        }
+        is_over |=
+            !state->is_stream || state->reply == ANSWER_END_TELLS_NO_START;
+        break;
+    case ANSWER_END_NO_REPLY:
+    case ANSWER_END_FAILED:
+        break;
+    }
+    if (state->has_older_connection && state->waited_us < ANSWER_END_MAX_US) {
+        return ANSWER_END_ASK_OLDER;
+    }
+    if (!is_over) {
+        return ANSWER_END_ASK_AGAIN;
+    }
+    return state->has_responded && !state->is_stream && !state->is_older_broken
+               ? ANSWER_END_AS_RECEIVED
+               : ANSWER_END_BROKEN;
+}
--- /dev/null
+++ b/src/decide/answer_end.h
@@ -0,0 +1,67 @@
+/* Answer end: decides whether an answer that ended with its connection is
+   complete.
+
+   An answer that has neither a length nor chunks ends with its connection, and
+   the kernel closes the connections of a process that is gone in the same way.
+   When a worker's process ends, all its answers without framing look complete,
+   and a part of a stream or of a body would reach the caller as the whole. A
+   sign that the process outlived its answer is proof: it closed the connection
+   itself. Such a sign is an answer to a question that was sent after the end,
+   from the start that the worker's entry named before the call began, or on a
+   connection that is older than the call. */
+#ifndef LS_ANSWER_END_H
+#define LS_ANSWER_END_H
+
+#include "../clock.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Time that a question may take, several round trips between regions. */
+#define ANSWER_END_QUESTION_US (300 * CLK_US_PER_MS)
+/* Time between a question that brought nothing and the next one. */
+#define ANSWER_END_PAUSE_US (50 * CLK_US_PER_MS)
+/* The end of the caller's answer waits this long at most. Callers leave a
+   stream after a pause of 2 s. */
+#define ANSWER_END_MAX_US (1000 * CLK_US_PER_MS)
+/* Connections that were refused, or broken off without an answer. */
+#define ANSWER_END_FAILURES_MAX 3
+
+/* What the last question brought. */
+typedef enum AnswerEndReply {
+    ANSWER_END_NOT_ASKED,
+    ANSWER_END_NO_REPLY,       /* None in time. */
+    ANSWER_END_FAILED,         /* The connection was refused or broken off. */
+    ANSWER_END_TURNED_AWAY,    /* A refusal, which tells no start. */
+    ANSWER_END_TELLS_NO_START, /* An answer of a worker that never tells it. */
+    ANSWER_END_SAME_START,     /* The start that the entry named. */
+    ANSWER_END_OTHER_START,    /* Another start, or another worker. */
+} AnswerEndReply;
+
+typedef struct AnswerEndState {
+    AnswerEndReply reply;
+    bool is_older_connection;  /* The reply came on one that is older than the
+                                  call. */
+    bool has_older_connection; /* An idle one that has not been asked. */
+    bool is_older_broken; /* A question on one failed: the process may have
+                             ended, and another one may respond. */
+    bool has_responded;   /* A reply told no start. */
+    uint32_t failures;    /* So far. */
+    int64_t waited_us;    /* Since the end of the answer. */
+    bool is_stream;
+} AnswerEndState;
+
+typedef enum AnswerEndStep {
+    ANSWER_END_ASK,       /* On a new connection, at once. */
+    ANSWER_END_ASK_OLDER, /* On a connection that is older than the call. */
+    ANSWER_END_ASK_AGAIN, /* After ANSWER_END_PAUSE_US. */
+    ANSWER_END_COMPLETE,
+    /* Nothing shows that the process ended, and it never tells its start: the
+       caller gets the answer without framing, as the worker sent it. */
+    ANSWER_END_AS_RECEIVED,
+    ANSWER_END_BROKEN,
+} AnswerEndStep;
+
+AnswerEndStep AnswerEnd_Decide(const AnswerEndState *state);
+
+#endif
--- /dev/null
+++ b/src/gate/end_check.c
@@ -0,0 +1,282 @@
+/* End check: whether a worker's process outlived its answer. See
+   end_check.h. */
+#include "end_check.h"
+
+#include "../io/loop.h"
+#include "../log.h"
+
+#include <string.h>
+
+/* Largest answer with a worker's state: it lists its runs. */
+#define END_CHECK_BODY_MAX_BYTES (64 * 1024)
+
+struct EndCheck {
+    TaskCall *call;
+    ClientCall *question; /* NULL while none is in progress. */
+    struct event *timer;  /* End of the question or of a pause. */
+    int64_t began_us;
+    AnswerEndState state;
+    bool is_older; /* The question went on an older connection. */
+    int status;
+    GByteArray *body;
+    void (*on_checked)(TaskCall *call, AnswerEndStep step);
+};
+
+static void on_timer(evutil_socket_t fd, short what, void *context);
+static void ask(struct EndCheck *check, bool older);
+static void fill_older(const struct EndCheck *check,
+                       ClientCallOptions *options);
+static bool matches_control(void *context, const HeaderList *headers);
+static void on_head(void *context, int status, const HeaderList *headers);
+static void on_data(void *context, const void *data, size_t size);
+static void on_end(void *context, ClientOutcome outcome);
+static AnswerEndReply read_reply(const struct EndCheck *check);
+static void advance(struct EndCheck *check, AnswerEndReply reply);
+static void log_end(const struct EndCheck *check, AnswerEndStep step);
+
+bool
+EndCheck_IsNeeded(const TaskCall *call, ClientOutcome outcome)
+{
+    return call->framing == CLIENT_FRAMING_CLOSE &&
+           Task_HasAnswer(call, outcome) &&
+           Task_GetRun(call, outcome) != LS_RUN_NOT_RUN;
+}
+
+void
+EndCheck_Begin(TaskCall *call,
+               void (*on_checked)(TaskCall *call, AnswerEndStep step))
+{
+    GateTask *task = call->task;
+    struct EndCheck *check = g_new0(struct EndCheck, 1);
+
+    check->call = call;
+    check->timer = evtimer_new(task->gate->options.base, on_timer, check);
+    check->began_us = Task_Now(task);
+    check->state.is_stream = task->route->kind == RTE_STREAM;
+    check->body = g_byte_array_new();
+    check->on_checked = on_checked;
+    call->end_check = check;
+    if (call == task->current) {
+        task->step_deadline_us = 0;
+        Task_SetTimer(task);
+    }
+    Loop_ArmTimerUs(check->timer, 0);
+}
+
+void
+EndCheck_Cancel(TaskCall *call)
+{
+    struct EndCheck *check = call->end_check;
+
+    if (check == NULL) {
+        return;
+    }
+    call->end_check = NULL;
+    if (check->question != NULL) {
+        Client_EndCall(check->question);
+    }
+    event_free(check->timer);
+    g_byte_array_free(check->body, TRUE);
+    g_free(check);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *context)
+{
+    struct EndCheck *check = context;
+
+    (void)fd;
+    (void)what;
+    if (check->question != NULL) {
+        Client_EndCall(check->question);
+        check->question = NULL;
+        advance(check, ANSWER_END_NO_REPLY);
+    }
+    else if (check->state.reply == ANSWER_END_NOT_ASKED) {
+        advance(check, ANSWER_END_NOT_ASKED);
+    }
+    else {
+        ask(check, false);
+    }
+}
+
+static void
+ask(struct EndCheck *check, bool older)
+{
+    Gate *gate = check->call->task->gate;
+    const GateCodec *codec = gate->options.codec;
+    FleetWorker *worker = check->call->worker;
+    GateControlCall control_call = {.headers = Header_New()};
+    ClientCallOptions call = {
+        .address = worker->entry.address,
+        .headers = control_call.headers,
+        .context = check,
+        .matches_request = matches_control,
+        .on_head = on_head,
+        .on_data = on_data,
+        .on_end = on_end,
+    };
+
+    codec->encode_state(codec->context, worker->entry.id, &control_call);
+    call.method = control_call.method;
+    call.target = control_call.target;
+    if (older) {
+        fill_older(check, &call);
+    }
+    check->is_older = older;
+    check->status = 0;
+    g_byte_array_set_size(check->body, 0);
+    Throttle_Charge(&worker->throttle);
+    check->question = Client_BeginCall(gate->options.client, &call);
+    Header_Free(control_call.headers);
+    Loop_ArmTimerUs(check->timer, ANSWER_END_QUESTION_US);
+}
+
+/* Sets the options for a connection that is older than the call. */
+static void
+fill_older(const struct EndCheck *check, ClientCallOptions *options)
+{
+    options->address = check->call->worker->entry.address;
+    options->idle_max_ms = UINT32_MAX;
+    options->number_max = check->call->last_number;
+}
+
+/* An answer that names a request is a late one. */
+static bool
+matches_control(void *context, const HeaderList *headers)
+{
+    const struct EndCheck *check = context;
+    const GateCodec *codec = check->call->task->gate->options.codec;
+
+    return codec->matches_control(codec->context, headers);
+}
+
+static void
+on_head(void *context, int status, const HeaderList *headers)
+{
+    struct EndCheck *check = context;
+
+    (void)headers;
+    check->status = status;
+    /* It may have become idle, or gone, since it was looked for. */
+    check->is_older =
+        Client_GetNumber(check->question) <= check->call->last_number;
+}
+
+static void
+on_data(void *context, const void *data, size_t size)
+{
+    struct EndCheck *check = context;
+
+    if (check->body->len + size > END_CHECK_BODY_MAX_BYTES) {
+        Client_RejectBody(check->question);
+        return;
+    }
+    g_byte_array_append(check->body, data, (guint)size);
+}
+
+static void
+on_end(void *context, ClientOutcome outcome)
+{
+    struct EndCheck *check = context;
+
+    check->question = NULL;
+    evtimer_del(check->timer);
+    advance(check, outcome == CLIENT_COMPLETE ? read_reply(check)
+                                              : ANSWER_END_FAILED);
+}
+
+static AnswerEndReply
+read_reply(const struct EndCheck *check)
+{
+    const GateCodec *codec = check->call->task->gate->options.codec;
+    int64_t born_ms = 0;
+
+    if (check->status == 421) {
+        return ANSWER_END_OTHER_START;
+    }
+    if (check->status == 503 || check->status == 429) {
+        return ANSWER_END_TURNED_AWAY;
+    }
+    if (check->status != 200) {
+        return ANSWER_END_TELLS_NO_START;
+    }
+    if (!codec->decode_state(codec->context, (const char *)check->body->data,
+                             check->body->len, &born_ms)) {
+        return ANSWER_END_FAILED;
+    }
+    if (born_ms == 0 || check->call->born_ms == 0) {
+        return ANSWER_END_TELLS_NO_START;
+    }
+    return born_ms == check->call->born_ms ? ANSWER_END_SAME_START
+                                           : ANSWER_END_OTHER_START;
+}
+
+/* Does what the last reply leads to. */
+static void
+advance(struct EndCheck *check, AnswerEndReply reply)
+{
+    TaskCall *call = check->call;
+    AnswerEndState *state = &check->state;
+    ClientCallOptions older = {0};
+    void (*on_checked)(TaskCall *, AnswerEndStep) = check->on_checked;
+    bool is_failed =
+        reply == ANSWER_END_FAILED || reply == ANSWER_END_NO_REPLY;
+    AnswerEndStep step;
+
+    fill_older(check, &older);
+    state->reply = reply;
+    state->waited_us = Task_Now(call->task) - check->began_us;
+    state->is_older_connection = check->is_older;
+    state->failures += reply == ANSWER_END_FAILED;
+    state->is_older_broken |= is_failed && check->is_older;
+    state->has_responded |=
+        reply == ANSWER_END_TURNED_AWAY || reply == ANSWER_END_TELLS_NO_START;
+    state->has_older_connection =
+        call->last_number != 0 &&
+        Client_HasIdle(call->task->gate->options.client, &older);
+    step = AnswerEnd_Decide(state);
+    switch (step) {
+    case ANSWER_END_ASK:
+        ask(check, false);
+        return;
+    case ANSWER_END_ASK_OLDER:
+        ask(check, true);
+        return;
+    case ANSWER_END_ASK_AGAIN:
+        Loop_ArmTimerUs(check->timer, ANSWER_END_PAUSE_US);
+        return;
+    case ANSWER_END_COMPLETE:
+    case ANSWER_END_AS_RECEIVED:
+    case ANSWER_END_BROKEN:
+        break;
+    }
+    log_end(check, step);
+    EndCheck_Cancel(call);
+    on_checked(call, step);
+}
+
+static void
+log_end(const struct EndCheck *check, AnswerEndStep step)
+{
+    static const char *const replies[] = {
+        "not asked",      "no reply",   "connection failed", "turned away",
+        "tells no start", "same start", "other start"};
+    const TaskCall *call = check->call;
+    const GateTask *task = call->task;
+
+    if (step != ANSWER_END_COMPLETE) {
+        Met_Add(MET_ANSWERS_UNPROVEN, 1);
+    }
+    Log_WriteJson(
+        LOG_LEVEL_INFO, "answer_until_close",
+        json_pack(
+            "{s:s,s:s,s:I,s:s,s:b,s:b,s:I,s:i,s:I,s:i}", "request",
+            task->request.id, "worker", call->worker->entry.id, "born",
+            (json_int_t)call->born_ms, "reply", replies[check->state.reply],
+            "older_connection", (int)check->is_older, "complete",
+            (int)(step == ANSWER_END_COMPLETE), "waited_us",
+            (json_int_t)check->state.waited_us, "events", (int)call->events,
+            "last_event", (json_int_t)task->last_event, "bytes",
+            (int)call->body->len));
+}
--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -3,6 +3,7 @@
    the request if the connection is lost. See task.h. */
 #include "blame.h"
 #include "detour.h"
+#include "end_check.h"
 #include "grace.h"
 #include "successor.h"
 
@@ -21,6 +22,8 @@
 static bool is_in_time(const GateTask *task, const FleetWorker *worker);
 static void begin_call(GateTask *task, FleetWorker *worker);
 static void on_end(void *context, ClientOutcome outcome);
+static void on_end_checked(TaskCall *call, AnswerEndStep step);
+static void end_run(TaskCall *call, ClientOutcome outcome, bool has_framing);
 static void retry_or_end(GateTask *task, LsRun run, bool has_answer);
 
 void
@@ -170,29 +173,52 @@
 static void
 on_end(void *context, ClientOutcome outcome)
 {
-    TaskCall *current = context;
-    GateTask *task = current->task;
-    bool is_silent = current == task->silent;
-    LsRun run;
-    bool has_answer;
-    const char *cause;
-
-    current->call = NULL;
-    if (outcome == CLIENT_COMPLETE &&
-        current->framing == CLIENT_FRAMING_CLOSE) {
-        Task_LogUntilClose(current);
+    TaskCall *call = context;
+
+    call->call = NULL;
+    if (EndCheck_IsNeeded(call, outcome)) {
+        EndCheck_Begin(call, on_end_checked);
+        return;
     }
-    run = Task_GetRun(current, outcome);
-    has_answer = Task_HasAnswer(current, outcome);
-    cause = Task_GetCause(current, outcome, run);
-    if (has_answer && current->reply.status < 500 && run != LS_RUN_NOT_RUN) {
-        Health_NoteSuccess(&current->worker->health, Task_Now(task));
+    end_run(call, outcome, true);
+}
+
+static void
+on_end_checked(TaskCall *call, AnswerEndStep step)
+{
+    /* Another VM would have to believe the end of the connection. */
+    bool is_passed =
+        step == ANSWER_END_COMPLETE ||
+        (step == ANSWER_END_AS_RECEIVED && !call->task->is_relayed);
+
+    end_run(call, is_passed ? CLIENT_COMPLETE : CLIENT_INTERRUPTED,
+            step == ANSWER_END_COMPLETE);
+}
+
+/* Ends the run. `has_framing`: the answer is known to be complete, if the
+   outcome says so. */
+static void
+end_run(TaskCall *call, ClientOutcome outcome, bool has_framing)
+{
+    GateTask *task = call->task;
+    bool is_silent = call == task->silent;
+    LsRun run = Task_GetRun(call, outcome);
+    bool has_answer = Task_HasAnswer(call, outcome);
+    const char *cause = Task_GetCause(call, outcome, run);
+
+    if (has_answer && call->reply.status < 500 && run != LS_RUN_NOT_RUN) {
+        Health_NoteSuccess(&call->worker->health, Task_Now(task));
         Blame_NoteSound(task);
-        Grace_NoteCall(task, Task_Now(task) - current->began_us);
+        Grace_NoteCall(task, Task_Now(task) - call->began_us);
         if (is_silent) {
             Successor_Cancel(task);
         }
-        Task_PassAnswer(task);
+        if (has_framing) {
+            Task_PassAnswer(task);
+        }
+        else {
+            Task_PassUntilClose(task);
+        }
         return;
     }
     if (is_silent) {
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -6,6 +6,7 @@
 #include "begun.h"
 #include "blame.h"
 #include "detour.h"
+#include "end_check.h"
 #include "grace.h"
 #include "reservation.h"
 #include "stream_events.h"
@@ -45,6 +46,9 @@
 static void set_prompt_source(GateTask *task, GateCallOptions *options);
 static void on_run_data(void *context, const void *data, size_t size);
 static void on_run_end(void *context, ClientOutcome outcome);
+static void on_end_checked(TaskCall *current, AnswerEndStep step);
+static void end_run(TaskCall *current, ClientOutcome outcome,
+                    const char *cause);
 static void on_silent_end(GateTask *task, ClientOutcome outcome);
 static void forward_or_retry(GateTask *task);
 
@@ -506,35 +510,51 @@
 {
     TaskCall *current = context;
     GateTask *task = current->task;
-    LsRun run;
-    bool has_answer;
-    bool cut_inside_event;
-    bool cut_before_event;
+    const char *cause = NULL;
 
     current->call = NULL;
-    if (outcome == CLIENT_COMPLETE &&
-        current->framing == CLIENT_FRAMING_CLOSE) {
-        Task_LogUntilClose(current);
-    }
     if (current == task->silent) {
         on_silent_end(task, outcome);
         return;
     }
     /* The framing alone doesn't show that a stream is complete: it may be
        nothing but the end of the connection. */
-    cut_inside_event =
-        outcome == CLIENT_COMPLETE && Sse_IsInsideEvent(&task->current->sse);
-    cut_before_event = outcome == CLIENT_COMPLETE && current->events == 0 &&
-                       current->framing == CLIENT_FRAMING_CLOSE &&
-                       current->reply.status == 200;
-    if (cut_inside_event) {
+    if (outcome == CLIENT_COMPLETE && Sse_IsInsideEvent(&current->sse)) {
         Met_Add(MET_STREAMS_ENDED_IN_EVENT, 1);
+        cause = "stream ended inside an event";
+    }
+    else if (outcome == CLIENT_COMPLETE && current->events == 0 &&
+             current->framing == CLIENT_FRAMING_CLOSE &&
+             current->reply.status == 200) {
+        cause = "stream ended before its first event";
+    }
+    else if (EndCheck_IsNeeded(current, outcome)) {
+        EndCheck_Begin(current, on_end_checked);
+        return;
+    }
+    end_run(current, cause != NULL ? CLIENT_INTERRUPTED : outcome, cause);
+}
+
+static void
+on_end_checked(TaskCall *current, AnswerEndStep step)
+{
+    if (step == ANSWER_END_COMPLETE) {
+        end_run(current, CLIENT_COMPLETE, NULL);
     }
-    if (cut_inside_event || cut_before_event) {
-        outcome = CLIENT_INTERRUPTED;
+    else {
+        end_run(current, CLIENT_INTERRUPTED, "worker ended with its answer");
     }
-    run = Task_GetRun(current, outcome);
-    has_answer = Task_HasAnswer(current, outcome);
+}
+
+/* Ends the run. `cause` says why it is not complete, NULL for that of the
+   outcome. */
+static void
+end_run(TaskCall *current, ClientOutcome outcome, const char *cause)
+{
+    GateTask *task = current->task;
+    LsRun run = Task_GetRun(current, outcome);
+    bool has_answer = Task_HasAnswer(current, outcome);
+
     if (has_answer && current->reply.status == 200 && task->streaming) {
         ServerExchange *exchange = task->exchange;
         if (task->current->sse.pending->len > 0) {
@@ -550,8 +570,8 @@
         return;
     }
     Task_NoteFailure(task, outcome, run,
-                     cut_inside_event ? "stream ended inside an event"
-                                      : Task_GetCause(current, outcome, run));
+                     cause != NULL ? cause
+                                   : Task_GetCause(current, outcome, run));
     StreamPrepare_NoteOutcome(task, outcome);
     Blame_NoteBreak(task, outcome, run);
     if (run == LS_RUN_NOT_RUN && outcome == CLIENT_COMPLETE &&
--- a/src/gate/survey.c
+++ b/src/gate/survey.c
@@ -354,7 +354,7 @@
 
     call->step = *step;
     call->is_check = client_call.label != 0 &&
-                     !Client_HasLabel(options->client, &client_call);
+                     !Client_HasIdle(options->client, &client_call);
     if (call->is_check) {
         options->codec->encode_state(options->codec->context, worker->entry.id,
                                      &control_call);
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -80,7 +80,7 @@
 bool
 Task_MayBeRunning(const GateTask *task)
 {
-    return task->current->call != NULL &&
+    return (task->current->call != NULL || task->current->end_check != NULL) &&
            (task->current->stage == TASK_RUN ||
             task->current->stage == TASK_DECODE);
 }
@@ -118,6 +118,19 @@
     Task_End(task, "passed", status);
 }
 
+void
+Task_PassUntilClose(GateTask *task)
+{
+    TaskCall *current = task->current;
+    int status = current->reply.status;
+    ServerExchange *exchange = task->exchange;
+
+    task->exchange = NULL;
+    Server_SendUntilClose(exchange, status, current->headers,
+                          current->body->data, current->body->len);
+    Task_End(task, "passed_until_close", status);
+}
+
 void
 Task_Refuse(GateTask *task, AdmissionCause cause)
 {
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -42,6 +42,9 @@
                          */
     bool trial;         /* At a worker that has asked for a pause. */
     uint32_t version;   /* Of the worker's software, as in FleetWorker. */
+    int64_t born_ms;    /* Start of the worker by its entry; 0: unknown. */
+    /* The last connection that was opened before, as in ClientCallOptions. */
+    uint64_t last_number;
     /* Prompt tokens that this call adds to the worker. */
     uint32_t prefill_tokens;
     Forecast kv;         /* KV memory that this call adds. */
@@ -66,6 +69,8 @@
     uint64_t worker_behind;
     bool is_quiet;  /* Its worker was found to be silent. */
     bool is_unsent; /* It reached no worker, which is kept from calls. */
+    /* Finds out whether the ended answer is complete; NULL if none does. */
+    struct EndCheck *end_check;
     /* Valid beyond the call's end. */
     Sse sse;               /* Splits a stream. */
     ClientFraming framing; /* Of the answer. */
@@ -252,7 +257,8 @@
 int64_t Task_Now(const GateTask *task);
 /* Returns the precedence of timely requests for the task's service. */
 Precedence *Task_GetPrecedence(const GateTask *task);
-/* Whether the call in progress may be running the request. */
+/* Whether the call in progress may be running the request, or its answer may
+   be complete. */
 bool Task_MayBeRunning(const GateTask *task);
 /* Returns the time until the task's deadline. */
 int64_t Task_GetLeftMs(const GateTask *task);
@@ -311,8 +317,6 @@
 /* Appends data to the body of the answer, up to TASK_BODY_MAX bytes. `call` is
    the TaskCall. */
 void Task_AppendBody(void *call, const void *data, size_t size);
-/* Logs the end of an answer that only the end of its connection shows. */
-void Task_LogUntilClose(const TaskCall *call);
 /* Returns the name, for logs, of the framing of the last answer to a call. */
 const char *Task_GetFramingName(const GateTask *task);
 /* Returns a short text for logs and callers on why a call failed. */
@@ -337,6 +341,8 @@
 
 /* Answers with the worker's answer. */
 void Task_PassAnswer(GateTask *task);
+/* The same with the end of the connection as its end. */
+void Task_PassUntilClose(GateTask *task);
 /* Answers 503: the request has not run. */
 void Task_Refuse(GateTask *task, AdmissionCause cause);
 /* Answers 502 or 504, or aborts a stream that has begun. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -1,6 +1,7 @@
 /* Calls of a task: sends a call, and updates the worker's load, health and the
    retry budget. See task.h. */
 #include "detour.h"
+#include "end_check.h"
 #include "task.h"
 #include "task_budget.h"
 
@@ -154,7 +155,7 @@
     };
 
     return call.label == 0 ||
-           Client_HasLabel(task->gate->options.client, &call);
+           Client_HasIdle(task->gate->options.client, &call);
 }
 
 /* Returns the name of the request's calls, as in ClientCallOptions. */
@@ -310,21 +311,6 @@
     }
 }
 
-void
-Task_LogUntilClose(const TaskCall *call)
-{
-    const GateTask *task = call->task;
-
-    Log_WriteJson(LOG_LEVEL_INFO, "answer_until_close",
-                  json_pack("{s:s,s:s,s:I,s:i,s:I,s:i,s:I}", "request",
-                            task->request.id, "worker", call->worker->entry.id,
-                            "born", (json_int_t)call->worker->entry.born_ms,
-                            "events", (int)call->events, "last_event",
-                            (json_int_t)task->last_event, "bytes",
-                            (int)call->body->len, "after_us",
-                            (json_int_t)(Task_Now(task) - call->began_us)));
-}
-
 const char *
 Task_GetFramingName(const GateTask *task)
 {
@@ -456,6 +442,8 @@
     current->has_reply = false;
     current->body = g_byte_array_new();
     current->version = worker->version;
+    current->born_ms = worker->entry.born_ms;
+    current->last_number = Client_GetLastNumber(task->gate->options.client);
     current->trial = Notice_BeginTrial(&worker->notice);
     Throttle_Charge(&worker->throttle);
     worker->inflight++;
@@ -476,6 +464,7 @@
     if (call->call != NULL) {
         Client_EndCall(call->call);
     }
+    EndCheck_Cancel(call);
     if (call->worker != NULL) {
         task->spent_us[call->stage] += Task_Now(task) - call->began_us;
         end_trial(call, false);
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -33,6 +33,7 @@
     ClientCall *call; /* NULL while idle. */
     HeaderList *headers;
     HeaderReader reader;
+    uint64_t number; /* As in Client_GetNumber(). */
     int64_t idle_since_us;
     uint32_t idle_ms;       /* Idle time after which it is closed. */
     size_t head_size;       /* Bytes of the response's header so far. */
@@ -64,7 +65,8 @@
     struct event_base *base;
     const Clk *clk;
     LIST_HEAD(ClientConnList, ClientConn) conns;
-    void *observer; /* Context of on_response(). */
+    uint64_t last_number; /* Of a connection. */
+    void *observer;       /* Context of on_response(). */
     void (*on_response)(void *context, const char *address, int status,
                         const HeaderList *headers);
 };
@@ -166,7 +168,7 @@
 }
 
 bool
-Client_HasLabel(Client *client, const ClientCallOptions *options)
+Client_HasIdle(Client *client, const ClientCallOptions *options)
 {
     return find_idle(client, options) != NULL;
 }
@@ -201,6 +203,18 @@
                                                   : CLIENT_FRAMING_CLOSE;
 }
 
+uint64_t
+Client_GetNumber(const ClientCall *call)
+{
+    return call->conn->number;
+}
+
+uint64_t
+Client_GetLastNumber(const Client *client)
+{
+    return client->last_number;
+}
+
 bool
 Client_IsReused(const ClientCall *call)
 {
@@ -255,6 +269,7 @@
             idle_ms >= conn->idle_ms || idle_ms >= options->idle_max_ms ||
             strcmp(conn->address, options->address) != 0 ||
             (options->label != 0 && conn->label != options->label) ||
+            (options->number_max != 0 && conn->number > options->number_max) ||
             has_refused(conn, options->name)) {
             continue;
         }
@@ -436,6 +451,7 @@
 
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         conn->connected = true;
+        conn->number = ++conn->client->last_number;
         evtimer_del(conn->timer);
         if (conn->call != NULL && conn->call->options.connect_only) {
             Loop_ArmTimer(conn->timer, CLIENT_LINGER_MS);
--- a/src/io/client.h
+++ b/src/io/client.h
@@ -77,8 +77,11 @@
        a faulty server may write the refusal once more. */
     uint64_t name;
     /* Uses an idle connection of this label, which must exist
-       (Client_HasLabel()); 0: any connection. */
+       (Client_HasIdle()); 0: any connection. */
     uint64_t label;
+    /* Uses an idle connection with a number up to this one, if there is one;
+       0: any connection. */
+    uint64_t number_max;
     uint32_t connect_ms;  /* Connect time-out; 0: CLIENT_CONNECT_TIMEOUT_MS. */
     uint32_t idle_max_ms; /* Longest idle time of a connection to reuse; 0:
                              opens a new connection. */
@@ -112,12 +115,15 @@
 /* Starts a call and copies what it sends. No callback runs before the return.
    The call belongs to the client and is freed before on_end(). */
 ClientCall *Client_BeginCall(Client *client, const ClientCallOptions *options);
-/* Whether a call with these options, and a label, can begin. */
-bool Client_HasLabel(Client *client, const ClientCallOptions *options);
+/* Whether an idle connection meets the options of a call. */
+bool Client_HasIdle(Client *client, const ClientCallOptions *options);
 /* Cancels a call: closes its connection, and no callback follows. */
 void Client_EndCall(ClientCall *call);
 /* Returns the framing of the call's response. To be called from on_head(). */
 ClientFraming Client_GetFraming(const ClientCall *call);
+/* Returns the number of its connection. They are numbered from 1 on as they
+   open; 0: it is not open yet. */
+uint64_t Client_GetNumber(const ClientCall *call);
 /* Whether its connection has carried other calls, so that a response that
    names no request may belong to one of these. */
 bool Client_IsReused(const ClientCall *call);
@@ -126,6 +132,8 @@
 /* Ends the call as malformed once the current callback returns: its body is
    not acceptable. To be called from on_data() only. */
 void Client_RejectBody(ClientCall *call);
+/* Returns the number of the last connection that was opened; 0: none was. */
+uint64_t Client_GetLastNumber(const Client *client);
 /* Closes the idle connections to an address, "IP:port". */
 void Client_CloseIdle(Client *client, const char *address);
 
--- a/src/io/server.h
+++ b/src/io/server.h
@@ -106,6 +106,11 @@
 void Server_SendResponse(ServerExchange *exchange, int status,
                          const HeaderList *headers, const void *body,
                          size_t size);
+/* The same without Content-Length: the end of the connection ends the
+   response. */
+void Server_SendUntilClose(ServerExchange *exchange, int status,
+                           const HeaderList *headers, const void *body,
+                           size_t size);
 /* Sends the header of a streamed response. `headers` may be NULL. */
 void Server_BeginStream(ServerExchange *exchange, int status,
                         const HeaderList *headers);
--- a/src/io/server_response.c
+++ b/src/io/server_response.c
@@ -21,6 +21,23 @@
     ServerConn_FinishExchange(conn);
 }
 
+void
+Server_SendUntilClose(ServerExchange *exchange, int status,
+                      const HeaderList *headers, const void *body, size_t size)
+{
+    ServerConn *conn = exchange->conn;
+    struct evbuffer *out = bufferevent_get_output(conn->bev);
+
+    conn->keep_alive = false;
+    ServerConn_SetResetOnClose(conn, true);
+    write_head(conn, status, headers);
+    evbuffer_add(out, "\r\n", 2);
+    if (size > 0 && g_strcmp0(conn->method, "HEAD") != 0) {
+        evbuffer_add(out, body, size);
+    }
+    ServerConn_FinishExchange(conn);
+}
+
 void
 Server_BeginStream(ServerExchange *exchange, int status,
                    const HeaderList *headers)
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -123,6 +123,9 @@
                                "be read."},
     [MET_ANSWERS_UNTIL_CLOSE] = {"answers_until_close",
                                  "Answers that end with their connection."},
+    [MET_ANSWERS_UNPROVEN] = {"answers_unproven",
+                              "Answers that ended with their connection, "
+                              "and maybe with the worker's process."},
     [MET_STREAMS_ENDED_IN_EVENT] = {"streams_ended_in_event",
                                     "Workers' streams cut inside an event."},
     [MET_WORKERS_CRASHED] = {"workers_crashed",
--- /dev/null
+++ b/tests/test_decide_answer_end.cc
@@ -0,0 +1,129 @@
+/* Tests of the decision whether an answer without framing is complete. */
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "decide/answer_end.h"
+}
+
+namespace {
+
+struct Row {
+    const char *name;
+    AnswerEndState state;
+    AnswerEndStep stream; /* Step for a stream, and for a plain answer. */
+    AnswerEndStep plain;
+};
+
+AnswerEndState
+State(AnswerEndReply reply)
+{
+    AnswerEndState state = {};
+    state.reply = reply;
+    state.has_responded =
+        reply == ANSWER_END_TURNED_AWAY || reply == ANSWER_END_TELLS_NO_START;
+    return state;
+}
+
+AnswerEndState
+OnOlder(AnswerEndReply reply)
+{
+    AnswerEndState state = State(reply);
+    state.is_older_connection = true;
+    state.is_older_broken = reply == ANSWER_END_FAILED;
+    return state;
+}
+
+AnswerEndState
+WithOlder(AnswerEndReply reply)
+{
+    AnswerEndState state = State(reply);
+    state.has_older_connection = true;
+    return state;
+}
+
+AnswerEndState
+Failed(uint32_t failures, int64_t waited_us, bool has_responded)
+{
+    AnswerEndState state = State(ANSWER_END_FAILED);
+    state.failures = failures;
+    state.waited_us = waited_us;
+    state.has_responded = has_responded;
+    return state;
+}
+
+TEST(DecideAnswerEnd, OnlyASignOfTheProcessProvesTheEnd)
+{
+    const Row rows[] = {
+        {"not asked", State(ANSWER_END_NOT_ASKED), ANSWER_END_ASK,
+         ANSWER_END_ASK},
+        {"not asked, older connection", WithOlder(ANSWER_END_NOT_ASKED),
+         ANSWER_END_ASK, ANSWER_END_ASK_OLDER},
+        {"same start", State(ANSWER_END_SAME_START), ANSWER_END_COMPLETE,
+         ANSWER_END_COMPLETE},
+        {"other start", State(ANSWER_END_OTHER_START), ANSWER_END_BROKEN,
+         ANSWER_END_BROKEN},
+        {"other start on an older connection", OnOlder(ANSWER_END_OTHER_START),
+         ANSWER_END_BROKEN, ANSWER_END_BROKEN},
+        {"tells no start", State(ANSWER_END_TELLS_NO_START), ANSWER_END_BROKEN,
+         ANSWER_END_AS_RECEIVED},
+        {"tells no start, older connection left",
+         WithOlder(ANSWER_END_TELLS_NO_START), ANSWER_END_ASK_OLDER,
+         ANSWER_END_ASK_OLDER},
+        {"tells no start on an older connection",
+         OnOlder(ANSWER_END_TELLS_NO_START), ANSWER_END_COMPLETE,
+         ANSWER_END_COMPLETE},
+        {"turned away", State(ANSWER_END_TURNED_AWAY), ANSWER_END_ASK_AGAIN,
+         ANSWER_END_AS_RECEIVED},
+        {"turned away on an older connection", OnOlder(ANSWER_END_TURNED_AWAY),
+         ANSWER_END_COMPLETE, ANSWER_END_COMPLETE},
+        {"older connection broke", OnOlder(ANSWER_END_FAILED),
+         ANSWER_END_ASK_AGAIN, ANSWER_END_ASK_AGAIN},
+        {"no reply", State(ANSWER_END_NO_REPLY), ANSWER_END_ASK_AGAIN,
+         ANSWER_END_ASK_AGAIN},
+        {"one connection failed", Failed(1, 0, false), ANSWER_END_ASK_AGAIN,
+         ANSWER_END_ASK_AGAIN},
+        {"all connections failed", Failed(ANSWER_END_FAILURES_MAX, 0, false),
+         ANSWER_END_BROKEN, ANSWER_END_BROKEN},
+        {"connections failed after a response",
+         Failed(ANSWER_END_FAILURES_MAX, 0, true), ANSWER_END_BROKEN,
+         ANSWER_END_AS_RECEIVED},
+        {"no time left", Failed(1, ANSWER_END_MAX_US, false),
+         ANSWER_END_BROKEN, ANSWER_END_BROKEN},
+    };
+
+    for (const Row &row : rows) {
+        SCOPED_TRACE(row.name);
+        AnswerEndState state = row.state;
+        EXPECT_EQ(AnswerEnd_Decide(&state), row.plain);
+        state.is_stream = true;
+        EXPECT_EQ(AnswerEnd_Decide(&state), row.stream);
+    }
+}
+
+/* Another process responds where an older connection broke. */
+TEST(DecideAnswerEnd, ResponseAfterABrokenConnectionShowsNothing)
+{
+    AnswerEndState state = State(ANSWER_END_TELLS_NO_START);
+    state.is_older_broken = true;
+    EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_BROKEN);
+}
+
+/* Time is over at the first look after ANSWER_END_MAX_US. */
+TEST(DecideAnswerEnd, CheckEnds)
+{
+    const AnswerEndReply replies[] = {ANSWER_END_NO_REPLY, ANSWER_END_FAILED,
+                                      ANSWER_END_TURNED_AWAY,
+                                      ANSWER_END_TELLS_NO_START};
+
+    for (AnswerEndReply reply : replies) {
+        for (bool has_older : {false, true}) {
+            AnswerEndState state = State(reply);
+            state.has_older_connection = has_older;
+            state.is_stream = true;
+            state.waited_us = ANSWER_END_MAX_US;
+            EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_BROKEN);
+        }
+    }
+}
+
+} // namespace
--- a/tests/test_gate_worker_end.cc
+++ b/tests/test_gate_worker_end.cc
@@ -20,19 +20,23 @@
     bool tells_start; /* The worker, and its entry. */
     int resets;       /* Of the next connections to the worker. */
     bool complete;
+    bool resumed; /* If the route may be resumed. */
 };
 
 const EndCase end_cases[] = {
-    {"goes on", ScriptedReply::CLOSE, true, 0, true},
+    {"goes on", ScriptedReply::CLOSE, true, 0, true, false},
     {"goes on, and resets the next connection", ScriptedReply::CLOSE, true, 1,
+     true, false},
+    /* A run that may be resumed uses the reservation's connection, so that no
+       older one is left. */
+    {"goes on, and tells no start", ScriptedReply::CLOSE, false, 0, true,
      true},
-    {"goes on, and tells no start", ScriptedReply::CLOSE, false, 0, true},
-    {"its process ends", ScriptedReply::EXIT, true, 0, false},
+    {"its process ends", ScriptedReply::EXIT, true, 0, false, true},
     {"its process ends, and told no start", ScriptedReply::EXIT, false, 0,
-     false},
+     false, true},
     {"its process ends and starts again", ScriptedReply::RESTART, true, 0,
-     false},
-    {"its machine ends", ScriptedReply::POWER_OFF, true, 0, false},
+     false, true},
+    {"its machine ends", ScriptedReply::POWER_OFF, true, 0, false, true},
 };
 
 /* The rig's reservations leave a connection that is older than the run. */
@@ -84,8 +88,8 @@
         Worker *other = rig.AddDecode(Stream(5, 9));
         ASSERT_TRUE(rig.UntilEnd(caller));
         EXPECT_TRUE(caller->IsComplete());
-        EXPECT_EQ(caller->DechunkedBody(), Events(0, row.complete ? 4 : 9));
-        EXPECT_EQ(other->requests.empty(), row.complete);
+        EXPECT_EQ(caller->DechunkedBody(), Events(0, row.resumed ? 9 : 4));
+        EXPECT_EQ(other->requests.empty(), !row.resumed);
     }
 }
 
