--- a/tests/test_gate_rig.cc
+++ b/tests/test_gate_rig.cc
@@ -86,4 +86,18 @@
     }
 }
 
+/* Ports of outgoing connections stay taken for a minute: a listener among them
+   finds none once many tests have run. */
+TEST(Rig, WorkersGetPortsOfTheProcess)
+{
+    event_base *base = event_base_new();
+    for (int i = 0; i < 3 * PortBlocks::size * PortBlocks::claims_max; i++) {
+        Worker worker(base, std::make_shared<std::deque<ScriptedReply>>());
+        int port =
+            std::stoi(worker.address.substr(worker.address.find(':') + 1));
+        EXPECT_LE(port, +PortBlocks::last);
+    }
+    event_base_free(base);
+}
+
 } // namespace
