Soak: a rig that waited for the disk accused VMs

VMs had told "stopped" 1.7 and 0.2 s within the grace, and the time left was that of a caller that the rig sent too late.

Change: settings are written without a wait for the disk and put in place by rename(); a VM that has exited is reaped before it is accused of a late stop; a stream whose caller's time is over is not taken up.

--- a/soak/load_generator.c
+++ b/soak/load_generator.c
@@ -226,6 +226,9 @@
             g_array_index(load_gen->broken, LoadGenStream, i);
         if (Clk_Now(options->clk) >= stream.due_us) {
             g_array_remove_index_fast(load_gen->broken, i);
+            if (Clk_Now(options->clk) >= stream.end_us) {
+                continue; /* This process was held up. */
+            }
             load_gen->taken_up++;
             guint vm = (guint)g_rand_int_range(options->rand, 0,
                                                (gint32)options->vm_count);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -537,6 +537,8 @@
 static void
 write_settings(Soak *self, SoakVm *vm)
 {
+    char *path = g_strdup_printf("%s.new", vm->settings);
+    FILE *file;
     char *text = g_strdup_printf(
         "{\"node\":\"vm%u\",\"zone\":\"zone-%c\",\"ip\":\"127.0.1.%u\","
         "\"first-start\":%s,"
@@ -555,9 +557,13 @@
         SIM_DRAIN_MS, SOAK_GRACE_MS / 1000, self->ledger.budget.options.ratio,
         self->ledger.budget.options.slack, SOAK_WINDOW_S);
 
-    if (!g_file_set_contents(vm->settings, text, -1, NULL)) {
+    /* g_file_set_contents() waits for the disk, for seconds if it is busy. */
+    file = fopen(path, "w");
+    if (file == NULL || fputs(text, file) == EOF || fclose(file) != 0 ||
+        rename(path, vm->settings) != 0) {
         g_error("soak: can't write %s", vm->settings);
     }
+    g_free(path);
     g_free(text);
 }
 
@@ -675,6 +681,13 @@
 
     (void)fd;
     (void)what;
+    if (vm->pid != 0) {
+        /* If this process was held up, the VM's may have ended in time. */
+        on_child(-1, 0, vm->soak);
+        if (vm->pid == 0) {
+            return;
+        }
+    }
     if (vm->pid != 0 && !vm->is_late) {
         vm->is_late = true;
         /* Earlier builds take what they can't answer. */
