End check: patience, starts that entries don't tell yet, empty rests

By their answer_until_close lines: five at workers whose entry was behind and to which no older connection was left ("other start"; idle connections are closed after 4 s), one silent for a second, two resumed runs at workers that asked for a pause, whose rest was empty.

Change: the worker is asked for its start as an answer without framing begins on a route that may run once, on a connection that is older than the call; a stream that no other worker can go on with waits for proof as long as its caller does (users' page: 2 s, four objectives or eight pauses); a pause is waited for; a resumed run without an event is checked like any other end instead of being broken off.

test_gate_stream_end, ResumedStreamThatEndsWithoutAnEventIsNotComplete: its worker closed one connection and stood for a crash; the process ends or starts again now, and a worker that goes on is the fourth row.

--- a/src/decide/answer_end.c
+++ b/src/decide/answer_end.c
@@ -2,11 +2,30 @@
    answer_end.h. */
 #include "answer_end.h"
 
+int64_t
+AnswerEnd_GetPatience(bool is_stream, bool may_go_on, int64_t slo_us,
+                      int64_t gap_us)
+{
+    int64_t caller_us = ANSWER_END_CALLER_US;
+
+    if (!is_stream || may_go_on) {
+        return ANSWER_END_MAX_US;
+    }
+    if (caller_us < ANSWER_END_CALLER_SLOS * slo_us) {
+        caller_us = ANSWER_END_CALLER_SLOS * slo_us;
+    }
+    if (caller_us < ANSWER_END_CALLER_GAPS * gap_us) {
+        caller_us = ANSWER_END_CALLER_GAPS * gap_us;
+    }
+    return caller_us - ANSWER_END_CALLER_MARGIN_US;
+}
+
 AnswerEndStep
 AnswerEnd_Decide(const AnswerEndState *state)
 {
-    bool is_over = state->is_paused || state->waited_us >= ANSWER_END_MAX_US ||
-                   state->failures >= ANSWER_END_FAILURES_MAX;
+    bool is_late = state->waited_us >= state->patience_us;
+    bool is_over = is_late || state->failures >= ANSWER_END_FAILURES_MAX ||
+                   (state->is_paused && !state->is_stream);
 
     switch (state->reply) {
     case ANSWER_END_NOT_ASKED:
@@ -35,15 +54,14 @@
         is_over |= !state->is_stream && !state->is_older_connection;
         break;
     }
-    if (state->has_older_connection && !state->is_paused &&
-        state->waited_us < ANSWER_END_MAX_US) {
+    if (state->has_older_connection && !state->is_paused && !is_late) {
         return ANSWER_END_ASK_OLDER;
     }
     if (!is_over) {
-        return state->reply == ANSWER_END_NOT_ASKED ||
-                       state->is_older_connection
-                   ? ANSWER_END_ASK
-                   : ANSWER_END_ASK_AGAIN;
+        bool is_first =
+            state->reply == ANSWER_END_NOT_ASKED || state->is_older_connection;
+        return is_first && !state->is_paused ? ANSWER_END_ASK
+                                             : ANSWER_END_ASK_AGAIN;
     }
     return !state->is_stream && !state->is_older_broken &&
                    (state->has_responded || state->is_paused)
--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -22,9 +22,17 @@
 #define ANSWER_END_QUESTION_US (250 * CLK_US_PER_MS)
 /* Time between a question that brought nothing and the next one. */
 #define ANSWER_END_PAUSE_US (50 * CLK_US_PER_MS)
-/* No question begins later than this after the end of the answer. Callers
-   leave a stream after a pause of 2 s, and it may have to go on elsewhere. */
+/* No question begins later than this after the end of an answer that another
+   worker can make. */
 #define ANSWER_END_MAX_US (600 * CLK_US_PER_MS)
+/* Callers leave a stream after a pause of this time, or these multiples of the
+   latency objective and of the longest pause in time, whichever is longest
+   (users' page on requests). */
+#define ANSWER_END_CALLER_US (2 * CLK_US_PER_S)
+#define ANSWER_END_CALLER_SLOS 4
+#define ANSWER_END_CALLER_GAPS 8
+/* The last question must end before that. */
+#define ANSWER_END_CALLER_MARGIN_US (500 * CLK_US_PER_MS)
 /* Connections that were refused, or broken off without an answer. */
 #define ANSWER_END_FAILURES_MAX 3
 
@@ -48,10 +56,11 @@
     /* One of them has ended since the call began, or a question on one
        failed: the process may have ended, and another one may respond. */
     bool is_older_broken;
-    bool has_responded; /* A reply told no start. */
-    bool is_paused;     /* The worker asked for a pause: no question. */
-    uint32_t failures;  /* So far. */
-    int64_t waited_us;  /* Since the end of the answer. */
+    bool has_responded;  /* A reply told no start. */
+    bool is_paused;      /* The worker asked for a pause: no question now. */
+    uint32_t failures;   /* So far. */
+    int64_t waited_us;   /* Since the end of the answer. */
+    int64_t patience_us; /* No question begins later than that. */
     bool is_stream;
     bool knows_start; /* The entry names the worker's start. */
 } AnswerEndState;
@@ -67,6 +76,10 @@
     ANSWER_END_BROKEN,
 } AnswerEndStep;
 
+/* Returns how long the end of an answer may wait for proof. `may_go_on`:
+   another worker can make the answer, or the rest of it. */
+int64_t AnswerEnd_GetPatience(bool is_stream, bool may_go_on, int64_t slo_us,
+                              int64_t gap_us);
 AnswerEndStep AnswerEnd_Decide(const AnswerEndState *state);
 
 #endif
--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -19,11 +19,18 @@
     bool is_older; /* The question went on an older connection. */
     bool is_early; /* The reply came before the question was delivered. */
     int status;
+    int64_t born_ms; /* Start that the reply told; 0: none. */
     GByteArray *body;
+    bool is_learning; /* It asks for the start; the answer may go on. */
+    /* NULL while the answer goes on. */
     void (*on_checked)(TaskCall *call, AnswerEndStep step);
 };
 
 static void on_timer(evutil_socket_t fd, short what, void *context);
+static struct EndCheck *new_check(TaskCall *call);
+static bool is_paused(const struct EndCheck *check);
+static int64_t get_waited(const struct EndCheck *check);
+static bool may_go_on(const GateTask *task);
 static void ask(struct EndCheck *check, bool older);
 static void fill_older(const struct EndCheck *check,
                        ClientCallOptions *options);
@@ -31,7 +38,8 @@
 static void on_head(void *context, int status, const HeaderList *headers);
 static void on_data(void *context, const void *data, size_t size);
 static void on_end(void *context, ClientOutcome outcome);
-static AnswerEndReply read_reply(const struct EndCheck *check);
+static AnswerEndReply read_reply(struct EndCheck *check);
+static void learn_start(struct EndCheck *check, AnswerEndReply reply);
 static void advance(struct EndCheck *check, AnswerEndReply reply);
 static void log_end(const struct EndCheck *check, AnswerEndStep step);
 
@@ -48,23 +56,39 @@
                void (*on_checked)(TaskCall *call, AnswerEndStep step))
 {
     GateTask *task = call->task;
-    struct EndCheck *check = g_new0(struct EndCheck, 1);
+    struct EndCheck *check = call->end_check;
 
-    check->call = call;
-    check->timer = evtimer_new(task->gate->options.base, on_timer, check);
+    if (check == NULL) {
+        check = new_check(call);
+        Loop_ArmTimerUs(check->timer, 0);
+    }
     check->began_us = Task_Now(task);
     check->state.is_stream = task->route->kind == RTE_STREAM;
+    check->state.patience_us =
+        AnswerEnd_GetPatience(check->state.is_stream, may_go_on(task),
+                              (int64_t)task->route->slo_ms * CLK_US_PER_MS,
+                              (int64_t)task->route->gap_ms * CLK_US_PER_MS);
     check->state.knows_start = task->service->is_engine &&
                                call->born_ms != 0 &&
                                !call->worker->tells_no_start;
-    check->body = g_byte_array_new();
     check->on_checked = on_checked;
-    call->end_check = check;
     if (call == task->current) {
         task->step_deadline_us = 0;
         Task_SetTimer(task);
     }
-    Loop_ArmTimerUs(check->timer, 0);
+}
+
+static struct EndCheck *
+new_check(TaskCall *call)
+{
+    GateTask *task = call->task;
+    struct EndCheck *check = g_new0(struct EndCheck, 1);
+
+    check->call = call;
+    check->timer = evtimer_new(task->gate->options.base, on_timer, check);
+    check->body = g_byte_array_new();
+    call->end_check = check;
+    return check;
 }
 
 void
@@ -99,11 +123,38 @@
     else if (check->state.reply == ANSWER_END_NOT_ASKED) {
         advance(check, ANSWER_END_NOT_ASKED);
     }
+    else if (is_paused(check) &&
+             get_waited(check) < check->state.patience_us) {
+        Loop_ArmTimerUs(check->timer, ANSWER_END_PAUSE_US);
+    }
+    else if (is_paused(check)) {
+        advance(check, check->state.reply);
+    }
     else {
         ask(check, false);
     }
 }
 
+/* Whether another worker can go on with the stream. */
+static bool
+may_go_on(const GateTask *task)
+{
+    return task->route->can_resume && task->runs + 1 < task->attempts;
+}
+
+static bool
+is_paused(const struct EndCheck *check)
+{
+    return Notice_IsPaused(&check->call->worker->notice,
+                           Task_Now(check->call->task));
+}
+
+static int64_t
+get_waited(const struct EndCheck *check)
+{
+    return Task_Now(check->call->task) - check->began_us;
+}
+
 static void
 ask(struct EndCheck *check, bool older)
 {
@@ -146,6 +197,30 @@
     options->number_max = check->call->last_number;
 }
 
+void
+EndCheck_LearnStart(TaskCall *call)
+{
+    const GateTask *task = call->task;
+    ClientCallOptions older = {0};
+    struct EndCheck *check;
+
+    if (task->route->kind != RTE_STREAM || !task->service->is_engine ||
+        task->route->can_resume || call->worker->is_vm ||
+        call->last_number == 0 ||
+        Notice_IsPaused(&call->worker->notice, Task_Now(task))) {
+        return;
+    }
+    check = new_check(call);
+    check->is_learning = true;
+    fill_older(check, &older);
+    if (Client_HasIdle(task->gate->options.client, &older)) {
+        ask(check, true);
+    }
+    else {
+        EndCheck_Cancel(call);
+    }
+}
+
 /* An answer that names a request is a late one. */
 static bool
 matches_control(void *context, const HeaderList *headers)
@@ -193,11 +268,11 @@
 }
 
 static AnswerEndReply
-read_reply(const struct EndCheck *check)
+read_reply(struct EndCheck *check)
 {
     const GateCodec *codec = check->call->task->gate->options.codec;
-    int64_t born_ms = 0;
 
+    check->born_ms = 0;
     if (check->is_early) {
         return ANSWER_END_FAILED; /* It is a late one of another call. */
     }
@@ -211,14 +286,34 @@
         return ANSWER_END_TELLS_NO_START;
     }
     if (!codec->decode_state(codec->context, (const char *)check->body->data,
-                             check->body->len, &born_ms)) {
+                             check->body->len, &check->born_ms)) {
         return ANSWER_END_FAILED;
     }
-    if (born_ms == 0 || check->call->born_ms == 0) {
+    if (check->born_ms == 0) {
         return ANSWER_END_TELLS_NO_START;
     }
-    return born_ms == check->call->born_ms ? ANSWER_END_SAME_START
-                                           : ANSWER_END_OTHER_START;
+    return check->born_ms == check->call->born_ms ? ANSWER_END_SAME_START
+                                                  : ANSWER_END_OTHER_START;
+}
+
+/* Takes the start that the worker told on an older connection for that of the
+   process that answers the call: its entry may be behind. */
+static void
+learn_start(struct EndCheck *check, AnswerEndReply reply)
+{
+    TaskCall *call = check->call;
+
+    check->is_learning = false;
+    if (check->is_older && check->born_ms != 0 &&
+        (reply == ANSWER_END_SAME_START || reply == ANSWER_END_OTHER_START)) {
+        call->born_ms = check->born_ms;
+    }
+    if (check->on_checked == NULL) {
+        EndCheck_Cancel(call);
+        return;
+    }
+    /* The answer has ended meanwhile. */
+    advance(check, ANSWER_END_NOT_ASKED);
 }
 
 /* Does what the last reply leads to. */
@@ -233,17 +328,20 @@
         reply == ANSWER_END_FAILED || reply == ANSWER_END_NO_REPLY;
     AnswerEndStep step;
 
+    if (check->is_learning) {
+        learn_start(check, reply);
+        return;
+    }
     fill_older(check, &older);
     state->reply = reply;
-    state->waited_us = Task_Now(call->task) - check->began_us;
+    state->waited_us = get_waited(check);
     state->is_older_connection = check->is_older;
     state->failures += reply == ANSWER_END_FAILED;
     state->is_older_broken |=
         (is_failed && check->is_older) ||
         Client_CountLost(call->task->gate->options.client, call->address) !=
             call->lost_count;
-    state->is_paused =
-        Notice_IsPaused(&call->worker->notice, Task_Now(call->task));
+    state->is_paused = is_paused(check);
     state->has_responded |=
         reply == ANSWER_END_TURNED_AWAY || reply == ANSWER_END_TELLS_NO_START;
     state->has_older_connection =
@@ -275,7 +373,7 @@
 {
     static const char *const replies[] = {
         "not asked",      "no reply",   "connection failed", "turned away",
-        "tells no start", "same start", "other start"};
+        "tells no start", "same start", "other start",       "other worker"};
     const TaskCall *call = check->call;
     const GateTask *task = call->task;
 
--- a/src/gate/end_check.h
+++ b/src/gate/end_check.h
@@ -15,6 +15,10 @@
    callback runs before the return. */
 void EndCheck_Begin(TaskCall *call,
                     void (*on_checked)(TaskCall *call, AnswerEndStep step));
+/* Asks the worker of an answer that has begun without framing for its start,
+   if a connection is there that is older than the call. The worker's entry may
+   be behind, and that connection may be closed when the answer ends. */
+void EndCheck_LearnStart(TaskCall *call);
 /* Cancels the call's check, if there is one; no callback follows. */
 void EndCheck_Cancel(TaskCall *call);
 
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -523,7 +523,7 @@
         Met_Add(MET_STREAMS_ENDED_IN_EVENT, 1);
         cause = "stream ended inside an event";
     }
-    else if (outcome == CLIENT_COMPLETE && current->events == 0 &&
+    else if (outcome == CLIENT_COMPLETE && !task->streaming &&
              current->framing == CLIENT_FRAMING_CLOSE &&
              current->reply.status == 200) {
         cause = "stream ended before its first event";
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -607,6 +607,7 @@
     current->framing = Client_GetFraming(current->call);
     if (current->framing == CLIENT_FRAMING_CLOSE) {
         Met_Add(MET_ANSWERS_UNTIL_CLOSE, 1);
+        EndCheck_LearnStart(current);
     }
     current->headers = Header_New();
     codec->encode_answer(codec->context, headers, current->headers);
--- a/tests/test_decide_answer_end.cc
+++ b/tests/test_decide_answer_end.cc
@@ -19,6 +19,7 @@
 {
     AnswerEndState state = {};
     state.reply = reply;
+    state.patience_us = ANSWER_END_MAX_US;
     state.has_responded =
         reply == ANSWER_END_TURNED_AWAY || reply == ANSWER_END_TELLS_NO_START;
     return state;
@@ -104,7 +105,7 @@
          ANSWER_END_AS_RECEIVED},
         {"no time left", Failed(1, ANSWER_END_MAX_US, false),
          ANSWER_END_BROKEN, ANSWER_END_BROKEN},
-        {"paused", Paused(ANSWER_END_NOT_ASKED), ANSWER_END_BROKEN,
+        {"paused", Paused(ANSWER_END_NOT_ASKED), ANSWER_END_ASK_AGAIN,
          ANSWER_END_AS_RECEIVED},
         {"paused after the question", Paused(ANSWER_END_SAME_START),
          ANSWER_END_COMPLETE, ANSWER_END_COMPLETE},
@@ -139,6 +140,35 @@
     }
 }
 
+/* A stream that no other worker can go on with waits as long as its caller. */
+TEST(DecideAnswerEnd, PatienceIsThatOfTheCaller)
+{
+    const int64_t ms = CLK_US_PER_MS;
+    const struct {
+        const char *name;
+        bool is_stream;
+        bool may_go_on;
+        int64_t slo_us;
+        int64_t gap_us;
+        int64_t patience_us;
+    } rows[] = {
+        {"plain", false, false, 9000 * ms, 900 * ms, ANSWER_END_MAX_US},
+        {"goes on elsewhere", true, true, 9000 * ms, 900 * ms,
+         ANSWER_END_MAX_US},
+        {"2 s", true, false, 100 * ms, 100 * ms, 1500 * ms},
+        {"four times the objective", true, false, 900 * ms, 300 * ms,
+         3100 * ms},
+        {"eight times the pause", true, false, 500 * ms, 400 * ms, 2700 * ms},
+    };
+
+    for (const auto &row : rows) {
+        EXPECT_EQ(AnswerEnd_GetPatience(row.is_stream, row.may_go_on,
+                                        row.slo_us, row.gap_us),
+                  row.patience_us)
+            << row.name;
+    }
+}
+
 /* Time is over at the first look after ANSWER_END_MAX_US. */
 TEST(DecideAnswerEnd, CheckEnds)
 {
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -109,9 +109,10 @@
         EXPECT_TRUE(caller->IsComplete());
         rig.RunFor(10);
     }
-    /* One for reservations and questions, and one for each run. */
+    /* One for reservations and questions, and one for each run. The start is
+       asked for as the answer begins, and at its end. */
     EXPECT_EQ(worker->accepted, 21);
-    EXPECT_EQ(worker->states, 20);
+    EXPECT_EQ(worker->states, 40);
 }
 
 /* Framings that http_parser may read in another way. */
@@ -308,20 +309,56 @@
    pause. */
 TEST(GateEndCheck, PausedWorkerIsNotAsked)
 {
-    GateRig rig;
-    rig.born_ms = 1000;
-    rig.SetRoute({RTE_STREAM, 1, false}, true);
-    Worker *worker =
-        rig.AddWorker({{StreamHead("") + Events(0, 2), ScriptedReply::KEEP}},
-                      FLEET_PHASE_DECODE);
-    FleetWorker *row = rig.last_worker;
-    Caller *caller = rig.Call(Prompt());
-    ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
-    row->notice.paused_until_us = Clk_Now(&rig.clk) + 5 * CLK_US_PER_S;
-    worker->EndLast(false);
-    ASSERT_TRUE(rig.UntilEnd(caller));
-    EXPECT_EQ(worker->states, 0);
-    EXPECT_FALSE(caller->IsComplete());
+    for (int pause_ms : {1000, 9000}) {
+        SCOPED_TRACE(pause_ms);
+        GateRig rig;
+        rig.born_ms = 1000;
+        rig.SetRoute({RTE_STREAM, 1, false, 10000, 900}, true);
+        Worker *worker = rig.AddWorker(
+            {{StreamHead("") + Events(0, 2), ScriptedReply::KEEP}},
+            FLEET_PHASE_DECODE);
+        FleetWorker *row = rig.last_worker;
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+        rig.RunFor(20);
+        int before = worker->states;
+        int64_t from_us = Clk_Now(&rig.clk);
+        row->notice.paused_until_us = from_us + pause_ms * CLK_US_PER_MS;
+        worker->EndLast(false);
+        rig.RunFor(900);
+        EXPECT_EQ(worker->states, before);
+        ASSERT_TRUE(rig.UntilEnd(caller));
+        /* Callers leave after 3.6 s. */
+        EXPECT_LT(Clk_Now(&rig.clk) - from_us, 3600 * CLK_US_PER_MS);
+        EXPECT_EQ(caller->IsComplete(), pause_ms < 3000);
+    }
+}
+
+/* The worker started again before the call, its entry doesn't say so yet, and
+   the connection that shows which start answers is closed meanwhile. */
+TEST(GateEndCheck, StartIsLearnedAsTheAnswerBegins)
+{
+    for (bool exits : {false, true}) {
+        SCOPED_TRACE(exits);
+        GateRig rig;
+        rig.born_ms = 1000;
+        rig.SetRoute({RTE_STREAM, 1, false, 15000, 900}, true);
+        Worker *worker = rig.AddWorker(
+            {{StreamHead("") + Events(0, 2), ScriptedReply::KEEP}},
+            FLEET_PHASE_DECODE);
+        worker->born_ms = 2000;
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+        rig.RunFor(CLIENT_IDLE_MAX_MS + 100);
+        worker->SendToLast(Events(3, 4));
+        rig.RunFor(20);
+        if (exits) {
+            worker->born_ms = 3000;
+        }
+        worker->EndLast(false);
+        ASSERT_TRUE(rig.UntilEnd(caller));
+        EXPECT_EQ(caller->IsComplete(), !exits);
+    }
 }
 
 /* The worker stops at the time left that it was told, and its process goes on.
--- a/tests/test_gate_stream_end.cc
+++ b/tests/test_gate_stream_end.cc
@@ -200,24 +200,40 @@
     EXPECT_TRUE(caller->reset);
 }
 
-/* A worker that crashes as it begins the rest of a stream: its answer without
-   framing ends like a complete one. */
-TEST(GateStreamEnd, ResumedStreamThatEndsWithoutAnEventIsNotComplete)
+/* The rest of a stream begins at a worker whose answer has no framing and ends
+   without an event: its process ended, or nothing was left. */
+TEST(GateStreamEnd, RestWithoutAnEventIsCompleteIfItsWorkerGoesOn)
 {
-    GateRig rig;
-    rig.SetRoute({RTE_STREAM, 3, true}, true);
-    auto script = std::make_shared<std::deque<ScriptedReply>>();
-    script->push_back(Stream(0, 1, ScriptedReply::RESET));
-    script->push_back({StreamHead(""), ScriptedReply::CLOSE});
-    script->push_back(Stream(2, 9));
-    for (int i = 0; i < 3; i++) {
-        rig.AddWorkerWithScript(script, FLEET_PHASE_DECODE);
+    const struct {
+        const char *name;
+        ScriptedReply::End end;
+        bool complete;
+        int last; /* Event that the caller has. */
+    } rows[] = {
+        {"goes on", ScriptedReply::CLOSE, true, 1},
+        {"starts again", ScriptedReply::RESTART, true, 9},
+        {"resets the connection", ScriptedReply::RESET, true, 9},
+        /* Two workers ended under the request. */
+        {"ends", ScriptedReply::EXIT, false, 1},
+    };
+
+    for (const auto &row : rows) {
+        SCOPED_TRACE(row.name);
+        GateRig rig;
+        rig.born_ms = 1000;
+        rig.SetRoute({RTE_STREAM, 3, true}, true);
+        auto script = std::make_shared<std::deque<ScriptedReply>>();
+        script->push_back(Stream(0, 1, ScriptedReply::RESET));
+        script->push_back({StreamHead(""), row.end});
+        script->push_back(Stream(2, 9));
+        for (int i = 0; i < 3; i++) {
+            rig.AddWorkerWithScript(script, FLEET_PHASE_DECODE);
+        }
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(rig.UntilEnd(caller));
+        EXPECT_EQ(caller->IsComplete(), row.complete);
+        EXPECT_EQ(caller->DechunkedBody(), Events(0, row.last));
     }
-    Caller *caller = rig.Call(Prompt());
-    ASSERT_TRUE(
-        rig.Until([&] { return caller->IsComplete() || caller->closed; }));
-    EXPECT_TRUE(caller->IsComplete());
-    EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
 }
 
 } // namespace
