--- a/src/decide/answer_end.c
+++ b/src/decide/answer_end.c
@@ -57,6 +57,11 @@
     if (state->has_older_connection && !state->is_paused && !is_late) {
         return ANSWER_END_ASK_OLDER;
     }
+    if (is_over && state->has_busy_older && !is_late && state->is_stream &&
+        (state->reply == ANSWER_END_OTHER_START ||
+         state->reply == ANSWER_END_TELLS_NO_START)) {
+        return ANSWER_END_WAIT;
+    }
     if (!is_over) {
         bool is_first =
             state->reply == ANSWER_END_NOT_ASKED || state->is_older_connection;
--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -53,6 +53,7 @@
     bool is_older_connection;  /* The reply came on one that is older than the
                                   call. */
     bool has_older_connection; /* An idle one that has not been asked. */
+    bool has_busy_older;       /* One that is in use. */
     /* One of them has ended since the call began, or a question on one
        failed: the process may have ended, and another one may respond. */
     bool is_older_broken;
@@ -68,7 +69,8 @@
 typedef enum AnswerEndStep {
     ANSWER_END_ASK,       /* On a new connection. */
     ANSWER_END_ASK_OLDER, /* On a connection that is older than the call. */
-    ANSWER_END_ASK_AGAIN, /* After ANSWER_END_PAUSE_US. */
+    ANSWER_END_ASK_AGAIN, /* On a new one after ANSWER_END_PAUSE_US. */
+    ANSWER_END_WAIT,      /* To decide again after ANSWER_END_PAUSE_US. */
     ANSWER_END_COMPLETE,
     /* Nothing shows that the process ended, and it never tells its start: the
        caller gets the answer without framing, as the worker sent it. */
--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -21,6 +21,7 @@
     int status;
     int64_t born_ms; /* Start that the reply told; 0: none. */
     GByteArray *body;
+    bool is_waiting;  /* For an older connection. */
     bool is_learning; /* It asks for the start; the answer may go on. */
     /* NULL while the answer goes on. */
     void (*on_checked)(TaskCall *call, AnswerEndStep step);
@@ -41,6 +42,7 @@
 static AnswerEndReply read_reply(struct EndCheck *check);
 static void learn_start(struct EndCheck *check, AnswerEndReply reply);
 static void advance(struct EndCheck *check, AnswerEndReply reply);
+static void decide(struct EndCheck *check);
 static void log_end(const struct EndCheck *check, AnswerEndStep step);
 
 bool
@@ -120,15 +122,23 @@
         check->question = NULL;
         advance(check, ANSWER_END_NO_REPLY);
     }
-    else if (check->state.reply == ANSWER_END_NOT_ASKED) {
-        advance(check, ANSWER_END_NOT_ASKED);
+    else if (check->is_learning && check->on_checked == NULL) {
+        TaskCall *call = check->call;
+        EndCheck_Cancel(call);
+        EndCheck_LearnStart(call);
+    }
+    else if (check->is_learning) {
+        learn_start(check, ANSWER_END_NO_REPLY);
+    }
+    else if (check->is_waiting || check->state.reply == ANSWER_END_NOT_ASKED) {
+        decide(check);
     }
     else if (is_paused(check) &&
              get_waited(check) < check->state.patience_us) {
         Loop_ArmTimerUs(check->timer, ANSWER_END_PAUSE_US);
     }
     else if (is_paused(check)) {
-        advance(check, check->state.reply);
+        decide(check);
     }
     else {
         ask(check, false);
@@ -179,6 +189,7 @@
         fill_older(check, &call);
     }
     check->is_older = older;
+    check->is_waiting = false;
     check->is_early = false;
     check->status = 0;
     g_byte_array_set_size(check->body, 0);
@@ -206,7 +217,8 @@
 
     if (task->route->kind != RTE_STREAM || !task->service->is_engine ||
         task->route->can_resume || call->worker->is_vm ||
-        call->last_number == 0 ||
+        !Client_HasOlder(task->gate->options.client, call->address,
+                         call->last_number) ||
         Notice_IsPaused(&call->worker->notice, Task_Now(task))) {
         return;
     }
@@ -217,7 +229,8 @@
         ask(check, true);
     }
     else {
-        EndCheck_Cancel(call);
+        /* It may be in use. */
+        Loop_ArmTimerUs(check->timer, ANSWER_END_PAUSE_US);
     }
 }
 
@@ -313,40 +326,50 @@
         return;
     }
     /* The answer has ended meanwhile. */
-    advance(check, ANSWER_END_NOT_ASKED);
+    decide(check);
 }
 
-/* Does what the last reply leads to. */
+/* Takes the reply to the last question. */
 static void
 advance(struct EndCheck *check, AnswerEndReply reply)
 {
-    TaskCall *call = check->call;
     AnswerEndState *state = &check->state;
-    ClientCallOptions older = {0};
-    void (*on_checked)(TaskCall *, AnswerEndStep) = check->on_checked;
     bool is_failed =
         reply == ANSWER_END_FAILED || reply == ANSWER_END_NO_REPLY;
-    AnswerEndStep step;
 
     if (check->is_learning) {
         learn_start(check, reply);
         return;
     }
-    fill_older(check, &older);
     state->reply = reply;
-    state->waited_us = get_waited(check);
     state->is_older_connection = check->is_older;
     state->failures += reply == ANSWER_END_FAILED;
-    state->is_older_broken |=
-        (is_failed && check->is_older) ||
-        Client_CountLost(call->task->gate->options.client, call->address) !=
-            call->lost_count;
-    state->is_paused = is_paused(check);
+    state->is_older_broken |= is_failed && check->is_older;
     state->has_responded |=
         reply == ANSWER_END_TURNED_AWAY || reply == ANSWER_END_TELLS_NO_START;
+    decide(check);
+}
+
+/* Does what the state leads to. */
+static void
+decide(struct EndCheck *check)
+{
+    TaskCall *call = check->call;
+    Client *client = call->task->gate->options.client;
+    AnswerEndState *state = &check->state;
+    ClientCallOptions older = {0};
+    void (*on_checked)(TaskCall *, AnswerEndStep) = check->on_checked;
+    AnswerEndStep step;
+
+    fill_older(check, &older);
+    state->waited_us = get_waited(check);
+    state->is_older_broken |=
+        Client_CountLost(client, call->address) != call->lost_count;
+    state->is_paused = is_paused(check);
     state->has_older_connection =
-        call->last_number != 0 &&
-        Client_HasIdle(call->task->gate->options.client, &older);
+        call->last_number != 0 && Client_HasIdle(client, &older);
+    state->has_busy_older =
+        Client_HasOlder(client, call->address, call->last_number);
     step = AnswerEnd_Decide(state);
     switch (step) {
     case ANSWER_END_ASK:
@@ -356,6 +379,8 @@
         ask(check, true);
         return;
     case ANSWER_END_ASK_AGAIN:
+    case ANSWER_END_WAIT:
+        check->is_waiting = step == ANSWER_END_WAIT;
         Loop_ArmTimerUs(check->timer, ANSWER_END_PAUSE_US);
         return;
     case ANSWER_END_COMPLETE:
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -181,6 +181,21 @@
     return find_idle(client, options) != NULL;
 }
 
+bool
+Client_HasOlder(const Client *client, const char *address, uint64_t number_max)
+{
+    const ClientConn *conn;
+
+    LIST_FOREACH(conn, &client->conns, links)
+    {
+        if (conn->has_responded && conn->number <= number_max &&
+            strcmp(conn->address, address) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 Client_EndCall(ClientCall *call)
 {
--- a/src/io/client.h
+++ b/src/io/client.h
@@ -117,6 +117,10 @@
 ClientCall *Client_BeginCall(Client *client, const ClientCallOptions *options);
 /* Whether an idle connection meets the options of a call. */
 bool Client_HasIdle(Client *client, const ClientCallOptions *options);
+/* Whether a connection to an address, "IP:port", has a number up to this one
+   and has carried a response; it may be in use. */
+bool Client_HasOlder(const Client *client, const char *address,
+                     uint64_t number_max);
 /* Cancels a call: closes its connection, and no callback follows. */
 void Client_EndCall(ClientCall *call);
 /* Returns the framing of the call's response. To be called from on_head(). */
--- a/tests/test_decide_answer_end.cc
+++ b/tests/test_decide_answer_end.cc
@@ -140,6 +140,20 @@
     }
 }
 
+/* An older connection that is in use may prove the end once it is idle. */
+TEST(DecideAnswerEnd, BusyOlderConnectionIsWaitedFor)
+{
+    for (AnswerEndReply reply :
+         {ANSWER_END_OTHER_START, ANSWER_END_TELLS_NO_START}) {
+        AnswerEndState state = State(reply);
+        state.is_stream = true;
+        state.has_busy_older = true;
+        EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_WAIT);
+        state.waited_us = state.patience_us;
+        EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_BROKEN);
+    }
+}
+
 /* A stream that no other worker can go on with waits as long as its caller. */
 TEST(DecideAnswerEnd, PatienceIsThatOfTheCaller)
 {
