--- a/src/decide/event_order.c
+++ b/src/decide/event_order.c
@@ -99,6 +99,7 @@
     order->last = event->id;
     order->digest = event->digest;
     order->has_unnamed = false;
+    order->events++;
 }
 
 bool
@@ -106,3 +107,15 @@
 {
     return !order->has_unnamed;
 }
+
+int64_t
+EventOrder_CountEvents(const EventOrder *order, int64_t resumed)
+{
+    /* Events are numbered from 0. */
+    int64_t before = resumed == EVENT_ORDER_NO_ID ? 0 : resumed + 1;
+
+    if (order->steps > 0 && !order->is_uneven) {
+        before /= order->step;
+    }
+    return before + order->events;
+}
--- a/src/decide/event_order.h
+++ b/src/decide/event_order.h
@@ -36,6 +36,7 @@
     int64_t step;     /* From the ID of the first event seen to the next. */
     uint32_t steps;   /* Seen so far. */
     bool is_uneven;   /* One of them was of another size. */
+    uint32_t events;  /* Events with an ID that were sent. */
     bool has_unnamed; /* Data without an ID was sent after `last`. It can't be
                          told from the same data of another run. */
 } EventOrder;
@@ -61,4 +62,9 @@
 void EventOrder_NoteSent(EventOrder *order, const EventOrderEvent *event);
 /* Whether another run can go on with the stream, or begin it. */
 bool EventOrder_CanJoin(const EventOrder *order);
+/* Returns how many events the stream has had, before a caller's resumption
+   after the event `resumed` included (EVENT_ORDER_NO_ID: none), which may have
+   come from another VM. */
+int64_t EventOrder_CountEvents(const EventOrder *order, int64_t resumed);
+
 #endif
--- a/src/gate/grace.c
+++ b/src/gate/grace.c
@@ -217,15 +217,9 @@
 static uint32_t
 count_events_left(const GateTask *task)
 {
-    uint32_t tokens_per_event = MAX(task->service->tokens_per_event, 1);
-    int64_t most = ((int64_t)task->request.output_max + tokens_per_event - 1) /
-                   tokens_per_event;
+    uint32_t most = Task_CountEventsMax(task);
 
-    if (most == 0) {
-        return 0;
-    }
-    /* Events are numbered from 0. */
-    return (uint32_t)MAX(most - (task->last_event + 1), 1);
+    return most == 0 ? 0 : MAX(most - Task_CountMadeEvents(task), 1);
 }
 
 /* Returns the longest mean interval between the events of the streams in
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -256,6 +256,11 @@
    caller or a VM: of its host, method, target and body. 0 if the caller left
    before it was computed. */
 uint64_t Task_GetIdentity(GateTask *task);
+/* Returns the most events that the stream may have; 0 if there is no limit. */
+uint32_t Task_CountEventsMax(const GateTask *task);
+/* Returns how many events the stream has had, those before a caller's
+   resumption included. */
+uint32_t Task_CountMadeEvents(const GateTask *task);
 /* Returns the time of the gate's clock, microseconds. */
 int64_t Task_Now(const GateTask *task);
 /* Returns the precedence of timely requests for the task's service. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -22,6 +22,9 @@
 
 /* Parts of a prompt in one log line. */
 #define TASK_LOGGED_PARTS_MAX 8
+/* Events that a stream is taken to have had at most if its caller names no
+   limit. IDs may be any numbers. */
+#define TASK_EVENTS_MAX (1 << 16)
 /* Time between two events of a stream while it is unknown. */
 #define TASK_DEFAULT_EVENT_INTERVAL_US 30000
 
@@ -199,6 +202,25 @@
     }
 }
 
+uint32_t
+Task_CountEventsMax(const GateTask *task)
+{
+    uint32_t per_event = MAX(task->service->tokens_per_event, 1);
+
+    return (uint32_t)(((int64_t)task->request.output_max + per_event - 1) /
+                      per_event);
+}
+
+uint32_t
+Task_CountMadeEvents(const GateTask *task)
+{
+    uint32_t most = Task_CountEventsMax(task);
+    int64_t made =
+        EventOrder_CountEvents(&task->order, task->request.last_event);
+
+    return (uint32_t)MIN(made, most > 0 ? most : TASK_EVENTS_MAX);
+}
+
 Forecast
 Task_GetForecast(const GateTask *task)
 {
@@ -208,7 +230,7 @@
                                    : TASK_DEFAULT_EVENT_INTERVAL_US;
     ForecastStream stream = {
         .prompt_tokens = task->request.prompt_tokens,
-        .made_tokens = (uint32_t)(task->last_event + 1) * per_event,
+        .made_tokens = (uint32_t)Task_CountMadeEvents(task) * per_event,
         .expected_tokens = task->request.output_tokens,
         .tokens_per_us = per_event / event_interval_us,
     };
--- a/tests/test_decide_event_order.cc
+++ b/tests/test_decide_event_order.cc
@@ -129,4 +129,28 @@
     }
 }
 
+TEST(DecideEventOrder, EventsAreCounted)
+{
+    const struct {
+        const char *name;
+        int64_t resumed;
+        std::vector<int64_t> sent;
+        int64_t count;
+    } counts[] = {
+        {"none", none, {}, 0},
+        {"by one", none, {0, 1, 2}, 3},
+        {"any numbers", none, {1000, 2000, 3001}, 3},
+        {"data without an ID", none, {0, none, 1}, 2},
+        {"resumed", 4, {}, 5},
+        {"resumed, by one", 4, {5, 6}, 7},
+        {"resumed, by four", 19, {23, 27}, 7},
+        {"resumed, uneven", 19, {20, 24}, 22},
+    };
+    for (const auto &row : counts) {
+        SCOPED_TRACE(row.name);
+        EventOrder order = MakeOrder(row.resumed, row.sent);
+        EXPECT_EQ(EventOrder_CountEvents(&order, row.resumed), row.count);
+    }
+}
+
 } // namespace
--- a/tests/test_gate_event_order.cc
+++ b/tests/test_gate_event_order.cc
@@ -161,4 +161,20 @@
     EXPECT_EQ(caller->DechunkedBody(), Ids({0, 1, -1, 2, 3}));
 }
 
+/* IDs may be any numbers: they don't tell how much of a stream is left. */
+TEST(GateEventOrder, MadeEventsAreCountedNotTakenFromIds)
+{
+    GateRig rig;
+    rig.SetRoute(at_most_once, true);
+    rig.AddWorker({{StreamHead("Transfer-Encoding: chunked\r\n") +
+                    Chunk(Ids({1000000, 1000001, 1000002}))}},
+                  FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Prompt());
+    ASSERT_TRUE(rig.Until([&] {
+        return caller->text.find("id: 1000002\n") != std::string::npos;
+    }));
+    Gate_UpdateForecasts(Edge_GetGate(rig.edge));
+    EXPECT_LT(Forecast_GetPeak(&rig.last_worker->kv), 2000u);
+}
+
 } // namespace
