--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -121,6 +121,7 @@
         worker->malformed_notice_logged = false;
         worker->misdirected_until_us = 0;
         worker->tells_no_start = false;
+        worker->tells_start = false;
         worker->load_us = 0;
         worker->slowness = 1.0;
     }
@@ -418,6 +419,14 @@
     fleet->unknown_start_us = now_us;
 }
 
+uint64_t
+Fleet_GetNoStartLabel(const FleetWorker *worker)
+{
+    uint64_t start[] = {worker->hash, 0};
+
+    return XXH3_64bits(start, sizeof(start)) | 1;
+}
+
 uint64_t
 Fleet_GetStartLabel(const FleetWorker *worker, int64_t born_ms)
 {
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -104,6 +104,7 @@
                               first. */
     bool lacks_reservations; /* The worker does not support reservations. */
     bool tells_no_start;     /* It doesn't say when it started. */
+    bool tells_start;        /* It has said so. */
     double service_us;       /* Moving average of a call's duration. */
     double slowness;         /* Moving average of measured prefill time over
                                 expected prefill time. */
@@ -196,6 +197,8 @@
 /* Returns what identifies a start of the worker; 0 if the time of the start,
    Unix milliseconds, is not known (0). */
 uint64_t Fleet_GetStartLabel(const FleetWorker *worker, int64_t born_ms);
+/* The same for a process of the worker that tells no start. */
+uint64_t Fleet_GetNoStartLabel(const FleetWorker *worker);
 /* Notes that the worker refused a request as not meant for it. It gets none
    for FLEET_MISDIRECTED_US. */
 void Fleet_NoteMisdirected(FleetWorker *worker, int64_t now_us);
--- a/src/gate/stream_prepare.c
+++ b/src/gate/stream_prepare.c
@@ -266,6 +266,7 @@
         codec->decode_state(codec->context, (const char *)call->body->data,
                             call->body->len, &born_ms);
     bool is_known = is_told && born_ms == worker->entry.born_ms;
+    bool is_untold = (is_told && born_ms == 0) || call->reply.status == 404;
 
     if (is_told && !is_known && born_ms != 0) {
         Fleet_NoteUnknownStart(call->task->gate->options.fleet,
@@ -277,12 +278,19 @@
                       "worker", worker->entry.id, "born", (json_int_t)born_ms,
                       "entry_born", (json_int_t)worker->entry.born_ms));
     }
-    if ((is_told && born_ms == 0) || call->reply.status == 404) {
+    if (is_untold) {
+        /* It counts for this connection: another one may lead to a process
+           that tells its start. */
         Log_WriteJson(LOG_LEVEL_WARNING, "worker_tells_no_start",
-                      json_pack("{s:s,s:i}", "worker", worker->entry.id,
-                                "status", call->reply.status));
-        worker->tells_no_start = true;
-        is_known = true;
+                      json_pack("{s:s,s:i,s:b}", "worker", worker->entry.id,
+                                "status", call->reply.status, "told_before",
+                                (int)worker->tells_start));
+        worker->tells_no_start = !worker->tells_start;
+        is_known = worker->tells_no_start;
+    }
+    else if (is_known) {
+        worker->tells_no_start = false;
+        worker->tells_start = true;
     }
     return is_known;
 }
--- a/src/gate/survey.c
+++ b/src/gate/survey.c
@@ -482,7 +482,7 @@
              told != Fleet_GetStartLabel(worker, worker->entry.born_ms))) {
             return;
         }
-        worker->tells_no_start |= call->status == 404;
+        worker->tells_no_start |= call->status == 404 && !worker->tells_start;
         g_array_append_val(survey->queue, step);
         return;
     }
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -140,10 +140,12 @@
 uint64_t
 Task_GetStartLabel(const GateTask *task, const FleetWorker *worker)
 {
-    if (!task->route->can_resume || worker->is_vm || worker->tells_no_start) {
+    if (!task->route->can_resume || worker->is_vm) {
         return 0;
     }
-    return Fleet_GetStartLabel(worker, worker->entry.born_ms);
+    return worker->tells_no_start && worker->entry.born_ms != 0
+               ? Fleet_GetNoStartLabel(worker)
+               : Fleet_GetStartLabel(worker, worker->entry.born_ms);
 }
 
 bool
@@ -169,7 +171,7 @@
 }
 
 /* Returns the label of a connection by the start that the worker has told on
-   it. */
+   it, or that it told none. */
 static uint64_t
 get_told_label(void *context)
 {
@@ -177,12 +179,16 @@
     const GateCodec *codec = call->task->gate->options.codec;
     int64_t born_ms = 0;
 
+    if (call->reply.status == 404) {
+        return Fleet_GetNoStartLabel(call->worker);
+    }
     if (call->reply.status != 200 ||
         !codec->decode_state(codec->context, (const char *)call->body->data,
                              call->body->len, &born_ms)) {
         return 0;
     }
-    return Fleet_GetStartLabel(call->worker, born_ms);
+    return born_ms == 0 ? Fleet_GetNoStartLabel(call->worker)
+                        : Fleet_GetStartLabel(call->worker, born_ms);
 }
 
 void
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -623,9 +623,12 @@
     if (outcome == CLIENT_COMPLETE && options.get_label != NULL) {
         conn->label = options.get_label(options.context);
     }
+    /* The answer to a question names no request, so that a copy of it is not
+       taken for that of a run. */
     if (outcome == CLIENT_COMPLETE && sent_all && !extra &&
-        (options.connect_only || (http_should_keep_alive(&conn->parser) &&
-                                  note_refused(conn, options.name)))) {
+        (options.connect_only ||
+         (http_should_keep_alive(&conn->parser) &&
+          (options.get_label != NULL || note_refused(conn, options.name))))) {
         make_idle(conn);
     }
     else {
--- a/tests/test_gate_restarted.cc
+++ b/tests/test_gate_restarted.cc
@@ -269,6 +269,54 @@
     }
 }
 
+struct NoStartCase {
+    const char *name;
+    bool has_told_before;
+    const char *body; /* Of the answer without a start; "": a 404. */
+    bool tells_later; /* The process that follows tells its start. */
+};
+
+const NoStartCase no_start_cases[] = {
+    {"state without a start, told before", true, "{\"phase\":\"decode\"}",
+     false},
+    {"404, told before", true, "", false},
+    {"state without a start, told later", false, "{\"phase\":\"decode\"}",
+     true},
+    {"404, told later", false, "", true},
+};
+
+/* An answer without a start says nothing about the process on another
+   connection: the worker starts again, at another version. */
+TEST(RestartedWorker, AnswerWithoutAStartDoesNotEndTheChecks)
+{
+    for (const NoStartCase &row : no_start_cases) {
+        SCOPED_TRACE(row.name);
+        RestartRig rig;
+        Worker *worker =
+            rig.AddDecode("v1", {Stream(0, 9), Stream(3, 9), Stream(3, 9)});
+        worker->born_ms = row.has_told_before ? earlier_ms : 0;
+        worker->state_body = row.has_told_before ? "" : row.body;
+        Caller *before = rig.Call(Prompt("id-1"));
+        ASSERT_TRUE(rig.UntilEnd(before));
+        EXPECT_EQ(before->DechunkedBody(), Events(0, 9));
+        worker->Crash();
+        worker->Restart();
+        worker->born_ms = row.tells_later ? later_ms : 0;
+        worker->state_body = row.tells_later ? "" : row.body;
+        Worker *first = rig.AddDecode("v1", {{Begun(3)}});
+        rig.last_worker->slowness = 0.5;
+        Fleet_Find(Edge_GetFleet(rig.edge), "w-1")->inflight += 4;
+        Caller *caller = rig.Call(Prompt("id-2"));
+        ASSERT_TRUE(rig.Until([&] {
+            return caller->text.find("id: 2\n") != std::string::npos;
+        }));
+        first->Crash();
+        rig.RunFor(1500);
+        EXPECT_EQ(worker->requests.size(), 1u);
+        EXPECT_FALSE(caller->IsComplete());
+    }
+}
+
 /* One version was in service for long, as far as this VM knows; then a worker
    tells a start that no entry tells of. */
 TEST(RestartedWorker, OnlyVersionIsUncertainAfterAnUnknownStart)
