--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -11,6 +11,7 @@
 
 static bool is_same_start(const FleetEntry *a, const FleetEntry *b);
 static bool is_earlier_start(const FleetEntry *known, const FleetEntry *entry);
+static bool is_written_again(FleetWorker *worker, const FleetEntry *entry);
 static void note_era(Fleet *fleet, uint64_t era, int64_t now_us);
 static void note_version(Fleet *fleet, const FleetWorker *worker,
                          int64_t now_us);
@@ -96,7 +97,8 @@
     note_era(fleet, from->position.era, now_us);
     if (worker != NULL &&
         (Pos_IsBefore(from->position, worker->entry.position) ||
-         is_earlier_start(&worker->entry, from))) {
+         (is_earlier_start(&worker->entry, from) &&
+          !is_written_again(worker, from)))) {
         worker->sweep_pending = false;
         return NULL;
     }
@@ -133,6 +135,7 @@
         worker->full_until_us = 0;
     }
     worker->entry = *entry;
+    worker->earlier_born_ms = 0;
     worker->version = hash_version(entry->version);
     note_version(fleet, worker, now_us);
     worker->listed = true;
@@ -150,8 +153,7 @@
 }
 
 /* Whether the entry is of a start before the known one: the source has
-   returned from a copy that is older than the worker's start. The worker
-   writes its entry again. */
+   returned from a copy that is older than the worker's start. */
 static bool
 is_earlier_start(const FleetEntry *known, const FleetEntry *entry)
 {
@@ -159,6 +161,23 @@
            entry->born_ms < known->born_ms;
 }
 
+/* Whether the process of that start has written the entry since the source
+   returned, and so is the one that runs: its clock went back. Notes the entry
+   if not. */
+static bool
+is_written_again(FleetWorker *worker, const FleetEntry *entry)
+{
+    Pos seen = worker->earlier_position;
+
+    if (worker->earlier_born_ms == entry->born_ms &&
+        seen.era == entry->position.era) {
+        return Pos_IsBefore(seen, entry->position);
+    }
+    worker->earlier_position = entry->position;
+    worker->earlier_born_ms = entry->born_ms;
+    return false;
+}
+
 static void
 note_era(Fleet *fleet, uint64_t era, int64_t now_us)
 {
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -58,16 +58,20 @@
 
 typedef struct FleetWorker {
     FleetEntry entry;
-    uint64_t hash;            /* Hash of the identifier, used in gossip. */
-    uint32_t version;         /* Hash of entry.version; never 0. */
-    gint refs;                /* References; the fleet holds one. */
-    bool listed;              /* The entry is present in the source; see
-                                 Fleet_IsListed(). */
-    int64_t removed_us;       /* Time at which the entry was removed, or 0. */
-    int64_t listed_until_us;  /* The entry is of an older era and counts as
-                                 removed from then on; 0: no such end. */
-    int64_t doubted_until_us; /* The worker had left, but the source's copy
-                                 lists it: no work until then; 0: none. */
+    uint64_t hash;           /* Hash of the identifier, used in gossip. */
+    uint32_t version;        /* Hash of entry.version; never 0. */
+    gint refs;               /* References; the fleet holds one. */
+    bool listed;             /* The entry is present in the source; see
+                                Fleet_IsListed(). */
+    int64_t removed_us;      /* Time at which the entry was removed, or 0. */
+    int64_t listed_until_us; /* The entry is of an older era and counts as
+                                removed from then on; 0: no such end. */
+    /* Position and start of an entry that was not taken, as it is of an
+       earlier start in a newer era; 0: none. */
+    Pos earlier_position;
+    int64_t earlier_born_ms;
+    int64_t doubted_until_us;     /* The worker had left, but the source's copy
+                                     lists it: no work until then; 0: none. */
     int64_t misdirected_until_us; /* It said that a request was not for it:
                                      another worker may answer at its address,
                                      or it may have another phase. No work
--- a/tests/test_gate_restarted.cc
+++ b/tests/test_gate_restarted.cc
@@ -80,6 +80,39 @@
     }
 }
 
+struct RewriteCase {
+    const char *name;
+    Pos position; /* Of the second entry of the earlier start. */
+    int64_t born;
+    bool is_taken;
+};
+
+const RewriteCase rewrite_cases[] = {
+    {"read once more", {4, 5}, earlier_ms, false},
+    {"another earlier start", {4, 9}, earlier_ms - 1, false},
+    {"written again", {4, 9}, earlier_ms, true},
+    {"read in an era after that", {5, 9}, earlier_ms, false},
+};
+
+/* The source returns from a copy, and meanwhile the worker has started again
+   at a clock that went back: only a process that runs writes its entry. */
+TEST(RestartedWorker, EntryOfAnEarlierStartIsTakenOnceWrittenAgain)
+{
+    for (const RewriteCase &row : rewrite_cases) {
+        SCOPED_TRACE(row.name);
+        RestartRig rig;
+        rig.AddDecode("v1", {});
+        rig.SetEntry("v1", later_ms, {3, 20});
+        rig.SetEntry("v2", earlier_ms, {4, 5});
+        EXPECT_EQ(rig.last_worker->entry.born_ms, later_ms);
+        rig.SetEntry("v2", row.born, row.position);
+        EXPECT_EQ(rig.last_worker->entry.born_ms,
+                  row.is_taken ? row.born : later_ms);
+        EXPECT_STREQ(rig.last_worker->entry.version,
+                     row.is_taken ? "v2" : "v1");
+    }
+}
+
 /* A stream has lost its worker. The entry of another one is of the same
    version, but that has started again at another one since. */
 TEST(RestartedWorker, StreamGoesOnAtTheStartOfTheEntryOnly)
