--- a/src/gate/stream_events.c
+++ b/src/gate/stream_events.c
@@ -16,7 +16,7 @@
 #define STREAM_IDLE_MAX_BYTES ((size_t)4 * SSE_EVENT_MAX_BYTES)
 
 static EventOrderEvent describe(const SseEvent *event);
-static void note_version(GateTask *task);
+static bool is_of_version(const GateTask *task);
 static void note_event_time(GateTask *task);
 static void finish_prefill(TaskCall *call);
 
@@ -61,8 +61,14 @@
         if (step == EVENT_ORDER_REFUSE) {
             return false;
         }
-        note_version(task);
+        if (!is_of_version(task)) {
+            current->order.is_refused = true;
+            return false;
+        }
         if (!task->streaming) {
+            if (!current->worker->is_vm) {
+                StreamResume_NoteBegun(task);
+            }
             DetourVm_AddAnswer(task, current->headers);
             Server_BeginStream(task->exchange, current->reply.status,
                                current->headers);
@@ -140,28 +146,27 @@
     return described;
 }
 
-/* Notes the software version that made an event. */
-static void
-note_version(GateTask *task)
+/* Whether the run's events are of the software version that began the stream,
+   if one did. A VM keeps to that version, and tells it. */
+static bool
+is_of_version(const GateTask *task)
 {
     const Fleet *fleet = task->gate->options.fleet;
-    uint32_t version = task->current->version;
+    const TaskCall *current = task->current;
+    bool has_begun = task->version != 0 || task->last_event != GATE_NO_EVENT;
 
-    if (task->current->worker->is_vm) {
-        return; /* That VM keeps to the version, and tells it. */
-    }
-    if (!task->streaming) {
-        StreamResume_NoteBegun(task);
-    }
-    else if (task->version != version && task->version != 0) {
-        Met_Add(MET_STREAMS_JOINED, 1);
-        Log_WriteJson(
-            LOG_LEVEL_ERROR, "stream_joined",
-            json_pack("{s:s,s:s,s:s,s:s}", "request", task->request.id,
-                      "worker", task->current->worker->entry.id, "began",
-                      Fleet_GetVersionName(fleet, task->version), "goes_on",
-                      Fleet_GetVersionName(fleet, version)));
+    if (current->worker->is_vm || !has_begun ||
+        task->version == current->version) {
+        return true;
     }
+    Met_Add(MET_RUNS_OF_OTHER_VERSION, 1);
+    Log_WriteJson(LOG_LEVEL_ERROR, "run_of_other_version",
+                  json_pack("{s:s,s:s,s:s,s:s}", "request", task->request.id,
+                            "worker", current->worker->entry.id, "began",
+                            Fleet_GetVersionName(fleet, task->version),
+                            "goes_on",
+                            Fleet_GetVersionName(fleet, current->version)));
+    return false;
 }
 
 static void
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -67,9 +67,9 @@
     [MET_STREAMS_BROKEN_OFF] = {"streams_broken_off",
                                 "Streams that had begun and were ended "
                                 "without their last event."},
-    [MET_STREAMS_JOINED] = {"streams_joined",
-                            "Streams with events from workers of two software "
-                            "versions."},
+    [MET_RUNS_OF_OTHER_VERSION] = {"runs_of_other_version",
+                                   "Runs given up, as the stream began at "
+                                   "another software version."},
     [MET_RESUMPTIONS_REFUSED] = {"resumptions_refused",
                                  "Resumed streams that were refused, as their "
                                  "software version is unknown or gone."},
--- a/tests/test_gate_joined.cc
+++ b/tests/test_gate_joined.cc
@@ -3,6 +3,10 @@
 #include "fleet_rig.h"
 #include "resumed_stream.h"
 
+extern "C" {
+#include "gate/task.h"
+}
+
 namespace {
 
 const Route resumable = {RTE_STREAM, 3, true, 15000};
@@ -64,6 +68,48 @@
     }
 }
 
+/* Whatever led a run to a worker of another version, its events don't reach
+   the caller: neither after those of the version that began the stream, nor as
+   the first ones of a resumption that is bound to that version. */
+TEST(JoinedStream, RunOfAnotherVersionIsGivenUp)
+{
+    for (bool is_resumption : {false, true}) {
+        SCOPED_TRACE(is_resumption);
+        GateRig rig;
+        rig.SetRoute({RTE_STREAM, 2, true, 15000}, true);
+        Worker *first =
+            rig.AddWorker({{Begun(3)}, ScriptedReply{""}, ScriptedReply{""}},
+                          FLEET_PHASE_DECODE);
+        Caller *caller = rig.Call(Prompt("id-1"));
+        ASSERT_TRUE(rig.Until([&] {
+            return caller->text.find("id: 2\n") != std::string::npos;
+        }));
+        Worker *next = rig.AddWorker({ScriptedReply{""}}, FLEET_PHASE_DECODE);
+        if (is_resumption) {
+            caller->Disconnect();
+            rig.RunFor(50);
+            rig.last_worker->inflight += 4;
+            next = first;
+            caller = rig.Call(Resumption("id-1"));
+        }
+        else {
+            first->Crash();
+        }
+        size_t runs = is_resumption ? 2 : 1;
+        ASSERT_TRUE(rig.Until([&] { return next->requests.size() == runs; }));
+        GateTask *task = LIST_FIRST(&Edge_GetGate(rig.edge)->tasks);
+        ASSERT_NE(task, nullptr);
+        task->current->version++;
+        std::string bytes = Stream(3, 9).bytes;
+        std::string id = is_resumption ? "id-1-again" : "id-1";
+        bytes.replace(bytes.find("%ID"), 3, id);
+        next->SendToLast(bytes);
+        rig.RunFor(500);
+        EXPECT_EQ(caller->text.find("id: 3\n"), std::string::npos);
+        EXPECT_FALSE(caller->Status() == 200 && caller->IsComplete());
+    }
+}
+
 struct ResumptionCase {
     const char *name;
     bool has_same_version; /* A worker of v1 is still there. */
