--- a/tests/test_gate_joined.cc
+++ b/tests/test_gate_joined.cc
@@ -178,6 +178,39 @@
     }
 }
 
+/* The caller goes on at another VM while the one before still relays its
+   stream: each connection carries one run, and the run before ends with the
+   connection of its caller. */
+TEST(JoinedStream, ResumptionWhileTheVmBeforeStillRelays)
+{
+    FleetRig rig(resumable, 2, 0);
+    rig.AddWorker({{Begun(3)}});
+    rig.AddWorker({{StreamHead("Transfer-Encoding: chunked\r\n") +
+                    Chunk(Events(3, 5))}});
+    rig.AddLoad(1, 4);
+    rig.RunFor(300);
+    Caller *before = rig.Call(0, Prompt("id-1"));
+    rig.RunFor(100);
+    ASSERT_NE(before->text.find("id: 2\n"), std::string::npos);
+    rig.AddLoad(0, 8);
+    Caller *again = rig.Call(1, Resumption("id-1"));
+    rig.RunFor(100);
+    ASSERT_EQ(rig.workers[1]->requests.size(), 1u);
+    rig.workers[0]->SendToAll(Chunk(Events(3, 4)));
+    rig.RunFor(100);
+    EXPECT_EQ(before->DechunkedBody(), Events(0, 4));
+    EXPECT_EQ(again->DechunkedBody(), Events(3, 5));
+    int closed = rig.workers[0]->closed;
+    before->Disconnect();
+    rig.RunFor(100);
+    EXPECT_GT(rig.workers[0]->closed, closed);
+    rig.workers[0]->SendToAll(Chunk(Events(5, 9)) + "0\r\n\r\n");
+    rig.workers[1]->SendToLast(Chunk(Events(6, 9)) + "0\r\n\r\n");
+    rig.RunFor(100);
+    EXPECT_TRUE(again->IsComplete());
+    EXPECT_EQ(again->DechunkedBody(), Events(3, 9));
+}
+
 struct RestartCase {
     const char *name;
     bool has_v1;                 /* A worker of v1 is still there. */
