--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -58,16 +58,20 @@
 
 typedef struct FleetWorker {
     FleetEntry entry;
-    uint64_t hash;            /* Hash of the identifier, used in gossip. */
-    uint32_t version;         /* Hash of entry.version; never 0. */
-    gint refs;                /* References; the fleet holds one. */
-    bool listed;              /* The entry is present in the source; see
-                                 Fleet_IsListed(). */
-    int64_t removed_us;       /* Time at which the entry was removed, or 0. */
-    int64_t listed_until_us;  /* The entry is of an older era and counts as
-                                 removed from then on; 0: no such end. */
-    int64_t doubted_until_us; /* The worker had left, but the source's copy
-                                 lists it: no work until then; 0: none. */
+    uint64_t hash;           /* Hash of the identifier, used in gossip. */
+    uint32_t version;        /* Hash of entry.version; never 0. */
+    gint refs;               /* References; the fleet holds one. */
+    bool listed;             /* The entry is present in the source; see
+                                Fleet_IsListed(). */
+    int64_t removed_us;      /* Time at which the entry was removed, or 0. */
+    int64_t listed_until_us; /* The entry is of an older era and counts as
+                                removed from then on; 0: no such end. */
+    /* Position and start of an entry that was not taken, as it is of an
+       earlier start in a newer era; 0: none. */
+    Pos earlier_position;
+    int64_t earlier_born_ms;
+    int64_t doubted_until_us;     /* The worker had left, but the source's copy
+                                     lists it: no work until then; 0: none. */
     int64_t misdirected_until_us; /* It said that a request was not for it:
                                      another worker may answer at its address,
                                      or it may have another phase. No work
@@ -104,6 +108,7 @@
                               first. */
     bool lacks_reservations; /* The worker does not support reservations. */
     bool tells_no_start;     /* It doesn't say when it started. */
+    bool tells_start;        /* It has said so. */
     double service_us;       /* Moving average of a call's duration. */
     double slowness;         /* Moving average of measured prefill time over
                                 expected prefill time. */
@@ -196,6 +201,8 @@
 /* Returns what identifies a start of the worker; 0 if the time of the start,
    Unix milliseconds, is not known (0). */
 uint64_t Fleet_GetStartLabel(const FleetWorker *worker, int64_t born_ms);
+/* The same for a process of the worker that tells no start. */
+uint64_t Fleet_GetNoStartLabel(const FleetWorker *worker);
 /* Notes that the worker refused a request as not meant for it. It gets none
    for FLEET_MISDIRECTED_US. */
 void Fleet_NoteMisdirected(FleetWorker *worker, int64_t now_us);
--- a/src/gate/stream_events.c
+++ b/src/gate/stream_events.c
@@ -9,32 +9,65 @@
 
 #include "../log.h"
 
+#include <xxhash.h>
+
 /* Bytes of a stream without a new event: comments and repeated events may come
    without end. */
 #define STREAM_IDLE_MAX_BYTES ((size_t)4 * SSE_EVENT_MAX_BYTES)
 
-static void note_version(GateTask *task);
+static EventOrderEvent describe(const SseEvent *event);
+static bool is_of_version(const GateTask *task);
 static void note_event_time(GateTask *task);
 static void finish_prefill(TaskCall *call);
 
 bool
-StreamEvents_HasNext(const GateTask *task, Sse *sse)
+StreamEvents_HasNext(const GateTask *task, TaskCall *call)
 {
     size_t offset = 0;
     size_t begin = 0;
     SseEvent event;
 
-    while (Sse_Next(sse, &offset, &event)) {
-        if (event.has_id && event.id > task->last_event) {
-            Sse_Drop(sse, begin);
+    while (Sse_Next(&call->sse, &offset, &event)) {
+        EventOrderRun run = call->order;
+        EventOrderEvent described = describe(&event);
+        EventOrderStep step =
+            EventOrder_Decide(&task->order, &run, &described);
+        if (step == EVENT_ORDER_SEND && (event.has_id || event.has_data)) {
+            /* StreamEvents_Forward() decides again. */
+            Sse_Drop(&call->sse, begin);
             return true;
         }
+        call->order = run;
         begin = offset;
     }
-    Sse_Drop(sse, begin);
+    Sse_Drop(&call->sse, begin);
     return false;
 }
 
+bool
+StreamEvents_Begin(GateTask *task)
+{
+    TaskCall *current = task->current;
+
+    if (!is_of_version(task)) {
+        current->order.is_refused = true;
+        return false;
+    }
+    if (task->streaming) {
+        return true;
+    }
+    if (!current->worker->is_vm) {
+        StreamResume_NoteBegun(task);
+    }
+    DetourVm_AddAnswer(task, current->headers);
+    Server_BeginStream(task->exchange, current->reply.status,
+                       current->headers);
+    task->streaming = true;
+    task->first_event_us = Task_Now(task);
+    Met_Observe(MET_FIRST_EVENT_US, Task_Now(task) - task->began_us);
+    return true;
+}
+
 bool
 StreamEvents_Forward(GateTask *task)
 {
@@ -43,21 +76,17 @@
     SseEvent event;
 
     while (Sse_Next(&task->current->sse, &offset, &event)) {
-        if (event.has_id && event.id <= task->last_event) {
-            continue; /* The caller already has this event. */
+        EventOrderEvent described = describe(&event);
+        EventOrderStep step =
+            EventOrder_Decide(&task->order, &current->order, &described);
+        if (step == EVENT_ORDER_SKIP) {
+            continue;
         }
-        if (event.has_id && task->last_event != GATE_NO_EVENT &&
-            event.id != task->last_event + 1) {
+        if (step == EVENT_ORDER_REFUSE) {
             return false;
         }
-        note_version(task);
-        if (!task->streaming) {
-            DetourVm_AddAnswer(task, current->headers);
-            Server_BeginStream(task->exchange, current->reply.status,
-                               current->headers);
-            task->streaming = true;
-            task->first_event_us = Task_Now(task);
-            Met_Observe(MET_FIRST_EVENT_US, Task_Now(task) - task->began_us);
+        if (!StreamEvents_Begin(task)) {
+            return false;
         }
         Health_NoteSuccess(&current->worker->health, Task_Now(task));
         if (current->events++ == 0) {
@@ -76,7 +105,8 @@
         Server_SendData(task->exchange, event.data, event.size);
         note_event_time(task);
         task->events++;
-        task->unnumbered += !event.has_id;
+        task->unnumbered += !event.has_id && event.has_data;
+        EventOrder_NoteSent(&task->order, &described);
         if (event.has_id && task->first_event == GATE_NO_EVENT) {
             task->first_event = event.id;
         }
@@ -87,7 +117,7 @@
         }
     }
     Sse_Drop(&task->current->sse, offset);
-    if (StreamEvents_IsEndless(current)) {
+    if (StreamEvents_IsMalformed(current)) {
         return false;
     }
     Task_SetTimer(task);
@@ -95,9 +125,9 @@
 }
 
 bool
-StreamEvents_IsEndless(const TaskCall *call)
+StreamEvents_IsMalformed(const TaskCall *call)
 {
-    return Sse_IsEventTooLong(&call->sse) ||
+    return call->order.is_refused || Sse_IsEventTooLong(&call->sse) ||
            call->idle_bytes > STREAM_IDLE_MAX_BYTES;
 }
 
@@ -115,28 +145,40 @@
     Stream_UpdateMean(&gate->event_interval_us, event_interval_us);
 }
 
-/* Notes the software version that made an event. */
-static void
-note_version(GateTask *task)
+static EventOrderEvent
+describe(const SseEvent *event)
+{
+    EventOrderEvent described = {
+        .id = event->has_id ? event->id : EVENT_ORDER_NO_ID,
+        .is_malformed = event->is_id_malformed,
+        .has_data = event->has_data,
+        .digest = XXH3_64bits(event->data, event->size),
+    };
+
+    return described;
+}
+
+/* Whether the run's events are of the software version that began the stream,
+   if one did. A VM keeps to that version, and tells it. */
+static bool
+is_of_version(const GateTask *task)
 {
     const Fleet *fleet = task->gate->options.fleet;
-    uint32_t version = task->current->version;
+    const TaskCall *current = task->current;
+    bool has_begun = task->version != 0 || task->last_event != GATE_NO_EVENT;
 
-    if (task->current->worker->is_vm) {
-        return; /* That VM keeps to the version, and tells it. */
-    }
-    if (!task->streaming) {
-        StreamResume_NoteBegun(task);
-    }
-    else if (task->version != version && task->version != 0) {
-        Met_Add(MET_STREAMS_JOINED, 1);
-        Log_WriteJson(
-            LOG_LEVEL_ERROR, "stream_joined",
-            json_pack("{s:s,s:s,s:s,s:s}", "request", task->request.id,
-                      "worker", task->current->worker->entry.id, "began",
-                      Fleet_GetVersionName(fleet, task->version), "goes_on",
-                      Fleet_GetVersionName(fleet, version)));
+    if (current->worker->is_vm || !has_begun ||
+        task->version == current->version) {
+        return true;
     }
+    Met_Add(MET_RUNS_OF_OTHER_VERSION, 1);
+    Log_WriteJson(LOG_LEVEL_ERROR, "run_of_other_version",
+                  json_pack("{s:s,s:s,s:s,s:s}", "request", task->request.id,
+                            "worker", current->worker->entry.id, "began",
+                            Fleet_GetVersionName(fleet, task->version),
+                            "goes_on",
+                            Fleet_GetVersionName(fleet, current->version)));
+    return false;
 }
 
 static void
--- a/tests/test_gate_joined.cc
+++ b/tests/test_gate_joined.cc
@@ -3,6 +3,10 @@
 #include "fleet_rig.h"
 #include "resumed_stream.h"
 
+extern "C" {
+#include "gate/task.h"
+}
+
 namespace {
 
 const Route resumable = {RTE_STREAM, 3, true, 15000};
@@ -64,6 +68,48 @@
     }
 }
 
+/* Whatever led a run to a worker of another version, its events don't reach
+   the caller: neither after those of the version that began the stream, nor as
+   the first ones of a resumption that is bound to that version. */
+TEST(JoinedStream, RunOfAnotherVersionIsGivenUp)
+{
+    for (bool is_resumption : {false, true}) {
+        SCOPED_TRACE(is_resumption);
+        GateRig rig;
+        rig.SetRoute({RTE_STREAM, 2, true, 15000}, true);
+        Worker *first =
+            rig.AddWorker({{Begun(3)}, ScriptedReply{""}, ScriptedReply{""}},
+                          FLEET_PHASE_DECODE);
+        Caller *caller = rig.Call(Prompt("id-1"));
+        ASSERT_TRUE(rig.Until([&] {
+            return caller->text.find("id: 2\n") != std::string::npos;
+        }));
+        Worker *next = rig.AddWorker({ScriptedReply{""}}, FLEET_PHASE_DECODE);
+        if (is_resumption) {
+            caller->Disconnect();
+            rig.RunFor(50);
+            rig.last_worker->inflight += 4;
+            next = first;
+            caller = rig.Call(Resumption("id-1"));
+        }
+        else {
+            first->Crash();
+        }
+        size_t runs = is_resumption ? 2 : 1;
+        ASSERT_TRUE(rig.Until([&] { return next->requests.size() == runs; }));
+        GateTask *task = LIST_FIRST(&Edge_GetGate(rig.edge)->tasks);
+        ASSERT_NE(task, nullptr);
+        task->current->version++;
+        std::string bytes = Stream(3, 9).bytes;
+        std::string id = is_resumption ? "id-1-again" : "id-1";
+        bytes.replace(bytes.find("%ID"), 3, id);
+        next->SendToLast(bytes);
+        rig.RunFor(500);
+        EXPECT_EQ(caller->text.find("id: 3\n"), std::string::npos);
+        EXPECT_FALSE(caller->Status() == 200 && caller->IsComplete());
+    }
+}
+
 struct ResumptionCase {
     const char *name;
     bool has_same_version; /* A worker of v1 is still there. */
@@ -132,6 +178,39 @@
     }
 }
 
+/* The caller goes on at another VM while the one before still relays its
+   stream: each connection carries one run, and the run before ends with the
+   connection of its caller. */
+TEST(JoinedStream, ResumptionWhileTheVmBeforeStillRelays)
+{
+    FleetRig rig(resumable, 2, 0);
+    rig.AddWorker({{Begun(3)}});
+    rig.AddWorker({{StreamHead("Transfer-Encoding: chunked\r\n") +
+                    Chunk(Events(3, 5))}});
+    rig.AddLoad(1, 4);
+    rig.RunFor(300);
+    Caller *before = rig.Call(0, Prompt("id-1"));
+    rig.RunFor(100);
+    ASSERT_NE(before->text.find("id: 2\n"), std::string::npos);
+    rig.AddLoad(0, 8);
+    Caller *again = rig.Call(1, Resumption("id-1"));
+    rig.RunFor(100);
+    ASSERT_EQ(rig.workers[1]->requests.size(), 1u);
+    rig.workers[0]->SendToAll(Chunk(Events(3, 4)));
+    rig.RunFor(100);
+    EXPECT_EQ(before->DechunkedBody(), Events(0, 4));
+    EXPECT_EQ(again->DechunkedBody(), Events(3, 5));
+    int closed = rig.workers[0]->closed;
+    before->Disconnect();
+    rig.RunFor(100);
+    EXPECT_GT(rig.workers[0]->closed, closed);
+    rig.workers[0]->SendToAll(Chunk(Events(5, 9)) + "0\r\n\r\n");
+    rig.workers[1]->SendToLast(Chunk(Events(6, 9)) + "0\r\n\r\n");
+    rig.RunFor(100);
+    EXPECT_TRUE(again->IsComplete());
+    EXPECT_EQ(again->DechunkedBody(), Events(3, 9));
+}
+
 struct RestartCase {
     const char *name;
     bool has_v1;                 /* A worker of v1 is still there. */
