--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -200,6 +200,19 @@
     }
 }
 
+void
+Ledger_RecordProcessEnd(Ledger *ledger, guint worker)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, ledger->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        LedgerRow *row = value;
+        row->has_ended_worker |= !row->is_ended && row->workers & 1U << worker;
+    }
+}
+
 void
 Ledger_RecordSilence(Ledger *ledger, guint worker)
 {
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -48,9 +48,10 @@
     bool is_excused;   /* One of its workers, or its VM, failed meanwhile. */
     /* Sent LEDGER_STOP_LATE_US after the stop signal of its VM. */
     bool is_late;
-    bool is_at_end;      /* The end of its VM's grace came meanwhile. */
-    bool is_held_up;     /* Its worker fell silent for a time. */
-    int64_t answered_us; /* A worker has sent its whole answer, or 0. */
+    bool is_at_end;        /* The end of its VM's grace came meanwhile. */
+    bool is_held_up;       /* Its worker fell silent for a time. */
+    bool has_ended_worker; /* The process of one of its workers ended. */
+    int64_t answered_us;   /* A worker has sent its whole answer, or 0. */
     int64_t sent_us;
     int64_t ended_us;
 } LedgerRow;
@@ -84,6 +85,9 @@
     BudgetCheck budget;
     /* Last time that each VM was started or held up. */
     int64_t vm_held_us[LEDGER_VMS_MAX];
+    /* Parts of plain bodies whose worker's process ended, which the caller got
+       without framing: a worker that tells no start leaves no proof. */
+    guint unproven;
     guint late_limits;   /* Arrivals with too much time, of VMs held up lately.
                           */
     GPtrArray *findings; /* Violations, one line of text each. */
@@ -132,6 +136,8 @@
    received, if they end without a complete response. */
 void Ledger_ExcuseWorker(Ledger *ledger, guint worker);
 void Ledger_ExcuseVm(Ledger *ledger, uint32_t vm, int64_t now_us);
+/* Notes that a worker's process ends. */
+void Ledger_RecordProcessEnd(Ledger *ledger, guint worker);
 /* Notes that a worker falls silent for a time: a VM can't foresee how long the
    streams take that it has begun to run. */
 void Ledger_RecordSilence(Ledger *ledger, guint worker);
--- a/soak/load_generator.c
+++ b/soak/load_generator.c
@@ -1,6 +1,7 @@
 /* Load generator of a soak test: sends requests and checks responses. */
 #include "load_generator.h"
 
+#include "sim_answer.h"
 #include "sim_platform.h"
 
 #include "gate/sse.h"
@@ -16,6 +17,7 @@
 /* Longest time from sending a request to disconnecting. */
 #define LOAD_GEN_DISCONNECT_MAX_MS 400
 #define LOAD_GEN_NO_EVENT (-1)
+#define LOAD_GEN_EVENT_MAX_BYTES 128
 #define LOAD_GEN_FIRST_PARTS 5 /* First parts of prompts, shared by many. */
 /* Requests to each stopping VM beside the others, until its process is gone.
  */
@@ -38,7 +40,8 @@
 typedef struct LoadGenStream {
     char origin[48];    /* Identifier of the request that began it. */
     char parts[64];     /* Parts of its prompt; "" for no stream. */
-    int64_t last_event; /* Number of the last event, or LOAD_GEN_NO_EVENT. */
+    int64_t last_event; /* ID of the last event, which is the number of its
+                           last token, or LOAD_GEN_NO_EVENT. */
     unsigned version;   /* Of the worker that made it; 0 for no event. */
     int64_t end_us;     /* Until then the caller waits. */
     int64_t due_us;     /* When it is taken up. */
@@ -54,6 +57,7 @@
     LedgerKind kind;
     guint vm;
     int status;
+    ClientFraming framing;
     bool has_stamp;
     bool has_finding; /* A finding was added for this request. */
     Sse sse;
@@ -92,9 +96,11 @@
 static void on_head(void *context, int status, const HeaderList *headers);
 static void on_data(void *context, const void *data, size_t size);
 static void on_end(void *context, ClientOutcome outcome);
-static void check_version(LoadGenCall *call, const SseEvent *event);
+static void check_event(LoadGenCall *call, const SseEvent *event);
+static void check_version(LoadGenCall *call, int64_t event, unsigned version);
 static void check_events(LoadGenCall *call);
 static void check_response(LoadGenCall *call);
+static void check_body(LoadGenCall *call);
 static void free_call(LoadGenCall *call);
 
 LoadGen *
@@ -380,6 +386,7 @@
     const char *id = Header_Find(headers, "X-Request-Id");
 
     call->status = status;
+    call->framing = Client_GetFraming(call->call);
     call->has_stamp = Header_Find(headers, "X-Response-Stamp") != NULL;
     if (id != NULL && strcmp(id, call->id) != 0) {
         Ledger_AddFinding(call->load_gen->options.ledger,
@@ -448,23 +455,52 @@
     }
 }
 
-/* Checks that all events come from workers of one software version, which each
-   event names as its last word. */
+/* Checks that an event is one that a worker makes for this request, whole and
+   with nothing else, and that it begins after the last one. */
 static void
-check_version(LoadGenCall *call, const SseEvent *event)
+check_event(LoadGenCall *call, const SseEvent *event)
 {
-    const char *name = memrchr(event->data, ' ', event->size);
+    Ledger *ledger = call->load_gen->options.ledger;
+    char *text = g_strndup(event->data, event->size);
+    char expected[LOAD_GEN_EVENT_MAX_BYTES];
+    char id[sizeof(call->id)] = "";
+    long long last = LOAD_GEN_NO_EVENT;
+    long long first = LOAD_GEN_NO_EVENT;
     unsigned version = 0;
 
-    if (name == NULL || sscanf(name, " v%u", &version) != 1) {
-        return;
+    if (sscanf(text, "id: %lld\ndata: %47s %lld v%u", &last, id, &first,
+               &version) == 4) {
+        SimAnswer_FormatEvent(expected, sizeof(expected), call->id, first,
+                              last, version);
+    }
+    if (last < first || version == 0 || strcmp(text, expected) != 0) {
+        Ledger_AddFinding(ledger, "MIXED: %s received the event \"%s\"",
+                          call->id, text);
+        call->has_finding = true;
+    }
+    else if (first != call->stream.last_event + 1 && !call->has_finding) {
+        Ledger_AddFinding(ledger,
+                          "ORDER: %s received event %lld to %lld after event "
+                          "%lld",
+                          call->id, first, last,
+                          (long long)call->stream.last_event);
+        call->has_finding = true;
     }
+    check_version(call, last, version);
+    call->stream.last_event = last;
+    g_free(text);
+}
+
+/* Checks that all events come from workers of one software version. */
+static void
+check_version(LoadGenCall *call, int64_t event, unsigned version)
+{
     if (call->stream.version != 0 && call->stream.version != version &&
         !call->has_finding) {
         Ledger_AddFinding(call->load_gen->options.ledger,
                           "ORDER: %s received event %lld of version %u after "
                           "events of version %u",
-                          call->id, (long long)event->id, version,
+                          call->id, (long long)event, version,
                           call->stream.version);
         call->has_finding = true;
     }
@@ -478,17 +514,7 @@
     SseEvent event;
 
     while (Sse_Next(&call->sse, &offset, &event)) {
-        if (event.has_id && event.id != call->stream.last_event + 1 &&
-            !call->has_finding) {
-            Ledger_AddFinding(call->load_gen->options.ledger,
-                              "ORDER: %s received event %lld after event %lld",
-                              call->id, (long long)event.id,
-                              (long long)call->stream.last_event);
-            call->has_finding = true;
-        }
-        call->stream.last_event =
-            event.has_id ? event.id : call->stream.last_event;
-        check_version(call, &event);
+        check_event(call, &event);
     }
     Sse_Drop(&call->sse, offset);
 }
@@ -504,24 +530,47 @@
             ledger, "MIXED: %s succeeded without a response stamp", call->id);
         call->has_finding = true;
     }
-    else if (call->kind >= LEDGER_STREAM) {
-        if (call->stream.last_event + 1 !=
-            Sim_CountEvents(call->stream.origin)) {
-            Ledger_AddFinding(
-                ledger, "ORDER: %s ended normally after event %lld of %u",
-                call->id, (long long)call->stream.last_event,
-                Sim_CountEvents(call->stream.origin));
-            call->has_finding = true;
-        }
+    else if (call->kind < LEDGER_STREAM) {
+        check_body(call);
     }
-    else if (call->body->len != strlen(call->id) ||
-             memcmp(call->body->data, call->id, call->body->len) != 0) {
-        Ledger_AddFinding(ledger, "MIXED: %s received an unexpected body",
-                          call->id);
+    else if (call->stream.last_event + 1 !=
+                 Sim_CountEvents(call->stream.origin) ||
+             Sse_IsInsideEvent(&call->sse)) {
+        Ledger_AddFinding(
+            ledger, "ORDER: %s ended normally after event %lld of %u%s",
+            call->id, (long long)call->stream.last_event,
+            Sim_CountEvents(call->stream.origin),
+            Sse_IsInsideEvent(&call->sse) ? " and a part of another" : "");
         call->has_finding = true;
     }
 }
 
+/* Checks the body of a plain response. */
+static void
+check_body(LoadGenCall *call)
+{
+    Ledger *ledger = call->load_gen->options.ledger;
+    const LedgerRow *row = Ledger_Find(ledger, call->id);
+    size_t size = strlen(call->id);
+    bool is_part = call->body->len > 0 && call->body->len < size &&
+                   memcmp(call->body->data, call->id, call->body->len) == 0;
+
+    if (call->body->len == size &&
+        memcmp(call->body->data, call->id, size) == 0) {
+        return;
+    }
+    call->has_finding = true;
+    if (is_part && call->framing == CLIENT_FRAMING_CLOSE &&
+        row->has_ended_worker) {
+        ledger->unproven++;
+        return;
+    }
+    Ledger_AddFinding(ledger, "MIXED: %s received the body \"%.*s\"%s",
+                      call->id, (int)MIN(call->body->len, size + size),
+                      (const char *)call->body->data,
+                      is_part ? ", a part of its own" : "");
+}
+
 static void
 free_call(LoadGenCall *call)
 {
--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -1,5 +1,6 @@
 /* Simulated platform of a soak test: configuration store and workers. */
 #include "sim_platform.h"
+#include "sim_answer.h"
 
 #include "io/loop.h"
 
@@ -38,6 +39,10 @@
 #define SIM_PAUSE_SLACK_MS 500
 /* Time from the header of an answer to the crash, and until the restart. */
 #define SIM_CRASH_DELAY_MS 20
+/* Share of the processes whose end resets their connections. */
+#define SIM_RESET_RATIO 0.3
+/* Time from a part of an answer until its connection ends. */
+#define SIM_BREAK_DELAY_MS 5
 #define SIM_RESTART_MIN_MS 1000
 #define SIM_RESTART_MAX_MS 3000
 /* Time within which all VMs must know what a worker says or that a part
@@ -122,6 +127,7 @@
     int64_t silenced_us; /* SIM_RELEASE_MS before the last silence, or 0. */
     int64_t released_us; /* End of the last silence, or 0. */
     bool is_cut;         /* The mode of its connections breaks responses. */
+    bool is_endless;     /* Its connections add bytes to responses. */
     SimTold told[SIM_VMS_MAX];
     uint32_t running; /* Number of jobs. */
 } SimWorker;
@@ -135,10 +141,10 @@
     char id[64];
     bool is_prefill;
     bool is_stream;
-    bool is_begun; /* The head of the stream was sent. */
     char part[32]; /* Part on which the worker crashes; "" for none. */
-    uint32_t next; /* Number of the next event of a stream. */
-    uint32_t end;  /* Number of events of the stream. */
+    uint32_t next; /* Number of the next token of a stream. */
+    uint32_t end;  /* Number of tokens of the stream. */
+    SimAnswer answer;
 } SimJob;
 
 struct Sim {
@@ -210,7 +216,11 @@
                            const ServerExchange *exchange);
 static void begin_job(SimWorker *worker, ServerExchange *exchange);
 static void excuse_request(const Sim *sim, const char *id, bool is_broken);
+static void end_inexact_answers(const SimWorker *worker);
+static GRand *get_form_rand(const SimWorker *worker);
 static void on_job_timer(evutil_socket_t fd, short what, void *context);
+static void break_off(SimJob *job);
+static void begin_answer(SimJob *job);
 static void note_answer(const SimJob *job);
 static void crash_on_part(SimJob *job);
 static void end_job(SimJob *job);
@@ -435,6 +445,7 @@
         return;
     }
     Ledger_ExcuseWorker(sim->ledger, number);
+    Ledger_RecordProcessEnd(sim->ledger, number);
     while (job != NULL) {
         SimJob *next = LIST_NEXT(job, links);
         if (job->worker == worker) {
@@ -449,7 +460,10 @@
     event_del(worker->entry_timer);
     g_ptr_array_set_size(worker->kept, 0);
     Proxy_SetTarget(worker->proxy, 1); /* No server listens on port 1. */
-    Proxy_ResetAll(worker->proxy);
+    if (sim->options.form_rand == NULL ||
+        g_rand_double(sim->options.form_rand) < SIM_RESET_RATIO) {
+        Proxy_ResetAll(worker->proxy);
+    }
 }
 
 void
@@ -555,9 +569,41 @@
     if (worker->is_cut) {
         Ledger_ExcuseWorker(sim->ledger, number);
     }
+    worker->is_endless = mode == PROXY_ENDLESS;
+    if (worker->is_endless) {
+        end_inexact_answers(worker);
+    }
     Proxy_SetMode(worker->proxy, mode);
 }
 
+/* Breaks off the answers in which bytes that are added before the end would be
+   taken for a part of the body. */
+static void
+end_inexact_answers(const SimWorker *worker)
+{
+    Sim *sim = worker->sim;
+    SimJob *job = LIST_FIRST(&sim->jobs);
+
+    while (job != NULL) {
+        SimJob *next = LIST_NEXT(job, links);
+        if (job->worker == worker && job->answer.is_begun &&
+            job->answer.framing != SIM_FRAMING_CHUNKS) {
+            SimAnswer_Abort(&job->answer, job->exchange,
+                            get_form_rand(worker));
+            end_job(job);
+        }
+        job = next;
+    }
+}
+
+/* Returns the random numbers that draw the form of the worker's next answer,
+   or NULL if it has the usual form. */
+static GRand *
+get_form_rand(const SimWorker *worker)
+{
+    return worker->is_endless ? NULL : worker->sim->options.form_rand;
+}
+
 void
 Sim_ResetWorker(Sim *sim, guint number)
 {
@@ -913,10 +959,15 @@
 static void
 send_state(const SimWorker *worker, ServerExchange *exchange)
 {
+    const char *phase = get_phase(worker->number);
     char body[128];
 
-    g_snprintf(body, sizeof(body), "{\"phase\":\"%s\",\"born\":%lld}",
-               get_phase(worker->number), (long long)worker->born_ms);
+    if (phase[0] == '\0') {
+        send_response(worker, exchange, 400, NULL, true, "");
+        return;
+    }
+    g_snprintf(body, sizeof(body), "{\"phase\":\"%s\",\"born\":%lld}", phase,
+               (long long)worker->born_ms);
     send_response(worker, exchange, 200, NULL, false, body);
 }
 
@@ -1262,62 +1313,104 @@
 {
     SimJob *job = context;
     Sim *sim = job->worker->sim;
-    ServerExchange *exchange = job->exchange;
-    char body[128];
+    SimAnswer *answer = &job->answer;
+    bool may_fail = !job->is_prefill && (job->is_stream || !answer->is_begun);
+    uint32_t pause_ms = 0;
 
     (void)fd;
     (void)what;
-    if (job->is_prefill) {
-        char *handle = g_strdup_printf("k%u", sim->next_handle++);
-        g_snprintf(body, sizeof(body),
-                   "{\"kv-handle\":\"%s\",\"tokens\":10,\"version\":1}",
-                   handle);
-        g_hash_table_add(sim->kv_handles, handle);
-        send_response(job->worker, exchange, 200, job->id, false, body);
-        end_job(job);
-    }
-    else if (g_rand_double(sim->rand) < sim->lost_ratio) {
-        excuse_request(sim, job->id, true);
-        Server_AbortResponse(exchange);
-        end_job(job);
-    }
-    else if (job->is_stream) {
-        if (!job->is_begun) {
-            HeaderList *headers = Header_New();
-            Header_Add(headers, "X-Request-Id", job->id);
-            Header_Add(headers, "X-Response-Stamp", job->worker->id);
-            add_notices(job->worker, headers);
-            Server_BeginStream(exchange, 200, headers);
-            Header_Free(headers);
-            job->is_begun = true;
-            if (job->part[0] != '\0') {
-                Loop_ArmTimer(job->timer, SIM_CRASH_DELAY_MS);
-                return;
-            }
-        }
+    if (answer->is_breaking ||
+        (may_fail && g_rand_double(sim->rand) < sim->lost_ratio)) {
+        break_off(job);
+        return;
+    }
+    if (!answer->is_begun) {
+        begin_answer(job);
         if (job->part[0] != '\0') {
-            crash_on_part(job);
+            Loop_ArmTimer(job->timer, SIM_CRASH_DELAY_MS);
             return;
         }
-        if (job->next >= job->end) {
-            note_answer(job);
-            Server_EndStream(exchange);
-            end_job(job);
+    }
+    if (job->part[0] != '\0') {
+        crash_on_part(job);
+        return;
+    }
+    /* A stream has an end of its own, after its last event. */
+    if (SimAnswer_Write(answer, job->exchange, &pause_ms) &&
+        (job->is_stream || pause_ms > 0)) {
+        Loop_ArmTimer(job->timer, pause_ms);
+        return;
+    }
+    if (!job->is_prefill) {
+        note_answer(job);
+    }
+    job->exchange->owner = NULL;
+    Server_EndStream(job->exchange);
+    end_job(job);
+}
+
+/* Breaks off the job's answer, some after a part of what comes next. */
+static void
+break_off(SimJob *job)
+{
+    GRand *rand = get_form_rand(job->worker);
+    SimAnswer *answer = &job->answer;
+
+    excuse_request(job->worker->sim, job->id, true);
+    if (rand != NULL && !answer->is_breaking && g_rand_boolean(rand)) {
+        if (!answer->is_begun) {
+            begin_answer(job);
+        }
+        if (SimAnswer_WritePart(answer, job->exchange, rand)) {
+            Loop_ArmTimer(job->timer, SIM_BREAK_DELAY_MS);
             return;
         }
-        g_snprintf(body, sizeof(body), "id: %u\ndata: %s v%u\n\n", job->next,
-                   job->id, get_version(job->worker));
-        job->next++;
-        Server_SendData(exchange, body, strlen(body));
-        Loop_ArmTimer(job->timer, job->worker->interval_ms);
+    }
+    SimAnswer_Abort(answer, job->exchange, rand);
+    end_job(job);
+}
+
+/* Draws the form of the job's answer and sends its header. */
+static void
+begin_answer(SimJob *job)
+{
+    const SimWorker *worker = job->worker;
+    Sim *sim = worker->sim;
+    GRand *rand = get_form_rand(worker);
+    HeaderList *headers = Header_New();
+    int status = 200;
+
+    if (job->is_stream) {
+        SimStreamOptions stream = {
+            .id = job->id,
+            .first = job->next,
+            .end = job->end,
+            .version = get_version(worker),
+            .interval_ms = worker->interval_ms,
+            .has_steps = sim->options.has_steps,
+        };
+        SimAnswer_InitStream(&job->answer, &stream, rand);
+    }
+    else if (job->is_prefill) {
+        char *handle = g_strdup_printf("k%u", sim->next_handle++);
+        char body[128];
+        g_snprintf(body, sizeof(body),
+                   "{\"kv-handle\":\"%s\",\"tokens\":10,\"version\":1}",
+                   handle);
+        g_hash_table_add(sim->kv_handles, handle);
+        SimAnswer_InitPlain(&job->answer, body, rand);
     }
     else {
-        bool failed = g_rand_double(sim->rand) < sim->failed_ratio;
-        send_response(job->worker, exchange, failed ? 500 : 200, job->id,
-                      false, job->id);
-        note_answer(job);
-        end_job(job);
+        if (g_rand_double(sim->rand) < sim->failed_ratio) {
+            status = 500;
+        }
+        SimAnswer_InitPlain(&job->answer, job->id, rand);
     }
+    Header_Add(headers, "X-Request-Id", job->id);
+    Header_Add(headers, "X-Response-Stamp", worker->id);
+    add_notices(worker, headers);
+    SimAnswer_Begin(&job->answer, job->exchange, status, headers);
+    Header_Free(headers);
 }
 
 /* Notes that the worker sends its whole answer now, unless a fault holds it
@@ -1361,6 +1454,7 @@
 {
     job->worker->running--;
     event_free(job->timer);
+    SimAnswer_Clear(&job->answer);
     LIST_REMOVE(job, links);
     g_free(job);
 }
--- a/soak/sim_platform.h
+++ b/soak/sim_platform.h
@@ -58,6 +58,10 @@
        `born`, and write their entry up to SIM_ENTRY_DELAY_MAX_MS later. */
     bool keeps_ids;
     guint slots; /* Concurrent requests that a worker reports. */
+    /* Draws the forms of answers and of the ends of processes; NULL: answers
+       have a length, streams chunks of one event, and a crash resets. */
+    GRand *form_rand;
+    bool has_steps; /* An event of a stream may hold several tokens. */
 } SimOptions;
 
 typedef struct Sim Sim;
@@ -88,7 +92,9 @@
 /* Publishes a new version of the configuration, with a random number of
    attempts for the "hold" route, and with shortened timeouts on request. */
 void Sim_ChangeConfig(Sim *sim, bool is_short);
-/* Stops a worker without removing its entry from the store. */
+/* Ends a worker's process without removing its entry from the store. Its
+   connections are reset, or closed, as the kernel does for a process that is
+   gone. */
 void Sim_CrashWorker(Sim *sim, guint worker);
 /* Starts a stopped worker, under a new identifier unless it keeps its own, and
    replaces its entry in the store. */
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -84,6 +84,10 @@
 /* Added to the seed for the random numbers that draw silences, so that these
    use none of those that draw the other faults. */
 #define SOAK_SILENCE_SEED 0x51
+/* The same for the forms of answers and of the ends of processes. */
+#define SOAK_FORM_SEED 0x62
+/* Share of the crashed workers that start again at once. */
+#define SOAK_RESTART_AT_ONCE_RATIO 0.25
 /* With two builds: time between the changes of two VMs. */
 #define SOAK_CHANGE_MS 1200
 /* A held stop: the process gets no processor for this long from its SIGTERM
@@ -100,6 +104,7 @@
     guint seed;
     guint vm_count;
     guint seconds;
+    bool has_steps;       /* An event may hold several tokens. */
     bool restarts;        /* Workers keep their identifiers, and callers take
                              up streams. */
     double failing_ratio; /* Share of the answers that are lost all the time,
@@ -163,6 +168,7 @@
     SoakVm vms[LOAD_GEN_VMS_MAX];
     struct event *child_signal;
     struct event *timer; /* Starts the next fault. */
+    GRand *form_rand;    /* NULL with two builds. */
     GRand *silence_rand;
     struct event *series_timer;  /* Starts the next series of silences. */
     struct event *planned_timer; /* Starts the work planned in a series. */
@@ -291,10 +297,12 @@
     struct arg_dbl *failing =
         arg_dbl0(NULL, "failing", "R",
                  "share of answers that are lost, with a small retry budget");
+    struct arg_lit *steps =
+        arg_lit0(NULL, "steps", "events hold several tokens");
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_end *end = arg_end(8);
-    void *table[] = {gate,    old_gate, out,     seed, vms,
-                     seconds, restarts, failing, help, end};
+    void *table[] = {gate,     old_gate, out,   seed, vms, seconds,
+                     restarts, failing,  steps, help, end};
     int errors;
     int status = 2;
 
@@ -325,6 +333,7 @@
             .seed = (guint)seed->ival[0],
             .vm_count = (guint)vms->ival[0],
             .seconds = (guint)seconds->ival[0],
+            .has_steps = steps->count > 0,
             .restarts = restarts->count > 0,
             .failing_ratio = failing->dval[0],
         };
@@ -399,6 +408,9 @@
                (const char *)g_ptr_array_index(self.ledger.findings, i));
     }
     printf("%u streams were taken up\n", LoadGen_CountTakenUp(self.load_gen));
+    printf("%u plain bodies ended with their worker's process and were passed "
+           "on without framing\n",
+           self.ledger.unproven);
     printf("seed %u: %u findings\n", options->seed, self.ledger.findings->len);
     status = self.ledger.findings->len > 0;
     end_soak(&self);
@@ -443,6 +455,7 @@
         .keeps_ids = options->restarts,
         .slots = options->vm_count > SOAK_SMALL_VMS_MAX ? SOAK_LARGE_SLOTS
                                                         : SOAK_SLOTS,
+        .has_steps = options->has_steps,
     };
 
     signal(SIGPIPE, SIG_IGN);
@@ -451,6 +464,11 @@
     self->clk = Clk_Default();
     self->rand = g_rand_new_with_seed(seed);
     self->silence_rand = g_rand_new_with_seed(seed + SOAK_SILENCE_SEED);
+    /* Earlier builds take the end of a process for the end of its answers. */
+    if (options->old_gate == NULL) {
+        self->form_rand = g_rand_new_with_seed(seed + SOAK_FORM_SEED);
+    }
+    sim.form_rand = self->form_rand;
     self->active_faults = g_ptr_array_new();
     Ledger_Init(&self->ledger, &budget);
     /* VMs of earlier builds that serve for each other use more. */
@@ -531,6 +549,9 @@
     g_ptr_array_free(self->active_faults, TRUE);
     g_rand_free(self->rand);
     g_rand_free(self->silence_rand);
+    if (self->form_rand != NULL) {
+        g_rand_free(self->form_rand);
+    }
     event_base_free(self->base);
 }
 
@@ -975,6 +996,10 @@
 {
     (void)fault;
     Sim_CrashWorker(self->sim, pick % SIM_WORKER_COUNT);
+    if (self->form_rand != NULL &&
+        g_rand_double(self->form_rand) < SOAK_RESTART_AT_ONCE_RATIO) {
+        Sim_StartWorker(self->sim, pick % SIM_WORKER_COUNT);
+    }
 }
 
 static void
