--- a/soak/load_generator.c
+++ b/soak/load_generator.c
@@ -78,6 +78,8 @@
     guint crash_part; /* Number of the part on which workers crash. */
     GArray *broken;   /* LoadGenStream elements that will be taken up. */
     guint taken_up;
+    int64_t ticked_us; /* Last tick, and the longest time between two. */
+    int64_t held_up_us;
     guint turn; /* Of VMs and kinds while `counting`. */
     bool counting;
     guint served[LOAD_GEN_VMS_MAX][LEDGER_KIND_COUNT];
@@ -151,6 +153,12 @@
     return load_gen->taken_up;
 }
 
+int64_t
+LoadGen_GetHeldUp(const LoadGen *load_gen)
+{
+    return load_gen->held_up_us;
+}
+
 guint
 LoadGen_CountOpen(const LoadGen *load_gen)
 {
@@ -198,9 +206,15 @@
 {
     LoadGen *load_gen = context;
     const LoadGenOptions *options = &load_gen->options;
+    int64_t now_us = Clk_Now(options->clk);
 
     (void)fd;
     (void)what;
+    if (load_gen->ticked_us != 0) {
+        load_gen->held_up_us =
+            MAX(load_gen->held_up_us, now_us - load_gen->ticked_us);
+    }
+    load_gen->ticked_us = now_us;
     load_gen->requests_due +=
         options->requests_per_s * LOAD_GEN_TICK_MS / 1000.0;
     for (; load_gen->requests_due >= 1; load_gen->requests_due -= 1) {
--- a/soak/load_generator.h
+++ b/soak/load_generator.h
@@ -41,6 +41,8 @@
 void LoadGen_Stop(LoadGen *load_gen);
 /* Returns the number of streams that were taken up. */
 guint LoadGen_CountTakenUp(const LoadGen *load_gen);
+/* Returns the longest time for which the soak test itself was held up. */
+int64_t LoadGen_GetHeldUp(const LoadGen *load_gen);
 /* Returns the number of open requests. */
 guint LoadGen_CountOpen(const LoadGen *load_gen);
 /* Resets the counts of served requests by VM and kind. */
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -104,6 +104,7 @@
     guint seed;
     guint vm_count;
     guint seconds;
+    const char *fault;    /* Name of the only fault that is drawn, or NULL. */
     bool has_steps;       /* An event may hold several tokens. */
     bool restarts;        /* Workers keep their identifiers, and callers take
                              up streams. */
@@ -191,6 +192,7 @@
 static void hold_vm(SoakVm *vm, guint hold_ms);
 static void on_hold_end(evutil_socket_t fd, short what, void *context);
 static void on_vm_timer(evutil_socket_t fd, short what, void *context);
+static const SoakFault *find_fault(const char *name);
 static const SoakFault *draw_fault(GRand *rand);
 static void on_next_fault(evutil_socket_t fd, short what, void *context);
 static void on_fault_end(evutil_socket_t fd, short what, void *context);
@@ -297,12 +299,14 @@
     struct arg_dbl *failing =
         arg_dbl0(NULL, "failing", "R",
                  "share of answers that are lost, with a small retry budget");
+    struct arg_str *only =
+        arg_str0(NULL, "fault", "NAME", "the only fault that is drawn");
     struct arg_lit *steps =
         arg_lit0(NULL, "steps", "events hold several tokens");
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_end *end = arg_end(8);
-    void *table[] = {gate,     old_gate, out,   seed, vms, seconds,
-                     restarts, failing,  steps, help, end};
+    void *table[] = {gate,     old_gate, out,  seed,  vms,  seconds,
+                     restarts, failing,  only, steps, help, end};
     int errors;
     int status = 2;
 
@@ -318,11 +322,12 @@
         status = 0;
     }
     else if (errors > 0 || vms->ival[0] < 1 ||
-             vms->ival[0] > LOAD_GEN_VMS_MAX || seconds->ival[0] < 1) {
+             vms->ival[0] > LOAD_GEN_VMS_MAX || seconds->ival[0] < 1 ||
+             (only->count > 0 && find_fault(only->sval[0]) == NULL)) {
         arg_print_errors(stderr, end, argv[0]);
         fprintf(stderr,
                 "error 500 setting: --vms must be 1 to %d, --seconds at "
-                "least 1\n",
+                "least 1, --fault the name of a fault\n",
                 LOAD_GEN_VMS_MAX);
     }
     else {
@@ -333,6 +338,7 @@
             .seed = (guint)seed->ival[0],
             .vm_count = (guint)vms->ival[0],
             .seconds = (guint)seconds->ival[0],
+            .fault = only->count > 0 ? only->sval[0] : NULL,
             .has_steps = steps->count > 0,
             .restarts = restarts->count > 0,
             .failing_ratio = failing->dval[0],
@@ -408,6 +414,8 @@
                (const char *)g_ptr_array_index(self.ledger.findings, i));
     }
     printf("%u streams were taken up\n", LoadGen_CountTakenUp(self.load_gen));
+    printf("the soak was held up for at most %lld ms\n",
+           (long long)(LoadGen_GetHeldUp(self.load_gen) / CLK_US_PER_MS));
     printf("%u plain bodies ended with their worker's process and were passed "
            "on without framing\n",
            self.ledger.unproven);
@@ -720,6 +728,18 @@
     }
 }
 
+/* Returns a fault by its name, or NULL. */
+static const SoakFault *
+find_fault(const char *name)
+{
+    for (guint i = 0; name != NULL && i < G_N_ELEMENTS(faults); i++) {
+        if (strcmp(faults[i].name, name) == 0) {
+            return &faults[i];
+        }
+    }
+    return NULL;
+}
+
 /* Draws a fault at random by weight. */
 static const SoakFault *
 draw_fault(GRand *rand)
@@ -742,7 +762,9 @@
 on_next_fault(evutil_socket_t fd, short what, void *context)
 {
     Soak *self = context;
-    const SoakFault *fault = draw_fault(self->rand);
+    const SoakFault *drawn = draw_fault(self->rand);
+    const SoakFault *only = find_fault(self->options.fault);
+    const SoakFault *fault = only != NULL ? only : drawn;
     guint pick = g_rand_int(self->rand);
 
     (void)fd;
