--- a/soak/load_generator.c
+++ b/soak/load_generator.c
@@ -493,6 +493,8 @@
                               call->id, text);
         }
         call->has_finding = true;
+        call->stream.last_event =
+            event->has_id ? event->id : call->stream.last_event;
         g_free(text);
         return;
     }
