--- a/soak/load_generator.c
+++ b/soak/load_generator.c
@@ -476,7 +476,7 @@
 {
     Ledger *ledger = call->load_gen->options.ledger;
     char *text = g_strndup(event->data, event->size);
-    char expected[LOAD_GEN_EVENT_MAX_BYTES];
+    char expected[LOAD_GEN_EVENT_MAX_BYTES] = "";
     char id[sizeof(call->id)] = "";
     long long last = LOAD_GEN_NO_EVENT;
     long long first = LOAD_GEN_NO_EVENT;
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -183,6 +183,7 @@
 
 static int run_soak(const SoakOptions *options);
 static void wait_for_recovery(Soak *self);
+static void begin_random(Soak *self);
 static void begin_soak(Soak *self);
 static void end_soak(Soak *self);
 static void write_settings(Soak *self, SoakVm *vm);
@@ -447,6 +448,20 @@
     g_free(unserved);
 }
 
+/* Begins the series of random numbers that the seed gives. */
+static void
+begin_random(Soak *self)
+{
+    guint seed = self->options.seed;
+
+    self->rand = g_rand_new_with_seed(seed);
+    self->silence_rand = g_rand_new_with_seed(seed + SOAK_SILENCE_SEED);
+    /* Earlier builds take the end of a process for the end of its answers. */
+    if (self->options.old_gate == NULL) {
+        self->form_rand = g_rand_new_with_seed(seed + SOAK_FORM_SEED);
+    }
+}
+
 static void
 begin_soak(Soak *self)
 {
@@ -470,12 +485,7 @@
     mkdir(options->out, 0755);
     self->base = event_base_new();
     self->clk = Clk_Default();
-    self->rand = g_rand_new_with_seed(seed);
-    self->silence_rand = g_rand_new_with_seed(seed + SOAK_SILENCE_SEED);
-    /* Earlier builds take the end of a process for the end of its answers. */
-    if (options->old_gate == NULL) {
-        self->form_rand = g_rand_new_with_seed(seed + SOAK_FORM_SEED);
-    }
+    begin_random(self);
     sim.form_rand = self->form_rand;
     self->active_faults = g_ptr_array_new();
     Ledger_Init(&self->ledger, &budget);
