--- a/soak/soak.c
+++ b/soak/soak.c
@@ -84,6 +84,10 @@
 /* Added to the seed for the random numbers that draw silences, so that these
    use none of those that draw the other faults. */
 #define SOAK_SILENCE_SEED 0x51
+/* The same for the forms of answers and of the ends of processes. */
+#define SOAK_FORM_SEED 0x62
+/* Share of the crashed workers that start again at once. */
+#define SOAK_RESTART_AT_ONCE_RATIO 0.25
 /* With two builds: time between the changes of two VMs. */
 #define SOAK_CHANGE_MS 1200
 /* A held stop: the process gets no processor for this long from its SIGTERM
@@ -100,6 +104,8 @@
     guint seed;
     guint vm_count;
     guint seconds;
+    const char *fault;    /* Name of the only fault that is drawn, or NULL. */
+    bool has_steps;       /* An event may hold several tokens. */
     bool restarts;        /* Workers keep their identifiers, and callers take
                              up streams. */
     double failing_ratio; /* Share of the answers that are lost all the time,
@@ -163,6 +169,7 @@
     SoakVm vms[LOAD_GEN_VMS_MAX];
     struct event *child_signal;
     struct event *timer; /* Starts the next fault. */
+    GRand *form_rand;    /* NULL with two builds. */
     GRand *silence_rand;
     struct event *series_timer;  /* Starts the next series of silences. */
     struct event *planned_timer; /* Starts the work planned in a series. */
@@ -176,6 +183,7 @@
 
 static int run_soak(const SoakOptions *options);
 static void wait_for_recovery(Soak *self);
+static void begin_random(Soak *self);
 static void begin_soak(Soak *self);
 static void end_soak(Soak *self);
 static void write_settings(Soak *self, SoakVm *vm);
@@ -185,6 +193,7 @@
 static void hold_vm(SoakVm *vm, guint hold_ms);
 static void on_hold_end(evutil_socket_t fd, short what, void *context);
 static void on_vm_timer(evutil_socket_t fd, short what, void *context);
+static const SoakFault *find_fault(const char *name);
 static const SoakFault *draw_fault(GRand *rand);
 static void on_next_fault(evutil_socket_t fd, short what, void *context);
 static void on_fault_end(evutil_socket_t fd, short what, void *context);
@@ -291,10 +300,14 @@
     struct arg_dbl *failing =
         arg_dbl0(NULL, "failing", "R",
                  "share of answers that are lost, with a small retry budget");
+    struct arg_str *only =
+        arg_str0(NULL, "fault", "NAME", "the only fault that is drawn");
+    struct arg_lit *steps =
+        arg_lit0(NULL, "steps", "events hold several tokens");
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_end *end = arg_end(8);
-    void *table[] = {gate,    old_gate, out,     seed, vms,
-                     seconds, restarts, failing, help, end};
+    void *table[] = {gate,     old_gate, out,  seed,  vms,  seconds,
+                     restarts, failing,  only, steps, help, end};
     int errors;
     int status = 2;
 
@@ -310,11 +323,12 @@
         status = 0;
     }
     else if (errors > 0 || vms->ival[0] < 1 ||
-             vms->ival[0] > LOAD_GEN_VMS_MAX || seconds->ival[0] < 1) {
+             vms->ival[0] > LOAD_GEN_VMS_MAX || seconds->ival[0] < 1 ||
+             (only->count > 0 && find_fault(only->sval[0]) == NULL)) {
         arg_print_errors(stderr, end, argv[0]);
         fprintf(stderr,
                 "error 500 setting: --vms must be 1 to %d, --seconds at "
-                "least 1\n",
+                "least 1, --fault the name of a fault\n",
                 LOAD_GEN_VMS_MAX);
     }
     else {
@@ -325,6 +339,8 @@
             .seed = (guint)seed->ival[0],
             .vm_count = (guint)vms->ival[0],
             .seconds = (guint)seconds->ival[0],
+            .fault = only->count > 0 ? only->sval[0] : NULL,
+            .has_steps = steps->count > 0,
             .restarts = restarts->count > 0,
             .failing_ratio = failing->dval[0],
         };
@@ -399,6 +415,11 @@
                (const char *)g_ptr_array_index(self.ledger.findings, i));
     }
     printf("%u streams were taken up\n", LoadGen_CountTakenUp(self.load_gen));
+    printf("the soak was held up for at most %lld ms\n",
+           (long long)(LoadGen_GetHeldUp(self.load_gen) / CLK_US_PER_MS));
+    printf("%u plain bodies ended with their worker's process and were passed "
+           "on without framing\n",
+           self.ledger.unproven);
     printf("seed %u: %u findings\n", options->seed, self.ledger.findings->len);
     status = self.ledger.findings->len > 0;
     end_soak(&self);
@@ -427,6 +448,20 @@
     g_free(unserved);
 }
 
+/* Begins the series of random numbers that the seed gives. */
+static void
+begin_random(Soak *self)
+{
+    guint seed = self->options.seed;
+
+    self->rand = g_rand_new_with_seed(seed);
+    self->silence_rand = g_rand_new_with_seed(seed + SOAK_SILENCE_SEED);
+    /* Earlier builds take the end of a process for the end of its answers. */
+    if (self->options.old_gate == NULL) {
+        self->form_rand = g_rand_new_with_seed(seed + SOAK_FORM_SEED);
+    }
+}
+
 static void
 begin_soak(Soak *self)
 {
@@ -443,14 +478,15 @@
         .keeps_ids = options->restarts,
         .slots = options->vm_count > SOAK_SMALL_VMS_MAX ? SOAK_LARGE_SLOTS
                                                         : SOAK_SLOTS,
+        .has_steps = options->has_steps,
     };
 
     signal(SIGPIPE, SIG_IGN);
     mkdir(options->out, 0755);
     self->base = event_base_new();
     self->clk = Clk_Default();
-    self->rand = g_rand_new_with_seed(seed);
-    self->silence_rand = g_rand_new_with_seed(seed + SOAK_SILENCE_SEED);
+    begin_random(self);
+    sim.form_rand = self->form_rand;
     self->active_faults = g_ptr_array_new();
     Ledger_Init(&self->ledger, &budget);
     /* VMs of earlier builds that serve for each other use more. */
@@ -531,6 +567,9 @@
     g_ptr_array_free(self->active_faults, TRUE);
     g_rand_free(self->rand);
     g_rand_free(self->silence_rand);
+    if (self->form_rand != NULL) {
+        g_rand_free(self->form_rand);
+    }
     event_base_free(self->base);
 }
 
@@ -712,6 +751,18 @@
     }
 }
 
+/* Returns a fault by its name, or NULL. */
+static const SoakFault *
+find_fault(const char *name)
+{
+    for (guint i = 0; name != NULL && i < G_N_ELEMENTS(faults); i++) {
+        if (strcmp(faults[i].name, name) == 0) {
+            return &faults[i];
+        }
+    }
+    return NULL;
+}
+
 /* Draws a fault at random by weight. */
 static const SoakFault *
 draw_fault(GRand *rand)
@@ -734,7 +785,9 @@
 on_next_fault(evutil_socket_t fd, short what, void *context)
 {
     Soak *self = context;
-    const SoakFault *fault = draw_fault(self->rand);
+    const SoakFault *drawn = draw_fault(self->rand);
+    const SoakFault *only = find_fault(self->options.fault);
+    const SoakFault *fault = only != NULL ? only : drawn;
     guint pick = g_rand_int(self->rand);
 
     (void)fd;
@@ -988,6 +1041,10 @@
 {
     (void)fault;
     Sim_CrashWorker(self->sim, pick % SIM_WORKER_COUNT);
+    if (self->form_rand != NULL &&
+        g_rand_double(self->form_rand) < SOAK_RESTART_AT_ONCE_RATIO) {
+        Sim_StartWorker(self->sim, pick % SIM_WORKER_COUNT);
+    }
 }
 
 static void
