--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -408,8 +408,9 @@
     int64_t born_ms = 0;    /* Start that it tells; 0: it tells none. */
     int states = 0;         /* Questions for it. */
     std::string state_body; /* What it answers instead; "" for its start. */
-    bool closes_after_state = false; /* The answer ends its connection. */
-    int lists = 0;                   /* How often it was asked for them. */
+    /* Each answer on its start and its prompts ends its connection. */
+    bool closes_after_answer = false;
+    int lists = 0; /* How often it was asked for them. */
     /* Those that it kept before; its changes name them, and `kept_parts`. */
     std::vector<std::string> replaced_parts;
     int changes = 0;         /* How often it was asked for its changes. */
@@ -667,10 +668,8 @@
             return;
         }
         if (born_ms != 0) {
-            SendBody(bev,
-                     "{\"phase\":\"decode\",\"born\":" +
-                         std::to_string(born_ms) + "}",
-                     closes_after_state ? "Connection: close\r\n" : "");
+            SendBody(bev, "{\"phase\":\"decode\",\"born\":" +
+                              std::to_string(born_ms) + "}");
             return;
         }
         std::string answer = "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n";
@@ -713,10 +712,10 @@
                           ",\"lost\":false,\"events\":[" + rows + "]}");
     }
 
-    static void
-    SendBody(bufferevent *bev, const std::string &body,
-             const std::string &more = "")
+    void
+    SendBody(bufferevent *bev, const std::string &body)
     {
+        std::string more = closes_after_answer ? "Connection: close\r\n" : "";
         std::string answer = "HTTP/1.1 200 OK\r\n" + more +
                              "Content-Length: " + std::to_string(body.size()) +
                              "\r\n\r\n" + body;
--- a/tests/test_gate_restarted.cc
+++ b/tests/test_gate_restarted.cc
@@ -300,7 +300,7 @@
 {
     RestartRig rig;
     Worker *closing = rig.AddDecode("v1", {Stream(0, 9)});
-    closing->closes_after_state = true;
+    closing->closes_after_answer = true;
     Worker *other = rig.AddDecode("v1", {Stream(0, 9)});
     rig.last_worker->inflight += 4;
     Caller *caller = rig.Call(Prompt("id-1"));
