--- a/src/gate/survey.c
+++ b/src/gate/survey.c
@@ -4,6 +4,7 @@
 #include "task.h"
 
 #include "../decide/holders.h"
+#include "../decide/start.h"
 #include "../io/loop.h"
 #include "../log.h"
 
@@ -11,8 +12,11 @@
 
 /* Time between looks at the holders and at calls in progress. */
 #define SURVEY_TICK_MS 25
-/* Questions for a worker's start whose connections were not kept. */
+/* Questions for the start of a worker after one answer, as some connections
+   break off. */
 #define SURVEY_CHECKS_MAX 3
+/* Questions to a worker that has started again meanwhile. */
+#define SURVEY_TRIES_MAX 2
 
 /* The surveys of one service. */
 typedef struct Survey {
@@ -27,6 +31,7 @@
     GArray *queue;  /* SurveySteps that are still to be made. */
     uint32_t asked; /* Calls that were queued. */
     uint32_t answered;
+    uint32_t unknown; /* Answers of a start that no entry told of. */
     uint32_t dropped; /* Parts beyond SURVEY_PARTS_MAX. */
     bool is_first;    /* The last one is the first one. */
     bool has_ended;   /* All answers to one survey at least are known. */
@@ -36,17 +41,25 @@
 typedef struct SurveyStep {
     uint64_t worker; /* Hash. */
     bool changes;    /* Asks what changed lately, and not what is kept now. */
-    uint32_t checks; /* Questions for the worker's start before it. */
+    uint32_t tries;  /* Calls before this one. */
 } SurveyStep;
 
+/* A call for prompts, and then the question for the start of the worker that
+   answered it, if that is not known. */
 typedef struct SurveyCall {
     LIST_ENTRY(SurveyCall) links;
     Survey *survey;
-    ClientCall *call;
-    int64_t began_us;
+    ClientCall *call; /* NULL while the entry of the start is awaited. */
+    int64_t began_us; /* The call, or the question. */
     SurveyStep step;
-    bool is_check;    /* Asks for the worker's start, before the step. */
-    uint32_t version; /* Of the worker. */
+    uint32_t version;     /* Of the worker's entry as it was asked. */
+    int64_t asked_ms;     /* Start that this entry names; 0: none. */
+    bool is_proven;       /* The answer is that of this start. */
+    uint32_t checks;      /* Questions for the start, this one included. */
+    GByteArray *list;     /* The answer; NULL until the start is asked. */
+    uint64_t list_number; /* Of the answer's connection. */
+    int64_t told_ms;      /* Start that the worker told. */
+    uint64_t number;      /* Of the connection. */
     int status;
     GByteArray *body;
 } SurveyCall;
@@ -68,10 +81,17 @@
                     int64_t now_us);
 static void ask_next(Survey *survey);
 static void ask(Survey *survey, FleetWorker *worker, const SurveyStep *step);
+static void begin_call(SurveyCall *call, FleetWorker *worker,
+                       ClientCallOptions *client_call);
+static void ask_start(SurveyCall *call, FleetWorker *worker);
 static uint64_t get_told_label(void *context);
-static void note_answer(SurveyCall *call, ClientOutcome outcome);
+static bool note_answer(SurveyCall *call, ClientOutcome outcome);
+static bool note_start(SurveyCall *call, ClientOutcome outcome);
+static bool judge(SurveyCall *call);
+static void note_list(SurveyCall *call, const GByteArray *list,
+                      uint32_t version);
 static bool is_running(const Survey *survey);
-static void end_late_calls(Survey *survey);
+static void look_at_calls(Survey *survey);
 static void on_head(void *context, int status, const HeaderList *headers);
 static void on_data(void *context, const void *data, size_t size);
 static void on_end(void *context, ClientOutcome outcome);
@@ -97,7 +117,6 @@
         Survey *survey = LIST_FIRST(&surveys->list);
         while (!LIST_EMPTY(&survey->calls)) {
             SurveyCall *call = LIST_FIRST(&survey->calls);
-            Client_EndCall(call->call);
             free_call(call);
         }
         LIST_REMOVE(survey, links);
@@ -225,7 +244,7 @@
     }
     LIST_FOREACH(survey, &surveys->list, links)
     {
-        end_late_calls(survey);
+        look_at_calls(survey);
         is_needed |= is_running(survey);
     }
     if (is_needed || surveys->is_waiting) {
@@ -282,6 +301,7 @@
     survey->is_first = survey->began_us == 0;
     survey->began_us = now_us;
     survey->answered = 0;
+    survey->unknown = 0;
     survey->dropped = 0;
     for (guint i = 0; i < rows->len; i++) {
         const FleetWorker *worker = g_ptr_array_index(rows, i);
@@ -330,8 +350,8 @@
     }
 }
 
-/* Asks the worker. Its answer counts for the software version of its entry, so
-   the connection must lead to the start that the entry tells of. */
+/* Asks the worker, on a connection on which it has told the start of its entry
+   if there is one. */
 static void
 ask(Survey *survey, FleetWorker *worker, const SurveyStep *step)
 {
@@ -340,41 +360,70 @@
     SurveyCall *call = g_new0(SurveyCall, 1);
     ClientCallOptions client_call = {
         .address = worker->entry.address,
-        .target = control_call.target,
-        .headers = control_call.headers,
         .idle_max_ms = UINT32_MAX,
         .label = worker->tells_no_start
                      ? 0
                      : Fleet_GetStartLabel(worker, worker->entry.born_ms),
-        .context = call,
-        .on_head = on_head,
-        .on_data = on_data,
-        .on_end = on_end,
     };
 
+    call->survey = survey;
     call->step = *step;
-    call->is_check = client_call.label != 0 &&
-                     !Client_HasIdle(options->client, &client_call);
-    if (call->is_check) {
-        options->codec->encode_state(options->codec->context, worker->entry.id,
-                                     &control_call);
+    call->step.tries++;
+    call->version = worker->version;
+    call->asked_ms = worker->entry.born_ms;
+    call->began_us = Clk_Now(options->clk);
+    call->is_proven = client_call.label == 0 ||
+                      Client_HasIdle(options->client, &client_call);
+    if (!call->is_proven) {
         client_call.label = 0;
-        client_call.get_label = get_told_label;
-        call->step.checks++;
-    }
-    else {
-        options->codec->encode_list(options->codec->context, worker->entry.id,
-                                    step->changes, &control_call);
     }
+    options->codec->encode_list(options->codec->context, worker->entry.id,
+                                step->changes, &control_call);
     client_call.method = control_call.method;
-    call->survey = survey;
-    call->began_us = Clk_Now(options->clk);
-    call->version = worker->version;
-    call->body = g_byte_array_new();
+    client_call.target = control_call.target;
+    client_call.headers = control_call.headers;
     LIST_INSERT_HEAD(&survey->calls, call, links);
     survey->call_count++;
+    begin_call(call, worker, &client_call);
+    Header_Free(control_call.headers);
+}
+
+static void
+begin_call(SurveyCall *call, FleetWorker *worker,
+           ClientCallOptions *client_call)
+{
+    const GateOptions *options = &call->survey->gate->options;
+
+    call->status = 0;
+    call->number = 0;
+    call->body = g_byte_array_new();
+    client_call->context = call;
+    client_call->on_head = on_head;
+    client_call->on_data = on_data;
+    client_call->on_end = on_end;
     Throttle_Charge(&worker->throttle);
-    call->call = Client_BeginCall(options->client, &client_call);
+    call->call = Client_BeginCall(options->client, client_call);
+}
+
+/* Asks the worker for its start after its answer, on the same connection if
+   that was kept. */
+static void
+ask_start(SurveyCall *call, FleetWorker *worker)
+{
+    const GateCodec *codec = call->survey->gate->options.codec;
+    GateControlCall control_call = {.headers = Header_New()};
+    ClientCallOptions client_call = {
+        .address = worker->entry.address,
+        .idle_max_ms = UINT32_MAX,
+        .get_label = get_told_label,
+    };
+
+    codec->encode_state(codec->context, worker->entry.id, &control_call);
+    client_call.method = control_call.method;
+    client_call.target = control_call.target;
+    client_call.headers = control_call.headers;
+    call->checks++;
+    begin_call(call, worker, &client_call);
     Header_Free(control_call.headers);
 }
 
@@ -383,19 +432,19 @@
 static uint64_t
 get_told_label(void *context)
 {
-    const SurveyCall *call = context;
+    SurveyCall *call = context;
     const GateOptions *options = &call->survey->gate->options;
     const FleetWorker *worker =
         Fleet_FindByHash(options->fleet, call->step.worker);
-    int64_t born_ms = 0;
 
     if (worker == NULL || call->status != 200 ||
         !options->codec->decode_state(options->codec->context,
                                       (const char *)call->body->data,
-                                      call->body->len, &born_ms)) {
+                                      call->body->len, &call->told_ms)) {
+        call->told_ms = 0;
         return 0;
     }
-    return Fleet_GetStartLabel(worker, born_ms);
+    return Fleet_GetStartLabel(worker, call->told_ms);
 }
 
 /* Whether answers are awaited. */
@@ -405,9 +454,10 @@
     return survey->call_count > 0 || survey->queue->len > 0;
 }
 
-/* Ends the calls whose time is over. */
+/* Notes what workers keep whose entries have come, and ends the calls whose
+   time is over. */
 static void
-end_late_calls(Survey *survey)
+look_at_calls(Survey *survey)
 {
     int64_t now_us = Clk_Now(survey->gate->options.clk);
     bool was_running = is_running(survey);
@@ -415,8 +465,11 @@
 
     while (call != NULL) {
         SurveyCall *next = LIST_NEXT(call, links);
-        if (now_us - call->began_us >= SURVEY_TIMEOUT_US) {
-            Client_EndCall(call->call);
+        if (call->call == NULL && !judge(call)) {
+            free_call(call);
+        }
+        else if (now_us - call->began_us >= SURVEY_TIMEOUT_US) {
+            survey->unknown += call->list != NULL;
             free_call(call);
         }
         call = next;
@@ -434,6 +487,7 @@
 
     (void)headers;
     call->status = status;
+    call->number = Client_GetNumber(call->call);
 }
 
 static void
@@ -455,7 +509,11 @@
     SurveyCall *call = context;
     Survey *survey = call->survey;
 
-    note_answer(call, outcome);
+    call->call = NULL;
+    if (call->list == NULL ? note_answer(call, outcome)
+                           : note_start(call, outcome)) {
+        return;
+    }
     free_call(call);
     ask_next(survey);
     if (!is_running(survey)) {
@@ -463,38 +521,115 @@
     }
 }
 
-/* Notes what the worker tells, or queues the next call that it needs. */
-static void
+/* Notes what the worker keeps, asks for its start, or queues the next call
+   that it needs. Returns whether the call is still in use. */
+static bool
 note_answer(SurveyCall *call, ClientOutcome outcome)
 {
     Survey *survey = call->survey;
-    const GateOptions *options = &survey->gate->options;
-    FleetWorker *worker = Fleet_FindByHash(options->fleet, call->step.worker);
-    SurveyStep step = call->step;
+    FleetWorker *worker =
+        Fleet_FindByHash(survey->gate->options.fleet, call->step.worker);
 
     if (outcome != CLIENT_COMPLETE) {
-        return;
+        return false;
     }
-    if (call->is_check) {
-        uint64_t told = get_told_label(call);
-        if (worker == NULL || step.checks > SURVEY_CHECKS_MAX ||
-            (call->status != 404 &&
-             told != Fleet_GetStartLabel(worker, worker->entry.born_ms))) {
-            return;
+    if (call->status == 200 && !call->is_proven) {
+        if (worker == NULL) {
+            return false;
         }
-        worker->tells_no_start |= call->status == 404;
-        g_array_append_val(survey->queue, step);
-        return;
+        call->list = call->body;
+        call->list_number = call->number;
+        call->began_us = Clk_Now(survey->gate->options.clk);
+        ask_start(call, worker);
+        return true;
+    }
+    note_list(call, call->status == 200 ? call->body : NULL, call->version);
+    return false;
+}
+
+/* Notes the start that the worker tells. Returns whether the call is still in
+   use. */
+static bool
+note_start(SurveyCall *call, ClientOutcome outcome)
+{
+    const GateOptions *options = &call->survey->gate->options;
+    FleetWorker *worker = Fleet_FindByHash(options->fleet, call->step.worker);
+
+    if (worker == NULL) {
+        return false;
+    }
+    if (outcome != CLIENT_COMPLETE) {
+        if (call->checks >= SURVEY_CHECKS_MAX) {
+            call->survey->unknown++;
+            return false;
+        }
+        g_byte_array_free(call->body, TRUE);
+        ask_start(call, worker);
+        return true;
+    }
+    if (call->status == 404) {
+        worker->tells_no_start = true;
+        note_list(call, call->list, call->version);
+        return false;
+    }
+    return judge(call);
+}
+
+/* Notes what the worker keeps if its start is known. Returns whether the call
+   is still in use, as the entry of the start is awaited. */
+static bool
+judge(SurveyCall *call)
+{
+    Survey *survey = call->survey;
+    const FleetWorker *worker =
+        Fleet_FindByHash(survey->gate->options.fleet, call->step.worker);
+    StartState state = {
+        .asked_ms = call->asked_ms,
+        .entry_ms = worker != NULL ? worker->entry.born_ms : 0,
+        .told_ms = call->told_ms,
+        .is_same_connection = call->number == call->list_number,
+    };
+    StartStep step = Start_Decide(&state);
+
+    switch (step) {
+    case START_AS_ASKED:
+        note_list(call, call->list, call->version);
+        return false;
+    case START_AS_ENTRY:
+        note_list(call, call->list,
+                  worker != NULL ? worker->version : call->version);
+        return false;
+    case START_WAIT:
+        return true;
+    case START_ASK_AGAIN:
+    case START_UNKNOWN:
+        break;
+    }
+    if (step == START_ASK_AGAIN && call->step.tries < SURVEY_TRIES_MAX) {
+        g_array_append_val(survey->queue, call->step);
+    }
+    else {
+        survey->unknown++;
     }
-    if (call->status == 200 &&
-        options->codec->decode_list(options->codec->context,
-                                    (const char *)call->body->data,
-                                    call->body->len, note_part, call)) {
+    return false;
+}
+
+/* Notes the parts in an answer for a version, or queues the question for what
+   the worker keeps now if it told no changes. */
+static void
+note_list(SurveyCall *call, const GByteArray *list, uint32_t version)
+{
+    Survey *survey = call->survey;
+    const GateCodec *codec = survey->gate->options.codec;
+    SurveyStep step = {call->step.worker, .changes = false};
+
+    call->version = version;
+    if (list != NULL &&
+        codec->decode_list(codec->context, (const char *)list->data, list->len,
+                           note_part, call)) {
         survey->answered++;
     }
-    else if (step.changes) {
-        /* The worker tells no changes. */
-        step.changes = false;
+    else if (call->step.changes) {
         g_array_append_val(survey->queue, step);
         survey->asked++;
     }
@@ -526,8 +661,14 @@
 static void
 free_call(SurveyCall *call)
 {
+    if (call->call != NULL) {
+        Client_EndCall(call->call);
+    }
     LIST_REMOVE(call, links);
     call->survey->call_count--;
+    if (call->list != NULL) {
+        g_byte_array_free(call->list, TRUE);
+    }
     g_byte_array_free(call->body, TRUE);
     g_free(call);
 }
@@ -538,9 +679,10 @@
     survey->has_ended = true;
     Met_Add(MET_SURVEYS, 1);
     Log_WriteJson(LOG_LEVEL_INFO, "survey",
-                  json_pack("{s:s,s:i,s:i,s:i,s:i}", "service",
+                  json_pack("{s:s,s:i,s:i,s:i,s:i,s:i}", "service",
                             survey->service, "asked", (int)survey->asked,
-                            "answered", (int)survey->answered, "parts",
+                            "answered", (int)survey->answered, "start_unknown",
+                            (int)survey->unknown, "parts",
                             (int)g_hash_table_size(survey->parts),
                             "parts_dropped", (int)survey->dropped));
 }
--- a/tests/test_gate_resumed_versions.cc
+++ b/tests/test_gate_resumed_versions.cc
@@ -46,6 +46,7 @@
     bool is_leaving; /* They take no runs, and close each connection. */
     Entry entry;     /* Of the start that the workers tell. */
     bool goes_on;
+    const char *state = ""; /* What they tell instead of their start. */
 };
 
 const LoadCase load_cases[] = {
@@ -62,6 +63,10 @@
     {"entries of later starts don't come", 3, false, NEVER, false},
     {"entries of later starts don't come, workers are leaving", 3, true, NEVER,
      false},
+    {"answers to another question", 1, false, AS_TOLD, false,
+     "{\"born\":1000}"},
+    {"answers to another question", 1, true, AS_TOLD, false,
+     "{\"hold\":\"L1\",\"born\":1000}"},
 };
 
 class LoadRig : public FleetRig {
@@ -78,6 +83,7 @@
             if (is_reader) {
                 worker->kept_parts.push_back(Part(i));
                 worker->closes_after_answer = row.is_leaving;
+                worker->state_body = row.state;
                 worker->born_ms = row.entry == AS_TOLD ? earlier_ms : later_ms;
             }
             SetEntry(i, GetVersion(i), earlier_ms,
