--- a/fakes/fake_booking.c
+++ b/fakes/fake_booking.c
@@ -11,12 +11,13 @@
 #include "fake.h"
 
 #include <glib.h>
+#include <pthread.h>
 #include <string.h>
 
 #define BOOKING_DROP_MS 60000
 
 typedef struct Booking {
-    GMutex lock;
+    pthread_mutex_t lock;
     GHashTable *runs; /* Idempotency key to number of runs. */
     long delay_ms;
     bool drop;
@@ -31,14 +32,14 @@
     guint count;
     long delay_ms;
 
-    g_mutex_lock(&booking->lock);
+    pthread_mutex_lock(&booking->lock);
     count = GPOINTER_TO_UINT(
                 g_hash_table_lookup(booking->runs, key != NULL ? key : "")) +
             1;
     g_hash_table_insert(booking->runs, g_strdup(key != NULL ? key : ""),
                         GUINT_TO_POINTER(count));
     delay_ms = booking->drop ? BOOKING_DROP_MS : booking->delay_ms;
-    g_mutex_unlock(&booking->lock);
+    pthread_mutex_unlock(&booking->lock);
     g_usleep((gulong)delay_ms * 1000);
     return Fake_Answer(response, 200,
                        json_pack("{s:s, s:i}", "booking",
@@ -67,13 +68,13 @@
     gpointer value;
 
     (void)request;
-    g_mutex_lock(&booking->lock);
+    pthread_mutex_lock(&booking->lock);
     g_hash_table_iter_init(&iter, booking->runs);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         json_object_set_new(counts, key,
                             json_integer(GPOINTER_TO_UINT(value)));
     }
-    g_mutex_unlock(&booking->lock);
+    pthread_mutex_unlock(&booking->lock);
     return Fake_Answer(response, 200, counts);
 }
 
@@ -84,11 +85,11 @@
     Booking *booking = context;
     json_t *body = Fake_LoadBody(request);
 
-    g_mutex_lock(&booking->lock);
+    pthread_mutex_lock(&booking->lock);
     booking->delay_ms =
         (long)json_integer_value(json_object_get(body, "delay_ms"));
     booking->drop = json_is_true(json_object_get(body, "drop"));
-    g_mutex_unlock(&booking->lock);
+    pthread_mutex_unlock(&booking->lock);
     json_decref(body);
     return Fake_Answer(response, 200, json_object());
 }
@@ -102,7 +103,7 @@
 
     booking.runs =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g_mutex_init(&booking.lock);
+    pthread_mutex_init(&booking.lock, NULL);
     ulfius_init_instance(&instance, (unsigned int)port, NULL, NULL);
     ulfius_add_endpoint_by_val(&instance, "POST", "/switch", NULL, 0,
                                handle_switch, &booking);
--- a/fakes/fake_engine.c
+++ b/fakes/fake_engine.c
@@ -20,6 +20,8 @@
 #include "fake.h"
 
 #include <glib.h>
+#include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -61,18 +63,18 @@
     int index;
     const Limits *limits;
     struct _u_instance instance;
-    GMutex lock;
+    pthread_mutex_t lock;
     GHashTable *held_requests; /* Request id to HeldRequest. */
     long blocks_used;
     gint64 prefill_free_us; /* Time at which the prefill queue is empty. */
     gint64 link_free_us;    /* Time at which the last transfer ends. */
     GQueue *prefixes;       /* Hashes (uint64_t *), newest last. */
     GHashTable *kv_results; /* Request id to expiry time of its KV data. */
-    bool stall;             /* Streams generate no tokens. */
-    bool silent;            /* Calls and streams get no data. */
-    bool refuse;            /* New requests are refused as "full". */
-    bool leaving;           /* New requests are refused as "leaving". */
-    long cut_after;         /* Tokens until a stream breaks, 0 for never. */
+    atomic_bool stall;      /* Streams generate no tokens. */
+    atomic_bool silent;     /* Calls and streams get no data. */
+    atomic_bool refuse;     /* New requests are refused as "full". */
+    atomic_bool leaving;    /* New requests are refused as "leaving". */
+    atomic_long cut_after;  /* Tokens until a stream breaks, 0 for never. */
     json_int_t fencing;     /* Fencing token of the last accepted order. */
     char loaded[64];        /* Target of the last accepted order. */
     gint64 reported_at_us;  /* Time of the load report. */
@@ -80,7 +82,7 @@
     long prefilled;         /* Tokens prefilled. */
     long cached;            /* Prompt tokens read from the prefix cache. */
     long expired;           /* Prefill results that expired. */
-    long decoded;           /* Tokens decoded. */
+    atomic_long decoded;    /* Tokens decoded. */
 } Worker;
 
 static Worker workers[ENGINE_WORKERS_MAX];
@@ -145,10 +147,10 @@
     const HeldRequest *held;
     bool cancelled;
 
-    g_mutex_lock(&worker->lock);
+    pthread_mutex_lock(&worker->lock);
     held = g_hash_table_lookup(worker->held_requests, id);
     cancelled = held == NULL || held->cancelled;
-    g_mutex_unlock(&worker->lock);
+    pthread_mutex_unlock(&worker->lock);
     return cancelled;
 }
 
@@ -227,10 +229,10 @@
     gint64 *expires;
     long cached;
 
-    g_mutex_lock(&worker->lock);
+    pthread_mutex_lock(&worker->lock);
     expire_kv(worker);
     if (allocate_memory(worker, id, tokens) == NULL) {
-        g_mutex_unlock(&worker->lock);
+        pthread_mutex_unlock(&worker->lock);
         return Fake_Refuse(response, 503, "full");
     }
     cached = update_prefix_cache(worker, prompt);
@@ -241,18 +243,18 @@
         MAX(worker->prefill_free_us, g_get_monotonic_time()) +
         (tokens - cached) * G_USEC_PER_SEC / limits->prefill_tokens_per_s;
     end_us = worker->prefill_free_us;
-    g_mutex_unlock(&worker->lock);
+    pthread_mutex_unlock(&worker->lock);
     if (!sleep_until(worker, id, end_us)) {
-        g_mutex_lock(&worker->lock);
+        pthread_mutex_lock(&worker->lock);
         free_memory(worker, id);
-        g_mutex_unlock(&worker->lock);
+        pthread_mutex_unlock(&worker->lock);
         return Fake_Refuse(response, 499, "cancelled");
     }
     expires = g_new(gint64, 1);
-    g_mutex_lock(&worker->lock);
+    pthread_mutex_lock(&worker->lock);
     *expires = g_get_monotonic_time() + limits->kv_lifetime_us;
     g_hash_table_replace(worker->kv_results, g_strdup(id), expires);
-    g_mutex_unlock(&worker->lock);
+    pthread_mutex_unlock(&worker->lock);
     return Fake_Answer(
         response, 200,
         json_pack("{s:s, s:[{s:i, s:s, s:s}], s:{s:b, s:b, s:s, s:i, s:i}}",
@@ -282,7 +284,7 @@
         return -1;
     }
     source = &workers[index];
-    g_mutex_lock(&source->lock);
+    pthread_mutex_lock(&source->lock);
     expire_kv(source);
     if (g_hash_table_remove(source->kv_results, id)) {
         bytes *= (double)source->limits->kv_bytes_per_token;
@@ -293,7 +295,7 @@
         end_us = source->link_free_us;
         free_memory(source, id);
     }
-    g_mutex_unlock(&source->lock);
+    pthread_mutex_unlock(&source->lock);
     return end_us;
 }
 
@@ -320,7 +322,8 @@
                         g_get_monotonic_time() + ENGINE_SILENT_US);
             return U_STREAM_ERROR;
         }
-        if (worker->cut_after > 0 && --worker->cut_after == 0) {
+        if (worker->cut_after > 0 &&
+            atomic_fetch_sub(&worker->cut_after, 1) == 1) {
             return U_STREAM_ERROR;
         }
         stream->next_us += worker->limits->token_interval_us;
@@ -355,15 +358,15 @@
     Stream *stream = context;
     Worker *worker = stream->worker;
 
-    g_mutex_lock(&worker->lock);
+    pthread_mutex_lock(&worker->lock);
     if (stream->done) {
         free_memory(worker, stream->id);
     }
-    g_mutex_unlock(&worker->lock);
+    pthread_mutex_unlock(&worker->lock);
     if (is_cancelled(worker, stream->id)) {
-        g_mutex_lock(&worker->lock);
+        pthread_mutex_lock(&worker->lock);
         free_memory(worker, stream->id);
-        g_mutex_unlock(&worker->lock);
+        pthread_mutex_unlock(&worker->lock);
     }
     g_string_free(stream->pending, TRUE);
     g_free(stream->id);
@@ -405,21 +408,21 @@
     gint64 begin_us;
     HeldRequest *held;
 
-    g_mutex_lock(&worker->lock);
+    pthread_mutex_lock(&worker->lock);
     held = allocate_memory(worker, id, tokens);
     if (held != NULL) {
         held->seed = seed;
         held->max_tokens = offset + max_tokens;
     }
-    g_mutex_unlock(&worker->lock);
+    pthread_mutex_unlock(&worker->lock);
     if (held == NULL) {
         return Fake_Refuse(response, 503, "full");
     }
     begin_us = fetch_kv(json_object_get(body, "kv_transfer_params"));
     if (begin_us < 0) {
-        g_mutex_lock(&worker->lock);
+        pthread_mutex_lock(&worker->lock);
         free_memory(worker, id);
-        g_mutex_unlock(&worker->lock);
+        pthread_mutex_unlock(&worker->lock);
         return Fake_Refuse(response, 409, "kv_missing");
     }
     return begin_stream(worker, id, seed, offset, offset + max_tokens,
@@ -436,13 +439,13 @@
     uint64_t seed = 0;
     long end = 0;
 
-    g_mutex_lock(&worker->lock);
+    pthread_mutex_lock(&worker->lock);
     held = g_hash_table_lookup(worker->held_requests, id);
     if (held != NULL && !held->cancelled) {
         seed = held->seed;
         end = held->max_tokens;
     }
-    g_mutex_unlock(&worker->lock);
+    pthread_mutex_unlock(&worker->lock);
     if (end == 0) {
         return Fake_Refuse(response, 404, "no_such_request");
     }
@@ -505,7 +508,7 @@
     if (end != NULL) {
         *end = '\0';
     }
-    g_mutex_lock(&worker->lock);
+    pthread_mutex_lock(&worker->lock);
     held =
         path != NULL ? g_hash_table_lookup(worker->held_requests, path) : NULL;
     found = held != NULL;
@@ -513,7 +516,7 @@
         g_hash_table_remove(worker->kv_results, path);
         free_memory(worker, path);
     }
-    g_mutex_unlock(&worker->lock);
+    pthread_mutex_unlock(&worker->lock);
     g_free(path);
     return Fake_Answer(response, found ? 200 : 404, json_object());
 }
@@ -524,21 +527,21 @@
 {
     Worker *worker = context;
     json_t *ids = json_array();
+    json_t *body;
     GHashTableIter iter;
     gpointer key;
 
     (void)request;
-    g_mutex_lock(&worker->lock);
+    pthread_mutex_lock(&worker->lock);
     expire_kv(worker);
     g_hash_table_iter_init(&iter, worker->held_requests);
     while (g_hash_table_iter_next(&iter, &key, NULL)) {
         json_array_append_new(ids, json_string(key));
     }
-    g_mutex_unlock(&worker->lock);
-    return Fake_Answer(response, 200,
-                       json_pack("{s:o, s:s, s:b}", "requests", ids, "loaded",
-                                 worker->loaded, "leaving",
-                                 (int)worker->leaving));
+    body = json_pack("{s:o, s:s, s:b}", "requests", ids, "loaded",
+                     worker->loaded, "leaving", (int)worker->leaving);
+    pthread_mutex_unlock(&worker->lock);
+    return Fake_Answer(response, 200, body);
 }
 
 /* Carries out an order. If fencing is checked, refuses an order with an
@@ -553,14 +556,14 @@
     const char *load = json_string_value(json_object_get(body, "load"));
     bool accepted;
 
-    g_mutex_lock(&worker->lock);
+    pthread_mutex_lock(&worker->lock);
     accepted = load != NULL &&
                (!worker->limits->checks_fencing || fencing >= worker->fencing);
     if (accepted) {
         worker->fencing = fencing;
         g_strlcpy(worker->loaded, load, sizeof(worker->loaded));
     }
-    g_mutex_unlock(&worker->lock);
+    pthread_mutex_unlock(&worker->lock);
     json_decref(body);
     return accepted ? Fake_Answer(response, 200, json_object())
                     : Fake_Refuse(response, 409, "fenced");
@@ -574,19 +577,19 @@
 {
     Worker *worker = context;
     gint64 now = g_get_monotonic_time();
+    json_t *body;
 
     (void)request;
-    g_mutex_lock(&worker->lock);
+    pthread_mutex_lock(&worker->lock);
     if (now - worker->reported_at_us > worker->limits->report_lag_us) {
         worker->reported_at_us = now;
         worker->reported_slots =
             (long)g_hash_table_size(worker->held_requests);
     }
-    g_mutex_unlock(&worker->lock);
-    return Fake_Answer(response, 200,
-                       json_pack("{s:i, s:i}", "slots_used",
-                                 (int)worker->reported_slots, "slots",
-                                 (int)worker->limits->slots));
+    body = json_pack("{s:i, s:i}", "slots_used", (int)worker->reported_slots,
+                     "slots", (int)worker->limits->slots);
+    pthread_mutex_unlock(&worker->lock);
+    return Fake_Answer(response, 200, body);
 }
 
 static int
@@ -596,14 +599,14 @@
     Worker *worker = context;
     json_t *body = Fake_LoadBody(request);
 
-    g_mutex_lock(&worker->lock);
+    pthread_mutex_lock(&worker->lock);
     worker->stall = json_is_true(json_object_get(body, "stall"));
     worker->silent = json_is_true(json_object_get(body, "silent"));
     worker->refuse = json_is_true(json_object_get(body, "refuse"));
     worker->leaving = json_is_true(json_object_get(body, "leaving"));
     worker->cut_after =
         (long)json_integer_value(json_object_get(body, "cut_after"));
-    g_mutex_unlock(&worker->lock);
+    pthread_mutex_unlock(&worker->lock);
     json_decref(body);
     return Fake_Answer(response, 200, json_object());
 }
@@ -616,14 +619,14 @@
     json_t *counts;
 
     (void)request;
-    g_mutex_lock(&worker->lock);
+    pthread_mutex_lock(&worker->lock);
     counts = json_pack("{s:I, s:I, s:I, s:I, s:I}", "prefilled",
                        (json_int_t)worker->prefilled, "cached",
                        (json_int_t)worker->cached, "expired",
                        (json_int_t)worker->expired, "decoded",
                        (json_int_t)worker->decoded, "held",
                        (json_int_t)g_hash_table_size(worker->held_requests));
-    g_mutex_unlock(&worker->lock);
+    pthread_mutex_unlock(&worker->lock);
     return Fake_Answer(response, 200, counts);
 }
 
@@ -634,7 +637,7 @@
 
     worker->index = index;
     worker->limits = limits;
-    g_mutex_init(&worker->lock);
+    pthread_mutex_init(&worker->lock, NULL);
     worker->held_requests =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_held);
     worker->kv_results =
--- a/fakes/fake_platform.c
+++ b/fakes/fake_platform.c
@@ -12,6 +12,8 @@
 #include "fake.h"
 
 #include <glib.h>
+#include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/stat.h>
@@ -23,10 +25,10 @@
 typedef struct Platform {
     const char *directory;
     long reads_per_s;
-    GMutex lock;
-    bool outage;
-    bool list_outage;
-    bool stale;
+    pthread_mutex_t lock;
+    atomic_bool outage;
+    atomic_bool list_outage;
+    atomic_bool stale;
     gint64 second;             /* Second to which `reads` belongs. */
     long reads;                /* Calls in that second. */
     long reads_max;            /* Highest number of calls in any second. */
@@ -40,7 +42,7 @@
     gint64 second = g_get_monotonic_time() / G_USEC_PER_SEC;
     bool ok;
 
-    g_mutex_lock(&platform->lock);
+    pthread_mutex_lock(&platform->lock);
     if (second != platform->second) {
         platform->second = second;
         platform->reads = 0;
@@ -48,7 +50,7 @@
     platform->reads++;
     platform->reads_max = MAX(platform->reads_max, platform->reads);
     ok = platform->reads <= platform->reads_per_s;
-    g_mutex_unlock(&platform->lock);
+    pthread_mutex_unlock(&platform->lock);
     return ok;
 }
 
@@ -69,25 +71,14 @@
     return index;
 }
 
-static bool
-is_stale(Platform *platform)
-{
-    bool stale;
-
-    g_mutex_lock(&platform->lock);
-    stale = platform->stale;
-    g_mutex_unlock(&platform->lock);
-    return stale;
-}
-
 static char *
 read_value(Platform *platform, const char *key, gsize *size)
 {
     char *path = g_build_filename(platform->directory, key, NULL);
     char *value = NULL;
-    bool stale = is_stale(platform);
+    bool stale = platform->stale;
 
-    g_mutex_lock(&platform->lock);
+    pthread_mutex_lock(&platform->lock);
     if (stale && g_hash_table_contains(platform->cached_values, key)) {
         value = g_strdup(g_hash_table_lookup(platform->cached_values, key));
         *size = strlen(value);
@@ -96,7 +87,7 @@
         g_hash_table_insert(platform->cached_values, g_strdup(key),
                             g_strdup(value));
     }
-    g_mutex_unlock(&platform->lock);
+    pthread_mutex_unlock(&platform->lock);
     g_free(path);
     return value;
 }
@@ -112,7 +103,7 @@
         (gint64)MIN(wait_s, PLATFORM_WAIT_S_MAX) * G_USEC_PER_SEC;
 
     while (g_get_monotonic_time() < until_us &&
-           (is_stale(platform) || get_index(platform, key) == index)) {
+           (platform->stale || get_index(platform, key) == index)) {
         g_usleep(PLATFORM_POLL_US);
     }
 }
@@ -180,16 +171,18 @@
 {
     Platform *platform = context;
     json_t *body = Fake_LoadBody(request);
+    long reads_max;
 
-    g_mutex_lock(&platform->lock);
+    pthread_mutex_lock(&platform->lock);
     platform->outage = json_is_true(json_object_get(body, "outage"));
     platform->list_outage = json_is_true(json_object_get(body, "list_outage"));
     platform->stale = json_is_true(json_object_get(body, "stale"));
-    g_mutex_unlock(&platform->lock);
+    reads_max = platform->reads_max;
+    pthread_mutex_unlock(&platform->lock);
     json_decref(body);
-    return Fake_Answer(response, 200,
-                       json_pack("{s:I}", "reads_per_s_max",
-                                 (json_int_t)platform->reads_max));
+    return Fake_Answer(
+        response, 200,
+        json_pack("{s:I}", "reads_per_s_max", (json_int_t)reads_max));
 }
 
 int
@@ -204,7 +197,7 @@
         Fake_GetNumber(argc, argv, "reads-per-s", PLATFORM_READS_PER_S);
     platform.cached_values =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    g_mutex_init(&platform.lock);
+    pthread_mutex_init(&platform.lock, NULL);
     ulfius_init_instance(&instance, (unsigned int)port, NULL, NULL);
     ulfius_add_endpoint_by_val(&instance, "GET", "/v1/kv/*", NULL, 0,
                                handle_key, &platform);
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -83,7 +83,7 @@
 write_config 1
 write_vm_list 3
 ENGINE_FLAGS="--checks 1"
-start_standins
+start_standins >"$WORK/standins.log" 2>&1
 for i in 0 1 2; do start_vm "$i"; done
 wait_ready 0 1 2
 wait_agreed 0 1 2
@@ -280,8 +280,10 @@
 
 check "no sanitizer report in the daemons' logs" "^0$" "$(cat "$WORK"/vm-*.log |
     grep -cE 'Sanitizer|runtime error')"
+check "no sanitizer report of the stand-ins" "^0$" \
+    "$(grep -cE 'Sanitizer|runtime error' "$WORK/standins.log")"
 if [ "$FAILED" -ne 0 ]; then
-    grep -hE -A25 'Sanitizer|runtime error' "$WORK"/vm-*.log | head -n 80
+    grep -hE -A25 'Sanitizer|runtime error' "$WORK"/*.log | head -n 80
     tail -n 5 "$WORK"/vm-*.log
 fi
 exit "$FAILED"
