--- a/soak/soak.c
+++ b/soak/soak.c
@@ -568,6 +568,7 @@
                     NULL};
     char *envp[] = {NULL};
     posix_spawn_file_actions_t files;
+    void (*handler)(int);
 
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, vm->log,
@@ -576,9 +577,12 @@
     /* A copy of a connection would keep it open after the soak has closed it.
      */
     posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
+    /* A reload signal before its main() would end the process. */
+    handler = signal(SIGHUP, SIG_IGN);
     if (posix_spawn(&vm->pid, argv[0], &files, NULL, argv, envp) != 0) {
         g_error("soak: can't start %s", argv[0]);
     }
+    signal(SIGHUP, handler);
     posix_spawn_file_actions_destroy(&files);
     Sim_RecordVmStart(vm->soak->sim, vm->number);
     vm->is_old = vm->gate == vm->soak->options.old_gate;
--- a/tests/test_gate_process.cc
+++ b/tests/test_gate_process.cc
@@ -50,9 +50,10 @@
         rmdir(directory.c_str());
     }
 
-    /* Starts the gate; returns the pipe from which it reads its settings. */
+    /* Starts the gate; returns the pipe from which it reads its settings. The
+       signal (0: none) comes before main() runs. */
     int
-    Start()
+    Start(int signal_at_once = 0)
     {
         int ends[2];
         EXPECT_EQ(pipe(ends), 0);
@@ -63,11 +64,40 @@
                         (char *)path.c_str(), nullptr};
         char *envp[] = {nullptr};
         EXPECT_EQ(posix_spawn(&pid, argv[0], &files, nullptr, argv, envp), 0);
+        if (signal_at_once != 0) {
+            kill(pid, signal_at_once);
+        }
         posix_spawn_file_actions_destroy(&files);
         close(ends[1]);
         output = ends[0];
         fcntl(output, F_SETFL, O_NONBLOCK);
-        return open(path.c_str(), O_WRONLY); /* Waits for the reader. */
+        return OpenPipe();
+    }
+
+    /* Waits until the process reads the pipe. Returns -1 if it has ended. */
+    int
+    OpenPipe()
+    {
+        int to;
+        while ((to = open(path.c_str(), O_WRONLY | O_NONBLOCK)) < 0) {
+            if (waitpid(pid, nullptr, WNOHANG) == pid) {
+                pid = 0;
+                return -1;
+            }
+            usleep(1000);
+        }
+        fcntl(to, F_SETFL, 0);
+        return to;
+    }
+
+    /* Puts a file in the place of the pipe. */
+    void
+    ReplaceSettings()
+    {
+        std::string next = directory + "/next.json";
+        ASSERT_TRUE(g_file_set_contents(next.c_str(), settings.data(),
+                                        (gssize)settings.size(), nullptr));
+        ASSERT_EQ(rename(next.c_str(), path.c_str()), 0);
     }
 
     /* Waits until the process has logged the event. */
@@ -111,16 +141,30 @@
     EXPECT_TRUE(WaitForEvent("started"));
 }
 
+/* Until main() runs, a signal does what the starter has set: one that may send
+   it at any time starts the gate with the signal ignored. */
+TEST_F(GateProcess, ReloadSignalBeforeMainDoesNotEndItIfIgnoredByTheStarter)
+{
+    auto handler = signal(SIGHUP, SIG_IGN);
+    int to = Start(SIGHUP);
+    signal(SIGHUP, handler);
+    ASSERT_EQ(write(to, settings.data(), settings.size()),
+              (ssize_t)settings.size());
+    close(to);
+    EXPECT_TRUE(WaitForEvent("started"));
+    /* It handles the signal itself now. */
+    ReplaceSettings();
+    kill(pid, SIGHUP);
+    EXPECT_TRUE(WaitForEvent("reload"));
+}
+
 /* The file is replaced after it was read and before the process serves. */
 TEST_F(GateProcess, ChangeOfTheSettingsWhileStartingIsReloaded)
 {
     int to = Start();
     ASSERT_EQ(write(to, settings.data(), settings.size()),
               (ssize_t)settings.size());
-    std::string next = directory + "/next.json";
-    ASSERT_TRUE(g_file_set_contents(next.c_str(), settings.data(),
-                                    (gssize)settings.size(), nullptr));
-    ASSERT_EQ(rename(next.c_str(), path.c_str()), 0);
+    ReplaceSettings();
     close(to); /* Only now has the process read all. */
     EXPECT_TRUE(WaitForEvent("started"));
     EXPECT_TRUE(WaitForEvent("reload"));
