--- a/src/decide/event_order.c
+++ b/src/decide/event_order.c
@@ -111,7 +111,7 @@
 int64_t
 EventOrder_CountEvents(const EventOrder *order, int64_t resumed)
 {
-    /* Events are numbered from 0. */
+    /* Numbers begin at 0 or 1. */
     int64_t before = resumed == EVENT_ORDER_NO_ID ? 0 : resumed + 1;
 
     if (order->steps > 0 && !order->is_uneven) {
