--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -130,14 +130,12 @@
     else if (check->is_learning) {
         learn_start(check, ANSWER_END_NO_REPLY);
     }
-    else if (check->is_waiting || check->state.reply == ANSWER_END_NOT_ASKED) {
-        decide(check);
-    }
-    else if (is_paused(check) &&
+    else if (is_paused(check) && check->state.reply != ANSWER_END_NOT_ASKED &&
              get_waited(check) < check->state.patience_us) {
         Loop_ArmTimerUs(check->timer, ANSWER_END_PAUSE_US);
     }
-    else if (is_paused(check)) {
+    else if (check->is_waiting || is_paused(check) ||
+             check->state.reply == ANSWER_END_NOT_ASKED) {
         decide(check);
     }
     else {
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -1,25 +1,17 @@
 #include "client_request.h"
+#include "client_socket.h"
 
 #include "loop.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <http_parser.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/queue.h>
-#include <sys/socket.h>
 
-/* TCP keep-alive: the first probe after the idle time, then one per interval,
-   and a reset when this many probes got no reply. */
-#define CLIENT_KEEPALIVE_IDLE_S 2
-#define CLIENT_KEEPALIVE_INTERVAL_S 1
-#define CLIENT_KEEPALIVE_PROBES 2
 #define CLIENT_ADDRESS_MAX 64
 /* Addresses whose lost connections are counted. */
 #define CLIENT_LOST_MAX 1024
@@ -81,7 +73,6 @@
 static ClientConn *open_conn(Client *client, const char *address);
 static void free_call(ClientCall *call);
 static void on_send(evutil_socket_t fd, short what, void *context);
-static void send_call(ClientConn *conn);
 static bool has_sent(const ClientConn *conn);
 static void on_read(struct bufferevent *bev, void *context);
 static bool is_overhead_excessive(const ClientConn *conn);
@@ -184,16 +175,15 @@
 bool
 Client_HasOlder(const Client *client, const char *address, uint64_t number_max)
 {
-    const ClientConn *conn;
+    const ClientConn *conn = NULL;
+    bool has_older = false;
 
     LIST_FOREACH(conn, &client->conns, links)
     {
-        if (conn->has_responded && conn->number <= number_max &&
-            strcmp(conn->address, address) == 0) {
-            return true;
-        }
+        has_older |= conn->has_responded && conn->number <= number_max &&
+                     strcmp(conn->address, address) == 0;
     }
-    return false;
+    return has_older;
 }
 
 void
@@ -270,15 +260,15 @@
 void
 Client_CloseIdle(Client *client, const char *address)
 {
-    ClientConn *conn = LIST_FIRST(&client->conns);
+    ClientConn *next;
 
-    while (conn != NULL) {
-        ClientConn *next = LIST_NEXT(conn, links);
+    for (ClientConn *conn = LIST_FIRST(&client->conns); conn != NULL;
+         conn = next) {
+        next = LIST_NEXT(conn, links);
         if (conn->call == NULL && !conn->parsing &&
             strcmp(conn->address, address) == 0) {
             close_conn(conn);
         }
-        conn = next;
     }
 }
 
@@ -289,10 +279,10 @@
 {
     int64_t now_us = Clk_Now(client->clk);
     ClientConn *best = NULL;
-    ClientConn *conn;
+    ClientConn *conn = NULL;
 
-    for (conn = LIST_FIRST(&client->conns); conn != NULL;
-         conn = LIST_NEXT(conn, links)) {
+    LIST_FOREACH(conn, &client->conns, links)
+    {
         int64_t idle_ms = (now_us - conn->idle_since_us) / CLK_US_PER_MS;
         if (conn->call != NULL || conn->parsing || !conn->connected ||
             idle_ms >= conn->idle_ms || idle_ms >= options->idle_max_ms ||
@@ -340,33 +330,11 @@
 open_conn(Client *client, const char *address)
 {
     ClientConn *conn = g_new0(ClientConn, 1);
-    struct sockaddr_in to = {.sin_family = AF_INET};
-    char ip[CLIENT_ADDRESS_MAX];
-    char *port;
-    int on = 1;
-    int idle_s = CLIENT_KEEPALIVE_IDLE_S;
-    int interval_s = CLIENT_KEEPALIVE_INTERVAL_S;
-    int count = CLIENT_KEEPALIVE_PROBES;
-    unsigned unacked_ms = CLIENT_UNACKED_MAX_MS;
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    struct sockaddr_in to = ClientSocket_ReadAddress(address);
+    int fd = ClientSocket_Open();
 
     conn->client = client;
     g_strlcpy(conn->address, address, sizeof(conn->address));
-    g_strlcpy(ip, address, sizeof(ip));
-    port = strchr(ip, ':');
-    if (port != NULL) {
-        *port++ = '\0';
-        to.sin_port = htons((uint16_t)strtoul(port, NULL, 10));
-    }
-    inet_pton(AF_INET, ip, &to.sin_addr);
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
-               sizeof(interval_s));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
-               sizeof(unacked_ms));
     conn->headers = Header_New();
     Header_InitReader(&conn->reader);
     http_parser_init(&conn->parser, HTTP_RESPONSE);
@@ -398,17 +366,12 @@
 static void
 on_send(evutil_socket_t fd, short what, void *context)
 {
-    (void)fd;
-    (void)what;
-    send_call(context);
-}
-
-static void
-send_call(ClientConn *conn)
-{
+    ClientConn *conn = context;
     ClientCall *call = conn->call;
     struct evbuffer *bytes = call->request.head;
 
+    (void)fd;
+    (void)what;
     call->size = ClientRequest_Complete(&call->request, &call->options,
                                         Clk_Now(conn->client->clk));
     /* The bufferevent would write in the loop's next turn. It writes what is
@@ -487,7 +450,7 @@
             Loop_ArmTimer(conn->timer, CLIENT_LINGER_MS);
         }
         else if (conn->call != NULL) {
-            send_call(conn);
+            on_send(-1, EV_WRITE, conn);
         }
         return;
     }
@@ -530,13 +493,13 @@
 note_lost(const ClientConn *conn)
 {
     GHashTable *lost = conn->client->lost;
-    guint count = Client_CountLost(conn->client, conn->address);
+    guint count = Client_CountLost(conn->client, conn->address) + 1;
 
     if (g_hash_table_size(lost) >= CLIENT_LOST_MAX) {
         g_hash_table_remove_all(lost);
     }
     g_hash_table_insert(lost, g_strdup(conn->address),
-                        GUINT_TO_POINTER(count + 1));
+                        GUINT_TO_POINTER(count));
 }
 
 static void
@@ -693,10 +656,10 @@
     const char *timeout =
         keep_alive != NULL ? strstr(keep_alive, "timeout=") : NULL;
     guint idle = 0;
-    ClientConn *other;
+    ClientConn *other = NULL;
 
-    for (other = LIST_FIRST(&conn->client->conns); other != NULL;
-         other = LIST_NEXT(other, links)) {
+    LIST_FOREACH(other, &conn->client->conns, links)
+    {
         idle +=
             other->call == NULL && strcmp(other->address, conn->address) == 0;
     }
