--- a/soak/sim_answer.c
+++ b/soak/sim_answer.c
@@ -67,8 +67,8 @@
         char text[SIM_EVENT_MAX_BYTES];
         if (options->has_steps && rand != NULL &&
             g_rand_double(rand) < SIM_STEP_RATIO) {
-            tokens = MIN((uint32_t)g_rand_int_range(rand, 1, SIM_STEP_MAX + 1),
-                         options->end - next);
+            tokens = (uint32_t)g_rand_int_range(rand, 1, SIM_STEP_MAX + 1);
+            tokens = MIN(tokens, options->end - next);
         }
         SimAnswer_FormatEvent(text, sizeof(text), options->id, next,
                               next + tokens - 1, options->version);
