End check: replies that tell nothing are not asked for at once

By the read-through: a worker whose entry names its start and that answers the question without one (404), or that turns it away, was asked again and again on its older connection without a pause, and on new ones in turn, for as long as the caller waits. An older connection whose reply told nothing is not asked again.

--- a/src/decide/answer_end.c
+++ b/src/decide/answer_end.c
@@ -54,10 +54,12 @@
         is_over |= !state->is_stream && !state->is_older_connection;
         break;
     }
-    if (state->has_older_connection && !state->is_paused && !is_late) {
+    if (state->has_older_connection && !state->is_older_useless &&
+        !state->is_paused && !is_late) {
         return ANSWER_END_ASK_OLDER;
     }
-    if (is_over && state->has_busy_older && !is_late && state->is_stream &&
+    if (is_over && state->has_busy_older && !state->is_older_useless &&
+        !is_late && state->is_stream &&
         (state->reply == ANSWER_END_OTHER_START ||
          state->reply == ANSWER_END_TELLS_NO_START)) {
         return ANSWER_END_WAIT;
--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -52,7 +52,8 @@
     AnswerEndReply reply;
     bool is_older_connection;  /* The reply came on one that is older than the
                                   call. */
-    bool has_older_connection; /* An idle one that has not been asked. */
+    bool has_older_connection; /* An idle one. */
+    bool is_older_useless;     /* A reply on one told nothing. */
     bool has_busy_older;       /* One that is in use. */
     /* One of them has ended since the call began, or a question on one
        failed: the process may have ended, and another one may respond. */
--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -343,8 +343,11 @@
     state->is_older_connection = check->is_older;
     state->failures += reply == ANSWER_END_FAILED;
     state->is_older_broken |= is_failed && check->is_older;
-    state->has_responded |=
-        reply == ANSWER_END_TURNED_AWAY || reply == ANSWER_END_TELLS_NO_START;
+    if (reply == ANSWER_END_TURNED_AWAY ||
+        reply == ANSWER_END_TELLS_NO_START) {
+        state->has_responded = true;
+        state->is_older_useless |= check->is_older;
+    }
     decide(check);
 }
 
--- a/tests/test_decide_answer_end.cc
+++ b/tests/test_decide_answer_end.cc
@@ -183,6 +183,25 @@
     }
 }
 
+/* Replies that tell nothing must not be asked for again and again. */
+TEST(DecideAnswerEnd, UselessRepliesAreNotAskedForAtOnce)
+{
+    for (AnswerEndReply reply :
+         {ANSWER_END_TURNED_AWAY, ANSWER_END_TELLS_NO_START}) {
+        AnswerEndState state = WithOlder(reply);
+        state.is_stream = true;
+        state.knows_start = true;
+        state.is_older_connection = true;
+        state.is_older_useless = true;
+        EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_ASK);
+        state.is_older_connection = false;
+        state.has_busy_older = true;
+        EXPECT_EQ(AnswerEnd_Decide(&state), reply == ANSWER_END_TURNED_AWAY
+                                                ? ANSWER_END_ASK_AGAIN
+                                                : ANSWER_END_BROKEN);
+    }
+}
+
 /* Time is over at the first look after ANSWER_END_MAX_US. */
 TEST(DecideAnswerEnd, CheckEnds)
 {
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -334,6 +334,22 @@
     }
 }
 
+/* A worker whose entry names its start tells none, on any connection. */
+TEST(GateEndCheck, QuestionsInVainAreFew)
+{
+    GateRig rig;
+    rig.born_ms = 1000;
+    rig.SetRoute({RTE_STREAM, 1, false, 10000, 900}, true);
+    Worker *worker =
+        rig.AddWorker({{StreamHead("") + Events(0, 2), ScriptedReply::CLOSE}},
+                      FLEET_PHASE_DECODE);
+    worker->born_ms = 0;
+    Caller *caller = rig.Call(Prompt());
+    ASSERT_TRUE(rig.UntilEnd(caller));
+    EXPECT_FALSE(caller->IsComplete());
+    EXPECT_LE(worker->states, 3);
+}
+
 /* The worker started again before the call, its entry doesn't say so yet, and
    the connection that shows which start answers is closed meanwhile. */
 TEST(GateEndCheck, StartIsLearnedAsTheAnswerBegins)
