Soak: the end of a stream can't be proved while its worker pauses

Trace: its worker asked for a pause as the stream ended, turned all questions away and was asked nothing, as it wished; the caller's patience ended after 3.1 s of a pause of up to 4 s.

--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -53,8 +53,8 @@
     bool is_late;
     bool is_at_end;  /* The end of its VM's grace came meanwhile. */
     bool is_held_up; /* Its worker fell silent for a time. */
-    /* A stream without framing of a worker whose entry names an earlier start:
-       its end may not be provable. */
+    /* A stream without framing of a worker whose entry names an earlier start,
+       or that pauses at its end: the end may not be provable. */
     bool is_unprovable;
     bool has_ended_worker; /* The process of one of its workers ended. */
     int64_t answered_us;   /* A worker has sent its whole answer, or 0. */
--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -1429,7 +1429,12 @@
 {
     const SimWorker *worker = job->worker;
     const Sim *sim = worker->sim;
+    LedgerRow *row = Ledger_Find(sim->ledger, job->id);
 
+    if (row != NULL && job->is_stream &&
+        job->answer.framing == SIM_FRAMING_CLOSE) {
+        row->is_unprovable |= worker->pause_until_us > Clk_Now(sim->clk);
+    }
     if (!worker->is_cut &&
         !event_pending(worker->silence_timer, EV_TIMEOUT, NULL)) {
         Ledger_RecordAnswer(sim->ledger, job->id, Clk_Now(sim->clk));
