--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -550,6 +550,7 @@
         body.clear();
         is_over = false;
         call = Client_BeginCall(client, &options);
+        Header_Free(headers);
         for (exchange = nullptr; exchange == nullptr;) {
             Turn();
         }
