--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -23,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
 #include <sys/un.h>
@@ -47,6 +48,15 @@
     return true;
 }
 
+/* Lets each write leave at once. Nagle's algorithm holds a small one back
+   until the peer's delayed acknowledgement, which comes in real time. */
+inline void
+SetNoDelay(int fd)
+{
+    int on = 1;
+    EXPECT_EQ(setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on)), 0);
+}
+
 /* Returns a port that is free for TCP and UDP. */
 inline uint16_t
 FreePort()
@@ -537,6 +547,7 @@
             close(fd);
             return;
         }
+        SetNoDelay(fd);
         bufferevent *bev = bufferevent_socket_new(
             evconnlistener_get_base(listener), fd, BEV_OPT_CLOSE_ON_FREE);
         bufferevent_setcb(bev, OnRead, nullptr, OnEvent, self);
@@ -817,6 +828,7 @@
         from.sin_addr.s_addr = htonl(0x7f000000u + host);
         setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
         EXPECT_EQ(bind(fd, (sockaddr *)&from, sizeof(from)), 0);
+        SetNoDelay(fd);
         to.sin_family = AF_INET;
         to.sin_port = htons(port);
         to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
