--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -7,9 +7,9 @@
    and a part of a stream or of a body would reach the caller as the whole. A
    sign that the process outlived its answer is proof: it closed the connection
    itself. Such a sign is an answer to a question that was sent after the end,
-   from the start that the worker's entry named before the call began, or on a
-   connection that is older than the call and has carried an answer. Both rely
-   on one process at an address at a time. */
+   from the start that the worker's entry named or the worker told before the
+   call began, or on a connection that is older than the call and has carried
+   an answer. Both rely on one process at an address at a time. */
 #ifndef LS_ANSWER_END_H
 #define LS_ANSWER_END_H
 
@@ -43,7 +43,7 @@
     ANSWER_END_FAILED,         /* The connection was refused or broken off. */
     ANSWER_END_TURNED_AWAY,    /* A refusal, which tells no start. */
     ANSWER_END_TELLS_NO_START, /* An answer of a worker that never tells it. */
-    ANSWER_END_SAME_START,     /* The start that the entry named. */
+    ANSWER_END_SAME_START,     /* The one from before the call. */
     ANSWER_END_OTHER_START,    /* Another start. */
     ANSWER_END_OTHER_WORKER,   /* Another worker has the address. */
 } AnswerEndReply;
--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -281,7 +281,8 @@
 static AnswerEndReply
 read_reply(struct EndCheck *check)
 {
-    const GateCodec *codec = check->call->task->gate->options.codec;
+    const TaskCall *call = check->call;
+    const GateCodec *codec = call->task->gate->options.codec;
 
     check->born_ms = 0;
     if (check->is_early) {
@@ -303,8 +304,11 @@
     if (check->born_ms == 0) {
         return ANSWER_END_TELLS_NO_START;
     }
-    return check->born_ms == check->call->born_ms ? ANSWER_END_SAME_START
-                                                  : ANSWER_END_OTHER_START;
+    Fleet_NoteToldStart(call->worker, call->address, check->born_ms);
+    return check->born_ms == call->born_ms ||
+                   check->born_ms == call->told_born_ms
+               ? ANSWER_END_SAME_START
+               : ANSWER_END_OTHER_START;
 }
 
 /* Takes the start that the worker told on an older connection for that of the
--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -127,6 +127,9 @@
         worker->load_us = 0;
         worker->slowness = 1.0;
     }
+    if (strcmp(worker->entry.address, entry->address) != 0) {
+        worker->told_born_ms = 0;
+    }
     if (worker->version != 0) {
         note_version(fleet, worker, now_us);
     }
@@ -438,6 +441,14 @@
     fleet->unknown_start_us = now_us;
 }
 
+void
+Fleet_NoteToldStart(FleetWorker *worker, const char *address, int64_t born_ms)
+{
+    if (born_ms != 0 && strcmp(worker->entry.address, address) == 0) {
+        worker->told_born_ms = born_ms;
+    }
+}
+
 uint64_t
 Fleet_GetNoStartLabel(const FleetWorker *worker)
 {
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -109,9 +109,11 @@
     bool lacks_reservations; /* The worker does not support reservations. */
     bool tells_no_start;     /* It doesn't say when it started. */
     bool tells_start;        /* It has said so. */
-    double service_us;       /* Moving average of a call's duration. */
-    double slowness;         /* Moving average of measured prefill time over
-                                expected prefill time. */
+    /* Start that it told last at the entry's address; 0: none. */
+    int64_t told_born_ms;
+    double service_us; /* Moving average of a call's duration. */
+    double slowness;   /* Moving average of measured prefill time over
+                          expected prefill time. */
 } FleetWorker;
 
 /* A software version of a service's workers that this VM has seen. */
@@ -198,6 +200,9 @@
 /* Notes that a worker has told a start that no entry tells of: its version is
    not known. */
 void Fleet_NoteUnknownStart(Fleet *fleet, int64_t now_us);
+/* Notes the start that a worker has told at an address. */
+void Fleet_NoteToldStart(FleetWorker *worker, const char *address,
+                         int64_t born_ms);
 /* Returns what identifies a start of the worker; 0 if the time of the start,
    Unix milliseconds, is not known (0). */
 uint64_t Fleet_GetStartLabel(const FleetWorker *worker, int64_t born_ms);
--- a/src/gate/stream_prepare.c
+++ b/src/gate/stream_prepare.c
@@ -268,6 +268,7 @@
     bool is_known = is_told && born_ms == worker->entry.born_ms;
     bool is_untold = (is_told && born_ms == 0) || call->reply.status == 404;
 
+    Fleet_NoteToldStart(worker, call->address, born_ms);
     if (is_told && !is_known && born_ms != 0) {
         Fleet_NoteUnknownStart(call->task->gate->options.fleet,
                                Task_Now(call->task));
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -38,12 +38,14 @@
     ClientCall *call; /* NULL if no call is in progress. */
     FleetWorker *worker;
     TaskStage stage;
-    bool counted;       /* Included in the task's counted_calls. */
-    BudgetSource extra; /* What it is charged to, as a call beyond the first.
-                         */
-    bool trial;         /* At a worker that has asked for a pause. */
-    uint32_t version;   /* Of the worker's software, as in FleetWorker. */
-    int64_t born_ms;    /* Start of the worker by its entry; 0: unknown. */
+    bool counted;         /* Included in the task's counted_calls. */
+    BudgetSource extra;   /* What it is charged to, as a call beyond the first.
+                           */
+    bool trial;           /* At a worker that has asked for a pause. */
+    uint32_t version;     /* Of the worker's software, as in FleetWorker. */
+    int64_t born_ms;      /* Start of the worker by its entry; 0: unknown. */
+    int64_t told_born_ms; /* The one that it had told as the call began; 0:
+                             none. */
     char address[FLEET_ADDRESS_MAX]; /* Of the worker as the call began. */
     /* The last connection that was opened before, as in ClientCallOptions, and
        the lost ones of the address. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -473,6 +473,7 @@
     current->body = g_byte_array_new();
     current->version = worker->version;
     current->born_ms = worker->entry.born_ms;
+    current->told_born_ms = worker->told_born_ms;
     g_strlcpy(current->address, worker->entry.address,
               sizeof(current->address));
     current->last_number = Client_GetLastNumber(task->gate->options.client);
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -377,6 +377,37 @@
     }
 }
 
+/* The start that the worker told another call, before this one began, proves
+   that its process outlived the answer, though its entry is behind. */
+TEST(GateEndCheck, StartToldBeforeTheCallProvesTheEnd)
+{
+    for (bool exits : {false, true}) {
+        SCOPED_TRACE(exits);
+        GateRig rig;
+        rig.born_ms = 1000;
+        rig.SetRoute({RTE_STREAM, 1, false, 15000, 900}, true);
+        auto script = std::make_shared<std::deque<ScriptedReply>>();
+        Worker *worker = rig.AddWorkerWithScript(script, FLEET_PHASE_DECODE);
+        worker->born_ms = 2000;
+        script->push_back(
+            {StreamHead("") + Events(0, 4), ScriptedReply::CLOSE});
+        Caller *first = rig.Call(Prompt());
+        ASSERT_TRUE(rig.UntilEnd(first));
+        rig.RunFor(CLIENT_IDLE_MAX_MS + 100);
+        rig.last_worker->lacks_reservations = true; /* No older connection. */
+        script->push_back(
+            {StreamHead("") + Events(0, 2), ScriptedReply::KEEP});
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+        if (exits) {
+            worker->born_ms = 3000;
+        }
+        worker->EndLast(false);
+        ASSERT_TRUE(rig.UntilEnd(caller));
+        EXPECT_EQ(caller->IsComplete(), !exits);
+    }
+}
+
 /* The worker stops at the time left that it was told, and its process goes on.
    The VM was held up until then. */
 TEST(GateEndCheck, StreamStoppedAtTheDeadlineIsNotComplete)
