--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -107,6 +107,8 @@
                               changed its phase: until then others are tried
                               first. */
     bool lacks_reservations; /* The worker does not support reservations. */
+    bool closes_answers;     /* One of its answers was ended by the end of its
+                                connection. */
     bool tells_no_start;     /* It doesn't say when it started. */
     bool tells_start;        /* It has said so. */
     /* Start that it told last at the entry's address; 0: none. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -94,6 +94,9 @@
     }
     if (current->stage != TASK_PREFILL) {
         call.label = Task_GetStartLabel(task, worker);
+        /* For the proof that the process outlives its answer; a label is one.
+         */
+        call.keeps_one = call.label == 0 && worker->closes_answers;
         task->checks = 0;
     }
     init_call(task, worker);
@@ -636,6 +639,7 @@
     current->framing = Client_GetFraming(current->call);
     if (current->framing == CLIENT_FRAMING_CLOSE) {
         Met_Add(MET_ANSWERS_UNTIL_CLOSE, 1);
+        current->worker->closes_answers = true;
         EndCheck_LearnStart(current);
     }
     current->headers = Header_New();
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -280,6 +280,7 @@
     int64_t now_us = Clk_Now(client->clk);
     ClientConn *best = NULL;
     ClientConn *conn = NULL;
+    uint32_t count = 0;
 
     LIST_FOREACH(conn, &client->conns, links)
     {
@@ -296,8 +297,9 @@
         if (best == NULL || conn->idle_since_us > best->idle_since_us) {
             best = conn;
         }
+        count += conn->has_responded;
     }
-    return best;
+    return options->keeps_one && count < 2 ? NULL : best;
 }
 
 static bool
--- a/src/io/client.h
+++ b/src/io/client.h
@@ -85,6 +85,9 @@
     uint32_t connect_ms;  /* Connect time-out; 0: CLIENT_CONNECT_TIMEOUT_MS. */
     uint32_t idle_max_ms; /* Longest idle time of a connection to reuse; 0:
                              opens a new connection. */
+    /* Uses an idle connection only if another one that has carried a response
+       stays idle. */
+    bool keeps_one;
     void *context;
     /* Whether a response belongs to this call; if NULL, the first one does.
        Other responses are late ones to earlier calls and are dropped. */
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -408,6 +408,33 @@
     }
 }
 
+/* A worker that tells no start and ends each answer with its connection. The
+   connection of the question after the first answer proves the end of all
+   later ones, as no call uses it. */
+TEST(GateEndCheck, OneConnectionStaysIdleBesideAnswersUntilClose)
+{
+    for (RteKind kind : {RTE_IDEMPOTENT, RTE_NON_IDEMPOTENT}) {
+        SCOPED_TRACE(kind);
+        GateRig rig;
+        rig.SetRoute({kind, 2, false});
+        auto script = std::make_shared<std::deque<ScriptedReply>>();
+        Worker *worker = rig.AddWorkerWithScript(script, FLEET_PHASE_NONE);
+        worker->born_ms = 0;
+        for (int i = 0; i < 4; i++) {
+            script->push_back({StreamHead("") + "done", ScriptedReply::CLOSE});
+            Caller *caller = rig.Call(Request());
+            ASSERT_TRUE(rig.Until(
+                [&] { return caller->IsComplete() || caller->closed; }));
+            EXPECT_EQ(caller->Status(), 200);
+            EXPECT_EQ(caller->IsComplete(), i > 0);
+            rig.RunFor(10);
+        }
+        /* One for each call, and that of the first question. */
+        EXPECT_EQ(worker->accepted, 5);
+        EXPECT_EQ(worker->states, 4);
+    }
+}
+
 /* The worker stops at the time left that it was told, and its process goes on.
    The VM was held up until then. */
 TEST(GateEndCheck, StreamStoppedAtTheDeadlineIsNotComplete)
