--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -32,7 +32,8 @@
 #define ANSWER_END_CALLER_SLOS 4
 #define ANSWER_END_CALLER_GAPS 8
 /* The last question must end before that. */
-#define ANSWER_END_CALLER_MARGIN_US (500 * CLK_US_PER_MS)
+#define ANSWER_END_CALLER_MARGIN_US                                           \
+    (ANSWER_END_QUESTION_US + ANSWER_END_PAUSE_US)
 /* Connections that were refused, or broken off without an answer. */
 #define ANSWER_END_FAILURES_MAX 3
 
