--- a/src/io/client.c
+++ b/src/io/client.c
@@ -7,7 +7,6 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <http_parser.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/queue.h>
@@ -286,8 +285,12 @@
     {
         int64_t idle_ms = (now_us - conn->idle_since_us) / CLK_US_PER_MS;
         if (conn->call != NULL || conn->parsing || !conn->connected ||
-            idle_ms >= conn->idle_ms || idle_ms >= options->idle_max_ms ||
-            strcmp(conn->address, options->address) != 0 ||
+            idle_ms >= conn->idle_ms ||
+            strcmp(conn->address, options->address) != 0) {
+            continue;
+        }
+        count += conn->has_responded;
+        if (idle_ms >= options->idle_max_ms ||
             (options->label != 0 && conn->label != options->label) ||
             (options->number_max != 0 &&
              (conn->number > options->number_max || !conn->has_responded)) ||
@@ -297,9 +300,12 @@
         if (best == NULL || conn->idle_since_us > best->idle_since_us) {
             best = conn;
         }
-        count += conn->has_responded;
     }
-    return options->keeps_one && count < 2 ? NULL : best;
+    /* The one that stays need not be fit for the call. */
+    if (best != NULL && options->keeps_one && count == best->has_responded) {
+        return NULL;
+    }
+    return best;
 }
 
 static bool
@@ -654,9 +660,8 @@
 static void
 make_idle(ClientConn *conn)
 {
-    const char *keep_alive = Header_Find(conn->headers, "Keep-Alive");
-    const char *timeout =
-        keep_alive != NULL ? strstr(keep_alive, "timeout=") : NULL;
+    int64_t timeout_ms = Header_GetIdleTimeout(
+        conn->headers, CLIENT_IDLE_MAX_MS + CLIENT_IDLE_MARGIN_MS);
     guint idle = 0;
     ClientConn *other = NULL;
 
@@ -665,13 +670,8 @@
         idle +=
             other->call == NULL && strcmp(other->address, conn->address) == 0;
     }
-    conn->idle_ms = CLIENT_IDLE_MAX_MS;
-    if (timeout != NULL) {
-        long s = strtol(timeout + strlen("timeout="), NULL, 10);
-        long ms = CLAMP(s, 0, CLIENT_IDLE_MAX_MS) * 1000;
-        ms -= CLIENT_IDLE_MARGIN_MS;
-        conn->idle_ms = (uint32_t)CLAMP(ms, 0, CLIENT_IDLE_MAX_MS);
-    }
+    conn->idle_ms = (uint32_t)CLAMP(timeout_ms - CLIENT_IDLE_MARGIN_MS, 0,
+                                    CLIENT_IDLE_MAX_MS);
     if (conn->idle_ms == 0 || idle > CLIENT_IDLE_CONNS_MAX) {
         close_conn(conn);
         return;
--- a/src/io/headers.c
+++ b/src/io/headers.c
@@ -1,7 +1,11 @@
 #include "headers.h"
 
+#include <stdlib.h>
 #include <string.h>
 
+/* Longer idle time-outs count as this one. */
+#define HEADER_IDLE_MAX_S 3600
+
 /* Fields that are not forwarded: those of one connection (RFC 9110, section
    7.6.1), and others that each hop writes or handles itself, such as those of
    the framing. */
@@ -100,6 +104,20 @@
     return false;
 }
 
+int64_t
+Header_GetIdleTimeout(const HeaderList *list, int64_t default_ms)
+{
+    const char *field = Header_Find(list, "Keep-Alive");
+    const char *timeout = field != NULL ? strstr(field, "timeout=") : NULL;
+    long s;
+
+    if (timeout == NULL) {
+        return default_ms;
+    }
+    s = strtol(timeout + strlen("timeout="), NULL, 10);
+    return (int64_t)CLAMP(s, 0, HEADER_IDLE_MAX_S) * 1000;
+}
+
 void
 Header_CopyEndToEnd(HeaderList *to, const HeaderList *from)
 {
--- a/src/io/headers.h
+++ b/src/io/headers.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 typedef struct HeaderField {
     char *name;
@@ -42,6 +43,9 @@
    case count as equal. */
 bool Header_HasToken(const HeaderList *list, const char *name,
                      const char *token);
+/* Returns the idle time-out that a Keep-Alive field states, or `default_ms`.
+ */
+int64_t Header_GetIdleTimeout(const HeaderList *list, int64_t default_ms);
 /* Appends the end-to-end fields of `from`: all but those of one connection and
    those of the message's framing. */
 void Header_CopyEndToEnd(HeaderList *to, const HeaderList *from);
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -435,6 +435,32 @@
     }
 }
 
+/* The connection that stays idle may have been idle for longer than that of a
+   call that may run once. Calls go on using the others. */
+TEST(GateEndCheck, CallsReuseConnectionsBesideTheOneThatStaysIdle)
+{
+    for (RteKind kind : {RTE_IDEMPOTENT, RTE_NON_IDEMPOTENT}) {
+        SCOPED_TRACE(kind);
+        GateRig rig;
+        rig.SetRoute({kind, 2, false});
+        auto script = std::make_shared<std::deque<ScriptedReply>>();
+        Worker *worker = rig.AddWorkerWithScript(script, FLEET_PHASE_NONE);
+        script->push_back({StreamHead("") + "done", ScriptedReply::CLOSE});
+        Caller *first = rig.Call(Request());
+        ASSERT_TRUE(rig.Until([&] { return first->closed; }));
+        for (int i = 0; i < 12; i++) {
+            script->push_back(Ok());
+            Caller *caller = rig.Call(Request());
+            ASSERT_TRUE(rig.UntilEnd(caller));
+            EXPECT_EQ(caller->Status(), 200);
+            rig.RunFor(1000);
+        }
+        /* Those of the first call, of its question and of the second call, and
+           one each time that the idle one has timed out. */
+        EXPECT_LE(worker->accepted, 3 + 12000 / CLIENT_IDLE_MAX_MS);
+    }
+}
+
 /* The worker stops at the time left that it was told, and its process goes on.
    The VM was held up until then. */
 TEST(GateEndCheck, StreamStoppedAtTheDeadlineIsNotComplete)
