--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -55,8 +55,9 @@
     bool has_older_connection; /* An idle one. */
     bool is_older_useless;     /* A reply on one told nothing. */
     bool has_busy_older;       /* One that is in use. */
-    /* One of them has ended since the call began, or a question on one
-       failed: the process may have ended, and another one may respond. */
+    /* One of them has ended since the call began, idle or with a call, or a
+       question on one failed: the process may have ended, and another one may
+       respond. */
     bool is_older_broken;
     bool has_responded;  /* A reply told no start. */
     bool is_paused;      /* The worker asked for a pause: no question now. */
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -301,11 +301,9 @@
             best = conn;
         }
     }
-    /* The one that stays need not be fit for the call. */
-    if (best != NULL && options->keeps_one && count == best->has_responded) {
-        return NULL;
-    }
-    return best;
+    return best != NULL && options->keeps_one && count == best->has_responded
+               ? NULL
+               : best;
 }
 
 static bool
@@ -492,6 +490,9 @@
             return;
         }
     }
+    if (conn->has_responded) {
+        note_lost(conn);
+    }
     unsent =
         evbuffer_get_length(bufferevent_get_output(bev)) >= conn->call->size;
     end_call(conn, unsent ? CLIENT_NOT_SENT : CLIENT_INTERRUPTED);
--- a/src/io/client.h
+++ b/src/io/client.h
@@ -141,8 +141,9 @@
 void Client_RejectBody(ClientCall *call);
 /* Returns the number of the last connection that was opened; 0: none was. */
 uint64_t Client_GetLastNumber(const Client *client);
-/* Returns how many idle connections to an address, "IP:port", ended by
-   themselves so far. The count may begin anew. */
+/* Returns how many connections to an address, "IP:port", ended by themselves
+   so far while they were idle, or before the response to a later call than the
+   first one was complete. The count may begin anew. */
 uint32_t Client_CountLost(const Client *client, const char *address);
 /* Closes the idle connections to an address, "IP:port". */
 void Client_CloseIdle(Client *client, const char *address);
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -40,12 +40,12 @@
         auto script = std::make_shared<std::deque<ScriptedReply>>();
         Worker *worker = rig.AddWorkerWithScript(script, FLEET_PHASE_NONE);
         OpenTwoConnections(rig, worker, *script);
+        worker->born_ms = -1; /* It tells none after the restart. */
         script->push_back({StreamHead("") + "do", ScriptedReply::RESTART});
         rig.AddWorker({Ok("done")});
         rig.last_worker->inflight += 4; /* It costs more. */
         Caller *caller = rig.Call(Request());
         ASSERT_TRUE(rig.Until([&] { return worker->requests.size() == 3; }));
-        worker->born_ms = 0; /* As workers of plain services. */
         ASSERT_TRUE(
             rig.Until([&] { return caller->IsComplete() || caller->closed; }));
         if (kind == RTE_IDEMPOTENT) {
@@ -461,6 +461,28 @@
     }
 }
 
+/* The only older connection is in use, and ends with the process. */
+TEST(GateEndCheck, BusyOlderConnectionThatEndsIsASignToo)
+{
+    GateRig rig;
+    rig.SetRoute({RTE_NON_IDEMPOTENT, 2, false});
+    auto script = std::make_shared<std::deque<ScriptedReply>>();
+    Worker *worker = rig.AddWorkerWithScript(script, FLEET_PHASE_NONE);
+    script->push_back(Ok());
+    Caller *first = rig.Call(Request());
+    ASSERT_TRUE(rig.UntilEnd(first));
+    script->push_back({"", ScriptedReply::KEEP});
+    rig.Call(Request());
+    ASSERT_TRUE(rig.Until([&] { return worker->requests.size() == 2; }));
+    ASSERT_EQ(worker->accepted, 1);
+    worker->born_ms = -1; /* It tells none after the restart. */
+    script->push_back({StreamHead("") + "do", ScriptedReply::RESTART});
+    Caller *caller = rig.Call(Request());
+    ASSERT_TRUE(rig.Until([&] { return worker->requests.size() == 3; }));
+    ASSERT_TRUE(rig.UntilEnd(caller));
+    EXPECT_TRUE(caller->Status() == 502 || caller->reset) << caller->text;
+}
+
 /* The worker stops at the time left that it was told, and its process goes on.
    The VM was held up until then. */
 TEST(GateEndCheck, StreamStoppedAtTheDeadlineIsNotComplete)
