--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -7,6 +7,7 @@
 
 static guint get_service(LedgerKind kind);
 static void check_budget(Ledger *ledger);
+static int64_t get_held(const Ledger *ledger, int64_t now_us);
 static void excuse_row(LedgerRow *row);
 static bool is_accepted(const LedgerRow *row);
 static bool is_lost(const LedgerRow *row);
@@ -56,9 +57,28 @@
     row->is_late = ledger->stop_us[vm] != 0 &&
                    now_us - ledger->stop_us[vm] > LEDGER_STOP_LATE_US;
     row->is_at_end = ledger->is_ending[vm];
+    row->held_us = get_held(ledger, now_us);
     g_hash_table_insert(ledger->rows, g_strdup(id), row);
 }
 
+void
+Ledger_NoteTick(Ledger *ledger, int64_t now_us, int64_t tick_us)
+{
+    ledger->held_us = get_held(ledger, now_us);
+    ledger->ticked_us = now_us;
+    ledger->tick_us = tick_us;
+}
+
+/* Returns for how long the soak was held up until now. */
+static int64_t
+get_held(const Ledger *ledger, int64_t now_us)
+{
+    int64_t late_us = now_us - ledger->ticked_us - ledger->tick_us;
+    bool is_held_up = ledger->ticked_us != 0 && late_us >= LEDGER_HELD_MIN_US;
+
+    return ledger->held_us + (is_held_up ? late_us : 0);
+}
+
 void
 Ledger_RecordArrival(Ledger *ledger, const char *id, bool took_prefill,
                      int64_t limit_ms, int64_t now_us)
@@ -77,6 +97,7 @@
     }
     excess_ms = limit_ms - (row->limit_ms - (now_us - row->sent_us) / 1000);
     excess_ms -= row->unseen_ms;
+    excess_ms -= (get_held(ledger, now_us) - row->held_us) / 1000;
     if (limit_ms == 0 || row->limit_ms == 0 ||
         excess_ms <= LEDGER_TIME_SLACK_MS) {
         return;
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -18,6 +18,8 @@
 #define LEDGER_VMS_MAX 100
 /* A worker may be given this much more time than the caller has left. */
 #define LEDGER_TIME_SLACK_MS 500
+/* Shorter times without a tick are not counted as a hold-up of the soak. */
+#define LEDGER_HELD_MIN_US (100 * G_TIME_SPAN_MILLISECOND)
 /* A VM that was held up within this time is not held to that. */
 #define LEDGER_IN_TOUCH_US (3 * G_USEC_PER_SEC)
 
@@ -39,6 +41,7 @@
     int64_t limit_ms;  /* Time that its caller waits, from sent_us on. */
     int64_t unseen_ms; /* What its first arrival had too much, as its VM was
                           held up when it was sent. */
+    int64_t held_us;   /* As in Ledger, when it was sent. */
     uint32_t workers;  /* Set of the workers that began to run it, as bits. */
     int status;        /* HTTP status that the caller received, 0 if none. */
     bool is_complete;  /* The caller received the complete response. */
@@ -83,6 +86,11 @@
     GHashTable *rows;  /* Request identifier to LedgerRow. */
     GArray *vm_faults; /* LedgerVmFault elements. */
     BudgetCheck budget;
+    /* Last tick of the soak, or 0 if none follows, and the time between two.
+     */
+    int64_t ticked_us;
+    int64_t tick_us;
+    int64_t held_us; /* For which the soak itself was held up so far. */
     /* Last time that each VM was started or held up. */
     int64_t vm_held_us[LEDGER_VMS_MAX];
     /* Parts of plain bodies whose worker's process ended, which the caller got
@@ -110,6 +118,9 @@
     G_GNUC_PRINTF(2, 3);
 void Ledger_AddRequest(Ledger *ledger, const char *id, LedgerKind kind,
                        uint32_t vm, int64_t limit_ms, int64_t now_us);
+/* To be called at intervals of `tick_us`. A longer time between two calls is
+   one for which the soak itself was held up. */
+void Ledger_NoteTick(Ledger *ledger, int64_t now_us, int64_t tick_us);
 /* Records that a request reached a worker, which it gives `limit_ms`, or 0 if
    it may have been held up on its way;
    `took_prefill`: as a prefill, which the worker took. */
--- a/soak/load_generator.c
+++ b/soak/load_generator.c
@@ -145,6 +145,7 @@
 {
     g_array_set_size(load_gen->broken, 0);
     event_del(load_gen->timer);
+    load_gen->options.ledger->ticked_us = 0;
 }
 
 guint
@@ -215,6 +216,7 @@
             MAX(load_gen->held_up_us, now_us - load_gen->ticked_us);
     }
     load_gen->ticked_us = now_us;
+    Ledger_NoteTick(options->ledger, now_us, LOAD_GEN_TICK_MS * CLK_US_PER_MS);
     load_gen->requests_due +=
         options->requests_per_s * LOAD_GEN_TICK_MS / 1000.0;
     for (; load_gen->requests_due >= 1; load_gen->requests_due -= 1) {
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -465,6 +465,44 @@
     }
 }
 
+/* While the soak itself is held up, requests on their way get older unseen. */
+TEST(Soak, LedgerCountsWhatTheSoakWasHeldUp)
+{
+    const struct {
+        const char *name;
+        int64_t held_from_ms; /* The soak ticks each 10 ms but then. */
+        int64_t held_until_ms;
+        int64_t excess_ms;
+        guint findings;
+    } cases[] = {
+        {"not held up", 0, 0, 600, 1},
+        {"held up on the way", 1000, 2000, 1400, 0},
+        {"held up still", 1000, 9000, 1400, 0},
+        {"by less than the excess", 1000, 2000, 1700, 1},
+        {"before the request was sent", 100, 900, 600, 1},
+    };
+
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        Ledger ledger;
+        Ledger_Init(&ledger, &budget);
+        for (int64_t ms = 1; ms <= 3000; ms += 10) {
+            if (ms <= row.held_from_ms || ms >= row.held_until_ms) {
+                Ledger_NoteTick(&ledger, ms * CLK_US_PER_MS,
+                                10 * CLK_US_PER_MS);
+            }
+            if (ms == 951) {
+                Ledger_AddRequest(&ledger, "r1", LEDGER_READ, 0, 5000,
+                                  ms * CLK_US_PER_MS);
+            }
+        }
+        Ledger_RecordArrival(&ledger, "r1", false, 5000 - 2050 + row.excess_ms,
+                             3001 * CLK_US_PER_MS);
+        EXPECT_EQ(ledger.findings->len, row.findings);
+        Ledger_Clear(&ledger);
+    }
+}
+
 /* A window counts wherever it begins, and the requests of the one before. */
 TEST(Soak, BudgetIsCheckedInAnyWindow)
 {
