--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -33,6 +33,9 @@
 #define ANSWER_END_CALLER_GAPS 8
 /* The last question must end before that. */
 #define ANSWER_END_CALLER_MARGIN_US (500 * CLK_US_PER_MS)
+/* All connections of a process end at one moment, but for a lost segment of
+   one that is sent again. One that ended earlier is no sign. */
+#define ANSWER_END_SIGN_US CLK_US_PER_S
 /* Connections that were refused, or broken off without an answer. */
 #define ANSWER_END_FAILURES_MAX 3
 
@@ -55,9 +58,9 @@
     bool has_older_connection; /* An idle one. */
     bool is_older_useless;     /* A reply on one told nothing. */
     bool has_busy_older;       /* One that is in use. */
-    /* One of them has ended since the call began, idle or with a call, or a
-       question on one failed: the process may have ended, and another one may
-       respond. */
+    /* One of them has ended during the call, ANSWER_END_SIGN_US before the end
+       of the answer or later, idle or with a call, or a question on one
+       failed: the process may have ended, and another one may respond. */
     bool is_older_broken;
     bool has_responded;  /* A reply told no start. */
     bool is_paused;      /* The worker asked for a pause: no question now. */
--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -369,7 +369,8 @@
     fill_older(check, &older);
     state->waited_us = get_waited(check);
     state->is_older_broken |=
-        Client_CountLost(client, call->address) != call->lost_count;
+        Client_GetLostTime(client, call->address) >=
+        MAX(call->began_us, check->began_us - ANSWER_END_SIGN_US);
     state->is_paused = is_paused(check);
     state->has_older_connection =
         call->last_number != 0 && Client_HasIdle(client, &older);
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -47,10 +47,8 @@
     int64_t told_born_ms; /* The one that it had told as the call began; 0:
                              none. */
     char address[FLEET_ADDRESS_MAX]; /* Of the worker as the call began. */
-    /* The last connection that was opened before, as in ClientCallOptions, and
-       the lost ones of the address. */
+    /* The last connection that was opened before, as in ClientCallOptions. */
     uint64_t last_number;
-    uint32_t lost_count;
     /* Prompt tokens that this call adds to the worker. */
     uint32_t prefill_tokens;
     Forecast kv;         /* KV memory that this call adds. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -480,8 +480,6 @@
     g_strlcpy(current->address, worker->entry.address,
               sizeof(current->address));
     current->last_number = Client_GetLastNumber(task->gate->options.client);
-    current->lost_count =
-        Client_CountLost(task->gate->options.client, current->address);
     current->trial = Notice_BeginTrial(&worker->notice);
     Throttle_Charge(&worker->throttle);
     worker->inflight++;
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -1,6 +1,5 @@
 #include "client_request.h"
 #include "client_socket.h"
-
 #include "loop.h"
 
 #include <errno.h>
@@ -12,7 +11,7 @@
 #include <sys/queue.h>
 
 #define CLIENT_ADDRESS_MAX 64
-/* Addresses whose lost connections are counted. */
+/* Addresses whose lost connections are noted. */
 #define CLIENT_LOST_MAX 1024
 
 typedef struct ClientConn {
@@ -60,8 +59,8 @@
     const Clk *clk;
     LIST_HEAD(ClientConnList, ClientConn) conns;
     uint64_t last_number; /* Of a connection. */
-    GHashTable *lost;     /* Address to the number of its lost connections. */
-    void *observer;       /* Context of on_response(). */
+    GHashTable *lost; /* Address to the time of its last lost connection. */
+    void *observer;   /* Context of on_response(). */
     void (*on_response)(void *context, const char *address, int status,
                         const HeaderList *headers);
 };
@@ -106,7 +105,7 @@
     client->clk = clk;
     LIST_INIT(&client->conns);
     client->lost =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return client;
 }
 
@@ -221,10 +220,12 @@
     return call->conn->number;
 }
 
-uint32_t
-Client_CountLost(const Client *client, const char *address)
+int64_t
+Client_GetLostTime(const Client *client, const char *address)
 {
-    return GPOINTER_TO_UINT(g_hash_table_lookup(client->lost, address));
+    const int64_t *time_us = g_hash_table_lookup(client->lost, address);
+
+    return time_us != NULL ? *time_us : INT64_MIN;
 }
 
 uint64_t
@@ -502,13 +503,13 @@
 note_lost(const ClientConn *conn)
 {
     GHashTable *lost = conn->client->lost;
-    guint count = Client_CountLost(conn->client, conn->address) + 1;
+    int64_t now_us = Clk_Now(conn->client->clk);
 
     if (g_hash_table_size(lost) >= CLIENT_LOST_MAX) {
         g_hash_table_remove_all(lost);
     }
     g_hash_table_insert(lost, g_strdup(conn->address),
-                        GUINT_TO_POINTER(count));
+                        g_memdup2(&now_us, sizeof(now_us)));
 }
 
 static void
@@ -656,8 +657,7 @@
     }
 }
 
-/* Keeps the connection for later calls, unless its server or the number of
-   idle connections forbids it. */
+/* Keeps the connection for later calls, if nothing forbids it. */
 static void
 make_idle(ClientConn *conn)
 {
--- a/src/io/client.h
+++ b/src/io/client.h
@@ -141,10 +141,10 @@
 void Client_RejectBody(ClientCall *call);
 /* Returns the number of the last connection that was opened; 0: none was. */
 uint64_t Client_GetLastNumber(const Client *client);
-/* Returns how many connections to an address, "IP:port", ended by themselves
-   so far while they were idle, or before the response to a later call than the
-   first one was complete. The count may begin anew. */
-uint32_t Client_CountLost(const Client *client, const char *address);
+/* Returns when a connection to an address, "IP:port", last ended by itself
+   while it was idle, or before the response to a later call than the first one
+   was complete; INT64_MIN: none did. Old times may be forgotten. */
+int64_t Client_GetLostTime(const Client *client, const char *address);
 /* Closes the idle connections to an address, "IP:port". */
 void Client_CloseIdle(Client *client, const char *address);
 
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -381,6 +381,17 @@
         bufferevent_write(last_, bytes.data(), bytes.size());
     }
 
+    /* Closes all connections but that with the last request. */
+    void
+    CloseIdle()
+    {
+        for (bufferevent *bev : std::vector<bufferevent *>(conns_)) {
+            if (bev != last_) {
+                CloseConnection(bev);
+            }
+        }
+    }
+
     /* Closes the connection with the last request, or ends the process. */
     void
     EndLast(bool exits)
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -483,6 +483,32 @@
     EXPECT_TRUE(caller->Status() == 502 || caller->reset) << caller->text;
 }
 
+/* A worker that closes idle connections during a call goes on: its answer ends
+   later. The one that stays idle beside calls is closed so each time. */
+TEST(GateEndCheck, IdleConnectionClosedLongBeforeTheEndIsNoSign)
+{
+    GateRig rig;
+    rig.SetRoute({RTE_NON_IDEMPOTENT, 2, false});
+    auto script = std::make_shared<std::deque<ScriptedReply>>();
+    Worker *worker = rig.AddWorkerWithScript(script, FLEET_PHASE_NONE);
+    for (int i = 0; i < 4; i++) {
+        script->push_back({StreamHead("") + "do", ScriptedReply::KEEP});
+        Caller *caller = rig.Call(Request());
+        ASSERT_TRUE(
+            rig.Until([&] { return (int)worker->requests.size() == i + 1; }));
+        rig.RunFor(800);
+        worker->CloseIdle();
+        rig.RunFor(1200);
+        worker->SendToLast("ne");
+        rig.RunFor(10);
+        worker->EndLast(false);
+        ASSERT_TRUE(rig.Until([&] { return caller->closed; }));
+        EXPECT_EQ(caller->Status(), 200) << caller->text;
+        EXPECT_EQ(caller->Body(), "done");
+        rig.RunFor(10);
+    }
+}
+
 /* The worker stops at the time left that it was told, and its process goes on.
    The VM was held up until then. */
 TEST(GateEndCheck, StreamStoppedAtTheDeadlineIsNotComplete)
