--- a/src/decide/answer_end.c
+++ b/src/decide/answer_end.c
@@ -64,6 +64,13 @@
          state->reply == ANSWER_END_TELLS_NO_START)) {
         return ANSWER_END_WAIT;
     }
+    if (state->is_paused && !state->is_stream && !state->is_older_broken &&
+        state->reply == ANSWER_END_NOT_ASKED &&
+        state->waited_us < ANSWER_END_PAUSE_US &&
+        (state->has_older_connection || state->has_busy_older)) {
+        /* If the process ended, they end within a moment. */
+        return ANSWER_END_WAIT;
+    }
     if (!is_over) {
         bool is_first =
             state->reply == ANSWER_END_NOT_ASKED || state->is_older_connection;
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -509,6 +509,34 @@
     }
 }
 
+/* A worker that asked for a pause isn't asked. Its older connections end a
+   moment after its answer. */
+TEST(GateEndCheck, PausedWorkersOlderConnectionsAreWatched)
+{
+    for (bool exits : {false, true}) {
+        SCOPED_TRACE(exits);
+        GateRig rig;
+        rig.SetRoute({RTE_NON_IDEMPOTENT, 2, false});
+        auto script = std::make_shared<std::deque<ScriptedReply>>();
+        Worker *worker = rig.AddWorkerWithScript(script, FLEET_PHASE_NONE);
+        OpenTwoConnections(rig, worker, *script);
+        script->push_back({StreamHead("") + "do", ScriptedReply::KEEP});
+        Caller *caller = rig.Call(Request());
+        ASSERT_TRUE(rig.Until([&] { return worker->requests.size() == 3; }));
+        Notice_NotePause(&rig.last_worker->notice, CLK_US_PER_S,
+                         Clk_Now(&rig.clk));
+        rig.RunFor(10);
+        worker->EndLast(false);
+        rig.RunFor(6);
+        if (exits) {
+            worker->Exit();
+        }
+        ASSERT_TRUE(rig.Until([&] { return caller->closed; }));
+        EXPECT_EQ(caller->Status(), exits ? 502 : 200) << caller->text;
+        EXPECT_EQ(worker->states, 0);
+    }
+}
+
 /* The worker stops at the time left that it was told, and its process goes on.
    The VM was held up until then. */
 TEST(GateEndCheck, StreamStoppedAtTheDeadlineIsNotComplete)
