--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -304,7 +304,8 @@
     if (check->born_ms == 0) {
         return ANSWER_END_TELLS_NO_START;
     }
-    Fleet_NoteToldStart(call->worker, call->address, check->born_ms);
+    Fleet_NoteToldStart(call->worker, call->address, check->born_ms,
+                        Task_Now(call->task));
     return check->born_ms == call->born_ms ||
                    check->born_ms == call->told_born_ms
                ? ANSWER_END_SAME_START
--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -129,6 +129,7 @@
     }
     if (strcmp(worker->entry.address, entry->address) != 0) {
         worker->told_born_ms = 0;
+        worker->told_us = 0;
     }
     if (worker->version != 0) {
         note_version(fleet, worker, now_us);
@@ -442,10 +443,12 @@
 }
 
 void
-Fleet_NoteToldStart(FleetWorker *worker, const char *address, int64_t born_ms)
+Fleet_NoteToldStart(FleetWorker *worker, const char *address, int64_t born_ms,
+                    int64_t now_us)
 {
     if (born_ms != 0 && strcmp(worker->entry.address, address) == 0) {
         worker->told_born_ms = born_ms;
+        worker->told_us = now_us;
     }
 }
 
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -111,8 +111,9 @@
                                 connection. */
     bool tells_no_start;     /* It doesn't say when it started. */
     bool tells_start;        /* It has said so. */
-    /* Start that it told last at the entry's address; 0: none. */
+    /* Start that it told last at the entry's address, and when; 0: none. */
     int64_t told_born_ms;
+    int64_t told_us;
     double service_us; /* Moving average of a call's duration. */
     double slowness;   /* Moving average of measured prefill time over
                           expected prefill time. */
@@ -204,7 +205,7 @@
 void Fleet_NoteUnknownStart(Fleet *fleet, int64_t now_us);
 /* Notes the start that a worker has told at an address. */
 void Fleet_NoteToldStart(FleetWorker *worker, const char *address,
-                         int64_t born_ms);
+                         int64_t born_ms, int64_t now_us);
 /* Returns what identifies a start of the worker; 0 if the time of the start,
    Unix milliseconds, is not known (0). */
 uint64_t Fleet_GetStartLabel(const FleetWorker *worker, int64_t born_ms);
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -329,8 +329,7 @@
         StreamPrepare_BeginPrefill(task, prefill_worker);
         return;
     }
-    if (!Task_HasConnection(task, task->assigned.worker,
-                            get_idle_max_ms(task))) {
+    if (StreamPrepare_NeedsCheck(task, get_idle_max_ms(task))) {
         StreamPrepare_BeginCheck(task);
         return;
     }
--- a/src/gate/stream_prepare.c
+++ b/src/gate/stream_prepare.c
@@ -71,6 +71,21 @@
     Task_SetTimer(task);
 }
 
+bool
+StreamPrepare_NeedsCheck(const GateTask *task, uint32_t idle_max_ms)
+{
+    const FleetWorker *worker = task->assigned.worker;
+    int64_t lost_us =
+        Client_GetLostTime(task->gate->options.client, worker->entry.address);
+    bool is_checked = task->checked_worker == worker->hash && task->checks > 0;
+
+    if (task->route->can_resume || worker->is_vm) {
+        return !Task_HasConnection(task, worker, idle_max_ms);
+    }
+    return worker->closes_answers && !worker->tells_no_start && !is_checked &&
+           (worker->told_us == 0 || worker->told_us <= lost_us);
+}
+
 void
 StreamPrepare_BeginCheck(GateTask *task)
 {
@@ -268,7 +283,7 @@
     bool is_known = is_told && born_ms == worker->entry.born_ms;
     bool is_untold = (is_told && born_ms == 0) || call->reply.status == 404;
 
-    Fleet_NoteToldStart(worker, call->address, born_ms);
+    Fleet_NoteToldStart(worker, call->address, born_ms, Task_Now(call->task));
     if (is_told && !is_known && born_ms != 0) {
         Fleet_NoteUnknownStart(call->task->gate->options.fleet,
                                Task_Now(call->task));
@@ -293,7 +308,8 @@
         worker->tells_no_start = false;
         worker->tells_start = true;
     }
-    return is_known;
+    /* A stream that is not resumed is of any version. */
+    return is_known || (is_told && !call->task->route->can_resume);
 }
 
 static void
--- a/src/gate/stream_prepare.h
+++ b/src/gate/stream_prepare.h
@@ -11,6 +11,11 @@
 /* Reserves a slot and memory at the assigned worker. A refused reservation,
    unlike a refused run, doesn't count for the retry budget. */
 void StreamPrepare_BeginReserve(GateTask *task);
+/* Whether the assigned worker must be asked for its start before the run: no
+   connection for the run is known to lead to the start of its entry; or, where
+   the run may happen only once, its answers may end with their connections,
+   and one has been lost since it told its start. */
+bool StreamPrepare_NeedsCheck(const GateTask *task, uint32_t idle_max_ms);
 /* Asks the assigned worker for its start, so that the connection is known to
    lead to the start that its entry tells of. */
 void StreamPrepare_BeginCheck(GateTask *task);
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -409,6 +409,43 @@
     }
 }
 
+/* The worker has started again since it told its start, as its connections
+   show, and its entry is behind. It is asked before the run. */
+TEST(GateEndCheck, StartIsAskedForOnceConnectionsHaveEnded)
+{
+    for (bool exits : {false, true}) {
+        SCOPED_TRACE(exits);
+        GateRig rig;
+        rig.born_ms = 1000;
+        rig.SetRoute({RTE_STREAM, 1, false, 15000, 900}, true);
+        auto script = std::make_shared<std::deque<ScriptedReply>>();
+        Worker *worker = rig.AddWorkerWithScript(script, FLEET_PHASE_DECODE);
+        script->push_back(
+            {StreamHead("") + Events(0, 4), ScriptedReply::CLOSE});
+        Caller *first = rig.Call(Prompt());
+        ASSERT_TRUE(rig.UntilEnd(first));
+        EXPECT_TRUE(first->IsComplete());
+        worker->Exit();
+        worker->Restart();
+        worker->born_ms = 2000;
+        rig.RunFor(10);
+        rig.last_worker->lacks_reservations = true; /* No older connection. */
+        int before = worker->states;
+        script->push_back(
+            {StreamHead("") + Events(0, 2), ScriptedReply::KEEP});
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+        EXPECT_GT(worker->states, before);
+        rig.RunFor(CLIENT_IDLE_MAX_MS + 100);
+        if (exits) {
+            worker->born_ms = 3000;
+        }
+        worker->EndLast(false);
+        ASSERT_TRUE(rig.UntilEnd(caller));
+        EXPECT_EQ(caller->IsComplete(), !exits);
+    }
+}
+
 /* A worker that tells no start and ends each answer with its connection. The
    connection of the question after the first answer proves the end of all
    later ones, as no call uses it. */
