--- a/src/gate/lookup.c
+++ b/src/gate/lookup.c
@@ -1,6 +1,5 @@
 /* Lookup: which version began a stream, by other VMs. See lookup.h. */
 #include "lookup.h"
-#include "survey.h"
 #include "task.h"
 
 #include "../io/loop.h"
--- a/src/gate/lookup.h
+++ b/src/gate/lookup.h
@@ -6,6 +6,7 @@
 
 #include "../decide/holders.h"
 #include "gate.h"
+#include "survey.h"
 
 /* Streams that are looked up at a time; further ones are not. */
 #define LOOKUPS_MAX 2048
@@ -18,8 +19,11 @@
 #define LOOKUP_REPEAT_US (100 * CLK_US_PER_MS)
 /* Holders that have not answered by then are not waited for ... */
 #define LOOKUP_TIMEOUT_US (400 * CLK_US_PER_MS)
-/* ... but for this time while one still asks its workers. */
-#define LOOKUP_ASKING_TIMEOUT_US (600 * CLK_US_PER_MS)
+/* ... but for this time while one still asks its workers: its next survey
+   begins as it is asked again after the interval, and its answer is that of
+   the question after the survey. */
+#define LOOKUP_ASKING_TIMEOUT_US                                              \
+    (SURVEY_INTERVAL_US + SURVEY_TIMEOUT_US + 2 * LOOKUP_REPEAT_US)
 
 /* A question to another VM. */
 typedef struct LookupQuestion {
--- a/tests/test_gate_resumed_at_size.cc
+++ b/tests/test_gate_resumed_at_size.cc
@@ -178,6 +178,81 @@
     }
 }
 
+/* Returns how often workers were asked what changed. */
+int
+CountChanges(const FleetRig &rig)
+{
+    int count = 0;
+    for (const auto &worker : rig.workers) {
+        count += worker->changes;
+    }
+    return count;
+}
+
+struct AgeCase {
+    int vms;
+    int age_ms; /* Of the last survey as the caller comes back. */
+    bool goes_on;
+};
+
+const AgeCase age_cases[] = {
+    {1, 20, true},   {3, 20, true},  {20, 20, true},
+    {20, 250, true}, {3, 20, false}, {20, 20, false},
+};
+
+/* Callers resume streams that began after the last survey. The next one
+   follows after an interval only. */
+TEST(ResumedAtSize, ResumptionsWaitForTheNextSurvey)
+{
+    const int kWorkers = 8;
+    for (const AgeCase &row : age_cases) {
+        SCOPED_TRACE(std::to_string(row.vms) + " VMs, " +
+                     std::to_string(row.age_ms) + " ms after a survey");
+        FleetRig rig(resumable, row.vms, 0);
+        for (int i = 0; i < kWorkers; i++) {
+            rig.versions.push_back(i % 2 == 0 ? "v1" : "v2");
+            rig.AddWorker({Stream(3, 9)});
+            rig.workers.back()->kept_parts = {"aa"};
+        }
+        for (Edge *edge : rig.edges) {
+            CompleteSweep(edge);
+        }
+        rig.RunFor(1500);
+        rig.Call(0, Resumption("unknown", Part(kWorkers)));
+        int before = CountChanges(rig);
+        for (int i = 0; i < 200 && CountChanges(rig) == before; i++) {
+            rig.RunFor(2);
+        }
+        EXPECT_GT(CountChanges(rig), before);
+        rig.RunFor(row.age_ms);
+        for (int i = 0; i < kWorkers && row.goes_on; i++) {
+            rig.workers[(size_t)i]->replaced_parts = {Part(i)};
+        }
+        std::vector<Caller *> again;
+        for (int i = 0; i < kWorkers; i++) {
+            again.push_back(
+                rig.Call((size_t)(i % row.vms),
+                         Resumption("id-" + std::to_string(i), Part(i))));
+        }
+        rig.RunFor(1500);
+        int streamed = 0;
+        int refused = 0;
+        for (const Caller *caller : again) {
+            streamed += caller->IsComplete() && caller->Status() == 200;
+            refused += caller->IsComplete() && caller->Status() == 503;
+        }
+        EXPECT_EQ(streamed, row.goes_on ? kWorkers : 0);
+        EXPECT_EQ(refused, row.goes_on ? 0 : kWorkers);
+        for (int i = 0; i < kWorkers; i++) {
+            for (const std::string &text : rig.workers[(size_t)i]->requests) {
+                size_t at = text.find("aa:200,") + 7;
+                int part = std::stoi(text.substr(at), nullptr, 16) - 0x1000;
+                EXPECT_EQ(part % 2, i % 2) << "joins two versions";
+            }
+        }
+    }
+}
+
 struct FetchCase {
     const char *name;
     bool is_full; /* The worker that has read the prompt takes no more. */
