--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -9,6 +9,7 @@
 #include <event2/listener.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdbool.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -36,6 +37,7 @@
 
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
                       struct sockaddr *from, int size, void *context);
+static void set_no_delay(struct bufferevent *bev);
 static void on_read(struct bufferevent *bev, void *context);
 static void on_written(struct bufferevent *bev, void *context);
 static void on_event(struct bufferevent *bev, short what, void *context);
@@ -138,6 +140,19 @@
     fill_address(&to, proxy->target_port);
     bufferevent_socket_connect(link->sockets[1], (struct sockaddr *)&to,
                                sizeof(to));
+    for (int i = 0; i < 2; i++) {
+        set_no_delay(link->sockets[i]);
+    }
+}
+
+/* Lets small writes leave at once, as they came. */
+static void
+set_no_delay(struct bufferevent *bev)
+{
+    int on = 1;
+
+    setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
+               sizeof(on));
 }
 
 static void
--- a/tests/test_gate.cc
+++ b/tests/test_gate.cc
@@ -337,6 +337,7 @@
     to.sin_port = htons(port);
     to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     EXPECT_EQ(connect(fd, (sockaddr *)&to, sizeof(to)), 0);
+    SetNoDelay(fd);
     EXPECT_EQ(send(fd, request.data(), request.size(), MSG_NOSIGNAL),
               (ssize_t)request.size());
     return fd;
--- a/tests/test_gate_change.cc
+++ b/tests/test_gate_change.cc
@@ -967,6 +967,7 @@
         to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         fd_ = socket(AF_INET, SOCK_STREAM, 0);
         EXPECT_EQ(connect(fd_, (sockaddr *)&to, sizeof(to)), 0);
+        SetNoDelay(fd_);
         Send(request);
     }
 
--- a/tests/test_gate_rig.cc
+++ b/tests/test_gate_rig.cc
@@ -2,6 +2,10 @@
    nothing in a test. */
 #include "gate_rig.h"
 
+extern "C" {
+#include "proxy.h"
+}
+
 #include <atomic>
 #include <set>
 #include <sys/wait.h>
@@ -44,41 +48,48 @@
     close(ends[1]);
 }
 
-/* Small writes on an open connection arrive within virtual milliseconds: none
-   waits for the acknowledgement of the one before, which comes in real time
-   and late where the peer has just sent something. */
+/* Small writes on an open connection arrive within virtual milliseconds, with
+   a proxy of the soak between them or without: none waits for the
+   acknowledgement of the one before, which comes in real time and late where
+   the peer has just sent something. */
 TEST(Rig, SmallWritesLeaveAtOnce)
 {
     const size_t requests = 50;
-    event_base *base = event_base_new();
-    Clk clk = Clk_Default();
-    auto replies = std::make_shared<std::deque<ScriptedReply>>(
-        requests, ScriptedReply{"answer"});
-    auto worker = std::make_unique<Worker>(base, replies);
-    int port =
-        std::stoi(worker->address.substr(worker->address.find(':') + 1));
-    auto caller = std::make_unique<Caller>(base, (uint16_t)port);
-    auto run_for = [&](int64_t ms) {
-        int64_t end_us = Clk_Now(&clk) + ms * CLK_US_PER_MS;
-        RunUntil(base, &clk, [&] { return Clk_Now(&clk) >= end_us; });
-    };
-    for (size_t i = 1; i <= requests; i++) {
-        for (const char *part :
-             {"POST / HTTP/1.1\r\n", "Content-Length: 1\r\n\r\n", "b"}) {
-            caller->Send(part);
-            run_for(3);
-        }
-        ASSERT_EQ(worker->requests.size(), i);
-        for (const char *part : {"x", "y"}) {
-            size_t size = caller->text.size();
-            worker->SendToLast(part);
-            run_for(3);
-            ASSERT_EQ(caller->text.size(), size + 1) << "request " << i;
+    for (bool is_proxied : {false, true}) {
+        SCOPED_TRACE(is_proxied ? "through a proxy" : "direct");
+        event_base *base = event_base_new();
+        Clk clk = Clk_Default();
+        auto replies = std::make_shared<std::deque<ScriptedReply>>(
+            requests, ScriptedReply{"answer"});
+        auto worker = std::make_unique<Worker>(base, replies);
+        auto port = (uint16_t)std::stoi(
+            worker->address.substr(worker->address.find(':') + 1));
+        Proxy *proxy = Proxy_New(base, port);
+        auto caller = std::make_unique<Caller>(
+            base, is_proxied ? Proxy_GetPort(proxy) : port);
+        auto run_for = [&](int64_t ms) {
+            int64_t end_us = Clk_Now(&clk) + ms * CLK_US_PER_MS;
+            RunUntil(base, &clk, [&] { return Clk_Now(&clk) >= end_us; });
+        };
+        for (size_t i = 1; i <= requests; i++) {
+            for (const char *part :
+                 {"POST / HTTP/1.1\r\n", "Content-Length: 1\r\n\r\n", "b"}) {
+                caller->Send(part);
+                run_for(3);
+            }
+            ASSERT_EQ(worker->requests.size(), i);
+            for (const char *part : {"x", "y"}) {
+                size_t size = caller->text.size();
+                worker->SendToLast(part);
+                run_for(3);
+                ASSERT_EQ(caller->text.size(), size + 1) << "request " << i;
+            }
         }
+        caller.reset();
+        Proxy_Free(proxy);
+        worker.reset();
+        event_base_free(base);
     }
-    caller.reset();
-    worker.reset();
-    event_base_free(base);
 }
 
 /* Another process tries to get the port of a worker that is dark or crashed
--- a/tests/test_gate_time_left.cc
+++ b/tests/test_gate_time_left.cc
@@ -48,6 +48,9 @@
         if (fd_ < 0) {
             fd_ = accept4(listener_, nullptr, nullptr,
                           SOCK_CLOEXEC | SOCK_NONBLOCK);
+            if (fd_ >= 0) {
+                SetNoDelay(fd_);
+            }
         }
         ssize_t size = recv(fd_, data, sizeof(data), 0);
         return std::string(data, size > 0 ? (size_t)size : 0);
--- a/tests/test_gate_time_left_held_up.cc
+++ b/tests/test_gate_time_left_held_up.cc
@@ -34,6 +34,7 @@
         to.sin_port = htons(Edge_GetPort(rig.edge));
         to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         ASSERT_EQ(connect(fd, (sockaddr *)&to, sizeof(to)), 0);
+        SetNoDelay(fd);
     }
 
     void
