--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -427,6 +427,14 @@
            (worker->listed_until_us == 0 || now_us < worker->listed_until_us);
 }
 
+bool
+Fleet_MayServeOn(const FleetWorker *worker, int64_t now_us)
+{
+    return !worker->listed &&
+           now_us - worker->removed_us < FLEET_SERVE_ON_US &&
+           worker->entry.born_ms != 0 && !worker->tells_no_start;
+}
+
 bool
 Fleet_IsReady(const FleetWorker *worker, int64_t now_us)
 {
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -27,6 +27,9 @@
    (200 ms by default) or is unavailable. The value is below every limit on the
    use of draining workers. */
 #define FLEET_REMOVED_GRACE_US (1500 * CLK_US_PER_MS)
+/* A worker may serve on, without new requests, for this time after its entry
+   was removed. */
+#define FLEET_SERVE_ON_US (5 * CLK_US_PER_S)
 /* When the source returns from a copy, a worker's entry may be missing there
    until the worker writes it again. Entries of the older era stay listed for
    this time, which is the users' bound (about two seconds, PROTOCOL). */
@@ -224,6 +227,10 @@
 bool Fleet_IsUsable(const FleetWorker *worker, int64_t now_us);
 /* Whether the source lists the worker. */
 bool Fleet_IsListed(const FleetWorker *worker, int64_t now_us);
+/* Whether the worker's entry was removed lately, and the worker can be asked
+   for its start, which alone shows that it is still the process of the entry.
+   */
+bool Fleet_MayServeOn(const FleetWorker *worker, int64_t now_us);
 /* Whether the worker is listed, and neither draining, leaving, doubted nor
    replaced. */
 bool Fleet_IsReady(const FleetWorker *worker, int64_t now_us);
--- a/src/gate/survey.c
+++ b/src/gate/survey.c
@@ -79,6 +79,8 @@
 static void begin(Survey *survey, bool lists);
 static bool can_ask(const FleetWorker *worker, const char *service,
                     int64_t now_us);
+static bool is_of(const FleetWorker *worker, const char *service,
+                  int64_t now_us);
 static void ask_next(Survey *survey);
 static void ask(Survey *survey, FleetWorker *worker, const SurveyStep *step);
 static void begin_call(SurveyCall *call, FleetWorker *worker,
@@ -305,8 +307,13 @@
     survey->dropped = 0;
     for (guint i = 0; i < rows->len; i++) {
         const FleetWorker *worker = g_ptr_array_index(rows, i);
-        if (can_ask(worker, survey->service, now_us) &&
-            Holders_IsOwn(&holders, worker->hash)) {
+        /* The holders of a removed worker may never have had its entry. */
+        bool is_asked = (can_ask(worker, survey->service, now_us) &&
+                         Holders_IsOwn(&holders, worker->hash)) ||
+                        (lists && is_of(worker, survey->service, now_us) &&
+                         Fleet_MayServeOn(worker, now_us) &&
+                         Holders_Contains(&holders, holders.self));
+        if (is_asked) {
             SurveyStep changes = {worker->hash, .changes = true};
             SurveyStep list = {worker->hash, .changes = false};
             g_array_append_val(survey->queue, changes);
@@ -326,10 +333,15 @@
 
 static bool
 can_ask(const FleetWorker *worker, const char *service, int64_t now_us)
+{
+    return is_of(worker, service, now_us) && Fleet_IsListed(worker, now_us);
+}
+
+static bool
+is_of(const FleetWorker *worker, const char *service, int64_t now_us)
 {
     return worker->entry.phase == FLEET_PHASE_DECODE &&
            strcmp(worker->entry.service, service) == 0 &&
-           Fleet_IsListed(worker, now_us) &&
            !Notice_IsPaused(&worker->notice, now_us);
 }
 
@@ -344,7 +356,7 @@
         SurveyStep step = g_array_index(survey->queue, SurveyStep, last);
         FleetWorker *worker = Fleet_FindByHash(fleet, step.worker);
         g_array_set_size(survey->queue, last);
-        if (worker != NULL) {
+        if (worker != NULL && (worker->listed || !worker->tells_no_start)) {
             ask(survey, worker, &step);
         }
     }
@@ -569,7 +581,7 @@
     }
     if (call->status == 404) {
         worker->tells_no_start = !worker->tells_start;
-        note_list(call, call->list, call->version);
+        note_list(call, worker->listed ? call->list : NULL, call->version);
         return false;
     }
     return judge(call);
--- a/tests/test_gate_resumed_versions.cc
+++ b/tests/test_gate_resumed_versions.cc
@@ -46,7 +46,9 @@
     bool is_leaving; /* They take no runs, and close each connection. */
     Entry entry;     /* Of the start that the workers tell. */
     bool goes_on;
-    const char *state = ""; /* What they tell instead of their start. */
+    const char *state = "";  /* What they tell instead of their start. */
+    bool is_removed = false; /* The entries, before the VMs ask. */
+    bool tells_start = true;
 };
 
 const LoadCase load_cases[] = {
@@ -67,6 +69,14 @@
      "{\"born\":1000}"},
     {"answers to another question", 1, true, AS_TOLD, false,
      "{\"hold\":\"L1\",\"born\":1000}"},
+    {"entries are removed", 1, false, AS_TOLD, true, "", true},
+    {"entries are removed", 3, false, AS_TOLD, true, "", true},
+    {"entries are removed, workers close", 1, true, AS_TOLD, true, "", true},
+    {"entries are removed, workers close", 20, true, AS_TOLD, true, "", true},
+    {"entries are removed, workers started again", 3, false, NEVER, false, "",
+     true},
+    {"entries are removed, workers tell no start", 3, false, AS_TOLD, false,
+     "", true, false},
 };
 
 class LoadRig : public FleetRig {
@@ -85,6 +95,7 @@
                 worker->closes_after_answer = row.is_leaving;
                 worker->state_body = row.state;
                 worker->born_ms = row.entry == AS_TOLD ? earlier_ms : later_ms;
+                worker->born_ms = row.tells_start ? worker->born_ms : 0;
             }
             SetEntry(i, GetVersion(i), earlier_ms,
                      is_reader && row.is_leaving);
@@ -105,6 +116,19 @@
         }
     }
 
+    /* All VMs learn that the entry of worker `i` is gone. */
+    void
+    RemoveEntry(int i)
+    {
+        for (size_t vm = 0; vm < edges.size(); vm++) {
+            const FleetEntry *entry = &FindWorker(vm, (size_t)i)->entry;
+            Pos position = entry->position;
+            position.revision += 100;
+            Fleet_RemoveEntry(Edge_GetFleet(edges[vm]), entry->id, position,
+                              Clk_Now(&clk));
+        }
+    }
+
     /* The VMs learn all workers for the first time, as at their start. */
     void
     CompleteSweeps()
@@ -139,6 +163,9 @@
                      " VMs");
         LoadRig rig(row);
         rig.CompleteSweeps();
+        for (int i = 0; i < reader_count && row.is_removed; i++) {
+            rig.RemoveEntry(i);
+        }
         if (row.entry == LATE) {
             for (int i = 0; i < 200 && !rig.HaveReadersToldTheirStarts();
                  i++) {
