Log: the lines of a start and a stop are not limited

Operators and tests saw: with hundreds of requests to cut, or right after a start with thousands of workers, the log did not say "stopped" nor "grace_used". Cause: at most 300 lines a second are written. These lines are neither warnings nor any better than the end of a request; warnings have a limit of their own, but each cut request writes one. Ruled out: a full pipe (the reader read all the time); the end of the process before the write (it is synchronous). The field "level" stays "info". Conclusion: what a log lacks after a stop was taken for what the process did not do; a log without "stopped" now means that it did not get there.

--- a/src/gate/grace.c
+++ b/src/gate/grace.c
@@ -147,7 +147,7 @@
     const GraceCount *count = &gate->grace;
 
     Log_WriteJson(
-        LOG_LEVEL_INFO, "grace_used",
+        LOG_LEVEL_NOTICE, "grace_used",
         json_pack("{s:i,s:i,s:i,s:i,s:i,s:I}", "in_progress",
                   (int)count->in_progress, "taken", (int)count->taken,
                   "refused", (int)count->refused, "cut_in_progress",
--- a/src/gate/shutdown.c
+++ b/src/gate/shutdown.c
@@ -72,7 +72,7 @@
     Server_BeginShutdown(options->callers);
     Gate_BeginShutdown(options->gate);
     Gate_SetDrain(options->gate, shutdown->drain_end_us);
-    Log_WriteJson(LOG_LEVEL_INFO, "stopping",
+    Log_WriteJson(LOG_LEVEL_NOTICE, "stopping",
                   json_pack("{s:i}", "exchanges",
                             (int)Server_CountPending(options->callers)));
     arm_timer(shutdown, SHUTDOWN_TICK_MS * CLK_US_PER_MS);
--- a/src/log.c
+++ b/src/log.c
@@ -39,7 +39,7 @@
 
 static void write_object(LogLevel level, const char *event, json_t *line);
 static void shorten_texts(json_t *line);
-static void write_stdout_line(const char *text, bool is_warning);
+static void write_stdout_line(const char *text, GLogLevelFlags level);
 static bool admit_line(LogRate *rate);
 static bool write_all(const char *line, size_t size);
 static char *shorten_line(json_t *line);
@@ -105,13 +105,17 @@
 /* Writes a line to standard output, or drops it if that would block or exceed
    LOG_LINES_PER_S. */
 static void
-write_stdout_line(const char *text, bool is_warning)
+write_stdout_line(const char *text, GLogLevelFlags level)
 {
+    bool is_warning = (level & (G_LOG_LEVEL_WARNING | G_LOG_LEVEL_ERROR |
+                                G_LOG_LEVEL_CRITICAL)) != 0;
+    /* A burst of others must not hide that the process starts or stops. */
+    bool is_limited = (level & G_LOG_LEVEL_MESSAGE) == 0;
     LogRate *rate = is_warning ? &log_warning_rate : &log_rate;
     char *line = g_strconcat(text, "\n", NULL);
     size_t size = strlen(line);
 
-    if (size > LOG_LINE_MAX_BYTES || !admit_line(rate) ||
+    if (size > LOG_LINE_MAX_BYTES || (is_limited && !admit_line(rate)) ||
         !write_all(line, size)) {
         atomic_fetch_add(&log_dropped_lines, 1);
     }
@@ -236,9 +240,7 @@
         free(text);
         text = shorten_line(line);
     }
-    write_stdout_line(text != NULL ? text : "{}",
-                      (level & (G_LOG_LEVEL_WARNING | G_LOG_LEVEL_ERROR |
-                                G_LOG_LEVEL_CRITICAL)) != 0);
+    write_stdout_line(text != NULL ? text : "{}", level);
     free(text);
     g_free(stamp);
     g_date_time_unref(now);
@@ -254,6 +256,8 @@
         return G_LOG_LEVEL_CRITICAL;
     case LOG_LEVEL_WARNING:
         return G_LOG_LEVEL_WARNING;
+    case LOG_LEVEL_NOTICE:
+        return G_LOG_LEVEL_MESSAGE;
     case LOG_LEVEL_INFO:
         return G_LOG_LEVEL_INFO;
     case LOG_LEVEL_DEBUG:
--- a/tests/test_gate_log.cc
+++ b/tests/test_gate_log.cc
@@ -147,4 +147,33 @@
     EXPECT_NE(text.find("\"lines_dropped_before\""), std::string::npos);
 }
 
+/* With hundreds of requests to cut, the log did not say that the process had
+   stopped. */
+TEST(GateLog, NoticesAreWrittenBesideABurstOfWarnings)
+{
+    int ends[2]; /* Reader, writer. */
+    ASSERT_EQ(pipe(ends), 0);
+    fcntl(ends[1], F_SETPIPE_SZ, 1 << 20);
+    pid_t pid = fork();
+    if (pid == 0) {
+        dup2(ends[1], STDOUT_FILENO);
+        Log_Begin("vm-1", LOG_LEVEL_INFO);
+        for (int i = 0; i < 2000; i++) {
+            Log_WriteJson(LOG_LEVEL_INFO, "request_end", json_object());
+            Log_WriteJson(LOG_LEVEL_WARNING, "request_cut", json_object());
+        }
+        Log_WriteJson(LOG_LEVEL_NOTICE, "stopped", json_object());
+        _exit(0);
+    }
+    int status = -1;
+    EXPECT_EQ(waitpid(pid, &status, 0), pid);
+    close(ends[1]);
+    std::string text = ReadAll(ends[0]);
+    close(ends[0]);
+    size_t at = text.find("\"stopped\"");
+    ASSERT_NE(at, std::string::npos);
+    EXPECT_NE(text.find("\"level\":\"info\"", at), std::string::npos);
+    EXPECT_NE(text.find("\"lines_dropped_before\"", at), std::string::npos);
+}
+
 } // namespace
