--- a/soak/soak.c
+++ b/soak/soak.c
@@ -120,7 +120,8 @@
     guint number;
     const char *gate;         /* Path of the executable that it starts next. */
     pid_t pid;                /* 0 if no process runs */
-    char settings[256];       /* Path of the settings file. */
+    char settings[256];       /* Path of the link to the settings file. */
+    uint32_t settings_count;  /* Files written so far. */
     char log[256];            /* Path of the log file. */
     char address[32];         /* "IP:port" */
     struct event *timer;      /* Restart, or SIGKILL after the grace period. */
@@ -576,7 +577,9 @@
 static void
 write_settings(Soak *self, SoakVm *vm)
 {
-    char *path = g_strdup_printf("%s.new", vm->settings);
+    char *path = g_strdup_printf("%s.%u", vm->settings, ++vm->settings_count);
+    char *name = g_path_get_basename(path);
+    char *link = g_strdup_printf("%s.new", vm->settings);
     FILE *file;
     char *text = g_strdup_printf(
         "{\"node\":\"vm%u\",\"zone\":\"zone-%c\",\"ip\":\"127.0.1.%u\","
@@ -596,12 +599,18 @@
         SIM_DRAIN_MS, SOAK_GRACE_MS / 1000, self->ledger.budget.options.ratio,
         self->ledger.budget.options.slack, SOAK_WINDOW_S);
 
-    /* g_file_set_contents() waits for the disk, for seconds if it is busy. */
+    /* A file that takes the place of another one, or of its own content, is
+       written to the disk at once (ext4), which takes seconds if it is busy.
+       So the file is a new one, and only a link is replaced. */
+    unlink(path);
+    unlink(link);
     file = fopen(path, "w");
     if (file == NULL || fputs(text, file) == EOF || fclose(file) != 0 ||
-        rename(path, vm->settings) != 0) {
+        symlink(name, link) != 0 || rename(link, vm->settings) != 0) {
         g_error("soak: can't write %s", vm->settings);
     }
+    g_free(link);
+    g_free(name);
     g_free(path);
     g_free(text);
 }
