--- a/src/settings.c
+++ b/src/settings.c
@@ -230,8 +230,10 @@
 apply_value(const SetRow *row, const char *value, SetSettings *settings,
             LsError *err)
 {
-    /* In the order of LogLevel and of PickPolicy. */
     static const char *const levels[] = {"error", "warning", "info", "debug"};
+    static const LogLevel log_levels[] = {LOG_LEVEL_ERROR, LOG_LEVEL_WARNING,
+                                          LOG_LEVEL_INFO, LOG_LEVEL_DEBUG};
+    /* In the order of PickPolicy. */
     static const char *const policies[] = {"reserve", "no-reserve",
                                            "round-robin", "least-load"};
     char *target = (char *)settings + row->offset;
@@ -248,7 +250,7 @@
         return apply_number(row, value, target, err);
     case SET_TYPE_LOG_LEVEL:
         index = find_name(levels, G_N_ELEMENTS(levels), value);
-        settings->log_level = (LogLevel)MAX(index, 0);
+        settings->log_level = log_levels[MAX(index, 0)];
         break;
     case SET_TYPE_PLACEMENT:
         index = find_name(policies, G_N_ELEMENTS(policies), value);
--- a/tests/test_parts.cc
+++ b/tests/test_parts.cc
@@ -389,6 +389,22 @@
         EXPECT_EQ(std::string(err.message).find(row.message), 0u)
             << err.message;
     }
+    const std::pair<const char *, LogLevel> levels[] = {
+        {"error", LOG_LEVEL_ERROR},
+        {"warning", LOG_LEVEL_WARNING},
+        {"info", LOG_LEVEL_INFO},
+        {"debug", LOG_LEVEL_DEBUG},
+    };
+    for (const auto &row : levels) {
+        std::vector<const char *> args = good;
+        args.insert(args.end(), {"--log-level", row.first});
+        SetSettings settings;
+        LsError err = {};
+        EXPECT_EQ(Set_Load(static_cast<int>(args.size()),
+                           const_cast<char **>(args.data()), &settings, &err),
+                  SET_ACTION_RUN);
+        EXPECT_EQ(settings.log_level, row.second) << row.first;
+    }
     SetSettings settings;
     LsError err;
     char name[] = "d";
