--- a/soak/load_generator.c
+++ b/soak/load_generator.c
@@ -17,7 +17,6 @@
 /* Longest time from sending a request to disconnecting. */
 #define LOAD_GEN_DISCONNECT_MAX_MS 400
 #define LOAD_GEN_NO_EVENT (-1)
-#define LOAD_GEN_EVENT_MAX_BYTES 128
 #define LOAD_GEN_FIRST_PARTS 5 /* First parts of prompts, shared by many. */
 /* Requests to each stopping VM beside the others, until its process is gone.
  */
@@ -60,6 +59,7 @@
     ClientFraming framing;
     bool has_stamp;
     bool has_finding; /* A finding was added for this request. */
+    unsigned run;     /* That made the last event; 0: none. */
     Sse sse;
     LoadGenStream stream;
     GByteArray *body;
@@ -99,6 +99,7 @@
 static void on_data(void *context, const void *data, size_t size);
 static void on_end(void *context, ClientOutcome outcome);
 static void check_event(LoadGenCall *call, const SseEvent *event);
+static void check_run(LoadGenCall *call, const SimEvent *event);
 static void check_version(LoadGenCall *call, int64_t event, unsigned version);
 static void check_events(LoadGenCall *call);
 static void check_response(LoadGenCall *call);
@@ -480,42 +481,54 @@
 check_event(LoadGenCall *call, const SseEvent *event)
 {
     Ledger *ledger = call->load_gen->options.ledger;
+    LoadGenStream *stream = &call->stream;
     char *text = g_strndup(event->data, event->size);
-    char expected[LOAD_GEN_EVENT_MAX_BYTES] = "";
-    char id[sizeof(call->id)] = "";
-    long long last = LOAD_GEN_NO_EVENT;
-    long long first = LOAD_GEN_NO_EVENT;
-    unsigned version = 0;
-
-    if (sscanf(text, "id: %lld\ndata: %47s %lld v%u", &last, id, &first,
-               &version) == 4) {
-        SimAnswer_FormatEvent(expected, sizeof(expected), call->id, first,
-                              last, version);
-    }
-    if (last < first || version == 0 || strcmp(text, expected) != 0) {
+    SimEvent made;
+
+    if (!SimAnswer_ReadEvent(text, &made) || strcmp(made.id, call->id) != 0) {
         if (!call->has_finding) {
             Ledger_AddFinding(ledger, "MIXED: %s received the event \"%s\"",
                               call->id, text);
         }
         call->has_finding = true;
-        call->stream.last_event =
-            event->has_id ? event->id : call->stream.last_event;
+        stream->last_event = event->has_id ? event->id : stream->last_event;
         g_free(text);
         return;
     }
-    if (first != call->stream.last_event + 1 && !call->has_finding) {
+    if (made.first != stream->last_event + 1 && !call->has_finding) {
         Ledger_AddFinding(ledger,
                           "ORDER: %s received event %lld to %lld after event "
                           "%lld",
-                          call->id, first, last,
-                          (long long)call->stream.last_event);
+                          call->id, made.first, made.last,
+                          (long long)stream->last_event);
         call->has_finding = true;
     }
-    check_version(call, last, version);
-    call->stream.last_event = last;
+    check_run(call, &made);
+    check_version(call, made.last, made.version);
+    stream->last_event = made.last;
     g_free(text);
 }
 
+/* Checks that another run than the one before begins with this event, and
+   where the stream may be resumed. */
+static void
+check_run(LoadGenCall *call, const SimEvent *event)
+{
+    bool is_other = call->run != event->run;
+    bool may_follow = event->first == event->from &&
+                      (call->run == 0 || call->kind == LEDGER_RESUME);
+
+    if (is_other && !may_follow && !call->has_finding) {
+        Ledger_AddFinding(call->load_gen->options.ledger,
+                          "ORDER: %s received event %lld of run %u, which "
+                          "began with event %lld, after run %u",
+                          call->id, event->last, event->run, event->from,
+                          call->run);
+        call->has_finding = true;
+    }
+    call->run = event->run;
+}
+
 /* Checks that all events come from workers of one software version. */
 static void
 check_version(LoadGenCall *call, int64_t event, unsigned version)
--- a/soak/sim_answer.c
+++ b/soak/sim_answer.c
@@ -4,6 +4,7 @@
 #include "io/server_conn.h"
 
 #include <event2/buffer.h>
+#include <stdio.h>
 #include <string.h>
 
 /* Shares of the answers by framing; the others have chunks. */
@@ -65,13 +66,18 @@
         size_t begin = answer->body->len;
         uint32_t tokens = 1;
         char text[SIM_EVENT_MAX_BYTES];
+        SimEvent event = {.first = next,
+                          .version = options->version,
+                          .run = options->run,
+                          .from = options->first};
         if (options->has_steps && rand != NULL &&
             g_rand_double(rand) < SIM_STEP_RATIO) {
             tokens = (uint32_t)g_rand_int_range(rand, 1, SIM_STEP_MAX + 1);
             tokens = MIN(tokens, options->end - next);
         }
-        SimAnswer_FormatEvent(text, sizeof(text), options->id, next,
-                              next + tokens - 1, options->version);
+        event.last = next + tokens - 1;
+        g_strlcpy(event.id, options->id, sizeof(event.id));
+        SimAnswer_FormatEvent(text, sizeof(text), &event);
         g_string_append(answer->body, text);
         next += tokens;
         pause_ms += tokens * interval_ms;
@@ -201,11 +207,27 @@
 }
 
 void
-SimAnswer_FormatEvent(char *text, size_t size, const char *id, int64_t first,
-                      int64_t last, unsigned version)
+SimAnswer_FormatEvent(char *text, size_t size, const SimEvent *event)
 {
-    g_snprintf(text, size, "id: %lld\ndata: %s %lld v%u\n\n", (long long)last,
-               id, (long long)first, version);
+    g_snprintf(text, size, "id: %lld\ndata: %s %lld v%u r%u %lld\n\n",
+               event->last, event->id, event->first, event->version,
+               event->run, event->from);
+}
+
+bool
+SimAnswer_ReadEvent(const char *text, SimEvent *event)
+{
+    char expected[SIM_EVENT_MAX_BYTES] = "";
+
+    memset(event, 0, sizeof(*event));
+    if (sscanf(text, "id: %lld\ndata: %47s %lld v%u r%u %lld", &event->last,
+               event->id, &event->first, &event->version, &event->run,
+               &event->from) != 6) {
+        return false;
+    }
+    SimAnswer_FormatEvent(expected, sizeof(expected), event);
+    return strcmp(text, expected) == 0 && event->version != 0 &&
+           event->last >= event->first && event->first >= event->from;
 }
 
 static SimFraming
--- a/soak/sim_answer.h
+++ b/soak/sim_answer.h
@@ -15,11 +15,22 @@
     SIM_FRAMING_CLOSE, /* The end of the connection. */
 } SimFraming;
 
+/* What an event says of itself. */
+typedef struct SimEvent {
+    long long last;   /* Number of its last token, which is its ID. */
+    char id[48];      /* Identifier of the request. */
+    long long first;  /* Number of its first token. */
+    unsigned version; /* Software version of the worker. */
+    unsigned run;     /* Number of the run that made it. */
+    long long from;   /* Number of the run's first token. */
+} SimEvent;
+
 typedef struct SimStreamOptions {
     const char *id;       /* Identifier of the request. */
     uint32_t first;       /* Number of the first token. */
     uint32_t end;         /* Number after that of the last token. */
     unsigned version;     /* Software version of the worker. */
+    unsigned run;         /* Number of the run, of all workers'. */
     uint32_t interval_ms; /* Mean time between tokens. */
     bool has_steps;       /* An event may hold several tokens. */
 } SimStreamOptions;
@@ -65,9 +76,9 @@
    the connection. */
 void SimAnswer_Abort(const SimAnswer *answer, ServerExchange *exchange,
                      GRand *rand);
-/* Stores the event of a stream that holds the tokens from `first` to `last`.
- */
-void SimAnswer_FormatEvent(char *text, size_t size, const char *id,
-                           int64_t first, int64_t last, unsigned version);
+/* Stores the text of an event. */
+void SimAnswer_FormatEvent(char *text, size_t size, const SimEvent *event);
+/* Reads the text of an event. Returns false if no worker makes such a one. */
+bool SimAnswer_ReadEvent(const char *text, SimEvent *event);
 
 #endif
--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -172,6 +172,7 @@
     GHashTable *parts;      /* Identifier to SimPart. */
     GHashTable *kv_handles; /* Set of unused KV handles. */
     guint next_handle;
+    unsigned last_run;    /* Number of the last run of a stream. */
     int64_t disrupted_us; /* Last time recorded by Sim_RecordDisruption(). */
     double lost_ratio;    /* As set with Sim_SetFailures(). */
     double failed_ratio;  /* As set with Sim_SetFailures(). */
@@ -1386,6 +1387,7 @@
             .first = job->next,
             .end = job->end,
             .version = get_version(worker),
+            .run = ++sim->last_run,
             .interval_ms = worker->interval_ms,
             .has_steps = sim->options.has_steps,
         };
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -612,7 +612,7 @@
     }
 };
 
-const SimStreamOptions answer_stream = {"r1", 2, 12, 1, 30, false};
+const SimStreamOptions answer_stream = {"r1", 2, 12, 1, 7, 30, false};
 
 SimAnswer
 DrawAnswer(bool is_stream, bool has_steps, GRand *rand)
@@ -729,7 +729,7 @@
 
 struct CheckCase {
     const char *name;
-    bool is_stream;
+    const char *route;
     /* Body made of the request's identifier and its number of events. */
     std::string (*make)(const std::string &id, int events);
     bool until_close; /* Without framing. */
@@ -739,75 +739,104 @@
 };
 
 std::string
-MakeEvents(const std::string &id, int first, int end, int step = 1)
+MakeEvents(const std::string &id, int first, int end, int step = 1,
+           unsigned run = 1, int from = 0)
 {
     std::string text;
-    char event[128];
+    char bytes[128];
 
     for (int next = first; next < end; next += step) {
-        int last = std::min(next + step, end) - 1;
-        SimAnswer_FormatEvent(event, sizeof(event), id.c_str(), next, last, 1);
-        text += event;
+        SimEvent event = {};
+        event.last = std::min(next + step, end) - 1;
+        g_strlcpy(event.id, id.c_str(), sizeof(event.id));
+        event.first = next;
+        event.version = 1;
+        event.run = run;
+        event.from = from;
+        SimAnswer_FormatEvent(bytes, sizeof(bytes), &event);
+        text += bytes;
     }
     return text;
 }
 
 const CheckCase check_cases[] = {
-    {"whole stream", true,
+    {"whole stream", "/stream/",
      [](const std::string &id, int n) { return MakeEvents(id, 0, n); }, false,
      false, nullptr, 0},
-    {"whole stream without framing", true,
+    {"whole stream without framing", "/stream/",
      [](const std::string &id, int n) { return MakeEvents(id, 0, n); }, true,
      false, nullptr, 0},
-    {"events of several tokens", true,
+    {"events of several tokens", "/stream/",
      [](const std::string &id, int n) { return MakeEvents(id, 0, n, 3); },
      false, false, nullptr, 0},
-    {"first event missing", true,
+    {"first event missing", "/stream/",
      [](const std::string &id, int n) { return MakeEvents(id, 1, n); }, false,
      false, "ORDER", 0},
-    {"event missing", true,
+    {"event missing", "/stream/",
      [](const std::string &id, int n) {
          return MakeEvents(id, 0, 1) + MakeEvents(id, 2, n);
      },
      false, false, "ORDER", 0},
-    {"event doubled", true,
+    {"event doubled", "/stream/",
      [](const std::string &id, int n) {
          return MakeEvents(id, 0, 2) + MakeEvents(id, 1, n);
      },
      false, false, "ORDER", 0},
-    {"last event missing", true,
+    {"last event missing", "/stream/",
      [](const std::string &id, int n) { return MakeEvents(id, 0, n - 1); },
      false, false, "ORDER", 0},
-    {"last event missing, without framing, the worker's process ended", true,
+    {"last event missing, without framing, the worker's process ended",
+     "/stream/",
      [](const std::string &id, int n) { return MakeEvents(id, 0, n - 1); },
      true, true, "ORDER", 0},
-    {"part of an event at the end", true,
+    {"part of an event at the end", "/stream/",
      [](const std::string &id, int n) {
          return MakeEvents(id, 0, n) + "id: 9";
      },
      false, false, "ORDER", 0},
-    {"parts of two events joined", true,
+    {"parts of two events joined", "/stream/",
      [](const std::string &id, int n) {
          return "id: 0\ndata: " + MakeEvents(id, 0, n);
      },
      false, false, "MIXED", 0},
-    {"event of another request", true,
+    {"event of another request", "/stream/",
      [](const std::string &, int n) { return MakeEvents("x1", 0, n); }, false,
      false, "MIXED", 0},
-    {"whole body", false, [](const std::string &id, int) { return id; }, false,
-     false, nullptr, 0},
-    {"whole body without framing", false,
+    {"another run goes on", "/resume/",
+     [](const std::string &id, int n) {
+         return MakeEvents(id, 0, 1) + MakeEvents(id, 1, n, 1, 2, 1);
+     },
+     false, false, nullptr, 0},
+    {"another run goes on, where it may not", "/stream/",
+     [](const std::string &id, int n) {
+         return MakeEvents(id, 0, 1) + MakeEvents(id, 1, n, 1, 2, 1);
+     },
+     false, false, "ORDER", 0},
+    {"another run, without its first event", "/resume/",
+     [](const std::string &id, int n) {
+         return MakeEvents(id, 0, 2) + MakeEvents(id, 2, n, 1, 2, 1);
+     },
+     false, false, "ORDER", 0},
+    {"the first run goes on after another one", "/resume/",
+     [](const std::string &id, int n) {
+         return MakeEvents(id, 0, 1) + MakeEvents(id, 1, 2, 1, 2, 1) +
+                MakeEvents(id, 2, n);
+     },
+     false, false, "ORDER", 0},
+    {"whole body", "/read/", [](const std::string &id, int) { return id; },
+     false, false, nullptr, 0},
+    {"whole body without framing", "/read/",
      [](const std::string &id, int) { return id; }, true, false, nullptr, 0},
-    {"part of a body", false,
+    {"part of a body", "/read/",
      [](const std::string &id, int) { return id.substr(0, 1); }, false, true,
      "MIXED", 0},
-    {"part of a body without framing, the worker went on", false,
+    {"part of a body without framing, the worker went on", "/read/",
      [](const std::string &id, int) { return id.substr(0, 1); }, true, false,
      "MIXED", 0},
-    {"part of a body without framing, the worker's process ended", false,
+    {"part of a body without framing, the worker's process ended", "/read/",
      [](const std::string &id, int) { return id.substr(0, 1); }, true, true,
      "MIXED", 1},
-    {"body doubled, the worker's process ended", false,
+    {"body doubled, the worker's process ended", "/read/",
      [](const std::string &id, int) { return id + id; }, true, true, "MIXED",
      0},
 };
@@ -823,11 +852,11 @@
 AnswerCheck(void *context, ServerExchange *exchange)
 {
     CheckRig *rig = (CheckRig *)context;
-    bool is_stream = strncmp(exchange->target, "/stream/", 8) == 0;
-    bool is_plain = strncmp(exchange->target, "/read/", 6) == 0;
+    const char *route = rig->row->route;
     std::string id = Header_Find(exchange->headers, "X-Request-Id");
 
-    if (rig->answered > 0 || !(rig->row->is_stream ? is_stream : is_plain)) {
+    if (rig->answered > 0 ||
+        strncmp(exchange->target, route, strlen(route)) != 0) {
         return;
     }
     rig->answered++;
