--- a/tests/test_gate_worker_end.cc
+++ b/tests/test_gate_worker_end.cc
@@ -93,6 +93,84 @@
     }
 }
 
+/* A worker that goes on may break its answer off, or what stands between may
+   end the connection: the rest of the stream tells. */
+struct RestCase {
+    const char *name;
+    std::vector<ScriptedReply> rest; /* Answers to the runs that follow. */
+    int last;                        /* Last event that the caller gets. */
+    int elsewhere; /* First event of another worker; 0: it gets no run. */
+};
+
+const RestCase rest_cases[] = {
+    {"nothing is left", {{StreamHead("Content-Length: 0\r\n")}}, 4, 0},
+    {"nothing is left, in chunks",
+     {{StreamHead("Transfer-Encoding: chunked\r\n") + "0\r\n\r\n"}},
+     4,
+     0},
+    {"nothing is left, without framing",
+     {{StreamHead(""), ScriptedReply::CLOSE}},
+     4,
+     0},
+    {"events are left", {Stream(5, 9)}, 9, 0},
+    {"events are left, without framing",
+     {{StreamHead("") + Events(5, 9), ScriptedReply::CLOSE},
+      {StreamHead("Content-Length: 0\r\n")}},
+     9,
+     0},
+    {"events are left, and break off twice",
+     {{StreamHead("") + Events(5, 6), ScriptedReply::CLOSE},
+      {StreamHead("") + Events(7, 7), ScriptedReply::CLOSE},
+      Stream(8, 9)},
+     9,
+     0},
+    {"events are left, inside one of which it breaks off",
+     {{StreamHead("") + Events(5, 6) + "id: 7", ScriptedReply::CLOSE}},
+     9,
+     7},
+    {"the worker refuses", {Refusal()}, 4, 0},
+    {"the worker fails",
+     {{Answer(500, "X-Response-Stamp: s1\r\n", "no")}},
+     4,
+     0},
+    {"the worker is silent", {{""}}, 4, 0},
+    {"the worker begins and is silent",
+     {{StreamHead("Transfer-Encoding: chunked\r\n")}},
+     4,
+     0},
+    {"the process ends", {{"", ScriptedReply::EXIT}}, 9, 5},
+    {"the process ends and starts again",
+     {{"", ScriptedReply::RESTART}},
+     9,
+     5},
+    {"the connection breaks off", {{"", ScriptedReply::RESET}}, 9, 5},
+};
+
+TEST(GateWorkerEnd, StreamCutAtAWorkerThatGoesOnIsNotComplete)
+{
+    for (const RestCase &row : rest_cases) {
+        SCOPED_TRACE(row.name);
+        GateRig rig;
+        rig.born_ms = 1000;
+        rig.SetRoute(resumable, true);
+        auto script = std::make_shared<std::deque<ScriptedReply>>();
+        script->push_back(
+            {StreamHead("") + Events(0, 4), ScriptedReply::CLOSE});
+        script->insert(script->end(), row.rest.begin(), row.rest.end());
+        Worker *worker = rig.AddWorkerWithScript(script, FLEET_PHASE_DECODE);
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(rig.Until([&] { return !worker->requests.empty(); }));
+        Worker *other = rig.AddWorker({Stream(std::max(row.elsewhere, 5), 9)},
+                                      FLEET_PHASE_DECODE);
+        ASSERT_TRUE(rig.UntilEnd(caller));
+        EXPECT_TRUE(caller->IsComplete());
+        EXPECT_EQ(caller->DechunkedBody(), Events(0, row.last));
+        EXPECT_EQ(other->requests.empty(), row.elsewhere == 0);
+        /* All at one worker. */
+        EXPECT_EQ(worker->requests.size(), 1 + row.rest.size());
+    }
+}
+
 /* A worker of a service without streams tells no start. An answer that comes
    on the first connection to it has no sign but that the worker responds, and
    keeps its framing. */
