--- a/src/decide/answer_end.c
+++ b/src/decide/answer_end.c
@@ -82,3 +82,19 @@
                ? ANSWER_END_AS_RECEIVED
                : ANSWER_END_BROKEN;
 }
+
+bool
+AnswerEnd_MayAskRest(const AnswerEndRestState *state)
+{
+    return state->is_resumable && state->has_events && state->is_ready &&
+           state->has_connection && state->budget > ANSWER_END_REST_RESERVE &&
+           state->sends_left > 0 && state->left_us >= ANSWER_END_REST_MIN_US;
+}
+
+AnswerEndStep
+AnswerEnd_JudgeRest(AnswerEndRest rest)
+{
+    return rest == ANSWER_END_REST_LOST || rest == ANSWER_END_REST_OTHER
+               ? ANSWER_END_BROKEN
+               : ANSWER_END_COMPLETE;
+}
--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -9,7 +9,12 @@
    itself. Such a sign is an answer to a question that was sent after the end,
    from the start that the worker's entry named or the worker told before the
    call began, or on a connection that is older than the call and has carried
-   an answer. Both rely on one process at an address at a time. */
+   an answer. Both rely on one process at an address at a time.
+
+   A process that goes on may still have broken the answer off, as may what
+   stands between: a proxy passes a reset on as an ordinary end. So a stream
+   that may be resumed is asked for its rest, at the same worker, which keeps
+   the prompt. Nothing else shows that nothing is left. */
 #ifndef LS_ANSWER_END_H
 #define LS_ANSWER_END_H
 
@@ -39,6 +44,12 @@
 #define ANSWER_END_SIGN_US CLK_US_PER_S
 /* Connections that were refused, or broken off without an answer. */
 #define ANSWER_END_FAILURES_MAX 3
+/* Shortest and longest time for the question for the rest: the worker may have
+   to read the prompt again. */
+#define ANSWER_END_REST_MIN_US (100 * CLK_US_PER_MS)
+#define ANSWER_END_REST_MAX_US (2 * CLK_US_PER_S)
+/* Calls of the retry budget that are left to broken requests. */
+#define ANSWER_END_REST_RESERVE 3
 
 /* What the last question brought. */
 typedef enum AnswerEndReply {
@@ -84,10 +95,35 @@
     ANSWER_END_BROKEN,
 } AnswerEndStep;
 
+/* Whether the rest of a stream may be asked for, whose worker goes on. */
+typedef struct AnswerEndRestState {
+    bool is_resumable;   /* Another run may go on with the stream. */
+    bool has_events;     /* The run that ended brought some. */
+    bool is_ready;       /* The worker takes new work. */
+    bool has_connection; /* One leads to the start of the worker's entry. */
+    uint32_t budget;     /* Calls that the retry budget allows. */
+    uint32_t sends_left; /* Calls that the request may still make. */
+    int64_t left_us;     /* Until the caller leaves. */
+} AnswerEndRestState;
+
+/* What the question for the rest brought, other than an event. */
+typedef enum AnswerEndRest {
+    ANSWER_END_REST_EMPTY, /* A complete answer. */
+    ANSWER_END_REST_REFUSED,
+    ANSWER_END_REST_LATE,  /* Nothing in time. */
+    ANSWER_END_REST_LOST,  /* The connection was refused or broken off. */
+    ANSWER_END_REST_OTHER, /* Another worker has the address. */
+} AnswerEndRest;
+
 /* Returns how long the end of an answer may wait for proof. `may_go_on`:
    another worker can make the answer, or the rest of it. */
 int64_t AnswerEnd_GetPatience(bool is_stream, bool may_go_on, int64_t slo_us,
                               int64_t gap_us);
 AnswerEndStep AnswerEnd_Decide(const AnswerEndState *state);
+bool AnswerEnd_MayAskRest(const AnswerEndRestState *state);
+/* Returns ANSWER_END_COMPLETE or ANSWER_END_BROKEN. A worker that takes no
+   work or is silent was shown to go on; one that can't be reached any more may
+   have ended bit by bit, its answers first. */
+AnswerEndStep AnswerEnd_JudgeRest(AnswerEndRest rest);
 
 #endif
--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -36,6 +36,7 @@
 static void fill_older(const struct EndCheck *check,
                        ClientCallOptions *options);
 static bool matches_control(void *context, const HeaderList *headers);
+static uint64_t get_told_label(void *context);
 static void on_head(void *context, int status, const HeaderList *headers);
 static void on_data(void *context, const void *data, size_t size);
 static void on_end(void *context, ClientOutcome outcome);
@@ -175,6 +176,7 @@
         .headers = control_call.headers,
         .context = check,
         .matches_request = matches_control,
+        .get_label = get_told_label,
         .on_head = on_head,
         .on_data = on_data,
         .on_end = on_end,
@@ -242,6 +244,18 @@
     return codec->matches_control(codec->context, headers);
 }
 
+/* Returns the label of the question's connection, on which the rest of the
+   stream may be asked for. */
+static uint64_t
+get_told_label(void *context)
+{
+    const struct EndCheck *check = context;
+    const TaskCall *call = check->call;
+
+    return Task_ReadStartLabel(call->task, call->worker, check->status,
+                               check->body);
+}
+
 static void
 on_head(void *context, int status, const HeaderList *headers)
 {
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -12,6 +12,7 @@
 #include "stream_events.h"
 #include "stream_precedence.h"
 #include "stream_prepare.h"
+#include "stream_rest.h"
 #include "stream_resume.h"
 #include "successor.h"
 #include "survey.h"
@@ -49,6 +50,7 @@
 static void on_end_checked(TaskCall *current, AnswerEndStep step);
 static void end_run(TaskCall *current, ClientOutcome outcome,
                     const char *cause);
+static void end_stream(GateTask *task);
 static void on_silent_end(GateTask *task, ClientOutcome outcome);
 static void forward_or_retry(GateTask *task);
 
@@ -132,6 +134,12 @@
         Stream_Advance(task);
         return;
     }
+    if (StreamRest_IsAsked(task)) {
+        StreamRest_JudgeLate(task);
+        Task_EndCall(task);
+        end_stream(task);
+        return;
+    }
     if (Task_MayBeRunning(task)) {
         on_run_silent(task);
         return;
@@ -412,6 +420,7 @@
     Sse_Reset(&task->current->sse);
     memset(&task->current->order, 0, sizeof(task->current->order));
     task->current->idle_bytes = 0;
+    task->asks_rest = false;
     if (task->lease[0] != '\0') {
         options.lease = task->lease;
     }
@@ -518,6 +527,11 @@
         on_silent_end(task, outcome);
         return;
     }
+    if (StreamRest_IsAsked(task) && !Sse_IsInsideEvent(&current->sse) &&
+        !EndCheck_IsNeeded(current, outcome)) {
+        on_end_checked(current, StreamRest_JudgeEnd(task, outcome));
+        return;
+    }
     /* The framing alone doesn't show that a stream is complete: it may be
        nothing but the end of the connection. */
     if (outcome == CLIENT_COMPLETE && Sse_IsInsideEvent(&current->sse)) {
@@ -542,12 +556,15 @@
     if (current == current->task->silent) {
         Successor_Cancel(current->task);
     }
-    if (step == ANSWER_END_COMPLETE) {
-        end_run(current, CLIENT_COMPLETE, NULL);
-    }
-    else {
+    if (step != ANSWER_END_COMPLETE) {
         end_run(current, CLIENT_INTERRUPTED, "worker ended with its answer");
     }
+    else if (StreamRest_IsAsked(current->task)) {
+        end_stream(current->task);
+    }
+    else if (!StreamRest_Begin(current->task, on_run_data, on_run_end)) {
+        end_run(current, CLIENT_COMPLETE, NULL);
+    }
 }
 
 /* Ends the run. `cause` says why it is not complete, NULL for that of the
@@ -563,17 +580,7 @@
     if (has_answer && current->reply.status == 200 &&
         (task->streaming || (task->request.last_event != GATE_NO_EVENT &&
                              StreamEvents_Begin(task)))) {
-        ServerExchange *exchange = task->exchange;
-        if (task->current->sse.pending->len > 0) {
-            Server_SendData(exchange, task->current->sse.pending->data,
-                            task->current->sse.pending->len);
-        }
-        task->exchange = NULL;
-        Server_EndStream(exchange);
-        Blame_NoteSound(task);
-        Grace_NoteStream(task);
-        StreamEvents_UpdateInterval(task);
-        Task_End(task, "streamed", 200);
+        end_stream(task);
         return;
     }
     Task_NoteFailure(task, outcome, run,
@@ -596,6 +603,24 @@
     Stream_RetryOrEnd(task, run, has_answer && current->reply.status != 200);
 }
 
+/* Ends the stream as complete. */
+static void
+end_stream(GateTask *task)
+{
+    ServerExchange *exchange = task->exchange;
+
+    if (task->current->sse.pending->len > 0) {
+        Server_SendData(exchange, task->current->sse.pending->data,
+                        task->current->sse.pending->len);
+    }
+    task->exchange = NULL;
+    Server_EndStream(exchange);
+    Blame_NoteSound(task);
+    Grace_NoteStream(task);
+    StreamEvents_UpdateInterval(task);
+    Task_End(task, "streamed", 200);
+}
+
 /* Goes on with the successor after the silent call has ended. Its last events
    may have come with the end. */
 static void
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -155,6 +155,8 @@
     bool resuming;
     uint64_t checked_worker; /* Hash of the last worker asked for its start. */
     uint32_t checks;         /* Questions for its start since the last run. */
+    bool asks_rest;          /* The last run asks whether the stream, whose
+                                worker goes on, has more events. */
     uint32_t sends;          /* Calls begun that carry the request. */
     uint32_t runs;           /* Workers on which the request may have run, not
                                 counting those of a VM that passed it on. */
@@ -298,7 +300,11 @@
    may start again at another one under its identifier before its entry says
    so. */
 uint64_t Task_GetStartLabel(const GateTask *task, const FleetWorker *worker);
-/* Whether there is such a connection. */
+/* Returns the label of a connection on which the worker has answered the
+   question for its state: by the start that it told, or that it told none. */
+uint64_t Task_ReadStartLabel(const GateTask *task, const FleetWorker *worker,
+                             int status, const GByteArray *state);
+/* Whether there is a connection on which the run may be sent. */
 bool Task_HasConnection(const GateTask *task, const FleetWorker *worker,
                         uint32_t idle_max_ms);
 /* Sends a control call that frees something which also lapses by itself, and
--- a/src/gate/task_budget.c
+++ b/src/gate/task_budget.c
@@ -94,21 +94,29 @@
     task->prefilled = true;
 }
 
+uint32_t
+TaskBudget_GetLeft(const GateTask *task)
+{
+    const Gate *gate = task->gate;
+    const Budget *budget =
+        g_hash_table_lookup(gate->budgets, task->service->name);
+
+    return budget != NULL
+               ? Budget_GetRemaining(budget, get_vm_count(gate), get_now(gate))
+               : 0;
+}
+
 json_t *
 TaskBudget_Describe(const GateTask *task)
 {
     const Gate *gate = task->gate;
-    const char *service = task->service->name;
-    const Budget *budget = g_hash_table_lookup(gate->budgets, service);
-    uint32_t vms = get_vm_count(gate);
-    uint32_t left =
-        budget != NULL ? Budget_GetRemaining(budget, vms, get_now(gate)) : 0;
     double requests;
     double extras;
 
-    Gate_GetBudgetUse(gate, service, &requests, &extras);
+    Gate_GetBudgetUse(gate, task->service->name, &requests, &extras);
     return json_pack("{s:f,s:f,s:i,s:i}", "requests", requests, "extras",
-                     extras, "left", (int)left, "vms", (int)vms);
+                     extras, "left", (int)TaskBudget_GetLeft(task), "vms",
+                     (int)get_vm_count(gate));
 }
 
 void
--- a/src/gate/task_budget.h
+++ b/src/gate/task_budget.h
@@ -15,6 +15,9 @@
 void TaskBudget_CorrectCount(GateTask *task, bool is_unsent);
 /* Corrects the count after a prefill: the first one that succeeds is free. */
 void TaskBudget_NotePrefilled(GateTask *task);
+/* Returns how many calls beyond the first this VM may make now, without parts
+   of the budget that others would lend. */
+uint32_t TaskBudget_GetLeft(const GateTask *task);
 /* Returns what the budget is reckoned from, for the log. */
 json_t *TaskBudget_Describe(const GateTask *task);
 
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -173,25 +173,32 @@
     return XXH3_64bits(task->request.id, strlen(task->request.id));
 }
 
-/* Returns the label of a connection by the start that the worker has told on
-   it, or that it told none. */
 static uint64_t
 get_told_label(void *context)
 {
     const TaskCall *call = context;
-    const GateCodec *codec = call->task->gate->options.codec;
+
+    return Task_ReadStartLabel(call->task, call->worker, call->reply.status,
+                               call->body);
+}
+
+uint64_t
+Task_ReadStartLabel(const GateTask *task, const FleetWorker *worker,
+                    int status, const GByteArray *state)
+{
+    const GateCodec *codec = task->gate->options.codec;
     int64_t born_ms = 0;
 
-    if (call->reply.status == 404) {
-        return Fleet_GetNoStartLabel(call->worker);
+    if (status == 404) {
+        return Fleet_GetNoStartLabel(worker);
     }
-    if (call->reply.status != 200 ||
-        !codec->decode_state(codec->context, (const char *)call->body->data,
-                             call->body->len, &born_ms)) {
+    if (status != 200 ||
+        !codec->decode_state(codec->context, (const char *)state->data,
+                             state->len, &born_ms)) {
         return 0;
     }
-    return born_ms == 0 ? Fleet_GetNoStartLabel(call->worker)
-                        : Fleet_GetStartLabel(call->worker, born_ms);
+    return born_ms == 0 ? Fleet_GetNoStartLabel(worker)
+                        : Fleet_GetStartLabel(worker, born_ms);
 }
 
 void
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -128,6 +128,9 @@
     [MET_ANSWERS_UNPROVEN] = {"answers_unproven",
                               "Answers that ended with their connection, "
                               "and maybe with the worker's process."},
+    [MET_RESTS_ASKED] = {"rests_asked",
+                         "Streams that ended with their connection, whose "
+                         "worker was asked for the rest."},
     [MET_STREAMS_ENDED_IN_EVENT] = {"streams_ended_in_event",
                                     "Workers' streams cut inside an event."},
     [MET_WORKERS_CRASHED] = {"workers_crashed",
--- a/tests/test_decide_answer_end.cc
+++ b/tests/test_decide_answer_end.cc
@@ -242,4 +242,58 @@
     }
 }
 
+/* The rest of a stream is asked for only where the answer can be used and the
+   question harms nobody. */
+TEST(DecideAnswerEnd, RestIsAskedForWhereItMay)
+{
+    const AnswerEndRestState all = {true,
+                                    true,
+                                    true,
+                                    true,
+                                    ANSWER_END_REST_RESERVE + 1,
+                                    1,
+                                    ANSWER_END_REST_MIN_US};
+    struct {
+        const char *name;
+        void (*change)(AnswerEndRestState *state);
+    } rows[] = {
+        {"may run once",
+         [](AnswerEndRestState *s) { s->is_resumable = false; }},
+        {"had no event", [](AnswerEndRestState *s) { s->has_events = false; }},
+        {"worker leaves", [](AnswerEndRestState *s) { s->is_ready = false; }},
+        {"no connection",
+         [](AnswerEndRestState *s) { s->has_connection = false; }},
+        {"budget spent", [](AnswerEndRestState *s) { s->budget--; }},
+        {"no call left", [](AnswerEndRestState *s) { s->sends_left = 0; }},
+        {"caller leaves", [](AnswerEndRestState *s) { s->left_us--; }},
+    };
+
+    EXPECT_TRUE(AnswerEnd_MayAskRest(&all));
+    for (const auto &row : rows) {
+        SCOPED_TRACE(row.name);
+        AnswerEndRestState state = all;
+        row.change(&state);
+        EXPECT_FALSE(AnswerEnd_MayAskRest(&state));
+    }
+}
+
+TEST(DecideAnswerEnd, OnlyALostProcessMakesTheRestUnknown)
+{
+    struct {
+        AnswerEndRest rest;
+        AnswerEndStep step;
+    } rows[] = {
+        {ANSWER_END_REST_EMPTY, ANSWER_END_COMPLETE},
+        {ANSWER_END_REST_REFUSED, ANSWER_END_COMPLETE},
+        {ANSWER_END_REST_LATE, ANSWER_END_COMPLETE},
+        {ANSWER_END_REST_LOST, ANSWER_END_BROKEN},
+        {ANSWER_END_REST_OTHER, ANSWER_END_BROKEN},
+    };
+
+    for (const auto &row : rows) {
+        SCOPED_TRACE(row.rest);
+        EXPECT_EQ(AnswerEnd_JudgeRest(row.rest), row.step);
+    }
+}
+
 } // namespace
