--- a/src/decide/answer_end.c
+++ b/src/decide/answer_end.c
@@ -20,9 +20,23 @@
     return caller_us - ANSWER_END_CALLER_MARGIN_US;
 }
 
+int64_t
+AnswerEnd_GetSettleTime(bool is_stream, int64_t left_us)
+{
+    int64_t most_us = left_us - ANSWER_END_CALLER_MARGIN_US;
+
+    if (!is_stream || most_us <= 0) {
+        return 0;
+    }
+    return most_us < ANSWER_END_SETTLE_US ? most_us : ANSWER_END_SETTLE_US;
+}
+
 AnswerEndStep
 AnswerEnd_Decide(const AnswerEndState *state)
 {
+    AnswerEndStep complete = state->asked_us < state->settle_us
+                                 ? ANSWER_END_CONFIRM
+                                 : ANSWER_END_COMPLETE;
     bool is_late = state->waited_us >= state->patience_us;
     bool is_over = is_late || state->failures >= ANSWER_END_FAILURES_MAX ||
                    (state->is_paused && !state->is_stream);
@@ -33,19 +47,19 @@
     case ANSWER_END_FAILED:
         break;
     case ANSWER_END_SAME_START:
-        return ANSWER_END_COMPLETE;
+        return complete;
     case ANSWER_END_OTHER_WORKER:
         return ANSWER_END_BROKEN;
     case ANSWER_END_OTHER_START:
         /* The entry may be behind the worker. */
         if (state->is_older_connection) {
-            return ANSWER_END_COMPLETE;
+            return complete;
         }
         is_over = true;
         break;
     case ANSWER_END_TELLS_NO_START:
         if (state->is_older_connection && !state->knows_start) {
-            return ANSWER_END_COMPLETE;
+            return complete;
         }
         is_over |= !state->is_older_connection;
         break;
--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -42,6 +42,9 @@
 /* All connections of a process end at one moment, but for a lost segment of
    one that is sent again. One that ended earlier is no sign. */
 #define ANSWER_END_SIGN_US CLK_US_PER_S
+/* A process that ends may close its answers first and respond for a while. A
+   sign that it goes on counts from this time after the end of a stream on. */
+#define ANSWER_END_SETTLE_US (500 * CLK_US_PER_MS)
 /* Connections that were refused, or broken off without an answer. */
 #define ANSWER_END_FAILURES_MAX 3
 /* Shortest and longest time for the question for the rest: the worker may have
@@ -78,6 +81,8 @@
     bool is_paused;      /* The worker asked for a pause: no question now. */
     uint32_t failures;   /* So far. */
     int64_t waited_us;   /* Since the end of the answer. */
+    int64_t asked_us;    /* When the last question began, since then. */
+    int64_t settle_us;   /* From then on a sign counts. */
     int64_t patience_us; /* No question begins later than that. */
     bool is_stream;
     bool knows_start; /* The entry names the worker's start. */
@@ -88,6 +93,7 @@
     ANSWER_END_ASK_OLDER, /* On a connection that is older than the call. */
     ANSWER_END_ASK_AGAIN, /* On a new one after ANSWER_END_PAUSE_US. */
     ANSWER_END_WAIT,      /* To decide again after ANSWER_END_PAUSE_US. */
+    ANSWER_END_CONFIRM,   /* To ask in the same way at `settle_us`. */
     ANSWER_END_COMPLETE,
     /* Nothing shows that the process ended, and it never tells its start: the
        caller gets the answer without framing, as the worker sent it. */
@@ -115,6 +121,9 @@
     ANSWER_END_REST_OTHER, /* Another worker has the address. */
 } AnswerEndRest;
 
+/* Returns from when on a sign counts; `left_us` is the time that the request
+   has left. */
+int64_t AnswerEnd_GetSettleTime(bool is_stream, int64_t left_us);
 /* Returns how long the end of an answer may wait for proof. `may_go_on`:
    another worker can make the answer, or the rest of it. */
 int64_t AnswerEnd_GetPatience(bool is_stream, bool may_go_on, int64_t slo_us,
--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -22,6 +22,7 @@
     int64_t born_ms; /* Start that the reply told; 0: none. */
     GByteArray *body;
     bool is_waiting;  /* For an older connection. */
+    bool is_settling; /* For the time from which on a sign counts. */
     bool is_learning; /* It asks for the start; the answer may go on. */
     /* NULL while the answer goes on. */
     void (*on_checked)(TaskCall *call, AnswerEndStep step);
@@ -29,6 +30,8 @@
 
 static void on_timer(evutil_socket_t fd, short what, void *context);
 static struct EndCheck *new_check(TaskCall *call);
+static void arm_first_question(const struct EndCheck *check);
+static void confirm(struct EndCheck *check);
 static bool is_paused(const struct EndCheck *check);
 static int64_t get_waited(const struct EndCheck *check);
 static bool may_go_on(const GateTask *task);
@@ -61,9 +64,10 @@
     GateTask *task = call->task;
     struct EndCheck *check = call->end_check;
 
-    if (check == NULL) {
+    bool is_new = check == NULL;
+
+    if (is_new) {
         check = new_check(call);
-        Loop_ArmTimerUs(check->timer, 0);
     }
     check->began_us = Task_Now(task);
     check->state.is_stream = task->route->kind == RTE_STREAM;
@@ -71,16 +75,34 @@
         AnswerEnd_GetPatience(check->state.is_stream, may_go_on(task),
                               (int64_t)task->route->slo_ms * CLK_US_PER_MS,
                               (int64_t)task->route->gap_ms * CLK_US_PER_MS);
+    check->state.settle_us =
+        task->gate->drain_end_us != 0
+            ? 0
+            : AnswerEnd_GetSettleTime(check->state.is_stream,
+                                      task->deadline_us - check->began_us);
     check->state.knows_start = task->service->is_engine &&
                                call->born_ms != 0 &&
                                !call->worker->tells_no_start;
     check->on_checked = on_checked;
+    if (is_new) {
+        arm_first_question(check);
+    }
     if (call == task->current) {
         task->step_deadline_us = 0;
         Task_SetTimer(task);
     }
 }
 
+/* An early question lets another worker go on soon, but proves nothing. */
+static void
+arm_first_question(const struct EndCheck *check)
+{
+    int64_t left_us = check->state.settle_us - get_waited(check);
+
+    Loop_ArmTimerUs(check->timer,
+                    may_go_on(check->call->task) ? 0 : MAX(left_us, 0));
+}
+
 static struct EndCheck *
 new_check(TaskCall *call)
 {
@@ -123,6 +145,9 @@
         check->question = NULL;
         advance(check, ANSWER_END_NO_REPLY);
     }
+    else if (check->is_settling) {
+        confirm(check);
+    }
     else if (check->is_learning && check->on_checked == NULL) {
         TaskCall *call = check->call;
         EndCheck_Cancel(call);
@@ -144,6 +169,29 @@
     }
 }
 
+/* Asks again in the way that has brought a sign, if that is still possible. A
+   worker that has asked for a pause since is believed. */
+static void
+confirm(struct EndCheck *check)
+{
+    ClientCallOptions older = {0};
+
+    if (is_paused(check) && get_waited(check) < check->state.patience_us) {
+        Loop_ArmTimerUs(check->timer, ANSWER_END_PAUSE_US);
+        return;
+    }
+    check->is_settling = false;
+    if (is_paused(check)) {
+        check->state.settle_us = 0;
+        decide(check);
+        return;
+    }
+    fill_older(check, &older);
+    ask(check,
+        check->is_older &&
+            Client_HasIdle(check->call->task->gate->options.client, &older));
+}
+
 /* Whether another worker can go on with the stream. */
 static bool
 may_go_on(const GateTask *task)
@@ -191,6 +239,7 @@
     check->is_older = older;
     check->is_waiting = false;
     check->is_early = false;
+    check->state.asked_us = get_waited(check);
     check->status = 0;
     g_byte_array_set_size(check->body, 0);
     Throttle_Charge(&worker->throttle);
@@ -343,7 +392,7 @@
         return;
     }
     /* The answer has ended meanwhile. */
-    decide(check);
+    arm_first_question(check);
 }
 
 /* Takes the reply to the last question. */
@@ -365,7 +414,9 @@
     if (reply == ANSWER_END_TURNED_AWAY ||
         reply == ANSWER_END_TELLS_NO_START) {
         state->has_responded = true;
-        state->is_older_useless |= check->is_older;
+        state->is_older_useless |=
+            check->is_older &&
+            (reply == ANSWER_END_TURNED_AWAY || state->knows_start);
     }
     decide(check);
 }
@@ -404,6 +455,10 @@
         check->is_waiting = step == ANSWER_END_WAIT;
         Loop_ArmTimerUs(check->timer, ANSWER_END_PAUSE_US);
         return;
+    case ANSWER_END_CONFIRM:
+        check->is_settling = true;
+        Loop_ArmTimerUs(check->timer, state->settle_us - state->waited_us);
+        return;
     case ANSWER_END_COMPLETE:
     case ANSWER_END_AS_RECEIVED:
     case ANSWER_END_BROKEN:
--- a/tests/test_decide_answer_end.cc
+++ b/tests/test_decide_answer_end.cc
@@ -242,6 +242,47 @@
     }
 }
 
+/* A sign that comes before the process can have ended is asked for again. */
+TEST(DecideAnswerEnd, EarlySignIsConfirmed)
+{
+    struct {
+        AnswerEndState state;
+        AnswerEndStep early;
+    } rows[] = {
+        {State(ANSWER_END_SAME_START), ANSWER_END_CONFIRM},
+        {OnOlder(ANSWER_END_OTHER_START), ANSWER_END_CONFIRM},
+        {OnOlder(ANSWER_END_TELLS_NO_START), ANSWER_END_CONFIRM},
+        {State(ANSWER_END_OTHER_WORKER), ANSWER_END_BROKEN},
+        {State(ANSWER_END_OTHER_START), ANSWER_END_BROKEN},
+    };
+
+    for (auto &row : rows) {
+        SCOPED_TRACE(row.state.reply);
+        row.state.is_stream = true;
+        row.state.settle_us = AnswerEnd_GetSettleTime(true, 10 * CLK_US_PER_S);
+        row.state.asked_us = row.state.settle_us - 1;
+        EXPECT_EQ(AnswerEnd_Decide(&row.state), row.early);
+        row.state.asked_us++;
+        EXPECT_EQ(AnswerEnd_Decide(&row.state), row.early == ANSWER_END_CONFIRM
+                                                    ? ANSWER_END_COMPLETE
+                                                    : ANSWER_END_BROKEN);
+    }
+}
+
+TEST(DecideAnswerEnd, SettleTimeLeavesTimeToAsk)
+{
+    EXPECT_EQ(AnswerEnd_GetSettleTime(false, 10 * CLK_US_PER_S), 0);
+    EXPECT_EQ(AnswerEnd_GetSettleTime(true, 10 * CLK_US_PER_S),
+              ANSWER_END_SETTLE_US);
+    EXPECT_EQ(AnswerEnd_GetSettleTime(true, ANSWER_END_CALLER_MARGIN_US +
+                                                CLK_US_PER_MS),
+              CLK_US_PER_MS);
+    EXPECT_EQ(AnswerEnd_GetSettleTime(true, ANSWER_END_CALLER_MARGIN_US), 0);
+    EXPECT_EQ(AnswerEnd_GetSettleTime(true, 0), 0);
+    /* The confirming question begins within the shortest patience. */
+    EXPECT_LT(ANSWER_END_SETTLE_US, ANSWER_END_MAX_US);
+}
+
 /* The rest of a stream is asked for only where the answer can be used and the
    question harms nobody. */
 TEST(DecideAnswerEnd, RestIsAskedForWhereItMay)
--- a/tests/test_gate_worker_end.cc
+++ b/tests/test_gate_worker_end.cc
@@ -171,6 +171,49 @@
     }
 }
 
+/* A process may close its answers before the rest of it ends. */
+TEST(GateWorkerEnd, StreamOfAProcessThatEndsBitByBitIsNotComplete)
+{
+    struct {
+        const char *name;
+        bool tells_start;
+        bool closes_idle; /* Its idle connections end with the answer. */
+        int after_ms;     /* Until the rest of the process ends. */
+    } rows[] = {
+        {"soon", true, true, 50},
+        {"later", true, true, 200},
+        {"late", true, true, 400},
+        {"later, idle connections too", true, false, 300},
+        {"later, and told no start", false, false, 300},
+    };
+
+    for (const Route &route : {at_most_once, resumable}) {
+        for (const auto &row : rows) {
+            SCOPED_TRACE(row.name);
+            SCOPED_TRACE(route.can_resume);
+            GateRig rig;
+            rig.born_ms = row.tells_start ? 1000 : 0;
+            rig.SetRoute(route, true);
+            Worker *worker = rig.AddWorker(
+                {{StreamHead("") + Events(0, 4), ScriptedReply::CLOSE}},
+                FLEET_PHASE_DECODE);
+            Caller *caller = rig.Call(Prompt());
+            ASSERT_TRUE(rig.Until([&] { return !worker->requests.empty(); }));
+            Worker *other = rig.AddWorker({Stream(5, 9)}, FLEET_PHASE_DECODE);
+            if (row.closes_idle) {
+                worker->CloseAll();
+            }
+            rig.RunFor(row.after_ms);
+            worker->Exit();
+            ASSERT_TRUE(rig.UntilEnd(caller));
+            EXPECT_EQ(caller->IsComplete(), route.can_resume);
+            EXPECT_EQ(caller->DechunkedBody(),
+                      Events(0, route.can_resume ? 9 : 4));
+            EXPECT_EQ(other->requests.empty(), !route.can_resume);
+        }
+    }
+}
+
 /* A worker of a service without streams tells no start. An answer that comes
    on the first connection to it has no sign but that the worker responds, and
    keeps its framing. */
