--- a/src/decide/answer_end.c
+++ b/src/decide/answer_end.c
@@ -34,6 +34,8 @@
 AnswerEndStep
 AnswerEnd_Decide(const AnswerEndState *state)
 {
+    /* Connections of a process that has ended meanwhile are refused. */
+    bool is_confirmed = state->has_early_sign && state->failures == 0;
     AnswerEndStep complete = state->asked_us < state->settle_us
                                  ? ANSWER_END_CONFIRM
                                  : ANSWER_END_COMPLETE;
@@ -43,9 +45,13 @@
 
     switch (state->reply) {
     case ANSWER_END_NOT_ASKED:
-    case ANSWER_END_NO_REPLY:
     case ANSWER_END_FAILED:
         break;
+    case ANSWER_END_NO_REPLY:
+        if (is_confirmed) {
+            return ANSWER_END_COMPLETE;
+        }
+        break;
     case ANSWER_END_SAME_START:
         return complete;
     case ANSWER_END_OTHER_WORKER:
@@ -64,6 +70,9 @@
         is_over |= !state->is_older_connection;
         break;
     case ANSWER_END_TURNED_AWAY:
+        if (is_confirmed) {
+            return ANSWER_END_COMPLETE;
+        }
         /* A refusal may be a late one of another call. */
         is_over |= !state->is_stream && !state->is_older_connection;
         break;
--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -83,6 +83,7 @@
     int64_t waited_us;   /* Since the end of the answer. */
     int64_t asked_us;    /* When the last question began, since then. */
     int64_t settle_us;   /* From then on a sign counts. */
+    bool has_early_sign; /* One came before that. */
     int64_t patience_us; /* No question begins later than that. */
     bool is_stream;
     bool knows_start; /* The entry names the worker's start. */
--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -30,7 +30,6 @@
 
 static void on_timer(evutil_socket_t fd, short what, void *context);
 static struct EndCheck *new_check(TaskCall *call);
-static void arm_first_question(const struct EndCheck *check);
 static void confirm(struct EndCheck *check);
 static bool is_paused(const struct EndCheck *check);
 static int64_t get_waited(const struct EndCheck *check);
@@ -64,10 +63,9 @@
     GateTask *task = call->task;
     struct EndCheck *check = call->end_check;
 
-    bool is_new = check == NULL;
-
-    if (is_new) {
+    if (check == NULL) {
         check = new_check(call);
+        Loop_ArmTimerUs(check->timer, 0);
     }
     check->began_us = Task_Now(task);
     check->state.is_stream = task->route->kind == RTE_STREAM;
@@ -84,25 +82,12 @@
                                call->born_ms != 0 &&
                                !call->worker->tells_no_start;
     check->on_checked = on_checked;
-    if (is_new) {
-        arm_first_question(check);
-    }
     if (call == task->current) {
         task->step_deadline_us = 0;
         Task_SetTimer(task);
     }
 }
 
-/* An early question lets another worker go on soon, but proves nothing. */
-static void
-arm_first_question(const struct EndCheck *check)
-{
-    int64_t left_us = check->state.settle_us - get_waited(check);
-
-    Loop_ArmTimerUs(check->timer,
-                    may_go_on(check->call->task) ? 0 : MAX(left_us, 0));
-}
-
 static struct EndCheck *
 new_check(TaskCall *call)
 {
@@ -392,7 +377,7 @@
         return;
     }
     /* The answer has ended meanwhile. */
-    arm_first_question(check);
+    decide(check);
 }
 
 /* Takes the reply to the last question. */
@@ -457,6 +442,7 @@
         return;
     case ANSWER_END_CONFIRM:
         check->is_settling = true;
+        state->has_early_sign = true;
         Loop_ArmTimerUs(check->timer, state->settle_us - state->waited_us);
         return;
     case ANSWER_END_COMPLETE:
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -527,8 +527,7 @@
         on_silent_end(task, outcome);
         return;
     }
-    if (StreamRest_IsAsked(task) && !Sse_IsInsideEvent(&current->sse) &&
-        !EndCheck_IsNeeded(current, outcome)) {
+    if (StreamRest_IsAsked(task) && !Sse_IsInsideEvent(&current->sse)) {
         on_end_checked(current, StreamRest_JudgeEnd(task, outcome));
         return;
     }
--- a/tests/test_decide_answer_end.cc
+++ b/tests/test_decide_answer_end.cc
@@ -269,6 +269,24 @@
     }
 }
 
+/* A worker that falls silent or pauses after an early sign has not ended. */
+TEST(DecideAnswerEnd, SilenceAfterAnEarlySignIsNoEnd)
+{
+    for (AnswerEndReply reply :
+         {ANSWER_END_NO_REPLY, ANSWER_END_TURNED_AWAY}) {
+        AnswerEndState state = State(reply);
+        state.is_stream = true;
+        state.settle_us = ANSWER_END_SETTLE_US;
+        state.asked_us = ANSWER_END_SETTLE_US;
+        state.waited_us = ANSWER_END_MAX_US;
+        EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_BROKEN);
+        state.has_early_sign = true;
+        EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_COMPLETE);
+        state.failures = 1;
+        EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_BROKEN);
+    }
+}
+
 TEST(DecideAnswerEnd, SettleTimeLeavesTimeToAsk)
 {
     EXPECT_EQ(AnswerEnd_GetSettleTime(false, 10 * CLK_US_PER_S), 0);
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -110,9 +110,10 @@
         rig.RunFor(10);
     }
     /* One for reservations and questions, and one for each run. The start is
-       asked for as the answer begins, and at its end. */
+       asked for as the answer begins, at its end, and once more when the
+       process had time to end. */
     EXPECT_EQ(worker->accepted, 21);
-    EXPECT_EQ(worker->states, 40);
+    EXPECT_EQ(worker->states, 60);
 }
 
 /* Framings that http_parser may read in another way. */
