--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -41,6 +41,8 @@
 #define SIM_CRASH_DELAY_MS 20
 /* Share of the processes whose end resets their connections. */
 #define SIM_RESET_RATIO 0.3
+/* Share of the processes of the model service that end bit by bit. */
+#define SIM_LINGER_RATIO 0.3
 /* Time from a part of an answer until its connection ends. */
 #define SIM_BREAK_DELAY_MS 5
 #define SIM_RESTART_MIN_MS 1000
@@ -118,10 +120,11 @@
     int64_t draining_since_us; /* Time of the mark as draining. */
     bool leaving;
     int64_t pause_until_us;
-    double limit;           /* Requests a second that it names; 0: none. */
-    int64_t limit_us;       /* When it named the limit first. */
-    int64_t impaired_us;    /* Last time of Sim_ImpairWorker(). */
-    GArray *limit_times_us; /* Of requests of VMs that know the limit. */
+    double limit;            /* Requests a second that it names; 0: none. */
+    int64_t limit_us;        /* When it named the limit first. */
+    int64_t impaired_us;     /* Last time of Sim_ImpairWorker(). */
+    GArray *limit_times_us;  /* Of requests of VMs that know the limit. */
+    struct event *end_timer; /* Pending while its process ends bit by bit. */
     struct event *restart_timer;
     struct event *silence_timer; /* Pending while the worker is silent. */
     int64_t silenced_us; /* SIM_RELEASE_MS before the last silence, or 0. */
@@ -193,6 +196,9 @@
                        const char *part);
 static bool find_crash_part(const ServerExchange *exchange, char *part,
                             size_t size);
+static void end_jobs(const SimWorker *worker, bool closes);
+static void end_process(SimWorker *worker);
+static void on_process_end(evutil_socket_t fd, short what, void *context);
 static void on_restart(evutil_socket_t fd, short what, void *context);
 static void on_silence_end(evutil_socket_t fd, short what, void *context);
 static bool is_released(const SimWorker *worker);
@@ -272,6 +278,8 @@
         sim->workers[i].entry_timer =
             evtimer_new(base, on_entry, &sim->workers[i]);
         sim->workers[i].kept = g_ptr_array_new_with_free_func(g_free);
+        sim->workers[i].end_timer =
+            evtimer_new(base, on_process_end, &sim->workers[i]);
         sim->workers[i].restart_timer =
             evtimer_new(base, on_restart, &sim->workers[i]);
         sim->workers[i].silence_timer =
@@ -290,6 +298,7 @@
         g_array_free(sim->workers[i].limit_times_us, TRUE);
         event_free(sim->workers[i].entry_timer);
         g_ptr_array_free(sim->workers[i].kept, TRUE);
+        event_free(sim->workers[i].end_timer);
         event_free(sim->workers[i].restart_timer);
         event_free(sim->workers[i].silence_timer);
     }
@@ -440,21 +449,62 @@
 Sim_CrashWorker(Sim *sim, guint number)
 {
     SimWorker *worker = &sim->workers[number];
-    SimJob *job = LIST_FIRST(&sim->jobs);
+    GRand *rand = sim->options.linger_rand;
 
-    if (worker->server == NULL) {
+    if (worker->server == NULL ||
+        event_pending(worker->end_timer, EV_TIMEOUT, NULL)) {
         return;
     }
-    Ledger_ExcuseWorker(sim->ledger, number);
-    Ledger_RecordProcessEnd(sim->ledger, number);
+    if (rand != NULL && number >= SIM_PLAIN_COUNT &&
+        g_rand_double(rand) < SIM_LINGER_RATIO) {
+        end_jobs(worker, true);
+        event_del(worker->entry_timer);
+        Loop_ArmTimer(worker->end_timer,
+                      (uint32_t)g_rand_int_range(rand, 1, SIM_LINGER_MAX_MS));
+        return;
+    }
+    end_process(worker);
+}
+
+/* Ends what the worker runs, as its process ends; `closes`: the connections of
+   its answers end now. */
+static void
+end_jobs(const SimWorker *worker, bool closes)
+{
+    Sim *sim = worker->sim;
+    SimJob *job = LIST_FIRST(&sim->jobs);
+
+    Ledger_ExcuseWorker(sim->ledger, worker->number);
+    Ledger_RecordProcessEnd(sim->ledger, worker->number);
     while (job != NULL) {
         SimJob *next = LIST_NEXT(job, links);
         if (job->worker == worker) {
-            job->exchange->owner = NULL;
+            ServerExchange *exchange = job->exchange;
+            exchange->owner = NULL;
             end_job(job);
+            if (closes) {
+                Server_AbortResponse(exchange);
+            }
         }
         job = next;
     }
+}
+
+static void
+on_process_end(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    end_process(context);
+}
+
+static void
+end_process(SimWorker *worker)
+{
+    const Sim *sim = worker->sim;
+
+    event_del(worker->end_timer);
+    end_jobs(worker, false);
     Server_Free(worker->server);
     worker->server = NULL;
     worker->running = 0;
@@ -474,6 +524,9 @@
     bool keeps_id = sim->options.keeps_ids && worker->id[0] != '\0';
     char *key;
 
+    if (event_pending(worker->end_timer, EV_TIMEOUT, NULL)) {
+        end_process(worker);
+    }
     if (worker->server != NULL) {
         return;
     }
@@ -1367,6 +1420,10 @@
             return;
         }
     }
+    if (job->worker->sim->options.has_cuts && answer->is_begun &&
+        answer->framing == SIM_FRAMING_CLOSE) {
+        rand = NULL;
+    }
     SimAnswer_Abort(answer, job->exchange, rand);
     end_job(job);
 }
--- a/soak/sim_platform.h
+++ b/soak/sim_platform.h
@@ -36,6 +36,8 @@
                              gets 410. */
 } SimStoreState;
 
+/* Longest time for which a process responds that has closed its answers. */
+#define SIM_LINGER_MAX_MS 300
 /* Longest time from a start to its entry, with SimOptions.keeps_ids. */
 #define SIM_ENTRY_DELAY_MAX_MS 1200
 /* Longest time until what a restored store has lost is written again. */
@@ -61,7 +63,13 @@
     /* Draws the forms of answers and of the ends of processes; NULL: answers
        have a length, streams chunks of one event, and a crash resets. */
     GRand *form_rand;
+    /* Draws the processes of the model service that close their answers first
+       and respond for up to SIM_LINGER_MAX_MS after; NULL: none does. */
+    GRand *linger_rand;
     bool has_steps; /* An event of a stream may hold several tokens. */
+    /* A worker that goes on may end an answer without framing between two
+       events. Nothing shows that its answer is not complete. */
+    bool has_cuts;
 } SimOptions;
 
 typedef struct Sim Sim;
@@ -94,7 +102,7 @@
 void Sim_ChangeConfig(Sim *sim, bool is_short);
 /* Ends a worker's process without removing its entry from the store. Its
    connections are reset, or closed, as the kernel does for a process that is
-   gone. */
+   gone; those with answers may be closed before the others. */
 void Sim_CrashWorker(Sim *sim, guint worker);
 /* Starts a stopped worker, under a new identifier unless it keeps its own, and
    replaces its entry in the store. */
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -86,6 +86,7 @@
 #define SOAK_SILENCE_SEED 0x51
 /* The same for the forms of answers and of the ends of processes. */
 #define SOAK_FORM_SEED 0x62
+#define SOAK_LINGER_SEED 0x65
 /* Share of the crashed workers that start again at once. */
 #define SOAK_RESTART_AT_ONCE_RATIO 0.25
 /* With two builds: time between the changes of two VMs. */
@@ -106,6 +107,7 @@
     guint seconds;
     const char *fault;    /* Name of the only fault that is drawn, or NULL. */
     bool has_steps;       /* An event may hold several tokens. */
+    bool has_cuts;        /* As in SimOptions. */
     bool restarts;        /* Workers keep their identifiers, and callers take
                              up streams. */
     double failing_ratio; /* Share of the answers that are lost all the time,
@@ -171,6 +173,7 @@
     struct event *child_signal;
     struct event *timer; /* Starts the next fault. */
     GRand *form_rand;    /* NULL with two builds. */
+    GRand *linger_rand;  /* The same. */
     GRand *silence_rand;
     struct event *series_timer;  /* Starts the next series of silences. */
     struct event *planned_timer; /* Starts the work planned in a series. */
@@ -305,10 +308,13 @@
         arg_str0(NULL, "fault", "NAME", "the only fault that is drawn");
     struct arg_lit *steps =
         arg_lit0(NULL, "steps", "events hold several tokens");
+    struct arg_lit *cuts =
+        arg_lit0(NULL, "cuts",
+                 "answers without framing may break off between two events");
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_end *end = arg_end(8);
-    void *table[] = {gate,     old_gate, out,  seed,  vms,  seconds,
-                     restarts, failing,  only, steps, help, end};
+    void *table[] = {gate,    old_gate, out,   seed, vms,  seconds, restarts,
+                     failing, only,     steps, cuts, help, end};
     int errors;
     int status = 2;
 
@@ -342,6 +348,7 @@
             .seconds = (guint)seconds->ival[0],
             .fault = only->count > 0 ? only->sval[0] : NULL,
             .has_steps = steps->count > 0,
+            .has_cuts = cuts->count > 0,
             .restarts = restarts->count > 0,
             .failing_ratio = failing->dval[0],
         };
@@ -460,6 +467,7 @@
     /* Earlier builds take the end of a process for the end of its answers. */
     if (self->options.old_gate == NULL) {
         self->form_rand = g_rand_new_with_seed(seed + SOAK_FORM_SEED);
+        self->linger_rand = g_rand_new_with_seed(seed + SOAK_LINGER_SEED);
     }
 }
 
@@ -480,6 +488,7 @@
         .slots = options->vm_count > SOAK_SMALL_VMS_MAX ? SOAK_LARGE_SLOTS
                                                         : SOAK_SLOTS,
         .has_steps = options->has_steps,
+        .has_cuts = options->has_cuts,
     };
 
     signal(SIGPIPE, SIG_IGN);
@@ -488,6 +497,7 @@
     self->clk = Clk_Default();
     begin_random(self);
     sim.form_rand = self->form_rand;
+    sim.linger_rand = self->linger_rand;
     self->active_faults = g_ptr_array_new();
     Ledger_Init(&self->ledger, &budget);
     /* VMs of earlier builds that serve for each other use more. */
@@ -570,6 +580,7 @@
     g_rand_free(self->silence_rand);
     if (self->form_rand != NULL) {
         g_rand_free(self->form_rand);
+        g_rand_free(self->linger_rand);
     }
     event_base_free(self->base);
 }
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -930,4 +930,90 @@
     }
 }
 
+/* A worker of the model service whose process ends bit by bit closes its
+   answers, and responds to the question for its state until its end. */
+TEST(Soak, ProcessThatEndsBitByBitRespondsForAWhile)
+{
+    event_base *base = event_base_new();
+    Clk clk = Clk_Default();
+    Ledger ledger;
+    GRand *rand = g_rand_new_with_seed(65);
+    SimOptions options = {};
+    int closed_first = 0;
+    int responded = 0;
+
+    Ledger_Init(&ledger, &budget);
+    options.slots = 8;
+    options.form_rand = rand;
+    options.linger_rand = rand;
+    Sim *sim = Sim_New(base, &clk, &ledger, rand, &options);
+    for (int play = 0; play < 20; play++) {
+        /* A stream and an idle connection. */
+        struct Conn {
+            bufferevent *bev;
+            std::string text;
+            bool closed = false;
+        } conns[2];
+        sockaddr_in to = {};
+        to.sin_family = AF_INET;
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        to.sin_port = htons(Proxy_GetPort(
+            Sim_GetWorkerProxy(sim, SIM_PLAIN_COUNT + SIM_PREFILL_COUNT)));
+        std::string id = "l" + std::to_string(play);
+        Ledger_AddRequest(&ledger, id.c_str(), LEDGER_STREAM, 0, 10000,
+                          Clk_Now(&clk));
+        for (Conn &conn : conns) {
+            conn.bev = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+            bufferevent_setcb(
+                conn.bev,
+                [](bufferevent *bev, void *context) {
+                    char bytes[4096];
+                    size_t size = bufferevent_read(bev, bytes, sizeof(bytes));
+                    ((Conn *)context)->text.append(bytes, size);
+                },
+                nullptr,
+                [](bufferevent *, short what, void *context) {
+                    ((Conn *)context)->closed |=
+                        (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
+                },
+                &conn);
+            bufferevent_enable(conn.bev, EV_READ | EV_WRITE);
+            bufferevent_socket_connect(conn.bev, (sockaddr *)&to, sizeof(to));
+        }
+        std::string run =
+            "POST /stream/" + id +
+            " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id +
+            "\r\nContent-Length: 0\r\n\r\n";
+        std::string ask = "GET /v1/report HTTP/1.1\r\nHost: h\r\n\r\n";
+        bufferevent_write(conns[0].bev, run.data(), run.size());
+        bufferevent_write(conns[1].bev, ask.data(), ask.size());
+        while (conns[0].text.find("id: 0") == std::string::npos ||
+               conns[1].text.find("born") == std::string::npos) {
+            event_base_loop(base, EVLOOP_ONCE);
+        }
+        conns[1].text.clear();
+        Sim_CrashWorker(sim, SIM_PLAIN_COUNT + SIM_PREFILL_COUNT);
+        while (!conns[0].closed) {
+            event_base_loop(base, EVLOOP_ONCE);
+        }
+        closed_first += !conns[1].closed;
+        bufferevent_write(conns[1].bev, ask.data(), ask.size());
+        while (!conns[1].closed) {
+            event_base_loop(base, EVLOOP_ONCE);
+        }
+        responded += conns[1].text.find("born") != std::string::npos;
+        Sim_StartWorker(sim, SIM_PLAIN_COUNT + SIM_PREFILL_COUNT);
+        for (Conn &conn : conns) {
+            bufferevent_free(conn.bev);
+        }
+    }
+    EXPECT_GE(responded, 2);
+    EXPECT_LE(responded, 14);
+    EXPECT_GE(closed_first, responded);
+    Sim_Free(sim);
+    Ledger_Clear(&ledger);
+    g_rand_free(rand);
+    event_base_free(base);
+}
+
 } // namespace
