--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -443,7 +443,8 @@
     case ANSWER_END_CONFIRM:
         check->is_settling = true;
         state->has_early_sign = true;
-        Loop_ArmTimerUs(check->timer, state->settle_us - state->waited_us);
+        Loop_ArmTimerUs(check->timer,
+                        MAX(state->settle_us - state->waited_us, 0));
         return;
     case ANSWER_END_COMPLETE:
     case ANSWER_END_AS_RECEIVED:
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -420,7 +420,6 @@
     Sse_Reset(&task->current->sse);
     memset(&task->current->order, 0, sizeof(task->current->order));
     task->current->idle_bytes = 0;
-    task->asks_rest = false;
     if (task->lease[0] != '\0') {
         options.lease = task->lease;
     }
--- a/src/gate/stream_rest.c
+++ b/src/gate/stream_rest.c
@@ -43,9 +43,9 @@
     Task_EndCall(task);
     options.worker = worker->entry.id;
     Sse_Reset(&task->current->sse);
-    task->asks_rest = true;
     Met_Add(MET_RESTS_ASKED, 1);
     Task_BeginCall(task, worker, &options, UINT32_MAX, on_data, on_end);
+    task->current->asks_rest = true;
     Fleet_Unref(worker);
     task->step_deadline_us = now_us + state.left_us;
     Task_SetTimer(task);
@@ -55,7 +55,7 @@
 bool
 StreamRest_IsAsked(const GateTask *task)
 {
-    return task->asks_rest && task->current->events == 0;
+    return task->current->asks_rest && task->current->events == 0;
 }
 
 AnswerEndStep
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -59,6 +59,8 @@
     int64_t wait_us;     /* Estimated wait of a plain call for a slot. */
     bool has_reply;      /* `reply` is filled in. */
     GateReply reply;
+    bool asks_rest;         /* The run asks whether a stream, whose worker goes
+                               on, has more events. */
     uint32_t events;        /* Complete events received. */
     int64_t first_event_us; /* Time of the first one; 0 if there is none. */
     bool is_sound;          /* The answer goes on since some time. */
@@ -155,8 +157,6 @@
     bool resuming;
     uint64_t checked_worker; /* Hash of the last worker asked for its start. */
     uint32_t checks;         /* Questions for its start since the last run. */
-    bool asks_rest;          /* The last run asks whether the stream, whose
-                                worker goes on, has more events. */
     uint32_t sends;          /* Calls begun that carry the request. */
     uint32_t runs;           /* Workers on which the request may have run, not
                                 counting those of a VM that passed it on. */
--- a/tests/test_gate_worker_end.cc
+++ b/tests/test_gate_worker_end.cc
@@ -171,6 +171,30 @@
     }
 }
 
+/* A worker that does not answer a reservation is not the one that was asked
+   for the rest. */
+TEST(GateWorkerEnd, LostRestIsNotTakenForEmptyLater)
+{
+    GateRig rig;
+    rig.born_ms = 1000;
+    rig.SetRoute(resumable, true);
+    Worker *worker =
+        rig.AddWorker({{StreamHead("") + Events(0, 4), ScriptedReply::CLOSE},
+                       {"", ScriptedReply::EXIT}},
+                      FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Prompt());
+    ASSERT_TRUE(rig.Until([&] { return !worker->requests.empty(); }));
+    Worker *other = rig.AddWorker({Stream(5, 9)}, FLEET_PHASE_DECODE);
+    other->holds_reservations = true;
+    ASSERT_TRUE(rig.Until([&] { return !worker->IsUp(); }));
+    rig.RunFor(600);
+    EXPECT_FALSE(caller->IsComplete());
+    other->GrantReservations();
+    ASSERT_TRUE(rig.UntilEnd(caller));
+    EXPECT_TRUE(caller->IsComplete());
+    EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+}
+
 /* A process may close its answers before the rest of it ends. */
 TEST(GateWorkerEnd, StreamOfAProcessThatEndsBitByBitIsNotComplete)
 {
