--- a/src/decide/answer_end.c
+++ b/src/decide/answer_end.c
@@ -34,8 +34,6 @@
 AnswerEndStep
 AnswerEnd_Decide(const AnswerEndState *state)
 {
-    /* Connections of a process that has ended meanwhile are refused. */
-    bool is_confirmed = state->has_early_sign && state->failures == 0;
     AnswerEndStep complete = state->asked_us < state->settle_us
                                  ? ANSWER_END_CONFIRM
                                  : ANSWER_END_COMPLETE;
@@ -45,12 +43,8 @@
 
     switch (state->reply) {
     case ANSWER_END_NOT_ASKED:
-    case ANSWER_END_FAILED:
-        break;
     case ANSWER_END_NO_REPLY:
-        if (is_confirmed) {
-            return ANSWER_END_COMPLETE;
-        }
+    case ANSWER_END_FAILED:
         break;
     case ANSWER_END_SAME_START:
         return complete;
@@ -70,9 +64,6 @@
         is_over |= !state->is_older_connection;
         break;
     case ANSWER_END_TURNED_AWAY:
-        if (is_confirmed) {
-            return ANSWER_END_COMPLETE;
-        }
         /* A refusal may be a late one of another call. */
         is_over |= !state->is_stream && !state->is_older_connection;
         break;
@@ -100,6 +91,12 @@
         return is_first && !state->is_paused ? ANSWER_END_ASK
                                              : ANSWER_END_ASK_AGAIN;
     }
+    if (state->has_early_sign && state->failures == 0 &&
+        (state->reply == ANSWER_END_NO_REPLY ||
+         state->reply == ANSWER_END_TURNED_AWAY)) {
+        /* Connections of a process that has ended are refused. */
+        return ANSWER_END_COMPLETE;
+    }
     return !state->is_stream && !state->is_older_broken &&
                    (state->has_responded || state->is_paused)
                ? ANSWER_END_AS_RECEIVED
--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -33,6 +33,9 @@
 static void confirm(struct EndCheck *check);
 static bool is_paused(const struct EndCheck *check);
 static int64_t get_waited(const struct EndCheck *check);
+static int64_t get_patience(const struct EndCheck *check,
+                            bool may_go_on_elsewhere);
+static int64_t get_end(const GateTask *task);
 static bool may_go_on(const GateTask *task);
 static void ask(struct EndCheck *check, bool older);
 static void fill_older(const struct EndCheck *check,
@@ -69,15 +72,9 @@
     }
     check->began_us = Task_Now(task);
     check->state.is_stream = task->route->kind == RTE_STREAM;
-    check->state.patience_us =
-        AnswerEnd_GetPatience(check->state.is_stream, may_go_on(task),
-                              (int64_t)task->route->slo_ms * CLK_US_PER_MS,
-                              (int64_t)task->route->gap_ms * CLK_US_PER_MS);
-    check->state.settle_us =
-        task->gate->drain_end_us != 0
-            ? 0
-            : AnswerEnd_GetSettleTime(check->state.is_stream,
-                                      task->deadline_us - check->began_us);
+    check->state.patience_us = get_patience(check, may_go_on(task));
+    check->state.settle_us = AnswerEnd_GetSettleTime(
+        check->state.is_stream, get_end(task) - check->began_us);
     check->state.knows_start = task->service->is_engine &&
                                call->born_ms != 0 &&
                                !call->worker->tells_no_start;
@@ -177,6 +174,26 @@
             Client_HasIdle(check->call->task->gate->options.client, &older));
 }
 
+static int64_t
+get_patience(const struct EndCheck *check, bool may_go_on_elsewhere)
+{
+    const RteRoute *route = check->call->task->route;
+
+    return AnswerEnd_GetPatience(check->state.is_stream, may_go_on_elsewhere,
+                                 (int64_t)route->slo_ms * CLK_US_PER_MS,
+                                 (int64_t)route->gap_ms * CLK_US_PER_MS);
+}
+
+/* Returns when the task ends at the latest. */
+static int64_t
+get_end(const GateTask *task)
+{
+    int64_t drain_end_us = task->gate->drain_end_us;
+
+    return drain_end_us != 0 ? MIN(drain_end_us, task->deadline_us)
+                             : task->deadline_us;
+}
+
 /* Whether another worker can go on with the stream. */
 static bool
 may_go_on(const GateTask *task)
@@ -443,6 +460,8 @@
     case ANSWER_END_CONFIRM:
         check->is_settling = true;
         state->has_early_sign = true;
+        /* Nothing is gained by a run elsewhere. */
+        state->patience_us = get_patience(check, false);
         Loop_ArmTimerUs(check->timer,
                         MAX(state->settle_us - state->waited_us, 0));
         return;
--- a/tests/test_decide_answer_end.cc
+++ b/tests/test_decide_answer_end.cc
@@ -269,7 +269,8 @@
     }
 }
 
-/* A worker that falls silent or pauses after an early sign has not ended. */
+/* A worker that falls silent or pauses after an early sign is asked until the
+   caller would leave, and has not ended if no connection to it failed. */
 TEST(DecideAnswerEnd, SilenceAfterAnEarlySignIsNoEnd)
 {
     for (AnswerEndReply reply :
@@ -278,12 +279,16 @@
         state.is_stream = true;
         state.settle_us = ANSWER_END_SETTLE_US;
         state.asked_us = ANSWER_END_SETTLE_US;
-        state.waited_us = ANSWER_END_MAX_US;
-        EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_BROKEN);
+        state.waited_us = state.patience_us - 1;
         state.has_early_sign = true;
+        EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_ASK_AGAIN);
+        state.waited_us++;
         EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_COMPLETE);
         state.failures = 1;
         EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_BROKEN);
+        state.failures = 0;
+        state.has_early_sign = false;
+        EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_BROKEN);
     }
 }
 
--- a/tests/test_gate_worker_end.cc
+++ b/tests/test_gate_worker_end.cc
@@ -2,6 +2,10 @@
    connection may be that of the worker's process. */
 #include "gate_rig.h"
 
+extern "C" {
+#include "gate/grace.h"
+}
+
 namespace {
 
 const Route resumable = {RTE_STREAM, 3, true};
@@ -201,14 +205,19 @@
     struct {
         const char *name;
         bool tells_start;
-        bool closes_idle; /* Its idle connections end with the answer. */
-        int after_ms;     /* Until the rest of the process ends. */
+        bool closes_idle;  /* Its idle connections end with the answer. */
+        int after_ms;      /* Until the rest of the process ends. */
+        bool falls_silent; /* It responds for 50 ms only. */
+        bool stops;        /* The VM is being stopped. */
     } rows[] = {
-        {"soon", true, true, 50},
-        {"later", true, true, 200},
-        {"late", true, true, 400},
-        {"later, idle connections too", true, false, 300},
-        {"later, and told no start", false, false, 300},
+        {"soon", true, true, 50, false, false},
+        {"later", true, true, 200, false, false},
+        {"late", true, true, 400, false, false},
+        {"later, idle connections too", true, false, 300, false, false},
+        {"later, and told no start", false, false, 300, false, false},
+        {"later, beside a stop", true, true, 200, false, true},
+        {"after a silence", true, false, 400, true, false},
+        {"after a long silence", true, false, 1500, true, false},
     };
 
     for (const Route &route : {at_most_once, resumable}) {
@@ -221,12 +230,20 @@
             Worker *worker = rig.AddWorker(
                 {{StreamHead("") + Events(0, 4), ScriptedReply::CLOSE}},
                 FLEET_PHASE_DECODE);
+            if (row.stops) {
+                Grace_Begin(Edge_GetGate(rig.edge),
+                            Clk_Now(&rig.clk) + 8 * CLK_US_PER_S);
+            }
             Caller *caller = rig.Call(Prompt());
             ASSERT_TRUE(rig.Until([&] { return !worker->requests.empty(); }));
             Worker *other = rig.AddWorker({Stream(5, 9)}, FLEET_PHASE_DECODE);
             if (row.closes_idle) {
                 worker->CloseAll();
             }
+            if (row.falls_silent) {
+                rig.RunFor(50);
+                worker->is_silent = true;
+            }
             rig.RunFor(row.after_ms);
             worker->Exit();
             ASSERT_TRUE(rig.UntilEnd(caller));
