--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -293,7 +293,9 @@
 Sim_Free(Sim *sim)
 {
     for (guint i = 0; i < SIM_WORKER_COUNT; i++) {
-        Sim_CrashWorker(sim, i);
+        if (sim->workers[i].server != NULL) {
+            end_process(&sim->workers[i]);
+        }
         Proxy_Free(sim->workers[i].proxy);
         g_array_free(sim->workers[i].limit_times_us, TRUE);
         event_free(sim->workers[i].entry_timer);
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -633,7 +633,8 @@
 bool
 EndsEvent(const SimAnswer &answer, size_t offset)
 {
-    return strncmp(answer.body->str + offset - 2, "\n\n", 2) == 0;
+    return offset >= 2 &&
+           strncmp(answer.body->str + offset - 2, "\n\n", 2) == 0;
 }
 
 /* Each answer arrives whole, in the framing that was drawn, and all forms are
