--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -9,7 +9,9 @@
    itself. Such a sign is an answer to a question that was sent after the end,
    from the start that the worker's entry named or the worker told before the
    call began, or on a connection that is older than the call and has carried
-   an answer. Both rely on one process at an address at a time.
+   an answer. Both rely on one process at an address at a time, and on its end
+   as a whole: one that closes its answers first responds for a while after, so
+   that a sign for a stream must come some time after the end.
 
    A process that goes on may still have broken the answer off, as may what
    stands between: a proxy passes a reset on as an ordinary end. So a stream
@@ -39,8 +41,8 @@
 /* The last question must end before that. */
 #define ANSWER_END_CALLER_MARGIN_US                                           \
     (ANSWER_END_QUESTION_US + ANSWER_END_PAUSE_US)
-/* All connections of a process end at one moment, but for a lost segment of
-   one that is sent again. One that ended earlier is no sign. */
+/* All connections of a killed process end at one moment, but for a lost
+   segment of one that is sent again. One that ended earlier is no sign. */
 #define ANSWER_END_SIGN_US CLK_US_PER_S
 /* A process that ends may close its answers first and respond for a while. A
    sign that it goes on counts from this time after the end of a stream on. */
@@ -130,6 +132,7 @@
 int64_t AnswerEnd_GetPatience(bool is_stream, bool may_go_on, int64_t slo_us,
                               int64_t gap_us);
 AnswerEndStep AnswerEnd_Decide(const AnswerEndState *state);
+/* Whether the question can be of use and takes no call from others. */
 bool AnswerEnd_MayAskRest(const AnswerEndRestState *state);
 /* Returns ANSWER_END_COMPLETE or ANSWER_END_BROKEN. A worker that takes no
    work or is silent was shown to go on; one that can't be reached any more may
--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -22,7 +22,7 @@
     int64_t born_ms; /* Start that the reply told; 0: none. */
     GByteArray *body;
     bool is_waiting;  /* For an older connection. */
-    bool is_settling; /* For the time from which on a sign counts. */
+    bool is_settling; /* Until `settle_us`, with an early sign. */
     bool is_learning; /* It asks for the start; the answer may go on. */
     /* NULL while the answer goes on. */
     void (*on_checked)(TaskCall *call, AnswerEndStep step);
@@ -460,7 +460,8 @@
     case ANSWER_END_CONFIRM:
         check->is_settling = true;
         state->has_early_sign = true;
-        /* Nothing is gained by a run elsewhere. */
+        /* A worker that goes on is not replaced: only the caller's time
+           limits the questions. */
         state->patience_us = get_patience(check, false);
         Loop_ArmTimerUs(check->timer,
                         MAX(state->settle_us - state->waited_us, 0));
--- a/src/gate/stream_rest.c
+++ b/src/gate/stream_rest.c
@@ -5,8 +5,6 @@
 
 #include "../log.h"
 
-#include <string.h>
-
 static int64_t get_time_left(const GateTask *task);
 static void log_unasked(const GateTask *task, const AnswerEndRestState *state);
 static AnswerEndStep judge(const GateTask *task, AnswerEndRest rest);
