--- a/src/io/client.c
+++ b/src/io/client.c
@@ -1,3 +1,4 @@
+#include "client_refusals.h"
 #include "client_request.h"
 #include "client_socket.h"
 #include "loop.h"
@@ -33,8 +34,7 @@
     uint64_t received_size; /* All bytes since the call began. */
     uint32_t calls;         /* That it has carried. */
     uint64_t label;         /* As in ClientCallOptions; 0: none. */
-    uint64_t refused[CLIENT_REFUSED_MAX]; /* Their names. */
-    uint32_t refused_count;
+    ClientRefusals refusals;
     bool connected;
     bool matches;       /* The response being read belongs to the call. */
     bool interim;       /* The response being read has a 1xx status. */
@@ -66,8 +66,6 @@
 };
 
 static ClientConn *find_idle(Client *client, const ClientCallOptions *options);
-static bool has_refused(const ClientConn *conn, uint64_t name);
-static bool note_refused(ClientConn *conn, uint64_t name);
 static ClientConn *open_conn(Client *client, const char *address);
 static void free_call(ClientCall *call);
 static void on_send(evutil_socket_t fd, short what, void *context);
@@ -295,7 +293,7 @@
             (options->label != 0 && conn->label != options->label) ||
             (options->number_max != 0 &&
              (conn->number > options->number_max || !conn->has_responded)) ||
-            has_refused(conn, options->name)) {
+            ClientRefusals_HasName(&conn->refusals, options->name)) {
             continue;
         }
         if (best == NULL || conn->idle_since_us > best->idle_since_us) {
@@ -307,32 +305,6 @@
                : best;
 }
 
-static bool
-has_refused(const ClientConn *conn, uint64_t name)
-{
-    for (uint32_t i = 0; i < conn->refused_count && name != 0; i++) {
-        if (conn->refused[i] == name) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Notes the name of a call that was not answered with success. Returns false
-   if there is no room. */
-static bool
-note_refused(ClientConn *conn, uint64_t name)
-{
-    if (name == 0 || conn->parser.status_code / 100 == 2) {
-        return true;
-    }
-    if (conn->refused_count == CLIENT_REFUSED_MAX) {
-        return false;
-    }
-    conn->refused[conn->refused_count++] = name;
-    return true;
-}
-
 static ClientConn *
 open_conn(Client *client, const char *address)
 {
@@ -646,7 +618,10 @@
     if (outcome == CLIENT_COMPLETE && sent_all && !extra &&
         (options.connect_only ||
          (http_should_keep_alive(&conn->parser) &&
-          (options.get_label != NULL || note_refused(conn, options.name))))) {
+          (options.get_label != NULL ||
+           ClientRefusals_NoteEnd(&conn->refusals,
+                                  (int)conn->parser.status_code,
+                                  options.name))))) {
         make_idle(conn);
     }
     else {
--- a/src/io/client.h
+++ b/src/io/client.h
@@ -27,9 +27,6 @@
    it. */
 #define CLIENT_IDLE_MARGIN_MS 600
 #define CLIENT_IDLE_CONNS_MAX 8 /* Idle connections per address. */
-/* Names of calls that were not answered with success, which a connection
-   keeps; with more of them it is closed. */
-#define CLIENT_REFUSED_MAX 8
 #define CLIENT_HEADER_MAX_BYTES (64 * 1024)
 /* A response may hold this many bytes that are not part of its body, with
    interim responses, responses to other calls and the framing of chunks, and
