--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -16,8 +16,9 @@
     struct event *timer;  /* End of the question or of a pause. */
     int64_t began_us;
     AnswerEndState state;
-    bool is_older; /* The question went on an older connection. */
-    bool is_early; /* The reply came before the question was delivered. */
+    bool is_older;    /* The question went on an older connection. */
+    bool is_early;    /* The reply came before the question was delivered. */
+    bool had_refusal; /* The reply's connection has carried one before. */
     int status;
     int64_t born_ms; /* Start that the reply told; 0: none. */
     GByteArray *body;
@@ -318,6 +319,7 @@
     check->is_older =
         Client_GetNumber(check->question) <= check->call->last_number;
     check->is_early = !Client_IsDelivered(check->question);
+    check->had_refusal = Client_HasRefused(check->question);
 }
 
 static void
@@ -357,7 +359,11 @@
         return ANSWER_END_OTHER_WORKER;
     }
     if (check->status == 503 || check->status == 429) {
-        return ANSWER_END_TURNED_AWAY;
+        /* Where another worker can go on with the stream, it brings the rest
+           of one that was cut. */
+        return check->is_older && !check->had_refusal && !may_go_on(call->task)
+                   ? ANSWER_END_FIRST_REFUSAL
+                   : ANSWER_END_TURNED_AWAY;
     }
     if (check->status != 200) {
         return ANSWER_END_TELLS_NO_START;
@@ -440,6 +446,10 @@
         Client_GetLostTime(client, call->address) >=
         MAX(call->began_us, check->began_us - ANSWER_END_SIGN_US);
     state->is_paused = is_paused(check);
+    state->is_pause_long =
+        state->is_paused && !may_go_on(call->task) &&
+        call->worker->notice.paused_until_us - check->began_us >
+            state->patience_us;
     state->has_older_connection =
         call->last_number != 0 && Client_HasIdle(client, &older);
     state->has_busy_older =
@@ -480,8 +490,9 @@
 log_end(const struct EndCheck *check, AnswerEndStep step)
 {
     static const char *const replies[] = {
-        "not asked",      "no reply",   "connection failed", "turned away",
-        "tells no start", "same start", "other start",       "other worker"};
+        "not asked",   "no reply",      "connection failed",
+        "turned away", "first refusal", "tells no start",
+        "same start",  "other start",   "other worker"};
     const TaskCall *call = check->call;
     const GateTask *task = call->task;
 
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -143,6 +143,7 @@
     /* Workers that failed this task. */
     FleetWorker *excluded[TASK_EXCLUDED_MAX];
     guint excluded_count;
+    int64_t excluded_us; /* When the last one was added. */
     char worker[FLEET_ID_MAX]; /* Of the last call. */
     uint64_t last_worker;      /* Hash of that one; 0: none was called. */
     /* Software version of the workers that make the stream's events, as in
@@ -317,7 +318,11 @@
 /* Excludes a worker that failed from the task's further choices. Returns false
    if the task has excluded too many already. */
 bool Task_ExcludeWorker(GateTask *task, FleetWorker *worker);
-/* The same for what failed the current call: the worker behind the called VM
+/* Lets a stream that has begun choose among the excluded workers again, but
+   for a silent one that it still waits for: only those of its version can go
+   on with it, and there may be no other. */
+void Task_ReadmitWorkers(GateTask *task);
+/* As Task_ExcludeWorker(), for what failed the current call: the worker behind the called VM
    if that VM named one, as it may serve the next attempt. */
 void Task_ExcludeFailed(GateTask *task);
 /* Whether the worker failed the task. */
--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -8,6 +8,10 @@
    would take to find it unreachable. */
 #define TASK_PEER_UNREACHABLE_COST_US (300 * CLK_US_PER_MS)
 
+/* Time from the last failure of a begun stream until the workers that failed
+   it may be tried again: less than a caller waits for the next event. */
+#define TASK_READMIT_US (500 * CLK_US_PER_MS)
+
 /* Classes of workers, the best first; the cost decides within one. */
 typedef enum Suitability {
     SUITABILITY_SOUND,
@@ -115,9 +119,31 @@
         return false;
     }
     task->excluded[task->excluded_count++] = Fleet_Ref(worker);
+    task->excluded_us = Task_Now(task);
     return true;
 }
 
+void
+Task_ReadmitWorkers(GateTask *task)
+{
+    const FleetWorker *silent =
+        task->silent != NULL ? task->silent->worker : NULL;
+    guint kept = 0;
+
+    if (Task_Now(task) - task->excluded_us < TASK_READMIT_US) {
+        return;
+    }
+    for (guint i = 0; i < task->excluded_count; i++) {
+        if (task->excluded[i] == silent) {
+            task->excluded[kept++] = task->excluded[i];
+        }
+        else {
+            Fleet_Unref(task->excluded[i]);
+        }
+    }
+    task->excluded_count = kept;
+}
+
 void
 Task_ExcludeFailed(GateTask *task)
 {
--- a/src/gate/task_wait.c
+++ b/src/gate/task_wait.c
@@ -22,6 +22,10 @@
     AdmissionWaitPlan wait_plan;
 
     task->work_us = 0;
+    if ((task->streaming || task->last_event != GATE_NO_EVENT) &&
+        !Reservation_HasCandidate(task)) {
+        Task_ReadmitWorkers(task);
+    }
     if (task->waiting_since_us == 0) {
         task->waiting_since_us = now_us;
         Begun_NoteWait(task);
