--- a/src/decide/answer_end.c
+++ b/src/decide/answer_end.c
@@ -38,6 +38,10 @@
                                  ? ANSWER_END_CONFIRM
                                  : ANSWER_END_COMPLETE;
     bool is_late = state->waited_us >= state->patience_us;
+    bool may_ask =
+        !state->is_paused || (state->is_pause_long && state->is_stream &&
+                              state->reply == ANSWER_END_NOT_ASKED &&
+                              state->waited_us >= state->settle_us);
     bool is_over = is_late || state->failures >= ANSWER_END_FAILURES_MAX ||
                    (state->is_paused && !state->is_stream);
 
@@ -47,6 +51,7 @@
     case ANSWER_END_FAILED:
         break;
     case ANSWER_END_SAME_START:
+    case ANSWER_END_FIRST_REFUSAL:
         return complete;
     case ANSWER_END_OTHER_WORKER:
         return ANSWER_END_BROKEN;
@@ -68,8 +73,8 @@
         is_over |= !state->is_stream && !state->is_older_connection;
         break;
     }
-    if (state->has_older_connection && !state->is_older_useless &&
-        !state->is_paused && !is_late) {
+    if (state->has_older_connection && !state->is_older_useless && may_ask &&
+        !is_late) {
         return ANSWER_END_ASK_OLDER;
     }
     if (is_over && state->has_busy_older && !state->is_older_useless &&
--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -59,9 +59,12 @@
 /* What the last question brought. */
 typedef enum AnswerEndReply {
     ANSWER_END_NOT_ASKED,
-    ANSWER_END_NO_REPLY,       /* None in time. */
-    ANSWER_END_FAILED,         /* The connection was refused or broken off. */
-    ANSWER_END_TURNED_AWAY,    /* A refusal, which tells no start. */
+    ANSWER_END_NO_REPLY,    /* None in time. */
+    ANSWER_END_FAILED,      /* The connection was refused or broken off. */
+    ANSWER_END_TURNED_AWAY, /* A refusal, which tells no start. */
+    /* The same on a connection that is older than the call and has carried no
+       refusal: it is no late copy of one. */
+    ANSWER_END_FIRST_REFUSAL,
     ANSWER_END_TELLS_NO_START, /* An answer of a worker that never tells it. */
     ANSWER_END_SAME_START,     /* The one from before the call. */
     ANSWER_END_OTHER_START,    /* Another start. */
@@ -80,7 +83,8 @@
        failed: the process may have ended, and another one may respond. */
     bool is_older_broken;
     bool has_responded;  /* A reply told no start. */
-    bool is_paused;      /* The worker asked for a pause: no question now. */
+    bool is_paused;      /* The worker asked for a pause: no question now, */
+    bool is_pause_long;  /* but for one, as nobody waits for its end. */
     uint32_t failures;   /* So far. */
     int64_t waited_us;   /* Since the end of the answer. */
     int64_t asked_us;    /* When the last question began, since then. */
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -66,6 +66,8 @@
 };
 
 static ClientConn *find_idle(Client *client, const ClientCallOptions *options);
+static bool is_better(const ClientConn *conn, const ClientConn *other,
+                      const ClientCallOptions *options);
 static ClientConn *open_conn(Client *client, const char *address);
 static void free_call(ClientCall *call);
 static void on_send(evutil_socket_t fd, short what, void *context);
@@ -238,6 +240,12 @@
     return call->conn->calls > 1;
 }
 
+bool
+Client_HasRefused(const ClientCall *call)
+{
+    return call->conn->refusals.has_any;
+}
+
 bool
 Client_IsDelivered(const ClientCall *call)
 {
@@ -296,7 +304,7 @@
             ClientRefusals_HasName(&conn->refusals, options->name)) {
             continue;
         }
-        if (best == NULL || conn->idle_since_us > best->idle_since_us) {
+        if (best == NULL || is_better(conn, best, options)) {
             best = conn;
         }
     }
@@ -305,6 +313,18 @@
                : best;
 }
 
+/* Whether an idle connection is to be used rather than another one. */
+static bool
+is_better(const ClientConn *conn, const ClientConn *other,
+          const ClientCallOptions *options)
+{
+    if (options->number_max != 0 &&
+        conn->refusals.has_any != other->refusals.has_any) {
+        return other->refusals.has_any;
+    }
+    return conn->idle_since_us > other->idle_since_us;
+}
+
 static ClientConn *
 open_conn(Client *client, const char *address)
 {
@@ -562,12 +582,14 @@
         call->options.matches_request == NULL ||
         call->options.matches_request(call->options.context, conn->headers);
     if (!conn->matches) {
+        ClientRefusals_NoteStatus(&conn->refusals, parser->status_code);
         return 0;
     }
     if (call->options.on_head != NULL) {
         call->options.on_head(call->options.context, parser->status_code,
                               conn->headers);
     }
+    ClientRefusals_NoteStatus(&conn->refusals, parser->status_code);
     return skip_body;
 }
 
--- a/src/io/client_refusals.c
+++ b/src/io/client_refusals.c
@@ -2,6 +2,12 @@
    client_refusals.h. */
 #include "client_refusals.h"
 
+void
+ClientRefusals_NoteStatus(ClientRefusals *refusals, int status)
+{
+    refusals->has_any |= status == 429 || status == 503;
+}
+
 bool
 ClientRefusals_NoteEnd(ClientRefusals *refusals, int status, uint64_t name)
 {
--- a/src/io/client_refusals.h
+++ b/src/io/client_refusals.h
@@ -15,8 +15,11 @@
 typedef struct ClientRefusals {
     uint64_t names[CLIENT_REFUSALS_MAX];
     uint32_t count;
+    bool has_any; /* A response had the status 429 or 503. */
 } ClientRefusals;
 
+/* Notes the status of a response, to whichever call. */
+void ClientRefusals_NoteStatus(ClientRefusals *refusals, int status);
 /* Notes the end of the call of this name; 0: it has none. Returns false if
    there is no room. */
 bool ClientRefusals_NoteEnd(ClientRefusals *refusals, int status,
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -455,6 +455,8 @@
     int64_t born_ms = 0;    /* Start that it tells; 0: it tells none. */
     int states = 0;         /* Questions for it. */
     std::string state_body; /* What it answers instead; "" for its start. */
+    /* It turns questions for its start away and names this pause; 0: none. */
+    int pause_ms = 0;
     /* Each answer on its start and its prompts ends its connection. */
     bool closes_after_answer = false;
     int lists = 0; /* How often it was asked for them. */
@@ -716,6 +718,13 @@
     void
     SendState(bufferevent *bev)
     {
+        if (pause_ms != 0) {
+            std::string refusal = "HTTP/1.1 503 X\r\nRetry-After: " +
+                                  std::to_string(pause_ms / 1000.0) +
+                                  "\r\nContent-Length: 0\r\n\r\n";
+            bufferevent_write(bev, refusal.data(), refusal.size());
+            return;
+        }
         if (!state_body.empty()) {
             SendBody(bev, state_body);
             return;
--- a/tests/test_decide_answer_end.cc
+++ b/tests/test_decide_answer_end.cc
@@ -110,6 +110,9 @@
          ANSWER_END_AS_RECEIVED},
         {"turned away on an older connection", OnOlder(ANSWER_END_TURNED_AWAY),
          ANSWER_END_ASK, ANSWER_END_ASK},
+        {"first refusal of an older connection",
+         OnOlder(ANSWER_END_FIRST_REFUSAL), ANSWER_END_COMPLETE,
+         ANSWER_END_COMPLETE},
         {"older connection broke", OnOlder(ANSWER_END_FAILED), ANSWER_END_ASK,
          ANSWER_END_ASK},
         {"no reply on an older connection", OnOlder(ANSWER_END_NO_REPLY),
@@ -252,6 +255,7 @@
         {State(ANSWER_END_SAME_START), ANSWER_END_CONFIRM},
         {OnOlder(ANSWER_END_OTHER_START), ANSWER_END_CONFIRM},
         {OnOlder(ANSWER_END_TELLS_NO_START), ANSWER_END_CONFIRM},
+        {OnOlder(ANSWER_END_FIRST_REFUSAL), ANSWER_END_CONFIRM},
         {State(ANSWER_END_OTHER_WORKER), ANSWER_END_BROKEN},
         {State(ANSWER_END_OTHER_START), ANSWER_END_BROKEN},
     };
@@ -292,6 +296,46 @@
     }
 }
 
+/* In a pause that outlasts the caller one question is asked, once its reply
+   counts, and on an older connection only. */
+TEST(DecideAnswerEnd, LongPauseAllowsOneQuestion)
+{
+    AnswerEndState all = Paused(ANSWER_END_NOT_ASKED);
+    all.is_stream = true;
+    all.is_pause_long = true;
+    all.settle_us = ANSWER_END_SETTLE_US;
+    all.waited_us = ANSWER_END_SETTLE_US;
+    struct {
+        const char *name;
+        void (*change)(AnswerEndState *state);
+        AnswerEndStep step;
+    } rows[] = {
+        {"all", [](AnswerEndState *) {}, ANSWER_END_ASK_OLDER},
+        {"the pause ends in time",
+         [](AnswerEndState *s) { s->is_pause_long = false; },
+         ANSWER_END_ASK_AGAIN},
+        {"the sign would be early", [](AnswerEndState *s) { s->waited_us--; },
+         ANSWER_END_ASK_AGAIN},
+        {"no older connection",
+         [](AnswerEndState *s) { s->has_older_connection = false; },
+         ANSWER_END_ASK_AGAIN},
+        {"asked", [](AnswerEndState *s) { s->reply = ANSWER_END_NO_REPLY; },
+         ANSWER_END_ASK_AGAIN},
+        {"the caller leaves",
+         [](AnswerEndState *s) { s->waited_us = s->patience_us; },
+         ANSWER_END_BROKEN},
+        {"plain", [](AnswerEndState *s) { s->is_stream = false; },
+         ANSWER_END_AS_RECEIVED},
+    };
+
+    for (const auto &row : rows) {
+        SCOPED_TRACE(row.name);
+        AnswerEndState state = all;
+        row.change(&state);
+        EXPECT_EQ(AnswerEnd_Decide(&state), row.step);
+    }
+}
+
 TEST(DecideAnswerEnd, SettleTimeLeavesTimeToAsk)
 {
     EXPECT_EQ(AnswerEnd_GetSettleTime(false, 10 * CLK_US_PER_S), 0);
