--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -650,7 +650,8 @@
     bool is_worker_failed =
         !task->current->is_unsent &&
         (run != LS_RUN_NOT_RUN || task->current->worker->is_vm ||
-         !task->current->has_reply || task->current->reply.misdirected ||
+         !task->current->has_reply || task->readmissions > 0 ||
+         task->current->reply.misdirected ||
          task->current->stage == TASK_PREFILL);
     RetryInput input;
 
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -143,7 +143,8 @@
     /* Workers that failed this task. */
     FleetWorker *excluded[TASK_EXCLUDED_MAX];
     guint excluded_count;
-    int64_t excluded_us; /* When the last one was added. */
+    int64_t excluded_us;   /* When the last one was added. */
+    uint32_t readmissions; /* Calls of Task_ReadmitWorkers() with effect. */
     char worker[FLEET_ID_MAX]; /* Of the last call. */
     uint64_t last_worker;      /* Hash of that one; 0: none was called. */
     /* Software version of the workers that make the stream's events, as in
@@ -320,7 +321,9 @@
 bool Task_ExcludeWorker(GateTask *task, FleetWorker *worker);
 /* Lets a stream that has begun choose among the excluded workers again, but
    for a silent one that it still waits for: only those of its version can go
-   on with it, and there may be no other. */
+   on with it, and there may be no other. Has no effect soon after the last
+   failure; the time doubles with each effect, as another worker may come while
+   these take the calls that the stream may make. */
 void Task_ReadmitWorkers(GateTask *task);
 /* As Task_ExcludeWorker(), for what failed the current call: the worker behind the called VM
    if that VM named one, as it may serve the next attempt. */
--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -9,8 +9,10 @@
 #define TASK_PEER_UNREACHABLE_COST_US (300 * CLK_US_PER_MS)
 
 /* Time from the last failure of a begun stream until the workers that failed
-   it may be tried again: less than a caller waits for the next event. */
+   it may be tried again for the first time: less than a caller waits for the
+   next event. */
 #define TASK_READMIT_US (500 * CLK_US_PER_MS)
+#define TASK_READMIT_DOUBLINGS_MAX 6
 
 /* Classes of workers, the best first; the cost decides within one. */
 typedef enum Suitability {
@@ -128,9 +130,11 @@
 {
     const FleetWorker *silent =
         task->silent != NULL ? task->silent->worker : NULL;
+    int64_t delay_us = TASK_READMIT_US
+                       << MIN(task->readmissions, TASK_READMIT_DOUBLINGS_MAX);
     guint kept = 0;
 
-    if (Task_Now(task) - task->excluded_us < TASK_READMIT_US) {
+    if (Task_Now(task) - task->excluded_us < delay_us) {
         return;
     }
     for (guint i = 0; i < task->excluded_count; i++) {
@@ -141,6 +145,7 @@
             Fleet_Unref(task->excluded[i]);
         }
     }
+    task->readmissions += task->excluded_count > kept;
     task->excluded_count = kept;
 }
 
