--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -192,8 +192,8 @@
                                 int status, const char *body);
 static void check_leaving(SimWorker *worker, const char *id);
 static void check_limit(SimWorker *worker, const char *id);
-static void check_part(const SimWorker *worker, const char *id,
-                       const char *part);
+static void check_part(const SimWorker *worker, const ServerExchange *exchange,
+                       const char *id, const char *part);
 static bool find_crash_part(const ServerExchange *exchange, char *part,
                             size_t size);
 static void end_jobs(const SimWorker *worker, bool closes);
@@ -947,7 +947,7 @@
     check_leaving(worker, id);
     check_limit(worker, id);
     if (find_crash_part(exchange, part, sizeof(part))) {
-        check_part(worker, id, part);
+        check_part(worker, exchange, id, part);
     }
     if (refuse_in_pause(worker, exchange, id)) {
         return false;
@@ -1141,7 +1141,8 @@
 /* Checks that few requests with a part reach workers after it has crashed
    some. VMs that were started or resumed lately may not know. */
 static void
-check_part(const SimWorker *worker, const char *id, const char *part)
+check_part(const SimWorker *worker, const ServerExchange *exchange,
+           const char *id, const char *part)
 {
     Sim *sim = worker->sim;
     SimPart *row = g_hash_table_lookup(sim->parts, part);
@@ -1156,10 +1157,16 @@
         return;
     }
     if (++row->requests > SIM_PART_REQUESTS_MAX) {
-        Ledger_AddFinding(sim->ledger,
-                          "BUDGET: %s is request %u with part %s, under which "
-                          "%u workers crashed",
-                          id, row->requests, part, row->crashes);
+        const char *stage = Header_Find(exchange->headers, "X-Stage");
+        Ledger_AddFinding(
+            sim->ledger,
+            "BUDGET: %s (%s %s, VM %u started %lld ms ago) is request %u with "
+            "part %s, under which %u workers crashed, enough %lld ms ago",
+            id, exchange->target, stage != NULL ? stage : "whole", request->vm,
+            (long long)((now_us - sim->vm_started_us[request->vm]) /
+                        CLK_US_PER_MS),
+            row->requests, part, row->crashes,
+            (long long)((now_us - row->last_crash_us) / CLK_US_PER_MS));
     }
 }
 
