--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -359,9 +359,9 @@
         return ANSWER_END_OTHER_WORKER;
     }
     if (check->status == 503 || check->status == 429) {
-        /* Where another worker can go on with the stream, it brings the rest
-           of one that was cut. */
-        return check->is_older && !check->had_refusal && !may_go_on(call->task)
+        /* A run that goes on with a stream brings the rest, if it was cut. */
+        return check->is_older && !check->had_refusal &&
+                       !call->task->route->can_resume
                    ? ANSWER_END_FIRST_REFUSAL
                    : ANSWER_END_TURNED_AWAY;
     }
@@ -447,7 +447,7 @@
         MAX(call->began_us, check->began_us - ANSWER_END_SIGN_US);
     state->is_paused = is_paused(check);
     state->is_pause_long =
-        state->is_paused && !may_go_on(call->task) &&
+        state->is_paused && !call->task->route->can_resume &&
         call->worker->notice.paused_until_us - check->began_us >
             state->patience_us;
     state->has_older_connection =
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -393,14 +393,20 @@
     }
 }
 
-/* Another worker that can go on brings the rest, if there is any. */
-TEST(GateEndCheck, StreamOfAPausedWorkerGoesOnElsewhere)
+/* A refusal doesn't tell whether the worker had more events, which another run
+   would bring: at another worker, or, as no attempt is left, the caller's. */
+TEST(GateEndCheck, StreamOfAPausedWorkerThatMayBeResumedIsNotComplete)
 {
-    for (bool is_known : {false, true}) {
-        SCOPED_TRACE(is_known);
+    struct {
+        bool is_known;
+        uint32_t attempts;
+    } rows[] = {{false, 3}, {true, 3}, {false, 1}, {true, 1}};
+    for (const auto &row : rows) {
+        SCOPED_TRACE(row.attempts * 10 + row.is_known);
+        bool goes_on = row.attempts > 1;
         GateRig rig;
         rig.born_ms = 1000;
-        rig.SetRoute({RTE_STREAM, 3, true, 10000, 900}, true);
+        rig.SetRoute({RTE_STREAM, row.attempts, true, 10000, 900}, true);
         Worker *worker = rig.AddWorker(
             {{StreamHead("") + Events(0, 2), ScriptedReply::KEEP}},
             FLEET_PHASE_DECODE);
@@ -410,12 +416,12 @@
         Worker *other = rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
         worker->pause_ms = 9000;
         entry->notice.paused_until_us =
-            is_known ? Clk_Now(&rig.clk) + 9 * CLK_US_PER_S : 0;
+            row.is_known ? Clk_Now(&rig.clk) + 9 * CLK_US_PER_S : 0;
         worker->EndLast(false);
         ASSERT_TRUE(rig.UntilEnd(caller));
-        EXPECT_TRUE(caller->IsComplete());
-        EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
-        EXPECT_EQ(other->requests.size(), 1U);
+        EXPECT_EQ(caller->IsComplete(), goes_on);
+        EXPECT_EQ(caller->DechunkedBody(), Events(0, goes_on ? 9 : 2));
+        EXPECT_EQ(other->requests.size(), goes_on ? 1U : 0U);
     }
 }
 
