--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -10,18 +10,27 @@
 /* Largest answer with a worker's state: it lists its runs. */
 #define END_CHECK_BODY_MAX_BYTES (64 * 1024)
 
+/* A question for the worker's state, and the reply to it. */
+typedef struct EndQuestion {
+    struct EndCheck *check;
+    ClientCall *call; /* NULL while it is not in progress. */
+    int64_t asked_us; /* Since the end of the answer. */
+    bool is_older;    /* It went on an older connection. */
+    bool is_early;    /* The reply came before it was delivered. */
+    bool had_refusal; /* Its connection has carried one before. */
+    int status;
+    int64_t born_ms; /* Start that the reply told; 0: none. */
+    GByteArray *body;
+} EndQuestion;
+
 struct EndCheck {
     TaskCall *call;
-    ClientCall *question; /* NULL while none is in progress. */
-    struct event *timer;  /* End of the question or of a pause. */
+    EndQuestion questions[2];
+    EndQuestion *question; /* The last one. */
+    EndQuestion *held;     /* An earlier one that is left open, or NULL. */
+    struct event *timer;   /* End of the last question or of a pause. */
     int64_t began_us;
     AnswerEndState state;
-    bool is_older;    /* The question went on an older connection. */
-    bool is_early;    /* The reply came before the question was delivered. */
-    bool had_refusal; /* The reply's connection has carried one before. */
-    int status;
-    int64_t born_ms; /* Start that the reply told; 0: none. */
-    GByteArray *body;
     bool is_waiting;  /* For an older connection. */
     bool is_settling; /* Until `settle_us`, with an early sign. */
     bool is_learning; /* It asks for the start; the answer may go on. */
@@ -32,6 +41,9 @@
 static void on_timer(evutil_socket_t fd, short what, void *context);
 static struct EndCheck *new_check(TaskCall *call);
 static void confirm(struct EndCheck *check);
+static bool may_hold(const struct EndCheck *check);
+static void hold(struct EndCheck *check);
+static void end_question(EndQuestion *question);
 static bool is_paused(const struct EndCheck *check);
 static int64_t get_waited(const struct EndCheck *check);
 static int64_t get_patience(const struct EndCheck *check,
@@ -46,7 +58,7 @@
 static void on_head(void *context, int status, const HeaderList *headers);
 static void on_data(void *context, const void *data, size_t size);
 static void on_end(void *context, ClientOutcome outcome);
-static AnswerEndReply read_reply(struct EndCheck *check);
+static AnswerEndReply read_reply(EndQuestion *question);
 static void learn_start(struct EndCheck *check, AnswerEndReply reply);
 static void advance(struct EndCheck *check, AnswerEndReply reply);
 static void decide(struct EndCheck *check);
@@ -94,7 +106,11 @@
 
     check->call = call;
     check->timer = evtimer_new(task->gate->options.base, on_timer, check);
-    check->body = g_byte_array_new();
+    for (size_t i = 0; i < G_N_ELEMENTS(check->questions); i++) {
+        check->questions[i].check = check;
+        check->questions[i].body = g_byte_array_new();
+    }
+    check->question = &check->questions[0];
     call->end_check = check;
     return check;
 }
@@ -108,11 +124,11 @@
         return;
     }
     call->end_check = NULL;
-    if (check->question != NULL) {
-        Client_EndCall(check->question);
+    for (size_t i = 0; i < G_N_ELEMENTS(check->questions); i++) {
+        end_question(&check->questions[i]);
+        g_byte_array_free(check->questions[i].body, TRUE);
     }
     event_free(check->timer);
-    g_byte_array_free(check->body, TRUE);
     g_free(check);
 }
 
@@ -123,9 +139,12 @@
 
     (void)fd;
     (void)what;
-    if (check->question != NULL) {
-        Client_EndCall(check->question);
-        check->question = NULL;
+    if (check->question->call != NULL && may_hold(check)) {
+        hold(check);
+        advance(check, ANSWER_END_NO_REPLY);
+    }
+    else if (check->question->call != NULL) {
+        end_question(check->question);
         advance(check, ANSWER_END_NO_REPLY);
     }
     else if (check->is_settling) {
@@ -171,10 +190,43 @@
     }
     fill_older(check, &older);
     ask(check,
-        check->is_older &&
+        check->question->is_older &&
             Client_HasIdle(check->call->task->gate->options.client, &older));
 }
 
+/* Whether the question that had no reply in time stays open: an older
+   connection may be the only proof, and is lost with it. */
+static bool
+may_hold(const struct EndCheck *check)
+{
+    const TaskCall *call = check->call;
+    uint64_t number = Client_GetNumber(check->question->call);
+
+    return !check->is_learning && check->held == NULL &&
+           check->state.is_stream && !call->task->route->can_resume &&
+           number != 0 && number <= call->last_number;
+}
+
+static void
+hold(struct EndCheck *check)
+{
+    check->held = check->question;
+    check->question = check->held == &check->questions[0]
+                          ? &check->questions[1]
+                          : &check->questions[0];
+    check->question->is_older = true;
+    check->question->asked_us = check->held->asked_us;
+}
+
+static void
+end_question(EndQuestion *question)
+{
+    if (question->call != NULL) {
+        Client_EndCall(question->call);
+        question->call = NULL;
+    }
+}
+
 static int64_t
 get_patience(const struct EndCheck *check, bool may_go_on_elsewhere)
 {
@@ -221,11 +273,12 @@
     Gate *gate = check->call->task->gate;
     const GateCodec *codec = gate->options.codec;
     FleetWorker *worker = check->call->worker;
+    EndQuestion *question = check->question;
     GateControlCall control_call = {.headers = Header_New()};
     ClientCallOptions call = {
         .address = check->call->address,
         .headers = control_call.headers,
-        .context = check,
+        .context = question,
         .matches_request = matches_control,
         .get_label = get_told_label,
         .on_head = on_head,
@@ -239,14 +292,14 @@
     if (older) {
         fill_older(check, &call);
     }
-    check->is_older = older;
     check->is_waiting = false;
-    check->is_early = false;
-    check->state.asked_us = get_waited(check);
-    check->status = 0;
-    g_byte_array_set_size(check->body, 0);
+    question->asked_us = get_waited(check);
+    question->is_older = older;
+    question->is_early = false;
+    question->status = 0;
+    g_byte_array_set_size(question->body, 0);
     Throttle_Charge(&worker->throttle);
-    check->question = Client_BeginCall(gate->options.client, &call);
+    question->call = Client_BeginCall(gate->options.client, &call);
     Header_Free(control_call.headers);
     Loop_ArmTimerUs(check->timer, ANSWER_END_QUESTION_US);
 }
@@ -290,8 +343,8 @@
 static bool
 matches_control(void *context, const HeaderList *headers)
 {
-    const struct EndCheck *check = context;
-    const GateCodec *codec = check->call->task->gate->options.codec;
+    const EndQuestion *question = context;
+    const GateCodec *codec = question->check->call->task->gate->options.codec;
 
     return codec->matches_control(codec->context, headers);
 }
@@ -301,84 +354,98 @@
 static uint64_t
 get_told_label(void *context)
 {
-    const struct EndCheck *check = context;
-    const TaskCall *call = check->call;
+    const EndQuestion *question = context;
+    const TaskCall *call = question->check->call;
 
-    return Task_ReadStartLabel(call->task, call->worker, check->status,
-                               check->body);
+    return Task_ReadStartLabel(call->task, call->worker, question->status,
+                               question->body);
 }
 
 static void
 on_head(void *context, int status, const HeaderList *headers)
 {
-    struct EndCheck *check = context;
+    EndQuestion *question = context;
 
     (void)headers;
-    check->status = status;
+    question->status = status;
     /* It may have gone since it was looked for. */
-    check->is_older =
-        Client_GetNumber(check->question) <= check->call->last_number;
-    check->is_early = !Client_IsDelivered(check->question);
-    check->had_refusal = Client_HasRefused(check->question);
+    question->is_older =
+        Client_GetNumber(question->call) <= question->check->call->last_number;
+    question->is_early = !Client_IsDelivered(question->call);
+    question->had_refusal = Client_HasRefused(question->call);
 }
 
 static void
 on_data(void *context, const void *data, size_t size)
 {
-    struct EndCheck *check = context;
+    EndQuestion *question = context;
 
-    if (check->body->len + size > END_CHECK_BODY_MAX_BYTES) {
-        Client_RejectBody(check->question);
+    if (question->body->len + size > END_CHECK_BODY_MAX_BYTES) {
+        Client_RejectBody(question->call);
         return;
     }
-    g_byte_array_append(check->body, data, (guint)size);
+    g_byte_array_append(question->body, data, (guint)size);
 }
 
 static void
 on_end(void *context, ClientOutcome outcome)
 {
-    struct EndCheck *check = context;
+    EndQuestion *question = context;
+    struct EndCheck *check = question->check;
+    AnswerEndReply reply = ANSWER_END_FAILED;
 
-    check->question = NULL;
+    question->call = NULL;
+    if (outcome == CLIENT_COMPLETE) {
+        reply = read_reply(question);
+    }
+    if (question == check->held) {
+        check->held = NULL;
+        if (reply == ANSWER_END_FAILED) {
+            check->state.is_older_broken = true;
+            return;
+        }
+        end_question(check->question);
+        check->question = question;
+    }
     evtimer_del(check->timer);
-    advance(check, outcome == CLIENT_COMPLETE ? read_reply(check)
-                                              : ANSWER_END_FAILED);
+    advance(check, reply);
 }
 
 static AnswerEndReply
-read_reply(struct EndCheck *check)
+read_reply(EndQuestion *question)
 {
-    const TaskCall *call = check->call;
+    const TaskCall *call = question->check->call;
     const GateCodec *codec = call->task->gate->options.codec;
 
-    check->born_ms = 0;
-    if (check->is_early) {
+    question->born_ms = 0;
+    if (question->is_early) {
         return ANSWER_END_FAILED; /* It is a late one of another call. */
     }
-    if (check->status == 421) {
+    if (question->status == 421) {
         return ANSWER_END_OTHER_WORKER;
     }
-    if (check->status == 503 || check->status == 429) {
+    if (question->status == 503 || question->status == 429) {
         /* A run that goes on with a stream brings the rest, if it was cut. */
-        return check->is_older && !check->had_refusal &&
+        return question->is_older && !question->had_refusal &&
                        !call->task->route->can_resume
                    ? ANSWER_END_FIRST_REFUSAL
                    : ANSWER_END_TURNED_AWAY;
     }
-    if (check->status != 200) {
+    if (question->status != 200) {
         return ANSWER_END_TELLS_NO_START;
     }
-    if (!codec->decode_state(codec->context, (const char *)check->body->data,
-                             check->body->len, &check->born_ms)) {
+    if (!codec->decode_state(codec->context,
+                             (const char *)question->body->data,
+                             question->body->len, &question->born_ms)) {
         return ANSWER_END_FAILED;
     }
-    if (check->born_ms == 0) {
+    if (question->born_ms == 0) {
         return ANSWER_END_TELLS_NO_START;
     }
-    Fleet_NoteToldStart(call->worker, call->address, check->born_ms,
+    Fleet_NoteToldStart(call->worker, call->address, question->born_ms,
                         Task_Now(call->task));
-    return check->born_ms == call->born_ms ||
-                   check->born_ms == call->told_born_ms
+    return question->born_ms == call->born_ms ||
+                   question->born_ms == call->told_born_ms
                ? ANSWER_END_SAME_START
                : ANSWER_END_OTHER_START;
 }
@@ -391,9 +458,9 @@
     TaskCall *call = check->call;
 
     check->is_learning = false;
-    if (check->is_older && check->born_ms != 0 &&
+    if (check->question->is_older && check->question->born_ms != 0 &&
         (reply == ANSWER_END_SAME_START || reply == ANSWER_END_OTHER_START)) {
-        call->born_ms = check->born_ms;
+        call->born_ms = check->question->born_ms;
     }
     if (check->on_checked == NULL) {
         EndCheck_Cancel(call);
@@ -416,14 +483,15 @@
         return;
     }
     state->reply = reply;
-    state->is_older_connection = check->is_older;
+    state->is_older_connection = check->question->is_older;
+    state->asked_us = check->question->asked_us;
     state->failures += reply == ANSWER_END_FAILED;
-    state->is_older_broken |= is_failed && check->is_older;
+    state->is_older_broken |= is_failed && check->question->is_older;
     if (reply == ANSWER_END_TURNED_AWAY ||
         reply == ANSWER_END_TELLS_NO_START) {
         state->has_responded = true;
         state->is_older_useless |=
-            check->is_older &&
+            check->question->is_older &&
             (reply == ANSWER_END_TURNED_AWAY || state->knows_start);
     }
     decide(check);
@@ -505,7 +573,7 @@
             "{s:s,s:s,s:I,s:s,s:b,s:b,s:I,s:i,s:I,s:i}", "request",
             task->request.id, "worker", call->worker->entry.id, "born",
             (json_int_t)call->born_ms, "reply", replies[check->state.reply],
-            "older_connection", (int)check->is_older, "complete",
+            "older_connection", (int)check->question->is_older, "complete",
             (int)(step == ANSWER_END_COMPLETE), "waited_us",
             (json_int_t)check->state.waited_us, "events", (int)call->events,
             "last_event", (json_int_t)task->last_event, "bytes",
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -393,6 +393,54 @@
     }
 }
 
+struct SilenceCase {
+    const char *name;
+    const char *reply; /* On the older connection, after the silence; or "". */
+    bool exits;        /* The process ends then. */
+    bool complete;
+};
+
+const SilenceCase silence_cases[] = {
+    {"answers, and pauses from then on",
+     "HTTP/1.1 503 X\r\nRetry-After: 9\r\nContent-Length: 0\r\n\r\n", false,
+     true},
+    {"pauses from then on", "", false, false},
+    {"its process ends", "", true, false},
+};
+
+/* The worker is silent for longer than a question may take, and pauses for
+   longer than the caller waits. The question on the older connection, which is
+   the only proof, is not given up. */
+TEST(GateEndCheck, StreamWhoseWorkerIsSilentAndPausesIsComplete)
+{
+    for (const SilenceCase &row : silence_cases) {
+        SCOPED_TRACE(row.name);
+        GateRig rig;
+        rig.born_ms = 1000;
+        rig.SetRoute({RTE_STREAM, 1, false, 10000, 900}, true);
+        Worker *worker = rig.AddWorker(
+            {{StreamHead("") + Events(0, 2), ScriptedReply::KEEP}},
+            FLEET_PHASE_DECODE);
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+        rig.RunFor(20);
+        int64_t from_us = Clk_Now(&rig.clk);
+        worker->is_silent = true;
+        worker->EndLast(false);
+        rig.RunFor(1100);
+        EXPECT_FALSE(caller->closed);
+        worker->is_silent = false;
+        worker->pause_ms = 9000;
+        worker->SendToFirst(row.reply);
+        if (row.exits) {
+            worker->Exit();
+        }
+        ASSERT_TRUE(rig.UntilEnd(caller));
+        EXPECT_LT(Clk_Now(&rig.clk) - from_us, 3600 * CLK_US_PER_MS);
+        EXPECT_EQ(caller->IsComplete(), row.complete);
+    }
+}
+
 /* A refusal doesn't tell whether the worker had more events, which another run
    would bring: at another worker, or, as no attempt is left, the caller's. */
 TEST(GateEndCheck, StreamOfAPausedWorkerThatMayBeResumedIsNotComplete)
