--- a/src/decide/answer_end.c
+++ b/src/decide/answer_end.c
@@ -40,7 +40,8 @@
     bool is_late = state->waited_us >= state->patience_us;
     bool may_ask =
         !state->is_paused || (state->is_pause_long && state->is_stream &&
-                              state->reply == ANSWER_END_NOT_ASKED &&
+                              (state->reply == ANSWER_END_NOT_ASKED ||
+                               state->reply == ANSWER_END_REFUSED_AGAIN) &&
                               state->waited_us >= state->settle_us);
     bool is_over = is_late || state->failures >= ANSWER_END_FAILURES_MAX ||
                    (state->is_paused && !state->is_stream);
@@ -49,9 +50,10 @@
     case ANSWER_END_NOT_ASKED:
     case ANSWER_END_NO_REPLY:
     case ANSWER_END_FAILED:
+    case ANSWER_END_REFUSED_AGAIN:
         break;
     case ANSWER_END_SAME_START:
-    case ANSWER_END_FIRST_REFUSAL:
+    case ANSWER_END_REFUSED_ANEW:
         return complete;
     case ANSWER_END_OTHER_WORKER:
         return ANSWER_END_BROKEN;
@@ -108,6 +110,16 @@
                : ANSWER_END_BROKEN;
 }
 
+AnswerEndReply
+AnswerEnd_JudgeRefusal(uint32_t since, uint32_t before)
+{
+    if (since > before) {
+        return ANSWER_END_REFUSED_ANEW;
+    }
+    return before <= ANSWER_END_COPIES_MAX ? ANSWER_END_REFUSED_AGAIN
+                                           : ANSWER_END_TURNED_AWAY;
+}
+
 bool
 AnswerEnd_MayAskRest(const AnswerEndRestState *state)
 {
--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -53,6 +53,9 @@
    to read the prompt again. */
 #define ANSWER_END_REST_MIN_US (100 * CLK_US_PER_MS)
 #define ANSWER_END_REST_MAX_US (2 * CLK_US_PER_S)
+/* A connection with more refusals before is not asked until a reply must be
+   none of their copies. */
+#define ANSWER_END_COPIES_MAX 3
 /* Calls of the retry budget that are left to broken requests. */
 #define ANSWER_END_REST_RESERVE 3
 
@@ -62,9 +65,10 @@
     ANSWER_END_NO_REPLY,    /* None in time. */
     ANSWER_END_FAILED,      /* The connection was refused or broken off. */
     ANSWER_END_TURNED_AWAY, /* A refusal, which tells no start. */
-    /* The same on a connection that is older than the call and has carried no
-       refusal: it is no late copy of one. */
-    ANSWER_END_FIRST_REFUSAL,
+    /* The same on a connection that is older than the call: one more than late
+       copies of earlier refusals there could be, or one that may be such. */
+    ANSWER_END_REFUSED_ANEW,
+    ANSWER_END_REFUSED_AGAIN,
     ANSWER_END_TELLS_NO_START, /* An answer of a worker that never tells it. */
     ANSWER_END_SAME_START,     /* The one from before the call. */
     ANSWER_END_OTHER_START,    /* Another start. */
@@ -84,7 +88,7 @@
     bool is_older_broken;
     bool has_responded;  /* A reply told no start. */
     bool is_paused;      /* The worker asked for a pause: no question now, */
-    bool is_pause_long;  /* but for one, as nobody waits for its end. */
+    bool is_pause_long;  /* but for a few, as nobody waits for its end. */
     uint32_t failures;   /* So far. */
     int64_t waited_us;   /* Since the end of the answer. */
     int64_t asked_us;    /* When the last question began, since then. */
@@ -136,6 +140,10 @@
 int64_t AnswerEnd_GetPatience(bool is_stream, bool may_go_on, int64_t slo_us,
                               int64_t gap_us);
 AnswerEndStep AnswerEnd_Decide(const AnswerEndState *state);
+/* Returns what a refusal on an older connection is taken for: `since` on it
+   after the end of the answer, with this one, and `before` that. Each of these
+   may come once more, late. */
+AnswerEndReply AnswerEnd_JudgeRefusal(uint32_t since, uint32_t before);
 /* Whether the question can be of use and takes no call from others. */
 bool AnswerEnd_MayAskRest(const AnswerEndRestState *state);
 /* Returns ANSWER_END_COMPLETE or ANSWER_END_BROKEN. A worker that takes no
--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -13,11 +13,12 @@
 /* A question for the worker's state, and the reply to it. */
 typedef struct EndQuestion {
     struct EndCheck *check;
-    ClientCall *call; /* NULL while it is not in progress. */
-    int64_t asked_us; /* Since the end of the answer. */
-    bool is_older;    /* It went on an older connection. */
-    bool is_early;    /* The reply came before it was delivered. */
-    bool had_refusal; /* Its connection has carried one before. */
+    ClientCall *call;  /* NULL while it is not in progress. */
+    int64_t asked_us;  /* Since the end of the answer. */
+    bool is_older;     /* It went on an older connection. */
+    bool is_early;     /* The reply came before it was delivered. */
+    uint64_t number;   /* Of its connection. */
+    uint32_t refusals; /* That this one has carried before. */
     int status;
     int64_t born_ms; /* Start that the reply told; 0: none. */
     GByteArray *body;
@@ -31,6 +32,11 @@
     struct event *timer;   /* End of the last question or of a pause. */
     int64_t began_us;
     AnswerEndState state;
+    /* Refusals since the end of the answer on one older connection, and before
+       that. */
+    uint64_t refusing_number;
+    uint32_t refusals;
+    uint32_t earlier_refusals;
     bool is_waiting;  /* For an older connection. */
     bool is_settling; /* Until `settle_us`, with an early sign. */
     bool is_learning; /* It asks for the start; the answer may go on. */
@@ -59,6 +65,7 @@
 static void on_data(void *context, const void *data, size_t size);
 static void on_end(void *context, ClientOutcome outcome);
 static AnswerEndReply read_reply(EndQuestion *question);
+static AnswerEndReply count_refusal(const EndQuestion *question);
 static void learn_start(struct EndCheck *check, AnswerEndReply reply);
 static void advance(struct EndCheck *check, AnswerEndReply reply);
 static void decide(struct EndCheck *check);
@@ -159,6 +166,7 @@
         learn_start(check, ANSWER_END_NO_REPLY);
     }
     else if (is_paused(check) && check->state.reply != ANSWER_END_NOT_ASKED &&
+             check->state.reply != ANSWER_END_REFUSED_AGAIN &&
              get_waited(check) < check->state.patience_us) {
         Loop_ArmTimerUs(check->timer, ANSWER_END_PAUSE_US);
     }
@@ -368,11 +376,12 @@
 
     (void)headers;
     question->status = status;
-    /* It may have gone since it was looked for. */
+    question->number = Client_GetNumber(question->call);
+    /* The older one may have gone since it was looked for. */
     question->is_older =
-        Client_GetNumber(question->call) <= question->check->call->last_number;
+        question->number <= question->check->call->last_number;
     question->is_early = !Client_IsDelivered(question->call);
-    question->had_refusal = Client_HasRefused(question->call);
+    question->refusals = Client_CountRefusals(question->call);
 }
 
 static void
@@ -426,9 +435,8 @@
     }
     if (question->status == 503 || question->status == 429) {
         /* A run that goes on with a stream brings the rest, if it was cut. */
-        return question->is_older && !question->had_refusal &&
-                       !call->task->route->can_resume
-                   ? ANSWER_END_FIRST_REFUSAL
+        return question->is_older && !call->task->route->can_resume
+                   ? count_refusal(question)
                    : ANSWER_END_TURNED_AWAY;
     }
     if (question->status != 200) {
@@ -450,6 +458,20 @@
                : ANSWER_END_OTHER_START;
 }
 
+static AnswerEndReply
+count_refusal(const EndQuestion *question)
+{
+    struct EndCheck *check = question->check;
+
+    if (check->refusing_number != question->number) {
+        check->refusing_number = question->number;
+        check->refusals = 0;
+        check->earlier_refusals = question->refusals;
+    }
+    check->refusals++;
+    return AnswerEnd_JudgeRefusal(check->refusals, check->earlier_refusals);
+}
+
 /* Takes the start that the worker told on an older connection for that of the
    process that answers the call: its entry may be behind. */
 static void
@@ -487,12 +509,13 @@
     state->asked_us = check->question->asked_us;
     state->failures += reply == ANSWER_END_FAILED;
     state->is_older_broken |= is_failed && check->question->is_older;
-    if (reply == ANSWER_END_TURNED_AWAY ||
+    if (reply == ANSWER_END_TURNED_AWAY || reply == ANSWER_END_REFUSED_AGAIN ||
         reply == ANSWER_END_TELLS_NO_START) {
         state->has_responded = true;
         state->is_older_useless |=
             check->question->is_older &&
-            (reply == ANSWER_END_TURNED_AWAY || state->knows_start);
+            (reply == ANSWER_END_TURNED_AWAY ||
+             (reply == ANSWER_END_TELLS_NO_START && state->knows_start));
     }
     decide(check);
 }
@@ -558,9 +581,9 @@
 log_end(const struct EndCheck *check, AnswerEndStep step)
 {
     static const char *const replies[] = {
-        "not asked",   "no reply",      "connection failed",
-        "turned away", "first refusal", "tells no start",
-        "same start",  "other start",   "other worker"};
+        "not asked",    "no reply",      "connection failed", "turned away",
+        "refused anew", "refused again", "tells no start",    "same start",
+        "other start",  "other worker"};
     const TaskCall *call = check->call;
     const GateTask *task = call->task;
 
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -240,10 +240,10 @@
     return call->conn->calls > 1;
 }
 
-bool
-Client_HasRefused(const ClientCall *call)
+uint32_t
+Client_CountRefusals(const ClientCall *call)
 {
-    return call->conn->refusals.has_any;
+    return call->conn->refusals.total;
 }
 
 bool
@@ -319,8 +319,8 @@
           const ClientCallOptions *options)
 {
     if (options->number_max != 0 &&
-        conn->refusals.has_any != other->refusals.has_any) {
-        return other->refusals.has_any;
+        conn->refusals.total != other->refusals.total) {
+        return conn->refusals.total < other->refusals.total;
     }
     return conn->idle_since_us > other->idle_since_us;
 }
--- a/src/io/client.h
+++ b/src/io/client.h
@@ -77,7 +77,7 @@
        (Client_HasIdle()); 0: any connection. */
     uint64_t label;
     /* Uses an idle connection with a number up to this one that has carried a
-       response, if there is one, best of all one without a refusal; 0: any
+       response, if there is one, best of all with the fewest refusals; 0: any
        connection. */
     uint64_t number_max;
     uint32_t connect_ms;  /* Connect time-out; 0: CLIENT_CONNECT_TIMEOUT_MS. */
@@ -132,9 +132,9 @@
 /* Whether its connection has carried other calls, so that a response that
    names no request may belong to one of these. */
 bool Client_IsReused(const ClientCall *call);
-/* Whether its connection has carried a refusal before, of which a late copy
-   may come. To be called from on_head(). */
-bool Client_HasRefused(const ClientCall *call);
+/* Returns how many refusals its connection has carried before, of which late
+   copies may come. To be called from on_head(). */
+uint32_t Client_CountRefusals(const ClientCall *call);
 /* Whether the server's host has received all of the call. */
 bool Client_IsDelivered(const ClientCall *call);
 /* Ends the call as malformed once the current callback returns: its body is
--- a/src/io/client_refusals.c
+++ b/src/io/client_refusals.c
@@ -5,7 +5,7 @@
 void
 ClientRefusals_NoteStatus(ClientRefusals *refusals, int status)
 {
-    refusals->has_any |= status == 429 || status == 503;
+    refusals->total += status == 429 || status == 503;
 }
 
 bool
--- a/src/io/client_refusals.h
+++ b/src/io/client_refusals.h
@@ -15,7 +15,7 @@
 typedef struct ClientRefusals {
     uint64_t names[CLIENT_REFUSALS_MAX];
     uint32_t count;
-    bool has_any; /* A response had the status 429 or 503. */
+    uint32_t total; /* Responses with the status 429 or 503. */
 } ClientRefusals;
 
 /* Notes the status of a response, to whichever call. */
