--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -9,9 +9,11 @@
    itself. Such a sign is an answer to a question that was sent after the end,
    from the start that the worker's entry named or the worker told before the
    call began, or on a connection that is older than the call and has carried
-   an answer. Both rely on one process at an address at a time, and on its end
-   as a whole: one that closes its answers first responds for a while after, so
-   that a sign for a stream must come some time after the end.
+   an answer. A worker that pauses as its answer ends tells no start, so a
+   refusal on such a connection is a sign, too, unless it may be a late copy of
+   an earlier one. All rely on one process at an address at a time, and on its
+   end as a whole: one that closes its answers first responds for a while
+   after, so that a sign for a stream must come some time after the end.
 
    A process that goes on may still have broken the answer off, as may what
    stands between: a proxy passes a reset on as an ordinary end. So a stream
@@ -86,9 +88,11 @@
        of the answer or later, idle or with a call, or a question on one
        failed: the process may have ended, and another one may respond. */
     bool is_older_broken;
-    bool has_responded;  /* A reply told no start. */
-    bool is_paused;      /* The worker asked for a pause: no question now, */
-    bool is_pause_long;  /* but for a few, as nobody waits for its end. */
+    bool has_responded; /* A reply told no start. */
+    bool is_paused;     /* The worker asked for a pause: no question now. */
+    /* The pause outlasts the caller, and no other run can go on: some
+       questions are asked in it. */
+    bool is_pause_long;
     uint32_t failures;   /* So far. */
     int64_t waited_us;   /* Since the end of the answer. */
     int64_t asked_us;    /* When the last question began, since then. */
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -143,8 +143,11 @@
     /* Workers that failed this task. */
     FleetWorker *excluded[TASK_EXCLUDED_MAX];
     guint excluded_count;
-    int64_t excluded_us;   /* When the last one was added. */
-    uint32_t readmissions; /* Calls of Task_ReadmitWorkers() with effect. */
+    int64_t excluded_us; /* When the last one was added. */
+    /* Calls of Task_ReadmitWorkers() with effect. After the first one a
+       refused run excludes its worker, too, which would be tried again at
+       once. */
+    uint32_t readmissions;
     char worker[FLEET_ID_MAX]; /* Of the last call. */
     uint64_t last_worker;      /* Hash of that one; 0: none was called. */
     /* Software version of the workers that make the stream's events, as in
--- a/src/gate/task_wait.c
+++ b/src/gate/task_wait.c
@@ -22,6 +22,7 @@
     AdmissionWaitPlan wait_plan;
 
     task->work_us = 0;
+    /* Any worker may serve a stream that has not begun. */
     if ((task->streaming || task->last_event != GATE_NO_EVENT) &&
         !Reservation_HasCandidate(task)) {
         Task_ReadmitWorkers(task);
