--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -451,6 +451,7 @@
         return ANSWER_END_TELLS_NO_START;
     }
     Fleet_NoteToldStart(call->worker, call->address, question->born_ms,
+                        Client_GetLastNumber(call->task->gate->options.client),
                         Task_Now(call->task));
     return question->born_ms == call->born_ms ||
                    question->born_ms == call->told_born_ms
--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -452,11 +452,12 @@
 
 void
 Fleet_NoteToldStart(FleetWorker *worker, const char *address, int64_t born_ms,
-                    int64_t now_us)
+                    uint64_t number, int64_t now_us)
 {
     if (born_ms != 0 && strcmp(worker->entry.address, address) == 0) {
         worker->told_born_ms = born_ms;
         worker->told_us = now_us;
+        worker->told_number = number;
     }
 }
 
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -117,9 +117,10 @@
     /* Start that it told last at the entry's address, and when; 0: none. */
     int64_t told_born_ms;
     int64_t told_us;
-    double service_us; /* Moving average of a call's duration. */
-    double slowness;   /* Moving average of measured prefill time over
-                          expected prefill time. */
+    uint64_t told_number; /* Last connection that was opened until then. */
+    double service_us;    /* Moving average of a call's duration. */
+    double slowness;      /* Moving average of measured prefill time over
+                             expected prefill time. */
 } FleetWorker;
 
 /* A software version of a service's workers that this VM has seen. */
@@ -206,9 +207,10 @@
 /* Notes that a worker has told a start that no entry tells of: its version is
    not known. */
 void Fleet_NoteUnknownStart(Fleet *fleet, int64_t now_us);
-/* Notes the start that a worker has told at an address. */
+/* Notes the start that a worker has told at an address. `number`: of the last
+   connection that was opened, to any worker. */
 void Fleet_NoteToldStart(FleetWorker *worker, const char *address,
-                         int64_t born_ms, int64_t now_us);
+                         int64_t born_ms, uint64_t number, int64_t now_us);
 /* Returns what identifies a start of the worker; 0 if the time of the start,
    Unix milliseconds, is not known (0). */
 uint64_t Fleet_GetStartLabel(const FleetWorker *worker, int64_t born_ms);
--- a/src/gate/stream_prepare.c
+++ b/src/gate/stream_prepare.c
@@ -74,16 +74,19 @@
 bool
 StreamPrepare_NeedsCheck(const GateTask *task, uint32_t idle_max_ms)
 {
+    const Client *client = task->gate->options.client;
     const FleetWorker *worker = task->assigned.worker;
-    int64_t lost_us =
-        Client_GetLostTime(task->gate->options.client, worker->entry.address);
+    const char *address = worker->entry.address;
     bool is_checked = task->checked_worker == worker->hash && task->checks > 0;
 
     if (task->route->can_resume || worker->is_vm) {
         return !Task_HasConnection(task, worker, idle_max_ms);
     }
+    /* The end of its process shows in connections that were open then. */
     return worker->closes_answers && !worker->tells_no_start && !is_checked &&
-           (worker->told_us == 0 || worker->told_us <= lost_us);
+           (worker->told_us == 0 ||
+            worker->told_us <= Client_GetLostTime(client, address) ||
+            !Client_HasOlder(client, address, worker->told_number));
 }
 
 void
@@ -283,7 +286,9 @@
     bool is_known = is_told && born_ms == worker->entry.born_ms;
     bool is_untold = (is_told && born_ms == 0) || call->reply.status == 404;
 
-    Fleet_NoteToldStart(worker, call->address, born_ms, Task_Now(call->task));
+    Fleet_NoteToldStart(worker, call->address, born_ms,
+                        Client_GetLastNumber(call->task->gate->options.client),
+                        Task_Now(call->task));
     if (is_told && !is_known && born_ms != 0) {
         Fleet_NoteUnknownStart(call->task->gate->options.fleet,
                                Task_Now(call->task));
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -542,7 +542,10 @@
         if (exits) {
             worker->born_ms = 3000;
         }
-        worker->EndLast(false);
+        worker->EndLast(exits);
+        if (exits) {
+            worker->Restart();
+        }
         ASSERT_TRUE(rig.UntilEnd(caller));
         EXPECT_EQ(caller->IsComplete(), !exits);
     }
@@ -585,6 +588,44 @@
     }
 }
 
+/* The worker starts again while no connection to it is open that its end could
+   close, and its entry doesn't say so yet. */
+TEST(GateEndCheck, StartIsAskedForIfNoConnectionCanHaveEnded)
+{
+    for (bool exits : {false, true}) {
+        SCOPED_TRACE(exits);
+        GateRig rig;
+        rig.born_ms = 1000;
+        rig.SetRoute({RTE_STREAM, 1, false, 15000, 900}, true);
+        auto script = std::make_shared<std::deque<ScriptedReply>>();
+        Worker *worker = rig.AddWorkerWithScript(script, FLEET_PHASE_DECODE);
+        script->push_back(
+            {StreamHead("") + Events(0, 4), ScriptedReply::CLOSE});
+        Caller *first = rig.Call(Prompt());
+        ASSERT_TRUE(rig.UntilEnd(first));
+        EXPECT_TRUE(first->IsComplete());
+        rig.RunFor(CLIENT_IDLE_MAX_MS + 100);
+        worker->Exit();
+        worker->Restart();
+        worker->born_ms = 2000;
+        rig.last_worker->lacks_reservations = true; /* No older connection. */
+        script->push_back(
+            {StreamHead("") + Events(0, 2), ScriptedReply::KEEP});
+        Caller *caller = rig.Call(Prompt());
+        ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+        rig.RunFor(20);
+        if (exits) {
+            worker->born_ms = 3000;
+        }
+        worker->EndLast(exits);
+        if (exits) {
+            worker->Restart();
+        }
+        ASSERT_TRUE(rig.UntilEnd(caller));
+        EXPECT_EQ(caller->IsComplete(), !exits);
+    }
+}
+
 /* A worker that tells no start and ends each answer with its connection. The
    connection of the question after the first answer proves the end of all
    later ones, as no call uses it. */
