--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -434,8 +434,10 @@
         return ANSWER_END_OTHER_WORKER;
     }
     if (question->status == 503 || question->status == 429) {
-        /* A run that goes on with a stream brings the rest, if it was cut. */
-        return question->is_older && !call->task->route->can_resume
+        /* A run that goes on with a stream brings the rest, if it was cut.
+           What was asked before the end may come once more. */
+        return question->is_older && !call->task->route->can_resume &&
+                       !question->check->is_learning
                    ? count_refusal(question)
                    : ANSWER_END_TURNED_AWAY;
     }
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -394,6 +394,32 @@
     }
 }
 
+/* The start is asked for as the answer begins, and the worker refuses after
+   the end. A copy of that refusal comes when its machine is gone. */
+TEST(GateEndCheck, LateCopyOfARefusalOfAnEarlierQuestionProvesNothing)
+{
+    GateRig rig;
+    rig.born_ms = 1000;
+    rig.SetRoute({RTE_STREAM, 1, false, 10000, 900}, true);
+    Worker *worker =
+        rig.AddWorker({{"", ScriptedReply::KEEP}}, FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Prompt());
+    ASSERT_TRUE(rig.Until([&] { return worker->requests.size() == 1; }));
+    worker->is_silent = true;
+    std::string head = StreamHead("");
+    head.replace(head.find("%ID"), 3, "id-1");
+    worker->SendToLast(head + Events(0, 2));
+    ASSERT_TRUE(rig.Until([&] { return worker->unanswered == 1; }));
+    worker->EndLast(false);
+    rig.RunFor(20);
+    worker->SendToFirst(late_refusal);
+    ASSERT_TRUE(rig.Until([&] { return worker->unanswered == 2; }));
+    worker->GoDark();
+    worker->SendToFirst(late_refusal);
+    ASSERT_TRUE(rig.UntilEnd(caller));
+    EXPECT_FALSE(caller->IsComplete());
+}
+
 struct SilenceCase {
     const char *name;
     const char *reply; /* On the older connection, after the silence; or "". */
