--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -1161,11 +1161,12 @@
         Ledger_AddFinding(
             sim->ledger,
             "BUDGET: %s (%s %s, VM %u started %lld ms ago) is request %u with "
-            "part %s, under which %u workers crashed, enough %lld ms ago",
+            "part %s, under which %u workers crashed, the first %d by %lld ms "
+            "ago",
             id, exchange->target, stage != NULL ? stage : "whole", request->vm,
             (long long)((now_us - sim->vm_started_us[request->vm]) /
                         CLK_US_PER_MS),
-            row->requests, part, row->crashes,
+            row->requests, part, row->crashes, SIM_PART_CRASHES_MAX,
             (long long)((now_us - row->last_crash_us) / CLK_US_PER_MS));
     }
 }
--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -67,9 +67,10 @@
     ANSWER_END_NO_REPLY,    /* None in time. */
     ANSWER_END_FAILED,      /* The connection was refused or broken off. */
     ANSWER_END_TURNED_AWAY, /* A refusal, which tells no start. */
-    /* The same on a connection that is older than the call: one more than late
-       copies of earlier refusals there could be, or one that may be such. */
+    /* A refusal on a connection that is older than the call. Late copies of
+       earlier refusals can't be as many. */
     ANSWER_END_REFUSED_ANEW,
+    /* The same, but it may be such a copy. */
     ANSWER_END_REFUSED_AGAIN,
     ANSWER_END_TELLS_NO_START, /* An answer of a worker that never tells it. */
     ANSWER_END_SAME_START,     /* The one from before the call. */
