--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -522,9 +522,10 @@
 
 void
 Fleet_NoteLoad(FleetWorker *worker, uint32_t running, uint32_t waiting,
-               int64_t now_us)
+               double pace, int64_t now_us)
 {
     worker->load_running = running;
     worker->load_waiting = waiting;
+    worker->load_pace = pace;
     worker->load_us = now_us;
 }
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -102,6 +102,7 @@
                                       ordered, at the latest; 0: none. */
     uint32_t load_running; /* Running requests that the worker reported. */
     uint32_t load_waiting; /* Queued requests that the worker reported. */
+    double load_pace;      /* GateReply.pace of that report; 0: not told. */
     int64_t load_us;       /* Time of the last load report, or 0. */
     int64_t heard_us;      /* Last bytes of an answer to any call, or 0. */
     int64_t unanswered_us; /* Last bytes, or beginning, of the latest call that
@@ -241,6 +242,6 @@
 bool Fleet_IsChangingPhase(const FleetWorker *worker, int64_t now_us);
 /* Stores the load that the worker reported: requests running and queued. */
 void Fleet_NoteLoad(FleetWorker *worker, uint32_t running, uint32_t waiting,
-                    int64_t now_us);
+                    double pace, int64_t now_us);
 
 #endif
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -45,6 +45,13 @@
     uint32_t part_count;
     uint64_t own_part; /* The last part of the prompt, if has_own_part. */
     bool has_own_part;
+    /* Key of the caller's client account; NULL: none, or one that can't be
+       read. Never logged or sent. */
+    char *key;
+    bool is_key_bad; /* There is a key that can't be read, or several. */
+    /* Name of the account that another VM has checked, in a request that it
+       passes on, or NULL. */
+    char *account;
 } GateRequest;
 
 /* What the gate adds to the request in one call at a worker. */
@@ -57,7 +64,11 @@
     /* Worker that may still keep the prompt in its memory, from which the
        called one fetches it, or NULL. */
     const char *fetch_address;
-    int64_t last_event; /* Resume after this event, or GATE_NO_EVENT. */
+    int64_t last_event;  /* Resume after this event, or GATE_NO_EVENT. */
+    const char *account; /* Name of the caller's client account, or NULL. */
+    /* Priority of the request at the worker, 1 (first) to 10; 0: the worker's
+       usual one. */
+    uint32_t priority;
 } GateCallOptions;
 
 /* Header of a worker's answer, decoded. */
@@ -71,6 +82,9 @@
     bool has_load;
     uint32_t running; /* Calls running at the worker, if has_load. */
     uint32_t waiting; /* Calls queued at the worker, if has_load. */
+    /* How long work takes at the worker's machine now, as a multiple of the
+       usual time; 0 if the worker doesn't tell. */
+    double pace;
 } GateReply;
 
 /* What a worker says of itself in the header of any answer. */
@@ -98,6 +112,11 @@
     /* Name of the field with the time left, in ms, which a call gets as it is
        sent. */
     const char *left_name;
+    /* Names of the fields with the caller's key and with the name of its
+       account. Where the configuration has accounts, neither is forwarded as
+       the caller sent it. */
+    const char *key_name;
+    const char *account_name;
     /* Fills in *request; the gate frees its strings. */
     LsResult (*decode_request)(void *context, const ServerExchange *exchange,
                                GateRequest *request, LsError *err);
--- a/src/gate/routes.c
+++ b/src/gate/routes.c
@@ -37,6 +37,7 @@
     }
     g_hash_table_destroy(table->hosts);
     g_hash_table_destroy(table->services);
+    Acc_FreeTable(table->accounts);
     g_free(table);
 }
 
--- a/src/gate/routes.h
+++ b/src/gate/routes.h
@@ -4,6 +4,8 @@
 #ifndef LS_ROUTES_H
 #define LS_ROUTES_H
 
+#include "account.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -32,6 +34,8 @@
                           meets the objective. */
     uint32_t attempts; /* Maximum number of workers that run a request. */
     bool can_resume;   /* A broken stream may continue at another worker. */
+    uint32_t priority; /* 0 is the most urgent, or ACC_PRIORITY_NONE. */
+    bool is_public;    /* Callers need no key. */
     GArray *backends;  /* RteBackend elements, at least one. */
 } RteRoute;
 
@@ -62,6 +66,7 @@
     GHashTable *hosts;    /* Lower-case host to GPtrArray of RteRoute, longest
                              prefix first. */
     GHashTable *services; /* Name to RteService. */
+    AccTable *accounts;   /* NULL: callers need no key. */
     guint route_count;
     gint refs;
 } RteTable;
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -315,6 +315,8 @@
         g_free(request.host);
         g_free(request.resumes);
         g_free(request.parts);
+        g_free(request.key);
+        g_free(request.account);
         Header_Free(request.forward);
         return NULL;
     }
@@ -326,6 +328,7 @@
     task->table = Rte_Ref(gate->table);
     task->route = route;
     task->attempts = route->attempts;
+    task->priority = route->priority;
     service = Rte_ChooseService(route, g_rand_int(gate->rand));
     task->service = Rte_FindService(gate->table, service);
     task->timer = evtimer_new(gate->options.base, on_timer, task);
@@ -534,6 +537,8 @@
     g_free(task->request.host);
     g_free(task->request.resumes);
     g_free(task->request.parts);
+    g_free(task->request.key);
+    g_free(task->request.account);
     g_free(task->causes);
     Header_Free(task->request.forward);
     g_free(task);
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -111,6 +111,9 @@
     RteTable *table;
     const RteRoute *route;
     const RteService *service;
+    /* Client account of the caller, which belongs to the table; NULL: none. */
+    const Account *account;
+    uint32_t priority; /* Of the account, or else of the route. */
     struct event *timer;
     uint32_t caller;   /* IPv4 address of the caller; 0 if it is unknown. */
     uint64_t identity; /* See Task_GetIdentity(); 0 if not yet computed. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -654,7 +654,7 @@
     }
     if (current->reply.has_load) {
         Fleet_NoteLoad(current->worker, current->reply.running,
-                       current->reply.waiting, now_us);
+                       current->reply.waiting, current->reply.pace, now_us);
     }
     if (!task->service->is_engine && status < 300) {
         int64_t all_us = now_us - current->began_us;
