--- a/src/decide/health.c
+++ b/src/decide/health.c
@@ -41,6 +41,16 @@
     return now_us < state->blocked_until_us;
 }
 
+bool
+Health_IsBlockedByPeers(uint32_t peers, int64_t heard_us,
+                        uint32_t random_value, int64_t now_us)
+{
+    bool is_heard = heard_us != 0 && now_us - heard_us < HEALTH_HEARD_US;
+
+    return peers >= HEALTH_PEERS_MIN && !is_heard &&
+           random_value % HEALTH_PEERS_TRIES != 0;
+}
+
 double
 Health_GetFailRate(const HealthState *state, int64_t now_us)
 {
--- a/src/decide/health.h
+++ b/src/decide/health.h
@@ -5,7 +5,15 @@
    connections. Failures lose weight over time and blocks end, so that requests
    find out when a worker has recovered. Each further call without a response
    doubles the time for which the worker is blocked, so that only a few
-   requests are lost to an unresponsive worker. */
+   requests are lost to an unresponsive worker.
+
+   In a burst that fills all workers while a tenth to a quarter of them fall
+   silent, the silent ones look empty: their streams are gone. Each VM would
+   then send nearly all its requests to one of them after the other, and wait
+   for a time-out each time, until it has found out about each by itself. So a
+   worker that several other VMs can't reach is blocked at this VM, too, unless
+   it has answered here lately. A few requests try it nevertheless, as the
+   other VMs may be cut off from it. */
 #ifndef LS_HEALTH_H
 #define LS_HEALTH_H
 
@@ -25,6 +33,14 @@
 /* Shortest and longest time for which an unresponsive worker is blocked. */
 #define HEALTH_BLOCK_MIN_US (400 * CLK_US_PER_MS)
 #define HEALTH_BLOCK_MAX_US (4 * CLK_US_PER_S)
+/* Other VMs that can't reach a worker, from which number on it is blocked
+   here. A single one may have lost its own link. */
+#define HEALTH_PEERS_MIN 2
+/* Time after an answer to this VM in which the word of others doesn't count.
+ */
+#define HEALTH_HEARD_US (1 * CLK_US_PER_S)
+/* One in so many choices tries a worker despite the word of others. */
+#define HEALTH_PEERS_TRIES 16
 
 typedef struct HealthState {
     double fail_rate; /* Moving mean of failed calls, as of `noted_us`. */
@@ -39,6 +55,11 @@
    responded in time. While the worker is blocked, only counts the failure. */
 void Health_NoteUnresponsive(HealthState *state, int64_t now_us);
 bool Health_IsBlocked(const HealthState *state, int64_t now_us);
+/* Whether a worker is blocked on the word of other VMs, of which `peers` can't
+   reach it. `heard_us` is the time of its last bytes to this VM, or 0, and
+   `random_value` decides which choices try it. */
+bool Health_IsBlockedByPeers(uint32_t peers, int64_t heard_us,
+                             uint32_t random_value, int64_t now_us);
 /* Returns the failure rate, 0 to 1, reduced by its age. */
 double Health_GetFailRate(const HealthState *state, int64_t now_us);
 /* Returns what the risk of a failure adds to a call's cost, microseconds. */
--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -25,7 +25,8 @@
                               const void *context, guint offset,
                               int64_t *best_us);
 static double get_share(const GateTask *task);
-static Suitability get_suitability(const FleetWorker *worker, int64_t now_us);
+static Suitability get_suitability(const FleetWorker *worker,
+                                   uint32_t random_value, int64_t now_us);
 static void fill_rank(const GateTask *task, const FleetWorker *worker,
                       int64_t now_us, RankWorker *rank);
 static bool is_other_version(const GateTask *task, const FleetWorker *worker);
@@ -193,7 +194,7 @@
             is_other_version(task, worker) || Task_IsExcluded(task, worker)) {
             continue;
         }
-        suitability = get_suitability(worker, now_us);
+        suitability = get_suitability(worker, offset, now_us);
         fill_rank(task, worker, now_us, &rank);
         cost_us = cost(task, worker, &rank, context);
         if (best == NULL || suitability < best_suitability ||
@@ -224,9 +225,12 @@
 }
 
 static Suitability
-get_suitability(const FleetWorker *worker, int64_t now_us)
+get_suitability(const FleetWorker *worker, uint32_t random_value,
+                int64_t now_us)
 {
-    if (Health_IsBlocked(&worker->health, now_us)) {
+    if (Health_IsBlocked(&worker->health, now_us) ||
+        Health_IsBlockedByPeers(worker->peer_unreachable, worker->heard_us,
+                                random_value, now_us)) {
         return SUITABILITY_BLOCKED;
     }
     return Fleet_IsLeaving(worker) || Notice_IsLeaving(&worker->notice, now_us)
--- a/tests/test_decide.cc
+++ b/tests/test_decide.cc
@@ -93,6 +93,36 @@
     EXPECT_FALSE(Health_IsBlocked(&state, now + 2));
 }
 
+struct PeersCase {
+    const char *name;
+    uint32_t peers;
+    int64_t heard_age_us; /* -1: never heard. */
+    int tries;            /* Of HEALTH_PEERS_TRIES choices. */
+};
+
+const PeersCase peers_cases[] = {
+    {"nobody else misses it", 0, -1, HEALTH_PEERS_TRIES},
+    {"one VM may have lost its own link", 1, -1, HEALTH_PEERS_TRIES},
+    {"several VMs miss it", HEALTH_PEERS_MIN, -1, 1},
+    {"it answered here lately", 30, HEALTH_HEARD_US - 1, HEALTH_PEERS_TRIES},
+    {"it answered here before", 30, HEALTH_HEARD_US, 1},
+};
+
+/* Each VM found out by itself, with time-outs, about each silent worker. */
+TEST(Decide, WorkerThatOtherVmsCannotReachIsTriedRarely)
+{
+    for (const PeersCase &row : peers_cases) {
+        SCOPED_TRACE(row.name);
+        int64_t now = 60 * CLK_US_PER_S;
+        int64_t heard = row.heard_age_us < 0 ? 0 : now - row.heard_age_us;
+        int tries = 0;
+        for (uint32_t i = 0; i < HEALTH_PEERS_TRIES; i++) {
+            tries += !Health_IsBlockedByPeers(row.peers, heard, i, now);
+        }
+        EXPECT_EQ(tries, row.tries);
+    }
+}
+
 /* A worker that fails 4 of 10 calls must cost more. The errors that a healthy
    service returns, 1 of 20 calls, must not. */
 TEST(Decide, PartlyFailingWorkerCostsMoreThanHealthyOne)
--- a/tests/test_gate_room.cc
+++ b/tests/test_gate_room.cc
@@ -257,4 +257,25 @@
     EXPECT_LE(Met_Get(MET_CALLS_FAILED) - before, 10u * 5);
 }
 
+/* In a burst the workers are full, but for some that have fallen silent. Other
+   VMs have found those out. Streams used to wait for a time-out at each. */
+TEST(Room, StreamPassesOverWorkersThatOtherVmsCannotReach)
+{
+    FleetRig rig(resumable, 1, 0);
+    const size_t silent = 12;
+    for (size_t i = 0; i <= silent; i++) {
+        rig.versions.push_back("v1");
+        rig.AddWorker({Stream(0, 9)});
+    }
+    rig.Find(0, 0)->peer_prefill_tokens = 20000;
+    for (size_t i = 1; i <= silent; i++) {
+        rig.workers[i]->GoDark();
+        rig.Find(0, i)->peer_unreachable = 5;
+    }
+    const Caller *caller = rig.Call(0, Prompt("id-1", 15000));
+    rig.RunFor(200);
+    EXPECT_EQ(caller->Status(), 200) << caller->text;
+    EXPECT_TRUE(caller->IsComplete());
+}
+
 } // namespace
