--- a/src/io/client.c
+++ b/src/io/client.c
@@ -1,70 +1,16 @@
-#include "client_refusals.h"
-#include "client_request.h"
+#include "client_conn.h"
 #include "client_socket.h"
 #include "loop.h"
 
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <http_parser.h>
 #include <string.h>
 #include <sys/ioctl.h>
-#include <sys/queue.h>
 
-#define CLIENT_ADDRESS_MAX 64
 /* Addresses whose lost connections are noted. */
 #define CLIENT_LOST_MAX 1024
 
-typedef struct ClientConn {
-    LIST_ENTRY(ClientConn) links;
-    Client *client;
-    char address[CLIENT_ADDRESS_MAX];
-    struct bufferevent *bev;
-    struct event *timer;  /* Connect time-out, later idle time-out. */
-    struct event *sender; /* Sends the call. */
-    http_parser parser;
-    ClientCall *call; /* NULL while idle. */
-    HeaderList *headers;
-    HeaderReader reader;
-    uint64_t number; /* As in Client_GetNumber(). */
-    int64_t idle_since_us;
-    uint32_t idle_ms;       /* Idle time after which it is closed. */
-    size_t head_size;       /* Bytes of the response's header so far. */
-    uint64_t body_size;     /* Bytes of the response's body so far. */
-    uint64_t received_size; /* All bytes since the call began. */
-    uint32_t calls;         /* That it has carried. */
-    uint64_t label;         /* As in ClientCallOptions; 0: none. */
-    ClientRefusals refusals;
-    bool connected;
-    bool matches;       /* The response being read belongs to the call. */
-    bool interim;       /* The response being read has a 1xx status. */
-    bool parsing;       /* http_parser_execute() runs. */
-    bool close_pending; /* The connection closes when the parser returns. */
-    bool complete;      /* The call's response is complete. */
-    bool rejected;      /* The call's owner rejected the body. */
-    bool head_request;  /* The call's method is HEAD: no body follows. */
-    bool has_responded; /* It has carried a complete response. */
-} ClientConn;
-
-struct ClientCall {
-    ClientCallOptions options; /* Its strings, headers and body are valid
-                                  within Client_BeginCall() only. */
-    ClientConn *conn;
-    size_t size; /* Bytes of the request. */
-    ClientRequest request;
-};
-
-struct Client {
-    struct event_base *base;
-    const Clk *clk;
-    LIST_HEAD(ClientConnList, ClientConn) conns;
-    uint64_t last_number; /* Of a connection. */
-    GHashTable *lost; /* Address to the time of its last lost connection. */
-    void *observer;   /* Context of on_response(). */
-    void (*on_response)(void *context, const char *address, int status,
-                        const HeaderList *headers);
-};
-
 static ClientConn *find_idle(Client *client, const ClientCallOptions *options);
 static bool is_better(const ClientConn *conn, const ClientConn *other,
                       const ClientCallOptions *options);
@@ -77,25 +23,10 @@
 static void on_event(struct bufferevent *bev, short what, void *context);
 static void note_lost(const ClientConn *conn);
 static void on_timer(evutil_socket_t fd, short what, void *context);
-static int parse_begin(http_parser *parser);
-static int parse_name(http_parser *parser, const char *at, size_t size);
-static int parse_value(http_parser *parser, const char *at, size_t size);
-static int parse_header_end(http_parser *parser);
-static int parse_body(http_parser *parser, const char *at, size_t size);
-static int parse_end(http_parser *parser);
 static void end_call(ClientConn *conn, ClientOutcome outcome);
 static void make_idle(ClientConn *conn);
 static void close_conn(ClientConn *conn);
 
-static const http_parser_settings parser_settings = {
-    .on_message_begin = parse_begin,
-    .on_header_field = parse_name,
-    .on_header_value = parse_value,
-    .on_headers_complete = parse_header_end,
-    .on_body = parse_body,
-    .on_message_complete = parse_end,
-};
-
 Client *
 Client_New(struct event_base *base, const Clk *clk)
 {
@@ -336,8 +267,7 @@
     g_strlcpy(conn->address, address, sizeof(conn->address));
     conn->headers = Header_New();
     Header_InitReader(&conn->reader);
-    http_parser_init(&conn->parser, HTTP_RESPONSE);
-    conn->parser.data = conn;
+    ClientConn_InitParser(conn);
     conn->timer = evtimer_new(client->base, on_timer, conn);
     conn->sender = event_new(client->base, -1, 0, on_send, conn);
     /* Callbacks are deferred, since a connect that fails at once must not call
@@ -404,8 +334,7 @@
         }
         evbuffer_peek(in, -1, NULL, &piece, 1);
         conn->parsing = true;
-        parsed = http_parser_execute(&conn->parser, &parser_settings,
-                                     piece.iov_base, piece.iov_len);
+        parsed = ClientConn_Parse(conn, piece.iov_base, piece.iov_len);
         conn->parsing = false;
         if (conn->close_pending) {
             close_conn(conn);
@@ -417,8 +346,7 @@
             end_call(conn, CLIENT_COMPLETE);
             return;
         }
-        if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK || conn->rejected ||
-            is_overhead_excessive(conn)) {
+        if (conn->malformed || conn->rejected || is_overhead_excessive(conn)) {
             end_call(conn, CLIENT_MALFORMED);
             return;
         }
@@ -470,9 +398,8 @@
         return;
     }
     if ((what & BEV_EVENT_EOF) != 0) {
-        /* Completes a response that is delimited by the connection's end. */
         conn->parsing = true;
-        http_parser_execute(&conn->parser, &parser_settings, NULL, 0);
+        ClientConn_ParseEnd(conn, (what & BEV_EVENT_ERROR) != 0);
         conn->parsing = false;
         if (conn->close_pending) {
             close_conn(conn);
@@ -524,102 +451,6 @@
     }
 }
 
-static int
-parse_begin(http_parser *parser)
-{
-    ClientConn *conn = parser->data;
-
-    Header_Free(conn->headers);
-    conn->headers = Header_New();
-    Header_ResetReader(&conn->reader);
-    conn->matches = false;
-    conn->interim = false;
-    conn->head_size = 0;
-    return 0;
-}
-
-static int
-parse_name(http_parser *parser, const char *at, size_t size)
-{
-    ClientConn *conn = parser->data;
-
-    Header_ReadName(&conn->reader, conn->headers, at, size);
-    conn->head_size += size;
-    return conn->head_size > CLIENT_HEADER_MAX_BYTES;
-}
-
-static int
-parse_value(http_parser *parser, const char *at, size_t size)
-{
-    ClientConn *conn = parser->data;
-
-    Header_ReadValue(&conn->reader, at, size);
-    conn->head_size += size;
-    return conn->head_size > CLIENT_HEADER_MAX_BYTES;
-}
-
-static int
-parse_header_end(http_parser *parser)
-{
-    ClientConn *conn = parser->data;
-    ClientCall *call = conn->call;
-    int skip_body = conn->head_request ? 1 : 0;
-
-    Header_EndField(&conn->reader, conn->headers);
-    parser->upgrade = 0;
-    if (parser->status_code < 200) {
-        conn->interim = true;
-        return 0;
-    }
-    if (conn->client->on_response != NULL) {
-        conn->client->on_response(conn->client->observer, conn->address,
-                                  parser->status_code, conn->headers);
-    }
-    if (call == NULL) {
-        return skip_body;
-    }
-    conn->matches =
-        call->options.matches_request == NULL ||
-        call->options.matches_request(call->options.context, conn->headers);
-    if (!conn->matches) {
-        ClientRefusals_NoteStatus(&conn->refusals, parser->status_code);
-        return 0;
-    }
-    if (call->options.on_head != NULL) {
-        call->options.on_head(call->options.context, parser->status_code,
-                              conn->headers);
-    }
-    ClientRefusals_NoteStatus(&conn->refusals, parser->status_code);
-    return skip_body;
-}
-
-static int
-parse_body(http_parser *parser, const char *at, size_t size)
-{
-    ClientConn *conn = parser->data;
-
-    if (conn->matches) {
-        conn->body_size += size;
-    }
-    if (conn->matches && conn->call != NULL && !conn->rejected &&
-        conn->call->options.on_data != NULL) {
-        conn->call->options.on_data(conn->call->options.context, at, size);
-    }
-    return 0;
-}
-
-static int
-parse_end(http_parser *parser)
-{
-    ClientConn *conn = parser->data;
-
-    if (conn->matches && !conn->interim) {
-        conn->complete = true;
-        http_parser_pause(parser, 1);
-    }
-    return 0;
-}
-
 /* Keeps or closes the connection, then calls the owner's on_end(). */
 static void
 end_call(ClientConn *conn, ClientOutcome outcome)
@@ -675,9 +506,7 @@
         return;
     }
     conn->idle_since_us = Clk_Now(conn->client->clk);
-    http_parser_pause(&conn->parser, 0);
-    http_parser_init(&conn->parser, HTTP_RESPONSE);
-    conn->parser.data = conn;
+    ClientConn_InitParser(conn);
     Loop_ArmTimer(conn->timer, conn->idle_ms);
 }
 
--- a/src/io/server.c
+++ b/src/io/server.c
@@ -29,13 +29,6 @@
 static void on_write(struct bufferevent *bev, void *context);
 static void on_event(struct bufferevent *bev, short what, void *context);
 static void on_timer(evutil_socket_t fd, short what, void *context);
-static int parse_begin(http_parser *parser);
-static int parse_target(http_parser *parser, const char *at, size_t size);
-static int parse_name(http_parser *parser, const char *at, size_t size);
-static int parse_value(http_parser *parser, const char *at, size_t size);
-static int parse_header_end(http_parser *parser);
-static int parse_body(http_parser *parser, const char *at, size_t size);
-static int parse_end(http_parser *parser);
 static void begin_request(ServerConn *conn);
 static void note_arrival(ServerConn *conn);
 static void parse_input(ServerConn *conn);
@@ -46,16 +39,6 @@
 static void begin_refusal(ServerConn *conn, int status);
 static void begin_linger(ServerConn *conn);
 
-static const http_parser_settings parser_settings = {
-    .on_message_begin = parse_begin,
-    .on_url = parse_target,
-    .on_header_field = parse_name,
-    .on_header_value = parse_value,
-    .on_headers_complete = parse_header_end,
-    .on_body = parse_body,
-    .on_message_complete = parse_end,
-};
-
 ServerOptions
 Server_DefaultOptions(void)
 {
@@ -247,7 +230,7 @@
         }
         return;
     }
-    http_parser_pause(&conn->parser, 0);
+    ServerConn_ResumeParser(conn);
     begin_request(conn);
     if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0) {
         /* The next request is parsed from the event loop, since the handler
@@ -360,8 +343,7 @@
             ntohl(((struct sockaddr_in *)address)->sin_addr.s_addr);
     }
     conn->exchange.body = g_byte_array_new();
-    http_parser_init(&conn->parser, HTTP_REQUEST);
-    conn->parser.data = conn;
+    ServerConn_InitParser(conn);
     conn->timer = evtimer_new(server->options.base, on_timer, conn);
     conn->bev = bufferevent_socket_new(server->options.base, fd,
                                        BEV_OPT_CLOSE_ON_FREE);
@@ -453,6 +435,7 @@
     g_string_truncate(conn->target, 0);
     conn->reading = false;
     conn->has_header = false;
+    conn->complete = false;
     conn->streaming = false;
     conn->header_size = 0;
     conn->error_status = 0;
@@ -493,8 +476,7 @@
             note_arrival(conn);
             Loop_ArmTimer(conn->timer, limits->header_ms);
         }
-        parsed = http_parser_execute(&conn->parser, &parser_settings,
-                                     piece.iov_base, piece.iov_len);
+        parsed = ServerConn_Parse(conn, piece.iov_base, piece.iov_len);
         if (!conn->has_header) {
             conn->header_size += parsed;
         }
@@ -506,7 +488,7 @@
             reject(conn, conn->error_status);
             return;
         }
-        if (HTTP_PARSER_ERRNO(&conn->parser) == HPE_PAUSED) {
+        if (conn->complete) {
             evbuffer_drain(in, parsed);
             conn->reading = false;
             conn->in_exchange = true;
@@ -516,10 +498,6 @@
                                              &conn->exchange);
             return;
         }
-        if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
-            reject(conn, 400);
-            return;
-        }
         evbuffer_drain(in, parsed);
         if (conn->has_header) {
             arm_body_timer(conn);
@@ -560,101 +538,6 @@
     conn->exchange.body = g_byte_array_new();
 }
 
-static int
-parse_begin(http_parser *parser)
-{
-    ServerConn *conn = parser->data;
-
-    Header_ResetReader(&conn->reader);
-    return 0;
-}
-
-static int
-parse_target(http_parser *parser, const char *at, size_t size)
-{
-    ServerConn *conn = parser->data;
-
-    g_string_append_len(conn->target, at, (gssize)size);
-    return 0;
-}
-
-static int
-parse_name(http_parser *parser, const char *at, size_t size)
-{
-    ServerConn *conn = parser->data;
-
-    if (conn->has_header) {
-        return 0; /* Trailers are ignored. */
-    }
-    Header_ReadName(&conn->reader, conn->exchange.headers, at, size);
-    return 0;
-}
-
-static int
-parse_value(http_parser *parser, const char *at, size_t size)
-{
-    ServerConn *conn = parser->data;
-
-    if (conn->has_header) {
-        return 0;
-    }
-    Header_ReadValue(&conn->reader, at, size);
-    return 0;
-}
-
-static int
-parse_header_end(http_parser *parser)
-{
-    ServerConn *conn = parser->data;
-    HeaderList *headers = conn->exchange.headers;
-
-    Header_EndField(&conn->reader, conn->exchange.headers);
-    conn->has_header = true;
-    conn->header_us = Clk_Now(conn->server->options.clk);
-    conn->keep_alive = http_should_keep_alive(parser) != 0;
-    g_strlcpy(conn->method, http_method_str(parser->method),
-              sizeof(conn->method));
-    conn->exchange.method = conn->method;
-    conn->exchange.target = conn->target->str;
-    parser->upgrade = 0; /* The server supports no other protocol. */
-    if (parser->content_length != UINT64_MAX &&
-        parser->content_length > conn->server->options.limits.body_bytes) {
-        conn->error_status = 413;
-        return -1;
-    }
-    if (Header_HasToken(headers, "Expect", "100-continue")) {
-        evbuffer_add_printf(bufferevent_get_output(conn->bev),
-                            "HTTP/1.1 100 Continue\r\n\r\n");
-    }
-    return 0;
-}
-
-static int
-parse_body(http_parser *parser, const char *at, size_t size)
-{
-    ServerConn *conn = parser->data;
-
-    if (conn->exchange.body->len + size >
-        conn->server->options.limits.body_bytes) {
-        conn->error_status = 413;
-        return -1;
-    }
-    if (conn->server->body_bytes + size > SERVER_BODIES_MAX_BYTES) {
-        conn->error_status = 503;
-        return -1;
-    }
-    g_byte_array_append(conn->exchange.body, (const guint8 *)at, (guint)size);
-    conn->server->body_bytes += size;
-    return 0;
-}
-
-static int
-parse_end(http_parser *parser)
-{
-    http_parser_pause(parser, 1);
-    return 0;
-}
-
 /* Responds with an error to a request that is malformed, too large or too
    slow, and closes the connection. */
 static void
--- a/src/io/server_conn.h
+++ b/src/io/server_conn.h
@@ -3,6 +3,7 @@
 #ifndef LS_SERVER_CONN_H
 #define LS_SERVER_CONN_H
 
+#include "head_check.h"
 #include "server.h"
 
 #include <event2/bufferevent.h>
@@ -16,12 +17,15 @@
     struct bufferevent *bev;
     struct event *timer;
     http_parser parser;
+    HeadCheck check;
     ServerExchange exchange;
     GString *target;
     HeaderReader reader;
     char method[32];
     bool reading;       /* A request was read in part. */
     bool has_header;    /* The header of the request is complete. */
+    bool head_ended;    /* The parser has reached the end of a head. */
+    bool complete;      /* The request was read to its end. */
     bool in_exchange;   /* A request waits for the end of its response. */
     bool streaming;     /* The header of a streamed response was written. */
     bool chunked;       /* The streamed response is chunked. */
@@ -54,6 +58,14 @@
 void ServerConn_SetResetOnClose(const ServerConn *conn, bool reset);
 /* Closes the connection after a response, or prepares for the next request. */
 void ServerConn_FinishExchange(ServerConn *conn);
+/* Prepares the parser for the first request. */
+void ServerConn_InitParser(ServerConn *conn);
+/* Prepares the parser for the next request after a complete one. */
+void ServerConn_ResumeParser(ServerConn *conn);
+/* Reads received bytes, or some of them, and returns how many. Sets `complete`
+   at the end of a request, and `error_status` if it is malformed or breaks a
+   limit. */
+size_t ServerConn_Parse(ServerConn *conn, const char *data, size_t size);
 /* Closes the connection and frees it. */
 void ServerConn_Close(ServerConn *conn);
 
