--- a/ctl/lavenderspoolctl.c
+++ b/ctl/lavenderspoolctl.c
@@ -6,14 +6,16 @@
    did not answer, 64 usage error. */
 #include "burn.h"
 #include "configuration.h"
+#include "curl_check.h"
 #include "explain.h"
 #include "settings.h"
 
 #include <argtable2.h>
+#include <glib.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <ulfius.h>
 
 #ifndef LS_VERSION
 #define LS_VERSION "0.0.0"
@@ -34,28 +36,40 @@
     int operand_count;
 } CtlArguments;
 
+/* libcurl callback: appends received data to a GString. */
+static size_t
+append_body(char *data, size_t size, size_t count, void *context)
+{
+    g_string_append_len(context, data, (gssize)(size * count));
+    return size * count;
+}
+
 /* Sends a GET to one VM's operator address. Returns the JSON of its answer, or
    NULL if the VM did not answer with status 200. */
 static json_t *
 get_from_vm(const char *vm, const char *path)
 {
-    struct _u_request request;
-    struct _u_response response;
+    CURL *easy = curl_easy_init();
     char *url = g_strdup_printf("http://%s%s", vm, path);
+    GString *body = g_string_new(NULL);
+    CurlCheck check;
     json_t *answer = NULL;
+    long status = 0;
 
-    ulfius_init_request(&request);
-    ulfius_init_response(&response);
-    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "GET",
-                                  U_OPT_HTTP_URL, url, U_OPT_TIMEOUT,
-                                  (unsigned long)CTL_TIMEOUT_S, U_OPT_NONE);
-    if (ulfius_send_http_request(&request, &response) == U_OK &&
-        response.status == 200) {
-        answer = json_loadb(response.binary_body, response.binary_body_length,
-                            0, NULL);
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT, (long)CTL_TIMEOUT_S);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, body);
+    CurlCheck_Begin(&check, easy);
+    if (curl_easy_perform(easy) == CURLE_OK &&
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status) == CURLE_OK &&
+        status == 200 && CurlCheck_IsComplete(&check, 0)) {
+        answer = json_loadb(body->str, body->len, 0, NULL);
     }
-    ulfius_clean_request(&request);
-    ulfius_clean_response(&response);
+    curl_easy_cleanup(easy);
+    g_string_free(body, TRUE);
     g_free(url);
     return answer;
 }
--- a/src/io/head_check.c
+++ b/src/io/head_check.c
@@ -3,11 +3,8 @@
 
 #include <string.h>
 
-#define HEAD_CHECK_STATUS_MIN 100
-#define HEAD_CHECK_STATUS_MAX 599
-
 /* Start of a status line; 'd' stands for a digit, 's' for the first digit of
-   a status. */
+   a status, 1 to 5. */
 static const char status_form[] = "HTTP/d.d sdd";
 
 static bool read_byte(HeadCheck *check, unsigned char byte);
@@ -49,25 +46,20 @@
 }
 
 bool
-HeadCheck_IsField(const char *name, const char *value)
+HeadCheck_IsField(const char *name, size_t name_size, const char *value,
+                  size_t value_size)
 {
-    bool is_valid = name[0] != '\0';
+    bool is_valid = name_size > 0;
 
-    for (const char *at = name; *at != '\0'; at++) {
-        is_valid = is_valid && is_token((unsigned char)*at);
+    for (size_t i = 0; i < name_size; i++) {
+        is_valid = is_valid && is_token((unsigned char)name[i]);
     }
-    for (const char *at = value; at != NULL && *at != '\0'; at++) {
-        is_valid = is_valid && is_text((unsigned char)*at);
+    for (size_t i = 0; i < value_size; i++) {
+        is_valid = is_valid && is_text((unsigned char)value[i]);
     }
     return is_valid;
 }
 
-bool
-HeadCheck_IsStatus(long status)
-{
-    return status >= HEAD_CHECK_STATUS_MIN && status <= HEAD_CHECK_STATUS_MAX;
-}
-
 static bool
 read_byte(HeadCheck *check, unsigned char byte)
 {
--- a/src/io/head_check.h
+++ b/src/io/head_check.h
@@ -40,9 +40,8 @@
                     size_t *used);
 /* Whether the head has been read to its end. */
 bool HeadCheck_IsOver(const HeadCheck *check);
-/* Whether a single field can stand in a head. */
-bool HeadCheck_IsField(const char *name, const char *value);
-/* Whether a status can stand in the head of a response: 100 to 599. */
-bool HeadCheck_IsStatus(long status);
+/* Whether a single field can stand in a head or in trailers. */
+bool HeadCheck_IsField(const char *name, size_t name_size, const char *value,
+                       size_t value_size);
 
 #endif
--- a/src/sock.c
+++ b/src/sock.c
@@ -1,4 +1,5 @@
 #include "sock.h"
+#include "io/head_check.h"
 
 #include <arpa/inet.h>
 #include <glib.h>
@@ -8,10 +9,20 @@
 
 struct Sock {
     pthread_mutex_t lock;
-    GHashTable *descriptors; /* get_key() to descriptor + 1 */
+    GHashTable *clients; /* Of SockClient, by their key. */
 };
 
+typedef struct SockClient {
+    gint64 key; /* Result of get_key(). */
+    struct MHD_Connection *connection;
+    int fd;
+} SockClient;
+
 static gint64 get_key(const struct sockaddr *client);
+static SockClient *find_client(Sock *sock, const struct sockaddr *client);
+static enum MHD_Result check_field(void *context, enum MHD_ValueKind kind,
+                                   const char *name, size_t name_size,
+                                   const char *value, size_t value_size);
 static void add_connection(Sock *sock, struct MHD_Connection *connection,
                            void **socket_context);
 
@@ -21,14 +32,14 @@
     Sock *sock = g_new0(Sock, 1);
 
     pthread_mutex_init(&sock->lock, NULL);
-    sock->descriptors = g_hash_table_new(g_int64_hash, g_int64_equal);
+    sock->clients = g_hash_table_new(g_int64_hash, g_int64_equal);
     return sock;
 }
 
 void
 Sock_Free(Sock *sock)
 {
-    g_hash_table_unref(sock->descriptors);
+    g_hash_table_unref(sock->clients);
     pthread_mutex_destroy(&sock->lock);
     g_free(sock);
 }
@@ -38,34 +49,40 @@
             void **socket_context, enum MHD_ConnectionNotificationCode code)
 {
     Sock *sock = context;
-    gint64 *key = *socket_context;
+    SockClient *found = *socket_context;
 
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
         add_connection(sock, connection, socket_context);
         return;
     }
-    if (key != NULL) {
+    if (found != NULL) {
         pthread_mutex_lock(&sock->lock);
-        g_hash_table_remove(sock->descriptors, key);
+        g_hash_table_remove(sock->clients, &found->key);
         pthread_mutex_unlock(&sock->lock);
-        g_free(key);
+        g_free(found);
     }
 }
 
 int
 Sock_Find(Sock *sock, const struct sockaddr *client)
 {
-    gint64 key;
-    int fd;
+    const SockClient *found = find_client(sock, client);
 
-    if (client == NULL) {
-        return -1;
+    return found != NULL ? found->fd : -1;
+}
+
+bool
+Sock_HasValidFields(Sock *sock, const struct sockaddr *client)
+{
+    const SockClient *found = find_client(sock, client);
+    bool is_valid = true;
+
+    if (found != NULL) {
+        MHD_get_connection_values_n(found->connection,
+                                    MHD_HEADER_KIND | MHD_FOOTER_KIND,
+                                    check_field, &is_valid);
     }
-    key = get_key(client);
-    pthread_mutex_lock(&sock->lock);
-    fd = GPOINTER_TO_INT(g_hash_table_lookup(sock->descriptors, &key)) - 1;
-    pthread_mutex_unlock(&sock->lock);
-    return fd;
+    return is_valid;
 }
 
 bool
@@ -88,6 +105,37 @@
            ntohs(address->sin_port);
 }
 
+/* Returns the client of an address, or NULL. It stays valid within the thread
+   of its connection. */
+static SockClient *
+find_client(Sock *sock, const struct sockaddr *client)
+{
+    SockClient *found;
+    gint64 key;
+
+    if (client == NULL) {
+        return NULL;
+    }
+    key = get_key(client);
+    pthread_mutex_lock(&sock->lock);
+    found = g_hash_table_lookup(sock->clients, &key);
+    pthread_mutex_unlock(&sock->lock);
+    return found;
+}
+
+/* libmicrohttpd callback, called with each field. */
+static enum MHD_Result
+check_field(void *context, enum MHD_ValueKind kind, const char *name,
+            size_t name_size, const char *value, size_t value_size)
+{
+    bool *is_valid = context;
+
+    (void)kind;
+    *is_valid =
+        *is_valid && HeadCheck_IsField(name, name_size, value, value_size);
+    return MHD_YES;
+}
+
 static void
 add_connection(Sock *sock, struct MHD_Connection *connection,
                void **socket_context)
@@ -96,16 +144,17 @@
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     const union MHD_ConnectionInfo *client_info = MHD_get_connection_info(
         connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-    gint64 *key;
+    SockClient *added;
 
     if (socket_info == NULL || client_info == NULL) {
         return;
     }
-    key = g_new(gint64, 1);
-    *key = get_key(client_info->client_addr);
+    added = g_new(SockClient, 1);
+    added->key = get_key(client_info->client_addr);
+    added->connection = connection;
+    added->fd = socket_info->connect_fd;
     pthread_mutex_lock(&sock->lock);
-    g_hash_table_insert(sock->descriptors, key,
-                        GINT_TO_POINTER(socket_info->connect_fd + 1));
+    g_hash_table_replace(sock->clients, &added->key, added);
     pthread_mutex_unlock(&sock->lock);
-    *socket_context = key;
+    *socket_context = added;
 }
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -1,4 +1,5 @@
 #include "upstream.h"
+#include "curl_check.h"
 
 #include <poll.h>
 #include <string.h>
@@ -16,8 +17,10 @@
     uint64_t id;
     bool stream;
     CURL *easy;
+    CurlCheck check;
     struct curl_slist *headers;
     char *body;
+    size_t body_size;
     GString *answer; /* Body, or data of a stream not yet delivered. */
     int status;
     bool has_new_lines; /* The call is in up->calls_with_lines. */
@@ -105,6 +108,7 @@
         return;
     }
     call->body = g_memdup2(request->body, request->body_size);
+    call->body_size = request->body_size;
     curl_easy_setopt(easy, CURLOPT_POST, 1L);
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                      (curl_off_t)request->body_size);
@@ -145,6 +149,7 @@
         curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
     }
+    CurlCheck_Begin(&call->check, call->easy);
     set_body(call, request);
     g_free(url);
     g_hash_table_insert(up->calls, &call->id, call);
@@ -357,7 +362,7 @@
     deliver_lines(up);
     while ((message = curl_multi_info_read(up->multi, &remaining)) != NULL) {
         UpCall *call = NULL;
-        CURLcode result = message->data.result;
+        bool is_complete = message->data.result == CURLE_OK;
         long request_bytes = 0;
         long status = 0;
         if (message->msg != CURLMSG_DONE) {
@@ -367,9 +372,10 @@
         curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
         curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
         call->status = (int)status;
+        is_complete =
+            is_complete && CurlCheck_IsComplete(&call->check, call->body_size);
         g_hash_table_steal(up->calls, &call->id);
-        post_event(call,
-                   result == CURLE_OK ? BOARD_CALL_END : BOARD_CALL_FAILED,
+        post_event(call, is_complete ? BOARD_CALL_END : BOARD_CALL_FAILED,
                    call->answer->str, call->answer->len, request_bytes > 0);
         free_call(call);
     }
--- a/src/web.c
+++ b/src/web.c
@@ -175,12 +175,16 @@
                    (err->retry_after_ms + 999) / 1000);
         u_map_put(response->map_header, "Retry-After", seconds);
     }
+    if (err->code == LS_ERR_BAD_FIELD) {
+        /* What follows may be framed by a field that was not understood. */
+        u_map_put(response->map_header, "Connection", "close");
+    }
     set_json(response, (unsigned int)Err_GetHttpStatus(err->code),
              Api_FormatError(err, request));
     return U_CALLBACK_COMPLETE;
 }
 
-/* Checks the body's size and reads the API key. */
+/* Checks the head's fields and the body's size, and reads the API key. */
 static LsResult
 check_request(const Web *web, const struct _u_request *request,
               WebIntent *intent, LsError *err)
@@ -189,6 +193,10 @@
     const char *length =
         u_map_get_case(request->map_header, WEB_CONTENT_LENGTH);
 
+    if (!Sock_HasValidFields(web->sockets, request->client_address)) {
+        return Err_Set(err, LS_ERR_BAD_FIELD, LS_RUN_NOT_RUN,
+                       "a field of the request's head is malformed");
+    }
     if (request->binary_body_length > web->options.body_max ||
         (length != NULL &&
          g_ascii_strtoull(length, NULL, 10) > web->options.body_max)) {
@@ -581,6 +589,7 @@
          NULL},
         {MHD_OPTION_THREAD_STACK_SIZE, WEB_THREAD_STACK_BYTES, NULL},
         {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)Sock_Notify, web->sockets},
+        {MHD_OPTION_STRICT_FOR_CLIENT, 1, NULL},
         {MHD_OPTION_END, 0, NULL},
     };
 
