--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -6,6 +6,7 @@
 #include "../metrics.h"
 #include "relay.h"
 #include "shutdown.h"
+#include "slow_reader.h"
 
 #include <string.h>
 
@@ -22,6 +23,7 @@
 
 struct Edge {
     EdgeOptions options;
+    UnreadSum unread; /* Of all responses. */
     Client *client;
     Fleet *fleet;
     Gate *gate;
@@ -115,6 +117,7 @@
 
     edge->options = *options;
     edge->began_us = Clk_Now(options->clk);
+    edge->unread = Unread_NewSum(options->memory_mb);
     edge->client = Client_New(options->base, options->clk);
     edge->fleet = Fleet_New(&options->fleet);
     gate.base = options->base;
@@ -159,6 +162,8 @@
     callers.context = edge;
     callers.on_request = on_caller_request;
     callers.on_disconnect = on_caller_disconnect;
+    callers.on_unread = SlowReader_OnUnread;
+    callers.unread = &edge->unread;
     edge->callers = Server_New(&callers, err);
 
     health.base = options->base;
@@ -326,6 +331,7 @@
     relay.client = edge->client;
     relay.feed = edge->feed;
     relay.gate = edge->gate;
+    relay.unread = &edge->unread;
     relay.ip = edge->options.peers.ip;
     relay.port = edge->options.peers.port;
     edge->relay = edge->gossip != NULL ? Relay_New(&relay, err) : NULL;
--- a/src/gate/edge.h
+++ b/src/gate/edge.h
@@ -23,6 +23,7 @@
     const char *zone;
     GHashTable *regions;  /* Zone to region; owned by the caller. */
     uint32_t capacity;    /* Processor share of the VM, permille. */
+    uint32_t memory_mb;   /* Memory limit of the VM; 0: unknown. */
     EdgeEndpoint callers; /* Listens for callers' requests. */
     EdgeEndpoint health;  /* Answers `ready_path` with 200 or 503. */
     const char *ready_path;
--- a/src/gate/relay.c
+++ b/src/gate/relay.c
@@ -1,5 +1,6 @@
 #include "relay.h"
 #include "detour.h"
+#include "slow_reader.h"
 
 #include "../log.h"
 
@@ -56,6 +57,8 @@
     server.context = relay;
     server.on_request = on_request;
     server.on_disconnect = on_disconnect;
+    server.on_unread = SlowReader_OnUnread;
+    server.unread = options->unread;
     relay->server = Server_New(&server, err);
     if (relay->server == NULL) {
         Relay_Free(relay);
--- a/src/gate/relay.h
+++ b/src/gate/relay.h
@@ -15,9 +15,10 @@
     const Clk *clk;
     Client *client;
     Feed *feed;
-    Gate *gate;     /* Gets the requests that other VMs pass on (detour.h). */
-    const char *ip; /* Address to listen at for other VMs. */
-    uint16_t port;  /* TCP. */
+    Gate *gate; /* Gets the requests that other VMs pass on (detour.h). */
+    UnreadSum *unread; /* Of all responses; NULL: no bound. */
+    const char *ip;    /* Address to listen at for other VMs. */
+    uint16_t port;     /* TCP. */
 } RelayOptions;
 
 typedef struct Relay Relay;
--- /dev/null
+++ b/src/gate/slow_reader.c
@@ -0,0 +1,30 @@
+/* Slow readers: see slow_reader.h. */
+#include "slow_reader.h"
+#include "stream.h"
+#include "task.h"
+
+#include "../log.h"
+
+void
+SlowReader_OnUnread(ServerExchange *exchange, bool is_paused)
+{
+    GateTask *task = exchange->owner;
+
+    if (task == NULL) {
+        return;
+    }
+    task->is_read_paused = is_paused;
+    for (guint i = 0; i < G_N_ELEMENTS(task->calls); i++) {
+        if (task->calls[i].call != NULL) {
+            Client_SetReading(task->calls[i].call, !is_paused);
+        }
+    }
+    Log_WriteJson(LOG_LEVEL_INFO, "response_held_up",
+                  json_pack("{s:s,s:b,s:s}", "request", task->request.id,
+                            "paused", (int)is_paused, "worker", task->worker));
+    if (!is_paused && task->step_deadline_us != 0) {
+        /* The worker was not silent. */
+        Stream_ExpectProgress(task);
+    }
+    Task_SetTimer(task);
+}
--- /dev/null
+++ b/src/gate/slow_reader.h
@@ -0,0 +1,12 @@
+/* Slow readers (SlowReader_): stops to read a stream from its worker while its
+   caller leaves too much of it unread. */
+#ifndef LS_SLOW_READER_H
+#define LS_SLOW_READER_H
+
+#include "../io/server.h"
+
+/* Callback for ServerOptions.on_unread: stops or begins to read the response
+   of the exchange from its workers. */
+void SlowReader_OnUnread(ServerExchange *exchange, bool is_paused);
+
+#endif
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -96,7 +96,8 @@
 {
     int64_t deadline_us = task->deadline_us;
 
-    if (task->step_deadline_us != 0 && task->step_deadline_us < deadline_us) {
+    if (task->step_deadline_us != 0 && !task->is_read_paused &&
+        task->step_deadline_us < deadline_us) {
         deadline_us = task->step_deadline_us;
     }
     task->timer_us = MAX(deadline_us, Task_Now(task));
@@ -482,7 +483,7 @@
         Task_Abort(task, ADMISSION_FULL, LS_ERR_DEADLINE);
         return;
     }
-    if (task->step_deadline_us != 0 &&
+    if (task->step_deadline_us != 0 && !task->is_read_paused &&
         Task_Now(task) >= task->step_deadline_us) {
         if (task->route->kind == RTE_STREAM) {
             Stream_OnStepTimeout(task);
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -106,6 +106,7 @@
     TaskBudget_CountCall(task);
     task->sends++;
     current->call = Client_BeginCall(task->gate->options.client, &call);
+    Client_SetReading(current->call, !task->is_read_paused);
     Header_Free(headers);
     log_call(task);
 }
--- a/src/io/client.c
+++ b/src/io/client.c
@@ -188,6 +188,17 @@
            unacked == 0;
 }
 
+void
+Client_SetReading(ClientCall *call, bool is_reading)
+{
+    if (is_reading) {
+        bufferevent_enable(call->conn->bev, EV_READ);
+    }
+    else {
+        bufferevent_disable(call->conn->bev, EV_READ);
+    }
+}
+
 void
 Client_RejectBody(ClientCall *call)
 {
@@ -506,6 +517,7 @@
         return;
     }
     conn->idle_since_us = Clk_Now(conn->client->clk);
+    bufferevent_enable(conn->bev, EV_READ);
     ClientConn_InitParser(conn);
     Loop_ArmTimer(conn->timer, conn->idle_ms);
 }
--- a/src/io/client.h
+++ b/src/io/client.h
@@ -137,6 +137,8 @@
 uint32_t Client_CountRefusals(const ClientCall *call);
 /* Whether the server's host has received all of the call. */
 bool Client_IsDelivered(const ClientCall *call);
+/* Stops or begins to read its response. */
+void Client_SetReading(ClientCall *call, bool is_reading);
 /* Ends the call as malformed once the current callback returns: its body is
    not acceptable. To be called from on_data() only. */
 void Client_RejectBody(ClientCall *call);
--- a/src/io/server.c
+++ b/src/io/server.c
@@ -15,6 +15,10 @@
 #define SERVER_BACKLOG 1024
 /* Reading from a connection pauses while this many bytes are unparsed. */
 #define SERVER_READ_MAX_BYTES (256 * 1024)
+/* Bytes in a socket that are not on their way yet. Without this bound the
+   system's buffer takes megabytes for a caller that reads nothing, which count
+   toward the VM's memory, too. */
+#define SERVER_NOT_SENT_MAX_BYTES (32 * 1024)
 /* Idle time before the first TCP keep-alive probe. */
 #define SERVER_KEEPALIVE_IDLE_S 5
 
@@ -217,6 +221,7 @@
 ServerConn_FinishExchange(ServerConn *conn)
 {
     drop_body(conn);
+    ServerConn_EndUnread(conn);
     conn->is_used = true;
     conn->in_exchange = false;
     conn->server->exchanges--;
@@ -244,6 +249,7 @@
 {
     LIST_REMOVE(conn, links);
     conn->server->body_bytes -= conn->exchange.body->len;
+    ServerConn_ForgetUnread(conn);
     bufferevent_free(conn->bev);
     event_free(conn->timer);
     Header_Free(conn->exchange.headers);
@@ -327,8 +333,11 @@
     ServerConn *conn = g_new0(ServerConn, 1);
     int on = 1;
     int idle_s = SERVER_KEEPALIVE_IDLE_S;
+    int not_sent = SERVER_NOT_SENT_MAX_BYTES;
 
     (void)listener;
+    setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &not_sent,
+               sizeof(not_sent));
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
@@ -350,6 +359,7 @@
     bufferevent_setcb(conn->bev, on_read, on_write, on_event, conn);
     bufferevent_setwatermark(conn->bev, EV_READ, 0, SERVER_READ_MAX_BYTES);
     bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
+    ServerConn_WatchUnread(conn);
     LIST_INSERT_HEAD(&server->conns, conn, links);
     begin_request(conn);
 }
@@ -373,6 +383,7 @@
     ServerConn *conn = context;
 
     (void)bev;
+    ServerConn_ContinueUnread(conn);
     /* libevent calls this also once when the connection is accepted, before
        any response. */
     if (conn->lingering || (conn->server->closes_idle && is_idle(conn) &&
@@ -415,6 +426,10 @@
         reject(conn, 408);
         return;
     }
+    if (conn->in_exchange) {
+        ServerConn_ContinueUnread(conn);
+        return;
+    }
     unsent = count_unsent(conn);
     if (unsent > 0 && unsent < conn->unsent) {
         /* A caller that reads slowly is not idle. */
--- a/src/io/server.h
+++ b/src/io/server.h
@@ -7,6 +7,7 @@
 #define LS_SERVER_H
 
 #include "../clock.h"
+#include "../decide/unread.h"
 #include "../errors.h"
 #include "headers.h"
 
@@ -19,8 +20,6 @@
 /* The first request of a connection may be on its way for this long: it comes
    a round trip after the connection, or later if a packet is lost. */
 #define SERVER_FIRST_REQUEST_MS 1000
-/* A connection is closed when more bytes than this wait for a slow reader. */
-#define SERVER_OUT_MAX_BYTES (1024 * 1024)
 /* An idle connection is closed this long after its time-out, so that a request
    which a caller sends in time is still read. */
 #define SERVER_IDLE_SLACK_MS 1000
@@ -66,6 +65,12 @@
     void (*on_request)(void *context, ServerExchange *exchange);
     /* Called when the caller's connection ends before the response does. */
     void (*on_disconnect)(void *context, ServerExchange *exchange);
+    /* Called when the caller of a streamed response leaves too much of it
+       unread, so that the owner is to add nothing for a while, and when it may
+       go on. May be NULL. */
+    void (*on_unread)(ServerExchange *exchange, bool is_paused);
+    /* Unread bytes of the responses of several servers; NULL: no bound. */
+    UnreadSum *unread;
 } ServerOptions;
 
 typedef struct Server Server;
@@ -115,7 +120,7 @@
 void Server_BeginStream(ServerExchange *exchange, int status,
                         const HeaderList *headers);
 /* Sends a part of the body of a streamed response. If the caller reads so
-   slowly that over SERVER_OUT_MAX_BYTES are unsent, its connection is closed
+   slowly that decide/unread gives the response up, its connection is closed
    from the event loop, with on_disconnect() if the exchange has not ended. */
 void Server_SendData(ServerExchange *exchange, const void *data, size_t size);
 /* Completes a streamed response and ends the exchange. */
--- a/src/io/server_conn.h
+++ b/src/io/server_conn.h
@@ -22,18 +22,21 @@
     GString *target;
     HeaderReader reader;
     char method[32];
-    bool reading;       /* A request was read in part. */
-    bool has_header;    /* The header of the request is complete. */
-    bool head_ended;    /* The parser has reached the end of a head. */
-    bool complete;      /* The request was read to its end. */
-    bool in_exchange;   /* A request waits for the end of its response. */
-    bool streaming;     /* The header of a streamed response was written. */
-    bool chunked;       /* The streamed response is chunked. */
-    bool keep_alive;    /* The caller may send another request. */
-    bool lingering;     /* The connection only waits for the caller's close. */
-    bool is_used;       /* A request on it was answered. */
-    uint32_t wait_ms;   /* Time-out of the last arm_wait_timer(). */
-    size_t unsent;      /* Result of count_unsent() at that time. */
+    bool reading;     /* A request was read in part. */
+    bool has_header;  /* The header of the request is complete. */
+    bool head_ended;  /* The parser has reached the end of a head. */
+    bool complete;    /* The request was read to its end. */
+    bool in_exchange; /* A request waits for the end of its response. */
+    bool streaming;   /* The header of a streamed response was written. */
+    bool chunked;     /* The streamed response is chunked. */
+    bool keep_alive;  /* The caller may send another request. */
+    bool lingering;   /* The connection only waits for the caller's close. */
+    bool is_used;     /* A request on it was answered. */
+    uint32_t wait_ms; /* Time-out of the last arm_wait_timer(). */
+    size_t unsent;    /* Result of count_unsent() at that time. */
+    bool is_paused;   /* The caller leaves much of the stream unread. */
+    bool is_given_up; /* The connection is about to be closed for that. */
+    int64_t paused_since_us;
     int error_status;   /* Status for a request that breaks a limit, or 0. */
     size_t header_size; /* Bytes of the request's header so far. */
     int64_t header_us;  /* When the header was complete. */
@@ -66,6 +69,17 @@
    at the end of a request, and `error_status` if it is malformed or breaks a
    limit. */
 size_t ServerConn_Parse(ServerConn *conn, const char *data, size_t size);
+/* Counts the unread bytes of responses, until ServerConn_ForgetUnread(). */
+void ServerConn_WatchUnread(ServerConn *conn);
+void ServerConn_ForgetUnread(ServerConn *conn);
+/* Holds the owner of a stream up, or gives the stream up, if its caller reads
+   too slowly. To be called once something was added to it. */
+void ServerConn_CheckUnread(ServerConn *conn);
+/* The same for a stream that is held up, once the caller has read some of it,
+   or the time is over. */
+void ServerConn_ContinueUnread(ServerConn *conn);
+/* The stream has ended: what is unread is no longer the owner's matter. */
+void ServerConn_EndUnread(ServerConn *conn);
 /* Closes the connection and frees it. */
 void ServerConn_Close(ServerConn *conn);
 
--- a/src/io/server_response.c
+++ b/src/io/server_response.c
@@ -65,7 +65,7 @@
     ServerConn *conn = exchange->conn;
     struct evbuffer *out = bufferevent_get_output(conn->bev);
 
-    if (size == 0) {
+    if (size == 0 || conn->is_given_up) {
         return;
     }
     if (conn->chunked) {
@@ -75,10 +75,7 @@
     if (conn->chunked) {
         evbuffer_add(out, "\r\n", 2);
     }
-    if (evbuffer_get_length(out) > SERVER_OUT_MAX_BYTES) {
-        bufferevent_trigger_event(conn->bev, BEV_EVENT_ERROR,
-                                  BEV_OPT_DEFER_CALLBACKS);
-    }
+    ServerConn_CheckUnread(conn);
 }
 
 void
@@ -86,6 +83,10 @@
 {
     ServerConn *conn = exchange->conn;
 
+    if (conn->is_given_up) {
+        Server_AbortResponse(exchange);
+        return;
+    }
     if (conn->chunked) {
         evbuffer_add(bufferevent_get_output(conn->bev), "0\r\n\r\n", 5);
     }
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -125,6 +125,10 @@
                                "be read."},
     [MET_ANSWERS_UNTIL_CLOSE] = {"answers_until_close",
                                  "Answers that end with their connection."},
+    [MET_RESPONSES_HELD_UP] = {"responses_held_up",
+                               "Streams whose workers wait for slow readers."},
+    [MET_RESPONSES_GIVEN_UP] = {"responses_given_up",
+                                "Responses that were left unread."},
     [MET_ANSWERS_UNPROVEN] = {"answers_unproven",
                               "Answers that ended with their connection, "
                               "and maybe with the worker's process."},
--- a/tests/gate_rig.h
+++ b/tests/gate_rig.h
@@ -1005,7 +1005,8 @@
 
 class GateRig {
   public:
-    GateRig()
+    /* `memory_mb`: the VM's memory limit; 0: unknown. */
+    explicit GateRig(uint32_t memory_mb = 0)
     {
         LsError err = {};
         EdgeOptions options = Edge_DefaultOptions();
@@ -1020,6 +1021,7 @@
         options.vm = "vm-1";
         options.zone = "zone-a";
         options.regions = regions;
+        options.memory_mb = memory_mb;
         options.seed = 7;
         options.budget.ratio = 50; /* The slack is 0 at the start. */
         edge = Edge_New(&options, &err);
