--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -106,6 +106,7 @@
     TaskBudget_CountCall(task);
     task->sends++;
     current->call = Client_BeginCall(task->gate->options.client, &call);
+    Client_SetReading(current->call, !task->is_read_paused);
     Header_Free(headers);
     log_call(task);
 }
@@ -288,6 +289,10 @@
     if (outcome == CLIENT_NOT_SENT) {
         return LS_RUN_NOT_RUN;
     }
+    if (outcome == CLIENT_MALFORMED && !call->truncated) {
+        /* Its trailers are malformed, so that its head promises nothing. */
+        return LS_RUN_UNKNOWN;
+    }
     if (call->has_reply && (call->reply.not_run || call->reply.misdirected)) {
         return LS_RUN_NOT_RUN;
     }
@@ -391,7 +396,7 @@
         TaskBudget_CorrectCount(task, outcome == CLIENT_NOT_SENT || is_unsent);
     }
     if (current->has_reply && current->reply.misdirected &&
-        !task->request.is_conditional) {
+        run == LS_RUN_NOT_RUN && !task->request.is_conditional) {
         Fleet_NoteMisdirected(worker, now_us);
         Client_CloseIdle(task->gate->options.client, worker->entry.address);
     }
--- a/src/io/server.c
+++ b/src/io/server.c
@@ -15,6 +15,10 @@
 #define SERVER_BACKLOG 1024
 /* Reading from a connection pauses while this many bytes are unparsed. */
 #define SERVER_READ_MAX_BYTES (256 * 1024)
+/* Bytes in a socket that are not on their way yet. Without this bound the
+   system's buffer takes megabytes for a caller that reads nothing, which count
+   toward the VM's memory, too. */
+#define SERVER_NOT_SENT_MAX_BYTES (32 * 1024)
 /* Idle time before the first TCP keep-alive probe. */
 #define SERVER_KEEPALIVE_IDLE_S 5
 
@@ -29,13 +33,6 @@
 static void on_write(struct bufferevent *bev, void *context);
 static void on_event(struct bufferevent *bev, short what, void *context);
 static void on_timer(evutil_socket_t fd, short what, void *context);
-static int parse_begin(http_parser *parser);
-static int parse_target(http_parser *parser, const char *at, size_t size);
-static int parse_name(http_parser *parser, const char *at, size_t size);
-static int parse_value(http_parser *parser, const char *at, size_t size);
-static int parse_header_end(http_parser *parser);
-static int parse_body(http_parser *parser, const char *at, size_t size);
-static int parse_end(http_parser *parser);
 static void begin_request(ServerConn *conn);
 static void note_arrival(ServerConn *conn);
 static void parse_input(ServerConn *conn);
@@ -46,16 +43,6 @@
 static void begin_refusal(ServerConn *conn, int status);
 static void begin_linger(ServerConn *conn);
 
-static const http_parser_settings parser_settings = {
-    .on_message_begin = parse_begin,
-    .on_url = parse_target,
-    .on_header_field = parse_name,
-    .on_header_value = parse_value,
-    .on_headers_complete = parse_header_end,
-    .on_body = parse_body,
-    .on_message_complete = parse_end,
-};
-
 ServerOptions
 Server_DefaultOptions(void)
 {
@@ -234,6 +221,7 @@
 ServerConn_FinishExchange(ServerConn *conn)
 {
     drop_body(conn);
+    ServerConn_EndUnread(conn);
     conn->is_used = true;
     conn->in_exchange = false;
     conn->server->exchanges--;
@@ -247,7 +235,7 @@
         }
         return;
     }
-    http_parser_pause(&conn->parser, 0);
+    ServerConn_ResumeParser(conn);
     begin_request(conn);
     if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0) {
         /* The next request is parsed from the event loop, since the handler
@@ -261,6 +249,7 @@
 {
     LIST_REMOVE(conn, links);
     conn->server->body_bytes -= conn->exchange.body->len;
+    ServerConn_ForgetUnread(conn);
     bufferevent_free(conn->bev);
     event_free(conn->timer);
     Header_Free(conn->exchange.headers);
@@ -344,8 +333,11 @@
     ServerConn *conn = g_new0(ServerConn, 1);
     int on = 1;
     int idle_s = SERVER_KEEPALIVE_IDLE_S;
+    int not_sent = SERVER_NOT_SENT_MAX_BYTES;
 
     (void)listener;
+    setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &not_sent,
+               sizeof(not_sent));
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
@@ -360,14 +352,14 @@
             ntohl(((struct sockaddr_in *)address)->sin_addr.s_addr);
     }
     conn->exchange.body = g_byte_array_new();
-    http_parser_init(&conn->parser, HTTP_REQUEST);
-    conn->parser.data = conn;
+    ServerConn_InitParser(conn);
     conn->timer = evtimer_new(server->options.base, on_timer, conn);
     conn->bev = bufferevent_socket_new(server->options.base, fd,
                                        BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(conn->bev, on_read, on_write, on_event, conn);
     bufferevent_setwatermark(conn->bev, EV_READ, 0, SERVER_READ_MAX_BYTES);
     bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
+    ServerConn_WatchUnread(conn);
     LIST_INSERT_HEAD(&server->conns, conn, links);
     begin_request(conn);
 }
@@ -391,6 +383,7 @@
     ServerConn *conn = context;
 
     (void)bev;
+    ServerConn_ContinueUnread(conn);
     /* libevent calls this also once when the connection is accepted, before
        any response. */
     if (conn->lingering || (conn->server->closes_idle && is_idle(conn) &&
@@ -433,6 +426,10 @@
         reject(conn, 408);
         return;
     }
+    if (conn->in_exchange) {
+        ServerConn_ContinueUnread(conn);
+        return;
+    }
     unsent = count_unsent(conn);
     if (unsent > 0 && unsent < conn->unsent) {
         /* A caller that reads slowly is not idle. */
@@ -453,6 +450,7 @@
     g_string_truncate(conn->target, 0);
     conn->reading = false;
     conn->has_header = false;
+    conn->complete = false;
     conn->streaming = false;
     conn->header_size = 0;
     conn->error_status = 0;
@@ -493,8 +491,7 @@
             note_arrival(conn);
             Loop_ArmTimer(conn->timer, limits->header_ms);
         }
-        parsed = http_parser_execute(&conn->parser, &parser_settings,
-                                     piece.iov_base, piece.iov_len);
+        parsed = ServerConn_Parse(conn, piece.iov_base, piece.iov_len);
         if (!conn->has_header) {
             conn->header_size += parsed;
         }
@@ -506,7 +503,7 @@
             reject(conn, conn->error_status);
             return;
         }
-        if (HTTP_PARSER_ERRNO(&conn->parser) == HPE_PAUSED) {
+        if (conn->complete) {
             evbuffer_drain(in, parsed);
             conn->reading = false;
             conn->in_exchange = true;
@@ -516,10 +513,6 @@
                                              &conn->exchange);
             return;
         }
-        if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
-            reject(conn, 400);
-            return;
-        }
         evbuffer_drain(in, parsed);
         if (conn->has_header) {
             arm_body_timer(conn);
@@ -560,101 +553,6 @@
     conn->exchange.body = g_byte_array_new();
 }
 
-static int
-parse_begin(http_parser *parser)
-{
-    ServerConn *conn = parser->data;
-
-    Header_ResetReader(&conn->reader);
-    return 0;
-}
-
-static int
-parse_target(http_parser *parser, const char *at, size_t size)
-{
-    ServerConn *conn = parser->data;
-
-    g_string_append_len(conn->target, at, (gssize)size);
-    return 0;
-}
-
-static int
-parse_name(http_parser *parser, const char *at, size_t size)
-{
-    ServerConn *conn = parser->data;
-
-    if (conn->has_header) {
-        return 0; /* Trailers are ignored. */
-    }
-    Header_ReadName(&conn->reader, conn->exchange.headers, at, size);
-    return 0;
-}
-
-static int
-parse_value(http_parser *parser, const char *at, size_t size)
-{
-    ServerConn *conn = parser->data;
-
-    if (conn->has_header) {
-        return 0;
-    }
-    Header_ReadValue(&conn->reader, at, size);
-    return 0;
-}
-
-static int
-parse_header_end(http_parser *parser)
-{
-    ServerConn *conn = parser->data;
-    HeaderList *headers = conn->exchange.headers;
-
-    Header_EndField(&conn->reader, conn->exchange.headers);
-    conn->has_header = true;
-    conn->header_us = Clk_Now(conn->server->options.clk);
-    conn->keep_alive = http_should_keep_alive(parser) != 0;
-    g_strlcpy(conn->method, http_method_str(parser->method),
-              sizeof(conn->method));
-    conn->exchange.method = conn->method;
-    conn->exchange.target = conn->target->str;
-    parser->upgrade = 0; /* The server supports no other protocol. */
-    if (parser->content_length != UINT64_MAX &&
-        parser->content_length > conn->server->options.limits.body_bytes) {
-        conn->error_status = 413;
-        return -1;
-    }
-    if (Header_HasToken(headers, "Expect", "100-continue")) {
-        evbuffer_add_printf(bufferevent_get_output(conn->bev),
-                            "HTTP/1.1 100 Continue\r\n\r\n");
-    }
-    return 0;
-}
-
-static int
-parse_body(http_parser *parser, const char *at, size_t size)
-{
-    ServerConn *conn = parser->data;
-
-    if (conn->exchange.body->len + size >
-        conn->server->options.limits.body_bytes) {
-        conn->error_status = 413;
-        return -1;
-    }
-    if (conn->server->body_bytes + size > SERVER_BODIES_MAX_BYTES) {
-        conn->error_status = 503;
-        return -1;
-    }
-    g_byte_array_append(conn->exchange.body, (const guint8 *)at, (guint)size);
-    conn->server->body_bytes += size;
-    return 0;
-}
-
-static int
-parse_end(http_parser *parser)
-{
-    http_parser_pause(parser, 1);
-    return 0;
-}
-
 /* Responds with an error to a request that is malformed, too large or too
    slow, and closes the connection. */
 static void
