--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -49,8 +49,9 @@
        read. Never logged or sent. */
     char *key;
     bool is_key_bad; /* There is a key that can't be read, or several. */
-    /* Name of the account that another VM has checked, in a request that it
-       passes on, or NULL. */
+    /* Name of the account, by the check of this VM, or of another VM that
+       passes the request on, or NULL. As decoded it is what the sender put
+       there. */
     char *account;
 } GateRequest;
 
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -1,5 +1,6 @@
 /* Task: begin and end of a request, and its answers. See task.h. */
 #include "task.h"
+#include "access.h"
 #include "blame.h"
 #include "detour.h"
 #include "grace.h"
@@ -239,10 +240,12 @@
     Log_WriteJson(
         LOG_LEVEL_INFO, "request_end",
         json_pack(
-            "{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:I,s:I,"
-            "s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:s,s:b,s:I,s:b,s:s,s:s,s:i,s:I,s:i}",
-            "request", task->request.id, "route", task->route->name, "worker",
-            task->worker, "outcome", outcome, "status", status,
+            "{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,"
+            "s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:s,s:b,s:I,s:b,s:s,s:s,s:i,"
+            "s:I,s:i}",
+            "request", task->request.id, "route", task->route->name, "account",
+            task->request.account != NULL ? task->request.account : "",
+            "worker", task->worker, "outcome", outcome, "status", status,
             "retry_after_ms", (int)task->retry_after_ms, "took_us",
             (json_int_t)took_us, "sends", (int)task->sends, "runs",
             (int)task->runs, "cause", task->cause, "last_event",
@@ -275,14 +278,16 @@
     free_task(task);
 }
 
-/* Creates the task of a request, or answers with an error and returns NULL. */
+/* Creates the task of a request, or answers with an error and returns NULL.
+   `is_relayed`: another VM passes the request on. */
 static GateTask *
-begin_task(Gate *gate, ServerExchange *exchange)
+begin_task(Gate *gate, ServerExchange *exchange, bool is_relayed)
 {
     const GateCodec *codec = gate->options.codec;
     GateRequest request = {.last_event = GATE_NO_EVENT};
     LsError err = {0};
     const RteRoute *route = NULL;
+    const Account *account = NULL;
     const char *service;
     GateTask *task;
 
@@ -301,14 +306,18 @@
                 Err_Set(&err, LS_ERR_UNKNOWN_ROUTE, LS_RUN_NOT_RUN,
                         "no route for this host and path");
             }
+            else if (Access_Check(gate, route, is_relayed, exchange, &request,
+                                  &account, &err) != LS_OK) {
+                route = NULL;
+            }
         }
     }
     if (route == NULL) {
         Log_WriteJson(
             LOG_LEVEL_INFO, "request_refused",
-            json_pack("{s:s,s:s,s:I}", "request",
+            json_pack("{s:s,s:s,s:i,s:I}", "request",
                       request.id != NULL ? request.id : "", "cause",
-                      err.message, "config",
+                      err.message, "error", (int)err.code, "config",
                       (json_int_t)(gate->table ? gate->table->version : 0)));
         answer_error(gate, exchange, request.id, Header_New(), &err);
         g_free(request.id);
@@ -328,7 +337,8 @@
     task->table = Rte_Ref(gate->table);
     task->route = route;
     task->attempts = route->attempts;
-    task->priority = route->priority;
+    task->account = account;
+    task->priority = Access_GetPriority(route, account);
     service = Rte_ChooseService(route, g_rand_int(gate->rand));
     task->service = Rte_FindService(gate->table, service);
     task->timer = evtimer_new(gate->options.base, on_timer, task);
@@ -394,7 +404,7 @@
     GateTask *task;
 
     Header_Remove(exchange->headers, DETOUR_HEADER);
-    task = begin_task(context, exchange);
+    task = begin_task(context, exchange, false);
     if (task == NULL) {
         return;
     }
@@ -408,7 +418,7 @@
 Gate_OnRelayedRequest(void *context, ServerExchange *exchange,
                       const char *mark)
 {
-    GateTask *task = begin_task(context, exchange);
+    GateTask *task = begin_task(context, exchange, false);
 
     if (task == NULL) {
         return;
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -72,6 +72,7 @@
         .on_end = on_end,
     };
 
+    sent.account = task->request.account;
     if (worker->is_vm) {
         sent.worker = NULL; /* That VM chooses the worker. */
     }
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -166,6 +166,13 @@
     [MET_ENTRIES_UNREADABLE] = {"entries_unreadable",
                                 "Entries that name no worker to use."},
     [MET_STORE_LOST] = {"store_lost", "Times the store was lost."},
+    [MET_KEYS_MISSING] = {"keys_missing",
+                          "Requests rejected as they had no key."},
+    [MET_KEYS_UNREADABLE] = {"keys_unreadable",
+                             "Requests rejected as their key could not be "
+                             "read."},
+    [MET_KEYS_UNKNOWN] = {"keys_unknown",
+                          "Requests rejected as no account holds their key."},
 };
 
 /* Upper bounds of the histograms' buckets in microseconds, three or four per
