--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -592,6 +592,51 @@
   assert(message->base.descriptor == &gossip__loan__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gossip__vouch__init
+                     (Gossip__Vouch         *message)
+{
+  static const Gossip__Vouch init_value = GOSSIP__VOUCH__INIT;
+  *message = init_value;
+}
+size_t gossip__vouch__get_packed_size
+                     (const Gossip__Vouch *message)
+{
+  assert(message->base.descriptor == &gossip__vouch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__vouch__pack
+                     (const Gossip__Vouch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__vouch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__vouch__pack_to_buffer
+                     (const Gossip__Vouch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__vouch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Vouch *
+       gossip__vouch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Vouch *)
+     protobuf_c_message_unpack (&gossip__vouch__descriptor,
+                                allocator, len, data);
+}
+void   gossip__vouch__free_unpacked
+                     (Gossip__Vouch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__vouch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gossip__news__init
                      (Gossip__News         *message)
 {
@@ -2066,7 +2111,58 @@
   (ProtobufCMessageInit) gossip__loan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__news__field_descriptors[33] =
+static const ProtobufCFieldDescriptor gossip__vouch__field_descriptors[2] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Vouch, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Vouch, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__vouch__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = number */
+};
+static const ProtobufCIntRange gossip__vouch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gossip__vouch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Vouch",
+  "Vouch",
+  "Gossip__Vouch",
+  "gossip",
+  sizeof(Gossip__Vouch),
+  2,
+  gossip__vouch__field_descriptors,
+  gossip__vouch__field_indices_by_name,
+  1,  gossip__vouch__number_ranges,
+  (ProtobufCMessageInit) gossip__vouch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[35] =
 {
   {
     "vm",
@@ -2464,6 +2560,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vouch_ask",
+    44,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, vouch_ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vouch",
+    45,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, vouch),
+    &gossip__vouch__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__news__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -2498,6 +2618,8 @@
   7,   /* field[7] = uses */
   0,   /* field[0] = vm */
   11,   /* field[11] = vms */
+  34,   /* field[34] = vouch */
+  33,   /* field[33] = vouch_ask */
   16,   /* field[16] = watches */
 };
 static const ProtobufCIntRange gossip__news__number_ranges[3 + 1] =
@@ -2505,7 +2627,7 @@
   { 1, 0 },
   { 35, 26 },
   { 40, 29 },
-  { 0, 33 }
+  { 0, 35 }
 };
 const ProtobufCMessageDescriptor gossip__news__descriptor =
 {
@@ -2515,7 +2637,7 @@
   "Gossip__News",
   "gossip",
   sizeof(Gossip__News),
-  33,
+  35,
   gossip__news__field_descriptors,
   gossip__news__field_indices_by_name,
   3,  gossip__news__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct Gossip__Reach Gossip__Reach;
 typedef struct Gossip__Proxy Gossip__Proxy;
 typedef struct Gossip__Loan Gossip__Loan;
+typedef struct Gossip__Vouch Gossip__Vouch;
 typedef struct Gossip__News Gossip__News;
 typedef struct Gossip__Entry Gossip__Entry;
 typedef struct Gossip__Picture Gossip__Picture;
@@ -494,6 +495,27 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * Age of the sender's proof that its configuration was the store's newest.
+ * Version and era are those of the message.
+ */
+struct  Gossip__Vouch
+{
+  ProtobufCMessage base;
+  /*
+   * Of the question, as in `vouch_ask`.
+   */
+  uint32_t number;
+  /*
+   * Rounded up.
+   */
+  uint32_t age_ms;
+};
+#define GOSSIP__VOUCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__vouch__descriptor) \
+    , 0, 0 }
+
+
 /*
  * Content of one datagram: the sender's load and versions. One with `lookups`
  * or `found` holds nothing on the load, and an empty table, so that earlier
@@ -601,7 +623,7 @@
   /*
    * What other VMs may rely on, a sum: 1: answers `reaches`. 2: answers
    * `lookups`. 4: serves requests that other VMs pass on. 8: answers
-   * `loan_asks`. Other bits tell nothing. A VM that doesn't say so is not
+   * `loan_asks`. 16: answers `vouch_ask`. Other bits tell nothing. A VM that doesn't say so is not
    * asked.
    */
   uint32_t serves;
@@ -616,10 +638,17 @@
   Gossip__Loan **loan_asks;
   size_t n_loans;
   Gossip__Loan **loans;
+  /*
+   * A question for the age of the receiver's proof, with a random number, and
+   * the answer. A VM that has no proof does not answer. Messages with one of
+   * them tell no load.
+   */
+  uint32_t vouch_ask;
+  Gossip__Vouch *vouch;
 };
 #define GOSSIP__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, NULL }
 
 
 /*
@@ -916,6 +945,25 @@
 void   gossip__loan__free_unpacked
                      (Gossip__Loan *message,
                       ProtobufCAllocator *allocator);
+/* Gossip__Vouch methods */
+void   gossip__vouch__init
+                     (Gossip__Vouch         *message);
+size_t gossip__vouch__get_packed_size
+                     (const Gossip__Vouch   *message);
+size_t gossip__vouch__pack
+                     (const Gossip__Vouch   *message,
+                      uint8_t             *out);
+size_t gossip__vouch__pack_to_buffer
+                     (const Gossip__Vouch   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Vouch *
+       gossip__vouch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__vouch__free_unpacked
+                     (Gossip__Vouch *message,
+                      ProtobufCAllocator *allocator);
 /* Gossip__News methods */
 void   gossip__news__init
                      (Gossip__News         *message);
@@ -1014,6 +1062,9 @@
 typedef void (*Gossip__Loan_Closure)
                  (const Gossip__Loan *message,
                   void *closure_data);
+typedef void (*Gossip__Vouch_Closure)
+                 (const Gossip__Vouch *message,
+                  void *closure_data);
 typedef void (*Gossip__News_Closure)
                  (const Gossip__News *message,
                   void *closure_data);
@@ -1042,6 +1093,7 @@
 extern const ProtobufCMessageDescriptor gossip__reach__descriptor;
 extern const ProtobufCMessageDescriptor gossip__proxy__descriptor;
 extern const ProtobufCMessageDescriptor gossip__loan__descriptor;
+extern const ProtobufCMessageDescriptor gossip__vouch__descriptor;
 extern const ProtobufCMessageDescriptor gossip__news__descriptor;
 extern const ProtobufCMessageDescriptor gossip__entry__descriptor;
 extern const ProtobufCMessageDescriptor gossip__picture__descriptor;
--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -24,8 +24,12 @@
     [ADMISSION_NO_CONFIG] = {200, 300}, /* Time to read the configuration. */
     [ADMISSION_NO_WORKER] = {300, 700}, /* Worker restart or end of a block. */
     [ADMISSION_FULL] = {1500, 2000}, /* 0.5 to 1 times a stream's duration. */
-    [ADMISSION_STOPPING] = {50, 50},    [ADMISSION_FAULT] = {50, 150},
-    [ADMISSION_PAUSED] = {50, 150},     [ADMISSION_BLOCKED] = {50, 150},
+    [ADMISSION_STOPPING] = {50, 50},
+    [ADMISSION_FAULT] = {50, 150},
+    [ADMISSION_PAUSED] = {50, 150},
+    [ADMISSION_BLOCKED] = {50, 150},
+    /* Until another VM was asked once more. */
+    [ADMISSION_NO_LEASE] = {300, 700},
 };
 
 static int64_t get_leave_us(int64_t slo_us);
--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -72,6 +72,8 @@
     /* A part of the prompt crashes workers; the time until one such request is
        let through is known. */
     ADMISSION_BLOCKED,
+    /* The VM can't prove that its keys are valid; another VM may. */
+    ADMISSION_NO_LEASE,
     ADMISSION_CAUSE_COUNT,
 } AdmissionCause;
 
--- a/src/errors.c
+++ b/src/errors.c
@@ -23,6 +23,7 @@
     {LS_ERR_UNKNOWN_ROUTE, "unknown_route", 404},
     {LS_ERR_NOT_READY, "not_ready", 503},
     {LS_ERR_SHUTTING_DOWN, "shutting_down", 503},
+    {LS_ERR_NO_LEASE, "no_lease", 503},
     {LS_ERR_RATE_LIMIT, "rate_limit", 429},
     {LS_ERR_TOKEN_LIMIT, "token_limit", 429},
     {LS_ERR_CONCURRENCY_LIMIT, "concurrency_limit", 429},
--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -4,8 +4,10 @@
 #include "../io/loop.h"
 #include "../log.h"
 #include "../metrics.h"
+#include "access.h"
 #include "relay.h"
 #include "shutdown.h"
+#include "vouch.h"
 
 #include <string.h>
 
@@ -27,7 +29,8 @@
     Gate *gate;
     Gos *gossip; /* NULL without other VMs. */
     Feed *feed;
-    Relay *relay;       /* NULL without other VMs. */
+    Relay *relay; /* NULL without other VMs. */
+    Vouch vouch;
     PoolControl *pools; /* NULL without other VMs, as their load is unknown. */
     Server *callers;
     Server *health;
@@ -127,6 +130,7 @@
     gate.regions = options->regions;
     gate.budget = options->budget;
     gate.seed = options->seed;
+    gate.revoke_us = options->revoke_ms * CLK_US_PER_MS;
     gate.context = edge;
     gate.get_vm_count = get_vm_count;
     gate.ask_loan = ask_loan;
@@ -320,6 +324,8 @@
     gossip.update_load = update_load;
     gossip.get_versions = get_versions;
     gossip.on_peer_versions = on_peer_versions;
+    edge->vouch = (Vouch){.gate = edge->gate, .feed = edge->feed};
+    Vouch_SetOptions(&edge->vouch, &gossip);
     edge->gossip = Gos_New(&gossip, err);
     relay.base = edge->options.base;
     relay.clk = edge->options.clk;
@@ -332,6 +338,7 @@
     if (edge->relay == NULL) {
         return false;
     }
+    edge->vouch.relay = edge->relay;
     pools.base = edge->options.base;
     pools.clk = edge->options.clk;
     pools.client = edge->client;
@@ -598,7 +605,8 @@
 bool
 Edge_NeedsSource(const Edge *edge)
 {
-    return edge->gossip == NULL || Gos_NeedsSource(edge->gossip);
+    return edge->gossip == NULL || Gos_NeedsSource(edge->gossip) ||
+           Vouch_NeedsSource(edge->gate);
 }
 
 static void
@@ -635,14 +643,14 @@
 static void
 on_metrics(void *context, ServerExchange *exchange)
 {
+    const Edge *edge = context;
     char *text;
 
-    (void)context;
     if (strcmp(exchange->target, EDGE_METRICS_PATH) != 0) {
         Server_SendResponse(exchange, 404, NULL, "", 0);
         return;
     }
-    text = Met_FormatText();
+    text = Access_FormatMetrics(edge->gate);
     Server_SendResponse(exchange, 200, NULL, text, strlen(text));
     g_free(text);
 }
--- a/src/gate/edge.h
+++ b/src/gate/edge.h
@@ -35,6 +35,10 @@
     uint32_t notice_ms;
     uint32_t grace_ms; /* Time from the stop signal to the kill. */
     BudgetOptions budget;
+    /* Longest use of a removed key after the source has acknowledged its
+       removal: a VM that can't prove that its configuration is recent accepts
+       no key. 0: the configuration in force decides. */
+    uint32_t revoke_ms;
     FleetOptions fleet;
     /* Time within which orders to workers must come from one VM. */
     uint32_t lease_ms;
--- a/src/gate/feed.c
+++ b/src/gate/feed.c
@@ -1,4 +1,5 @@
 #include "feed.h"
+#include "access.h"
 #include "survey.h"
 
 #include "../log.h"
@@ -125,6 +126,7 @@
 void
 Feed_BeginSweep(Feed *feed, uint64_t era)
 {
+    Access_NoteEra(feed->options.gate, era);
     Snapshot_BeginSweep(feed->snapshot, era);
     Fleet_BeginSweep(feed->options.fleet, era, Clk_Now(feed->options.clk));
 }
@@ -142,6 +144,38 @@
     }
 }
 
+void
+Feed_NoteProof(Feed *feed, uint64_t era, int64_t asked_us)
+{
+    Access_NoteProof(feed->options.gate, era, asked_us, "source");
+}
+
+void
+Feed_NoteEra(Feed *feed, uint64_t era)
+{
+    Access_NoteEra(feed->options.gate, era);
+}
+
+int64_t
+Feed_Now(const Feed *feed)
+{
+    return Access_Now(feed->options.gate);
+}
+
+uint32_t
+Feed_GetWatchTime(const Feed *feed, uint32_t most_ms)
+{
+    const Gate *gate = feed->options.gate;
+    int64_t watch_ms;
+
+    if (!Access_NeedsLease(gate)) {
+        return most_ms;
+    }
+    watch_ms = KeyLease_GetWatchTime(&gate->key_lease, Access_Now(gate)) /
+               CLK_US_PER_MS;
+    return (uint32_t)MIN(MAX(watch_ms, 1), most_ms);
+}
+
 bool
 Feed_ApplySnapshot(Feed *feed, const void *data, size_t size)
 {
--- a/src/gate/feed.h
+++ b/src/gate/feed.h
@@ -48,6 +48,16 @@
    removes the workers that were not set since Feed_BeginSweep(). */
 void Feed_BeginSweep(Feed *feed, uint64_t era);
 void Feed_EndSweep(Feed *feed);
+/* The source itself has answered a question that was begun at `asked_us`, as
+   in Access_Now(), and all that it returned was applied: the configuration is
+   the newest one of this era at that time. */
+void Feed_NoteProof(Feed *feed, uint64_t era, int64_t asked_us);
+/* The source is in this era. */
+void Feed_NoteEra(Feed *feed, uint64_t era);
+int64_t Feed_Now(const Feed *feed); /* As Access_Now(). */
+/* Returns how long the source may hold a question open, ms, or `most_ms` if
+   that is less. */
+uint32_t Feed_GetWatchTime(const Feed *feed, uint32_t most_ms);
 /* Applies the newer parts of another VM's snapshot. Returns false if the
    message is malformed. */
 bool Feed_ApplySnapshot(Feed *feed, const void *data, size_t size);
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -1,5 +1,6 @@
 /* Gate: creation, configuration and shutdown. See gate.h. */
 #include "../log.h"
+#include "access.h"
 #include "begun.h"
 #include "crash_check.h"
 #include "detour.h"
@@ -93,6 +94,7 @@
     gate->surveys = Survey_New(gate);
     gate->lookups = Lookup_New(gate);
     Detour_Init(gate);
+    Access_Init(gate);
     Origins_Init(&gate->origins);
     Suspects_Init(&gate->suspects,
                   XXH3_64bits(options->vm, strlen(options->vm)));
@@ -110,6 +112,7 @@
     Lookup_Free(gate->lookups);
     Survey_Free(gate->surveys);
     Detour_Clear(gate);
+    Access_Clear(gate);
     Origins_Clear(&gate->origins);
     Rte_Unref(gate->table);
     g_hash_table_destroy(gate->budgets);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -182,10 +182,12 @@
     GATE_SERVES_LOOKUPS = 1 << 1, /* Questions for versions of streams. */
     GATE_SERVES_DETOURS = 1 << 2, /* Requests that are passed on to it. */
     GATE_SERVES_LOANS = 1 << 3,   /* Questions for parts of retry budgets. */
+    GATE_SERVES_VOUCHES = 1 << 4, /* Questions for its proof (access.h). */
     /* What a build serves that doesn't say what it serves. */
     GATE_SERVES_KNOWN =
         GATE_SERVES_REACH | GATE_SERVES_LOOKUPS | GATE_SERVES_DETOURS,
-    GATE_SERVES_ALL = GATE_SERVES_KNOWN | GATE_SERVES_LOANS,
+    GATE_SERVES_ALL =
+        GATE_SERVES_KNOWN | GATE_SERVES_LOANS | GATE_SERVES_VOUCHES,
 };
 
 /* Another VM that may run a request at workers that this VM can't reach. */
@@ -244,6 +246,9 @@
     GHashTable *regions; /* Zone to region. */
     RankWeights weights;
     BudgetOptions budget;
+    /* Longest use of a key that was removed; 0: the configuration in force
+       decides without a proof that it is the newest. */
+    int64_t revoke_us;
     guint32 seed;
     void *context;
     /* Returns the most VMs that the fleet has ever had, as far as this VM
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -102,6 +102,7 @@
     gos->timer = evtimer_new(options->base, on_timer, gos);
     gos->table_timer = evtimer_new(options->base, on_table_timer, gos);
     Loop_ArmTimer(gos->timer, 0);
+    Gos_BeginVouches(gos);
     return gos;
 }
 
@@ -111,6 +112,7 @@
     if (gos == NULL) {
         return;
     }
+    Gos_EndVouches(gos);
     Peers_Clear(&gos->peers);
     Report_Clear(&gos->own);
     event_free(gos->readable);
@@ -404,7 +406,8 @@
     }
     Gos_MergeLimits(gos, news);
     Gos_MergeOrigins(gos, news);
-    if (Gos_HandleLookups(gos, news) || Gos_HandleLoans(gos, news)) {
+    if (Gos_HandleVouches(gos, news) || Gos_HandleLookups(gos, news) ||
+        Gos_HandleLoans(gos, news)) {
         /* Such a message tells no load. */
     }
     else if (news->table != NULL) {
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -28,6 +28,31 @@
     bool watches;    /* It watches the source, which answers. */
 } GosVersions;
 
+/* Whose proof this VM needs that its configuration is the newest. */
+typedef enum GosVouchNeed {
+    GOS_VOUCH_NONE,
+    GOS_VOUCH_NEAR, /* That of a VM of its region. */
+    GOS_VOUCH_ALL,  /* That of any VM, urgently. */
+} GosVouchNeed;
+
+/* Proofs of other VMs, and for them (vouch.h). All callbacks are NULL, or
+   none. */
+typedef struct GosVouchOptions {
+    void *context;
+    GosVouchNeed (*get_need)(void *context);
+    /* Stores the age of this VM's proof; false if there is none. */
+    bool (*get_proof_age)(void *context, int64_t *age_us);
+    /* Returns the time that counts for proofs. */
+    int64_t (*get_now)(void *context);
+    /* The VM at this peer address has the proof that its configuration, of
+       these versions, was the newest at `proof_us`. Returns whether that was
+       of use. */
+    bool (*on_vouch)(void *context, const char *address, int64_t proof_us,
+                     const GosVersions *versions);
+    /* Another VM knows this era of the source. */
+    void (*on_era)(void *context, uint64_t era);
+} GosVouchOptions;
+
 /* The strings, except those in `seeds`, are not copied: they must outlive the
    Gos. */
 typedef struct GosOptions {
@@ -82,6 +107,7 @@
     uint32_t (*lend)(void *context, uint64_t service, const BudgetAsk *ask);
     void (*borrow)(void *context, uint64_t service, uint32_t parts,
                    int64_t asked_us);
+    GosVouchOptions vouch;
     /* Gets what this VM knows; NULL if on_peer_versions is NULL. */
     GosVersions (*get_versions)(void *context);
     /* Called when the VM at this peer address knows something else than this
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -82,7 +82,8 @@
     return (options->list_reaches != NULL ? GATE_SERVES_REACH : 0) |
            (options->answer_lookup != NULL ? GATE_SERVES_LOOKUPS : 0) |
            (options->serves_detours ? GATE_SERVES_DETOURS : 0) |
-           (options->lend != NULL ? GATE_SERVES_LOANS : 0);
+           (options->lend != NULL ? GATE_SERVES_LOANS : 0) |
+           (options->vouch.get_need != NULL ? GATE_SERVES_VOUCHES : 0);
 }
 
 uint32_t
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -27,6 +27,8 @@
 #define GOS_PROXIES_MAX 20
 /* How long the end of a limit is told. */
 #define GOS_LIMIT_NEWS_US (3 * CLK_US_PER_S)
+/* Questions for proofs that may be open. */
+#define GOS_VOUCH_ASKS_MAX 16
 #define GOS_KEPT_MAX 4 /* Highest known value of Found.kept. */
 /* Largest message; a datagram of this size fits the usual networks without
    fragmentation. */
@@ -109,6 +111,13 @@
     int64_t vain_us;     /* Time of the last of these. */
 } GosLoanAsk;
 
+/* A question for another VM's proof. */
+typedef struct GosVouchAsk {
+    uint32_t number; /* 0: the row is free. */
+    uint64_t address;
+    int64_t asked_us; /* As GosVouchOptions.get_now(). */
+} GosVouchAsk;
+
 struct Gos {
     GosOptions options;
     int fd;
@@ -122,7 +131,11 @@
     GRand *rand;
     GosSought sought[PEERS_REACHES_MAX];
     GosLoanAsk loan_asks[GOS_DEMANDS_MAX];
-    uint32_t loan_number; /* Of the last question. */
+    uint32_t loan_number;      /* Of the last question. */
+    struct event *vouch_timer; /* NULL: no proofs are exchanged. */
+    GosVouchAsk vouch_asks[GOS_VOUCH_ASKS_MAX];
+    uint32_t next_vouch_ask;
+    int64_t vouch_asked_us; /* When the last question was sent; 0: never. */
     Proxies proxies;
     uint32_t
         proxy_turn; /* First of the proxies that the next message tells. */
@@ -198,6 +211,13 @@
  */
 bool Gos_HandleLoans(Gos *gos, const Gossip__News *news);
 
+/* Begin and end the exchange of proofs (GosVouchOptions). */
+void Gos_BeginVouches(Gos *gos);
+void Gos_EndVouches(Gos *gos);
+/* Answers a message's question for this VM's proof, and notes the answer to
+   one of this VM. Returns false if it has neither. */
+bool Gos_HandleVouches(Gos *gos, const Gossip__News *news);
+
 /* Encodes a point of time as its age plus 1, and none as 0. */
 uint32_t Gos_EncodeAge(int64_t at_us, int64_t now_us);
 int64_t Gos_DecodeAge(uint32_t age_ms, int64_t now_us);
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -418,7 +418,7 @@
 Gate_OnRelayedRequest(void *context, ServerExchange *exchange,
                       const char *mark)
 {
-    GateTask *task = begin_task(context, exchange, false);
+    GateTask *task = begin_task(context, exchange, true);
 
     if (task == NULL) {
         return;
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -7,6 +7,7 @@
 #include "../decide/admission.h"
 #include "../decide/drain.h"
 #include "../decide/event_order.h"
+#include "../decide/key_lease.h"
 #include "../decide/precedence.h"
 #include "../decide/retry.h"
 #include "../decide/suspects.h"
@@ -229,6 +230,10 @@
     Suspects suspects;
     LIST_HEAD(CrashCheckList, CrashCheck) crash_checks;
     Origins origins;
+    KeyLease key_lease;
+    bool has_key_lease; /* As it was logged last. */
+    /* Account name to AccessCount. */
+    GHashTable *account_counts;
     struct Surveys *surveys;
     struct Lookups *lookups;
     LIST_HEAD(DetourServiceList, DetourService) cut_services;
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -173,6 +173,12 @@
                              "read."},
     [MET_KEYS_UNKNOWN] = {"keys_unknown",
                           "Requests rejected as no account holds their key."},
+    [MET_KEYS_UNPROVEN] = {"keys_unproven",
+                           "Requests rejected as the VM had no proof that its "
+                           "configuration is the newest."},
+    [MET_VOUCHES_ASKED] = {"vouches_asked",
+                           "Questions for another VM's proof."},
+    [MET_VOUCHES_GIVEN] = {"vouches_given", "Answers to such questions."},
 };
 
 /* Upper bounds of the histograms' buckets in microseconds, three or four per
