--- a/src/gate/account.c
+++ b/src/gate/account.c
@@ -4,8 +4,11 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Keeps digests of keys apart from those of other texts. */
+#define ACC_DIGEST_PREFIX "lavenderspool key "
+
 typedef struct AccKey {
-    uint8_t digest[sizeof(XXH128_hash_t)];
+    uint8_t digest[sizeof(XXH128_hash_t)]; /* Of the key's digest. */
     const Account *account;
 } AccKey;
 
@@ -14,12 +17,12 @@
     GHashTable *names;   /* Name to Account. */
     GHashTable *hashes;  /* Hash of the name to Account. */
     GHashTable *keys;    /* Digest of a key to AccKey. */
-    XXH64_hash_t secret; /* Seeds the digests, so that nobody can choose keys
+    XXH64_hash_t secret; /* Seeds the hashes, so that nobody can choose keys
                             that share one. */
 };
 
-static void make_digest(const AccTable *table, const char *key,
-                        uint8_t *digest);
+static void make_hash(const AccTable *table, const char *digest,
+                      uint8_t *hash);
 static guint hash_digest(gconstpointer digest);
 static gboolean is_same_digest(gconstpointer a, gconstpointer b);
 static void free_account(gpointer data);
@@ -72,16 +75,28 @@
 
 bool
 Acc_AddKey(AccTable *table, const char *key, const char *account)
+{
+    char digest[ACC_DIGEST_MAX];
+
+    if (key[0] == '\0' || strlen(key) > ACC_KEY_MAX) {
+        return false;
+    }
+    Acc_DigestKey(key, digest);
+    return Acc_AddDigest(table, digest, account);
+}
+
+bool
+Acc_AddDigest(AccTable *table, const char *digest, const char *account)
 {
     const Account *owner = Acc_FindByName(table, account);
     AccKey *row;
     const AccKey *known;
 
-    if (owner == NULL || key[0] == '\0' || strlen(key) > ACC_KEY_MAX) {
+    if (owner == NULL || strlen(digest) != ACC_DIGEST_MAX - 1) {
         return false;
     }
     row = g_new0(AccKey, 1);
-    make_digest(table, key, row->digest);
+    make_hash(table, digest, row->digest);
     row->account = owner;
     known = g_hash_table_lookup(table->keys, row->digest);
     if (known != NULL) {
@@ -92,17 +107,31 @@
     return true;
 }
 
+void
+Acc_DigestKey(const char *key, char digest[ACC_DIGEST_MAX])
+{
+    GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+
+    g_checksum_update(sum, (const guchar *)ACC_DIGEST_PREFIX,
+                      (gssize)strlen(ACC_DIGEST_PREFIX));
+    g_checksum_update(sum, (const guchar *)key, (gssize)strlen(key));
+    g_strlcpy(digest, g_checksum_get_string(sum), ACC_DIGEST_MAX);
+    g_checksum_free(sum);
+}
+
 const Account *
 Acc_FindByKey(const AccTable *table, const char *key)
 {
-    uint8_t digest[sizeof(XXH128_hash_t)];
+    char digest[ACC_DIGEST_MAX];
+    uint8_t hash[sizeof(XXH128_hash_t)];
     const AccKey *row;
 
     if (strlen(key) > ACC_KEY_MAX) {
         return NULL;
     }
-    make_digest(table, key, digest);
-    row = g_hash_table_lookup(table->keys, digest);
+    Acc_DigestKey(key, digest);
+    make_hash(table, digest, hash);
+    row = g_hash_table_lookup(table->keys, hash);
     return row != NULL ? row->account : NULL;
 }
 
@@ -137,12 +166,12 @@
 }
 
 static void
-make_digest(const AccTable *table, const char *key, uint8_t *digest)
+make_hash(const AccTable *table, const char *digest, uint8_t *hash)
 {
-    XXH128_hash_t hash =
-        XXH3_128bits_withSeed(key, strlen(key), table->secret);
+    XXH128_hash_t number =
+        XXH3_128bits_withSeed(digest, strlen(digest), table->secret);
 
-    memcpy(digest, &hash, sizeof(hash));
+    memcpy(hash, &number, sizeof(number));
 }
 
 static guint
--- a/src/gate/account.h
+++ b/src/gate/account.h
@@ -12,6 +12,8 @@
 
 /* Longest key, bytes. */
 #define ACC_KEY_MAX 256
+/* Text of a key's digest, bytes, with the terminating 0. */
+#define ACC_DIGEST_MAX 65
 /* Priority of an account that has none, and of a route that has none. */
 #define ACC_PRIORITY_NONE UINT32_MAX
 
@@ -41,6 +43,11 @@
 /* Gives a key to the account of this name. Returns false if there is no such
    account, or if the key is empty, too long, or that of another account. */
 bool Acc_AddKey(AccTable *table, const char *key, const char *account);
+/* The same by the digest of a key, in which form other VMs get it. */
+bool Acc_AddDigest(AccTable *table, const char *digest, const char *account);
+/* Stores the digest of a key: SHA-256 of a prefix and the key, hexadecimal. A
+   key can't be told from it, unless it is short enough to be guessed. */
+void Acc_DigestKey(const char *key, char digest[ACC_DIGEST_MAX]);
 /* Returns the account that holds the key, or NULL. Takes the same time for
    each key of a length that no account holds. */
 const Account *Acc_FindByKey(const AccTable *table, const char *key);
--- a/src/gate/feed.c
+++ b/src/gate/feed.c
@@ -5,6 +5,8 @@
 #include "../log.h"
 #include "../metrics.h"
 
+#include <string.h>
+
 struct Feed {
     FeedOptions options;
     Snapshot *snapshot;
@@ -52,6 +54,7 @@
     RteTable *table =
         decoder->decode_config(decoder->context, text, size, &err);
     RteLimits limits;
+    char *hidden;
 
     if (table == NULL) {
         Met_Add(MET_CONFIG_REFUSED, 1);
@@ -61,7 +64,11 @@
         return;
     }
     limits = table->limits;
-    Snapshot_SetConfig(feed->snapshot, text, size, table->version);
+    /* Other VMs get the snapshot. */
+    hidden = decoder->hide_keys(decoder->context, text, size);
+    Snapshot_SetConfig(feed->snapshot, hidden != NULL ? hidden : text,
+                       hidden != NULL ? strlen(hidden) : size, table->version);
+    g_free(hidden);
     if (Gate_SetTable(feed->options.gate, table)) {
         feed->options.on_limits(feed->options.context, &limits);
     }
--- a/src/gate/feed.h
+++ b/src/gate/feed.h
@@ -13,6 +13,10 @@
     /* Returns a table that the caller owns, or NULL with *err filled in. */
     RteTable *(*decode_config)(void *context, const void *text, size_t size,
                                LsError *err);
+    /* Returns the configuration with the digests of keys in place of the keys,
+       which decode_config() reads, too, or NULL if it holds no key. The caller
+       frees it with g_free(). */
+    char *(*hide_keys)(void *context, const void *text, size_t size);
     /* Fills in *entry, or returns an error with *err filled in. */
     LsResult (*decode_entry)(void *context, const char *id, const void *text,
                              size_t size, Pos position, FleetEntry *entry,
