--- a/ctl/lavenderspoolctl.c
+++ b/ctl/lavenderspoolctl.c
@@ -4,6 +4,7 @@
 
    Exit codes: 0 success, 1 a check failed or a burn rate is too high, 2 a VM
    did not answer, 64 usage error. */
+#include "accounts.h"
 #include "burn.h"
 #include "configuration.h"
 #include "explain.h"
@@ -34,15 +35,15 @@
     int operand_count;
 } CtlArguments;
 
-/* Sends a GET to one VM's operator address. Returns the JSON of its answer, or
-   NULL if the VM did not answer with status 200. */
-static json_t *
-get_from_vm(const char *vm, const char *path)
+/* Sends a GET to one VM's operator address. Returns the body of its answer,
+   for g_free(), or NULL if the VM did not answer with status 200. */
+static char *
+get_text(const char *vm, const char *path)
 {
     struct _u_request request;
     struct _u_response response;
     char *url = g_strdup_printf("http://%s%s", vm, path);
-    json_t *answer = NULL;
+    char *answer = NULL;
 
     ulfius_init_request(&request);
     ulfius_init_response(&response);
@@ -51,8 +52,7 @@
                                   (unsigned long)CTL_TIMEOUT_S, U_OPT_NONE);
     if (ulfius_send_http_request(&request, &response) == U_OK &&
         response.status == 200) {
-        answer = json_loadb(response.binary_body, response.binary_body_length,
-                            0, NULL);
+        answer = g_strndup(response.binary_body, response.binary_body_length);
     }
     ulfius_clean_request(&request);
     ulfius_clean_response(&response);
@@ -60,6 +60,17 @@
     return answer;
 }
 
+/* As get_text(), but returns the JSON of the answer. */
+static json_t *
+get_from_vm(const char *vm, const char *path)
+{
+    char *text = get_text(vm, path);
+    json_t *answer = text != NULL ? json_loads(text, 0, NULL) : NULL;
+
+    g_free(text);
+    return answer;
+}
+
 /* Queries all VMs. Returns an object with the answer of each address; the
    addresses without one are appended to `unanswered`. */
 static json_t *
@@ -220,6 +231,42 @@
     return code;
 }
 
+/* The addresses are those of the gates' metrics. */
+static int
+run_accounts(const CtlArguments *arguments)
+{
+    json_t *unanswered = json_array();
+    json_t *answers = json_object();
+    const char *address;
+    json_t *row;
+    int code;
+
+    for (int i = 0; arguments->vms[i] != NULL; i++) {
+        char *text = get_text(arguments->vms[i], "/metrics");
+        if (text != NULL) {
+            json_object_set_new(answers, arguments->vms[i],
+                                Accounts_Parse(text));
+        }
+        else {
+            json_array_append_new(unanswered, json_string(arguments->vms[i]));
+        }
+        g_free(text);
+    }
+    if (arguments->json) {
+        print_json(answers);
+    }
+    json_object_foreach(answers, address, row)
+    {
+        if (!arguments->json) {
+            Accounts_Print(address, row);
+        }
+    }
+    code = print_unanswered(unanswered);
+    json_decref(answers);
+    json_decref(unanswered);
+    return code;
+}
+
 /* Reads the files as parts and creates a manifest that lists them. Returns
    NULL with *err filled in if a file can't be read. */
 static GString *
@@ -293,6 +340,9 @@
     if (strcmp(command, "explain") == 0) {
         return run_explain(arguments);
     }
+    if (strcmp(command, "accounts") == 0) {
+        return run_accounts(arguments);
+    }
     if (strcmp(command, "burn") == 0) {
         return run_burn(arguments);
     }
@@ -313,6 +363,10 @@
            "                     the cause of its outcome from the VMs' logs; "
            "- is\n"
            "                     standard input\n"
+           "  accounts           requests of client accounts, rejected keys "
+           "and the\n"
+           "                     lease of keys; --vms: addresses of gates' "
+           "/metrics\n"
            "  burn               error budget burn over 5 min, 1 h, 6 h\n\n");
     arg_print_glossary(stdout, table, "  %-24s %s\n");
 }
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -278,40 +278,51 @@
     free_task(task);
 }
 
+/* Decodes a request and checks it. Returns its route, or NULL with *err filled
+   in. */
+static const RteRoute *
+admit_request(Gate *gate, ServerExchange *exchange, bool is_relayed,
+              GateRequest *request, const Account **account, LsError *err)
+{
+    const GateCodec *codec = gate->options.codec;
+    const RteRoute *route;
+
+    if (codec->decode_request(codec->context, exchange, request, err) !=
+        LS_OK) {
+        return NULL;
+    }
+    if (gate->table == NULL) {
+        Err_Set(err, LS_ERR_NOT_READY, LS_RUN_NOT_RUN,
+                "no configuration has been read yet");
+        err->retry_after_ms = Admission_GetRetryAfter(
+            ADMISSION_NO_CONFIG, request->left_ms, 0, g_rand_int(gate->rand));
+        return NULL;
+    }
+    route = Rte_FindRoute(gate->table, request->host, exchange->target);
+    if (route == NULL) {
+        Err_Set(err, LS_ERR_UNKNOWN_ROUTE, LS_RUN_NOT_RUN,
+                "no route for this host and path");
+        return NULL;
+    }
+    return Access_Check(gate, route, is_relayed, exchange, request, account,
+                        err) == LS_OK
+               ? route
+               : NULL;
+}
+
 /* Creates the task of a request, or answers with an error and returns NULL.
    `is_relayed`: another VM passes the request on. */
 static GateTask *
 begin_task(Gate *gate, ServerExchange *exchange, bool is_relayed)
 {
-    const GateCodec *codec = gate->options.codec;
     GateRequest request = {.last_event = GATE_NO_EVENT};
     LsError err = {0};
-    const RteRoute *route = NULL;
     const Account *account = NULL;
+    const RteRoute *route =
+        admit_request(gate, exchange, is_relayed, &request, &account, &err);
     const char *service;
     GateTask *task;
 
-    if (codec->decode_request(codec->context, exchange, &request, &err) ==
-        LS_OK) {
-        if (gate->table == NULL) {
-            Err_Set(&err, LS_ERR_NOT_READY, LS_RUN_NOT_RUN,
-                    "no configuration has been read yet");
-            err.retry_after_ms =
-                Admission_GetRetryAfter(ADMISSION_NO_CONFIG, request.left_ms,
-                                        0, g_rand_int(gate->rand));
-        }
-        else {
-            route = Rte_FindRoute(gate->table, request.host, exchange->target);
-            if (route == NULL) {
-                Err_Set(&err, LS_ERR_UNKNOWN_ROUTE, LS_RUN_NOT_RUN,
-                        "no route for this host and path");
-            }
-            else if (Access_Check(gate, route, is_relayed, exchange, &request,
-                                  &account, &err) != LS_OK) {
-                route = NULL;
-            }
-        }
-    }
     if (route == NULL) {
         Log_WriteJson(
             LOG_LEVEL_INFO, "request_refused",
--- a/tests/test_gate_access.cc
+++ b/tests/test_gate_access.cc
@@ -331,4 +331,57 @@
     }
 }
 
+struct SettingsCase {
+    const char *name;
+    const char *bounds;
+    bool is_valid;
+    uint32_t revoke_ms;
+    uint32_t config_ms;
+};
+
+const SettingsCase settings_cases[] = {
+    {"none", "{}", true, 0, 4000},
+    {"strict", "{\"strict-revoke\":true,\"revoke-ms\":5000}", true, 5000,
+     4000},
+    {"no bound", "{\"strict-revoke\":true}", true, 0, 4000},
+    {"not strict",
+     "{\"strict-revoke\":false,\"revoke-ms\":5000,\"config-ms\":3000}", true,
+     0, 3000},
+    {"only a bound", "{\"revoke-ms\":5000}", true, 0, 4000},
+    {"strict is a text", "{\"strict-revoke\":\"yes\",\"revoke-ms\":5000}",
+     false, 0, 0},
+    {"the bound is a text", "{\"strict-revoke\":true,\"revoke-ms\":\"5\"}",
+     false, 0, 0},
+    {"a bound of 0", "{\"strict-revoke\":true,\"revoke-ms\":0}", false, 0, 0},
+};
+
+/* A malformed bound counted as none would accept removed keys. */
+TEST(Access, MalformedBoundsAreErrors)
+{
+    for (const SettingsCase &row : settings_cases) {
+        SCOPED_TRACE(row.name);
+        PfSettings settings;
+        LsError err = {};
+        char path[] = "/tmp/settings-XXXXXX";
+        std::string text =
+            "{\"node\":\"vm-1\",\"zone\":\"z\",\"ip\":\"127.0.0.1\","
+            "\"listen\":{\"front\":\"127.0.0.1:1\",\"ready\":"
+            "\"127.0.0.1:2\",\"control\":\"127.0.0.1:3\"},"
+            "\"platform\":{\"addr\":\"127.0.0.1:4\"},\"bounds\":" +
+            std::string(row.bounds) + "}";
+        int fd = mkstemp(path);
+        ASSERT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
+        close(fd);
+        EXPECT_EQ(Pf_LoadSettings(path, &settings, &err) == LS_OK,
+                  row.is_valid)
+            << err.message;
+        if (row.is_valid) {
+            EXPECT_EQ(settings.revoke_ms, row.revoke_ms);
+            EXPECT_EQ(settings.config_ms, row.config_ms);
+        }
+        Pf_UnloadSettings(&settings);
+        unlink(path);
+    }
+}
+
 } // namespace
