--- a/src/gate/feed.h
+++ b/src/gate/feed.h
@@ -13,6 +13,10 @@
     /* Returns a table that the caller owns, or NULL with *err filled in. */
     RteTable *(*decode_config)(void *context, const void *text, size_t size,
                                LsError *err);
+    /* Returns the configuration with the digests of keys in place of the keys,
+       which decode_config() reads, too, or NULL if it holds no key. The caller
+       frees it with g_free(). */
+    char *(*hide_keys)(void *context, const void *text, size_t size);
     /* Fills in *entry, or returns an error with *err filled in. */
     LsResult (*decode_entry)(void *context, const char *id, const void *text,
                              size_t size, Pos position, FleetEntry *entry,
@@ -48,6 +52,16 @@
    removes the workers that were not set since Feed_BeginSweep(). */
 void Feed_BeginSweep(Feed *feed, uint64_t era);
 void Feed_EndSweep(Feed *feed);
+/* The source itself has answered a question that was begun at `asked_us`, as
+   in Access_Now(), and all that it returned was applied: the configuration is
+   the newest one of this era at that time. */
+void Feed_NoteProof(Feed *feed, uint64_t era, int64_t asked_us);
+/* The source is in this era. */
+void Feed_NoteEra(Feed *feed, uint64_t era);
+int64_t Feed_Now(const Feed *feed); /* As Access_Now(). */
+/* Returns how long the source may hold a question open, ms, or `most_ms` if
+   that is less. */
+uint32_t Feed_GetWatchTime(const Feed *feed, uint32_t most_ms);
 /* Applies the newer parts of another VM's snapshot. Returns false if the
    message is malformed. */
 bool Feed_ApplySnapshot(Feed *feed, const void *data, size_t size);
