--- a/ctl/lavenderspoolctl.c
+++ b/ctl/lavenderspoolctl.c
@@ -66,7 +66,8 @@
     CurlCheck_Begin(&check, easy);
     if (curl_easy_perform(easy) == CURLE_OK &&
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status) == CURLE_OK &&
-        status == 200 && CurlCheck_IsComplete(&check, 0)) {
+        status == 200 && CurlCheck_IsComplete(&check, 0) &&
+        strlen(body->str) == body->len) {
         answer = g_strndup(body->str, body->len);
     }
     curl_easy_cleanup(easy);
