--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &gossip__demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gossip__account_loads__init
+                     (Gossip__AccountLoads         *message)
+{
+  static const Gossip__AccountLoads init_value = GOSSIP__ACCOUNT_LOADS__INIT;
+  *message = init_value;
+}
+size_t gossip__account_loads__get_packed_size
+                     (const Gossip__AccountLoads *message)
+{
+  assert(message->base.descriptor == &gossip__account_loads__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__account_loads__pack
+                     (const Gossip__AccountLoads *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__account_loads__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__account_loads__pack_to_buffer
+                     (const Gossip__AccountLoads *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__account_loads__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__AccountLoads *
+       gossip__account_loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__AccountLoads *)
+     protobuf_c_message_unpack (&gossip__account_loads__descriptor,
+                                allocator, len, data);
+}
+void   gossip__account_loads__free_unpacked
+                     (Gossip__AccountLoads *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__account_loads__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gossip__hub__init
                      (Gossip__Hub         *message)
 {
@@ -972,6 +1017,70 @@
   (ProtobufCMessageInit) gossip__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gossip__account_loads__field_descriptors[3] =
+{
+  {
+    "accounts",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gossip__AccountLoads, n_accounts),
+    offsetof(Gossip__AccountLoads, accounts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Gossip__AccountLoads, n_asked),
+    offsetof(Gossip__AccountLoads, asked),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admitted",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Gossip__AccountLoads, n_admitted),
+    offsetof(Gossip__AccountLoads, admitted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__account_loads__field_indices_by_name[] = {
+  0,   /* field[0] = accounts */
+  2,   /* field[2] = admitted */
+  1,   /* field[1] = asked */
+};
+static const ProtobufCIntRange gossip__account_loads__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gossip__account_loads__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.AccountLoads",
+  "AccountLoads",
+  "Gossip__AccountLoads",
+  "gossip",
+  sizeof(Gossip__AccountLoads),
+  3,
+  gossip__account_loads__field_descriptors,
+  gossip__account_loads__field_indices_by_name,
+  1,  gossip__account_loads__number_ranges,
+  (ProtobufCMessageInit) gossip__account_loads__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gossip__hub__field_descriptors[5] =
 {
   {
@@ -1062,7 +1171,7 @@
   (ProtobufCMessageInit) gossip__hub__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__table__field_descriptors[13] =
+static const ProtobufCFieldDescriptor gossip__table__field_descriptors[14] =
 {
   {
     "region",
@@ -1220,8 +1329,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account_loads",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Table, account_loads),
+    &gossip__account_loads__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__table__field_indices_by_name[] = {
+  13,   /* field[13] = account_loads */
   9,   /* field[9] = changing */
   10,   /* field[10] = demands */
   7,   /* field[7] = held */
@@ -1239,7 +1361,7 @@
 static const ProtobufCIntRange gossip__table__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor gossip__table__descriptor =
 {
@@ -1249,7 +1371,7 @@
   "Gossip__Table",
   "gossip",
   sizeof(Gossip__Table),
-  13,
+  14,
   gossip__table__field_descriptors,
   gossip__table__field_indices_by_name,
   1,  gossip__table__number_ranges,
@@ -2066,7 +2188,7 @@
   (ProtobufCMessageInit) gossip__loan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__news__field_descriptors[33] =
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[34] =
 {
   {
     "vm",
@@ -2464,8 +2586,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account_loads",
+    46,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, account_loads),
+    &gossip__account_loads__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__news__field_indices_by_name[] = {
+  33,   /* field[33] = account_loads */
   3,   /* field[3] = address */
   27,   /* field[27] = answers_reach */
   10,   /* field[10] = capacity */
@@ -2500,12 +2635,13 @@
   11,   /* field[11] = vms */
   16,   /* field[16] = watches */
 };
-static const ProtobufCIntRange gossip__news__number_ranges[3 + 1] =
+static const ProtobufCIntRange gossip__news__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 35, 26 },
   { 40, 29 },
-  { 0, 33 }
+  { 46, 33 },
+  { 0, 34 }
 };
 const ProtobufCMessageDescriptor gossip__news__descriptor =
 {
@@ -2515,10 +2651,10 @@
   "Gossip__News",
   "gossip",
   sizeof(Gossip__News),
-  33,
+  34,
   gossip__news__field_descriptors,
   gossip__news__field_indices_by_name,
-  3,  gossip__news__number_ranges,
+  4,  gossip__news__number_ranges,
   (ProtobufCMessageInit) gossip__news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Gossip__Use Gossip__Use;
 typedef struct Gossip__Demand Gossip__Demand;
+typedef struct Gossip__AccountLoads Gossip__AccountLoads;
 typedef struct Gossip__Hub Gossip__Hub;
 typedef struct Gossip__Table Gossip__Table;
 typedef struct Gossip__Crash Gossip__Crash;
@@ -120,6 +121,37 @@
     , 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
+/*
+ * Client accounts that were used lately, with the rates of requests to the
+ * sender, or of a table's VMs. The fields are parallel.
+ */
+struct  Gossip__AccountLoads
+{
+  ProtobufCMessage base;
+  /*
+   * Hashes of the accounts' names.
+   */
+  size_t n_accounts;
+  uint64_t *accounts;
+  /*
+   * Units of the accounts' caps a second, with a memory of 300 ms.
+   */
+  /*
+   * Requested by callers.
+   */
+  size_t n_asked;
+  float *asked;
+  /*
+   * Admitted; less than 0 if more was given back, as it did not run.
+   */
+  size_t n_admitted;
+  float *admitted;
+};
+#define GOSSIP__ACCOUNT_LOADS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__account_loads__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL }
+
+
 /*
  * A VM that may distribute load tables in its region.
  */
@@ -209,10 +241,14 @@
    */
   size_t n_later;
   uint32_t *later;
+  /*
+   * Sums, of the accounts whose hashes belong to this part.
+   */
+  Gossip__AccountLoads *account_loads;
 };
 #define GOSSIP__TABLE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__table__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL }
 
 
 /*
@@ -616,10 +652,11 @@
   Gossip__Loan **loan_asks;
   size_t n_loans;
   Gossip__Loan **loans;
+  Gossip__AccountLoads *account_loads;
 };
 #define GOSSIP__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, NULL }
 
 
 /*
@@ -707,6 +744,25 @@
 void   gossip__demand__free_unpacked
                      (Gossip__Demand *message,
                       ProtobufCAllocator *allocator);
+/* Gossip__AccountLoads methods */
+void   gossip__account_loads__init
+                     (Gossip__AccountLoads         *message);
+size_t gossip__account_loads__get_packed_size
+                     (const Gossip__AccountLoads   *message);
+size_t gossip__account_loads__pack
+                     (const Gossip__AccountLoads   *message,
+                      uint8_t             *out);
+size_t gossip__account_loads__pack_to_buffer
+                     (const Gossip__AccountLoads   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__AccountLoads *
+       gossip__account_loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__account_loads__free_unpacked
+                     (Gossip__AccountLoads *message,
+                      ProtobufCAllocator *allocator);
 /* Gossip__Hub methods */
 void   gossip__hub__init
                      (Gossip__Hub         *message);
@@ -981,6 +1037,9 @@
 typedef void (*Gossip__Demand_Closure)
                  (const Gossip__Demand *message,
                   void *closure_data);
+typedef void (*Gossip__AccountLoads_Closure)
+                 (const Gossip__AccountLoads *message,
+                  void *closure_data);
 typedef void (*Gossip__Hub_Closure)
                  (const Gossip__Hub *message,
                   void *closure_data);
@@ -1031,6 +1090,7 @@
 
 extern const ProtobufCMessageDescriptor gossip__use__descriptor;
 extern const ProtobufCMessageDescriptor gossip__demand__descriptor;
+extern const ProtobufCMessageDescriptor gossip__account_loads__descriptor;
 extern const ProtobufCMessageDescriptor gossip__hub__descriptor;
 extern const ProtobufCMessageDescriptor gossip__table__descriptor;
 extern const ProtobufCMessageDescriptor gossip__crash__descriptor;
--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -24,8 +24,12 @@
     [ADMISSION_NO_CONFIG] = {200, 300}, /* Time to read the configuration. */
     [ADMISSION_NO_WORKER] = {300, 700}, /* Worker restart or end of a block. */
     [ADMISSION_FULL] = {1500, 2000}, /* 0.5 to 1 times a stream's duration. */
-    [ADMISSION_STOPPING] = {50, 50},    [ADMISSION_FAULT] = {50, 150},
-    [ADMISSION_PAUSED] = {50, 150},     [ADMISSION_BLOCKED] = {50, 150},
+    [ADMISSION_STOPPING] = {50, 50},
+    [ADMISSION_FAULT] = {50, 150},
+    [ADMISSION_PAUSED] = {50, 150},
+    [ADMISSION_BLOCKED] = {50, 150},
+    /* The others of the account come meanwhile, too: the later the better. */
+    [ADMISSION_CAPPED] = {500, 4000},
 };
 
 static int64_t get_leave_us(int64_t slo_us);
@@ -162,8 +166,18 @@
     if (cause == ADMISSION_TOO_LARGE) {
         return 0;
     }
-    if (after_ms > limit_ms && cause != ADMISSION_PAUSED &&
-        cause != ADMISSION_BLOCKED) {
+    if (cause == ADMISSION_CAPPED && after_ms > limit_ms / 2) {
+        /* Most are above the limit, and all of them would come back after the
+           same time. */
+        int64_t width_ms = range->width_ms < limit_ms - limit_ms / 2
+                               ? range->width_ms
+                               : limit_ms - limit_ms / 2;
+        after_ms = limit_ms - width_ms *
+                                  (random_value % ADMISSION_RANDOM_STEPS) /
+                                  ADMISSION_RANDOM_STEPS;
+    }
+    else if (after_ms > limit_ms && cause != ADMISSION_PAUSED &&
+             cause != ADMISSION_BLOCKED) {
         after_ms = limit_ms;
     }
     return after_ms < ADMISSION_RETRY_MIN_MS ? ADMISSION_RETRY_MIN_MS
--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -72,6 +72,9 @@
     /* A part of the prompt crashes workers; the time until one such request is
        let through is known. */
     ADMISSION_BLOCKED,
+    /* The caller's account is above its cap; the time until there is room if
+       nothing more is sent is known. */
+    ADMISSION_CAPPED,
     ADMISSION_CAUSE_COUNT,
 } AdmissionCause;
 
--- a/src/decide/cap.c
+++ b/src/decide/cap.c
@@ -162,6 +162,43 @@
     return told;
 }
 
+CapRates
+Cap_GetTold(const Cap *cap, int64_t now_us)
+{
+    double decay = get_decay(cap->told_us, now_us, CAP_MEMORY_US);
+    CapRates told = {cap->told.asked_per_s * decay,
+                     cap->told.admitted_per_s * decay};
+
+    return told;
+}
+
+double
+Cap_NoteHeard(CapHearing *hearing, uint32_t vms, uint32_t most_vms,
+              int64_t now_us)
+{
+    int64_t slot = now_us / CAP_HEARD_SLOT_US;
+    uint32_t known = vms;
+    uint32_t *now;
+
+    if (slot - hearing->slot > CAP_HEARD_SLOTS) {
+        hearing->slot = slot - CAP_HEARD_SLOTS;
+    }
+    while (hearing->slot < slot) {
+        hearing->slot++;
+        hearing->most[hearing->slot % CAP_HEARD_SLOTS] = 0;
+    }
+    now = &hearing->most[slot % CAP_HEARD_SLOTS];
+    *now = vms > *now ? vms : *now;
+    for (uint32_t i = 0; i < CAP_HEARD_SLOTS; i++) {
+        known = hearing->most[i] > known ? hearing->most[i] : known;
+    }
+    if (vms >= CAP_HEARD_SHARE * known) {
+        return 1.0;
+    }
+    known = most_vms > 0 && most_vms < known ? most_vms : known;
+    return vms < known ? (double)vms / known : 1.0;
+}
+
 int64_t
 Cap_GetFreeTime(const Cap *cap, int64_t now_us)
 {
--- a/src/decide/cap.h
+++ b/src/decide/cap.h
@@ -69,6 +69,21 @@
     double admitted_per_s;
 } CapRates;
 
+/* Slots of the time for which heard VMs are remembered. A division of the
+   fleet that lasts longer gives each part the whole cap; VMs that are gone for
+   good lower the cap of the others for so long. */
+#define CAP_HEARD_SLOTS 10
+#define CAP_HEARD_SLOT_US (6 * CLK_US_PER_S)
+/* With at least this part of the VMs heard, the whole cap counts: VMs start
+   and end, and single messages get lost. */
+#define CAP_HEARD_SHARE 0.8
+
+/* How many VMs were heard lately. All zero at the start. */
+typedef struct CapHearing {
+    uint32_t most[CAP_HEARD_SLOTS]; /* In each slot. */
+    int64_t slot;                   /* Number of the last one. */
+} CapHearing;
+
 /* Estimate of one account at one VM. All times are those of the runtime clock
    with suspended time added. */
 typedef struct Cap {
@@ -111,6 +126,12 @@
 void Cap_GiveBack(Cap *cap, double amount, int64_t now_us);
 /* Returns this VM's rates for a report that is sent now. */
 CapRates Cap_Report(Cap *cap, int64_t now_us);
+/* Returns what is left of the rates of the last report. */
+CapRates Cap_GetTold(const Cap *cap, int64_t now_us);
+/* Notes how many VMs are heard now, this one included, and returns the part of
+   the fleet. `most_vms`: the most that it ever had; 0: not known. */
+double Cap_NoteHeard(CapHearing *hearing, uint32_t vms, uint32_t most_vms,
+                     int64_t now_us);
 /* Returns the estimated units left. */
 double Cap_GetLevel(const Cap *cap, int64_t now_us);
 /* Returns what all VMs are asked for, units a second. */
--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -99,6 +99,7 @@
         .grace_ms = 8000,
         .lease_ms = 3000,
         .budget = gate.budget,
+        .quota = gate.quota,
         .fleet = Fleet_DefaultOptions(),
     };
     return options;
@@ -126,6 +127,7 @@
     gate.zone = options->zone;
     gate.regions = options->regions;
     gate.budget = options->budget;
+    gate.quota = options->quota;
     gate.seed = options->seed;
     gate.context = edge;
     gate.get_vm_count = get_vm_count;
@@ -305,6 +307,7 @@
     gossip.fleet = edge->fleet;
     gossip.suspects = Gate_GetSuspects(edge->gate);
     gossip.origins = Gate_GetOrigins(edge->gate);
+    gossip.account_loads = Gate_GetAccountLoads(edge->gate);
     gossip.context = edge;
     gossip.on_suspects_change = on_suspects_change;
     gossip.on_limit_change = on_limit_change;
--- a/src/gate/edge.h
+++ b/src/gate/edge.h
@@ -35,6 +35,7 @@
     uint32_t notice_ms;
     uint32_t grace_ms; /* Time from the stop signal to the kill. */
     BudgetOptions budget;
+    AccountLoadOptions quota;
     FleetOptions fleet;
     /* Time within which orders to workers must come from one VM. */
     uint32_t lease_ms;
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -49,6 +49,7 @@
         .vm = "",
         .weights = Rank_DefaultWeights(),
         .budget = Budget_DefaultOptions(),
+        .quota = AccountLoad_DefaultOptions(),
         .get_vm_count = get_single_vm,
         .ask_loan = ask_nobody,
         .get_share = get_whole_share,
@@ -92,6 +93,7 @@
     LIST_INIT(&gate->crash_checks);
     gate->surveys = Survey_New(gate);
     gate->lookups = Lookup_New(gate);
+    gate->account_loads = AccountLoad_New(&gate->options);
     Detour_Init(gate);
     Origins_Init(&gate->origins);
     Suspects_Init(&gate->suspects,
@@ -111,6 +113,7 @@
     Survey_Free(gate->surveys);
     Detour_Clear(gate);
     Origins_Clear(&gate->origins);
+    AccountLoad_Free(gate->account_loads);
     Rte_Unref(gate->table);
     g_hash_table_destroy(gate->budgets);
     g_hash_table_destroy(gate->demands);
@@ -136,12 +139,19 @@
                   "before",
                   (json_int_t)(gate->table ? gate->table->version : 0),
                   "routes", (int)table->route_count));
+    AccountLoad_SetAccounts(gate->account_loads, table->accounts);
     Rte_Unref(gate->table);
     gate->table = table;
     Met_Add(MET_CONFIG_ACCEPTED, 1);
     return true;
 }
 
+AccountLoads *
+Gate_GetAccountLoads(Gate *gate)
+{
+    return gate->account_loads;
+}
+
 const RteTable *
 Gate_GetTable(const Gate *gate)
 {
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -11,6 +11,7 @@
 #include "../decide/suspects.h"
 #include "../io/client.h"
 #include "../io/server.h"
+#include "account_load.h"
 #include "fleet.h"
 #include "load_report.h"
 #include "origins.h"
@@ -243,6 +244,7 @@
     GHashTable *regions; /* Zone to region. */
     RankWeights weights;
     BudgetOptions budget;
+    AccountLoadOptions quota;
     guint32 seed;
     void *context;
     /* Returns the most VMs that the fleet has ever had, as far as this VM
@@ -300,6 +302,8 @@
 void Gate_UpdateForecasts(Gate *gate);
 /* Returns the bytes of workers' answers that are being read. */
 size_t Gate_GetBufferedBytes(const Gate *gate);
+/* Returns the use of client accounts. The gate owns it. */
+AccountLoads *Gate_GetAccountLoads(Gate *gate);
 /* Returns the versions that began streams. The gate owns them. */
 Origins *Gate_GetOrigins(Gate *gate);
 /* Returns the parts of prompts that are suspected to crash workers. The gate
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -101,6 +101,7 @@
     event_add(gos->readable, NULL);
     gos->timer = evtimer_new(options->base, on_timer, gos);
     gos->table_timer = evtimer_new(options->base, on_table_timer, gos);
+    Gos_StartAccounts(gos);
     Loop_ArmTimer(gos->timer, 0);
     return gos;
 }
@@ -475,6 +476,7 @@
         ReportDemand demand = Gos_DecodeDemand(from);
         Report_SetDemand(&peer->report, from->service, &demand);
     }
+    Gos_StoreAccounts(&peer->report, news->account_loads);
     Report_DropUses(&peer->report);
     for (size_t i = 0; i < news->n_uses; i++) {
         const Gossip__Use *from = news->uses[i];
@@ -560,6 +562,7 @@
     GosMessage message;
     const Peer *peer = NULL;
 
+    Gos_UpdateAccounts(gos);
     Gos_BeginMessage(gos, &message);
     Gos_AddOrigins(gos, &message);
     Gos_AddUses(gos, &message);
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -48,6 +48,7 @@
     guint32 seed; /* Seed of the random number generator. */
     Suspects *suspects; /* Shared with the other VMs; NULL for none. */
     Origins *origins;   /* Shared with the other VMs; NULL for none. */
+    AccountLoads *account_loads; /* The same. */
     void *context;
     /* Called when another VM changed the suspects. Must be set with them. */
     void (*on_suspects_change)(void *context);
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -47,6 +47,7 @@
     news->demands = message->demands;
     news->n_demands = fill_demands(&gos->own, message->demand_rows,
                                    message->rooms, message->demands);
+    Gos_AddAccounts(gos, message);
     if (options->suspects != NULL) {
         add_suspects(gos, message);
     }
@@ -72,6 +73,7 @@
     gossip__table__init(no_load);
     message->news.table = no_load;
     message->news.n_demands = 0;
+    message->news.account_loads = NULL;
     message->news.n_suspects = 0;
     message->news.n_limits = 0;
 }
@@ -495,6 +497,7 @@
     table->n_held = n;
     table->later = part->later;
     table->n_later = n * GOS_LATER_POINTS;
+    Gos_FillTableAccounts(part, report, number, count);
     if (number == 0) {
         table->n_demands = fill_demands(report, part->demand_rows, part->rooms,
                                         part->demands);
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -36,6 +36,18 @@
    regions have room beside it. */
 #define GOS_TABLE_MAX_BYTES 1080
 
+/* Accounts in one message, and in one table; some 16 bytes each. */
+#define GOS_ACCOUNTS_MAX 24
+#define GOS_TABLE_ACCOUNTS_MAX 64
+
+/* The arrays of accounts' loads. */
+typedef struct GosAccounts {
+    Gossip__AccountLoads loads;
+    uint64_t accounts[GOS_TABLE_ACCOUNTS_MAX];
+    float asked[GOS_TABLE_ACCOUNTS_MAX];
+    float admitted[GOS_TABLE_ACCOUNTS_MAX];
+} GosAccounts;
+
 /* The arrays of a demand. */
 typedef struct GosRooms {
     uint32_t versions[REPORT_ROOMS_MAX];
@@ -51,6 +63,7 @@
     Gossip__Demand demand_rows[GOS_DEMANDS_MAX];
     Gossip__Demand *demands[GOS_DEMANDS_MAX];
     GosRooms rooms[GOS_DEMANDS_MAX];
+    GosAccounts accounts;
     Gossip__Hub hub_rows[GOS_HUBS_MAX];
     Gossip__Hub *hubs[GOS_HUBS_MAX];
     Gossip__Suspect suspect_rows[GOS_SUSPECTS_MAX];
@@ -77,6 +90,7 @@
     Gossip__Demand demand_rows[GOS_DEMANDS_MAX];
     Gossip__Demand *demands[GOS_DEMANDS_MAX];
     GosRooms rooms[GOS_DEMANDS_MAX];
+    GosAccounts accounts;
     uint64_t workers[GOS_TABLE_ROWS_MAX];
     uint32_t inflight[GOS_TABLE_ROWS_MAX];
     uint32_t reading[GOS_TABLE_ROWS_MAX];
@@ -198,6 +212,21 @@
  */
 bool Gos_HandleLoans(Gos *gos, const Gossip__News *news);
 
+/* Lets the use of client accounts be told and heard. */
+void Gos_StartAccounts(Gos *gos);
+/* Stores this VM's use of accounts, for a message that is sent now. */
+void Gos_UpdateAccounts(Gos *gos);
+/* Adds this VM's use of accounts, as stored. */
+void Gos_AddAccounts(const Gos *gos, GosMessage *message);
+/* Replaces the accounts of a report; `loads` may be NULL. */
+void Gos_StoreAccounts(Report *report, const Gossip__AccountLoads *loads);
+/* Fills in the accounts whose hashes belong to this part of the table. */
+void Gos_FillTableAccounts(GosTablePart *part, const Report *report,
+                           uint32_t number, uint32_t count);
+/* Adds the use of accounts of a region's VMs, this one included, to the sum
+   of its table. */
+void Gos_SumAccounts(Gos *gos, uint32_t region, Report *sum);
+
 /* Encodes a point of time as its age plus 1, and none as 0. */
 uint32_t Gos_EncodeAge(int64_t at_us, int64_t now_us);
 int64_t Gos_DecodeAge(uint32_t age_ms, int64_t now_us);
--- a/src/gate/gossip_table.c
+++ b/src/gate/gossip_table.c
@@ -62,6 +62,7 @@
         }
         Report_AddUse(report, &use);
     }
+    Gos_StoreAccounts(report, table->account_loads);
     for (size_t i = 0; i < table->n_demands; i++) {
         const Gossip__Demand *from = table->demands[i];
         ReportDemand demand = Gos_DecodeDemand(from);
@@ -92,6 +93,7 @@
     members = Peers_SumRegion(peers, &sum) + 1;
     add_own_uses(gos, &sum);
     Report_Merge(&sum, &gos->own);
+    Gos_SumAccounts(gos, peers->options.region, &sum);
     send_table(gos, peers->options.region, members, &sum, true);
     Report_Clear(&sum);
     send_proxies(gos);
@@ -107,6 +109,7 @@
         for (uint32_t k = 0; k < row->part_count; k++) {
             Report_Merge(&sum, &row->parts[k]);
         }
+        Gos_SumAccounts(gos, row->region, &sum);
         send_table(gos, row->region, row->members, &sum, false);
         Report_Clear(&sum);
     }
@@ -176,6 +179,7 @@
         Gos_FillTablePart(&part, report, i, parts);
         Gos_BeginMessage(gos, &message);
         message.news.n_demands = 0;
+        message.news.account_loads = NULL;
         message.news.table = &part.table;
         if (i == 0) {
             Gos_AddHubs(gos, &message);
--- a/src/gate/load_report.c
+++ b/src/gate/load_report.c
@@ -16,6 +16,7 @@
 {
     report->uses = g_array_new(FALSE, FALSE, sizeof(ReportUse));
     report->demands = g_array_new(FALSE, FALSE, sizeof(DemandRow));
+    report->accounts = g_array_new(FALSE, FALSE, sizeof(ReportAccount));
     report->is_applied = false;
 }
 
@@ -25,6 +26,7 @@
     Report_DropUses(report);
     g_array_free(report->uses, TRUE);
     g_array_free(report->demands, TRUE);
+    g_array_free(report->accounts, TRUE);
 }
 
 void
--- a/src/gate/load_report.h
+++ b/src/gate/load_report.h
@@ -42,9 +42,17 @@
     ReportRooms rooms;
 } ReportDemand;
 
+/* Use of a client account. */
+typedef struct ReportAccount {
+    uint64_t account;      /* Hash of its name. */
+    double asked_per_s;    /* Units that callers request. */
+    double admitted_per_s; /* Less than 0 if more was given back. */
+} ReportAccount;
+
 typedef struct Report {
-    GArray *uses;    /* ReportUse elements. */
-    GArray *demands; /* Elements private to the module. */
+    GArray *uses;     /* ReportUse elements. */
+    GArray *demands;  /* Elements private to the module. */
+    GArray *accounts; /* ReportAccount elements, one for each account. */
     bool is_applied;
 } Report;
 
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -1,5 +1,6 @@
 /* Task: begin and end of a request, and its answers. See task.h. */
 #include "task.h"
+#include "account_load.h"
 #include "blame.h"
 #include "detour.h"
 #include "grace.h"
@@ -140,7 +141,13 @@
     int64_t wait_ms = 0;
     bool is_limited = false;
 
-    if (cause == ADMISSION_BLOCKED) {
+    AccountLoad_GiveBack(task);
+    if (cause == ADMISSION_CAPPED) {
+        wait_ms = AccountLoad_GetWait(task) / CLK_US_PER_MS;
+        code = task->account->unit == ACC_UNIT_TOKENS ? LS_ERR_TOKEN_LIMIT
+                                                      : LS_ERR_RATE_LIMIT;
+    }
+    else if (cause == ADMISSION_BLOCKED) {
         open_us = Blame_GetProbeTime(task);
         wait_ms = MAX(open_us - Task_Now(task), 0) / CLK_US_PER_MS;
         code = LS_ERR_PROMPT_BLOCKED;
@@ -227,9 +234,9 @@
     int64_t took_us = Task_Now(task) - task->began_us;
     int64_t run_us;
 
-    Met_Add(status < 300
-                ? MET_GATE_OK
-                : (status == 503 ? MET_GATE_REFUSED : MET_GATE_FAILED),
+    Met_Add(status < 300 ? MET_GATE_OK
+                         : (status == 503 || status == 429 ? MET_GATE_REFUSED
+                                                           : MET_GATE_FAILED),
             1);
     Met_Observe(task->route->kind == RTE_STREAM ? MET_STREAM_US : MET_PLAIN_US,
                 took_us);
@@ -400,6 +407,10 @@
     }
     note_left(task);
     Met_Add(MET_GATE_REQUESTS, 1);
+    if (!AccountLoad_Admit(task)) {
+        Task_Refuse(task, ADMISSION_CAPPED);
+        return;
+    }
     Task_NoteRequest(task);
     begin_service(task);
 }
@@ -456,6 +467,9 @@
         task->exchange = NULL;
         task->is_caller_gone = true;
         Met_Add(MET_CALLERS_DISCONNECTED, 1);
+        if (task->runs == 0 && !task->streaming && !Task_MayBeRunning(task)) {
+            AccountLoad_GiveBack(task);
+        }
         Task_End(task, "caller_gone", 499);
     }
 }
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -114,6 +114,8 @@
     /* Client account of the caller, which belongs to the table; NULL: none. */
     const Account *account;
     uint32_t priority; /* Of the account, or else of the route. */
+    /* Units that the request counts against the account's cap; 0: none. */
+    double account_units;
     struct event *timer;
     uint32_t caller;   /* IPv4 address of the caller; 0 if it is unknown. */
     uint64_t identity; /* See Task_GetIdentity(); 0 if not yet computed. */
@@ -229,6 +231,7 @@
     Suspects suspects;
     LIST_HEAD(CrashCheckList, CrashCheck) crash_checks;
     Origins origins;
+    AccountLoads *account_loads;
     struct Surveys *surveys;
     struct Lookups *lookups;
     LIST_HEAD(DetourServiceList, DetourService) cut_services;
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -111,6 +111,11 @@
     [MET_EXTRAS_BORROWED] = {"extras_borrowed_thousandths",
                              "Thousandths of calls of retry budgets that "
                              "other VMs lent"},
+    [MET_REQUESTS_CAPPED] = {"requests_capped",
+                             "Requests refused by the cap of their account"},
+    [MET_REQUESTS_GIVEN_BACK] = {"requests_given_back",
+                                 "Requests that did not run, given back to "
+                                 "the cap of their account"},
     [MET_SUCCESSORS] = {"successors", "Silent calls for which another worker "
                                       "was looked for."},
     [MET_SUCCESSORS_TOOK_OVER] = {"successors_took_over",
--- a/tests/test_gossip_messages.cc
+++ b/tests/test_gossip_messages.cc
@@ -25,6 +25,7 @@
     &gossip__reach__descriptor,   &gossip__proxy__descriptor,
     &gossip__news__descriptor,    &gossip__entry__descriptor,
     &gossip__picture__descriptor, &gossip__loan__descriptor,
+    &gossip__account_loads__descriptor,
 };
 
 std::vector<std::string>
