--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -1017,7 +1017,7 @@
   (ProtobufCMessageInit) gossip__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__account_loads__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gossip__account_loads__field_descriptors[7] =
 {
   {
     "accounts",
@@ -1055,16 +1055,68 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Gossip__AccountLoads, n_streams),
+    offsetof(Gossip__AccountLoads, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "looked",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__AccountLoads, looked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lacking",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__AccountLoads, lacking),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "served",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__AccountLoads, served),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__account_loads__field_indices_by_name[] = {
   0,   /* field[0] = accounts */
   2,   /* field[2] = admitted */
   1,   /* field[1] = asked */
+  5,   /* field[5] = lacking */
+  4,   /* field[4] = looked */
+  6,   /* field[6] = served */
+  3,   /* field[3] = streams */
 };
 static const ProtobufCIntRange gossip__account_loads__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gossip__account_loads__descriptor =
 {
@@ -1074,7 +1126,7 @@
   "Gossip__AccountLoads",
   "gossip",
   sizeof(Gossip__AccountLoads),
-  3,
+  7,
   gossip__account_loads__field_descriptors,
   gossip__account_loads__field_indices_by_name,
   1,  gossip__account_loads__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -146,10 +146,23 @@
    */
   size_t n_admitted;
   float *admitted;
+  /*
+   * Of streams that look for room or are turned away by the fair share, tokens
+   * a second.
+   */
+  size_t n_streams;
+  float *streams;
+  /*
+   * The same of all accounts: those that looked for room, that found none at
+   * first, and that found room.
+   */
+  float looked;
+  float lacking;
+  float served;
 };
 #define GOSSIP__ACCOUNT_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__account_loads__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/src/gate/account_load.c
+++ b/src/gate/account_load.c
@@ -1,6 +1,7 @@
 /* Account load: counts of client accounts. See account_load.h. */
 #include "account_load.h"
 
+#include "../decide/fair_share.h"
 #include "../io/loop.h"
 #include "../log.h"
 #include "task.h"
@@ -13,23 +14,48 @@
    this time, and at once if it restarted. */
 #define HEAR_FIRST_US (1 * CLK_US_PER_S)
 
+/* Time over which the loads of streams are averaged for the fair share: some
+   streams of each account. */
+#define SMOOTH_US (1 * CLK_US_PER_S)
+/* Tokens of a stream that tells none, if its account does not say. */
+#define STREAM_TOKENS 5000
+/* Rates below this count as none, tokens a second. */
+#define STREAMS_MIN 1.0
+
+/* A rate like those of Cap: units enter it with the report that is the first
+   to tell them. */
+typedef struct Count {
+    double told; /* As of the last report, a second. */
+    double fresh;
+} Count;
+
 typedef struct AccountRow {
     uint64_t hash;
     const Account *account; /* Of the configuration in force. */
-    Cap cap;
-    double heard_asked; /* Sums of other VMs while they are being heard. */
-    double heard_admitted;
+    Cap cap;                /* Not used if the account has none. */
+    Count streams;          /* Tokens. */
+    double streams_per_s;   /* Of all VMs, mean. */
+    /* Sums of other VMs while they are being heard. */
+    ReportAccount heard;
 } AccountRow;
 
 struct AccountLoads {
     const GateOptions *options;
     const AccTable *accounts; /* NULL: none. */
     GHashTable *rows;         /* Hash to AccountRow, of accounts in use. */
-    bool has_caps;
-    struct event *timer; /* Pending while there are caps. */
+    struct event *timer;      /* Pending while there are accounts. */
+    FairShare fair;
+    Count looked;
+    Count lacking;
+    Count served;
+    int64_t told_us;       /* When all counts were reported. */
+    ReportStreams heard;   /* Sum of other VMs while they are heard. */
+    ReportStreams streams; /* Of all VMs, mean. */
+    double stream_size;    /* Tokens of a stream, mean. */
     AccountLoadHear hear;
     void *context;
     CapHearing hearing;
+    int64_t smoothed_us;
     bool has_heard; /* Any other VM. */
     double share;   /* Part of the fleet that is heard. */
     int64_t heard_us;
@@ -40,7 +66,16 @@
 static void hear(AccountLoads *loads);
 static double get_share(AccountLoads *loads, const AccountLoadHeard *heard,
                         int64_t now_us);
-static const Account *find_capped(const AccountLoads *loads, uint64_t hash);
+static void update_fair_share(AccountLoads *loads, bool is_own_included,
+                              int64_t now_us);
+static bool admit_stream(GateTask *task, AccountRow *row, uint64_t tokens);
+static double report(Count *count, double decay);
+static double add_own(double others, const Count *own, double decay,
+                      bool is_included);
+static void smooth(double *mean, double value, double kept);
+static double get_decay(int64_t from_us, int64_t to_us, int64_t memory_us);
+static const Account *find_account(const AccountLoads *loads, uint64_t hash);
+static bool has_cap(const Account *account);
 static AccountRow *get_row(AccountLoads *loads, const Account *account);
 static CapOptions get_cap_options(const AccountLoads *loads,
                                   const Account *account);
@@ -98,30 +133,27 @@
 AccountLoad_SetAccounts(AccountLoads *loads, const AccTable *accounts)
 {
     size_t count = accounts != NULL ? Acc_List(accounts, NULL, 0) : 0;
-    const Account **list = g_new(const Account *, count + 1);
     int64_t now_us = get_now(loads);
     GHashTableIter iter;
     gpointer value;
 
-    loads->accounts = accounts;
-    loads->has_caps = false;
-    for (size_t i = 0; count > 0 && i < Acc_List(accounts, list, count); i++) {
-        loads->has_caps |= list[i]->rate_per_s > 0;
-    }
-    g_free(list);
+    loads->accounts = count > 0 ? accounts : NULL;
     g_hash_table_iter_init(&iter, loads->rows);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         AccountRow *row = value;
-        row->account = find_capped(loads, row->hash);
-        if (row->account == NULL) {
+        const Account *before = row->account;
+        row->account = find_account(loads, row->hash);
+        /* A change of the unit begins anew. */
+        if (row->account == NULL || row->account->unit != before->unit ||
+            has_cap(row->account) != has_cap(before)) {
             g_hash_table_iter_remove(&iter);
         }
-        else {
+        else if (has_cap(row->account)) {
             CapOptions cap = get_cap_options(loads, row->account);
             Cap_SetOptions(&row->cap, &cap, now_us);
         }
     }
-    if (!loads->has_caps) {
+    if (loads->accounts == NULL) {
         event_del(loads->timer);
     }
     else if (!event_pending(loads->timer, EV_TIMEOUT, NULL)) {
@@ -130,43 +162,73 @@
     if (count > 0) {
         const AccountLoadOptions *quota = &loads->options->quota;
         Log_WriteJson(LOG_LEVEL_INFO, "accounts_in_force",
-                      json_pack("{s:I,s:b,s:I,s:f,s:f}", "accounts",
-                                (json_int_t)count, "capped",
-                                (int)loads->has_caps, "window_us",
+                      json_pack("{s:I,s:I,s:f,s:f}", "accounts",
+                                (json_int_t)count, "window_us",
                                 (json_int_t)quota->window_us, "excess",
                                 quota->excess, "slack", quota->slack));
     }
 }
 
 bool
-AccountLoad_Admit(GateTask *task)
+AccountLoad_Admit(GateTask *task, AdmissionCause *cause)
 {
     Gate *gate = task->gate;
     AccountLoads *loads = gate->account_loads;
     const Account *account = task->account;
-    double probability = 1.0;
+    uint64_t tokens =
+        (uint64_t)task->request.prompt_tokens + task->request.output_max;
     AccountRow *row;
-    double units;
 
-    if (!loads->has_caps || account == NULL || account->rate_per_s <= 0) {
+    if (loads->accounts == NULL || account == NULL) {
         return true;
     }
-    units = Acc_GetAmount(account, (uint64_t)task->request.prompt_tokens +
-                                       task->request.output_max);
     row = get_row(loads, account);
     gate->options.on_load_change(gate->options.context);
-    if (!Cap_Admit(&row->cap, units, task->priority, g_rand_double(gate->rand),
-                   get_now(loads), &probability)) {
-        Met_Add(MET_REQUESTS_CAPPED, 1);
-        log_capped(task, row, probability);
-        g_strlcpy(task->cause, "the account is above its cap",
+    if (has_cap(account)) {
+        double units = Acc_GetAmount(account, tokens);
+        double probability;
+        if (!Cap_Admit(&row->cap, units, task->priority,
+                       g_rand_double(gate->rand), get_now(loads),
+                       &probability)) {
+            Met_Add(MET_REQUESTS_CAPPED, 1);
+            log_capped(task, row, probability);
+            g_strlcpy(task->cause, "the account is above its cap",
+                      sizeof(task->cause));
+            *cause = ADMISSION_CAPPED;
+            return false;
+        }
+        task->account_units = units;
+    }
+    if (task->route->kind == RTE_STREAM && !admit_stream(task, row, tokens)) {
+        g_strlcpy(task->cause, "the account is above its fair share",
                   sizeof(task->cause));
+        *cause = ADMISSION_FULL;
         return false;
     }
-    task->account_units = units;
     return true;
 }
 
+void
+AccountLoad_NoteRoom(GateTask *task, bool lacks_room)
+{
+    AccountLoads *loads = task->gate->account_loads;
+
+    if (!task->is_room_noted) {
+        task->is_room_noted = true;
+        loads->looked.fresh += task->stream_units;
+        loads->lacking.fresh += lacks_room ? task->stream_units : 0;
+    }
+}
+
+void
+AccountLoad_NoteServed(GateTask *task)
+{
+    if (!task->is_served) {
+        task->is_served = true;
+        task->gate->account_loads->served.fresh += task->stream_units;
+    }
+}
+
 void
 AccountLoad_GiveBack(GateTask *task)
 {
@@ -195,22 +257,39 @@
 }
 
 uint32_t
-AccountLoad_Report(AccountLoads *loads, ReportAccount *rows, uint32_t max)
+AccountLoad_Report(AccountLoads *loads, ReportAccount *rows, uint32_t max,
+                   ReportStreams *streams)
 {
     guint size = g_hash_table_size(loads->rows);
-    ReportAccount *all = g_new(ReportAccount, size + 1);
+    ReportAccount *all = NULL;
     int64_t now_us = get_now(loads);
+    double decay = get_decay(loads->told_us, now_us, CAP_MEMORY_US);
     uint32_t count = 0;
     GHashTableIter iter;
     gpointer value;
 
+    *streams = (ReportStreams){0};
+    if (loads->accounts == NULL) {
+        return 0;
+    }
+    streams->looked = report(&loads->looked, decay);
+    streams->lacking = report(&loads->lacking, decay);
+    streams->served = report(&loads->served, decay);
+    loads->told_us = now_us;
+    all = g_new(ReportAccount, size + 1);
     g_hash_table_iter_init(&iter, loads->rows);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         AccountRow *row = value;
-        CapRates rates = Cap_Report(&row->cap, now_us);
-        if (rates.asked_per_s != 0 || rates.admitted_per_s != 0) {
-            all[count++] = (ReportAccount){row->hash, rates.asked_per_s,
-                                           rates.admitted_per_s};
+        ReportAccount told = {.account = row->hash,
+                              .streams_per_s = report(&row->streams, decay)};
+        if (has_cap(row->account)) {
+            CapRates rates = Cap_Report(&row->cap, now_us);
+            told.asked_per_s = rates.asked_per_s;
+            told.admitted_per_s = rates.admitted_per_s;
+        }
+        if (told.asked_per_s != 0 || told.admitted_per_s != 0 ||
+            told.streams_per_s != 0) {
+            all[count++] = told;
         }
     }
     AccountLoad_Sort(loads, all, count);
@@ -224,15 +303,25 @@
 AccountLoad_AddHeard(AccountLoads *loads, const ReportAccount *row,
                      double weight)
 {
-    const Account *account = find_capped(loads, row->account);
+    const Account *account = find_account(loads, row->account);
     AccountRow *known;
 
     if (account == NULL) {
         return; /* Of another configuration. */
     }
     known = get_row(loads, account);
-    known->heard_asked += row->asked_per_s * weight;
-    known->heard_admitted += row->admitted_per_s * weight;
+    known->heard.asked_per_s += row->asked_per_s * weight;
+    known->heard.admitted_per_s += row->admitted_per_s * weight;
+    known->heard.streams_per_s += row->streams_per_s * weight;
+}
+
+void
+AccountLoad_AddHeardStreams(AccountLoads *loads, const ReportStreams *streams,
+                            double weight)
+{
+    loads->heard.looked += streams->looked * weight;
+    loads->heard.lacking += streams->lacking * weight;
+    loads->heard.served += streams->served * weight;
 }
 
 void
@@ -268,6 +357,7 @@
     }
     loads->share = get_share(loads, &heard, now_us);
     loads->heard_us = now_us;
+    update_fair_share(loads, heard.is_own_included, now_us);
     g_hash_table_iter_init(&iter, loads->rows);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         AccountRow *row = value;
@@ -276,20 +366,135 @@
         if (heard.is_own_included) {
             own = Cap_GetTold(&row->cap, now_us);
         }
-        others.asked_per_s = MAX(0, row->heard_asked - own.asked_per_s);
+        others.asked_per_s = MAX(0, row->heard.asked_per_s - own.asked_per_s);
         /* Not cut at 0: reports of this VM are told again with a delay, which
            evens out only if both signs count. */
-        others.admitted_per_s = row->heard_admitted - own.admitted_per_s;
-        row->heard_asked = 0;
-        row->heard_admitted = 0;
-        Cap_SetOthers(&row->cap, &others, now_us);
-        if (Cap_IsIdle(&row->cap, now_us) &&
+        others.admitted_per_s = row->heard.admitted_per_s - own.admitted_per_s;
+        row->heard = (ReportAccount){0};
+        if (has_cap(row->account)) {
+            Cap_SetOthers(&row->cap, &others, now_us);
+        }
+        if (row->streams_per_s < STREAMS_MIN &&
+            (!has_cap(row->account) || Cap_IsIdle(&row->cap, now_us)) &&
             now_us - loads->started_us >= loads->options->quota.window_us) {
             g_hash_table_iter_remove(&iter);
         }
     }
 }
 
+/* Averages the loads of streams of all VMs, and decides which accounts take
+   more than their fair share. */
+static void
+update_fair_share(AccountLoads *loads, bool is_own_included, int64_t now_us)
+{
+    double kept = get_decay(loads->smoothed_us, now_us, SMOOTH_US);
+    double decay = get_decay(loads->told_us, now_us, CAP_MEMORY_US);
+    double *asked = g_new(double, g_hash_table_size(loads->rows) + 1);
+    uint32_t count = 0;
+    FairShareLoad load;
+    GHashTableIter iter;
+    gpointer value;
+
+    smooth(
+        &loads->streams.looked,
+        add_own(loads->heard.looked, &loads->looked, decay, is_own_included),
+        kept);
+    smooth(
+        &loads->streams.lacking,
+        add_own(loads->heard.lacking, &loads->lacking, decay, is_own_included),
+        kept);
+    smooth(
+        &loads->streams.served,
+        add_own(loads->heard.served, &loads->served, decay, is_own_included),
+        kept);
+    loads->heard = (ReportStreams){0};
+    loads->smoothed_us = now_us;
+    g_hash_table_iter_init(&iter, loads->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        AccountRow *row = value;
+        smooth(&row->streams_per_s,
+               add_own(row->heard.streams_per_s, &row->streams, decay,
+                       is_own_included),
+               kept);
+        if (row->streams_per_s >= STREAMS_MIN) {
+            asked[count++] = row->streams_per_s;
+        }
+    }
+    load = (FairShareLoad){loads->streams.looked, loads->streams.lacking,
+                           loads->streams.served, loads->stream_size};
+    FairShare_Update(&loads->fair, &load, asked, count, now_us);
+    g_free(asked);
+}
+
+/* Counts a stream, and returns whether its account's fair share admits it. One
+   that a caller resumes has been served before. */
+static bool
+admit_stream(GateTask *task, AccountRow *row, uint64_t tokens)
+{
+    AccountLoads *loads = task->gate->account_loads;
+    double units = tokens > 0 ? (double)tokens
+                   : row->account->default_tokens > 0
+                       ? row->account->default_tokens
+                       : STREAM_TOKENS;
+    double probability =
+        FairShare_GetProbability(&loads->fair, row->streams_per_s);
+
+    loads->stream_size = loads->stream_size == 0
+                             ? units
+                             : loads->stream_size * 0.95 + units * 0.05;
+    row->streams.fresh += units;
+    if (task->request.last_event == GATE_NO_EVENT &&
+        g_rand_double(task->gate->rand) >= probability) {
+        Met_Add(MET_STREAMS_OVER_SHARE, 1);
+        Log_WriteJson(
+            LOG_LEVEL_INFO, "stream_over_share",
+            json_pack("{s:s,s:s,s:f,s:f,s:f,s:f,s:f,s:I,s:f}", "request",
+                      task->request.id, "account", row->account->name, "asked",
+                      row->streams_per_s, "limit", loads->fair.limit, "looked",
+                      loads->streams.looked, "lacking", loads->streams.lacking,
+                      "served", loads->streams.served, "heard_age_us",
+                      (json_int_t)(get_now(loads) - loads->heard_us), "p",
+                      probability));
+        return false;
+    }
+    task->stream_units = units;
+    return true;
+}
+
+/* Moves what is new into the rate, and returns it. */
+static double
+report(Count *count, double decay)
+{
+    count->told =
+        count->told * decay + count->fresh * CLK_US_PER_S / CAP_MEMORY_US;
+    count->told = count->told < STREAMS_MIN ? 0 : count->told;
+    count->fresh = 0;
+    return count->told;
+}
+
+/* Returns the rate of all VMs. `is_included`: that of the others holds what
+   this VM told. */
+static double
+add_own(double others, const Count *own, double decay, bool is_included)
+{
+    double told = own->told * decay;
+
+    return MAX(0, others - (is_included ? told : 0)) + told +
+           own->fresh * CLK_US_PER_S / CAP_MEMORY_US;
+}
+
+static void
+smooth(double *mean, double value, double kept)
+{
+    *mean = *mean * kept + value * (1 - kept);
+}
+
+static double
+get_decay(int64_t from_us, int64_t to_us, int64_t memory_us)
+{
+    return to_us > from_us ? exp(-(double)(to_us - from_us) / memory_us) : 1.0;
+}
+
 /* Returns the part of the fleet that this VM hears. */
 static double
 get_share(AccountLoads *loads, const AccountLoadHeard *heard, int64_t now_us)
@@ -304,14 +509,18 @@
     return Cap_NoteHeard(&loads->hearing, heard->vms, heard->most_vms, now_us);
 }
 
-/* Returns the account of this hash if it has a cap, or else NULL. */
+/* Returns NULL if the configuration has no account of this hash. */
 static const Account *
-find_capped(const AccountLoads *loads, uint64_t hash)
+find_account(const AccountLoads *loads, uint64_t hash)
 {
-    const Account *account =
-        loads->accounts != NULL ? Acc_FindByHash(loads->accounts, hash) : NULL;
+    return loads->accounts != NULL ? Acc_FindByHash(loads->accounts, hash)
+                                   : NULL;
+}
 
-    return account != NULL && account->rate_per_s > 0 ? account : NULL;
+static bool
+has_cap(const Account *account)
+{
+    return account->rate_per_s > 0;
 }
 
 static AccountRow *
@@ -391,10 +600,11 @@
 static double
 get_weight(const AccountLoads *loads, const ReportAccount *row)
 {
-    const Account *account = find_capped(loads, row->account);
+    const Account *account = find_account(loads, row->account);
     double rate = MAX(row->asked_per_s, fabs(row->admitted_per_s));
 
-    return account != NULL ? rate / account->rate_per_s : 0;
+    return account != NULL && has_cap(account) ? rate / account->rate_per_s
+                                               : 0;
 }
 
 /* Returns the time with that for which the machine was suspended: the other
--- a/src/gate/account_load.h
+++ b/src/gate/account_load.h
@@ -1,10 +1,12 @@
 /* Account load (AccountLoad_): counts what client accounts request of this VM
-   and what is admitted, and keeps their caps (decide/cap.h). The other VMs'
-   counts come from gossip (gossip_account.c). Nothing is counted, and no timer
-   runs, while no account of the configuration has a cap. */
+   and what is admitted, and keeps their caps (decide/cap.h) and their fair
+   shares of streams (decide/fair_share.h). The other VMs' counts come from
+   gossip (gossip_account.c). Nothing is counted, and no timer runs, while the
+   configuration has no accounts. */
 #ifndef LS_ACCOUNT_LOAD_H
 #define LS_ACCOUNT_LOAD_H
 
+#include "../decide/admission.h"
 #include "../decide/cap.h"
 #include "account.h"
 #include "load_report.h"
@@ -45,8 +47,13 @@
    NULL: none. Accounts that stay keep their state. */
 void AccountLoad_SetAccounts(AccountLoads *loads, const AccTable *accounts);
 
-/* Counts a request and returns whether the cap of its account admits it. */
-bool AccountLoad_Admit(struct GateTask *task);
+/* Counts a request and returns whether its account's cap and, for a new
+   stream, its fair share admit it. If not, stores the cause. */
+bool AccountLoad_Admit(struct GateTask *task, AdmissionCause *cause);
+/* Notes whether a stream found room when it first looked for it. */
+void AccountLoad_NoteRoom(struct GateTask *task, bool lacks_room);
+/* Notes that a stream found room. */
+void AccountLoad_NoteServed(struct GateTask *task);
 /* Gives an admitted request back that did not run. */
 void AccountLoad_GiveBack(struct GateTask *task);
 /* Returns the time until the account's requests are all admitted, if nothing
@@ -56,9 +63,11 @@
 /* Stores this VM's counts for a report that is sent now, those closest to
    their caps first, up to `max`, and returns their number. */
 uint32_t AccountLoad_Report(AccountLoads *loads, ReportAccount *rows,
-                            uint32_t max);
+                            uint32_t max, ReportStreams *streams);
 void AccountLoad_AddHeard(AccountLoads *loads, const ReportAccount *row,
                           double weight);
+void AccountLoad_AddHeardStreams(AccountLoads *loads,
+                                 const ReportStreams *streams, double weight);
 /* Sorts rows so that those closest to their caps come first. */
 void AccountLoad_Sort(const AccountLoads *loads, ReportAccount *rows,
                       uint32_t count);
--- a/src/gate/gossip_account.c
+++ b/src/gate/gossip_account.c
@@ -20,6 +20,7 @@
 static bool is_heard(const Gos *gos, const Peer *peer);
 static bool is_fresh(const Gos *gos, const PeersRegion *row);
 static double get_weight(const Gos *gos, const Peer *peer);
+static double clip(double rate);
 static void add_report(GHashTable *rows, Report *sum, const Report *from,
                        double weight);
 static void fill_loads(GosAccounts *to, const Report *report, uint32_t number,
@@ -40,10 +41,10 @@
 
     if (gos->options.account_loads != NULL) {
         g_array_set_size(own, GOS_ACCOUNTS_MAX);
-        g_array_set_size(own,
-                         AccountLoad_Report(gos->options.account_loads,
-                                            (ReportAccount *)(void *)own->data,
-                                            GOS_ACCOUNTS_MAX));
+        g_array_set_size(
+            own, AccountLoad_Report(gos->options.account_loads,
+                                    (ReportAccount *)(void *)own->data,
+                                    GOS_ACCOUNTS_MAX, &gos->own.streams));
     }
 }
 
@@ -51,7 +52,8 @@
 Gos_AddAccounts(const Gos *gos, GosMessage *message)
 {
     fill_loads(&message->accounts, &gos->own, 0, 1);
-    if (message->accounts.loads.n_accounts > 0) {
+    if (message->accounts.loads.n_accounts > 0 ||
+        gos->own.streams.looked > 0 || gos->own.streams.served > 0) {
         message->news.account_loads = &message->accounts.loads;
     }
 }
@@ -64,9 +66,20 @@
                                  : 0;
 
     g_array_set_size(report->accounts, 0);
+    report->streams = (ReportStreams){0};
+    if (loads != NULL) {
+        report->streams.looked = clip(loads->looked);
+        report->streams.lacking = clip(loads->lacking);
+        report->streams.served = clip(loads->served);
+    }
     for (size_t i = 0; i < MIN(count, GOS_TABLE_ACCOUNTS_MAX); i++) {
-        ReportAccount row = {loads->accounts[i], loads->asked[i],
-                             loads->admitted[i]};
+        ReportAccount row = {
+            .account = loads->accounts[i],
+            .asked_per_s = loads->asked[i],
+            .admitted_per_s = loads->admitted[i],
+            .streams_per_s =
+                i < loads->n_streams ? clip(loads->streams[i]) : 0,
+        };
         /* False for values that are no numbers, too. */
         if (row.asked_per_s >= 0 && row.asked_per_s <= ACCOUNTS_RATE_MAX &&
             fabs(row.admitted_per_s) <= ACCOUNTS_RATE_MAX) {
@@ -80,7 +93,8 @@
                       uint32_t number, uint32_t count)
 {
     fill_loads(&part->accounts, report, number, count);
-    if (part->accounts.loads.n_accounts > 0) {
+    if (part->accounts.loads.n_accounts > 0 ||
+        part->accounts.loads.looked > 0 || part->accounts.loads.served > 0) {
         part->table.account_loads = &part->accounts.loads;
     }
 }
@@ -164,6 +178,7 @@
 static void
 hear_report(AccountLoads *loads, const Report *report, double weight)
 {
+    AccountLoad_AddHeardStreams(loads, &report->streams, weight);
     for (guint i = 0; i < report->accounts->len; i++) {
         AccountLoad_AddHeard(
             loads, &g_array_index(report->accounts, ReportAccount, i), weight);
@@ -199,6 +214,13 @@
     return exp(-(double)age_us / CAP_MEMORY_US);
 }
 
+/* Returns a rate that a message told, or 0 if it is damaged. */
+static double
+clip(double rate)
+{
+    return rate >= 0 && rate <= ACCOUNTS_RATE_MAX ? rate : 0;
+}
+
 /* Adds a report's accounts to the sum, whose rows `rows` finds. */
 static void
 add_report(GHashTable *rows, Report *sum, const Report *from, double weight)
@@ -218,7 +240,11 @@
                             GPOINTER_TO_UINT(at) - 1);
         to->asked_per_s += row->asked_per_s * weight;
         to->admitted_per_s += row->admitted_per_s * weight;
+        to->streams_per_s += row->streams_per_s * weight;
     }
+    sum->streams.looked += from->streams.looked * weight;
+    sum->streams.lacking += from->streams.lacking * weight;
+    sum->streams.served += from->streams.served * weight;
 }
 
 /* Fills in the accounts whose hashes belong to this part. */
@@ -237,6 +263,7 @@
             to->accounts[n] = row->account;
             to->asked[n] = (float)row->asked_per_s;
             to->admitted[n] = (float)row->admitted_per_s;
+            to->streams[n] = (float)row->streams_per_s;
             n++;
         }
     }
@@ -246,4 +273,11 @@
     to->loads.n_accounts = n;
     to->loads.n_asked = n;
     to->loads.n_admitted = n;
+    to->loads.streams = to->streams;
+    to->loads.n_streams = n;
+    if (number == 0) {
+        to->loads.looked = (float)report->streams.looked;
+        to->loads.lacking = (float)report->streams.lacking;
+        to->loads.served = (float)report->streams.served;
+    }
 }
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -46,6 +46,7 @@
     uint64_t accounts[GOS_TABLE_ACCOUNTS_MAX];
     float asked[GOS_TABLE_ACCOUNTS_MAX];
     float admitted[GOS_TABLE_ACCOUNTS_MAX];
+    float streams[GOS_TABLE_ACCOUNTS_MAX];
 } GosAccounts;
 
 /* The arrays of a demand. */
--- a/src/gate/load_report.c
+++ b/src/gate/load_report.c
@@ -17,6 +17,7 @@
     report->uses = g_array_new(FALSE, FALSE, sizeof(ReportUse));
     report->demands = g_array_new(FALSE, FALSE, sizeof(DemandRow));
     report->accounts = g_array_new(FALSE, FALSE, sizeof(ReportAccount));
+    report->streams = (ReportStreams){0};
     report->is_applied = false;
 }
 
--- a/src/gate/load_report.h
+++ b/src/gate/load_report.h
@@ -47,12 +47,21 @@
     uint64_t account;      /* Hash of its name. */
     double asked_per_s;    /* Units that callers request. */
     double admitted_per_s; /* Less than 0 if more was given back. */
+    double streams_per_s;  /* Tokens of its streams. */
 } ReportAccount;
 
+/* Tokens a second of all accounts' streams. */
+typedef struct ReportStreams {
+    double looked;  /* Looked for room. */
+    double lacking; /* Found none at first. */
+    double served;  /* Found room. */
+} ReportStreams;
+
 typedef struct Report {
     GArray *uses;     /* ReportUse elements. */
     GArray *demands;  /* Elements private to the module. */
     GArray *accounts; /* ReportAccount elements, one for each account. */
+    ReportStreams streams;
     bool is_applied;
 } Report;
 
--- a/src/gate/stream_precedence.c
+++ b/src/gate/stream_precedence.c
@@ -6,10 +6,13 @@
 static bool is_new(const GateTask *task);
 
 void
-StreamPrecedence_NoteTimely(const GateTask *task)
+StreamPrecedence_NoteTimely(GateTask *task)
 {
-    if (!task->is_retry && is_new(task) && task->waiting_since_us == 0 &&
-        task->sends == 0) {
+    if (!is_new(task) || task->waiting_since_us != 0 || task->sends != 0) {
+        return;
+    }
+    AccountLoad_NoteRoom(task, task->lacks_room);
+    if (!task->is_retry) {
         Precedence_NoteTimely(Task_GetPrecedence(task), task->lacks_room,
                               Task_Now(task));
     }
--- a/src/gate/stream_precedence.h
+++ b/src/gate/stream_precedence.h
@@ -7,7 +7,7 @@
 #include "task.h"
 
 /* Notes whether a first try finds room when it comes. */
-void StreamPrecedence_NoteTimely(const GateTask *task);
+void StreamPrecedence_NoteTimely(GateTask *task);
 /* Whether the task may take room that a request in time could use. */
 bool StreamPrecedence_MayTakeRoom(const GateTask *task);
 /* Whether the task may begin now: its first event is expected after the given
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -409,6 +409,7 @@
 Gate_OnRequest(void *context, ServerExchange *exchange)
 {
     GateTask *task;
+    AdmissionCause cause;
 
     Header_Remove(exchange->headers, DETOUR_HEADER);
     task = begin_task(context, exchange, false);
@@ -417,8 +418,8 @@
     }
     note_left(task);
     Met_Add(MET_GATE_REQUESTS, 1);
-    if (!AccountLoad_Admit(task)) {
-        Task_Refuse(task, ADMISSION_CAPPED);
+    if (!AccountLoad_Admit(task, &cause)) {
+        Task_Refuse(task, cause);
         return;
     }
     Task_NoteRequest(task);
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -116,6 +116,9 @@
     uint32_t priority; /* Of the account, or else of the route. */
     /* Units that the request counts against the account's cap; 0: none. */
     double account_units;
+    double stream_units; /* Tokens of a stream of an account; 0: none. */
+    bool is_room_noted;  /* It has looked for room. */
+    bool is_served;      /* It found room. */
     struct event *timer;
     uint32_t caller;   /* IPv4 address of the caller; 0 if it is unknown. */
     uint64_t identity; /* See Task_GetIdentity(); 0 if not yet computed. */
--- a/src/gate/task_wait.c
+++ b/src/gate/task_wait.c
@@ -87,6 +87,9 @@
 void
 TaskWait_EndWait(GateTask *task, AdmissionWaitEnd end)
 {
+    if (end == ADMISSION_WAIT_SERVED) {
+        AccountLoad_NoteServed(task);
+    }
     if (task->queued) {
         task->queued = false;
         Admission_EndWait(find_queue(task), end);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -116,6 +116,9 @@
     [MET_REQUESTS_GIVEN_BACK] = {"requests_given_back",
                                  "Requests that did not run, given back to "
                                  "the cap of their account"},
+    [MET_STREAMS_OVER_SHARE] = {"streams_over_share",
+                                "Streams refused beyond the fair share of "
+                                "their account"},
     [MET_SUCCESSORS] = {"successors", "Silent calls for which another worker "
                                       "was looked for."},
     [MET_SUCCESSORS_TOOK_OVER] = {"successors_took_over",
--- a/tests/test_gate_cap.cc
+++ b/tests/test_gate_cap.cc
@@ -7,6 +7,7 @@
 namespace {
 
 const Route plain = {RTE_IDEMPOTENT, 2, false, 3000, 1000};
+const Route streams = {RTE_STREAM, 2, false, 15000, 1000};
 const double rate = 20;
 
 struct Options {
@@ -18,11 +19,13 @@
    without. Their keys are k1 and k2. */
 class CapRig : public FleetRig {
   public:
-    CapRig(int vms, bool has_worker = true) : FleetRig(plain, 0, 0)
+    CapRig(int vms, bool has_worker = true, const Route &route = plain)
+        : FleetRig(route, 0, 0), route_used(route)
     {
         const char *const zones[] = {"zone-a", "zone-b", "zone-c"};
         if (has_worker) {
-            AddWorker(std::vector<ScriptedReply>(5000, Ok()));
+            AddWorker(std::vector<ScriptedReply>(
+                5000, route.kind == RTE_STREAM ? Stream(0, 9) : Ok()));
         }
         for (int i = 0; i < vms; i++) {
             AddVm(0, zones[i % 3]);
@@ -35,7 +38,8 @@
     SetCap(const Options &options, uint64_t version)
     {
         for (Edge *edge : edges) {
-            RteTable *table = MakeTable(plain, false, 2000, version);
+            RteTable *table = MakeTable(
+                route_used, route_used.kind == RTE_STREAM, 2000, version);
             Account one = {};
             one.name = (char *)"one";
             one.priority = ACC_PRIORITY_NONE;
@@ -50,6 +54,11 @@
             ASSERT_TRUE(Acc_AddAccount(table->accounts, &one));
             ASSERT_TRUE(Acc_AddKey(table->accounts, "k1", "one"));
             ASSERT_TRUE(Acc_AddKey(table->accounts, "k2", "free"));
+            for (const char *name : {"c0", "c1", "c2", "c3"}) {
+                one.name = (char *)name;
+                ASSERT_TRUE(Acc_AddAccount(table->accounts, &one));
+                ASSERT_TRUE(Acc_AddKey(table->accounts, name, name));
+            }
             ASSERT_TRUE(Gate_SetTable(Edge_GetGate(edge), table));
         }
     }
@@ -87,6 +96,7 @@
         return count;
     }
 
+    Route route_used;
     int refused = 0;
     std::set<std::string> after_ms; /* Retry-After fields that came. */
 };
@@ -128,6 +138,76 @@
     }
 }
 
+/* Returns how many of the calm accounts' streams are served, of 10 s, while
+   "free" sends 30 streams a second beside four with 2 a second each, and room
+   becomes free for 12 a second. */
+double
+ServeCalm(bool has_accounts, double *busy_served)
+{
+    CapRig rig(1, true, streams);
+    std::vector<Caller *> calm, busy;
+    if (!has_accounts) {
+        Gate_SetTable(Edge_GetGate(rig.edges[0]),
+                      MakeTable(streams, true, 2000, 9));
+    }
+    auto call = [&](const std::string &key) {
+        return rig.Call(0,
+                        "POST /r/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-" +
+                            std::to_string(rig.callers.size()) +
+                            "\r\nAuthorization: Token " + key +
+                            "\r\nX-Token-Usage: 1000,100\r\nX-Deadline-Ms: "
+                            "14000\r\nContent-Length: 1\r\n\r\nb");
+    };
+    auto count = [](const std::vector<Caller *> &list) {
+        double served = 0;
+        for (Caller *caller : list) {
+            served += caller->Status() == 200;
+        }
+        return served / (double)list.size();
+    };
+    rig.workers[0]->places = 0;
+    for (int i = 0; i < 1200; i++) {
+        bool is_kept = i >= 200; /* The first 2 s show the lack. */
+        if (i % 25 == 0) {
+            rig.workers[0]->places = 3;
+        }
+        if (i * 3 % 10 < 3) {
+            Caller *caller = call("k2");
+            if (is_kept) {
+                busy.push_back(caller);
+            }
+        }
+        if (i % 12 == 5) {
+            Caller *caller = call("c" + std::to_string(i / 12 % 4));
+            if (is_kept) {
+                calm.push_back(caller);
+            }
+        }
+        rig.RunFor(10);
+    }
+    rig.RunFor(3000);
+    *busy_served = count(busy);
+    return count(calm);
+}
+
+/* Guards against an account that sends ten times as much as others and takes
+   their room. */
+TEST(GateFair, SurgeOfOneAccountLeavesRoomToTheOthers)
+{
+    double busy, busy_without;
+    uint64_t before = Met_Get(MET_STREAMS_OVER_SHARE);
+    double without = ServeCalm(false, &busy_without);
+    EXPECT_EQ(Met_Get(MET_STREAMS_OVER_SHARE), before);
+    double with = ServeCalm(true, &busy);
+    printf("calm accounts served: %.2f (busy %.2f), without accounts: %.2f "
+           "(%.2f)\n",
+           with, busy, without, busy_without);
+    EXPECT_GT(Met_Get(MET_STREAMS_OVER_SHARE), before);
+    EXPECT_GE(with, 0.8);
+    EXPECT_LE(without, 0.5); /* Else there is room for all. */
+    EXPECT_GE(busy, 0.25 * (8 * with + 30 * busy) / 38);
+}
+
 /* Guards against tokens that are counted as requests, and against a request
    without X-Token-Usage that counts as none. */
 TEST(GateCap, CountsTokens)
