--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -1017,7 +1017,7 @@
   (ProtobufCMessageInit) gossip__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__account_loads__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gossip__account_loads__field_descriptors[8] =
 {
   {
     "accounts",
@@ -1103,11 +1103,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "full",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__AccountLoads, full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__account_loads__field_indices_by_name[] = {
   0,   /* field[0] = accounts */
   2,   /* field[2] = admitted */
   1,   /* field[1] = asked */
+  7,   /* field[7] = full */
   5,   /* field[5] = lacking */
   4,   /* field[4] = looked */
   6,   /* field[6] = served */
@@ -1116,7 +1129,7 @@
 static const ProtobufCIntRange gossip__account_loads__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gossip__account_loads__descriptor =
 {
@@ -1126,7 +1139,7 @@
   "Gossip__AccountLoads",
   "gossip",
   sizeof(Gossip__AccountLoads),
-  7,
+  8,
   gossip__account_loads__field_descriptors,
   gossip__account_loads__field_indices_by_name,
   1,  gossip__account_loads__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -159,10 +159,15 @@
   float looked;
   float lacking;
   float served;
+  /*
+   * Accounts that are not listed are unused. Otherwise nothing is told of them,
+   * and a VM's own rates fall with their memory.
+   */
+  protobuf_c_boolean full;
 };
 #define GOSSIP__ACCOUNT_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__account_loads__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/src/gate/account_load.c
+++ b/src/gate/account_load.c
@@ -19,6 +19,12 @@
 #define SMOOTH_US (1 * CLK_US_PER_S)
 /* Tokens of a stream that tells none, if its account does not say. */
 #define STREAM_TOKENS 5000
+/* Reports that tell a change, as messages get lost. */
+#define NEWS_REPORTS 2
+/* A region's table tells an account each time if the region asks for this
+   share of the rate, or the level is below this share of the burst. */
+#define URGENT_SHARE 1.0
+#define URGENT_LEVEL 0.5
 /* Rates below this count as none, tokens a second. */
 #define STREAMS_MIN 1.0
 
@@ -35,6 +41,7 @@
     Cap cap;                /* Not used if the account has none. */
     Count streams;          /* Tokens. */
     double streams_per_s;   /* Of all VMs, mean. */
+    uint32_t news;          /* Reports that must still tell it. */
     /* Sums of other VMs while they are being heard. */
     ReportAccount heard;
 } AccountRow;
@@ -48,6 +55,7 @@
     Count looked;
     Count lacking;
     Count served;
+    uint32_t news;         /* As in AccountRow. */
     int64_t told_us;       /* When all counts were reported. */
     ReportStreams heard;   /* Sum of other VMs while they are heard. */
     ReportStreams streams; /* Of all VMs, mean. */
@@ -69,7 +77,9 @@
 static void update_fair_share(AccountLoads *loads, bool is_own_included,
                               int64_t now_us);
 static bool admit_stream(GateTask *task, AccountRow *row, uint64_t tokens);
-static double report(Count *count, double decay);
+static void add_told(const AccountRow *row, double decay, int64_t now_us,
+                     GArray *list);
+static void report(Count *count, double decay);
 static double add_own(double others, const Count *own, double decay,
                       bool is_included);
 static void smooth(double *mean, double value, double kept);
@@ -183,10 +193,10 @@
         return true;
     }
     row = get_row(loads, account);
-    gate->options.on_load_change(gate->options.context);
     if (has_cap(account)) {
         double units = Acc_GetAmount(account, tokens);
         double probability;
+        gate->options.on_load_change(gate->options.context);
         if (!Cap_Admit(&row->cap, units, task->priority,
                        g_rand_double(gate->rand), get_now(loads),
                        &probability)) {
@@ -257,14 +267,13 @@
 }
 
 uint32_t
-AccountLoad_Report(AccountLoads *loads, ReportAccount *rows, uint32_t max,
-                   ReportStreams *streams)
+AccountLoad_Report(AccountLoads *loads, bool is_all, ReportAccount *rows,
+                   uint32_t max, ReportStreams *streams)
 {
-    guint size = g_hash_table_size(loads->rows);
-    ReportAccount *all = NULL;
+    GArray *list = NULL;
     int64_t now_us = get_now(loads);
     double decay = get_decay(loads->told_us, now_us, CAP_MEMORY_US);
-    uint32_t count = 0;
+    uint32_t count;
     GHashTableIter iter;
     gpointer value;
 
@@ -272,33 +281,99 @@
     if (loads->accounts == NULL) {
         return 0;
     }
-    streams->looked = report(&loads->looked, decay);
-    streams->lacking = report(&loads->lacking, decay);
-    streams->served = report(&loads->served, decay);
-    loads->told_us = now_us;
-    all = g_new(ReportAccount, size + 1);
+    if (loads->looked.fresh != 0 || loads->served.fresh != 0) {
+        loads->news = NEWS_REPORTS;
+    }
+    report(&loads->looked, decay);
+    report(&loads->lacking, decay);
+    report(&loads->served, decay);
+    if (loads->news > 0 || is_all) {
+        loads->news -= loads->news > 0;
+        *streams = (ReportStreams){loads->looked.told, loads->lacking.told,
+                                   loads->served.told};
+    }
+    list = g_array_new(FALSE, FALSE, sizeof(ReportAccount));
     g_hash_table_iter_init(&iter, loads->rows);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         AccountRow *row = value;
-        ReportAccount told = {.account = row->hash,
-                              .streams_per_s = report(&row->streams, decay)};
+        if (row->streams.fresh != 0 || row->cap.new_asked != 0 ||
+            row->cap.new_admitted != 0) {
+            row->news = NEWS_REPORTS;
+        }
+        report(&row->streams, decay);
         if (has_cap(row->account)) {
-            CapRates rates = Cap_Report(&row->cap, now_us);
-            told.asked_per_s = rates.asked_per_s;
-            told.admitted_per_s = rates.admitted_per_s;
+            Cap_Report(&row->cap, now_us);
         }
-        if (told.asked_per_s != 0 || told.admitted_per_s != 0 ||
-            told.streams_per_s != 0) {
-            all[count++] = told;
+        if (row->news > 0 || is_all) {
+            row->news -= row->news > 0;
+            add_told(row, 1.0, now_us, list);
         }
     }
-    AccountLoad_Sort(loads, all, count);
-    count = MIN(count, max);
-    memcpy(rows, all, count * sizeof(*rows));
-    g_free(all);
+    loads->told_us = now_us;
+    AccountLoad_Sort(loads, (ReportAccount *)(void *)list->data, list->len);
+    count = MIN(list->len, max);
+    for (uint32_t i = 0; i < count; i++) {
+        rows[i] = g_array_index(list, ReportAccount, i);
+    }
+    g_array_free(list, TRUE);
     return count;
 }
 
+void
+AccountLoad_ListTold(const AccountLoads *loads, Report *to)
+{
+    int64_t now_us = get_now(loads);
+    double decay = get_decay(loads->told_us, now_us, CAP_MEMORY_US);
+    GHashTableIter iter;
+    gpointer value;
+
+    to->streams = (ReportStreams){loads->looked.told * decay,
+                                  loads->lacking.told * decay,
+                                  loads->served.told * decay};
+    g_hash_table_iter_init(&iter, loads->rows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        add_told(value, decay, now_us, to->accounts);
+    }
+}
+
+bool
+AccountLoad_HasAccounts(const AccountLoads *loads)
+{
+    return loads->accounts != NULL;
+}
+
+bool
+AccountLoad_IsUrgent(const AccountLoads *loads, const ReportAccount *row)
+{
+    const AccountRow *known = g_hash_table_lookup(loads->rows, &row->account);
+
+    if (known == NULL || !has_cap(known->account)) {
+        return loads->fair.limit > 0;
+    }
+    return row->asked_per_s >= URGENT_SHARE * known->account->rate_per_s ||
+           Cap_GetLevel(&known->cap, get_now(loads)) <
+               URGENT_LEVEL * known->account->burst ||
+           loads->fair.limit > 0;
+}
+
+/* Adds what this VM told last of an account, if it is any use. */
+static void
+add_told(const AccountRow *row, double decay, int64_t now_us, GArray *list)
+{
+    ReportAccount told = {.account = row->hash,
+                          .streams_per_s = row->streams.told * decay};
+
+    if (has_cap(row->account)) {
+        CapRates rates = Cap_GetTold(&row->cap, now_us);
+        told.asked_per_s = rates.asked_per_s;
+        told.admitted_per_s = rates.admitted_per_s;
+    }
+    if (told.asked_per_s != 0 || told.admitted_per_s != 0 ||
+        told.streams_per_s != 0) {
+        g_array_append_val(list, told);
+    }
+}
+
 void
 AccountLoad_AddHeard(AccountLoads *loads, const ReportAccount *row,
                      double weight)
@@ -461,15 +536,14 @@
     return true;
 }
 
-/* Moves what is new into the rate, and returns it. */
-static double
+/* Moves what is new into the rate. */
+static void
 report(Count *count, double decay)
 {
     count->told =
         count->told * decay + count->fresh * CLK_US_PER_S / CAP_MEMORY_US;
     count->told = count->told < STREAMS_MIN ? 0 : count->told;
     count->fresh = 0;
-    return count->told;
 }
 
 /* Returns the rate of all VMs. `is_included`: that of the others holds what
--- a/src/gate/account_load.h
+++ b/src/gate/account_load.h
@@ -61,9 +61,16 @@
 int64_t AccountLoad_GetWait(const struct GateTask *task);
 
 /* Stores this VM's counts for a report that is sent now, those closest to
-   their caps first, up to `max`, and returns their number. */
-uint32_t AccountLoad_Report(AccountLoads *loads, ReportAccount *rows,
-                            uint32_t max, ReportStreams *streams);
+   their caps first, up to `max`, and returns their number. Unless `is_all`,
+   those that have not changed lately are left out. */
+uint32_t AccountLoad_Report(AccountLoads *loads, bool is_all,
+                            ReportAccount *rows, uint32_t max,
+                            ReportStreams *streams);
+/* Stores what is left of the last reports in an empty report. */
+void AccountLoad_ListTold(const AccountLoads *loads, Report *to);
+bool AccountLoad_HasAccounts(const AccountLoads *loads);
+/* Whether the account may reach its cap within a second. */
+bool AccountLoad_IsUrgent(const AccountLoads *loads, const ReportAccount *row);
 void AccountLoad_AddHeard(AccountLoads *loads, const ReportAccount *row,
                           double weight);
 void AccountLoad_AddHeardStreams(AccountLoads *loads,
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -476,7 +476,7 @@
         ReportDemand demand = Gos_DecodeDemand(from);
         Report_SetDemand(&peer->report, from->service, &demand);
     }
-    Gos_StoreAccounts(&peer->report, news->account_loads);
+    Gos_StoreAccounts(gos, &peer->report, news->account_loads);
     Report_DropUses(&peer->report);
     for (size_t i = 0; i < news->n_uses; i++) {
         const Gossip__Use *from = news->uses[i];
@@ -562,8 +562,8 @@
     GosMessage message;
     const Peer *peer = NULL;
 
-    Gos_UpdateAccounts(gos);
     Gos_BeginMessage(gos, &message);
+    Gos_AddAccounts(gos, &message);
     Gos_AddOrigins(gos, &message);
     Gos_AddUses(gos, &message);
     if (peers->is_mesh) {
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -47,7 +47,6 @@
     news->demands = message->demands;
     news->n_demands = fill_demands(&gos->own, message->demand_rows,
                                    message->rooms, message->demands);
-    Gos_AddAccounts(gos, message);
     if (options->suspects != NULL) {
         add_suspects(gos, message);
     }
@@ -73,7 +72,6 @@
     gossip__table__init(no_load);
     message->news.table = no_load;
     message->news.n_demands = 0;
-    message->news.account_loads = NULL;
     message->news.n_suspects = 0;
     message->news.n_limits = 0;
 }
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -137,7 +137,8 @@
     GRand *rand;
     GosSought sought[PEERS_REACHES_MAX];
     GosLoanAsk loan_asks[GOS_DEMANDS_MAX];
-    uint32_t loan_number; /* Of the last question. */
+    uint32_t loan_number;     /* Of the last question. */
+    int64_t accounts_told_us; /* When a table last told all accounts. */
     Proxies proxies;
     uint32_t
         proxy_turn; /* First of the proxies that the next message tells. */
@@ -215,17 +216,19 @@
 
 /* Lets the use of client accounts be told and heard. */
 void Gos_StartAccounts(Gos *gos);
-/* Stores this VM's use of accounts, for a message that is sent now. */
-void Gos_UpdateAccounts(Gos *gos);
-/* Adds this VM's use of accounts, as stored. */
-void Gos_AddAccounts(const Gos *gos, GosMessage *message);
-/* Replaces the accounts of a report; `loads` may be NULL. */
-void Gos_StoreAccounts(Report *report, const Gossip__AccountLoads *loads);
+/* Adds what is new of this VM's use of accounts to a message that all VMs get
+   that hear this one. */
+void Gos_AddAccounts(Gos *gos, GosMessage *message);
+/* Stores what a VM's message says of accounts, and what a table's part says.
+ */
+void Gos_StoreAccounts(const Gos *gos, Report *report,
+                       const Gossip__AccountLoads *loads);
+void Gos_StoreTableAccounts(const Gos *gos, const Gossip__Table *table);
 /* Fills in the accounts whose hashes belong to this part of the table. */
 void Gos_FillTableAccounts(GosTablePart *part, const Report *report,
                            uint32_t number, uint32_t count);
 /* Adds the use of accounts of a region's VMs, this one included, to the sum
-   of its table. */
+   of its table: of all accounts at times, else of those near their caps. */
 void Gos_SumAccounts(Gos *gos, uint32_t region, Report *sum);
 
 /* Encodes a point of time as its age plus 1, and none as 0. */
--- a/src/gate/gossip_table.c
+++ b/src/gate/gossip_table.c
@@ -62,7 +62,7 @@
         }
         Report_AddUse(report, &use);
     }
-    Gos_StoreAccounts(report, table->account_loads);
+    Gos_StoreTableAccounts(gos, table);
     for (size_t i = 0; i < table->n_demands; i++) {
         const Gossip__Demand *from = table->demands[i];
         ReportDemand demand = Gos_DecodeDemand(from);
@@ -179,7 +179,6 @@
         Gos_FillTablePart(&part, report, i, parts);
         Gos_BeginMessage(gos, &message);
         message.news.n_demands = 0;
-        message.news.account_loads = NULL;
         message.news.table = &part.table;
         if (i == 0) {
             Gos_AddHubs(gos, &message);
--- a/src/gate/load_report.c
+++ b/src/gate/load_report.c
@@ -18,6 +18,8 @@
     report->demands = g_array_new(FALSE, FALSE, sizeof(DemandRow));
     report->accounts = g_array_new(FALSE, FALSE, sizeof(ReportAccount));
     report->streams = (ReportStreams){0};
+    report->streams_us = 0;
+    report->is_full = false;
     report->is_applied = false;
 }
 
--- a/src/gate/load_report.h
+++ b/src/gate/load_report.h
@@ -48,6 +48,7 @@
     double asked_per_s;    /* Units that callers request. */
     double admitted_per_s; /* Less than 0 if more was given back. */
     double streams_per_s;  /* Tokens of its streams. */
+    int64_t at_us;         /* When it was told. */
 } ReportAccount;
 
 /* Tokens a second of all accounts' streams. */
@@ -62,6 +63,8 @@
     GArray *demands;  /* Elements private to the module. */
     GArray *accounts; /* ReportAccount elements, one for each account. */
     ReportStreams streams;
+    int64_t streams_us; /* When `streams` was told. */
+    bool is_full;       /* Accounts that are not listed are unused. */
     bool is_applied;
 } Report;
 
--- a/src/gate/peers.h
+++ b/src/gate/peers.h
@@ -69,6 +69,8 @@
     int64_t received_us;
     uint32_t members; /* VMs whose load the table includes. */
     uint32_t part_count;
+    int64_t accounts_told_us; /* When this VM last told all accounts. */
+    /* The accounts of the whole region are in the first part. */
     Report parts[PEERS_PARTS_MAX];
 } PeersRegion;
 
--- a/tests/test_decide_fair_share.cc
+++ b/tests/test_decide_fair_share.cc
@@ -64,7 +64,8 @@
     std::deque<Waiting> waiting;
     double looked = 0, lacking = 0, rate = 0;
     free_at.assign((size_t)(places * accounts * usual_per_s * hold_s), 0);
-    for (double now = 0; now < 20; now += step_s) {
+    for (int step = 0; step < 20 / step_s; step++) {
+        double now = step * step_s;
         double decay = std::exp(-step_s / 1.0);
         looked *= decay;
         rate *= decay;
