--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &gossip__demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gossip__account_loads__init
+                     (Gossip__AccountLoads         *message)
+{
+  static const Gossip__AccountLoads init_value = GOSSIP__ACCOUNT_LOADS__INIT;
+  *message = init_value;
+}
+size_t gossip__account_loads__get_packed_size
+                     (const Gossip__AccountLoads *message)
+{
+  assert(message->base.descriptor == &gossip__account_loads__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__account_loads__pack
+                     (const Gossip__AccountLoads *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__account_loads__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__account_loads__pack_to_buffer
+                     (const Gossip__AccountLoads *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__account_loads__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__AccountLoads *
+       gossip__account_loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__AccountLoads *)
+     protobuf_c_message_unpack (&gossip__account_loads__descriptor,
+                                allocator, len, data);
+}
+void   gossip__account_loads__free_unpacked
+                     (Gossip__AccountLoads *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__account_loads__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gossip__hub__init
                      (Gossip__Hub         *message)
 {
@@ -1017,6 +1062,135 @@
   (ProtobufCMessageInit) gossip__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gossip__account_loads__field_descriptors[8] =
+{
+  {
+    "accounts",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gossip__AccountLoads, n_accounts),
+    offsetof(Gossip__AccountLoads, accounts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Gossip__AccountLoads, n_asked),
+    offsetof(Gossip__AccountLoads, asked),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admitted",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Gossip__AccountLoads, n_admitted),
+    offsetof(Gossip__AccountLoads, admitted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Gossip__AccountLoads, n_streams),
+    offsetof(Gossip__AccountLoads, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "looked",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__AccountLoads, looked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lacking",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__AccountLoads, lacking),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "served",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__AccountLoads, served),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "full",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__AccountLoads, full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__account_loads__field_indices_by_name[] = {
+  0,   /* field[0] = accounts */
+  2,   /* field[2] = admitted */
+  1,   /* field[1] = asked */
+  7,   /* field[7] = full */
+  5,   /* field[5] = lacking */
+  4,   /* field[4] = looked */
+  6,   /* field[6] = served */
+  3,   /* field[3] = streams */
+};
+static const ProtobufCIntRange gossip__account_loads__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor gossip__account_loads__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.AccountLoads",
+  "AccountLoads",
+  "Gossip__AccountLoads",
+  "gossip",
+  sizeof(Gossip__AccountLoads),
+  8,
+  gossip__account_loads__field_descriptors,
+  gossip__account_loads__field_indices_by_name,
+  1,  gossip__account_loads__number_ranges,
+  (ProtobufCMessageInit) gossip__account_loads__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gossip__hub__field_descriptors[5] =
 {
   {
@@ -1107,7 +1281,7 @@
   (ProtobufCMessageInit) gossip__hub__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__table__field_descriptors[13] =
+static const ProtobufCFieldDescriptor gossip__table__field_descriptors[14] =
 {
   {
     "region",
@@ -1265,8 +1439,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account_loads",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Table, account_loads),
+    &gossip__account_loads__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__table__field_indices_by_name[] = {
+  13,   /* field[13] = account_loads */
   9,   /* field[9] = changing */
   10,   /* field[10] = demands */
   7,   /* field[7] = held */
@@ -1284,7 +1471,7 @@
 static const ProtobufCIntRange gossip__table__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor gossip__table__descriptor =
 {
@@ -1294,7 +1481,7 @@
   "Gossip__Table",
   "gossip",
   sizeof(Gossip__Table),
-  13,
+  14,
   gossip__table__field_descriptors,
   gossip__table__field_indices_by_name,
   1,  gossip__table__number_ranges,
@@ -2162,7 +2349,7 @@
   (ProtobufCMessageInit) gossip__vouch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__news__field_descriptors[35] =
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[36] =
 {
   {
     "vm",
@@ -2584,8 +2771,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account_loads",
+    46,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, account_loads),
+    &gossip__account_loads__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__news__field_indices_by_name[] = {
+  35,   /* field[35] = account_loads */
   3,   /* field[3] = address */
   27,   /* field[27] = answers_reach */
   10,   /* field[10] = capacity */
@@ -2627,7 +2827,7 @@
   { 1, 0 },
   { 35, 26 },
   { 40, 29 },
-  { 0, 35 }
+  { 0, 36 }
 };
 const ProtobufCMessageDescriptor gossip__news__descriptor =
 {
@@ -2637,7 +2837,7 @@
   "Gossip__News",
   "gossip",
   sizeof(Gossip__News),
-  35,
+  36,
   gossip__news__field_descriptors,
   gossip__news__field_indices_by_name,
   3,  gossip__news__number_ranges,
--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -74,6 +74,9 @@
     ADMISSION_BLOCKED,
     /* The VM can't prove that its keys are valid; another VM may. */
     ADMISSION_NO_LEASE,
+    /* The caller's account is above its cap; the time until there is room if
+       nothing more is sent is known. */
+    ADMISSION_CAPPED,
     ADMISSION_CAUSE_COUNT,
 } AdmissionCause;
 
--- a/src/gate/edge.h
+++ b/src/gate/edge.h
@@ -40,6 +40,7 @@
        removal: a VM that can't prove that its configuration is recent accepts
        no key. 0: the configuration in force decides. */
     uint32_t revoke_ms;
+    AccountLoadOptions quota;
     FleetOptions fleet;
     /* Time within which orders to workers must come from one VM. */
     uint32_t lease_ms;
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -50,6 +50,7 @@
         .vm = "",
         .weights = Rank_DefaultWeights(),
         .budget = Budget_DefaultOptions(),
+        .quota = AccountLoad_DefaultOptions(),
         .get_vm_count = get_single_vm,
         .ask_loan = ask_nobody,
         .get_share = get_whole_share,
@@ -93,6 +94,7 @@
     LIST_INIT(&gate->crash_checks);
     gate->surveys = Survey_New(gate);
     gate->lookups = Lookup_New(gate);
+    gate->account_loads = AccountLoad_New(&gate->options);
     Detour_Init(gate);
     Access_Init(gate);
     Origins_Init(&gate->origins);
@@ -114,6 +116,7 @@
     Detour_Clear(gate);
     Access_Clear(gate);
     Origins_Clear(&gate->origins);
+    AccountLoad_Free(gate->account_loads);
     Rte_Unref(gate->table);
     g_hash_table_destroy(gate->budgets);
     g_hash_table_destroy(gate->demands);
@@ -139,12 +142,19 @@
                   "before",
                   (json_int_t)(gate->table ? gate->table->version : 0),
                   "routes", (int)table->route_count));
+    AccountLoad_SetAccounts(gate->account_loads, table->accounts);
     Rte_Unref(gate->table);
     gate->table = table;
     Met_Add(MET_CONFIG_ACCEPTED, 1);
     return true;
 }
 
+AccountLoads *
+Gate_GetAccountLoads(Gate *gate)
+{
+    return gate->account_loads;
+}
+
 const RteTable *
 Gate_GetTable(const Gate *gate)
 {
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -101,6 +101,7 @@
     event_add(gos->readable, NULL);
     gos->timer = evtimer_new(options->base, on_timer, gos);
     gos->table_timer = evtimer_new(options->base, on_table_timer, gos);
+    Gos_StartAccounts(gos);
     Loop_ArmTimer(gos->timer, 0);
     Gos_BeginVouches(gos);
     return gos;
@@ -478,6 +479,7 @@
         ReportDemand demand = Gos_DecodeDemand(from);
         Report_SetDemand(&peer->report, from->service, &demand);
     }
+    Gos_StoreAccounts(gos, &peer->report, news->account_loads);
     Report_DropUses(&peer->report);
     for (size_t i = 0; i < news->n_uses; i++) {
         const Gossip__Use *from = news->uses[i];
@@ -564,6 +566,7 @@
     const Peer *peer = NULL;
 
     Gos_BeginMessage(gos, &message);
+    Gos_AddAccounts(gos, &message);
     Gos_AddOrigins(gos, &message);
     Gos_AddUses(gos, &message);
     if (peers->is_mesh) {
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -496,6 +496,7 @@
     table->n_held = n;
     table->later = part->later;
     table->n_later = n * GOS_LATER_POINTS;
+    Gos_FillTableAccounts(part, report, number, count);
     if (number == 0) {
         table->n_demands = fill_demands(report, part->demand_rows, part->rooms,
                                         part->demands);
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -38,6 +38,19 @@
    regions have room beside it. */
 #define GOS_TABLE_MAX_BYTES 1080
 
+/* Accounts in one message, and in one table; some 16 bytes each. */
+#define GOS_ACCOUNTS_MAX 24
+#define GOS_TABLE_ACCOUNTS_MAX 64
+
+/* The arrays of accounts' loads. */
+typedef struct GosAccounts {
+    Gossip__AccountLoads loads;
+    uint64_t accounts[GOS_TABLE_ACCOUNTS_MAX];
+    float asked[GOS_TABLE_ACCOUNTS_MAX];
+    float admitted[GOS_TABLE_ACCOUNTS_MAX];
+    float streams[GOS_TABLE_ACCOUNTS_MAX];
+} GosAccounts;
+
 /* The arrays of a demand. */
 typedef struct GosRooms {
     uint32_t versions[REPORT_ROOMS_MAX];
@@ -53,6 +66,7 @@
     Gossip__Demand demand_rows[GOS_DEMANDS_MAX];
     Gossip__Demand *demands[GOS_DEMANDS_MAX];
     GosRooms rooms[GOS_DEMANDS_MAX];
+    GosAccounts accounts;
     Gossip__Hub hub_rows[GOS_HUBS_MAX];
     Gossip__Hub *hubs[GOS_HUBS_MAX];
     Gossip__Suspect suspect_rows[GOS_SUSPECTS_MAX];
@@ -79,6 +93,7 @@
     Gossip__Demand demand_rows[GOS_DEMANDS_MAX];
     Gossip__Demand *demands[GOS_DEMANDS_MAX];
     GosRooms rooms[GOS_DEMANDS_MAX];
+    GosAccounts accounts;
     uint64_t workers[GOS_TABLE_ROWS_MAX];
     uint32_t inflight[GOS_TABLE_ROWS_MAX];
     uint32_t reading[GOS_TABLE_ROWS_MAX];
@@ -135,7 +150,8 @@
     struct event *vouch_timer; /* NULL: no proofs are exchanged. */
     GosVouchAsk vouch_asks[GOS_VOUCH_ASKS_MAX];
     uint32_t next_vouch_ask;
-    int64_t vouch_asked_us; /* When the last question was sent; 0: never. */
+    int64_t vouch_asked_us;   /* When the last question was sent; 0: never. */
+    int64_t accounts_told_us; /* When a table last told all accounts. */
     Proxies proxies;
     uint32_t
         proxy_turn; /* First of the proxies that the next message tells. */
@@ -217,6 +233,22 @@
 /* Answers a message's question for this VM's proof, and notes the answer to
    one of this VM. Returns false if it has neither. */
 bool Gos_HandleVouches(Gos *gos, const Gossip__News *news);
+/* Lets the use of client accounts be told and heard. */
+void Gos_StartAccounts(Gos *gos);
+/* Adds what is new of this VM's use of accounts to a message that all VMs get
+   that hear this one. */
+void Gos_AddAccounts(Gos *gos, GosMessage *message);
+/* Stores what a VM's message says of accounts, and what a table's part says.
+ */
+void Gos_StoreAccounts(const Gos *gos, Report *report,
+                       const Gossip__AccountLoads *loads);
+void Gos_StoreTableAccounts(const Gos *gos, const Gossip__Table *table);
+/* Fills in the accounts whose hashes belong to this part of the table. */
+void Gos_FillTableAccounts(GosTablePart *part, const Report *report,
+                           uint32_t number, uint32_t count);
+/* Adds the use of accounts of a region's VMs, this one included, to the sum
+   of its table: of all accounts at times, else of those near their caps. */
+void Gos_SumAccounts(Gos *gos, uint32_t region, Report *sum);
 
 /* Encodes a point of time as its age plus 1, and none as 0. */
 uint32_t Gos_EncodeAge(int64_t at_us, int64_t now_us);
--- a/src/gate/load_report.c
+++ b/src/gate/load_report.c
@@ -16,6 +16,10 @@
 {
     report->uses = g_array_new(FALSE, FALSE, sizeof(ReportUse));
     report->demands = g_array_new(FALSE, FALSE, sizeof(DemandRow));
+    report->accounts = g_array_new(FALSE, FALSE, sizeof(ReportAccount));
+    report->streams = (ReportStreams){0};
+    report->streams_us = 0;
+    report->is_full = false;
     report->is_applied = false;
 }
 
@@ -25,6 +29,7 @@
     Report_DropUses(report);
     g_array_free(report->uses, TRUE);
     g_array_free(report->demands, TRUE);
+    g_array_free(report->accounts, TRUE);
 }
 
 void
--- a/src/gate/load_report.h
+++ b/src/gate/load_report.h
@@ -42,9 +42,29 @@
     ReportRooms rooms;
 } ReportDemand;
 
+/* Use of a client account. */
+typedef struct ReportAccount {
+    uint64_t account;      /* Hash of its name. */
+    double asked_per_s;    /* Units that callers request. */
+    double admitted_per_s; /* Less than 0 if more was given back. */
+    double streams_per_s;  /* Tokens of its streams. */
+    int64_t at_us;         /* When it was told. */
+} ReportAccount;
+
+/* Tokens a second of all accounts' streams. */
+typedef struct ReportStreams {
+    double looked;  /* Looked for room. */
+    double lacking; /* Found none at first. */
+    double served;  /* Found room. */
+} ReportStreams;
+
 typedef struct Report {
-    GArray *uses;    /* ReportUse elements. */
-    GArray *demands; /* Elements private to the module. */
+    GArray *uses;     /* ReportUse elements. */
+    GArray *demands;  /* Elements private to the module. */
+    GArray *accounts; /* ReportAccount elements, one for each account. */
+    ReportStreams streams;
+    int64_t streams_us; /* When `streams` was told. */
+    bool is_full;       /* Accounts that are not listed are unused. */
     bool is_applied;
 } Report;
 
