--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -84,6 +84,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gate->rooms =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    gate->urgencies =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gate->drain_times =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gate->first_left_ms =
@@ -118,6 +120,7 @@
     g_hash_table_destroy(gate->queues);
     g_hash_table_destroy(gate->precedences);
     g_hash_table_destroy(gate->rooms);
+    g_hash_table_destroy(gate->urgencies);
     g_hash_table_destroy(gate->drain_times);
     g_rand_free(gate->rand);
     g_free(gate);
@@ -137,6 +140,7 @@
                   (json_int_t)(gate->table ? gate->table->version : 0),
                   "routes", (int)table->route_count));
     Rte_Unref(gate->table);
+    Rte_SetLevels(table);
     gate->table = table;
     Met_Add(MET_CONFIG_ACCEPTED, 1);
     return true;
--- a/src/gate/plain.c
+++ b/src/gate/plain.c
@@ -5,6 +5,7 @@
 #include "detour.h"
 #include "end_check.h"
 #include "grace.h"
+#include "stream_urgency.h"
 #include "successor.h"
 
 #include <string.h>
@@ -51,7 +52,10 @@
         Task_Refuse(task, ADMISSION_NO_WORKER);
         return;
     }
+    StreamUrgency_NoteAsked(task);
+    StreamUrgency_UpdateHeld(task);
     may_begin = is_in_time(task, worker);
+    StreamUrgency_NoteLook(task, !may_begin);
     if (!task->is_retry) {
         Precedence_NoteTimely(Task_GetPrecedence(task), !may_begin,
                               Task_Now(task));
@@ -65,6 +69,7 @@
     if (!Grace_MayBegin(task, cost_us)) {
         return;
     }
+    StreamUrgency_NoteAdmitted(task);
     task->current->expected_us = cost_us;
     begin_call(task, worker);
 }
@@ -145,7 +150,8 @@
 
     return Admission_IsInTime(Task_GetCost(task, worker, get_wait, NULL),
                               Task_GetCost(task, worker, get_call_time, NULL),
-                              options->weights.rtt_us[distance], slo_us,
+                              options->weights.rtt_us[distance],
+                              StreamUrgency_GetQueueTime(task, slo_us),
                               late_queue_us);
 }
 
--- a/src/gate/reservation.c
+++ b/src/gate/reservation.c
@@ -1,6 +1,7 @@
 /* Reservation: workers and reservations of a stream. See reservation.h. */
 #include "reservation.h"
 #include "begun.h"
+#include "stream_urgency.h"
 
 #include "../log.h"
 
@@ -91,10 +92,11 @@
 FleetWorker *
 Reservation_ChooseDecodeWorker(GateTask *task, int64_t *cost_us)
 {
-    FleetWorker *best =
-        Task_ChooseWorker(task, FLEET_PHASE_DECODE, get_available_cost,
-                          Begun_Update(task), cost_us);
+    FleetWorker *best;
 
+    StreamUrgency_UpdateHeld(task);
+    best = Task_ChooseWorker(task, FLEET_PHASE_DECODE, get_available_cost,
+                             Begun_Update(task), cost_us);
     return best != NULL && *cost_us < RANK_UNUSABLE_US ? best : NULL;
 }
 
@@ -172,8 +174,9 @@
            (double)age_us <= RESERVATION_HANDLE_FETCH_SHARE * (double)ttl_us;
 }
 
-/* Returns the cost of a run at a worker, or RANK_UNUSABLE_US if it is full, or
-   if new streams are held back there. `context` is the BegunRoom or NULL. */
+/* Returns the cost of a run at a worker, or RANK_UNUSABLE_US if it is full, if
+   new streams are held back there, or if it has no room beside that which is
+   left to more urgent ones. `context` is the BegunRoom or NULL. */
 static int64_t
 get_available_cost(const GateTask *task, const FleetWorker *worker,
                    const RankWorker *rank, const void *context)
@@ -187,7 +190,8 @@
         (!is_prefilled && Begun_IsHeld(context, worker)) ||
         (!is_prefilled && rank->kv_capacity_tokens > 0 && rank->has_kv_load &&
          (double)rank->kv_peak_tokens +
-                 margin_answers * task->gate->mean_answer_tokens >
+                 margin_answers * task->gate->mean_answer_tokens +
+                 StreamUrgency_GetHeldTokens(task, worker) >
              (double)rank->kv_capacity_tokens)) {
         return RANK_UNUSABLE_US;
     }
--- a/src/gate/routes.c
+++ b/src/gate/routes.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+static void add_route_levels(const RteTable *table, const RteRoute *route);
+static void add_level(RteService *service, uint32_t priority);
 static void free_route(gpointer data);
 static void free_service(gpointer data);
 static void clear_backend(gpointer data);
@@ -85,6 +87,99 @@
     g_hash_table_replace(table->services, copy->name, copy);
 }
 
+void
+Rte_SetLevels(RteTable *table)
+{
+    GHashTableIter iter;
+    gpointer row;
+
+    g_hash_table_iter_init(&iter, table->services);
+    while (g_hash_table_iter_next(&iter, NULL, &row)) {
+        RteService *service = row;
+        service->level_count = 0;
+        service->least_slo_ms = 0;
+    }
+    g_hash_table_iter_init(&iter, table->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &row)) {
+        const GPtrArray *routes = row;
+        for (guint i = 0; i < routes->len; i++) {
+            add_route_levels(table, g_ptr_array_index(routes, i));
+        }
+    }
+}
+
+uint32_t
+Rte_GetLevel(const RteService *service, uint32_t priority)
+{
+    uint32_t level = 0;
+
+    while (level + 1 < service->level_count &&
+           priority > service->levels[level]) {
+        level++;
+    }
+    return level;
+}
+
+/* Adds the priorities that requests on the route may have to the levels of its
+   services. */
+static void
+add_route_levels(const RteTable *table, const RteRoute *route)
+{
+    size_t count =
+        table->accounts != NULL ? Acc_List(table->accounts, NULL, 0) : 0;
+    const Account **accounts = g_new0(const Account *, count + 1);
+    bool uses_route = count == 0 || route->is_public;
+
+    if (count > 0) {
+        Acc_List(table->accounts, accounts, count);
+    }
+    for (size_t i = 0; i < count; i++) {
+        uses_route |= accounts[i]->priority == ACC_PRIORITY_NONE;
+    }
+    for (guint i = 0; i < route->backends->len; i++) {
+        const RteBackend *backend =
+            &g_array_index(route->backends, RteBackend, i);
+        RteService *service =
+            g_hash_table_lookup(table->services, backend->service);
+        if (service == NULL) {
+            continue;
+        }
+        if (uses_route) {
+            add_level(service, route->priority);
+        }
+        for (size_t k = 0; k < count && !route->is_public; k++) {
+            if (accounts[k]->priority != ACC_PRIORITY_NONE) {
+                add_level(service, accounts[k]->priority);
+            }
+        }
+        if (route->slo_ms > 0 && (service->least_slo_ms == 0 ||
+                                  route->slo_ms < service->least_slo_ms)) {
+            service->least_slo_ms = route->slo_ms;
+        }
+    }
+    g_free(accounts);
+}
+
+/* Adds a priority in its order. The least urgent one is dropped if there are
+   too many. */
+static void
+add_level(RteService *service, uint32_t priority)
+{
+    uint32_t at = 0;
+
+    while (at < service->level_count && service->levels[at] < priority) {
+        at++;
+    }
+    if (at == RTE_LEVELS_MAX ||
+        (at < service->level_count && service->levels[at] == priority)) {
+        return;
+    }
+    service->level_count = MIN(service->level_count + 1, RTE_LEVELS_MAX);
+    memmove(&service->levels[at + 1], &service->levels[at],
+            (service->level_count - at - 1) * sizeof(service->levels[0]));
+    service->levels[at] = priority;
+}
+
 const RteRoute *
 Rte_FindRoute(const RteTable *table, const char *host, const char *path)
 {
--- a/src/gate/routes.h
+++ b/src/gate/routes.h
@@ -10,6 +10,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Levels of priority of one service that are told apart. */
+#define RTE_LEVELS_MAX 4
+
 typedef enum RteKind {
     RTE_IDEMPOTENT,     /* A request may run more than once. */
     RTE_NON_IDEMPOTENT, /* A request runs at most once. */
@@ -49,6 +52,12 @@
                                   prefilled prompt. */
     uint32_t lease_max_ms;     /* Longest reservation of KV memory; 0: workers
                                   don't support reservations. */
+    /* Different priorities among the service's routes and accounts, the most
+       urgent first; those beyond the last one count as it. One where all
+       requests are alike. */
+    uint32_t levels[RTE_LEVELS_MAX];
+    uint32_t level_count;
+    uint32_t least_slo_ms; /* Shortest objective of its routes; 0: none. */
 } RteService;
 
 /* Limits on callers' requests. */
@@ -79,6 +88,10 @@
    replaces one of the same name. */
 void Rte_AddRoute(RteTable *table, const RteRoute *route);
 void Rte_AddService(RteTable *table, const RteService *service);
+/* Computes the levels of all services, once the table is complete. */
+void Rte_SetLevels(RteTable *table);
+/* Returns the level, from 0 on, of a request of this priority. */
+uint32_t Rte_GetLevel(const RteService *service, uint32_t priority);
 /* Returns the host's route with the longest prefix that matches the path, or
    NULL. The host's port and the path's query are ignored. The route belongs to
    the table. */
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -3,7 +3,6 @@
    caller gets complete events only, so that another worker can resume the
    stream between two events. See task.h. */
 #include "stream.h"
-#include "begun.h"
 #include "blame.h"
 #include "detour.h"
 #include "end_check.h"
@@ -14,6 +13,7 @@
 #include "stream_prepare.h"
 #include "stream_rest.h"
 #include "stream_resume.h"
+#include "stream_urgency.h"
 #include "successor.h"
 #include "survey.h"
 #include "task_wait.h"
@@ -39,7 +39,6 @@
 static void take_over(GateTask *task);
 static void refuse_late(GateTask *task);
 static bool must_wait_for_survey(const GateTask *task);
-static const char *get_wait_cause(GateTask *task);
 static bool has_call_budget(GateTask *task, bool with_prefill);
 static void wait_for_budget(GateTask *task);
 static void begin_run(GateTask *task);
@@ -72,6 +71,7 @@
         return;
     }
     add_demand(task);
+    StreamUrgency_NoteAsked(task);
     if (task->request.last_event != GATE_NO_EVENT) {
         task->last_event = task->request.last_event;
         task->order.last = task->last_event;
@@ -288,15 +288,17 @@
     if (!Reservation_HasLease(task)) {
         FleetWorker *decode_worker =
             Reservation_ChooseDecodeWorker(task, &run_cost_us);
+        bool may_read;
         task->lacks_room = decode_worker == NULL && task->silent == NULL &&
                            Reservation_LacksRoom(task);
         StreamPrecedence_NoteTimely(task);
+        may_read = StreamUrgency_MayRead(task, decode_worker);
         if (!StreamPrecedence_MayTakeRoom(task)) {
             refuse_late(task);
             return;
         }
-        if (decode_worker == NULL) {
-            TaskWait_BeginWait(task, get_wait_cause(task));
+        if (decode_worker == NULL || !may_read) {
+            TaskWait_BeginWait(task, StreamUrgency_GetWaitCause(task));
             return;
         }
         if (!has_call_budget(task, false)) {
@@ -367,17 +369,6 @@
            Survey_IsFirst(task->gate, task->service->name);
 }
 
-/* Returns why no worker can run the request now. */
-static const char *
-get_wait_cause(GateTask *task)
-{
-    if (!Begun_IsAnyHeld(Begun_Update(task))) {
-        return "no capacity at any worker";
-    }
-    Met_Add(MET_STREAMS_HELD_BACK, 1);
-    return "no capacity beside begun streams";
-}
-
 /* Whether the retry budget allows the calls that are still needed: the run,
    and the prefill if an earlier one's KV memory can't be fetched any more, or
    if one follows and may fail. The first call of a request is free. */
@@ -406,6 +397,7 @@
     GateCallOptions options = {
         .worker = worker->entry.id,
         .last_event = task->last_event,
+        .priority = StreamUrgency_GetCallPriority(task),
     };
 
     if (worker->is_vm) {
@@ -426,6 +418,7 @@
     Task_BeginCall(task, worker, &options, get_idle_max_ms(task), on_run_data,
                    on_run_end);
     task->waiting_since_us = 0;
+    StreamUrgency_NoteAdmitted(task);
     TaskWait_EndWait(task, ADMISSION_WAIT_SERVED);
     /* From here on the call counts the memory and uses the reservation. */
     Reservation_UnassignWorker(task, false);
--- a/src/gate/stream_prepare.c
+++ b/src/gate/stream_prepare.c
@@ -4,6 +4,7 @@
 #include "blame.h"
 #include "reservation.h"
 #include "stream.h"
+#include "stream_urgency.h"
 #include "task_budget.h"
 #include "task_wait.h"
 
@@ -146,6 +147,7 @@
         .worker = worker->entry.id,
         .prefill = true,
         .last_event = task->last_event,
+        .priority = StreamUrgency_GetCallPriority(task),
     };
 
     Met_Add(MET_PREFILLS, 1);
--- /dev/null
+++ b/src/gate/stream_urgency.c
@@ -0,0 +1,248 @@
+/* Stream urgency: room for more urgent requests. See stream_urgency.h. */
+#include "stream_urgency.h"
+#include "begun.h"
+#include "stream.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Share of the shortest objective of the service that a less urgent prompt may
+   wait to be read: a more urgent one that comes next waits as long, and has
+   the other half for its own reading and first event. */
+#define STREAM_URGENCY_READ_SHARE 0.5
+
+G_STATIC_ASSERT(RTE_LEVELS_MAX == URGENCY_LEVELS_MAX);
+
+static Urgency *get_urgency(Gate *gate, const char *service);
+static bool has_levels(const GateTask *task);
+static bool is_new(const GateTask *task);
+static double get_read_wait(const GateTask *task,
+                            const FleetWorker *decode_worker);
+static double get_queue_time(const FleetWorker *worker, double tokens_per_us);
+
+uint32_t
+StreamUrgency_GetLevel(const GateTask *task)
+{
+    return task->is_retry && task->last_event == GATE_NO_EVENT &&
+                   has_levels(task)
+               ? task->service->level_count - 1
+               : Rte_GetLevel(task->service, task->priority);
+}
+
+void
+StreamUrgency_NoteAsked(GateTask *task)
+{
+    if (has_levels(task) && is_new(task) && !task->is_retry) {
+        Urgency_NoteAsked(get_urgency(task->gate, task->service->name),
+                          StreamUrgency_GetLevel(task), Task_Now(task));
+    }
+}
+
+void
+StreamUrgency_NoteLook(GateTask *task, bool lacks_room)
+{
+    if (has_levels(task) && is_new(task) && !task->is_retry) {
+        Gate *gate = task->gate;
+        Urgency_NoteLook(get_urgency(gate, task->service->name),
+                         StreamUrgency_GetLevel(task), lacks_room,
+                         &task->lacked_us, Task_Now(task));
+        if (lacks_room) {
+            gate->options.on_load_change(gate->options.context);
+        }
+    }
+}
+
+void
+StreamUrgency_NoteAdmitted(GateTask *task)
+{
+    if (has_levels(task) && !task->is_admitted && !task->is_retry &&
+        task->last_event == GATE_NO_EVENT) {
+        task->is_admitted = true;
+        Urgency_NoteAdmitted(get_urgency(task->gate, task->service->name),
+                             StreamUrgency_GetLevel(task), Task_Now(task));
+    }
+}
+
+void
+StreamUrgency_UpdateHeld(GateTask *task)
+{
+    task->held_streams =
+        has_levels(task) && is_new(task)
+            ? Urgency_GetHeld(get_urgency(task->gate, task->service->name),
+                              StreamUrgency_GetLevel(task), Task_Now(task))
+            : 0;
+}
+
+double
+StreamUrgency_GetHeldTokens(const GateTask *task, const FleetWorker *worker)
+{
+    return task->held_streams > 0
+               ? Urgency_GetHeldAt(task->held_streams, worker->hash) *
+                     task->gate->mean_tokens
+               : 0;
+}
+
+int64_t
+StreamUrgency_GetQueueTime(const GateTask *task, int64_t slo_us)
+{
+    return (int64_t)(Urgency_GetQueueShare(task->held_streams) *
+                     (double)slo_us);
+}
+
+bool
+StreamUrgency_MayRead(GateTask *task, const FleetWorker *decode_worker)
+{
+    double slo_us = (double)task->route->slo_ms * CLK_US_PER_MS;
+    double least_slo_us = (double)task->service->least_slo_ms * CLK_US_PER_MS;
+    double waited_us = (double)(Task_Now(task) - task->began_us);
+    double read_us;
+
+    if (!has_levels(task) || !is_new(task)) {
+        return true;
+    }
+    read_us = decode_worker != NULL ? get_read_wait(task, decode_worker) : 0;
+    StreamUrgency_NoteLook(task, task->lacks_room ||
+                                     (slo_us > 0 && decode_worker != NULL &&
+                                      waited_us + read_us > slo_us));
+    return task->held_streams <= 0 || least_slo_us <= 0 ||
+           read_us <= STREAM_URGENCY_READ_SHARE * least_slo_us;
+}
+
+const char *
+StreamUrgency_GetWaitCause(GateTask *task)
+{
+    if (Begun_IsAnyHeld(Begun_Update(task))) {
+        Met_Add(MET_STREAMS_HELD_BACK, 1);
+        return "no capacity beside begun streams";
+    }
+    if (task->held_streams > 0) {
+        Met_Add(MET_LEVEL_HELD_BACK_0 + StreamUrgency_GetLevel(task), 1);
+        return "capacity is left to more urgent requests";
+    }
+    return "no capacity at any worker";
+}
+
+int64_t
+StreamUrgency_GetPollTime(const GateTask *task, int64_t poll_us)
+{
+    return is_new(task) && !task->is_retry
+               ? Urgency_GetPollTime(poll_us, StreamUrgency_GetLevel(task),
+                                     task->service->level_count)
+               : poll_us;
+}
+
+bool
+StreamUrgency_TakePlace(GateTask *task)
+{
+    uint32_t level = StreamUrgency_GetLevel(task);
+    GateTask *other = NULL;
+    GateTask *least = NULL;
+
+    if (!has_levels(task)) {
+        return false;
+    }
+    LIST_FOREACH(other, &task->gate->tasks, links)
+    {
+        if (other->queued && other->waiting && is_new(other) &&
+            other->sends == 0 &&
+            strcmp(other->service->name, task->service->name) == 0 &&
+            StreamUrgency_GetLevel(other) > level) {
+            level = StreamUrgency_GetLevel(other);
+            least = other;
+        }
+    }
+    if (least == NULL) {
+        return false;
+    }
+    /* It looks for room once more, and is refused if there is none: its own
+       timer does that, as callers of this function may go through the tasks.
+     */
+    least->queued = false;
+    least->step_deadline_us = Task_Now(task);
+    Task_SetTimer(least);
+    return true;
+}
+
+int64_t
+StreamUrgency_NoteRefused(GateTask *task, int64_t lack_ms)
+{
+    uint32_t level = StreamUrgency_GetLevel(task);
+    int64_t lack_us;
+
+    if (!has_levels(task)) {
+        return lack_ms;
+    }
+    Met_Add(MET_LEVEL_REFUSED_0 + level, 1);
+    lack_us = Urgency_GetLackTime(get_urgency(task->gate, task->service->name),
+                                  Task_Now(task));
+    return Urgency_GetReturnTime(MAX(lack_ms * CLK_US_PER_MS, lack_us),
+                                 level) /
+           CLK_US_PER_MS;
+}
+
+uint32_t
+StreamUrgency_GetCallPriority(const GateTask *task)
+{
+    return has_levels(task)
+               ? 1 + Urgency_GetWorkerPriority(StreamUrgency_GetLevel(task),
+                                               task->service->level_count)
+               : 0;
+}
+
+static Urgency *
+get_urgency(Gate *gate, const char *service)
+{
+    Urgency *urgency = g_hash_table_lookup(gate->urgencies, service);
+
+    if (urgency == NULL) {
+        urgency = g_new0(Urgency, 1);
+        g_hash_table_insert(gate->urgencies, g_strdup(service), urgency);
+    }
+    return urgency;
+}
+
+static bool
+has_levels(const GateTask *task)
+{
+    return task->service->level_count > 1;
+}
+
+/* Whether nothing has been done for the request yet. */
+static bool
+is_new(const GateTask *task)
+{
+    return !Stream_HasBegun(task) && task->last_event == GATE_NO_EVENT &&
+           task->runs == 0 && !task->prefilled && task->lease[0] == '\0';
+}
+
+/* Returns the shortest wait until a worker reads a further prompt. If no
+   prefill worker is usable, the decode worker reads it. */
+static double
+get_read_wait(const GateTask *task, const FleetWorker *decode_worker)
+{
+    const RankWeights *weights = &task->gate->options.weights;
+    const GPtrArray *rows = task->gate->options.fleet->rows;
+    int64_t now_us = Task_Now(task);
+    double least_us = HUGE_VAL;
+
+    for (guint i = 0; i < rows->len; i++) {
+        const FleetWorker *worker = g_ptr_array_index(rows, i);
+        if (worker->entry.phase == FLEET_PHASE_PREFILL &&
+            strcmp(worker->entry.service, task->service->name) == 0 &&
+            Fleet_IsUsable(worker, now_us) && !Fleet_IsLeaving(worker) &&
+            !Health_IsBlocked(&worker->health, now_us)) {
+            least_us =
+                MIN(least_us, get_queue_time(worker, weights->prefill_per_us));
+        }
+    }
+    return least_us < HUGE_VAL
+               ? least_us
+               : get_queue_time(decode_worker, weights->local_prefill_per_us);
+}
+
+static double
+get_queue_time(const FleetWorker *worker, double tokens_per_us)
+{
+    return (double)(worker->prefill_tokens + worker->peer_prefill_tokens) /
+           tokens_per_us * (worker->slowness > 0 ? worker->slowness : 1);
+}
--- /dev/null
+++ b/src/gate/stream_urgency.h
@@ -0,0 +1,48 @@
+/* Stream urgency: which requests of a service whose routes or accounts differ
+   in priority leave room to more urgent ones (decide/urgency.h). Requests for
+   which something has been done never do: begun and resumed streams, and those
+   that hold a read prompt or a reservation. A late retry counts as one of the
+   least urgent level, as a late answer is worth less than any in time. Plain
+   calls use the same state for the queues of workers. Where all requests of a
+   service have one priority, none of these functions has an effect. */
+#ifndef LS_STREAM_URGENCY_H
+#define LS_STREAM_URGENCY_H
+
+#include "task.h"
+
+/* Returns the task's level, from 0 on, the most urgent one. */
+uint32_t StreamUrgency_GetLevel(const GateTask *task);
+/* Notes that the request has come. */
+void StreamUrgency_NoteAsked(GateTask *task);
+/* Notes whether a plain call found a place in time. */
+void StreamUrgency_NoteLook(GateTask *task, bool lacks_room);
+/* Notes that it was sent to a worker. */
+void StreamUrgency_NoteAdmitted(GateTask *task);
+/* Decides anew how much room the task leaves to more urgent ones. */
+void StreamUrgency_UpdateHeld(GateTask *task);
+/* Returns the room, as decided last, that it leaves at the worker, tokens. */
+double StreamUrgency_GetHeldTokens(const GateTask *task,
+                                   const FleetWorker *worker);
+/* Returns the part of an objective for which a plain call may wait in a queue
+   of a worker. */
+int64_t StreamUrgency_GetQueueTime(const GateTask *task, int64_t slo_us);
+/* Notes a look of a stream for room: `decode_worker` is what it found, or
+   NULL. It lacks room, too, if its prompt would be read too late for its
+   objective. Returns whether the prompt may be read now: a less urgent one
+   does not join the queues of prompts while a more urgent one that comes next
+   would be late there. */
+bool StreamUrgency_MayRead(GateTask *task, const FleetWorker *decode_worker);
+/* Returns why no worker can run the request now, and counts it. */
+const char *StreamUrgency_GetWaitCause(GateTask *task);
+/* Returns the interval between two looks for room. */
+int64_t StreamUrgency_GetPollTime(const GateTask *task, int64_t poll_us);
+/* Takes the place in the AdmissionQueue of the least urgent request that waits
+   for its first worker. Returns false if none is less urgent. */
+bool StreamUrgency_TakePlace(GateTask *task);
+/* Returns after which wait a refused caller should come back, and counts the
+   refusal: `lack_ms` is the time for which capacity has been lacking. */
+int64_t StreamUrgency_NoteRefused(GateTask *task, int64_t lack_ms);
+/* Returns GateCallOptions.priority of the task's calls. */
+uint32_t StreamUrgency_GetCallPriority(const GateTask *task);
+
+#endif
--- a/src/gate/task.c
+++ b/src/gate/task.c
@@ -3,6 +3,7 @@
 #include "blame.h"
 #include "detour.h"
 #include "grace.h"
+#include "stream_urgency.h"
 #include "successor.h"
 
 #include "../io/loop.h"
@@ -159,6 +160,7 @@
         wait_ms =
             Precedence_GetLackTime(Task_GetPrecedence(task), Task_Now(task)) /
             CLK_US_PER_MS;
+        wait_ms = StreamUrgency_NoteRefused(task, wait_ms);
     }
     if (cause == ADMISSION_NO_CONFIG) {
         code = LS_ERR_NOT_READY;
@@ -240,7 +242,8 @@
         LOG_LEVEL_INFO, "request_end",
         json_pack(
             "{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:i,s:i,s:s,s:I,s:s,s:i,s:I,s:I,s:I,"
-            "s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:s,s:b,s:I,s:b,s:s,s:s,s:i,s:I,s:i}",
+            "s:I,s:I,s:I,s:i,s:i,s:s,s:s,s:s,s:b,s:I,s:b,s:s,s:s,s:i,s:I,s:i,"
+            "s:i}",
             "request", task->request.id, "route", task->route->name, "worker",
             task->worker, "outcome", outcome, "status", status,
             "retry_after_ms", (int)task->retry_after_ms, "took_us",
@@ -269,7 +272,8 @@
             "service", task->service->name, "reach",
             Detour_GetStateName(task->gate, task->service->name), "attempts",
             (int)task->attempts, "first_event", (json_int_t)task->first_event,
-            "unnumbered", (int)task->unnumbered));
+            "unnumbered", (int)task->unnumbered, "level",
+            (int)StreamUrgency_GetLevel(task)));
     Stream_ReleaseAll(task);
     Grace_NoteEnd(task);
     free_task(task);
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -10,6 +10,7 @@
 #include "../decide/precedence.h"
 #include "../decide/retry.h"
 #include "../decide/suspects.h"
+#include "../decide/urgency.h"
 #include "../metrics.h"
 #include "gate.h"
 #include "origins.h"
@@ -184,11 +185,15 @@
        set while one is silent that may go on with it. */
     bool lacks_room;
     int64_t waiting_since_us; /* When the wait began; a run resets it to 0. */
-    bool streaming;           /* The caller was sent the stream's header. */
-    int64_t first_event;      /* ID of the first event sent to the caller. */
-    int64_t last_event;       /* ID of the last event sent to the caller. */
-    EventOrder order;         /* Of the events sent to the caller. */
-    uint32_t unnumbered;      /* Events sent that have data, but no ID. */
+    /* Streams for which it leaves room to more urgent ones at a worker. */
+    double held_streams;
+    int64_t lacked_us;      /* As in Urgency_NoteLook(). */
+    bool is_admitted;       /* Counted as such by the service's Urgency. */
+    bool streaming;         /* The caller was sent the stream's header. */
+    int64_t first_event;    /* ID of the first event sent to the caller. */
+    int64_t last_event;     /* ID of the last event sent to the caller. */
+    EventOrder order;       /* Of the events sent to the caller. */
+    uint32_t unnumbered;    /* Events sent that have data, but no ID. */
     int64_t first_event_us; /* When the first event was sent; 0 if none was. */
     int64_t last_event_us;  /* When the last one was sent. */
     int64_t longest_gap_us; /* Longest time between two events. */
@@ -217,6 +222,7 @@
     GHashTable *queues;      /* Service name to AdmissionQueue. */
     GHashTable *precedences; /* Service name to Precedence. */
     GHashTable *rooms;       /* Service name to BegunRoom. */
+    GHashTable *urgencies;   /* Service name to Urgency. */
     /* Route name to the time left of callers at their first try, ms. */
     GHashTable *first_left_ms;
     double event_interval_us; /* Between events of a stream, moving mean. */
--- a/src/gate/task_wait.c
+++ b/src/gate/task_wait.c
@@ -2,6 +2,7 @@
 #include "task_wait.h"
 #include "begun.h"
 #include "reservation.h"
+#include "stream_urgency.h"
 
 #include "../log.h"
 
@@ -73,15 +74,17 @@
             refused += is_candidate && now_us < worker->full_until_us;
         }
     }
-    Log_WriteJson(LOG_LEVEL_INFO, "no_room",
-                  json_pack("{s:s,s:b,s:b,s:I,s:I,s:I,s:i,s:i,s:i}", "request",
-                            task->request.id, "begun", (int)is_begun, "retry",
-                            (int)task->is_retry, "waited_us",
-                            (json_int_t)(now_us - task->waiting_since_us),
-                            "poll_us", (json_int_t)plan->poll_us, "left_ms",
-                            (json_int_t)Task_GetLeftMs(task), "workers",
-                            usable, "of_version", of_version, "refused",
-                            refused));
+    Log_WriteJson(
+        LOG_LEVEL_INFO, "no_room",
+        json_pack("{s:s,s:b,s:b,s:I,s:I,s:I,s:i,s:i,s:i,s:i,s:f}", "request",
+                  task->request.id, "begun", (int)is_begun, "retry",
+                  (int)task->is_retry, "waited_us",
+                  (json_int_t)(now_us - task->waiting_since_us), "poll_us",
+                  (json_int_t)plan->poll_us, "left_ms",
+                  (json_int_t)Task_GetLeftMs(task), "workers", usable,
+                  "of_version", of_version, "refused", refused, "level",
+                  (int)StreamUrgency_GetLevel(task), "held_streams",
+                  task->held_streams));
 }
 
 void
@@ -111,7 +114,8 @@
 {
     if (!task->queued && task->runs == 0 && !task->streaming &&
         task->last_event == GATE_NO_EVENT && !Reservation_HasHandle(task)) {
-        task->queued = Admission_BeginWait(find_queue(task));
+        task->queued = Admission_BeginWait(find_queue(task)) ||
+                       StreamUrgency_TakePlace(task);
         return task->queued;
     }
     return true;
@@ -145,6 +149,8 @@
         .is_streaming = task->streaming,
         .is_resumed = task->request.last_event != GATE_NO_EVENT,
     };
+    AdmissionWaitPlan wait_plan = Admission_PlanWait(&wait);
 
-    return Admission_PlanWait(&wait);
+    wait_plan.poll_us = StreamUrgency_GetPollTime(task, wait_plan.poll_us);
+    return wait_plan;
 }
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -41,6 +41,30 @@
     [MET_STREAMS_HELD_BACK] = {"streams_held_back",
                                "Looks of new streams for room that found none "
                                "while begun ones waited for it."},
+    [MET_LEVEL_HELD_BACK_0] = {"level_held_back_0",
+                               "Looks of streams of priority level 0 for "
+                               "room that left it to more urgent ones."},
+    [MET_LEVEL_HELD_BACK_1] = {"level_held_back_1",
+                               "Looks of streams of priority level 1 for "
+                               "room that left it to more urgent ones."},
+    [MET_LEVEL_HELD_BACK_2] = {"level_held_back_2",
+                               "Looks of streams of priority level 2 for "
+                               "room that left it to more urgent ones."},
+    [MET_LEVEL_HELD_BACK_3] = {"level_held_back_3",
+                               "Looks of streams of priority level 3 for "
+                               "room that left it to more urgent ones."},
+    [MET_LEVEL_REFUSED_0] = {"level_refused_0",
+                             "Requests of priority level 0 refused for "
+                             "lack of room, where levels differ."},
+    [MET_LEVEL_REFUSED_1] = {"level_refused_1",
+                             "Requests of priority level 1 refused for "
+                             "lack of room, where levels differ."},
+    [MET_LEVEL_REFUSED_2] = {"level_refused_2",
+                             "Requests of priority level 2 refused for "
+                             "lack of room, where levels differ."},
+    [MET_LEVEL_REFUSED_3] = {"level_refused_3",
+                             "Requests of priority level 3 refused for "
+                             "lack of room, where levels differ."},
     [MET_PROMPTS_FETCHED] = {"prompts_fetched",
                              "Runs of resumed streams that fetch the prompt "
                              "from the worker that has read it."},
