--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -856,7 +856,7 @@
   (ProtobufCMessageInit) gossip__use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__demand__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gossip__demand__field_descriptors[9] =
 {
   {
     "service",
@@ -942,10 +942,36 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "level_lacking",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Gossip__Demand, n_level_lacking),
+    offsetof(Gossip__Demand, level_lacking),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level_asked",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Gossip__Demand, n_level_asked),
+    offsetof(Gossip__Demand, level_asked),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__demand__field_indices_by_name[] = {
   4,   /* field[4] = extras */
   2,   /* field[2] = held */
+  8,   /* field[8] = level_asked */
+  7,   /* field[7] = level_lacking */
   1,   /* field[1] = prompt_per_us */
   3,   /* field[3] = requests */
   6,   /* field[6] = room_streams */
@@ -955,7 +981,7 @@
 static const ProtobufCIntRange gossip__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gossip__demand__descriptor =
 {
@@ -965,7 +991,7 @@
   "Gossip__Demand",
   "gossip",
   sizeof(Gossip__Demand),
-  7,
+  9,
   gossip__demand__field_descriptors,
   gossip__demand__field_indices_by_name,
   1,  gossip__demand__number_ranges,
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -114,10 +114,19 @@
   uint32_t *room_versions;
   size_t n_room_streams;
   float *room_streams;
+  /*
+   * By level of priority, the most urgent first: requests that lacked room
+   * lately, and those that looked for some. Only where a service has several
+   * levels.
+   */
+  size_t n_level_lacking;
+  float *level_lacking;
+  size_t n_level_asked;
+  float *level_asked;
 };
 #define GOSSIP__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__demand__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/src/gate/begun.c
+++ b/src/gate/begun.c
@@ -1,5 +1,6 @@
 /* Begun: begun streams that wait for room. See begun.h. */
 #include "begun.h"
+#include "stream_urgency.h"
 
 #include "../decide/room.h"
 
@@ -90,6 +91,7 @@
     while (g_hash_table_iter_next(&iter, &service, NULL)) {
         ReportRooms rooms = {0};
         count_waiting(gate, service, &rooms);
+        rooms.looks = StreamUrgency_GetLooks(gate, service);
         gate->options.on_rooms_change(gate->options.context, service, &rooms);
     }
 }
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -9,6 +9,8 @@
 static void add_limits(Gos *gos, GosMessage *message);
 static guint fill_demands(const Report *report, Gossip__Demand *rows,
                           GosRooms *rooms, Gossip__Demand **demands);
+static void fill_looks(const UrgencyLooks *from, GosRooms *rooms,
+                       Gossip__Demand *to);
 static void fill_rooms(const ReportRooms *from, GosRooms *rooms,
                        Gossip__Demand *to);
 static void encode_kv(const Forecast *kv, uint32_t *later);
@@ -543,6 +545,24 @@
     to->n_room_versions = n;
     to->room_streams = rooms->streams;
     to->n_room_streams = n;
+    fill_looks(&from->looks, rooms, to);
+}
+
+/* Levels without requests after the last one that has some are left out. */
+static void
+fill_looks(const UrgencyLooks *from, GosRooms *rooms, Gossip__Demand *to)
+{
+    size_t n = 0;
+
+    for (size_t i = 0; i < URGENCY_LEVELS_MAX; i++) {
+        rooms->lacking[i] = (float)from->lacking[i];
+        rooms->asked[i] = (float)from->all[i];
+        n = from->all[i] >= GOS_LOOKS_MIN ? i + 1 : n;
+    }
+    to->level_lacking = rooms->lacking;
+    to->n_level_lacking = n;
+    to->level_asked = rooms->asked;
+    to->n_level_asked = n;
 }
 
 ReportDemand
@@ -563,6 +583,20 @@
             Report_AddRoom(&demand.rooms, &room);
         }
     }
+    for (size_t i = 0; i < MIN(MIN(from->n_level_lacking, from->n_level_asked),
+                               URGENCY_LEVELS_MAX);
+         i++) {
+        double asked = from->level_asked[i];
+        double lacking = from->level_lacking[i];
+        /* The same. More than ask can't lack room. */
+        if (asked > 0 && asked < GOS_LOOKS_MAX && lacking > 0) {
+            demand.rooms.looks.all[i] = asked;
+            demand.rooms.looks.lacking[i] = MIN(lacking, asked);
+        }
+        else if (asked > 0 && asked < GOS_LOOKS_MAX) {
+            demand.rooms.looks.all[i] = asked;
+        }
+    }
     return demand;
 }
 
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -27,6 +27,9 @@
 #define GOS_PROXIES_MAX 20
 /* How long the end of a limit is told. */
 #define GOS_LIMIT_NEWS_US (3 * CLK_US_PER_S)
+/* Fewest requests of a level that are told, and most that are believed. */
+#define GOS_LOOKS_MIN 0.01
+#define GOS_LOOKS_MAX 1e6
 #define GOS_KEPT_MAX 4 /* Highest known value of Found.kept. */
 /* Largest message; a datagram of this size fits the usual networks without
    fragmentation. */
@@ -40,6 +43,8 @@
 typedef struct GosRooms {
     uint32_t versions[REPORT_ROOMS_MAX];
     float streams[REPORT_ROOMS_MAX];
+    float lacking[URGENCY_LEVELS_MAX];
+    float asked[URGENCY_LEVELS_MAX];
 } GosRooms;
 
 /* A message with the arrays that it refers to. */
--- a/src/gate/load_report.c
+++ b/src/gate/load_report.c
@@ -8,6 +8,7 @@
 
 static void add_to_worker(const ReportUse *use);
 static void subtract_from_worker(const ReportUse *use);
+static void add_looks(UrgencyLooks *sum, const UrgencyLooks *from);
 static ReportRoom *find_room(ReportRooms *rooms, uint32_t version);
 static DemandRow *find_demand(const Report *report, uint64_t service);
 
@@ -101,6 +102,7 @@
         for (uint32_t i = 0; i < REPORT_ROOMS_MAX; i++) {
             Report_AddRoom(&sum->rooms, &row->demand.rooms.rows[i]);
         }
+        add_looks(&sum->rooms.looks, &row->demand.rooms.looks);
     }
 }
 
@@ -129,6 +131,11 @@
                 MAX(0, to->waiting_streams - row->waiting_streams);
         }
     }
+    for (uint32_t i = 0; i < URGENCY_LEVELS_MAX; i++) {
+        rooms->looks.all[i] = MAX(0, rooms->looks.all[i] - from->looks.all[i]);
+        rooms->looks.lacking[i] =
+            MAX(0, rooms->looks.lacking[i] - from->looks.lacking[i]);
+    }
 }
 
 bool
@@ -197,6 +204,15 @@
     use->worker->peer_leaving -= use->leaving;
 }
 
+static void
+add_looks(UrgencyLooks *sum, const UrgencyLooks *from)
+{
+    for (uint32_t i = 0; i < URGENCY_LEVELS_MAX; i++) {
+        sum->all[i] += from->all[i];
+        sum->lacking[i] += from->lacking[i];
+    }
+}
+
 /* Returns the version's row, or NULL. */
 static ReportRoom *
 find_room(ReportRooms *rooms, uint32_t version)
--- a/src/gate/load_report.h
+++ b/src/gate/load_report.h
@@ -4,6 +4,7 @@
 #ifndef LS_LOAD_REPORT_H
 #define LS_LOAD_REPORT_H
 
+#include "../decide/urgency.h"
 #include "fleet.h"
 
 /* Load at one worker. */
@@ -28,8 +29,10 @@
     double waiting_streams;
 } ReportRoom;
 
+/* Streams of a service that lack room. */
 typedef struct ReportRooms {
     ReportRoom rows[REPORT_ROOMS_MAX];
+    UrgencyLooks looks; /* New ones, by level of priority. */
 } ReportRooms;
 
 /* Load on a service. */
@@ -67,7 +70,7 @@
                       ReportDemand *demand);
 /* Adds to the row of the same version. */
 void Report_AddRoom(ReportRooms *rooms, const ReportRoom *from);
-/* Subtracts, down to 0. */
+/* Subtracts rows and looks, down to 0. */
 void Report_SubtractRooms(ReportRooms *rooms, const ReportRooms *from);
 /* Adds all of `from` to the report, one use for each worker. */
 void Report_Merge(Report *report, const Report *from);
--- a/src/gate/stream_urgency.c
+++ b/src/gate/stream_urgency.c
@@ -3,6 +3,8 @@
 #include "begun.h"
 #include "stream.h"
 
+#include "../log.h"
+
 #include <math.h>
 #include <string.h>
 
@@ -11,9 +13,24 @@
    the other half for its own reading and first event. */
 #define STREAM_URGENCY_READ_SHARE 0.5
 
+/* Time for which what the other VMs told holds, and least time between two log
+   lines on a lack. */
+#define STREAM_URGENCY_UPDATE_US (10 * CLK_US_PER_MS)
+#define STREAM_URGENCY_LOG_US (500 * CLK_US_PER_MS)
+
+/* A service's state. */
+typedef struct UrgencyRow {
+    Urgency urgency;
+    int64_t updated_us; /* When what the other VMs told was read. */
+    bool is_lack_logged;
+    int64_t logged_us;
+} UrgencyRow;
+
 G_STATIC_ASSERT(RTE_LEVELS_MAX == URGENCY_LEVELS_MAX);
 
-static Urgency *get_urgency(Gate *gate, const char *service);
+static Urgency *get_urgency(const GateTask *task);
+static void log_lack(UrgencyRow *row, const char *service, int64_t now_us);
+static uint32_t get_place(const GateTask *task);
 static bool has_levels(const GateTask *task);
 static bool is_new(const GateTask *task);
 static double get_read_wait(const GateTask *task,
@@ -23,18 +40,14 @@
 uint32_t
 StreamUrgency_GetLevel(const GateTask *task)
 {
-    return task->is_retry && task->last_event == GATE_NO_EVENT &&
-                   has_levels(task)
-               ? task->service->level_count - 1
-               : Rte_GetLevel(task->service, task->priority);
+    return Rte_GetLevel(task->service, task->priority);
 }
 
 void
 StreamUrgency_NoteAsked(GateTask *task)
 {
     if (has_levels(task) && is_new(task) && !task->is_retry) {
-        Urgency_NoteAsked(get_urgency(task->gate, task->service->name),
-                          StreamUrgency_GetLevel(task), Task_Now(task));
+        Urgency_NoteAsked(get_urgency(task), get_place(task), Task_Now(task));
     }
 }
 
@@ -42,11 +55,12 @@
 StreamUrgency_NoteLook(GateTask *task, bool lacks_room)
 {
     if (has_levels(task) && is_new(task) && !task->is_retry) {
-        Gate *gate = task->gate;
-        Urgency_NoteLook(get_urgency(gate, task->service->name),
-                         StreamUrgency_GetLevel(task), lacks_room,
+        const Gate *gate = task->gate;
+        bool lacked = task->lacked_us != 0;
+        Urgency_NoteLook(get_urgency(task), get_place(task), lacks_room,
                          &task->lacked_us, Task_Now(task));
-        if (lacks_room) {
+        /* A further look of the same request is no news. */
+        if (lacks_room && !lacked) {
             gate->options.on_load_change(gate->options.context);
         }
     }
@@ -58,19 +72,18 @@
     if (has_levels(task) && !task->is_admitted && !task->is_retry &&
         task->last_event == GATE_NO_EVENT) {
         task->is_admitted = true;
-        Urgency_NoteAdmitted(get_urgency(task->gate, task->service->name),
-                             StreamUrgency_GetLevel(task), Task_Now(task));
+        Urgency_NoteAdmitted(get_urgency(task), get_place(task),
+                             Task_Now(task));
     }
 }
 
 void
 StreamUrgency_UpdateHeld(GateTask *task)
 {
-    task->held_streams =
-        has_levels(task) && is_new(task)
-            ? Urgency_GetHeld(get_urgency(task->gate, task->service->name),
-                              StreamUrgency_GetLevel(task), Task_Now(task))
-            : 0;
+    task->held_streams = has_levels(task) && is_new(task)
+                             ? Urgency_GetHeld(get_urgency(task),
+                                               get_place(task), Task_Now(task))
+                             : 0;
 }
 
 double
@@ -126,7 +139,7 @@
 StreamUrgency_GetPollTime(const GateTask *task, int64_t poll_us)
 {
     return is_new(task) && !task->is_retry
-               ? Urgency_GetPollTime(poll_us, StreamUrgency_GetLevel(task),
+               ? Urgency_GetPollTime(poll_us, get_place(task),
                                      task->service->level_count)
                : poll_us;
 }
@@ -134,7 +147,7 @@
 bool
 StreamUrgency_TakePlace(GateTask *task)
 {
-    uint32_t level = StreamUrgency_GetLevel(task);
+    uint32_t level = get_place(task);
     GateTask *other = NULL;
     GateTask *least = NULL;
 
@@ -146,8 +159,8 @@
         if (other->queued && other->waiting && is_new(other) &&
             other->sends == 0 &&
             strcmp(other->service->name, task->service->name) == 0 &&
-            StreamUrgency_GetLevel(other) > level) {
-            level = StreamUrgency_GetLevel(other);
+            get_place(other) > level) {
+            level = get_place(other);
             least = other;
         }
     }
@@ -173,8 +186,7 @@
         return lack_ms;
     }
     Met_Add(MET_LEVEL_REFUSED_0 + level, 1);
-    lack_us = Urgency_GetLackTime(get_urgency(task->gate, task->service->name),
-                                  Task_Now(task));
+    lack_us = Urgency_GetLackTime(get_urgency(task), Task_Now(task));
     return Urgency_GetReturnTime(MAX(lack_ms * CLK_US_PER_MS, lack_us),
                                  level) /
            CLK_US_PER_MS;
@@ -184,21 +196,83 @@
 StreamUrgency_GetCallPriority(const GateTask *task)
 {
     return has_levels(task)
-               ? 1 + Urgency_GetWorkerPriority(StreamUrgency_GetLevel(task),
+               ? 1 + Urgency_GetWorkerPriority(get_place(task),
                                                task->service->level_count)
                : 0;
 }
 
+UrgencyLooks
+StreamUrgency_GetLooks(const Gate *gate, const char *service)
+{
+    const UrgencyRow *row = g_hash_table_lookup(gate->urgencies, service);
+    UrgencyLooks none = {0};
+
+    return row != NULL
+               ? Urgency_GetLooks(&row->urgency, Clk_Now(gate->options.clk))
+               : none;
+}
+
+/* Returns the state of the task's service, with what the other VMs told. */
 static Urgency *
-get_urgency(Gate *gate, const char *service)
+get_urgency(const GateTask *task)
+{
+    Gate *gate = task->gate;
+    const char *service = task->service->name;
+    UrgencyRow *row = g_hash_table_lookup(gate->urgencies, service);
+    int64_t now_us = Task_Now(task);
+    ReportRooms rooms = {0};
+
+    if (row == NULL) {
+        row = g_new0(UrgencyRow, 1);
+        g_hash_table_insert(gate->urgencies, g_strdup(service), row);
+    }
+    if (row->updated_us == 0 ||
+        now_us - row->updated_us >= STREAM_URGENCY_UPDATE_US) {
+        row->updated_us = now_us;
+        gate->options.get_peer_rooms(gate->options.context, service, &rooms);
+        Urgency_SetPeers(&row->urgency, &rooms.looks, now_us);
+        log_lack(row, service, now_us);
+    }
+    return &row->urgency;
+}
+
+/* Logs the beginning and the end of a lack. */
+static void
+log_lack(UrgencyRow *row, const char *service, int64_t now_us)
 {
-    Urgency *urgency = g_hash_table_lookup(gate->urgencies, service);
+    const Urgency *urgency = &row->urgency;
+    UrgencyLooks own = Urgency_GetLooks(urgency, now_us);
+    bool is_lack = Urgency_GetLackTime(urgency, now_us) > 0;
 
-    if (urgency == NULL) {
-        urgency = g_new0(Urgency, 1);
-        g_hash_table_insert(gate->urgencies, g_strdup(service), urgency);
+    if (is_lack == row->is_lack_logged ||
+        now_us - row->logged_us < STREAM_URGENCY_LOG_US) {
+        return;
     }
-    return urgency;
+    row->is_lack_logged = is_lack;
+    row->logged_us = now_us;
+    Log_WriteJson(
+        LOG_LEVEL_INFO, "urgent_lack",
+        json_pack(
+            "{s:s,s:b,s:I,s:[f,f,f,f],s:[f,f,f,f],s:[f,f,f,f],s:[f,f,f,f]}",
+            "service", service, "lacks", (int)is_lack, "lack_us",
+            (json_int_t)Urgency_GetLackTime(urgency, now_us), "lacking",
+            own.lacking[0], own.lacking[1], own.lacking[2], own.lacking[3],
+            "asked", own.all[0], own.all[1], own.all[2], own.all[3],
+            "peers_lacking", urgency->peers.lacking[0],
+            urgency->peers.lacking[1], urgency->peers.lacking[2],
+            urgency->peers.lacking[3], "peers_asked", urgency->peers.all[0],
+            urgency->peers.all[1], urgency->peers.all[2],
+            urgency->peers.all[3]));
+}
+
+/* Returns the level as which the task counts beside others. */
+static uint32_t
+get_place(const GateTask *task)
+{
+    return has_levels(task) && task->is_retry &&
+                   task->last_event == GATE_NO_EVENT
+               ? task->service->level_count - 1
+               : StreamUrgency_GetLevel(task);
 }
 
 static bool
--- a/src/gate/stream_urgency.h
+++ b/src/gate/stream_urgency.h
@@ -42,6 +42,8 @@
 /* Returns after which wait a refused caller should come back, and counts the
    refusal: `lack_ms` is the time for which capacity has been lacking. */
 int64_t StreamUrgency_NoteRefused(GateTask *task, int64_t lack_ms);
+/* Returns what this VM tells the others of the requests that lack room. */
+UrgencyLooks StreamUrgency_GetLooks(const Gate *gate, const char *service);
 /* Returns GateCallOptions.priority of the task's calls. */
 uint32_t StreamUrgency_GetCallPriority(const GateTask *task);
 
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -222,7 +222,7 @@
     GHashTable *queues;      /* Service name to AdmissionQueue. */
     GHashTable *precedences; /* Service name to Precedence. */
     GHashTable *rooms;       /* Service name to BegunRoom. */
-    GHashTable *urgencies;   /* Service name to Urgency. */
+    GHashTable *urgencies;   /* Service name to UrgencyRow. */
     /* Route name to the time left of callers at their first try, ms. */
     GHashTable *first_left_ms;
     double event_interval_us; /* Between events of a stream, moving mean. */
--- a/tests/test_gate_urgency.cc
+++ b/tests/test_gate_urgency.cc
@@ -66,11 +66,11 @@
         rig.AddWorker(std::vector<ScriptedReply>(40, Stream(0, 9)));
         rig.workers[0]->kept_parts = {"b1"};
         rig.workers[0]->places = 0;
-        for (int vm = 0; vm < vms; vm++) {
-            Forecast used = Forecast_OfPrompt(58200);
-            Gate_SetTable(Edge_GetGate(rig.edges[vm]), MakeLevels(priorities));
-            Forecast_Add(&rig.Find(vm, 0)->kv, &used);
+        for (Edge *edge : rig.edges) {
+            Gate_SetTable(Edge_GetGate(edge), MakeLevels(priorities));
         }
+        /* The other VMs hear of it. */
+        Forecast_Add(&rig.Find(0, 0)->kv, &used);
         rig.RunFor(400);
     }
 
@@ -86,6 +86,7 @@
     }
 
     FleetRig rig;
+    const Forecast used = Forecast_OfPrompt(58200);
 
   private:
     int next_ = 0;
@@ -131,25 +132,72 @@
     }
 }
 
+struct VmCase {
+    const char *name;
+    int vms;
+    size_t less_vm; /* Gets the less urgent streams. */
+    size_t more_vm;
+};
+
+const VmCase vm_cases[] = {
+    {"at one VM", 1, 0, 0},
+    {"at two VMs", 2, 0, 1},
+};
+
 /* Less urgent streams came first, and look for the memory that becomes free
    one place after the other. */
 TEST(GateUrgency, MemoryThatBecomesFreeGoesToMoreUrgentStreams)
 {
-    Levels levels({0, 1, 2});
-    std::vector<Caller *> less = levels.Call(0, 2, 4);
-    levels.rig.RunFor(50);
-    std::vector<Caller *> more = levels.Call(0, 0, 4);
-    levels.rig.RunFor(200);
-    for (int i = 0; i < 4; i++) {
-        levels.rig.workers[0]->places = 1;
-        levels.rig.RunFor(150);
+    for (const VmCase &row : vm_cases) {
+        SCOPED_TRACE(row.name);
+        Levels levels({0, 1, 2}, row.vms);
+        std::vector<Caller *> less = levels.Call(row.less_vm, 2, 4);
+        levels.rig.RunFor(50);
+        std::vector<Caller *> more = levels.Call(row.more_vm, 0, 4);
+        levels.rig.RunFor(200);
+        for (int i = 0; i < 4; i++) {
+            levels.rig.workers[0]->places = 1;
+            levels.rig.RunFor(150);
+        }
+        EXPECT_EQ(Count(more, 200), 4);
+        EXPECT_EQ(Count(less, 200), 0);
+        /* None of them lacks room any more: it is the others'. */
+        levels.rig.workers[0]->places = 20;
+        levels.rig.RunFor(600);
+        EXPECT_EQ(Count(less, 200), 4);
+    }
+}
+
+/* The worker reads the prompts itself. Once less urgent ones have filled its
+   queue, the next more urgent stream is late. */
+TEST(GateUrgency, LessUrgentPromptsLeaveTheQueueShort)
+{
+    const struct {
+        const char *name;
+        uint64_t queued_tokens; /* Of 28 in a millisecond. */
+        bool is_lack;
+        int status;
+    } cases[] = {
+        {"short queue", 20000, true, 200},
+        {"long queue, none more urgent lacks room", 60000, false, 200},
+        {"long queue", 60000, true, 0},
+    };
+    for (const auto &row : cases) {
+        SCOPED_TRACE(row.name);
+        Levels levels({0, 1, 2}, 2);
+        levels.rig.workers[0]->places = -1;
+        Forecast_Subtract(&levels.rig.Find(0, 0)->kv, &levels.used);
+        levels.rig.Find(0, 0)->prefill_tokens += row.queued_tokens;
+        if (row.is_lack) {
+            /* The worker has just refused a reservation of the other VM. */
+            levels.rig.Find(1, 0)->full_until_us = INT64_MAX;
+            levels.Call(1, 0, 4);
+            levels.rig.RunFor(100);
+        }
+        std::vector<Caller *> less = levels.Call(0, 2, 1);
+        levels.rig.RunFor(100);
+        EXPECT_EQ(less[0]->Status(), row.status) << less[0]->text;
     }
-    EXPECT_EQ(Count(more, 200), 4);
-    EXPECT_EQ(Count(less, 200), 0);
-    /* None of them lacks room any more: it is the others'. */
-    levels.rig.workers[0]->places = 20;
-    levels.rig.RunFor(600);
-    EXPECT_EQ(Count(less, 200), 4);
 }
 
 /* A queue full of less urgent streams refused each more urgent one. */
@@ -198,4 +246,52 @@
     EXPECT_EQ(Count(second, 503), 2);
 }
 
+struct LevelCase {
+    const char *name;
+    std::vector<uint32_t> accounts; /* Their priorities. */
+    uint32_t route;                 /* Priority of the only route. */
+    bool is_public;
+    std::vector<uint32_t> levels;
+};
+
+const uint32_t none = ACC_PRIORITY_NONE;
+const LevelCase level_cases[] = {
+    {"no account", {}, 2, false, {2}},
+    {"accounts alike", {1, 1}, 2, false, {1}},
+    {"accounts differ", {3, 0, 3}, none, false, {0, 3}},
+    {"some accounts have that of the route", {1, none}, 0, false, {0, 1}},
+    {"public route", {3, 0}, 2, true, {2}},
+    {"more than four", {9, 1, 3, 5, 7}, none, false, {1, 3, 5, 7}},
+};
+
+/* Requests of one service compete, whether routes or accounts tell their
+   priorities. */
+TEST(GateUrgency, LevelsAreThoseThatRequestsCanHave)
+{
+    for (const LevelCase &row : level_cases) {
+        SCOPED_TRACE(row.name);
+        RteTable *table = MakeLevels({row.route});
+        GPtrArray *routes =
+            static_cast<GPtrArray *>(g_hash_table_lookup(table->hosts, "h"));
+        static_cast<RteRoute *>(g_ptr_array_index(routes, 0))->is_public =
+            row.is_public;
+        table->accounts = row.accounts.empty() ? nullptr : Acc_NewTable();
+        for (size_t i = 0; i < row.accounts.size(); i++) {
+            std::string name = "a" + std::to_string(i);
+            Account account = {};
+            account.name = (char *)name.c_str();
+            account.priority = row.accounts[i];
+            EXPECT_TRUE(Acc_AddAccount(table->accounts, &account));
+        }
+        Rte_SetLevels(table);
+        const RteService *service = Rte_FindService(table, "svc");
+        EXPECT_EQ(std::vector<uint32_t>(
+                      service->levels, service->levels + service->level_count),
+                  row.levels);
+        EXPECT_EQ(service->least_slo_ms, patient.slo_ms);
+        EXPECT_EQ(Rte_GetLevel(service, none), row.levels.size() - 1);
+        Rte_Unref(table);
+    }
+}
+
 } // namespace
