--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -287,17 +287,12 @@
     }
     if (!Reservation_HasLease(task)) {
         FleetWorker *decode_worker =
-            Reservation_ChooseDecodeWorker(task, &run_cost_us);
-        bool may_read;
-        task->lacks_room = decode_worker == NULL && task->silent == NULL &&
-                           Reservation_LacksRoom(task);
-        StreamPrecedence_NoteTimely(task);
-        may_read = StreamUrgency_MayRead(task, decode_worker);
+            StreamUrgency_FindRoom(task, &run_cost_us);
         if (!StreamPrecedence_MayTakeRoom(task)) {
             refuse_late(task);
             return;
         }
-        if (decode_worker == NULL || !may_read) {
+        if (decode_worker == NULL) {
             TaskWait_BeginWait(task, StreamUrgency_GetWaitCause(task));
             return;
         }
--- a/src/gate/stream_urgency.c
+++ b/src/gate/stream_urgency.c
@@ -1,7 +1,9 @@
 /* Stream urgency: room for more urgent requests. See stream_urgency.h. */
 #include "stream_urgency.h"
 #include "begun.h"
+#include "reservation.h"
 #include "stream.h"
+#include "stream_precedence.h"
 
 #include "../log.h"
 
@@ -33,6 +35,7 @@
 static uint32_t get_place(const GateTask *task);
 static bool has_levels(const GateTask *task);
 static bool is_new(const GateTask *task);
+static bool may_read(GateTask *task, const FleetWorker *worker);
 static double get_read_wait(const GateTask *task,
                             const FleetWorker *decode_worker);
 static double get_queue_time(const FleetWorker *worker, double tokens_per_us);
@@ -102,23 +105,17 @@
                      (double)slo_us);
 }
 
-bool
-StreamUrgency_MayRead(GateTask *task, const FleetWorker *decode_worker)
+FleetWorker *
+StreamUrgency_FindRoom(GateTask *task, int64_t *cost_us)
 {
-    double slo_us = (double)task->route->slo_ms * CLK_US_PER_MS;
-    double least_slo_us = (double)task->service->least_slo_ms * CLK_US_PER_MS;
-    double waited_us = (double)(Task_Now(task) - task->began_us);
-    double read_us;
-
-    if (!has_levels(task) || !is_new(task)) {
-        return true;
-    }
-    read_us = decode_worker != NULL ? get_read_wait(task, decode_worker) : 0;
-    StreamUrgency_NoteLook(task, task->lacks_room ||
-                                     (slo_us > 0 && decode_worker != NULL &&
-                                      waited_us + read_us > slo_us));
-    return task->held_streams <= 0 || least_slo_us <= 0 ||
-           read_us <= STREAM_URGENCY_READ_SHARE * least_slo_us;
+    FleetWorker *worker = Reservation_ChooseDecodeWorker(task, cost_us);
+
+    task->lacks_room =
+        worker == NULL && task->silent == NULL && Reservation_LacksRoom(task);
+    StreamPrecedence_NoteTimely(task);
+    return !has_levels(task) || !is_new(task) || may_read(task, worker)
+               ? worker
+               : NULL;
 }
 
 const char *
@@ -289,6 +286,22 @@
            task->runs == 0 && !task->prefilled && task->lease[0] == '\0';
 }
 
+/* Notes the look, and returns whether the prompt may be read now. */
+static bool
+may_read(GateTask *task, const FleetWorker *worker)
+{
+    double slo_us = (double)task->route->slo_ms * CLK_US_PER_MS;
+    double least_slo_us = (double)task->service->least_slo_ms * CLK_US_PER_MS;
+    double waited_us = (double)(Task_Now(task) - task->began_us);
+    double read_us = worker != NULL ? get_read_wait(task, worker) : 0;
+
+    StreamUrgency_NoteLook(task,
+                           task->lacks_room || (worker != NULL && slo_us > 0 &&
+                                                waited_us + read_us > slo_us));
+    return task->held_streams <= 0 || least_slo_us <= 0 ||
+           read_us <= STREAM_URGENCY_READ_SHARE * least_slo_us;
+}
+
 /* Returns the shortest wait until a worker reads a further prompt. If no
    prefill worker is usable, the decode worker reads it. */
 static double
--- a/src/gate/stream_urgency.h
+++ b/src/gate/stream_urgency.h
@@ -26,12 +26,12 @@
 /* Returns the part of an objective for which a plain call may wait in a queue
    of a worker. */
 int64_t StreamUrgency_GetQueueTime(const GateTask *task, int64_t slo_us);
-/* Notes a look of a stream for room: `decode_worker` is what it found, or
-   NULL. It lacks room, too, if its prompt would be read too late for its
-   objective. Returns whether the prompt may be read now: a less urgent one
-   does not join the queues of prompts while a more urgent one that comes next
-   would be late there. */
-bool StreamUrgency_MayRead(GateTask *task, const FleetWorker *decode_worker);
+/* Looks for a decode worker for a stream as Reservation_ChooseDecodeWorker(),
+   and notes whether there is room, also for StreamPrecedence. A stream lacks
+   room, too, if its prompt would be read too late for its objective. A less
+   urgent one gets none where its prompt would join a queue in which a more
+   urgent one that comes next would be late. */
+FleetWorker *StreamUrgency_FindRoom(GateTask *task, int64_t *cost_us);
 /* Returns why no worker can run the request now, and counts it. */
 const char *StreamUrgency_GetWaitCause(GateTask *task);
 /* Returns the interval between two looks for room. */
--- a/tests/test_gate_urgency.cc
+++ b/tests/test_gate_urgency.cc
@@ -9,9 +9,10 @@
 /* Returns a table with one route for each priority, "/0/" and so on, to the
    same service. */
 RteTable *
-MakeLevels(const std::vector<uint32_t> &priorities)
+MakeLevels(const std::vector<uint32_t> &priorities,
+           const Route &route = patient)
 {
-    RteTable *table = MakeTable(patient, true, 2000, 2);
+    RteTable *table = MakeTable(route, route.kind == RTE_STREAM, 2000, 2);
     RteBackend backend = {(char *)"svc", 1};
     g_hash_table_remove_all(table->hosts);
     for (size_t i = 0; i < priorities.size(); i++) {
@@ -20,11 +21,11 @@
         row.name = (char *)prefix.c_str();
         row.host = (char *)"h";
         row.prefix = (char *)prefix.c_str();
-        row.kind = RTE_STREAM;
-        row.attempts = patient.attempts;
-        row.can_resume = patient.can_resume;
-        row.timeout_ms = patient.timeout_ms;
-        row.slo_ms = patient.slo_ms;
+        row.kind = route.kind;
+        row.attempts = route.attempts;
+        row.can_resume = route.can_resume;
+        row.timeout_ms = route.timeout_ms;
+        row.slo_ms = route.slo_ms;
         row.gap_ms = 300;
         row.priority = priorities[i];
         row.backends = g_array_new(FALSE, FALSE, sizeof(RteBackend));
@@ -246,6 +247,31 @@
     EXPECT_EQ(Count(second, 503), 2);
 }
 
+/* Plain calls of both levels would share a queue in which the more urgent ones
+   are late. */
+TEST(GateUrgency, LessUrgentCallsJoinShorterQueues)
+{
+    GateRig rig;
+    Gate_SetTable(Edge_GetGate(rig.edge),
+                  MakeLevels({0, 1}, {RTE_IDEMPOTENT, 2, false, 5000, 400}));
+    rig.AddWorker({Ok(), Ok(), Ok()});
+    auto call = [&](size_t route) {
+        const Caller *caller = rig.Call(Prompt(route, "id"));
+        EXPECT_TRUE(rig.UntilEnd(caller));
+        return caller->Status();
+    };
+    rig.last_worker->inflight = 120; /* A wait of 420 ms. */
+    for (int i = 0; i < 6; i++) {
+        EXPECT_EQ(call(0), 503);
+    }
+    rig.last_worker->inflight = 80; /* 270 ms. */
+    EXPECT_EQ(call(1), 503);
+    EXPECT_EQ(call(0), 200);
+    rig.RunFor(1000);
+    rig.last_worker->inflight = 80;
+    EXPECT_EQ(call(1), 200);
+}
+
 struct LevelCase {
     const char *name;
     std::vector<uint32_t> accounts; /* Their priorities. */
