--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -117,7 +117,6 @@
 
     edge->options = *options;
     edge->began_us = Clk_Now(options->clk);
-    edge->unread = Unread_NewSum(options->memory_mb);
     edge->client = Client_New(options->base, options->clk);
     edge->fleet = Fleet_New(&options->fleet);
     gate.base = options->base;
@@ -162,8 +161,7 @@
     callers.context = edge;
     callers.on_request = on_caller_request;
     callers.on_disconnect = on_caller_disconnect;
-    callers.on_unread = SlowReader_OnUnread;
-    callers.unread = &edge->unread;
+    SlowReader_SetBounds(&callers, &edge->unread, options->memory_mb);
     edge->callers = Server_New(&callers, err);
 
     health.base = options->base;
--- a/src/gate/slow_reader.c
+++ b/src/gate/slow_reader.c
@@ -5,6 +5,14 @@
 
 #include "../log.h"
 
+void
+SlowReader_SetBounds(ServerOptions *server, UnreadSum *sum, uint32_t memory_mb)
+{
+    *sum = Unread_NewSum(memory_mb);
+    server->on_unread = SlowReader_OnUnread;
+    server->unread = sum;
+}
+
 void
 SlowReader_OnUnread(ServerExchange *exchange, bool is_paused)
 {
--- a/src/io/server_unread.c
+++ b/src/io/server_unread.c
@@ -166,7 +166,7 @@
 static ServerConn *
 find_largest(const Server *server)
 {
-    ServerConn *conn;
+    ServerConn *conn = NULL;
     ServerConn *largest = NULL;
     size_t most = 0;
     bool is_stream = false;
