--- a/src/gate/feed.c
+++ b/src/gate/feed.c
@@ -169,13 +169,19 @@
     return Access_Now(feed->options.gate);
 }
 
+bool
+Feed_NeedsProof(const Feed *feed)
+{
+    return Access_NeedsLease(feed->options.gate);
+}
+
 uint32_t
 Feed_GetWatchTime(const Feed *feed, uint32_t most_ms)
 {
     const Gate *gate = feed->options.gate;
     int64_t watch_ms;
 
-    if (!Access_NeedsLease(gate)) {
+    if (!Feed_NeedsProof(feed)) {
         return most_ms;
     }
     watch_ms = KeyLease_GetWatchTime(&gate->key_lease, Access_Now(gate)) /
--- a/src/gate/feed.h
+++ b/src/gate/feed.h
@@ -59,6 +59,8 @@
 /* The source is in this era. */
 void Feed_NoteEra(Feed *feed, uint64_t era);
 int64_t Feed_Now(const Feed *feed); /* As Access_Now(). */
+/* Whether it matters that the configuration is shown to be the newest. */
+bool Feed_NeedsProof(const Feed *feed);
 /* Returns how long the source may hold a question open, ms, or `most_ms` if
    that is less. */
 uint32_t Feed_GetWatchTime(const Feed *feed, uint32_t most_ms);
--- a/tests/revocation_rig.h
+++ b/tests/revocation_rig.h
@@ -286,7 +286,8 @@
         client.seed = (guint32)vms.size();
         client.context = vm;
         client.is_watch_needed = [](void *context) {
-            return Edge_NeedsSource(static_cast<Vm *>(context)->edge);
+            Vm *self = static_cast<Vm *>(context);
+            return !self->is_paused && Edge_NeedsSource(self->edge);
         };
         vm->client = Pf_NewStore(&client);
     }
@@ -340,6 +341,7 @@
         std::string store;
         Edge *edge = nullptr;
         PfStore *client = nullptr;
+        bool is_paused = false; /* Its watch of the store. */
         uint16_t metrics_port = 0;
         uint16_t peer_port = 0;
 
--- a/tests/test_gate_revocation.cc
+++ b/tests/test_gate_revocation.cc
@@ -176,6 +176,31 @@
     EXPECT_EQ(rig.Call(0, "old-key"), 200);
 }
 
+/* While a VM's watch was paused, others told it a worker's change, but not the
+   configuration that was written before: a watch from that change on would
+   show nothing, and prove what is wrong. */
+TEST(Revocation, WatchAfterAPauseProvesNothingThatOthersLeftOut)
+{
+    RevocationRig rig(bound_ms);
+    rig.store->SetConfig(AccountsConfig(1, both));
+    rig.AddVm("zone-a", false);
+    rig.RunFor(2500);
+    rig.vms[0]->is_paused = true;
+    rig.RunFor(1500);
+    rig.store->SetConfig(AccountsConfig(2, kept));
+    std::string entry = WorkerEntry("draining");
+    Feed_SetEntry(Edge_GetFeed(rig.vms[0]->edge), "w-2", entry.data(),
+                  entry.size(), {1, 99});
+    int calls = rig.store->calls;
+    rig.RunFor(1000);
+    EXPECT_EQ(rig.store->calls, calls);
+    EXPECT_EQ(rig.Call(0, "old-key"), 200);
+    rig.vms[0]->is_paused = false;
+    rig.RunFor(2500);
+    EXPECT_EQ(rig.Call(0, "old-key"), 401);
+    EXPECT_EQ(rig.Call(0, "kept-key"), 200);
+}
+
 /* The store returns from a copy. The VM that it turns away learns the era from
    the other one, and takes keys again by a proof of that era. */
 TEST(Revocation, ProofsOfAnOlderEraEnd)
