--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -5,6 +5,7 @@
 #include "../log.h"
 #include "../metrics.h"
 #include "access.h"
+#include "edge_gossip.h"
 #include "relay.h"
 #include "shutdown.h"
 #include "slow_reader.h"
@@ -57,9 +58,6 @@
 static bool start_peering(Edge *edge, LsError *err);
 static uint32_t get_vm_count(void *context);
 static void ask_loan(void *context, const char *service, const BudgetAsk *ask);
-static uint32_t lend(void *context, uint64_t service, const BudgetAsk *ask);
-static void borrow(void *context, uint64_t service, uint32_t parts,
-                   int64_t asked_us);
 static double get_share(void *context, const char *service);
 static void on_budget_change(void *context, const char *service,
                              double requests, double extras);
@@ -74,18 +72,7 @@
 static void list_holders(void *context, Holders *holders);
 static void send_lookups(void *context, uint64_t holder,
                          const LookupQuestion *rows, uint32_t count);
-static LookupAnswer answer_lookup(void *context,
-                                  const LookupQuestion *question,
-                                  const Origin **origin);
-static void on_lookup_answer(void *context, uint64_t holder,
-                             const LookupAnswer *answer);
-static uint32_t list_cut(void *context, uint64_t *services, uint32_t max);
-static uint32_t list_reaches(void *context, GateReach *reaches, uint32_t max);
-static void on_reach(void *context, const GateReach *reach);
 static bool is_stopping(void *context);
-static void on_suspects_change(void *context);
-static void on_limit_change(void *context, const FleetWorker *worker);
-static void update_load(void *context);
 static GosVersions get_versions(void *context);
 static void on_peer_versions(void *context, const char *address,
                              const GosVersions *versions);
@@ -316,18 +303,9 @@
     gossip.origins = Gate_GetOrigins(edge->gate);
     gossip.account_loads = Gate_GetAccountLoads(edge->gate);
     gossip.context = edge;
-    gossip.on_suspects_change = on_suspects_change;
-    gossip.on_limit_change = on_limit_change;
-    gossip.answer_lookup = answer_lookup;
-    gossip.on_lookup_answer = on_lookup_answer;
-    gossip.lend = lend;
-    gossip.borrow = borrow;
-    gossip.list_cut = list_cut;
-    gossip.list_reaches = list_reaches;
-    gossip.on_reach = on_reach;
+    EdgeGossip_SetCallbacks(&gossip);
     gossip.serves_detours = true;
     gossip.is_stopping = is_stopping;
-    gossip.update_load = update_load;
     gossip.get_versions = get_versions;
     gossip.on_peer_versions = on_peer_versions;
     edge->vouch = (Vouch){.gate = edge->gate, .feed = edge->feed};
@@ -379,22 +357,6 @@
     }
 }
 
-static uint32_t
-lend(void *context, uint64_t service, const BudgetAsk *ask)
-{
-    const Edge *edge = context;
-
-    return Gate_Lend(edge->gate, service, ask);
-}
-
-static void
-borrow(void *context, uint64_t service, uint32_t parts, int64_t asked_us)
-{
-    const Edge *edge = context;
-
-    Gate_Borrow(edge->gate, service, parts, asked_us);
-}
-
 static double
 get_share(void *context, const char *service)
 {
@@ -484,47 +446,6 @@
     Gos_SendLookups(edge->gossip, holder, rows, count);
 }
 
-static LookupAnswer
-answer_lookup(void *context, const LookupQuestion *question,
-              const Origin **origin)
-{
-    const Edge *edge = context;
-
-    return Lookup_Answer(edge->gate, question, origin);
-}
-
-static void
-on_lookup_answer(void *context, uint64_t holder, const LookupAnswer *answer)
-{
-    const Edge *edge = context;
-
-    Lookup_NoteAnswer(edge->gate, holder, answer);
-}
-
-static uint32_t
-list_cut(void *context, uint64_t *services, uint32_t max)
-{
-    const Edge *edge = context;
-
-    return Gate_ListCut(edge->gate, services, max);
-}
-
-static uint32_t
-list_reaches(void *context, GateReach *reaches, uint32_t max)
-{
-    const Edge *edge = context;
-
-    return Gate_ListReaches(edge->gate, reaches, max);
-}
-
-static void
-on_reach(void *context, const GateReach *reach)
-{
-    const Edge *edge = context;
-
-    Gate_OnReach(edge->gate, reach);
-}
-
 static bool
 is_stopping(void *context)
 {
@@ -533,30 +454,6 @@
     return Shutdown_HasBegun(edge->shutdown);
 }
 
-static void
-on_suspects_change(void *context)
-{
-    const Edge *edge = context;
-
-    Gate_LogSuspects(edge->gate);
-}
-
-static void
-on_limit_change(void *context, const FleetWorker *worker)
-{
-    const Edge *edge = context;
-
-    Gate_LogLimit(edge->gate, worker);
-}
-
-static void
-update_load(void *context)
-{
-    const Edge *edge = context;
-
-    Gate_UpdateForecasts(edge->gate);
-}
-
 static GosVersions
 get_versions(void *context)
 {
