--- a/tests/revocation_rig.h
+++ b/tests/revocation_rig.h
@@ -112,6 +112,7 @@
     std::vector<int> waits_ms; /* Of the watches. */
     /* Reads are answered by pages of one item. */
     bool has_pages = false;
+    bool holds_lists = false; /* It answers watches only. */
 
   private:
     struct Watch {
@@ -161,7 +162,7 @@
                 Clk_Now(&self->clk_) + wait_ms * CLK_US_PER_MS};
             return;
         }
-        if (door->path == SILENT) {
+        if (door->path == SILENT || self->holds_lists) {
             return;
         }
         std::string entry = Item("servers/w-1", self->entry_, 1);
--- a/tests/test_gate_revocation.cc
+++ b/tests/test_gate_revocation.cc
@@ -219,6 +219,24 @@
     }
 }
 
+/* The answer of a newer era ends the lease, before its keys are read. */
+TEST(Revocation, WordOfANewerEraEndsTheLease)
+{
+    RevocationRig rig(bound_ms);
+    rig.store->SetConfig(AccountsConfig(1, both));
+    rig.AddVm("zone-a", false);
+    rig.RunFor(2500);
+    rig.store->holds_lists = true;
+    rig.store->BeginEra(AccountsConfig(2, kept));
+    EXPECT_EQ(rig.Call(0, "old-key"), 200);
+    rig.RunFor(1000);
+    EXPECT_EQ(rig.Call(0, "old-key"), 503);
+    rig.store->holds_lists = false;
+    rig.RunFor(2500);
+    EXPECT_EQ(rig.Call(0, "old-key"), 401);
+    EXPECT_EQ(rig.Call(0, "kept-key"), 200);
+}
+
 /* Another VM that answers questions for its proof as a test says. */
 class Voucher {
   public:
