--- a/tests/test_gate_access.cc
+++ b/tests/test_gate_access.cc
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 
 extern "C" {
+#include "gate/access.h"
 #include "log.h"
 }
 
@@ -139,8 +140,8 @@
     }
 }
 
-/* A key that was moved or removed counts as the configuration in force says,
-   and an account's priority takes precedence over the route's. */
+/* A key that was moved or removed counts as the configuration in force says.
+ */
 TEST(Access, FollowsTheConfiguration)
 {
     RevocationRig rig(0);
@@ -176,6 +177,41 @@
     }
 }
 
+/* Prefill, run, and the run that goes on after a break carry the name. */
+TEST(Access, EachCallOfAStreamCarriesTheName)
+{
+    GateRig rig;
+    Route route = {RTE_STREAM, 3, true, 5000, 900};
+    RteTable *table = MakeTable(route, true, 2000, 1);
+    Account account = {};
+    account.name = (char *)"acme";
+    account.priority = ACC_PRIORITY_NONE;
+    table->accounts = Acc_NewTable();
+    ASSERT_TRUE(Acc_AddAccount(table->accounts, &account));
+    ASSERT_TRUE(Acc_AddKey(table->accounts, "key-1", "acme"));
+    ASSERT_TRUE(Gate_SetTable(Edge_GetGate(rig.edge), table));
+    rig.AddWorker({PrefillReply(), PrefillReply()}, FLEET_PHASE_PREFILL);
+    auto script = std::make_shared<std::deque<ScriptedReply>>();
+    script->push_back(Stream(0, 3, ScriptedReply::RESET));
+    script->push_back(Stream(4, 9));
+    rig.AddWorkerWithScript(script, FLEET_PHASE_DECODE);
+    rig.AddWorkerWithScript(script, FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(
+        Request("POST", "X-Token-Usage: 1000,100\r\nX-Tenant: root\r\n"
+                        "Authorization: Token key-1\r\n"));
+    ASSERT_TRUE(rig.UntilEnd(caller));
+    EXPECT_EQ(caller->DechunkedBody(), Events(0, 9));
+    size_t count = 0;
+    for (const auto &worker : rig.workers) {
+        for (const std::string &request : worker->requests) {
+            EXPECT_EQ(Field(request, "x-tenant"), "acme") << request;
+            EXPECT_EQ(Field(request, "authorization"), "") << request;
+            count++;
+        }
+    }
+    EXPECT_GE(count, 3u);
+}
+
 /* A request that another VM passes on carries the name, which that VM has
    checked. The worker gets it even if this VM does not know the account. */
 TEST(Access, NameOfARequestThatIsPassedOnIsTrusted)
@@ -331,6 +367,18 @@
     }
 }
 
+TEST(Access, PriorityOfTheAccountComesBeforeThatOfTheRoute)
+{
+    RteRoute route = {};
+    Account account = {};
+    route.priority = 7;
+    account.priority = 1;
+    EXPECT_EQ(Access_GetPriority(&route, &account), 1u);
+    account.priority = ACC_PRIORITY_NONE;
+    EXPECT_EQ(Access_GetPriority(&route, &account), 7u);
+    EXPECT_EQ(Access_GetPriority(&route, nullptr), 7u);
+}
+
 struct SettingsCase {
     const char *name;
     const char *bounds;
--- a/tests/test_gate_revocation.cc
+++ b/tests/test_gate_revocation.cc
@@ -105,6 +105,37 @@
     }
 }
 
+/* The same in a large fleet, where the hubs watch for the others: the store
+   turns away each third VM, or all VMs of a region, its hubs too. */
+TEST(Revocation, NoVmOfALargeFleetRejectsWhileSomeReachTheStore)
+{
+    for (bool is_region : {false, true}) {
+        SCOPED_TRACE(is_region);
+        RevocationRig rig(bound_ms);
+        rig.store->SetConfig(AccountsConfig(1, both));
+        for (int i = 0; i < 24; i++) {
+            rig.AddVm(i % 2 == 0 ? "zone-a" : "zone-b");
+        }
+        rig.RunFor(8000);
+        for (size_t vm = 0; vm < 24; vm++) {
+            if (is_region ? vm % 2 == 1 : vm % 3 == 0) {
+                rig.store->SetPath(vm, SimStore::REJECTS);
+            }
+        }
+        int rejected = 0;
+        for (int i = 0; i < 180; i++) {
+            rejected += rig.Call((size_t)i % 24, "kept-key") != 200;
+            rig.RunFor(48);
+        }
+        EXPECT_EQ(rejected, 0);
+        rig.store->SetConfig(AccountsConfig(2, kept));
+        rig.RunFor(bound_ms);
+        for (size_t vm = 0; vm < 24; vm++) {
+            EXPECT_EQ(rig.Call(vm, "old-key"), 401) << vm;
+        }
+    }
+}
+
 /* What had come before a process was stopped must not count as proof. */
 TEST(Revocation, HoldsAtAVmThatWasStopped)
 {
