--- a/src/gate/stream_urgency.c
+++ b/src/gate/stream_urgency.c
@@ -101,8 +101,10 @@
 int64_t
 StreamUrgency_GetQueueTime(const GateTask *task, int64_t slo_us)
 {
-    return (int64_t)(Urgency_GetQueueShare(task->held_streams) *
-                     (double)slo_us);
+    return task->sends > 0
+               ? slo_us
+               : (int64_t)(Urgency_GetQueueShare(task->held_streams) *
+                           (double)slo_us);
 }
 
 FleetWorker *
--- a/src/gate/stream_urgency.h
+++ b/src/gate/stream_urgency.h
@@ -24,7 +24,7 @@
 double StreamUrgency_GetHeldTokens(const GateTask *task,
                                    const FleetWorker *worker);
 /* Returns the part of an objective for which a plain call may wait in a queue
-   of a worker. */
+   of a worker; all of it once the call was sent to one. */
 int64_t StreamUrgency_GetQueueTime(const GateTask *task, int64_t slo_us);
 /* Looks for a decode worker for a stream as Reservation_ChooseDecodeWorker(),
    and notes whether there is room, also for StreamPrecedence. A stream lacks
