A stream that was held up has made no progress by that

Ruled out: a fault of test_gate_endless under load; it shows the fault only where the caller falls behind. Change: the step's deadline and the last progress move by the time for which reading had stopped, nothing else. Conclusion: mended.

--- a/src/gate/slow_reader.c
+++ b/src/gate/slow_reader.c
@@ -1,6 +1,5 @@
 /* Slow readers: see slow_reader.h. */
 #include "slow_reader.h"
-#include "stream.h"
 #include "task.h"
 
 #include "../log.h"
@@ -21,6 +20,16 @@
     if (task == NULL) {
         return;
     }
+    if (is_paused) {
+        task->read_paused_us = Task_Now(task);
+    }
+    else if (task->step_deadline_us != 0) {
+        /* The worker was not silent. What it sent so far is no more progress
+           than before: comments must not extend a stream. */
+        int64_t paused_us = Task_Now(task) - task->read_paused_us;
+        task->step_deadline_us += paused_us;
+        task->current->progress_us += paused_us;
+    }
     task->is_read_paused = is_paused;
     for (guint i = 0; i < G_N_ELEMENTS(task->calls); i++) {
         if (task->calls[i].call != NULL) {
@@ -30,9 +39,5 @@
     Log_WriteJson(LOG_LEVEL_INFO, "response_held_up",
                   json_pack("{s:s,s:b,s:s}", "request", task->request.id,
                             "paused", (int)is_paused, "worker", task->worker));
-    if (!is_paused && task->step_deadline_us != 0) {
-        /* The worker was not silent. */
-        Stream_ExpectProgress(task);
-    }
     Task_SetTimer(task);
 }
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -133,6 +133,7 @@
     int64_t timer_us;    /* When the timer is due. */
     bool timer_delayed;  /* It was late, and was put off once. */
     bool is_read_paused; /* Its caller leaves too much of the stream unread. */
+    int64_t read_paused_us;   /* Since when. */
     int64_t step_deadline_us; /* End of the current step (a call without any
                                  data, or a wait); 0 for none. */
     TaskCall calls[2];
