--- a/src/gate/feed.c
+++ b/src/gate/feed.c
@@ -6,10 +6,12 @@
 #include "../metrics.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 struct Feed {
     FeedOptions options;
     Snapshot *snapshot;
+    XXH128_hash_t config_hash; /* Of the last text that was decoded. */
 };
 
 static void apply_config(void *context, const void *text, size_t size,
@@ -50,12 +52,18 @@
 Feed_ApplyConfig(Feed *feed, const void *text, size_t size)
 {
     const FeedDecoder *decoder = feed->options.decoder;
+    XXH128_hash_t hash = XXH3_128bits(text, size);
     LsError err = {0};
-    RteTable *table =
-        decoder->decode_config(decoder->context, text, size, &err);
+    RteTable *table;
     RteLimits limits;
-    char *hidden;
+    char *hidden = NULL;
 
+    /* Each complete reading of the source brings the configuration again. */
+    if (XXH128_isEqual(hash, feed->config_hash)) {
+        return;
+    }
+    feed->config_hash = hash;
+    table = decoder->decode_config(decoder->context, text, size, &err);
     if (table == NULL) {
         Met_Add(MET_CONFIG_REFUSED, 1);
         Log_WriteJson(LOG_LEVEL_WARNING, "config_refused",
@@ -65,7 +73,10 @@
     }
     limits = table->limits;
     /* Other VMs get the snapshot. */
-    hidden = decoder->hide_keys(decoder->context, text, size);
+    if (table->has_plain_keys &&
+        table->version > Snapshot_GetVersion(feed->snapshot)) {
+        hidden = decoder->hide_keys(decoder->context, text, size);
+    }
     Snapshot_SetConfig(feed->snapshot, hidden != NULL ? hidden : text,
                        hidden != NULL ? strlen(hidden) : size, table->version);
     g_free(hidden);
--- a/src/gate/routes.h
+++ b/src/gate/routes.h
@@ -76,6 +76,7 @@
                              prefix first. */
     GHashTable *services; /* Name to RteService. */
     AccTable *accounts;   /* NULL: callers need no key. */
+    bool has_plain_keys;  /* The source's text has keys, not digests only. */
     guint route_count;
     gint refs;
 } RteTable;
