--- a/tests/test_gossip_messages.cc
+++ b/tests/test_gossip_messages.cc
@@ -17,14 +17,14 @@
 namespace {
 
 const ProtobufCMessageDescriptor *const messages[] = {
-    &gossip__use__descriptor,     &gossip__demand__descriptor,
-    &gossip__hub__descriptor,     &gossip__table__descriptor,
-    &gossip__crash__descriptor,   &gossip__suspect__descriptor,
-    &gossip__limit__descriptor,   &gossip__origin__descriptor,
-    &gossip__lookup__descriptor,  &gossip__found__descriptor,
-    &gossip__reach__descriptor,   &gossip__proxy__descriptor,
-    &gossip__news__descriptor,    &gossip__entry__descriptor,
-    &gossip__picture__descriptor, &gossip__loan__descriptor,
+    &gossip__use__descriptor,           &gossip__demand__descriptor,
+    &gossip__hub__descriptor,           &gossip__table__descriptor,
+    &gossip__crash__descriptor,         &gossip__suspect__descriptor,
+    &gossip__limit__descriptor,         &gossip__origin__descriptor,
+    &gossip__lookup__descriptor,        &gossip__found__descriptor,
+    &gossip__reach__descriptor,         &gossip__proxy__descriptor,
+    &gossip__news__descriptor,          &gossip__entry__descriptor,
+    &gossip__picture__descriptor,       &gossip__loan__descriptor,
     &gossip__account_loads__descriptor,
 };
 
