--- a/src/decide/rank.c
+++ b/src/decide/rank.c
@@ -14,11 +14,15 @@
    VM that reads a prompt at the same worker at the same moment makes it too
    long, which is the more likely the longer it is. */
 #define RANK_PAUSE_SHARE_FREE 0.5
+/* Events of a stream for which the price of a slower worker counts: they come
+   later by this many intervals, and its memory is held for longer. */
+#define RANK_STEP_EVENTS 2
 /* Cost per running call; spreads calls over otherwise equal workers. */
 #define RANK_RUNNING_US 300
 
 static int64_t get_base_cost(const RankWeights *weights,
                              const RankWorker *worker);
+static int64_t get_step_cost(const RankWorker *worker);
 static int64_t get_memory_cost(const RankWorker *worker);
 static int64_t get_prefill_us(const RankWorker *worker, uint32_t tokens,
                               double per_us);
@@ -90,6 +94,7 @@
 {
     return get_base_cost(weights, worker) +
            weights->kv_transfer_us[kv_distance] + get_memory_cost(worker) +
+           get_step_cost(worker) +
            get_prefill_us(worker, 0, weights->local_prefill_per_us);
 }
 
@@ -123,7 +128,7 @@
 {
     return get_base_cost(weights, worker) +
            get_prefill_us(worker, tokens, weights->local_prefill_per_us) +
-           get_memory_cost(worker);
+           get_memory_cost(worker) + get_step_cost(worker);
 }
 
 static int64_t
@@ -135,6 +140,24 @@
            (int64_t)worker->running * RANK_RUNNING_US;
 }
 
+/* Returns the price of decoding at another pace than the mean one, and of
+   requests beyond the worker's limit. */
+static int64_t
+get_step_cost(const RankWorker *worker)
+{
+    int64_t cost_us = 0;
+
+    if (worker->step_pace > 0) {
+        cost_us = (int64_t)((worker->step_pace - 1) * RANK_STEP_EVENTS *
+                            (double)worker->event_interval_us);
+    }
+    if (worker->limit > 0 && worker->running >= worker->limit) {
+        cost_us += (int64_t)((worker->running + 1.0) / worker->limit *
+                             RANK_MEMORY_FULL_US);
+    }
+    return cost_us;
+}
+
 static int64_t
 get_memory_cost(const RankWorker *worker)
 {
--- a/src/decide/rank.h
+++ b/src/decide/rank.h
@@ -57,7 +57,11 @@
     /* Prefill time relative to that at the nominal speed, 1.0 as usual; 0
        counts as 1.0. */
     double slowness;
-    int64_t health_us;         /* Cost of the risk of failure. */
+    double step_pace;  /* Time of a step relative to the mean of the service's
+                          workers; 0: unknown, or all are alike. */
+    uint32_t limit;    /* Requests beyond which the worker counts as full; 0:
+                          none. */
+    int64_t health_us; /* Cost of the risk of failure. */
     int64_t event_interval_us; /* Usual time between events of its streams. */
     int64_t pause_max_us;      /* Longest time that is allowed; 0: any. */
 } RankWorker;
--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -126,6 +126,10 @@
         worker->tells_start = false;
         worker->load_us = 0;
         worker->slowness = 1.0;
+        memset(&worker->pace, 0, sizeof(worker->pace));
+        worker->refused_us = 0;
+        worker->refusals = 0;
+        worker->told_full_until_us = 0;
     }
     if (strcmp(worker->entry.address, entry->address) != 0) {
         worker->told_born_ms = 0;
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -8,6 +8,7 @@
 #include "../decide/forecast.h"
 #include "../decide/health.h"
 #include "../decide/notice.h"
+#include "../decide/pace.h"
 #include "../decide/throttle.h"
 #include "position.h"
 
@@ -59,6 +60,21 @@
     Pos position;    /* Of the entry's last change. */
 } FleetEntry;
 
+/* What is known of how long work takes at a worker (worker_pace.h). */
+typedef struct FleetPace {
+    Pace read;     /* Of reading a prompt. */
+    Pace step;     /* Of a step of its streams, or of a plain call. */
+    PaceFit fit;   /* Times of steps or calls, as this VM measured them. */
+    double growth; /* Of these times with each further request. */
+    bool has_growth;
+    PaceSum read_sum; /* Measurements that other VMs were not told yet. */
+    PaceSum step_sum;
+    int64_t told_us;   /* When it last told its pace; 0: never. */
+    int64_t logged_us; /* When a change of its pace was last logged. */
+    uint32_t limit;    /* Limit of requests logged last; 0: none. */
+    int64_t limit_us;
+} FleetPace;
+
 typedef struct FleetWorker {
     FleetEntry entry;
     uint64_t hash;           /* Hash of the identifier, used in gossip. */
@@ -110,6 +126,11 @@
     int64_t full_until_us; /* The worker refused work, since it was full or
                               changed its phase: until then others are tried
                               first. */
+    int64_t refused_us; /* When it last refused a reservation for lack of room,
+                           to this VM or, as that one says, to another. */
+    uint32_t refusals;  /* To this VM in a row. */
+    /* Another VM says that it refused: until then others are tried first. */
+    int64_t told_full_until_us;
     bool lacks_reservations; /* The worker does not support reservations. */
     bool closes_answers;     /* One of its answers was ended by the end of its
                                 connection. */
@@ -121,7 +142,8 @@
     uint64_t told_number; /* Last connection that was opened until then. */
     double service_us;    /* Moving average of a call's duration. */
     double slowness;      /* Moving average of measured prefill time over
-                             expected prefill time. */
+                             expected prefill time, which includes waits. */
+    FleetPace pace;
 } FleetWorker;
 
 /* A software version of a service's workers that this VM has seen. */
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -84,6 +84,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gate->rooms =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    gate->paces =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gate->drain_times =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gate->first_left_ms =
@@ -118,6 +120,7 @@
     g_hash_table_destroy(gate->queues);
     g_hash_table_destroy(gate->precedences);
     g_hash_table_destroy(gate->rooms);
+    g_hash_table_destroy(gate->paces);
     g_hash_table_destroy(gate->drain_times);
     g_rand_free(gate->rand);
     g_free(gate);
--- a/src/gate/reservation.c
+++ b/src/gate/reservation.c
@@ -1,6 +1,7 @@
 /* Reservation: workers and reservations of a stream. See reservation.h. */
 #include "reservation.h"
 #include "begun.h"
+#include "worker_pace.h"
 
 #include "../log.h"
 
@@ -184,6 +185,7 @@
                                 : RESERVATION_MARGIN_BEGUN_ANSWERS;
 
     if (Task_Now(task) < worker->full_until_us ||
+        WorkerPace_IsToldFull(task, worker) ||
         (!is_prefilled && Begun_IsHeld(context, worker)) ||
         (!is_prefilled && rank->kv_capacity_tokens > 0 && rank->has_kv_load &&
          (double)rank->kv_peak_tokens +
--- a/src/gate/stream_events.c
+++ b/src/gate/stream_events.c
@@ -6,6 +6,7 @@
 #include "stream.h"
 #include "stream_prepare.h"
 #include "stream_resume.h"
+#include "worker_pace.h"
 
 #include "../log.h"
 
@@ -104,6 +105,7 @@
         }
         Server_SendData(task->exchange, event.data, event.size);
         note_event_time(task);
+        WorkerPace_NoteEvent(current);
         task->events++;
         task->unnumbered += !event.has_id && event.has_data;
         EventOrder_NoteSent(&task->order, &described);
--- a/src/gate/stream_prepare.c
+++ b/src/gate/stream_prepare.c
@@ -6,6 +6,7 @@
 #include "stream.h"
 #include "task_budget.h"
 #include "task_wait.h"
+#include "worker_pace.h"
 
 #include "../decide/handover.h"
 #include "../log.h"
@@ -165,6 +166,7 @@
     double slowness = call->worker->slowness;
     double ratio;
 
+    WorkerPace_NoteRead(call, took_us);
     if (call->expected_us <= 0) {
         return;
     }
@@ -197,8 +199,7 @@
     current->call = NULL;
     if (!granted && outcome == CLIENT_COMPLETE &&
         (status == 503 || status == 429)) {
-        current->worker->full_until_us =
-            Task_Now(task) + STREAM_FULL_BACKOFF_US;
+        WorkerPace_NoteRefusal(task, current->worker);
     }
     else if (!granted && outcome == CLIENT_COMPLETE && status != 421) {
         Log_WriteJson(LOG_LEVEL_WARNING, "worker_reserves_not",
@@ -219,6 +220,9 @@
             may_go_on = Task_ExcludeWorker(task, current->worker);
         }
     }
+    else {
+        WorkerPace_NoteGrant(current->worker);
+    }
     Task_EndCall(task);
     if (may_go_on) {
         Stream_Advance(task);
--- a/src/gate/task.h
+++ b/src/gate/task.h
@@ -56,8 +56,15 @@
     int64_t head_us;     /* When the reply's header came; 0 for not yet. */
     int64_t heard_us;    /* Last bytes of its answer, or `began_us`. */
     int64_t expected_us; /* Estimated time to the first byte. */
-    int64_t wait_us;     /* Estimated wait of a plain call for a slot. */
-    bool has_reply;      /* `reply` is filled in. */
+    /* Prompt tokens that waited at the worker as the call began, as far as
+       this VM knew. */
+    uint64_t backlog_tokens;
+    /* Measurement of the interval between events (worker_pace.h). */
+    uint32_t paced_events;
+    int64_t paced_us;
+    double paced_running;
+    int64_t wait_us; /* Estimated wait of a plain call for a slot. */
+    bool has_reply;  /* `reply` is filled in. */
     GateReply reply;
     bool asks_rest;         /* The run asks whether a stream, whose worker goes
                                on, has more events. */
@@ -113,7 +120,9 @@
     const RteService *service;
     /* Client account of the caller, which belongs to the table; NULL: none. */
     const Account *account;
-    uint32_t priority; /* Of the account, or else of the route. */
+    uint32_t priority;              /* Of the account, or else of the route. */
+    struct WorkerPaceService *pace; /* See WorkerPace_Find(); NULL if it was
+                                       not yet looked up. */
     struct event *timer;
     uint32_t caller;   /* IPv4 address of the caller; 0 if it is unknown. */
     uint64_t identity; /* See Task_GetIdentity(); 0 if not yet computed. */
@@ -217,6 +226,7 @@
     GHashTable *queues;      /* Service name to AdmissionQueue. */
     GHashTable *precedences; /* Service name to Precedence. */
     GHashTable *rooms;       /* Service name to BegunRoom. */
+    GHashTable *paces;       /* Service name to WorkerPaceService. */
     /* Route name to the time left of callers at their first try, ms. */
     GHashTable *first_left_ms;
     double event_interval_us; /* Between events of a stream, moving mean. */
--- a/src/gate/task_call.c
+++ b/src/gate/task_call.c
@@ -4,6 +4,7 @@
 #include "end_check.h"
 #include "task.h"
 #include "task_budget.h"
+#include "worker_pace.h"
 
 #include "../log.h"
 
@@ -490,6 +491,8 @@
     current->trial = Notice_BeginTrial(&worker->notice);
     Throttle_Charge(&worker->throttle);
     worker->inflight++;
+    current->backlog_tokens =
+        worker->prefill_tokens + worker->peer_prefill_tokens;
     worker->prefill_tokens += current->prefill_tokens;
     Forecast_Add(&worker->kv, &current->kv);
     task->gate->options.on_load_change(task->gate->options.context);
@@ -655,6 +658,7 @@
     if (current->reply.has_load) {
         Fleet_NoteLoad(current->worker, current->reply.running,
                        current->reply.waiting, current->reply.pace, now_us);
+        WorkerPace_NoteLoad(current);
     }
     if (!task->service->is_engine && status < 300) {
         int64_t all_us = now_us - current->began_us;
@@ -665,5 +669,6 @@
             mean_us == 0
                 ? took_us
                 : mean_us + TASK_SERVICE_TIME_WEIGHT * (took_us - mean_us);
+        WorkerPace_NoteCall(current, took_us);
     }
 }
--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -1,6 +1,7 @@
 /* Choice of a task: chooses the worker for a call. See task.h. */
 #include "detour.h"
 #include "task.h"
+#include "worker_pace.h"
 
 #include <string.h>
 
@@ -21,9 +22,18 @@
     SUITABILITY_BLOCKED, /* It may not answer. */
 } Suitability;
 
+/* A worker in a choice. */
+typedef struct Candidate {
+    FleetWorker *worker; /* NULL: none. */
+    Suitability suitability;
+    int64_t cost_us;
+    int64_t order_us; /* The cost with the spread of the choice. */
+} Candidate;
+
 static FleetWorker *find_best(GateTask *task, FleetPhase phase, TaskCost cost,
                               const void *context, guint offset,
                               int64_t *best_us);
+static void keep_better(Candidate *best, const Candidate *candidate);
 static double get_share(const GateTask *task);
 static Suitability get_suitability(const FleetWorker *worker, int64_t now_us);
 static void fill_rank(const GateTask *task, const FleetWorker *worker,
@@ -168,22 +178,23 @@
 }
 
 /* Returns the best worker that this choice has not excluded, or NULL. Of equal
-   ones it is the first one from row `offset` on. */
+   ones it is the first one from row `offset` on. Where workers are uneven it
+   is the best of some random ones if one of these can take the request. */
 static FleetWorker *
 find_best(GateTask *task, FleetPhase phase, TaskCost cost, const void *context,
           guint offset, int64_t *best_us)
 {
     const GPtrArray *rows = task->gate->options.fleet->rows;
     int64_t now_us = Task_Now(task);
-    FleetWorker *best = NULL;
-    Suitability best_suitability = SUITABILITY_BLOCKED;
+    WorkerPaceSpread spread = WorkerPace_GetSpread(task, phase);
+    Candidate best = {.suitability = SUITABILITY_BLOCKED};
+    Candidate sampled = best;
 
     for (guint i = 0; i < rows->len; i++) {
         FleetWorker *worker =
             g_ptr_array_index(rows, (i + offset) % rows->len);
         RankWorker rank;
-        int64_t cost_us;
-        Suitability suitability;
+        Candidate candidate = {.worker = worker};
 
         if (worker->entry.phase != phase ||
             strcmp(worker->entry.service, task->service->name) != 0 ||
@@ -193,16 +204,29 @@
             is_other_version(task, worker) || Task_IsExcluded(task, worker)) {
             continue;
         }
-        suitability = get_suitability(worker, now_us);
+        candidate.suitability = get_suitability(worker, now_us);
         fill_rank(task, worker, now_us, &rank);
-        cost_us = cost(task, worker, &rank, context);
-        if (best == NULL || suitability < best_suitability ||
-            (suitability == best_suitability && cost_us < *best_us)) {
-            best = worker;
-            best_suitability = suitability;
-            *best_us = cost_us;
+        candidate.cost_us = cost(task, worker, &rank, context);
+        candidate.order_us = candidate.cost_us;
+        if (spread.is_used) {
+            candidate.order_us =
+                Pace_SpreadCost(candidate.cost_us, spread.scale_us,
+                                g_rand_double(task->gate->rand));
+        }
+        keep_better(&best, &candidate);
+        if (spread.is_used &&
+            Pace_IsSampled(spread.candidates,
+                           g_rand_double(task->gate->rand))) {
+            keep_better(&sampled, &candidate);
         }
     }
+    if (sampled.worker != NULL && sampled.cost_us < RANK_UNUSABLE_US &&
+        sampled.suitability == best.suitability) {
+        best = sampled;
+    }
+    if (best.worker != NULL) {
+        *best_us = best.cost_us;
+    }
     if (phase != FLEET_PHASE_PREFILL && !task->is_relayed &&
         Detour_IsCut(task->gate, task->service->name)) {
         FleetWorker *vm = DetourVm_Choose(task);
@@ -211,7 +235,17 @@
             return vm;
         }
     }
-    return best;
+    return best.worker;
+}
+
+static void
+keep_better(Candidate *best, const Candidate *candidate)
+{
+    if (best->worker == NULL || candidate->suitability < best->suitability ||
+        (candidate->suitability == best->suitability &&
+         candidate->order_us < best->order_us)) {
+        *best = *candidate;
+    }
 }
 
 /* Returns this VM's part of the requests for the task's service. */
@@ -275,6 +309,7 @@
     if (worker->peer_unreachable > 0) {
         rank->health_us += TASK_PEER_UNREACHABLE_COST_US;
     }
+    WorkerPace_FillRank(task, worker, now_us, rank);
 }
 
 /* Whether the worker must not go on with the stream that has begun. A worker
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -47,6 +47,14 @@
     [MET_USES_UNTOLD] = {"uses_untold",
                          "Workers in use that had no room in a message to "
                          "other VMs."},
+    [MET_PACE_CHANGES] = {"pace_changes",
+                          "Changes of a worker's learned pace by half."},
+    [MET_LIMITS_LEARNED] = {"limits_learned",
+                            "Changes of a worker's learned limit by half."},
+    [MET_RESERVATIONS_REFUSED] = {"reservations_refused",
+                                  "Reservations that workers refused for lack "
+                                  "of room."},
+    [MET_REFUSALS_HEARD] = {"refusals_heard", "Refusals that other VMs told."},
     [MET_PEER_BYTES_RECEIVED] = {"peer_bytes_received",
                                  "Bytes received from peers."},
     [MET_PEER_CONNECTS] = {"peer_connects", "Connections opened to peers."},
