--- a/proto/gossip.pb-c.c
+++ b/proto/gossip.pb-c.c
@@ -727,7 +727,7 @@
   assert(message->base.descriptor == &gossip__picture__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gossip__use__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gossip__use__field_descriptors[11] =
 {
   {
     "worker",
@@ -825,21 +825,60 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "read_pace",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Use, read_pace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step_pace",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Use, step_pace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "growth",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Use, growth),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__use__field_indices_by_name[] = {
   5,   /* field[5] = changing */
+  10,   /* field[10] = growth */
   3,   /* field[3] = held */
   1,   /* field[1] = inflight */
   6,   /* field[6] = later */
   7,   /* field[7] = leaving */
+  8,   /* field[8] = read_pace */
   2,   /* field[2] = reading */
   4,   /* field[4] = silent */
+  9,   /* field[9] = step_pace */
   0,   /* field[0] = worker */
 };
 static const ProtobufCIntRange gossip__use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gossip__use__descriptor =
 {
@@ -849,7 +888,7 @@
   "Gossip__Use",
   "gossip",
   sizeof(Gossip__Use),
-  8,
+  11,
   gossip__use__field_descriptors,
   gossip__use__field_indices_by_name,
   1,  gossip__use__number_ranges,
@@ -1062,7 +1101,7 @@
   (ProtobufCMessageInit) gossip__hub__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__table__field_descriptors[13] =
+static const ProtobufCFieldDescriptor gossip__table__field_descriptors[16] =
 {
   {
     "region",
@@ -1220,10 +1259,47 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "read_paces",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Table, read_paces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step_paces",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Table, step_paces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "growths",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Table, growths),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__table__field_indices_by_name[] = {
   9,   /* field[9] = changing */
   10,   /* field[10] = demands */
+  15,   /* field[15] = growths */
   7,   /* field[7] = held */
   5,   /* field[5] = inflight */
   11,   /* field[11] = later */
@@ -1231,15 +1307,18 @@
   1,   /* field[1] = members */
   2,   /* field[2] = part */
   3,   /* field[3] = parts */
+  13,   /* field[13] = read_paces */
   6,   /* field[6] = reading */
   0,   /* field[0] = region */
   8,   /* field[8] = silent */
+  14,   /* field[14] = step_paces */
   4,   /* field[4] = workers */
 };
-static const ProtobufCIntRange gossip__table__number_ranges[1 + 1] =
+static const ProtobufCIntRange gossip__table__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 15, 13 },
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor gossip__table__descriptor =
 {
@@ -1249,10 +1328,10 @@
   "Gossip__Table",
   "gossip",
   sizeof(Gossip__Table),
-  13,
+  16,
   gossip__table__field_descriptors,
   gossip__table__field_indices_by_name,
-  1,  gossip__table__number_ranges,
+  2,  gossip__table__number_ranges,
   (ProtobufCMessageInit) gossip__table__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -74,10 +74,25 @@
    * The worker said to the sender that it leaves.
    */
   protobuf_c_boolean leaving;
+  /*
+   * What the sender measured since its last message of the time per prompt
+   * token, and of a step or plain call, relative to the nominal time: code of
+   * the lowest (1: 1/4 to 255: 16, logarithmic) plus 256 x the number of
+   * measurements. With the number 0: what the sender has
+   * learned. 0: nothing.
+   */
+  uint32_t read_pace;
+  uint32_t step_pace;
+  /*
+   * Growth of the time of a step or call with each further request (1: 0.001
+   * to 127: 4, logarithmic; 0: not known), plus 128 if the worker refused the
+   * sender a reservation within the last 100 ms.
+   */
+  uint32_t growth;
 };
 #define GOSSIP__USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__use__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -209,10 +224,17 @@
    */
   size_t n_later;
   uint32_t *later;
+  /*
+   * What the sender has learned, a byte for each worker: codes as in Use. Bytes
+   * that are missing are 0. A refusal of any VM is told.
+   */
+  ProtobufCBinaryData read_paces;
+  ProtobufCBinaryData step_paces;
+  ProtobufCBinaryData growths;
 };
 #define GOSSIP__TABLE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__table__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, {0,NULL}, {0,NULL} }
 
 
 /*
--- a/src/decide/pace.c
+++ b/src/decide/pace.c
@@ -9,12 +9,16 @@
 /* Least time of a group. VMs whose views are old send many prompts to a worker
    at once, of which all but the first wait. */
 #define PACE_GROUP_US 1500000
+/* A group that is not full by then starts anew. */
+#define PACE_GROUP_MAX_US 10000000
 /* Share of the way to it that the estimate moves with a measurement. */
 #define PACE_DOWN 0.7
 #define PACE_UP 0.5
 #define PACE_WEIGHT_MAX 64.0
 /* Share by which what another VM tells moves the estimate. */
 #define PACE_MERGE 0.5
+/* How long after a full group other VMs' words are not needed. */
+#define PACE_RECENT_US 5000000
 #define PACE_LOGGED_STEP 1.5
 /* Decay of the older pairs of a relation with each one, and the sum of squares
    that stands for no relation. */
@@ -54,6 +58,9 @@
     if (!(multiple > 0) || count == 0) {
         return false;
     }
+    if (now_us - pace->began_us > PACE_GROUP_MAX_US) {
+        pace->count = 0;
+    }
     if (pace->count == 0) {
         pace->began_us = now_us;
     }
@@ -71,6 +78,7 @@
         pace->lows[1] = pace->lows[0];
         pace->has_before = true;
         pace->count = 0;
+        pace->full_us = now_us;
     }
     return floor(pace->log / step + 0.5) != before;
 }
@@ -87,17 +95,19 @@
 }
 
 void
-Pace_Merge(Pace *pace, double multiple)
+Pace_Merge(Pace *pace, double multiple, int64_t now_us)
 {
-    if (!(multiple > 0)) {
-        return;
-    }
-    if (pace->weight == 0) {
-        pace->log = get_log(multiple);
-        pace->weight = 1;
+    double told = get_log(multiple);
+
+    if (!(multiple > 0) ||
+        (pace->full_us != 0 && now_us - pace->full_us < PACE_RECENT_US)) {
         return;
     }
-    pace->log += PACE_MERGE * (get_log(multiple) - pace->log);
+    pace->log += pace->weight == 0 ? told : PACE_MERGE * (told - pace->log);
+    pace->weight = fmax(pace->weight, PACE_GROUP);
+    /* Until a group is full, measurements here can only lower the estimate. */
+    pace->lows[1] = told;
+    pace->has_before = true;
 }
 
 void
--- a/src/decide/pace.h
+++ b/src/decide/pace.h
@@ -29,10 +29,12 @@
    work that waited for other work only takes longer, and the first one after
    the worker was idle has not waited. */
 typedef struct Pace {
-    double log;     /* Natural logarithm of the multiple. */
-    double weight;  /* Measurements so far, up to a maximum; 0: unknown. */
-    double lows[2]; /* Lowest logarithms of the present and the last group. */
-    double count;   /* Measurements of the present group. */
+    double log;      /* Natural logarithm of the multiple. */
+    double weight;   /* Measurements so far, up to a maximum; 0: unknown. */
+    double lows[2];  /* Lowest logarithms of the present and the last group. */
+    double count;    /* Measurements of the present group. */
+    int64_t full_us; /* When the present or last group was last full; 0: never.
+                      */
     int64_t began_us; /* When the present group began. */
     bool has_before;  /* There is a last group. */
 } Pace;
@@ -75,8 +77,10 @@
    between `low`, if the work waited for all of the backlog, and `high`, if for
    none of it. The estimate counts as confirmed if it is between them. */
 double Pace_GetShown(const Pace *pace, double low, double high);
-/* Moves the estimate towards what another VM tells of all measurements. */
-void Pace_Merge(Pace *pace, double multiple);
+/* Moves the estimate towards what another VM tells of the measurements of all
+   VMs, unless a group was full lately here: a VM that gets the measurements of
+   others knows as much, and two that follow each other would never move. */
+void Pace_Merge(Pace *pace, double multiple, int64_t now_us);
 void Pace_AddToSum(PaceSum *sum, double multiple);
 /* Returns the lowest measurement; 0 if there is none. */
 double Pace_GetLowest(const PaceSum *sum);
--- a/src/gate/fleet.c
+++ b/src/gate/fleet.c
@@ -128,6 +128,7 @@
         worker->slowness = 1.0;
         memset(&worker->pace, 0, sizeof(worker->pace));
         worker->refused_us = 0;
+        worker->heard_refusal_us = 0;
         worker->refusals = 0;
         worker->told_full_until_us = 0;
     }
--- a/src/gate/fleet.h
+++ b/src/gate/fleet.h
@@ -126,9 +126,11 @@
     int64_t full_until_us; /* The worker refused work, since it was full or
                               changed its phase: until then others are tried
                               first. */
-    int64_t refused_us; /* When it last refused a reservation for lack of room,
-                           to this VM or, as that one says, to another. */
-    uint32_t refusals;  /* To this VM in a row. */
+    /* When it last refused a reservation for lack of room to this VM, and to
+       another one that said so itself. */
+    int64_t refused_us;
+    int64_t heard_refusal_us;
+    uint32_t refusals; /* To this VM in a row. */
     /* Another VM says that it refused: until then others are tried first. */
     int64_t told_full_until_us;
     bool lacks_reservations; /* The worker does not support reservations. */
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -488,6 +488,7 @@
             .leaving = from->leaving,
         };
         if (use.worker != NULL) {
+            Gos_MergeUsePace(use.worker, from, peer->reported_us);
             if (from->leaving) {
                 Fleet_NoteTold(gos->options.fleet, use.worker,
                                peer->reported_us);
--- a/src/gate/gossip_message.c
+++ b/src/gate/gossip_message.c
@@ -348,6 +348,7 @@
         row->silent = use.unreachable > 0;
         row->changing = use.phase_changes > 0;
         row->leaving = use.leaving > 0;
+        Gos_FillUsePace(row, use.worker, gos->peers.is_mesh, now_us);
         message->uses[message->news.n_uses++] = row;
     }
 }
@@ -448,7 +449,7 @@
 
 bool
 Gos_FillTablePart(GosTablePart *part, const Report *report, uint32_t number,
-                  uint32_t count)
+                  uint32_t count, int64_t now_us)
 {
     Gossip__Table *table = &part->table;
     size_t n = 0;
@@ -478,6 +479,7 @@
         part->reading[n] = (uint32_t)use->prefill_tokens;
         part->held[n] = (uint32_t)use->kv.tokens[0];
         encode_kv(&use->kv, part->later + n * GOS_LATER_POINTS);
+        Gos_FillTablePace(part, use->worker, n, now_us);
         n++;
         if (use->unreachable > 0) {
             part->silent[table->n_silent++] = use->worker->hash;
@@ -495,6 +497,7 @@
     table->n_held = n;
     table->later = part->later;
     table->n_later = n * GOS_LATER_POINTS;
+    Gos_EndTablePace(part, n);
     if (number == 0) {
         table->n_demands = fill_demands(report, part->demand_rows, part->rooms,
                                         part->demands);
@@ -600,5 +603,6 @@
     use->phase_changes = now_us < worker->phase_change_until_us;
     use->leaving = worker->notice.leaving;
     return use->inflight > 0 || Forecast_GetPeak(&use->kv) > 0 ||
-           use->unreachable > 0 || use->phase_changes > 0 || use->leaving > 0;
+           use->unreachable > 0 || use->phase_changes > 0 ||
+           use->leaving > 0 || Gos_HasPaceNews(worker, now_us);
 }
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -8,8 +8,11 @@
 #include "peers.h"
 #include "proxies.h"
 
-#define GOS_USES_MAX 48       /* Workers in one message. */
-#define GOS_PEERS_MAX 6       /* Addresses of other VMs in one message. */
+#define GOS_USES_MAX 48 /* Workers in one message. */
+#define GOS_PEERS_MAX 6 /* Addresses of other VMs in one message. */
+/* Tables of which one tells the pace of workers, which changes within seconds:
+   three bytes for each worker. Those for other regions are among them. */
+#define GOS_PACE_PERIODS HUBS_REMOTE_PERIODS
 #define GOS_DEMANDS_MAX 8     /* Services in one message. */
 #define GOS_TABLE_ROWS_MAX 62 /* Workers in one part of a table. */
 /* Later points of time in a forecast of KV memory, and its unit. */
@@ -85,6 +88,10 @@
     uint64_t silent[GOS_TABLE_ROWS_MAX];
     uint64_t changing[GOS_TABLE_ROWS_MAX];
     uint64_t leaving[GOS_TABLE_ROWS_MAX];
+    bool tells_pace; /* It tells the pace of workers, not only refusals. */
+    uint8_t read_paces[GOS_TABLE_ROWS_MAX];
+    uint8_t step_paces[GOS_TABLE_ROWS_MAX];
+    uint8_t growths[GOS_TABLE_ROWS_MAX];
 } GosTablePart;
 
 /* A service for which other VMs look for VMs that reach its workers. The times
@@ -118,6 +125,7 @@
     int64_t regular_us;            /* When the next one is due. */
     uint32_t periods;              /* Tables sent. */
     uint32_t next_limit;           /* First worker whose limit is told. */
+    uint32_t next_pace;            /* First idle worker whose pace is told. */
     uint64_t seeds[GOS_SEEDS_MAX]; /* Addresses; 0 for none. */
     GRand *rand;
     GosSought sought[PEERS_REACHES_MAX];
@@ -180,7 +188,7 @@
 /* Fills in the workers whose hashes belong to this part of the table. Returns
    false if a message has no room for all of them. */
 bool Gos_FillTablePart(GosTablePart *part, const Report *report,
-                       uint32_t number, uint32_t count);
+                       uint32_t number, uint32_t count, int64_t now_us);
 /* Decodes the forecast of row `row`: `later` holds GOS_LATER_POINTS values for
    each row. Those that are missing count as the present use. */
 Forecast Gos_DecodeKv(uint32_t now_tokens, const uint32_t *later, size_t count,
@@ -189,6 +197,25 @@
 /* Stores this VM's use of the worker; false if there is none. */
 bool Gos_GetOwnUse(const FleetWorker *worker, int64_t now_us, ReportUse *use);
 
+/* Pace of workers and refusals (gossip_pace.c). Whether the VM has to tell
+   something of the worker: */
+bool Gos_HasPaceNews(const FleetWorker *worker, int64_t now_us);
+/* Fills in what this VM measured, which counts as told then. */
+void Gos_FillUsePace(Gossip__Use *row, FleetWorker *worker, bool is_mesh,
+                     int64_t now_us);
+void Gos_MergeUsePace(FleetWorker *worker, const Gossip__Use *from,
+                      int64_t now_us);
+/* Drops what this VM measured: its tables tell what it learned from it. */
+void Gos_DropPaceSums(FleetWorker *worker);
+/* Fills in a row of a table; after the last one, the end. */
+void Gos_FillTablePace(GosTablePart *part, const FleetWorker *worker,
+                       size_t row, int64_t now_us);
+void Gos_EndTablePace(GosTablePart *part, size_t count);
+void Gos_MergeTablePace(FleetWorker *worker, const Gossip__Table *table,
+                        size_t row, int64_t now_us);
+/* Adds rows of some workers without load, other ones each time. */
+void Gos_AddIdlePaces(Gos *gos, Report *sum);
+
 /* Answers the questions of a message, and notes the answers in it. Returns
    false if it has neither, but the sender's load. */
 bool Gos_HandleLookups(Gos *gos, const Gossip__News *news);
--- a/src/gate/gossip_table.c
+++ b/src/gate/gossip_table.c
@@ -5,7 +5,7 @@
 #include "../io/loop.h"
 
 static void add_own_uses(Gos *gos, Report *sum);
-static uint32_t count_parts(const Report *report);
+static uint32_t count_parts(const Report *report, int64_t now_us);
 static void send_table(Gos *gos, uint32_t region, uint32_t members,
                        const Report *report, bool is_own);
 static void send_proxies(Gos *gos);
@@ -57,6 +57,7 @@
             use.phase_changes -= MIN(use.phase_changes, own.phase_changes);
             use.leaving -= MIN(use.leaving, own.leaving);
         }
+        Gos_MergeTablePace(use.worker, table, i, now_us);
         if (use.leaving > 0) {
             Fleet_NoteTold(gos->options.fleet, use.worker, now_us);
         }
@@ -92,6 +93,9 @@
     members = Peers_SumRegion(peers, &sum) + 1;
     add_own_uses(gos, &sum);
     Report_Merge(&sum, &gos->own);
+    if (gos->periods % GOS_PACE_PERIODS == 0) {
+        Gos_AddIdlePaces(gos, &sum);
+    }
     send_table(gos, peers->options.region, members, &sum, true);
     Report_Clear(&sum);
     send_proxies(gos);
@@ -130,6 +134,7 @@
         ReportUse use;
         if (Gos_GetOwnUse(g_ptr_array_index(rows, i), now_us, &use)) {
             Report_AddUse(&own, &use);
+            Gos_DropPaceSums(use.worker);
         }
     }
     Report_Merge(sum, &own);
@@ -138,7 +143,7 @@
 
 /* Returns the number of parts in which each one fits into a message. */
 static uint32_t
-count_parts(const Report *report)
+count_parts(const Report *report, int64_t now_us)
 {
     /* Half of the room stays free, as the hashes fill the parts unevenly. */
     uint32_t parts = report->uses->len <= GOS_TABLE_ROWS_MAX
@@ -152,7 +157,8 @@
         for (uint32_t i = 0; i < parts && is_whole; i++) {
             GosTablePart part;
             gossip__table__init(&part.table);
-            is_whole = Gos_FillTablePart(&part, report, i, parts);
+            part.tells_pace = true;
+            is_whole = Gos_FillTablePart(&part, report, i, parts, now_us);
         }
         parts += !is_whole;
     }
@@ -164,7 +170,8 @@
 send_table(Gos *gos, uint32_t region, uint32_t members, const Report *report,
            bool is_own)
 {
-    uint32_t parts = count_parts(report);
+    int64_t now_us = Clk_Now(gos->options.clk);
+    uint32_t parts = count_parts(report, now_us);
 
     for (uint32_t i = 0; i < parts; i++) {
         GosMessage message;
@@ -173,7 +180,8 @@
         gossip__table__init(&part.table);
         part.table.region = region;
         part.table.members = members;
-        Gos_FillTablePart(&part, report, i, parts);
+        part.tells_pace = gos->periods % GOS_PACE_PERIODS == 0;
+        Gos_FillTablePart(&part, report, i, parts, now_us);
         Gos_BeginMessage(gos, &message);
         message.news.n_demands = 0;
         message.news.table = &part.table;
--- a/tests/test_decide_pace.cc
+++ b/tests/test_decide_pace.cc
@@ -51,8 +51,7 @@
     std::deque<Read> reads;
     std::vector<int64_t> told_us;
     std::vector<double> told;
-    Pace learned;
-    int served;
+    Pace learned = {};
 };
 
 struct Times {
@@ -97,52 +96,69 @@
     double high;
 };
 
-Times
-Replay(const Load &load, bool is_even_assumed, unsigned seed)
-{
-    std::mt19937 random(seed);
-    std::exponential_distribution<double> gap(load.rate_per_s / second);
-    std::uniform_real_distribution<double> unit(0, 1);
-    RankWeights weights = Rank_DefaultWeights();
-    std::vector<Worker> workers(worker_count);
-    std::deque<End> ends;
-    PaceRelation relation = {};
-    Times times = {};
-    times.served.resize(load.paces.size());
-    for (int i = 0; i < worker_count; i++) {
-        workers[i].pace = load.paces[i % load.paces.size()];
-        workers[i].told_us.resize(vm_count, -second);
-        workers[i].told.resize(vm_count, 0);
-        workers[i].learned = {};
+/* One run of a load. */
+class Player {
+  public:
+    Player(const Load &load, bool is_even_assumed, unsigned seed)
+        : load_(load), is_even_assumed_(is_even_assumed), random_(seed),
+          weights_(Rank_DefaultWeights()), workers_(worker_count)
+    {
+        times_.served.resize(load.paces.size());
+        for (int i = 0; i < worker_count; i++) {
+            workers_[i].pace = load.paces[i % load.paces.size()];
+            workers_[i].told_us.resize(vm_count, -second);
+            workers_[i].told.resize(vm_count, 0);
+        }
+    }
+
+    Times
+    Run()
+    {
+        std::exponential_distribution<double> gap(load_.rate_per_s / second);
+        int64_t now_us = 0;
+        while ((now_us += (int64_t)gap(random_)) < end_us) {
+            Learn(now_us);
+            Send((int)(random_() % vm_count), now_us);
+        }
+        std::sort(times_.all.begin(), times_.all.end());
+        return times_;
     }
-    for (double now = gap(random); now < end_us; now += gap(random)) {
-        int64_t now_us = (int64_t)now;
-        int vm = (int)(random() % vm_count);
-        int64_t lag_us = 30 * ms + (int64_t)(random() % (330 * ms));
-        /* What hubs have merged and sent by now. */
-        std::sort(ends.begin(), ends.end(), [](const End &a, const End &b) {
+
+  private:
+    /* Notes what hubs have merged and sent by now. */
+    void
+    Learn(int64_t now_us)
+    {
+        std::sort(ends_.begin(), ends_.end(), [](const End &a, const End &b) {
             return a.at_us < b.at_us;
         });
-        while (!ends.empty() && ends.front().at_us <= now_us - 150 * ms) {
-            Pace *learned = &workers[ends.front().worker].learned;
+        while (!ends_.empty() && ends_.front().at_us <= now_us - 150 * ms) {
+            Pace *learned = &workers_[ends_.front().worker].learned;
             Pace_Note(
                 learned,
-                Pace_GetShown(learned, ends.front().low, ends.front().high), 1,
-                now_us);
-            ends.pop_front();
+                Pace_GetShown(learned, ends_.front().low, ends_.front().high),
+                1, now_us);
+            ends_.pop_front();
         }
+    }
+
+    /* Returns the worker that a VM chooses, and the backlog that it knows. */
+    int
+    Choose(int vm, int64_t now_us, uint64_t *backlog)
+    {
+        std::uniform_real_distribution<double> unit(0, 1);
+        int64_t lag_us = 30 * ms + (int64_t)(random_() % (330 * ms));
+        int offset = (int)(random_() % worker_count);
         int best = -1;
         int64_t best_us = 0;
-        uint64_t best_backlog = 0;
-        int offset = (int)(random() % worker_count);
         for (int k = 0; k < worker_count; k++) {
             int i = (k + offset) % worker_count;
-            Worker &worker = workers[i];
-            RankWorker rank = {};
+            Worker &worker = workers_[i];
             double usual = Pace_Get(&worker.learned);
             double told = now_us - worker.told_us[vm] < load_age_us
                               ? worker.told[vm]
                               : 0;
+            RankWorker rank = {};
             while (!worker.reads.empty() &&
                    worker.reads.front().end_us < now_us - second) {
                 worker.reads.pop_front();
@@ -150,60 +166,70 @@
             rank.slots = 64;
             rank.prefill_tokens = CountBacklog(worker, vm, now_us, lag_us);
             rank.slowness =
-                is_even_assumed
+                is_even_assumed_
                     ? 1
-                    : usual * Pace_GetMoment(&relation, usual, told);
+                    : usual * Pace_GetMoment(&relation_, usual, told);
             int64_t cost_us =
-                Rank_GetPrefillCost(&weights, &rank, prompt_tokens);
-            if (!is_even_assumed) {
+                Rank_GetPrefillCost(&weights_, &rank, prompt_tokens);
+            if (!is_even_assumed_) {
                 cost_us = Pace_SpreadCost(
                     cost_us,
-                    (int64_t)(0.02 * prompt_tokens / weights.prefill_per_us),
-                    unit(random));
-            }
-            if (!is_even_assumed &&
-                !Pace_IsSampled(worker_count, unit(random))) {
-                continue;
+                    (int64_t)(0.02 * prompt_tokens / weights_.prefill_per_us),
+                    unit(random_));
+                if (!Pace_IsSampled(worker_count, unit(random_))) {
+                    continue;
+                }
             }
             if (best < 0 || cost_us < best_us) {
                 best = i;
                 best_us = cost_us;
-                best_backlog = rank.prefill_tokens;
+                *backlog = rank.prefill_tokens;
             }
         }
-        if (best < 0) {
-            best = offset;
-        }
-        Worker &worker = workers[best];
+        return best < 0 ? offset : best;
+    }
+
+    void
+    Send(int vm, int64_t now_us)
+    {
+        uint64_t backlog = 0;
+        int number = Choose(vm, now_us, &backlog);
+        Worker &worker = workers_[number];
         int64_t begin_us = worker.reads.empty()
                                ? now_us
                                : std::max(now_us, worker.reads.back().end_us);
-        double moment = GetMoment(load, best, begin_us);
-        int64_t took_us = (int64_t)(prompt_tokens / weights.prefill_per_us *
-                                    worker.pace * moment);
-        worker.reads.push_back({vm, now_us, begin_us + took_us});
-        double told = moment * (load.tells_all ? worker.pace : 1);
-        double usual = Pace_Get(&worker.learned);
-        double high = (double)(begin_us + took_us - now_us) *
-                      weights.prefill_per_us / prompt_tokens;
-        double low =
-            high * prompt_tokens / (double)(prompt_tokens + best_backlog);
-        if (load.tells) {
-            Pace_NoteTold(&relation, usual, told);
-            worker.told_us[vm] = begin_us + took_us;
+        double moment = GetMoment(load_, number, begin_us);
+        int64_t read_end_us =
+            begin_us + (int64_t)(prompt_tokens / weights_.prefill_per_us *
+                                 worker.pace * moment);
+        double high = (double)(read_end_us - now_us) *
+                      weights_.prefill_per_us / prompt_tokens;
+        double low = high * prompt_tokens / (double)(prompt_tokens + backlog);
+        worker.reads.push_back({vm, now_us, read_end_us});
+        if (load_.tells) {
+            double told = moment * (load_.tells_all ? worker.pace : 1);
+            Pace_NoteTold(&relation_, Pace_Get(&worker.learned), told);
+            worker.told_us[vm] = read_end_us;
             worker.told[vm] = told;
         }
-        ends.push_back({begin_us + took_us, best, low, high});
+        ends_.push_back({read_end_us, number, low, high});
         if (now_us > learned_us) {
-            times.all.push_back(begin_us + took_us - now_us);
-            times.served[best % load.paces.size()]++;
+            times_.all.push_back(read_end_us - now_us);
+            times_.served[number % load_.paces.size()]++;
         }
-        times.slow_reads += best == slow_worker && now_us >= 21 * second &&
-                            now_us < 27 * second;
+        times_.slow_reads += number == slow_worker && now_us >= 21 * second &&
+                             now_us < 27 * second;
     }
-    std::sort(times.all.begin(), times.all.end());
-    return times;
-}
+
+    const Load &load_;
+    bool is_even_assumed_;
+    std::mt19937 random_;
+    RankWeights weights_;
+    std::vector<Worker> workers_;
+    std::deque<End> ends_;
+    PaceRelation relation_ = {};
+    Times times_ = {};
+};
 
 int64_t
 GetQuantile(const Times &times, double share)
@@ -232,8 +258,8 @@
 {
     for (const Load &load : loads) {
         SCOPED_TRACE(load.name);
-        Times before = Replay(load, true, 1);
-        Times after = Replay(load, false, 1);
+        Times before = Player(load, true, 1).Run();
+        Times after = Player(load, false, 1).Run();
         for (const Times *times : {&before, &after}) {
             printf("%-24s %s: median %lld, 90%% %lld, 99%% %lld ms; by pace",
                    load.name, times == &before ? "before" : "after ",
@@ -309,6 +335,28 @@
     }
 }
 
+/* Guards against decode workers that get more than they handle well, and
+   against a price where workers are alike. */
+TEST(DecidePace, SlowAndFullDecodeWorkersCostMore)
+{
+    RankWeights weights = Rank_DefaultWeights();
+    RankWorker worker = {};
+    worker.slots = 64;
+    worker.running = 5;
+    worker.event_interval_us = 40 * ms;
+    auto cost = [&](double step_pace, uint32_t limit) {
+        worker.step_pace = step_pace;
+        worker.limit = limit;
+        return Rank_GetDecodeCost(&weights, &worker, RANK_SAME_ZONE);
+    };
+    int64_t alike_us = cost(0, 0);
+    EXPECT_EQ(cost(1, 6), alike_us);
+    EXPECT_EQ(cost(1.5, 0), alike_us + 40 * ms);
+    EXPECT_LT(cost(0.6, 0), alike_us);
+    EXPECT_GT(cost(1, 5), alike_us + second);
+    EXPECT_GT(cost(1, 3), cost(1, 5));
+}
+
 /* Guards against waits that count as slowness, and against a fast worker that
    stays unknown. */
 TEST(DecidePace, LowMeasurementsCountMost)
@@ -325,6 +373,33 @@
     EXPECT_LT(Pace_Get(&pace), 1.15);
 }
 
+/* Two hubs get measurements of their own regions' VMs and tell each other what
+   they learned. Guards against estimates that stay low as each one follows the
+   other, and against a VM without measurements that knows nothing. */
+TEST(DecidePace, HubsAgreeOnAWorkerThatSlows)
+{
+    Pace hubs[2] = {};
+    Pace vm = {};
+    for (int64_t now_us = 0; now_us < 40 * second; now_us += 100 * ms) {
+        double multiple = now_us < 20 * second ? 0.8 : 3.2;
+        for (int i = 0; i < 2; i++) {
+            if (now_us / (100 * ms) % 8 == 4 * i) {
+                Pace_Note(&hubs[i], multiple, 1, now_us);
+            }
+        }
+        for (int i = 0; i < 2; i++) {
+            Pace_Merge(&hubs[i], Pace_Get(&hubs[1 - i]), now_us);
+        }
+        Pace_Merge(&vm, Pace_Get(&hubs[0]), now_us);
+        if (now_us >= 3 * second && now_us < 20 * second) {
+            EXPECT_NEAR(Pace_Get(&vm), 0.8, 0.05) << now_us;
+        }
+    }
+    for (const Pace &pace : {hubs[0], hubs[1], vm}) {
+        EXPECT_NEAR(Pace_Get(&pace), 3.2, 0.2);
+    }
+}
+
 TEST(DecidePace, CodesAreLogarithmicAndBounded)
 {
     EXPECT_EQ(Pace_Encode(0), 0U);
--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -2,6 +2,8 @@
    snapshot for a VM that can't reach the source. */
 #include "gate_rig.h"
 
+#include <algorithm>
+#include <cmath>
 #include <xxhash.h>
 
 extern "C" {
@@ -536,6 +538,61 @@
     EXPECT_TRUE(Until([&] { return AllCount(7, 0); }));
 }
 
+/* What single VMs measure is known to all of them: each one measures too few
+   prefills of a worker to learn its pace. A VM that starts learns it with the
+   first tables, also that of a worker without load. A refusal is told in its
+   region, and its mark ends. */
+TEST_F(Fleet3, PaceIsLearnedByAllVmsTogether)
+{
+    StartFleet(45);
+    ASSERT_TRUE(Until([&] { return AllKnow(45); }));
+    for (int round = 0; round < 30; round++) {
+        /* Every third measurement of the slow worker has waited. */
+        int64_t now_us = Clk_Now(&clk);
+        for (auto &node : nodes) {
+            if (node->index % 15 == round % 15) {
+                FleetPace *slow = &Worker(*node, 3)->pace;
+                FleetPace *fast = &Worker(*node, 4)->pace;
+                double multiple =
+                    (node->index / 3 + round) % 3 == 0 ? 5 : 1.67;
+                Pace_AddToSum(&slow->read_sum, multiple);
+                Pace_Note(&slow->read, multiple, 1, now_us);
+                Pace_AddToSum(&fast->step_sum, 0.6);
+                Pace_Note(&fast->step, 0.6, 1, now_us);
+                Gos_ScheduleUpdate(node->gos);
+            }
+        }
+        int64_t end_us = now_us + 100 * CLK_US_PER_MS;
+        Until([&] { return Clk_Now(&clk) >= end_us; });
+    }
+    auto knows = [&](Node &node) {
+        return std::abs(Pace_Get(&Worker(node, 3)->pace.read) - 1.67) < 0.1 &&
+               std::abs(Pace_Get(&Worker(node, 4)->pace.step) - 0.6) < 0.05;
+    };
+    EXPECT_TRUE(Until([&] {
+        return std::all_of(nodes.begin(), nodes.end(),
+                           [&](auto &node) { return knows(*node); });
+    }));
+    Node &started = *nodes[40];
+    Stop(started);
+    Start(started);
+    EXPECT_TRUE(Until([&] { return knows(started); }));
+    Worker(*nodes[20], 5)->refused_us = Clk_Now(&clk);
+    Gos_ScheduleUpdate(nodes[20]->gos);
+    EXPECT_TRUE(Until([&] {
+        return std::all_of(nodes.begin(), nodes.end(), [&](auto &node) {
+            return node->region != nodes[20]->region || node->index == 20 ||
+                   Worker(*node, 5)->told_full_until_us > 0;
+        });
+    }));
+    EXPECT_TRUE(Until([&] {
+        return std::all_of(nodes.begin(), nodes.end(), [&](auto &node) {
+            return Worker(*node, 5)->told_full_until_us + 500 * CLK_US_PER_MS <
+                   Clk_Now(&clk);
+        });
+    }));
+}
+
 /* Nearly as many workers as one message holds, each with calls and memory in
    use, a third of them silent: the tables' messages are full. */
 TEST_F(Fleet3, LoadStaysKnownWhileManyWorkersAreBusyAndSilent)
