--- a/proto/gossip.pb-c.h
+++ b/proto/gossip.pb-c.h
@@ -78,8 +78,8 @@
    * What the sender measured since its last message of the time per prompt
    * token, and of a step or plain call, relative to the nominal time: code of
    * the lowest (1: 1/4 to 255: 16, logarithmic) plus 256 x the number of
-   * measurements. With the number 0: what the sender has
-   * learned. 0: nothing.
+   * measurements. With the number 0: what the
+   * sender has learned. 0: nothing.
    */
   uint32_t read_pace;
   uint32_t step_pace;
--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -33,6 +33,9 @@
 static FleetWorker *find_best(GateTask *task, FleetPhase phase, TaskCost cost,
                               const void *context, guint offset,
                               int64_t *best_us);
+static void scan(GateTask *task, FleetPhase phase, TaskCost cost,
+                 const void *context, guint offset,
+                 const WorkerPaceSpread *spread, Candidate *best);
 static void keep_better(Candidate *best, const Candidate *candidate);
 static double get_share(const GateTask *task);
 static Suitability get_suitability(const FleetWorker *worker, int64_t now_us);
@@ -184,11 +187,40 @@
 find_best(GateTask *task, FleetPhase phase, TaskCost cost, const void *context,
           guint offset, int64_t *best_us)
 {
-    const GPtrArray *rows = task->gate->options.fleet->rows;
-    int64_t now_us = Task_Now(task);
     WorkerPaceSpread spread = WorkerPace_GetSpread(task, phase);
     Candidate best = {.suitability = SUITABILITY_BLOCKED};
-    Candidate sampled = best;
+
+    if (spread.is_used) {
+        spread.is_sample = true;
+        scan(task, phase, cost, context, offset, &spread, &best);
+        spread.is_sample = false;
+    }
+    if (best.worker == NULL || best.suitability != SUITABILITY_SOUND ||
+        best.cost_us >= RANK_UNUSABLE_US) {
+        best.worker = NULL;
+        scan(task, phase, cost, context, offset, &spread, &best);
+    }
+    if (best.worker != NULL) {
+        *best_us = best.cost_us;
+    }
+    if (phase != FLEET_PHASE_PREFILL && !task->is_relayed &&
+        Detour_IsCut(task->gate, task->service->name)) {
+        FleetWorker *vm = DetourVm_Choose(task);
+        if (vm != NULL) {
+            *best_us = DETOUR_COST_US;
+            return vm;
+        }
+    }
+    return best.worker;
+}
+
+/* Keeps the best worker of all, or of some random ones, in *best. */
+static void
+scan(GateTask *task, FleetPhase phase, TaskCost cost, const void *context,
+     guint offset, const WorkerPaceSpread *spread, Candidate *best)
+{
+    const GPtrArray *rows = task->gate->options.fleet->rows;
+    int64_t now_us = Task_Now(task);
 
     for (guint i = 0; i < rows->len; i++) {
         FleetWorker *worker =
@@ -201,41 +233,23 @@
             !Fleet_IsUsable(worker, now_us) ||
             Fleet_IsChangingPhase(worker, now_us) ||
             worker->throttled_choice == task->gate->choices ||
-            is_other_version(task, worker) || Task_IsExcluded(task, worker)) {
+            is_other_version(task, worker) || Task_IsExcluded(task, worker) ||
+            (spread->is_sample &&
+             !Pace_IsSampled(spread->candidates,
+                             g_rand_double(task->gate->rand)))) {
             continue;
         }
         candidate.suitability = get_suitability(worker, now_us);
         fill_rank(task, worker, now_us, &rank);
         candidate.cost_us = cost(task, worker, &rank, context);
         candidate.order_us = candidate.cost_us;
-        if (spread.is_used) {
+        if (spread->is_used) {
             candidate.order_us =
-                Pace_SpreadCost(candidate.cost_us, spread.scale_us,
+                Pace_SpreadCost(candidate.cost_us, spread->scale_us,
                                 g_rand_double(task->gate->rand));
         }
-        keep_better(&best, &candidate);
-        if (spread.is_used &&
-            Pace_IsSampled(spread.candidates,
-                           g_rand_double(task->gate->rand))) {
-            keep_better(&sampled, &candidate);
-        }
-    }
-    if (sampled.worker != NULL && sampled.cost_us < RANK_UNUSABLE_US &&
-        sampled.suitability == best.suitability) {
-        best = sampled;
-    }
-    if (best.worker != NULL) {
-        *best_us = best.cost_us;
-    }
-    if (phase != FLEET_PHASE_PREFILL && !task->is_relayed &&
-        Detour_IsCut(task->gate, task->service->name)) {
-        FleetWorker *vm = DetourVm_Choose(task);
-        if (vm != NULL) {
-            *best_us = DETOUR_COST_US;
-            return vm;
-        }
+        keep_better(best, &candidate);
     }
-    return best.worker;
 }
 
 static void
--- a/src/gate/worker_pace.h
+++ b/src/gate/worker_pace.h
@@ -22,6 +22,7 @@
 /* How a choice is spread over the workers, as in decide/pace.h. */
 typedef struct WorkerPaceSpread {
     bool is_used;
+    bool is_sample; /* Only random ones are looked at, set by the caller. */
     uint32_t candidates;
     int64_t scale_us;
 } WorkerPaceSpread;
