--- a/tests/test_gossip.cc
+++ b/tests/test_gossip.cc
@@ -594,7 +594,8 @@
 }
 
 /* Nearly as many workers as one message holds, each with calls and memory in
-   use, a third of them silent: the tables' messages are full. */
+   use, a third of them silent, and each with a pace: the tables' messages are
+   full. */
 TEST_F(Fleet3, LoadStaysKnownWhileManyWorkersAreBusyAndSilent)
 {
     const int kBusy = 61;
@@ -610,6 +611,13 @@
             Worker(*node, i)->kv = {{30000, 31000, 32000}};
             expected[i] += 2;
         }
+        for (int i = 0; i < kWorkers; i++) {
+            FleetPace *pace = &Worker(*node, i)->pace;
+            Pace_Note(&pace->read, 1.67, 1, Clk_Now(&clk));
+            Pace_Note(&pace->step, 0.6, 1, Clk_Now(&clk));
+            pace->growth = 0.04;
+            pace->has_growth = true;
+        }
         Gos_ScheduleUpdate(node->gos);
     }
     EXPECT_TRUE(Until([&] {
