--- a/src/gate/gossip_pace.c
+++ b/src/gate/gossip_pace.c
@@ -22,7 +22,7 @@
    usual one. */
 #define GOS_PACE_TOLD_RATIO 1.2
 /* Workers without load in each table whose pace is told. */
-#define GOS_PACE_IDLE_ROWS 4
+#define GOS_PACE_IDLE_ROWS 2
 /* Weight of what another VM tells in the moving mean of a growth. */
 #define GOS_PACE_GROWTH_WEIGHT 0.2
 
