--- a/src/gate/task_choice.c
+++ b/src/gate/task_choice.c
@@ -1,6 +1,7 @@
 /* Choice of a task: chooses the worker for a call. See task.h. */
 #include "detour.h"
 #include "task.h"
+#include "worker_pace.h"
 
 #include <string.h>
 
@@ -21,9 +22,21 @@
     SUITABILITY_BLOCKED, /* It may not answer. */
 } Suitability;
 
+/* A worker in a choice. */
+typedef struct Candidate {
+    FleetWorker *worker; /* NULL: none. */
+    Suitability suitability;
+    int64_t cost_us;
+    int64_t order_us; /* The cost with the spread of the choice. */
+} Candidate;
+
 static FleetWorker *find_best(GateTask *task, FleetPhase phase, TaskCost cost,
                               const void *context, guint offset,
                               int64_t *best_us);
+static void scan(GateTask *task, FleetPhase phase, TaskCost cost,
+                 const void *context, guint offset,
+                 const WorkerPaceSpread *spread, Candidate *best);
+static void keep_better(Candidate *best, const Candidate *candidate);
 static double get_share(const GateTask *task);
 static Suitability get_suitability(const FleetWorker *worker,
                                    uint32_t random_value, int64_t now_us);
@@ -169,50 +182,85 @@
 }
 
 /* Returns the best worker that this choice has not excluded, or NULL. Of equal
-   ones it is the first one from row `offset` on. */
+   ones it is the first one from row `offset` on. Where workers are uneven it
+   is the best of some random ones if one of these can take the request. */
 static FleetWorker *
 find_best(GateTask *task, FleetPhase phase, TaskCost cost, const void *context,
           guint offset, int64_t *best_us)
+{
+    WorkerPaceSpread spread = WorkerPace_GetSpread(task, phase);
+    Candidate best = {.suitability = SUITABILITY_BLOCKED};
+
+    if (spread.is_used) {
+        spread.is_sample = true;
+        scan(task, phase, cost, context, offset, &spread, &best);
+        spread.is_sample = false;
+    }
+    if (best.worker == NULL || best.suitability != SUITABILITY_SOUND ||
+        best.cost_us >= RANK_UNUSABLE_US) {
+        best.worker = NULL;
+        scan(task, phase, cost, context, offset, &spread, &best);
+    }
+    if (best.worker != NULL) {
+        *best_us = best.cost_us;
+    }
+    if (phase != FLEET_PHASE_PREFILL && !task->is_relayed &&
+        Detour_IsCut(task->gate, task->service->name)) {
+        FleetWorker *vm = DetourVm_Choose(task);
+        if (vm != NULL) {
+            *best_us = DETOUR_COST_US;
+            return vm;
+        }
+    }
+    return best.worker;
+}
+
+/* Keeps the best worker of all, or of some random ones, in *best. */
+static void
+scan(GateTask *task, FleetPhase phase, TaskCost cost, const void *context,
+     guint offset, const WorkerPaceSpread *spread, Candidate *best)
 {
     const GPtrArray *rows = task->gate->options.fleet->rows;
     int64_t now_us = Task_Now(task);
-    FleetWorker *best = NULL;
-    Suitability best_suitability = SUITABILITY_BLOCKED;
 
     for (guint i = 0; i < rows->len; i++) {
         FleetWorker *worker =
             g_ptr_array_index(rows, (i + offset) % rows->len);
         RankWorker rank;
-        int64_t cost_us;
-        Suitability suitability;
+        Candidate candidate = {.worker = worker};
 
         if (worker->entry.phase != phase ||
             strcmp(worker->entry.service, task->service->name) != 0 ||
             !Fleet_IsUsable(worker, now_us) ||
             Fleet_IsChangingPhase(worker, now_us) ||
             worker->throttled_choice == task->gate->choices ||
-            is_other_version(task, worker) || Task_IsExcluded(task, worker)) {
+            is_other_version(task, worker) || Task_IsExcluded(task, worker) ||
+            (spread->is_sample &&
+             !Pace_IsSampled(spread->candidates,
+                             g_rand_double(task->gate->rand)))) {
             continue;
         }
-        suitability = get_suitability(worker, offset, now_us);
+        candidate.suitability = get_suitability(worker, offset, now_us);
         fill_rank(task, worker, now_us, &rank);
-        cost_us = cost(task, worker, &rank, context);
-        if (best == NULL || suitability < best_suitability ||
-            (suitability == best_suitability && cost_us < *best_us)) {
-            best = worker;
-            best_suitability = suitability;
-            *best_us = cost_us;
+        candidate.cost_us = cost(task, worker, &rank, context);
+        candidate.order_us = candidate.cost_us;
+        if (spread->is_used) {
+            candidate.order_us =
+                Pace_SpreadCost(candidate.cost_us, spread->scale_us,
+                                g_rand_double(task->gate->rand));
         }
+        keep_better(best, &candidate);
     }
-    if (phase != FLEET_PHASE_PREFILL && !task->is_relayed &&
-        Detour_IsCut(task->gate, task->service->name)) {
-        FleetWorker *vm = DetourVm_Choose(task);
-        if (vm != NULL) {
-            *best_us = DETOUR_COST_US;
-            return vm;
-        }
+}
+
+static void
+keep_better(Candidate *best, const Candidate *candidate)
+{
+    if (best->worker == NULL || candidate->suitability < best->suitability ||
+        (candidate->suitability == best->suitability &&
+         candidate->order_us < best->order_us)) {
+        *best = *candidate;
     }
-    return best;
 }
 
 /* Returns this VM's part of the requests for the task's service. */
@@ -279,6 +327,7 @@
     if (worker->peer_unreachable > 0) {
         rank->health_us += TASK_PEER_UNREACHABLE_COST_US;
     }
+    WorkerPace_FillRank(task, worker, now_us, rank);
 }
 
 /* Whether the worker must not go on with the stream that has begun. A worker
