--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -55,6 +55,7 @@
 static void ignore_disconnect(void *context, ServerExchange *exchange);
 static void prepare_shutdown(Edge *edge);
 static void on_prune(evutil_socket_t fd, short what, void *context);
+static bool start_servers(Edge *edge, LsError *err);
 static bool start_peering(Edge *edge, LsError *err);
 static uint32_t get_vm_count(void *context);
 static void ask_loan(void *context, const char *service, const BudgetAsk *ask);
@@ -103,8 +104,6 @@
     Edge *edge = g_new0(Edge, 1);
     GateOptions gate = Gate_DefaultOptions();
     FeedOptions feed = {0};
-    ServerOptions callers = Server_DefaultOptions();
-    ServerOptions health = Server_DefaultOptions();
 
     edge->options = *options;
     edge->began_us = Clk_Now(options->clk);
@@ -147,34 +146,7 @@
     edge->prune_timer = evtimer_new(options->base, on_prune, edge);
     Loop_ArmTimer(edge->prune_timer, EDGE_PRUNE_INTERVAL_MS);
 
-    callers.base = options->base;
-    callers.clk = options->clk;
-    callers.ip = options->callers.ip;
-    callers.port = options->callers.port;
-    callers.context = edge;
-    callers.on_request = on_caller_request;
-    callers.on_disconnect = on_caller_disconnect;
-    SlowReader_SetBounds(&callers, &edge->unread, options->memory_mb);
-    edge->callers = Server_New(&callers, err);
-
-    health.base = options->base;
-    health.clk = options->clk;
-    health.context = edge;
-    health.on_disconnect = ignore_disconnect;
-    if (edge->callers != NULL) {
-        health.ip = options->health.ip;
-        health.port = options->health.port;
-        health.on_request = on_health;
-        edge->health = Server_New(&health, err);
-    }
-    if (edge->health != NULL && options->metrics.port != 0) {
-        health.ip = options->metrics.ip;
-        health.port = options->metrics.port;
-        health.on_request = on_metrics;
-        edge->metrics = Server_New(&health, err);
-    }
-    if (edge->callers == NULL || edge->health == NULL ||
-        (options->metrics.port != 0 && edge->metrics == NULL) ||
+    if (!start_servers(edge, err) ||
         (options->peers.port != 0 && !start_peering(edge, err))) {
         Edge_Free(edge);
         return NULL;
@@ -259,6 +231,44 @@
                    signal_us != 0 ? signal_us : Clk_Now(edge->options.clk));
 }
 
+/* Starts the listeners for callers, health checks and metrics. */
+static bool
+start_servers(Edge *edge, LsError *err)
+{
+    const EdgeOptions *options = &edge->options;
+    ServerOptions callers = Server_DefaultOptions();
+    ServerOptions health = Server_DefaultOptions();
+
+    callers.base = options->base;
+    callers.clk = options->clk;
+    callers.ip = options->callers.ip;
+    callers.port = options->callers.port;
+    callers.context = edge;
+    callers.on_request = on_caller_request;
+    callers.on_disconnect = on_caller_disconnect;
+    SlowReader_SetBounds(&callers, &edge->unread, options->memory_mb);
+    edge->callers = Server_New(&callers, err);
+
+    health.base = options->base;
+    health.clk = options->clk;
+    health.context = edge;
+    health.on_disconnect = ignore_disconnect;
+    if (edge->callers != NULL) {
+        health.ip = options->health.ip;
+        health.port = options->health.port;
+        health.on_request = on_health;
+        edge->health = Server_New(&health, err);
+    }
+    if (edge->health != NULL && options->metrics.port != 0) {
+        health.ip = options->metrics.ip;
+        health.port = options->metrics.port;
+        health.on_request = on_metrics;
+        edge->metrics = Server_New(&health, err);
+    }
+    return edge->callers != NULL && edge->health != NULL &&
+           (options->metrics.port == 0 || edge->metrics != NULL);
+}
+
 /* Prepares the stop, which needs all parts of the edge. */
 static void
 prepare_shutdown(Edge *edge)
