--- a/src/gate/feed.c
+++ b/src/gate/feed.c
@@ -12,6 +12,8 @@
     FeedOptions options;
     Snapshot *snapshot;
     XXH128_hash_t config_hash; /* Of the last text that was decoded. */
+    bool has_plain_keys; /* The snapshot's configuration has keys, not only
+                            their digests. */
 };
 
 static void apply_config(void *context, const void *text, size_t size,
@@ -56,7 +58,6 @@
     LsError err = {0};
     RteTable *table;
     RteLimits limits;
-    char *hidden = NULL;
 
     /* Each complete reading of the source brings the configuration again. */
     if (XXH128_isEqual(hash, feed->config_hash)) {
@@ -72,19 +73,34 @@
         return;
     }
     limits = table->limits;
-    /* Other VMs get the snapshot. */
-    if (table->has_plain_keys &&
-        table->version > Snapshot_GetVersion(feed->snapshot)) {
-        hidden = decoder->hide_keys(decoder->context, text, size);
+    if (table->version > Snapshot_GetVersion(feed->snapshot)) {
+        feed->has_plain_keys = table->has_plain_keys;
     }
-    Snapshot_SetConfig(feed->snapshot, hidden != NULL ? hidden : text,
-                       hidden != NULL ? strlen(hidden) : size, table->version);
-    g_free(hidden);
+    Snapshot_SetConfig(feed->snapshot, text, size, table->version);
     if (Gate_SetTable(feed->options.gate, table)) {
         feed->options.on_limits(feed->options.context, &limits);
     }
 }
 
+GByteArray *
+Feed_PackSnapshot(Feed *feed, Pos since)
+{
+    const FeedDecoder *decoder = feed->options.decoder;
+    gsize size = 0;
+    const void *text;
+    char *hidden;
+
+    if (feed->has_plain_keys) {
+        text = Snapshot_GetConfig(feed->snapshot, &size);
+        hidden = decoder->hide_keys(decoder->context, text, size);
+        Snapshot_ReplaceConfig(feed->snapshot, hidden != NULL ? hidden : "",
+                               hidden != NULL ? strlen(hidden) : 0);
+        g_free(hidden);
+        feed->has_plain_keys = false;
+    }
+    return Snapshot_Pack(feed->snapshot, since);
+}
+
 void
 Feed_SetEntry(Feed *feed, const char *id, const void *text, size_t size,
               Pos position)
--- a/src/gate/feed.h
+++ b/src/gate/feed.h
@@ -40,6 +40,11 @@
 /* Returns the current snapshot, which belongs to the feed. */
 const Snapshot *Feed_GetSnapshot(const Feed *feed);
 
+/* Packs the snapshot as Snapshot_Pack(), for another VM. Digests replace the
+   keys of accounts, once for each configuration: writing a large one anew
+   takes as long as decoding it, and few VMs are asked. */
+GByteArray *Feed_PackSnapshot(Feed *feed, Pos since);
+
 /* Decodes a configuration and puts it in force if its version is newer. A
    malformed one is logged and ignored. */
 void Feed_ApplyConfig(Feed *feed, const void *text, size_t size);
--- a/src/gate/relay.c
+++ b/src/gate/relay.c
@@ -149,7 +149,7 @@
         Server_SendResponse(exchange, 404, NULL, "", 0);
         return;
     }
-    data = Snapshot_Pack(Feed_GetSnapshot(relay->options.feed), since);
+    data = Feed_PackSnapshot(relay->options.feed, since);
     if (data == NULL) {
         /* This VM is reading all entries anew. */
         Server_SendResponse(exchange, 503, NULL, "", 0);
--- a/src/gate/snapshot.c
+++ b/src/gate/snapshot.c
@@ -65,6 +65,21 @@
     snapshot->version = version;
 }
 
+const void *
+Snapshot_GetConfig(const Snapshot *snapshot, size_t *size)
+{
+    *size = 0;
+    return snapshot->config != NULL ? g_bytes_get_data(snapshot->config, size)
+                                    : NULL;
+}
+
+void
+Snapshot_ReplaceConfig(Snapshot *snapshot, const void *text, size_t size)
+{
+    g_clear_pointer(&snapshot->config, g_bytes_unref);
+    snapshot->config = g_bytes_new(text, size);
+}
+
 void
 Snapshot_SetEntry(Snapshot *snapshot, const char *id, const void *text,
                   size_t size, Pos position)
--- a/src/gate/snapshot.h
+++ b/src/gate/snapshot.h
@@ -35,6 +35,11 @@
 /* Copies the configuration, unless the same or a newer version is set. */
 void Snapshot_SetConfig(Snapshot *snapshot, const void *text, size_t size,
                         uint64_t version);
+/* Returns the text of the configuration, which belongs to the snapshot, or
+   NULL if there is none, and stores its size. */
+const void *Snapshot_GetConfig(const Snapshot *snapshot, size_t *size);
+/* Replaces the text of the configuration, whose version stays. */
+void Snapshot_ReplaceConfig(Snapshot *snapshot, const void *text, size_t size);
 /* Copies the worker's entry, unless a newer one is set. */
 void Snapshot_SetEntry(Snapshot *snapshot, const char *id, const void *text,
                        size_t size, Pos position);
