--- a/src/decide/key_lease.h
+++ b/src/decide/key_lease.h
@@ -25,7 +25,7 @@
 /* Part of the bound that a call to the store may take until it proves
    something. A proof is up to twice as old before the next one comes, and
    another VM has it some 750 ms later: 2.35 s of a bound of 5 s, less than the
-   half after which it counts as old. With a fifth it was 2.75 s. */
+   half after which it counts as old. */
 #define KEY_LEASE_WATCH_SHARE 0.16
 /* The same while the last proof is old. */
 #define KEY_LEASE_OLD_WATCH_SHARE 0.04
--- a/src/decide/pace.h
+++ b/src/decide/pace.h
@@ -16,8 +16,8 @@
 /* Bounds of a pace. */
 #define PACE_MIN 0.25
 #define PACE_MAX 16.0
-/* Workers that one choice compares, on average. Of 5 to 16 out of 40, 8 gave
-   the lowest times at the usual load and in bursts of 1.8. */
+/* Workers that one choice compares, on average. With fewer, fast workers stay
+   idle; with more, VMs whose views are old choose the same one. */
 #define PACE_SAMPLE 8
 /* Highest code of a pace in a message; 0 means unknown. */
 #define PACE_CODE_MAX 255
