--- a/tests/test_gate_access.cc
+++ b/tests/test_gate_access.cc
@@ -410,14 +410,15 @@
         SCOPED_TRACE(row.name);
         PfSettings settings;
         LsError err = {};
-        char path[] = "/tmp/settings-XXXXXX";
+        char *path = nullptr;
         std::string text =
             "{\"node\":\"vm-1\",\"zone\":\"z\",\"ip\":\"127.0.0.1\","
             "\"listen\":{\"front\":\"127.0.0.1:1\",\"ready\":"
             "\"127.0.0.1:2\",\"control\":\"127.0.0.1:3\"},"
             "\"platform\":{\"addr\":\"127.0.0.1:4\"},\"bounds\":" +
             std::string(row.bounds) + "}";
-        int fd = mkstemp(path);
+        int fd = g_file_open_tmp("settings-XXXXXX", &path, nullptr);
+        ASSERT_GE(fd, 0);
         ASSERT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
         close(fd);
         EXPECT_EQ(Pf_LoadSettings(path, &settings, &err) == LS_OK,
@@ -429,7 +430,58 @@
         }
         Pf_UnloadSettings(&settings);
         unlink(path);
+        g_free(path);
     }
 }
 
+/* Calls of a decoder. */
+struct DecoderCalls {
+    int decoded = 0;
+    int hidden = 0;
+};
+
+/* A VM on a small processor held its streams up while it decoded a large
+   configuration that it knew, and wrote each one anew with digests. */
+TEST(Access, ConfigurationIsDecodedOnceAndRewrittenOnDemand)
+{
+    const std::string text =
+        "{\"version\":2,\"routes\":[],\"services\":[],"
+        "\"tenants\":[{\"name\":\"acme\",\"keys\":[\"key-1\"]}]}";
+    GateRig rig;
+    DecoderCalls calls;
+    FeedDecoder decoder = *Pf_GetDecoder();
+    FeedOptions options = {};
+    decoder.context = &calls;
+    decoder.decode_config = [](void *context, const void *from, size_t size,
+                               LsError *err) {
+        static_cast<DecoderCalls *>(context)->decoded++;
+        return Pf_GetDecoder()->decode_config(nullptr, from, size, err);
+    };
+    decoder.hide_keys = [](void *context, const void *from, size_t size) {
+        static_cast<DecoderCalls *>(context)->hidden++;
+        return Pf_GetDecoder()->hide_keys(nullptr, from, size);
+    };
+    options.clk = &rig.clk;
+    options.gate = Edge_GetGate(rig.edge);
+    options.fleet = Edge_GetFleet(rig.edge);
+    options.decoder = &decoder;
+    options.on_limits = [](void *, const RteLimits *) {};
+    Feed *feed = Feed_New(&options);
+    for (int i = 0; i < 3; i++) {
+        Feed_ApplyConfig(feed, text.data(), text.size());
+    }
+    EXPECT_EQ(calls.decoded, 1);
+    EXPECT_EQ(calls.hidden, 0);
+    for (int i = 0; i < 3; i++) {
+        GByteArray *data = Feed_PackSnapshot(feed, {0, 0});
+        ASSERT_NE(data, nullptr);
+        std::string packed((const char *)data->data, data->len);
+        EXPECT_EQ(packed.find("key-1"), std::string::npos);
+        EXPECT_NE(packed.find("acme"), std::string::npos);
+        g_byte_array_free(data, TRUE);
+    }
+    EXPECT_EQ(calls.hidden, 1);
+    Feed_Free(feed);
+}
+
 } // namespace
