--- a/src/decide/answer_end.c
+++ b/src/decide/answer_end.c
@@ -21,14 +21,9 @@
 }
 
 int64_t
-AnswerEnd_GetSettleTime(bool is_stream, int64_t left_us)
+AnswerEnd_GetSettleTime(bool is_stream)
 {
-    int64_t most_us = left_us - ANSWER_END_CALLER_MARGIN_US;
-
-    if (!is_stream || most_us <= 0) {
-        return 0;
-    }
-    return most_us < ANSWER_END_SETTLE_US ? most_us : ANSWER_END_SETTLE_US;
+    return is_stream ? ANSWER_END_SETTLE_US : 0;
 }
 
 AnswerEndStep
@@ -98,12 +93,6 @@
         return is_first && !state->is_paused ? ANSWER_END_ASK
                                              : ANSWER_END_ASK_AGAIN;
     }
-    if (state->has_early_sign && state->failures == 0 &&
-        (state->reply == ANSWER_END_NO_REPLY ||
-         state->reply == ANSWER_END_TURNED_AWAY)) {
-        /* Connections of a process that has ended are refused. */
-        return ANSWER_END_COMPLETE;
-    }
     return !state->is_stream && !state->is_older_broken &&
                    (state->has_responded || state->is_paused)
                ? ANSWER_END_AS_RECEIVED
--- a/src/decide/answer_end.h
+++ b/src/decide/answer_end.h
@@ -13,7 +13,9 @@
    refusal on such a connection is a sign, too, unless it may be a late copy of
    an earlier one. All rely on one process at an address at a time, and on its
    end as a whole: one that closes its answers first responds for a while
-   after, so that a sign for a stream must come some time after the end.
+   after, so that a sign for a stream must come some time after the end. Time
+   that runs out before, as a deadline or the end of a VM's stop comes, is no
+   sign, nor is silence: the stream is broken off.
 
    A process that goes on may still have broken the answer off, as may what
    stands between: a proxy passes a reset on as an ordinary end. So a stream
@@ -98,7 +100,6 @@
     int64_t waited_us;   /* Since the end of the answer. */
     int64_t asked_us;    /* When the last question began, since then. */
     int64_t settle_us;   /* From then on a sign counts. */
-    bool has_early_sign; /* One came before that. */
     int64_t patience_us; /* No question begins later than that. */
     bool is_stream;
     bool knows_start; /* The entry names the worker's start. */
@@ -137,9 +138,9 @@
     ANSWER_END_REST_OTHER, /* Another worker has the address. */
 } AnswerEndRest;
 
-/* Returns from when on a sign counts; `left_us` is the time that the request
-   has left. */
-int64_t AnswerEnd_GetSettleTime(bool is_stream, int64_t left_us);
+/* Returns from when on a sign counts, however little time the request has
+   left. */
+int64_t AnswerEnd_GetSettleTime(bool is_stream);
 /* Returns how long the end of an answer may wait for proof. `may_go_on`:
    another worker can make the answer, or the rest of it. */
 int64_t AnswerEnd_GetPatience(bool is_stream, bool may_go_on, int64_t slo_us,
--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -52,9 +52,7 @@
 static void end_question(EndQuestion *question);
 static bool is_paused(const struct EndCheck *check);
 static int64_t get_waited(const struct EndCheck *check);
-static int64_t get_patience(const struct EndCheck *check,
-                            bool may_go_on_elsewhere);
-static int64_t get_end(const GateTask *task);
+static int64_t get_patience(const struct EndCheck *check);
 static bool may_go_on(const GateTask *task);
 static void ask(struct EndCheck *check, bool older);
 static void fill_older(const struct EndCheck *check,
@@ -92,9 +90,8 @@
     }
     check->began_us = Task_Now(task);
     check->state.is_stream = task->route->kind == RTE_STREAM;
-    check->state.patience_us = get_patience(check, may_go_on(task));
-    check->state.settle_us = AnswerEnd_GetSettleTime(
-        check->state.is_stream, get_end(task) - check->began_us);
+    check->state.patience_us = get_patience(check);
+    check->state.settle_us = AnswerEnd_GetSettleTime(check->state.is_stream);
     check->state.knows_start = task->service->is_engine &&
                                call->born_ms != 0 &&
                                !call->worker->tells_no_start;
@@ -180,19 +177,16 @@
 }
 
 /* Asks again in the way that has brought a sign, if that is still possible. A
-   worker that has asked for a pause since is believed. */
+   worker that has asked for a pause since is treated as if it had done so
+   before the first question. */
 static void
 confirm(struct EndCheck *check)
 {
     ClientCallOptions older = {0};
 
-    if (is_paused(check) && get_waited(check) < check->state.patience_us) {
-        Loop_ArmTimerUs(check->timer, ANSWER_END_PAUSE_US);
-        return;
-    }
     check->is_settling = false;
     if (is_paused(check)) {
-        check->state.settle_us = 0;
+        check->state.reply = ANSWER_END_NOT_ASKED;
         decide(check);
         return;
     }
@@ -236,25 +230,16 @@
 }
 
 static int64_t
-get_patience(const struct EndCheck *check, bool may_go_on_elsewhere)
+get_patience(const struct EndCheck *check)
 {
-    const RteRoute *route = check->call->task->route;
+    const GateTask *task = check->call->task;
+    const RteRoute *route = task->route;
 
-    return AnswerEnd_GetPatience(check->state.is_stream, may_go_on_elsewhere,
+    return AnswerEnd_GetPatience(check->state.is_stream, may_go_on(task),
                                  (int64_t)route->slo_ms * CLK_US_PER_MS,
                                  (int64_t)route->gap_ms * CLK_US_PER_MS);
 }
 
-/* Returns when the task ends at the latest. */
-static int64_t
-get_end(const GateTask *task)
-{
-    int64_t drain_end_us = task->gate->drain_end_us;
-
-    return drain_end_us != 0 ? MIN(drain_end_us, task->deadline_us)
-                             : task->deadline_us;
-}
-
 /* Whether another worker can go on with the stream. */
 static bool
 may_go_on(const GateTask *task)
@@ -563,10 +548,6 @@
         return;
     case ANSWER_END_CONFIRM:
         check->is_settling = true;
-        state->has_early_sign = true;
-        /* A worker that goes on is not replaced: only the caller's time
-           limits the questions. */
-        state->patience_us = get_patience(check, false);
         Loop_ArmTimerUs(check->timer,
                         MAX(state->settle_us - state->waited_us, 0));
         return;
--- a/tests/test_decide_answer_end.cc
+++ b/tests/test_decide_answer_end.cc
@@ -266,7 +266,7 @@
     for (auto &row : rows) {
         SCOPED_TRACE(row.state.reply);
         row.state.is_stream = true;
-        row.state.settle_us = AnswerEnd_GetSettleTime(true, 10 * CLK_US_PER_S);
+        row.state.settle_us = AnswerEnd_GetSettleTime(true);
         row.state.asked_us = row.state.settle_us - 1;
         EXPECT_EQ(AnswerEnd_Decide(&row.state), row.early);
         row.state.asked_us++;
@@ -276,9 +276,9 @@
     }
 }
 
-/* A worker that falls silent or pauses after an early sign is asked until the
-   caller would leave, and has not ended if no connection to it failed. */
-TEST(DecideAnswerEnd, SilenceAfterAnEarlySignIsNoEnd)
+/* A worker that falls silent or turns questions away after an early sign is
+   asked until the caller would leave. It may have ended since. */
+TEST(DecideAnswerEnd, SilenceAfterAnEarlySignIsNoProof)
 {
     for (AnswerEndReply reply :
          {ANSWER_END_NO_REPLY, ANSWER_END_TURNED_AWAY}) {
@@ -287,14 +287,8 @@
         state.settle_us = ANSWER_END_SETTLE_US;
         state.asked_us = ANSWER_END_SETTLE_US;
         state.waited_us = state.patience_us - 1;
-        state.has_early_sign = true;
         EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_ASK_AGAIN);
         state.waited_us++;
-        EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_COMPLETE);
-        state.failures = 1;
-        EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_BROKEN);
-        state.failures = 0;
-        state.has_early_sign = false;
         EXPECT_EQ(AnswerEnd_Decide(&state), ANSWER_END_BROKEN);
     }
 }
@@ -360,16 +354,11 @@
               ANSWER_END_TURNED_AWAY);
 }
 
-TEST(DecideAnswerEnd, SettleTimeLeavesTimeToAsk)
+/* It doesn't depend on the time that is left. */
+TEST(DecideAnswerEnd, SettleTimeIsThatOfAProcessThatEnds)
 {
-    EXPECT_EQ(AnswerEnd_GetSettleTime(false, 10 * CLK_US_PER_S), 0);
-    EXPECT_EQ(AnswerEnd_GetSettleTime(true, 10 * CLK_US_PER_S),
-              ANSWER_END_SETTLE_US);
-    EXPECT_EQ(AnswerEnd_GetSettleTime(true, ANSWER_END_CALLER_MARGIN_US +
-                                                CLK_US_PER_MS),
-              CLK_US_PER_MS);
-    EXPECT_EQ(AnswerEnd_GetSettleTime(true, ANSWER_END_CALLER_MARGIN_US), 0);
-    EXPECT_EQ(AnswerEnd_GetSettleTime(true, 0), 0);
+    EXPECT_EQ(AnswerEnd_GetSettleTime(false), 0);
+    EXPECT_EQ(AnswerEnd_GetSettleTime(true), ANSWER_END_SETTLE_US);
     /* The confirming question begins within the shortest patience. */
     EXPECT_LT(ANSWER_END_SETTLE_US, ANSWER_END_MAX_US);
 }
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -307,6 +307,55 @@
     }
 }
 
+struct LastMomentCase {
+    const char *name;
+    int64_t left_ms;  /* Of the caller's time as the answer ends. */
+    int64_t stops_ms; /* The VM's stop ends so long after; 0: no stop. */
+    int64_t exits_ms; /* The process ends so long after; 0: it goes on. */
+    bool complete;
+};
+
+const LastMomentCase last_moment_cases[] = {
+    {"time enough", 2000, 0, 0, true},
+    {"time enough, but the process ends", 2000, 0, 100, false},
+    {"the caller leaves", 250, 0, 100, false},
+    {"the caller leaves at once", 60, 0, 100, false},
+    {"the stop ends", 2000, 250, 100, false},
+    {"the stop ends at once", 2000, 1, 100, false},
+};
+
+/* A process closes its answers first and responds for a moment. A sign that
+   comes within that moment proves nothing, also if no later one can come. */
+TEST(GateEndCheck, TimeThatRunsOutIsNoProofOfTheEnd)
+{
+    for (const LastMomentCase &row : last_moment_cases) {
+        SCOPED_TRACE(row.name);
+        GateRig rig;
+        rig.born_ms = 1000;
+        rig.SetRoute({RTE_STREAM, 1, false, 10000, 900}, true);
+        Worker *worker = rig.AddWorker(
+            {{StreamHead("") + Events(0, 2), ScriptedReply::KEEP}},
+            FLEET_PHASE_DECODE);
+        Caller *caller = rig.Call(Request(
+            "POST", "X-Token-Usage: 1000,100\r\nX-Deadline-Ms: 2500\r\n"));
+        int64_t from_us = Clk_Now(&rig.clk);
+        ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+        rig.RunFor(2500 - row.left_ms -
+                   (Clk_Now(&rig.clk) - from_us) / CLK_US_PER_MS);
+        if (row.stops_ms != 0) {
+            Gate_SetDrain(Edge_GetGate(rig.edge),
+                          Clk_Now(&rig.clk) + row.stops_ms * CLK_US_PER_MS);
+        }
+        worker->EndLast(false);
+        if (row.exits_ms != 0) {
+            rig.RunFor(row.exits_ms);
+            worker->Exit();
+        }
+        ASSERT_TRUE(rig.UntilEnd(caller));
+        EXPECT_EQ(caller->IsComplete(), row.complete);
+    }
+}
+
 /* A worker that has asked for a pause is asked for its state once the pause is
    over, or once only if that lasts longer than the caller. */
 TEST(GateEndCheck, PausedWorkerIsAskedOnceItMay)
@@ -390,7 +439,9 @@
         ASSERT_TRUE(rig.UntilEnd(caller));
         EXPECT_LT(Clk_Now(&rig.clk) - from_us, 3600 * CLK_US_PER_MS);
         EXPECT_EQ(caller->IsComplete(), row.complete);
-        EXPECT_LE(worker->states, before + row.refusals + 1);
+        /* The question that brings the pause is sent before it is known. */
+        EXPECT_LE(worker->states,
+                  before + row.refusals + 1 + (row.is_known ? 0 : 1));
     }
 }
 
