--- a/src/decide/holders.c
+++ b/src/decide/holders.c
@@ -170,8 +170,8 @@
     for (uint32_t i = 0; i < holders->count && have_all; i++) {
         have_all = Holders_HasAnswered(answers, holders->addresses[i]);
     }
-    if (found == RESUMPTION_KEPT_BY_ONE_VERSION) {
-        return is_over || are_covered(holders, answers, workers, worker_count)
+    if (found == RESUMPTION_KEPT_BY_ONE_VERSION && !is_over) {
+        return are_covered(holders, answers, workers, worker_count)
                    ? found
                    : RESUMPTION_ASKING;
     }
@@ -179,7 +179,7 @@
     if (!have_all && !is_over) {
         return RESUMPTION_ASKING;
     }
-    return found == RESUMPTION_KEPT_BY_NONE &&
+    return found != RESUMPTION_KEPT_BY_SEVERAL &&
                    !are_covered(holders, answers, workers, worker_count)
                ? RESUMPTION_CANNOT_ASK
                : found;
--- a/src/decide/resumption.c
+++ b/src/decide/resumption.c
@@ -7,9 +7,6 @@
     if (state->has_record) {
         return RESUMPTION_FOLLOW_RECORD;
     }
-    if (state->versions == 1) {
-        return RESUMPTION_FOLLOW_ONLY;
-    }
     switch (state->survey) {
     case RESUMPTION_NOT_ASKED:
         return RESUMPTION_ASK;
@@ -18,8 +15,11 @@
     case RESUMPTION_KEPT_BY_ONE_VERSION:
         return RESUMPTION_FOLLOW_SURVEY;
     case RESUMPTION_KEPT_BY_NONE:
-    case RESUMPTION_KEPT_BY_SEVERAL:
     case RESUMPTION_CANNOT_ASK:
+        return state->versions == 1 && state->have_all_answered
+                   ? RESUMPTION_FOLLOW_ONLY
+                   : RESUMPTION_REFUSE;
+    case RESUMPTION_KEPT_BY_SEVERAL:
         break;
     }
     return RESUMPTION_REFUSE;
--- a/src/decide/resumption.h
+++ b/src/decide/resumption.h
@@ -6,10 +6,13 @@
    when all VMs are killed, they do so at VMs that know nothing of before. The
    texts of two versions don't fit together, and no worker checks it. So a
    stream goes on only at the version that began it. The sources of that
-   knowledge are asked in the order of their cost: the VMs' records of streams
-   that began, the versions that this VM has seen, and the workers, which keep
-   the prompts that they have read. A stream whose version stays unknown is
-   refused at once. */
+   knowledge are the VMs' records of streams that began, the workers, which
+   keep the prompts that they have read, and the versions that this VM has
+   seen. That it has seen no other one is no proof by itself: a VM that was cut
+   off from the others, or stood still, has missed workers that joined and the
+   records of their streams. So the others are asked first, each of them must
+   answer, and the VM must have been in step with them throughout the callers'
+   time. A stream whose version stays unknown is refused at once. */
 #ifndef LS_RESUMPTION_H
 #define LS_RESUMPTION_H
 
@@ -30,8 +33,9 @@
 typedef struct ResumptionState {
     bool has_record; /* The VMs know which version began the stream. */
     /* Versions that were in service within the callers' time; 0 if this VM
-       has not watched for so long, or is out of step with the others. */
+       has not watched for so long, or was out of step with the others. */
     uint32_t versions;
+    bool have_all_answered; /* The VMs that share the workers. */
     ResumptionSurvey survey;
 } ResumptionState;
 
--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -69,7 +69,7 @@
 static void on_load_change(void *context);
 static uint32_t list_peers(void *context, const char *service, GatePeer *peers,
                            uint32_t max);
-static bool is_in_step(void *context);
+static int64_t get_step_time(void *context);
 static void list_holders(void *context, Holders *holders);
 static void send_lookups(void *context, uint64_t holder,
                          const LookupQuestion *rows, uint32_t count);
@@ -132,7 +132,7 @@
     gate.list_peers = list_peers;
     if (options->peers.port != 0) {
         gate.list_holders = list_holders;
-        gate.is_in_step = is_in_step;
+        gate.get_step_time = get_step_time;
         gate.send_lookups = send_lookups;
     }
     edge->gate = Gate_New(&gate);
@@ -431,12 +431,12 @@
                : 0;
 }
 
-static bool
-is_in_step(void *context)
+static int64_t
+get_step_time(void *context)
 {
     const Edge *edge = context;
 
-    return Gos_IsInStep(edge->gossip);
+    return Gos_GetStepTime(edge->gossip);
 }
 
 static void
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -39,7 +39,7 @@
 static uint32_t list_no_peers(void *context, const char *service,
                               GatePeer *peers, uint32_t max);
 static void list_only_holder(void *context, Holders *holders);
-static bool is_always_in_step(void *context);
+static int64_t get_no_step_time(void *context);
 static void ignore_lookups(void *context, uint64_t holder,
                            const LookupQuestion *rows, uint32_t count);
 
@@ -60,7 +60,7 @@
         .on_load_change = ignore_load_change,
         .list_peers = list_no_peers,
         .list_holders = list_only_holder,
-        .is_in_step = is_always_in_step,
+        .get_step_time = get_no_step_time,
         .send_lookups = ignore_lookups,
     };
     return options;
@@ -461,11 +461,11 @@
     Holders_Add(holders, holders->self);
 }
 
-static bool
-is_always_in_step(void *context)
+static int64_t
+get_no_step_time(void *context)
 {
     (void)context;
-    return true;
+    return 0;
 }
 
 static void
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -278,8 +278,9 @@
        returns their number. */
     uint32_t (*list_peers)(void *context, const char *service, GatePeer *peers,
                            uint32_t max);
-    /* Whether this VM knows what the other VMs knew some 100 ms ago. */
-    bool (*is_in_step)(void *context);
+    /* Returns since when this VM has known what the other VMs knew some
+       100 ms before; INT64_MAX: it does not now. */
+    int64_t (*get_step_time)(void *context);
     /* Stores the VMs that share the workers, this one included if it is one
        of them. */
     void (*list_holders)(void *context, Holders *holders);
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -27,6 +27,8 @@
 #define GOS_MAJORITY_RATIO 0.6 /* Share of the VMs that is a majority. */
 
 static bool has_other_seed(const Gos *gos);
+static void note_step(Gos *gos);
+static bool hears_others(const Gos *gos);
 static bool is_expected(const Gos *gos, const Peer *peer);
 static void note_stop(Gos *gos);
 static void on_readable(evutil_socket_t fd, short what, void *context);
@@ -71,6 +73,7 @@
 
     gos->options = *options;
     gos->ran_us = Clk_Now(options->clk);
+    gos->in_step_us = INT64_MAX;
     gos->suspended_us = Clk_GetSuspended(options->clk);
     gos->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (inet_pton(AF_INET, options->ip, &local.sin_addr) != 1 || gos->fd < 0 ||
@@ -208,26 +211,57 @@
            GOS_MAJORITY_RATIO * Gos_CountVms(gos);
 }
 
-bool
-Gos_IsInStep(Gos *gos)
+int64_t
+Gos_GetStepTime(Gos *gos)
+{
+    note_step(gos);
+    return gos->in_step_us;
+}
+
+/* Notes whether this VM is in step. */
+static void
+note_step(Gos *gos)
+{
+    int64_t now_us = Clk_Now(gos->options.clk);
+
+    note_stop(gos);
+    if (now_us < gos->stopped_until_us || !hears_others(gos)) {
+        if (gos->in_step_us != INT64_MAX) {
+            Log_WriteJson(LOG_LEVEL_INFO, "vm_out_of_step",
+                          json_pack("{s:I}", "in_step_for_us",
+                                    (json_int_t)(now_us - gos->in_step_us)));
+        }
+        gos->in_step_us = INT64_MAX;
+    }
+    else if (gos->in_step_us == INT64_MAX) {
+        gos->in_step_us = now_us;
+        Log_WriteJson(LOG_LEVEL_INFO, "vm_in_step", json_object());
+    }
+}
+
+/* Whether messages come from all VMs from which they are expected. A VM that
+   stops says so. */
+static bool
+hears_others(const Gos *gos)
 {
     int64_t now_us = Clk_Now(gos->options.clk);
     const Peer *peer = NULL;
     uint32_t heard = 0;
-    uint32_t missed = 0;
 
-    note_stop(gos);
     LIST_FOREACH(peer, &gos->peers.list, links)
     {
-        if (peer->received_us != 0 && is_expected(gos, peer) &&
-            now_us - peer->received_us < GOS_MISSED_US) {
-            bool is_silent = now_us - peer->received_us >= GOS_STEP_US;
-            heard += !is_silent;
-            missed += is_silent;
+        int64_t silent_us = now_us - peer->received_us;
+        if (peer->received_us == 0 || !is_expected(gos, peer)) {
+            continue;
+        }
+        if (silent_us < GOS_STEP_US) {
+            heard++;
+        }
+        else if (silent_us < GOS_MISSED_US && !peer->is_stopping) {
+            return false;
         }
     }
-    return now_us >= gos->stopped_until_us && heard >= missed &&
-           (gos->peers.is_mesh || heard > 0);
+    return heard > 0 || (!gos->has_heard_others && !has_other_seed(gos));
 }
 
 /* Whether the peer sends messages each GOS_INTERVAL_MS. */
@@ -327,7 +361,7 @@
 
     (void)fd;
     (void)what;
-    note_stop(gos);
+    note_step(gos);
     gos->update_pending = false;
     if (is_regular) {
         gos->regular_us = now_us + GOS_INTERVAL_MS * CLK_US_PER_MS;
@@ -355,6 +389,7 @@
     if (news->address == 0 || news->address == gos->address) {
         return;
     }
+    gos->has_heard_others = true;
     peer = Peers_GetOrAdd(&gos->peers, news->address);
     if (peer == NULL) {
         return;
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -168,10 +168,11 @@
    deployment do, in a large one the hubs, and each VM that hears of no hub
    that does. */
 bool Gos_NeedsSource(const Gos *gos);
-/* Whether this VM knows what the others knew some 100 ms ago: it was not
-   stopped, and most VMs from which messages come, or the hubs, are heard. The
-   only VM is in step. */
-bool Gos_IsInStep(Gos *gos);
+/* Returns since when this VM has known what the others knew some 100 ms
+   before: it was not stopped, and all VMs from which messages come, or the
+   hubs, were heard. INT64_MAX if that does not hold now. A VM that knows of no
+   other one is in step. */
+int64_t Gos_GetStepTime(Gos *gos);
 /* Whether a majority of the VMs that Gos_CountVms() counts are live. */
 bool Gos_HasMajority(const Gos *gos);
 /* Whether this VM is the key's home: the one with the highest rendezvous
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -179,6 +179,8 @@
     int64_t ran_us;
     int64_t suspended_us;
     int64_t stopped_until_us; /* Until then it counts as stopped before. */
+    bool has_heard_others;    /* Once since its start. */
+    int64_t in_step_us;       /* As told by Gos_GetStepTime(). */
 };
 
 /* Starts a message with what each one carries: this VM, its versions, its
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -273,7 +273,7 @@
                                    !Grace_MayBegin(task, 0))) {
         return;
     }
-    if (task->version == 0 && task->last_event != GATE_NO_EVENT) {
+    if (task->last_event != GATE_NO_EVENT && !task->streaming) {
         StreamResume_Recall(task);
     }
     if (must_wait_for_survey(task)) {
--- a/src/gate/stream_events.c
+++ b/src/gate/stream_events.c
@@ -55,6 +55,9 @@
 {
     TaskCall *current = task->current;
 
+    if (task->last_event != GATE_NO_EVENT && !task->streaming) {
+        StreamResume_Recall(task);
+    }
     if (!is_of_version(task)) {
         current->order.is_refused = true;
         return false;
--- a/src/gate/stream_resume.c
+++ b/src/gate/stream_resume.c
@@ -35,7 +35,7 @@
     uint32_t only = 0;
     HoldersAnswer kept = {0};
     uint32_t holders = 0;
-    uint32_t answered;
+    uint32_t answered = 0;
     ResumptionState state = {
         .has_record = found != NULL,
     };
@@ -45,7 +45,7 @@
         return;
     }
     /* Workers of another version may have joined without this VM's notice. */
-    if (gate->options.is_in_step(gate->options.context)) {
+    if (gate->options.get_step_time(gate->options.context) <= since_us) {
         state.versions = Fleet_CountVersions(
             gate->options.fleet, task->service->name, since_us, now_us, &only);
     }
@@ -60,6 +60,8 @@
     }
     if (step == RESUMPTION_ASK) {
         state.survey = look_up(task, &kept);
+        answered = Lookup_CountAnswers(gate, get_origin(task), &holders);
+        state.have_all_answered = holders > 0 && answered == holders;
         step = Resumption_Decide(&state);
     }
     switch (step) {
@@ -83,7 +85,6 @@
     case RESUMPTION_REFUSE:
         break;
     }
-    answered = Lookup_CountAnswers(gate, get_origin(task), &holders);
     Log_WriteJson(
         LOG_LEVEL_INFO, "stream_version_unknown",
         json_pack("{s:s,s:s,s:i,s:s,s:i,s:i}", "request", task->request.id,
--- a/src/gate/stream_resume.h
+++ b/src/gate/stream_resume.h
@@ -9,7 +9,7 @@
    be called again at the step's timeout, or refuses the request. */
 void StreamResume_Advance(GateTask *task);
 /* Binds a stream that has begun by way of another VM to the version that the
-   other VM told, if it is known. */
+   other VM told, if it is known by now. */
 void StreamResume_Recall(GateTask *task);
 /* Binds the stream to the version of the current call's worker, whose first
    event is about to be sent, and tells the other VMs. */
--- a/tests/fleet_rig.h
+++ b/tests/fleet_rig.h
@@ -6,6 +6,7 @@
 #include "gate_rig.h"
 
 #include <map>
+#include <set>
 
 /* Address on loopback at which connections hang: the queue of its listener is
    full, so that further ones get no answer. */
@@ -197,6 +198,18 @@
         }
     }
 
+    /* The VM learns the entries that it has missed. */
+    void
+    CatchUp(size_t vm)
+    {
+        behind.erase(vm);
+        for (size_t i = 0; i < workers.size(); i++) {
+            if (FindWorker(vm, i) == nullptr) {
+                SetEntry(edges[vm], i);
+            }
+        }
+    }
+
     /* Adds running calls to what all VMs count at the worker. */
     void
     AddLoad(size_t i, uint32_t calls)
@@ -342,6 +355,7 @@
     int64_t born_ms = 0; /* Start that workers to be added tell; 0: none. */
     /* Software versions of the workers by their numbers; "" beyond. */
     std::vector<std::string> versions;
+    std::set<size_t> behind; /* VMs that learn of no new workers. */
 
   private:
     static int
@@ -363,7 +377,7 @@
             if (cuts_.count(vm) > 0) {
                 SetCutEntry(vm, i);
             }
-            else if (edges[vm] != nullptr) {
+            else if (edges[vm] != nullptr && behind.count(vm) == 0) {
                 SetEntry(edges[vm], i);
             }
         }
--- a/tests/test_gate_out_of_step.cc
+++ b/tests/test_gate_out_of_step.cc
@@ -4,8 +4,32 @@
 #include "fleet_rig.h"
 #include "virtual_time.h"
 
+#include <set>
+#include <sys/syscall.h>
+
 namespace {
 
+/* Ports of VMs for other VMs: datagrams between one of these and others are
+   lost. */
+std::set<uint16_t> cut_ports;
+
+/* Port of the sender of a datagram. */
+uint16_t
+GetPort(int fd)
+{
+    sockaddr_in local = {};
+    socklen_t size = sizeof(local);
+    getsockname(fd, (sockaddr *)&local, &size);
+    return ntohs(local.sin_port);
+}
+
+bool
+IsCut(int fd, const sockaddr *to)
+{
+    uint16_t port = ntohs(((const sockaddr_in *)to)->sin_port);
+    return cut_ports.count(GetPort(fd)) != cut_ports.count(port);
+}
+
 const Route resumable = {RTE_STREAM, 3, true, 3000};
 
 /* A resumption of a stream that another VM began, at a worker of a version
@@ -20,6 +44,20 @@
            std::to_string(number) + "\r\nContent-Length: 1\r\n\r\nb";
 }
 
+/* Cuts VMs off from the other ones while it lives. */
+class LinkCut {
+  public:
+    explicit LinkCut(const std::set<uint16_t> &ports)
+    {
+        cut_ports = ports;
+    }
+
+    ~LinkCut()
+    {
+        cut_ports.clear();
+    }
+};
+
 /* VMs that have known the workers of the only version for long. */
 class OneVersionFleet : public FleetRig {
   public:
@@ -75,8 +113,10 @@
     {"stopped for 2 s", 3, 0, 2000, false, 0, false},
     {"suspended for 2 s", 3, 0, 2000, true, 0, false},
     {"stopped for 2 s, the only VM", 1, 0, 2000, false, 0, false},
-    {"stopped for 2 s, a while ago", 3, 0, 2000, false, 1500, true},
-    {"suspended for 2 s, a while ago", 3, 0, 2000, true, 1500, true},
+    {"stopped for 2 s, a while ago", 3, 0, 2000, false, 1500, false},
+    {"suspended for 2 s, a while ago", 3, 0, 2000, true, 1500, false},
+    {"stopped for 2 s, before the callers' time", 3, 0, 2000, false, 9000,
+     true},
 };
 
 /* Streams that had begun at a version that joined meanwhile went on at the
@@ -113,4 +153,91 @@
     EXPECT_TRUE(rig.IsServed(1));
 }
 
+struct JoinCase {
+    const char *name;
+    int vms;
+    std::set<size_t> cut; /* VMs that are cut off from the others. */
+    int cut_ms;           /* Before the stream begins. */
+    int later_ms;         /* From the end of the cut to the resumption. */
+    bool knows_worker;    /* The VM has learned of it by then. */
+    bool is_served;
+};
+
+const JoinCase join_cases[] = {
+    {"in step, but the entry comes late", 3, {}, 0, 0, false, false},
+    {"in step", 3, {}, 0, 0, true, true},
+    {"a short silence", 3, {0}, 200, -1, false, false},
+    {"cut off", 3, {0}, 1500, -1, false, false},
+    {"cut off for long", 3, {0}, 61000, -1, false, false},
+    {"cut off until just now", 3, {0}, 1500, 0, false, false},
+    {"cut off a while ago, the entry comes late",
+     3,
+     {0},
+     1500,
+     1200,
+     false,
+     false},
+    {"cut off a while ago", 3, {0}, 1500, 1200, true, true},
+    {"half of the VMs are cut off", 5, {0, 3, 4}, 1500, -1, false, false},
+    {"half of the VMs were cut off", 5, {0, 3, 4}, 1500, 1200, true, true},
+    {"large fleet, cut off a while ago", 18, {0}, 1500, 1200, false, false},
+};
+
+/* A worker of a new version joins and begins a stream while a VM is out of
+   step. The VM that began the stream is lost, and the caller resumes it at the
+   one that was out of step. */
+TEST(OutOfStep, StreamOfAVersionThatJoinedMeanwhileDoesNotGoOnAtTheOldOne)
+{
+    for (const JoinCase &row : join_cases) {
+        SCOPED_TRACE(row.name);
+        OneVersionFleet rig(row.vms);
+        std::set<uint16_t> ports;
+        for (size_t vm : row.cut) {
+            ports.insert(rig.peer_ports[vm]);
+            rig.behind.insert(vm);
+        }
+        rig.behind.insert(0);
+        auto cut = std::make_unique<LinkCut>(ports);
+        rig.RunFor(row.cut_ms);
+        for (size_t i : {0, 1}) {
+            rig.AddLoad(i, 100);
+        }
+        rig.versions.push_back("v2");
+        rig.AddWorker({{StreamHead("Transfer-Encoding: chunked\r\n") +
+                        Chunk(Events(0, 2))},
+                       Stream(3, 9)});
+        Caller *caller =
+            rig.Call(1, Request("POST", "X-Token-Usage: 1000,100\r\n"
+                                        "X-Prompt-Prefix: aa:200,b1:800\r\n"));
+        rig.RunFor(400);
+        ASSERT_EQ(rig.workers[2]->requests.size(), 1u);
+        EXPECT_EQ(caller->Status(), 200);
+        rig.KillVm(1);
+        rig.RunFor(row.cut_ms > 0 ? 200 : 0);
+        if (row.later_ms >= 0) {
+            cut.reset();
+            rig.RunFor(row.later_ms);
+        }
+        if (row.knows_worker) {
+            rig.CatchUp(0);
+        }
+        EXPECT_EQ(rig.IsServed(1), row.is_served);
+        for (size_t i : {0, 1}) {
+            EXPECT_TRUE(rig.workers[i]->requests.empty())
+                << "joins two versions";
+        }
+    }
+}
+
 } // namespace
+
+/* Takes the place of the C library's function. */
+extern "C" ssize_t
+sendto(int fd, const void *data, size_t size, int flags, const sockaddr *to,
+       socklen_t to_size)
+{
+    if (to != nullptr && !cut_ports.empty() && IsCut(fd, to)) {
+        return (ssize_t)size;
+    }
+    return syscall(SYS_sendto, fd, data, size, flags, to, to_size);
+}
