Soak: workers write malformed events, and callers read with a parser of their own

Cause: the soak's callers used the gate's reader, so no difference between two readers of the same bytes could show, and no worker wrote malformed events.

--- a/soak/load_generator.c
+++ b/soak/load_generator.c
@@ -1,10 +1,10 @@
 /* Load generator of a soak test: sends requests and checks responses. */
 #include "load_generator.h"
 
+#include "event_reader.h"
 #include "sim_answer.h"
 #include "sim_platform.h"
 
-#include "gate/sse.h"
 #include "io/client.h"
 #include "io/loop.h"
 
@@ -60,7 +60,7 @@
     bool has_stamp;
     bool has_finding; /* A finding was added for this request. */
     unsigned run;     /* That made the last event; 0: none. */
-    Sse sse;
+    EventReader reader;
     LoadGenStream stream;
     GByteArray *body;
 } LoadGenCall;
@@ -98,10 +98,9 @@
 static void on_head(void *context, int status, const HeaderList *headers);
 static void on_data(void *context, const void *data, size_t size);
 static void on_end(void *context, ClientOutcome outcome);
-static void check_event(LoadGenCall *call, const SseEvent *event);
+static void check_piece(void *context, const EventReaderPiece *piece);
 static void check_run(LoadGenCall *call, const SimEvent *event);
 static void check_version(LoadGenCall *call, int64_t event, unsigned version);
-static void check_events(LoadGenCall *call);
 static void check_response(LoadGenCall *call);
 static void check_body(LoadGenCall *call);
 static void free_call(LoadGenCall *call);
@@ -310,7 +309,7 @@
     call->stream.last_event = LOAD_GEN_NO_EVENT;
     call->stream.end_us = now_us + limit_ms * CLK_US_PER_MS;
     call->body = g_byte_array_new();
-    Sse_Init(&call->sse, &(SseOptions){0});
+    EventReader_Init(&call->reader, call, check_piece);
     g_snprintf(call->id, sizeof(call->id), "%c%u", is_long ? SIM_LONG : 'r',
                load_gen->number++);
     g_snprintf(target, sizeof(target), "/%s/%s",
@@ -422,8 +421,7 @@
     LoadGenCall *call = context;
 
     if (call->status == 200 && call->kind >= LEDGER_STREAM) {
-        Sse_Feed(&call->sse, data, size);
-        check_events(call);
+        EventReader_Feed(&call->reader, data, size);
     }
     else {
         g_byte_array_append(call->body, data, (guint)size);
@@ -478,20 +476,31 @@
 /* Checks that an event is one that a worker makes for this request, whole and
    with nothing else, and that it begins after the last one. */
 static void
-check_event(LoadGenCall *call, const SseEvent *event)
+check_piece(void *context, const EventReaderPiece *piece)
 {
+    LoadGenCall *call = context;
     Ledger *ledger = call->load_gen->options.ledger;
     LoadGenStream *stream = &call->stream;
-    char *text = g_strndup(event->data, event->size);
+    char *text =
+        g_strdup_printf("id: %s\ndata: %s\n\n", piece->id, piece->data);
     SimEvent made;
 
-    if (!SimAnswer_ReadEvent(text, &made) || strcmp(made.id, call->id) != 0) {
+    if (piece->ids != 1 || piece->data_lines != 1 || piece->others > 0 ||
+        !SimAnswer_ReadEvent(text, &made) || strcmp(made.id, call->id) != 0) {
+        char *data = g_strescape(piece->data, NULL);
         if (!call->has_finding) {
-            Ledger_AddFinding(ledger, "MIXED: %s received the event \"%s\"",
-                              call->id, text);
+            Ledger_AddFinding(ledger,
+                              "MIXED: %s received an event with %u IDs "
+                              "(\"%s\"), %u lines of data (\"%s\") and %u "
+                              "others",
+                              call->id, piece->ids, piece->id,
+                              piece->data_lines, data, piece->others);
         }
+        g_free(data);
         call->has_finding = true;
-        stream->last_event = event->form == SSE_FORM_EVENT ? event->id : stream->last_event;
+        if (g_ascii_isdigit(piece->id[0])) {
+            stream->last_event = g_ascii_strtoll(piece->id, NULL, 10);
+        }
         g_free(text);
         return;
     }
@@ -545,18 +554,6 @@
     call->stream.version = version;
 }
 
-static void
-check_events(LoadGenCall *call)
-{
-    size_t offset = 0;
-    SseEvent event;
-
-    while (Sse_Next(&call->sse, &offset, &event)) {
-        check_event(call, &event);
-    }
-    Sse_Drop(&call->sse, offset);
-}
-
 /* Checks a complete response with a success status. */
 static void
 check_response(LoadGenCall *call)
@@ -573,12 +570,13 @@
     }
     else if (call->stream.last_event + 1 !=
                  Sim_CountEvents(call->stream.origin) ||
-             Sse_IsInsideEvent(&call->sse)) {
+             EventReader_IsInside(&call->reader)) {
         Ledger_AddFinding(
             ledger, "ORDER: %s ended normally after event %lld of %u%s",
             call->id, (long long)call->stream.last_event,
             Sim_CountEvents(call->stream.origin),
-            Sse_IsInsideEvent(&call->sse) ? " and a part of another" : "");
+            EventReader_IsInside(&call->reader) ? " and a part of another"
+                                                : "");
         call->has_finding = true;
     }
 }
@@ -616,7 +614,7 @@
     if (call->disconnect_timer != NULL) {
         event_free(call->disconnect_timer);
     }
-    Sse_Clear(&call->sse);
+    EventReader_Clear(&call->reader);
     g_byte_array_free(call->body, TRUE);
     g_free(call);
 }
--- a/soak/sim_answer.c
+++ b/soak/sim_answer.c
@@ -1,5 +1,6 @@
 /* Answer of a simulated worker. See sim_answer.h. */
 #include "sim_answer.h"
+#include "malformed_event.h"
 
 #include "io/server_conn.h"
 
@@ -24,8 +25,11 @@
 #define SIM_PIECES_MAX 3
 #define SIM_PIECE_PAUSE_MS 40
 #define SIM_EVENT_MAX_BYTES 128
+/* Share of the streams with a malformed event. */
+#define SIM_MALFORMED_RATIO 0.1
 
 static SimFraming draw_framing(GRand *rand);
+static uint32_t draw_malformed(const SimStreamOptions *options);
 static void add_piece(SimAnswer *answer, size_t end, uint32_t pause_ms);
 static bool is_inside_event(const SimAnswer *answer);
 
@@ -56,6 +60,7 @@
 {
     uint32_t interval_ms = options->interval_ms;
     uint32_t pause_ms = 0;
+    uint32_t malformed = draw_malformed(options);
     guint joined = 0;
 
     memset(answer, 0, sizeof(*answer));
@@ -75,6 +80,12 @@
             tokens = (uint32_t)g_rand_int_range(rand, 1, SIM_STEP_MAX + 1);
             tokens = MIN(tokens, options->end - next);
         }
+        if (next <= malformed && malformed < next + tokens) {
+            g_string_append(
+                answer->body,
+                MalformedEvent_Draw(options->malformed_rand, next == 0));
+            answer->malformed = answer->body->len;
+        }
         event.last = next + tokens - 1;
         g_strlcpy(event.id, options->id, sizeof(event.id));
         SimAnswer_FormatEvent(text, sizeof(text), &event);
@@ -242,6 +253,20 @@
                                                      : SIM_FRAMING_CHUNKS;
 }
 
+/* Returns the number of the token before which a malformed event comes, or
+   UINT32_MAX if none does. */
+static uint32_t
+draw_malformed(const SimStreamOptions *options)
+{
+    GRand *rand = options->malformed_rand;
+
+    return rand != NULL && options->first < options->end &&
+                   g_rand_double(rand) < SIM_MALFORMED_RATIO
+               ? (uint32_t)g_rand_int_range(rand, (gint32)options->first,
+                                            (gint32)options->end)
+               : UINT32_MAX;
+}
+
 static void
 add_piece(SimAnswer *answer, size_t end, uint32_t pause_ms)
 {
--- a/soak/sim_answer.h
+++ b/soak/sim_answer.h
@@ -33,6 +33,8 @@
     unsigned run;         /* Number of the run, of all workers'. */
     uint32_t interval_ms; /* Mean time between tokens. */
     bool has_steps;       /* An event may hold several tokens. */
+    /* Draws the malformed event among those of some streams; NULL: none. */
+    GRand *malformed_rand;
 } SimStreamOptions;
 
 /* A part of the body that is written at once. */
@@ -47,6 +49,7 @@
     GArray *pieces;   /* SimPiece elements. */
     guint next;       /* Piece that is written next. */
     size_t written;   /* Bytes of the body. */
+    size_t malformed; /* Offset of the end of a malformed event; 0: none. */
     bool is_begun;    /* The header was sent. */
     bool is_breaking; /* A part of a piece was written, nothing follows. */
 } SimAnswer;
--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -701,6 +701,12 @@
     sim->failed_ratio = failed_ratio;
 }
 
+void
+Sim_EndMalformed(Sim *sim)
+{
+    sim->options.malformed_rand = NULL;
+}
+
 uint32_t
 Sim_CountEvents(const char *id)
 {
@@ -1402,6 +1408,9 @@
     /* A stream has an end of its own, after its last event. */
     if (SimAnswer_Write(answer, job->exchange, &pause_ms) &&
         (job->is_stream || pause_ms > 0)) {
+        excuse_request(sim, job->id,
+                       answer->malformed != 0 &&
+                           answer->written >= answer->malformed);
         Loop_ArmTimer(job->timer, pause_ms);
         return;
     }
@@ -1457,6 +1466,7 @@
             .run = ++sim->last_run,
             .interval_ms = worker->interval_ms,
             .has_steps = sim->options.has_steps,
+            .malformed_rand = sim->options.malformed_rand,
         };
         SimAnswer_InitStream(&job->answer, &stream, rand);
     }
@@ -1490,7 +1500,7 @@
     const SimWorker *worker = job->worker;
     const Sim *sim = worker->sim;
 
-    if (!worker->is_cut &&
+    if (!worker->is_cut && job->answer.malformed == 0 &&
         !event_pending(worker->silence_timer, EV_TIMEOUT, NULL)) {
         Ledger_RecordAnswer(sim->ledger, job->id, Clk_Now(sim->clk));
     }
--- a/soak/sim_platform.h
+++ b/soak/sim_platform.h
@@ -70,6 +70,8 @@
     /* A worker that goes on may end an answer without framing between two
        events. Nothing shows that its answer is not complete. */
     bool has_cuts;
+    /* Draws the malformed events that the workers write; NULL: none. */
+    GRand *malformed_rand;
 } SimOptions;
 
 typedef struct Sim Sim;
@@ -132,6 +134,8 @@
    `failed_ratio`, that a plain run ends with status 500. Prefills do not
    fail. */
 void Sim_SetFailures(Sim *sim, double lost_ratio, double failed_ratio);
+/* From now on workers write no malformed events in new streams. */
+void Sim_EndMalformed(Sim *sim);
 /* Returns the number of events in the stream that answers a request. One whose
    identifier begins with SIM_LONG lasts up to 12 s. */
 uint32_t Sim_CountEvents(const char *id);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -87,6 +87,7 @@
 /* The same for the forms of answers and of the ends of processes. */
 #define SOAK_FORM_SEED 0x62
 #define SOAK_LINGER_SEED 0x65
+#define SOAK_MALFORMED_SEED 0x66
 /* Share of the crashed workers that start again at once. */
 #define SOAK_RESTART_AT_ONCE_RATIO 0.25
 /* With two builds: time between the changes of two VMs. */
@@ -108,6 +109,7 @@
     const char *fault;    /* Name of the only fault that is drawn, or NULL. */
     bool has_steps;       /* An event may hold several tokens. */
     bool has_cuts;        /* As in SimOptions. */
+    bool has_malformed;   /* Workers write malformed events. */
     bool restarts;        /* Workers keep their identifiers, and callers take
                              up streams. */
     double failing_ratio; /* Share of the answers that are lost all the time,
@@ -174,6 +176,7 @@
     struct event *timer; /* Starts the next fault. */
     GRand *form_rand;    /* NULL with two builds. */
     GRand *linger_rand;  /* The same. */
+    GRand *malformed_rand;
     GRand *silence_rand;
     struct event *series_timer;  /* Starts the next series of silences. */
     struct event *planned_timer; /* Starts the work planned in a series. */
@@ -311,10 +314,13 @@
     struct arg_lit *cuts =
         arg_lit0(NULL, "cuts",
                  "answers without framing may break off between two events");
+    struct arg_lit *malformed =
+        arg_lit0(NULL, "malformed", "workers write malformed events");
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_end *end = arg_end(8);
-    void *table[] = {gate,    old_gate, out,   seed, vms,  seconds, restarts,
-                     failing, only,     steps, cuts, help, end};
+    void *table[] = {gate,    old_gate,  out,     seed, vms,
+                     seconds, restarts,  failing, only, steps,
+                     cuts,    malformed, help,    end};
     int errors;
     int status = 2;
 
@@ -349,6 +355,7 @@
             .fault = only->count > 0 ? only->sval[0] : NULL,
             .has_steps = steps->count > 0,
             .has_cuts = cuts->count > 0,
+            .has_malformed = malformed->count > 0,
             .restarts = restarts->count > 0,
             .failing_ratio = failing->dval[0],
         };
@@ -386,6 +393,7 @@
     }
     /* The end of "answers_lost" sets failing_ratio again. */
     Sim_SetFailures(self.sim, 0, 0);
+    Sim_EndMalformed(self.sim);
     wait_for_recovery(&self);
 
     /* Shuts down while requests are open: the gates end each request that they
@@ -464,6 +472,7 @@
 
     self->rand = g_rand_new_with_seed(seed);
     self->silence_rand = g_rand_new_with_seed(seed + SOAK_SILENCE_SEED);
+    self->malformed_rand = g_rand_new_with_seed(seed + SOAK_MALFORMED_SEED);
     /* Earlier builds take the end of a process for the end of its answers. */
     if (self->options.old_gate == NULL) {
         self->form_rand = g_rand_new_with_seed(seed + SOAK_FORM_SEED);
@@ -498,6 +507,7 @@
     begin_random(self);
     sim.form_rand = self->form_rand;
     sim.linger_rand = self->linger_rand;
+    sim.malformed_rand = options->has_malformed ? self->malformed_rand : NULL;
     self->active_faults = g_ptr_array_new();
     Ledger_Init(&self->ledger, &budget);
     /* VMs of earlier builds that serve for each other use more. */
@@ -578,6 +588,7 @@
     g_ptr_array_free(self->active_faults, TRUE);
     g_rand_free(self->rand);
     g_rand_free(self->silence_rand);
+    g_rand_free(self->malformed_rand);
     if (self->form_rand != NULL) {
         g_rand_free(self->form_rand);
         g_rand_free(self->linger_rand);
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -800,6 +800,27 @@
          return "id: 0\ndata: " + MakeEvents(id, 0, n);
      },
      false, false, "MIXED", 0},
+    {"data without an ID", "/stream/",
+     [](const std::string &id, int n) {
+         return "data: x\n\n" + MakeEvents(id, 0, n);
+     },
+     false, false, "MIXED", 0},
+    {"two IDs, of which a caller takes the last one", "/stream/",
+     [](const std::string &id, int n) {
+         return MakeEvents(id, 0, n - 1) + "id: " + std::to_string(n - 1) +
+                "\n" + MakeEvents(id, n - 1, n);
+     },
+     false, false, "MIXED", 0},
+    {"an event behind a CR in a comment", "/stream/",
+     [](const std::string &id, int n) {
+         return ": c\rid: 3\rdata: x\r\r\n\n" + MakeEvents(id, 0, n);
+     },
+     false, false, "MIXED", 0},
+    {"a field of another name", "/stream/",
+     [](const std::string &id, int n) {
+         return "event: x\n" + MakeEvents(id, 0, n);
+     },
+     false, false, "MIXED", 0},
     {"event of another request", "/stream/",
      [](const std::string &, int n) { return MakeEvents("x1", 0, n); }, false,
      false, "MIXED", 0},
