--- a/src/gate/edge.c
+++ b/src/gate/edge.c
@@ -298,6 +298,7 @@
     gossip.clk = edge->options.clk;
     gossip.ip = edge->options.peers.ip;
     gossip.port = edge->options.peers.port;
+    gossip.advertised = edge->options.advertised;
     gossip.vm = edge->options.vm;
     gossip.region =
         g_hash_table_lookup(edge->options.regions, edge->options.zone);
--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -94,6 +94,9 @@
     getsockname(gos->fd, (struct sockaddr *)&local, &size);
     gos->address = (uint64_t)ntohl(local.sin_addr.s_addr) << 16 |
                    (uint64_t)ntohs(local.sin_port);
+    if (options->advertised != NULL) {
+        gos->address = parse_address(options->advertised);
+    }
     gos->rand = g_rand_new_with_seed(options->seed);
     Gos_SetSeeds(gos, options->seeds, options->seed_count);
     if (options->suspects != NULL && has_other_seed(gos)) {
--- a/src/gate/gossip.h
+++ b/src/gate/gossip.h
@@ -60,6 +60,9 @@
     const Clk *clk;
     const char *ip;
     uint16_t port; /* UDP; 0 takes any free port. */
+    /* "IP:port" at which other VMs reach this one, if a translation of
+       addresses or a proxy stands between; NULL: as above. */
+    const char *advertised;
     const char *vm;
     const char *region;
     GHashTable *regions;  /* Zone to region, of all VMs; NULL: not known. */
