--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -29,7 +29,7 @@
     struct event_base *base;
     struct evconnlistener *listener;
     uint16_t port;
-    uint16_t target_port;
+    struct sockaddr_in target;
     ProxyMode mode;
     bool is_held;
     LIST_HEAD(ProxyLinkList, ProxyLink) open_links;
@@ -51,15 +51,26 @@
 
 Proxy *
 Proxy_New(struct event_base *base, uint16_t target_port)
+{
+    struct sockaddr_in listen;
+    struct sockaddr_in target;
+
+    fill_address(&listen, 0);
+    fill_address(&target, target_port);
+    return Proxy_NewBetween(base, &listen, &target);
+}
+
+Proxy *
+Proxy_NewBetween(struct event_base *base, const struct sockaddr_in *listen,
+                 const struct sockaddr_in *target)
 {
     Proxy *proxy = g_new0(Proxy, 1);
-    struct sockaddr_in address;
+    struct sockaddr_in address = *listen;
     socklen_t size = sizeof(address);
 
     proxy->base = base;
-    proxy->target_port = target_port;
+    proxy->target = *target;
     LIST_INIT(&proxy->open_links);
-    fill_address(&address, 0);
     proxy->listener = evconnlistener_new_bind(
         base, on_accept, proxy, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 64,
         (struct sockaddr *)&address, sizeof(address));
@@ -86,7 +97,7 @@
 void
 Proxy_SetTarget(Proxy *proxy, uint16_t target_port)
 {
-    proxy->target_port = target_port;
+    proxy->target.sin_port = htons(target_port);
 }
 
 void
@@ -120,7 +131,6 @@
 {
     Proxy *proxy = context;
     ProxyLink *link = g_new0(ProxyLink, 1);
-    struct sockaddr_in to;
 
     (void)listener;
     (void)from;
@@ -137,9 +147,9 @@
                           link);
         bufferevent_enable(link->sockets[i], EV_READ | EV_WRITE);
     }
-    fill_address(&to, proxy->target_port);
-    bufferevent_socket_connect(link->sockets[1], (struct sockaddr *)&to,
-                               sizeof(to));
+    bufferevent_socket_connect(link->sockets[1],
+                               (struct sockaddr *)&proxy->target,
+                               sizeof(proxy->target));
     for (int i = 0; i < 2; i++) {
         set_no_delay(link->sockets[i]);
     }
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -4,6 +4,7 @@
 #define LS_PROXY_H
 
 #include <event2/event.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -29,6 +30,10 @@
    same address. */
 Proxy *Proxy_New(struct event_base *base, uint16_t target_port);
 /* Resets all connections and closes the listener. */
+/* The same between any two addresses. */
+Proxy *Proxy_NewBetween(struct event_base *base,
+                        const struct sockaddr_in *listen,
+                        const struct sockaddr_in *target);
 void Proxy_Free(Proxy *proxy);
 /* Returns the port on which the proxy listens. */
 uint16_t Proxy_GetPort(const Proxy *proxy);
--- a/soak/sim_platform.c
+++ b/soak/sim_platform.c
@@ -110,7 +110,8 @@
     Server *server; /* NULL while stopped */
     Proxy *proxy;
     guint number;
-    guint starts; /* Number of starts; part of the identifier. */
+    guint starts;  /* Number of starts; part of the identifier. */
+    guint version; /* The release at its start. */
     char id[32];
     uint32_t interval_ms;      /* Time between the events of its streams. */
     int64_t born_ms;           /* Unix time of its start. */
@@ -169,6 +170,7 @@
     struct event *lapse_timer;
     int64_t vm_started_us[SIM_VMS_MAX];
     uint64_t version; /* Configuration version. */
+    guint release;    /* Version of workers that start now. */
     LIST_HEAD(SimStoreCallList, SimStoreCall) store_calls;
     LIST_HEAD(SimJobList, SimJob) jobs;
     SimWorker workers[SIM_WORKER_COUNT];
@@ -252,6 +254,7 @@
     sim->ledger = ledger;
     sim->rand = rand;
     sim->options = *options;
+    sim->release = 1;
     sim->items =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_item);
     sim->wanted =
@@ -538,6 +541,7 @@
         g_free(key);
     }
     worker->starts++;
+    worker->version = sim->release;
     worker->interval_ms = (uint32_t)g_rand_int_range(
         sim->rand, SIM_INTERVAL_MIN_MS, SIM_INTERVAL_MAX_MS);
     worker->draining = false;
@@ -701,6 +705,12 @@
     sim->failed_ratio = failed_ratio;
 }
 
+void
+Sim_SetRelease(Sim *sim, guint version)
+{
+    sim->release = version;
+}
+
 void
 Sim_EndMalformed(Sim *sim)
 {
@@ -778,7 +788,9 @@
 static guint
 get_version(const SimWorker *worker)
 {
-    return 1 + (worker->number + worker->starts) % 2;
+    return worker->sim->options.has_releases
+               ? worker->version
+               : 1 + (worker->number + worker->starts) % 2;
 }
 
 static void
--- a/soak/sim_platform.h
+++ b/soak/sim_platform.h
@@ -70,6 +70,9 @@
     /* A worker that goes on may end an answer without framing between two
        events. Nothing shows that its answer is not complete. */
     bool has_cuts;
+    /* The version of a worker is that of the release at its start, not one
+       that changes with each start. */
+    bool has_releases;
     /* Draws the malformed events that the workers write; NULL: none. */
     GRand *malformed_rand;
 } SimOptions;
@@ -134,6 +137,8 @@
    `failed_ratio`, that a plain run ends with status 500. Prefills do not
    fail. */
 void Sim_SetFailures(Sim *sim, double lost_ratio, double failed_ratio);
+/* Sets the version of workers that start from now on, with has_releases. */
+void Sim_SetRelease(Sim *sim, guint version);
 /* From now on workers write no malformed events in new streams. */
 void Sim_EndMalformed(Sim *sim);
 /* Returns the number of events in the stream that answers a request. One whose
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -3,7 +3,9 @@
 
    Exit codes: 0 no findings, 1 a guarantee was violated, 2 wrong usage. */
 #include "load_generator.h"
+#include "release.h"
 #include "sim_platform.h"
+#include "vm_links.h"
 
 #include "io/loop.h"
 
@@ -88,6 +90,7 @@
 #define SOAK_FORM_SEED 0x62
 #define SOAK_LINGER_SEED 0x65
 #define SOAK_MALFORMED_SEED 0x66
+#define SOAK_RELEASE_SEED 0x67
 /* Share of the crashed workers that start again at once. */
 #define SOAK_RESTART_AT_ONCE_RATIO 0.25
 /* With two builds: time between the changes of two VMs. */
@@ -110,6 +113,7 @@
     bool has_steps;       /* An event may hold several tokens. */
     bool has_cuts;        /* As in SimOptions. */
     bool has_malformed;   /* Workers write malformed events. */
+    bool has_release;     /* The only fault is that of release.h. */
     bool restarts;        /* Workers keep their identifiers, and callers take
                              up streams. */
     double failing_ratio; /* Share of the answers that are lost all the time,
@@ -177,6 +181,9 @@
     GRand *form_rand;    /* NULL with two builds. */
     GRand *linger_rand;  /* The same. */
     GRand *malformed_rand;
+    GRand *release_rand;
+    VmLinks *links;   /* NULL without a release. */
+    Release *release; /* The same. */
     GRand *silence_rand;
     struct event *series_timer;  /* Starts the next series of silences. */
     struct event *planned_timer; /* Starts the work planned in a series. */
@@ -189,6 +196,9 @@
 };
 
 static int run_soak(const SoakOptions *options);
+static void begin_release(Soak *self);
+static void set_paused(void *context, guint vm, bool is_paused);
+static void kill_vm_of_release(void *context, guint vm);
 static void wait_for_recovery(Soak *self);
 static void begin_random(Soak *self);
 static void begin_soak(Soak *self);
@@ -316,11 +326,14 @@
                  "answers without framing may break off between two events");
     struct arg_lit *malformed =
         arg_lit0(NULL, "malformed", "workers write malformed events");
+    struct arg_lit *release =
+        arg_lit0(NULL, "release",
+                 "new workers join while VMs are cut off or stand still");
     struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
     struct arg_end *end = arg_end(8);
     void *table[] = {gate,    old_gate,  out,     seed, vms,
                      seconds, restarts,  failing, only, steps,
-                     cuts,    malformed, help,    end};
+                     cuts,    malformed, release, help, end};
     int errors;
     int status = 2;
 
@@ -356,6 +369,7 @@
             .has_steps = steps->count > 0,
             .has_cuts = cuts->count > 0,
             .has_malformed = malformed->count > 0,
+            .has_release = release->count > 0,
             .restarts = restarts->count > 0,
             .failing_ratio = failing->dval[0],
         };
@@ -376,8 +390,13 @@
     int status;
 
     begin_soak(&self);
-    Loop_ArmTimer(self.timer, SOAK_INTERVAL_MIN_MS);
-    Loop_ArmTimer(self.series_timer, SOAK_SERIES_MIN_MS);
+    if (options->has_release) {
+        begin_release(&self);
+    }
+    else {
+        Loop_ArmTimer(self.timer, SOAK_INTERVAL_MIN_MS);
+        Loop_ArmTimer(self.series_timer, SOAK_SERIES_MIN_MS);
+    }
     if (options->old_gate != NULL) {
         Loop_ArmTimer(self.change_timer, SOAK_CHANGE_MS);
     }
@@ -388,6 +407,7 @@
     event_del(self.planned_timer);
     event_del(self.change_timer);
     Sim_EndSilences(self.sim);
+    Release_Free(self.release);
     while (self.active_faults->len > 0) {
         end_fault(g_ptr_array_index(self.active_faults, 0));
     }
@@ -442,6 +462,40 @@
     return status;
 }
 
+static void
+begin_release(Soak *self)
+{
+    ReleaseOptions options = {
+        .base = self->base,
+        .rand = self->release_rand,
+        .sim = self->sim,
+        .links = self->links,
+        .vm_count = self->vm_count,
+        .context = self,
+        .set_paused = set_paused,
+        .kill_vm = kill_vm_of_release,
+    };
+
+    self->release = Release_New(&options);
+}
+
+static void
+set_paused(void *context, guint vm, bool is_paused)
+{
+    if (is_paused) {
+        pause_vm(context, NULL, vm);
+    }
+    else {
+        resume_vm(context, NULL, vm);
+    }
+}
+
+static void
+kill_vm_of_release(void *context, guint vm)
+{
+    kill_vm(context, NULL, vm);
+}
+
 /* Checks that all VMs serve all kinds of request again. */
 static void
 wait_for_recovery(Soak *self)
@@ -473,6 +527,8 @@
     self->rand = g_rand_new_with_seed(seed);
     self->silence_rand = g_rand_new_with_seed(seed + SOAK_SILENCE_SEED);
     self->malformed_rand = g_rand_new_with_seed(seed + SOAK_MALFORMED_SEED);
+    /* The first numbers of seeds that follow each other are alike. */
+    self->release_rand = g_rand_new_with_seed(seed * SOAK_RELEASE_SEED);
     /* Earlier builds take the end of a process for the end of its answers. */
     if (self->options.old_gate == NULL) {
         self->form_rand = g_rand_new_with_seed(seed + SOAK_FORM_SEED);
@@ -498,6 +554,7 @@
                                                         : SOAK_SLOTS,
         .has_steps = options->has_steps,
         .has_cuts = options->has_cuts,
+        .has_releases = options->has_release,
     };
 
     signal(SIGPIPE, SIG_IGN);
@@ -531,13 +588,17 @@
     load.vm_count = self->vm_count;
     load.requests_per_s =
         MAX(SOAK_REQUESTS_PER_S, SOAK_VM_REQUESTS_PER_S * self->vm_count);
-    load.takes_up = options->restarts;
-    load.long_ratio =
-        options->restarts ? SOAK_TAKEN_LONG_RATIO : SOAK_LONG_RATIO;
+    load.takes_up = options->restarts || options->has_release;
+    load.long_ratio = load.takes_up ? SOAK_TAKEN_LONG_RATIO : SOAK_LONG_RATIO;
     load.disconnect_ratio = SOAK_DISCONNECT_RATIO;
     /* All VMs use the same three consecutive ports, each on its own loopback
        address. */
     self->port = (uint16_t)(20000 + (guint)getpid() % 4000 * 3);
+    if (options->has_release) {
+        self->links =
+            VmLinks_New(self->base, self->vm_count, (uint16_t)(self->port + 2),
+                        Proxy_GetPort(Sim_GetStoreProxy(self->sim)));
+    }
     for (guint i = 0; i < self->vm_count; i++) {
         SoakVm *vm = &self->vms[i];
         vm->soak = self;
@@ -578,6 +639,7 @@
         event_free(self->vms[i].hold_timer);
     }
     LoadGen_Free(self->load_gen);
+    VmLinks_Free(self->links);
     Sim_Free(self->sim);
     event_free(self->child_signal);
     event_free(self->timer);
@@ -589,6 +651,7 @@
     g_rand_free(self->rand);
     g_rand_free(self->silence_rand);
     g_rand_free(self->malformed_rand);
+    g_rand_free(self->release_rand);
     if (self->form_rand != NULL) {
         g_rand_free(self->form_rand);
         g_rand_free(self->linger_rand);
@@ -609,7 +672,7 @@
         "\"listen\":{\"front\":\"127.0.1.%u:%u\",\"ready\":"
         "\"127.0.1.%u:%u\",\"control\":\"127.0.1.%u:%u\"},"
         "\"zones\":{\"zone-a\":\"r\",\"zone-b\":\"r\"},"
-        "\"seed-addrs\":[\"127.0.1.1:%u\"],"
+        "\"seed-addrs\":[\"127.0.%d.1:%u\"],"
         "\"platform\":{\"addr\":\"127.0.0.1:%u\"},"
         "\"bounds\":{\"drain-ms\":%d,\"grace-s\":%d,\"lease-ms\":3000,"
         "\"budget-ratio\":%.3f,\"budget-slack\":%.0f,"
@@ -617,7 +680,9 @@
         vm->number, 'a' + (int)(vm->number % 2), vm->number + 1,
         self->is_started ? "false" : "true", vm->number + 1, self->port,
         vm->number + 1, self->port + 1, vm->number + 1, self->port + 2,
-        self->port + 2, Proxy_GetPort(Sim_GetStoreProxy(self->sim)),
+        self->links != NULL ? 2 : 1, self->port + 2,
+        self->links != NULL ? VmLinks_GetStorePort(self->links, vm->number)
+                            : Proxy_GetPort(Sim_GetStoreProxy(self->sim)),
         SIM_DRAIN_MS, SOAK_GRACE_MS / 1000, self->ledger.budget.options.ratio,
         self->ledger.budget.options.slack, SOAK_WINDOW_S);
 
@@ -640,12 +705,19 @@
 static void
 start_vm(SoakVm *vm)
 {
-    char *argv[] = {(char *)vm->gate, (char *)"--settings", vm->settings,
+    char advertised[32];
+    char *argv[] = {(char *)vm->gate,
+                    (char *)"--settings",
+                    vm->settings,
+                    vm->soak->links != NULL ? (char *)"--advertise" : NULL,
+                    advertised,
                     NULL};
     char *envp[] = {NULL};
     posix_spawn_file_actions_t files;
     void (*handler)(int);
 
+    g_snprintf(advertised, sizeof(advertised), "127.0.2.%u:%u", vm->number + 1,
+               vm->soak->port + 2);
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, vm->log,
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
