--- a/tests/test_gate_out_of_step.cc
+++ b/tests/test_gate_out_of_step.cc
@@ -61,8 +61,12 @@
 /* VMs that have known the workers of the only version for long. */
 class OneVersionFleet : public FleetRig {
   public:
-    explicit OneVersionFleet(int vms) : FleetRig(resumable, vms, 0)
+    explicit OneVersionFleet(int vms, int remote_vms = 0)
+        : FleetRig(resumable, vms, 0)
     {
+        for (int i = 0; i < remote_vms; i++) {
+            AddVm(0, i % 2 == 0 ? "zone-b" : "zone-c");
+        }
         for (int i = 0; i < 2; i++) {
             versions.push_back("v1");
             AddWorker(std::vector<ScriptedReply>(40, Stream(3, 9)));
@@ -142,6 +146,16 @@
     }
 }
 
+/* VMs of other regions send each message to some VMs only, so that silences of
+   a second are usual. */
+TEST(OutOfStep, SilencesOfVmsThatSendToSomeOnlyAreUsual)
+{
+    OneVersionFleet rig(4, 11);
+    for (int i = 1; i <= 10; i++) {
+        EXPECT_TRUE(rig.IsServed(i)) << i;
+    }
+}
+
 /* The workers that keep the prompt still tell where the stream began. */
 TEST(OutOfStep, TheWorkersTellOfTheirStreams)
 {
