--- a/soak/release.c
+++ b/soak/release.c
@@ -6,15 +6,18 @@
 /* Times between the steps. */
 #define RELEASE_JOIN_MIN_MS 100
 #define RELEASE_JOIN_MAX_MS 900
-#define RELEASE_RUN_MIN_MS 600
-#define RELEASE_RUN_MAX_MS 2500
+#define RELEASE_RUN_MIN_MS 1500
+#define RELEASE_RUN_MAX_MS 3500
 #define RELEASE_HEAL_MIN_MS 100
 #define RELEASE_HEAL_MAX_MS 1500
 /* Shares of the releases in which a new worker starts again as the streams
-   break, a VM stands still, and a cut takes the store, too. */
+   break, a VM stands still, half of the VMs are cut off, a cut takes the
+   store, too, and is over before streams break. */
 #define RELEASE_CRASH_RATIO 0.5
-#define RELEASE_PAUSE_RATIO 0.3
-#define RELEASE_STORE_RATIO 0.6
+#define RELEASE_PAUSE_RATIO 0.2
+#define RELEASE_HALF_RATIO 0.5
+#define RELEASE_STORE_RATIO 0.8
+#define RELEASE_EARLY_RATIO 0.4
 
 typedef enum ReleaseStep {
     RELEASE_LEAVE_STEP, /* VMs get out of step. */
@@ -113,16 +116,15 @@
     release->first =
         (guint)g_rand_int_range(rand, 0, (gint32)options->vm_count);
     release->is_out_of_step = true;
-    release->heals_early = g_rand_boolean(rand);
+    release->heals_early = g_rand_double(rand) < RELEASE_EARLY_RATIO;
     release->is_paused = g_rand_double(rand) < RELEASE_PAUSE_RATIO;
     release->cut = g_rand_double(rand) < RELEASE_STORE_RATIO
                        ? VM_LINKS_CUT_VMS_AND_STORE
                        : VM_LINKS_CUT_VMS;
     release->count =
-        release->is_paused
-            ? 1
-            : (guint)g_rand_int_range(rand, 1,
-                                      (gint32)(options->vm_count + 1) / 2 + 1);
+        !release->is_paused && g_rand_double(rand) < RELEASE_HALF_RATIO
+            ? (options->vm_count + 1) / 2
+            : 1;
     for (guint i = 0; i < release->count; i++) {
         guint vm = (release->first + i) % options->vm_count;
         if (release->is_paused) {
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -27,6 +27,7 @@
 /* Share of the streams that are long, and while callers take streams up. */
 #define SOAK_LONG_RATIO 0.03
 #define SOAK_TAKEN_LONG_RATIO 0.25
+#define SOAK_RELEASE_LONG_RATIO 0.5
 /* Slots of a worker, and for more VMs than SOAK_SMALL_VMS_MAX. */
 #define SOAK_SLOTS 8
 #define SOAK_LARGE_SLOTS 48
@@ -590,6 +591,9 @@
         MAX(SOAK_REQUESTS_PER_S, SOAK_VM_REQUESTS_PER_S * self->vm_count);
     load.takes_up = options->restarts || options->has_release;
     load.long_ratio = load.takes_up ? SOAK_TAKEN_LONG_RATIO : SOAK_LONG_RATIO;
+    if (options->has_release) {
+        load.long_ratio = SOAK_RELEASE_LONG_RATIO;
+    }
     load.disconnect_ratio = SOAK_DISCONNECT_RATIO;
     /* All VMs use the same three consecutive ports, each on its own loopback
        address. */
