--- a/soak/event_reader.c
+++ b/soak/event_reader.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 static void end_line(EventReader *reader);
+static bool is_field(const GString *line, size_t size, const char *name);
 static void end_piece(EventReader *reader);
 
 void
@@ -62,19 +63,17 @@
     const char *colon = memchr(line->str, ':', line->len);
     size_t size = colon != NULL ? (size_t)(colon - line->str) : line->len;
     const char *value = colon != NULL ? colon + 1 : "";
+    bool has_nul = memchr(line->str, '\0', line->len) != NULL;
 
     value += *value == ' ' ? 1 : 0;
     if (line->len == 0) {
         end_piece(reader);
     }
-    else if (memchr(line->str, '\0', line->len) != NULL) {
-        reader->piece.others++;
-    }
-    else if (size == strlen("id") && memcmp(line->str, "id", size) == 0) {
+    else if (is_field(line, size, "id") && !has_nul) {
         reader->piece.ids++;
         g_string_assign(reader->id, value);
     }
-    else if (size == strlen("data") && memcmp(line->str, "data", size) == 0) {
+    else if (is_field(line, size, "data") && !has_nul) {
         if (reader->piece.data_lines++ > 0) {
             g_string_append_c(reader->data, '\n');
         }
@@ -86,6 +85,13 @@
     g_string_truncate(line, 0);
 }
 
+/* Whether the name of the line's field, `size` bytes, is this one. */
+static bool
+is_field(const GString *line, size_t size, const char *name)
+{
+    return size == strlen(name) && memcmp(line->str, name, size) == 0;
+}
+
 static void
 end_piece(EventReader *reader)
 {
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -203,6 +203,7 @@
 static void wait_for_recovery(Soak *self);
 static void begin_random(Soak *self);
 static void begin_soak(Soak *self);
+static void start_all_vms(Soak *self);
 static void end_soak(Soak *self);
 static void write_settings(Soak *self, SoakVm *vm);
 static void start_vm(SoakVm *vm);
@@ -595,6 +596,23 @@
         load.long_ratio = SOAK_RELEASE_LONG_RATIO;
     }
     load.disconnect_ratio = SOAK_DISCONNECT_RATIO;
+    start_all_vms(self);
+    for (guint i = 0; i < self->vm_count; i++) {
+        load.addresses[i] = self->vms[i].address;
+    }
+    run_for(self, SOAK_START_MS);
+    self->is_started = true;
+    for (guint i = 0; i < self->vm_count; i++) {
+        write_settings(self, &self->vms[i]);
+    }
+    self->load_gen = LoadGen_New(&load);
+}
+
+static void
+start_all_vms(Soak *self)
+{
+    const SoakOptions *options = &self->options;
+
     /* All VMs use the same three consecutive ports, each on its own loopback
        address. */
     self->port = (uint16_t)(20000 + (guint)getpid() % 4000 * 3);
@@ -616,17 +634,10 @@
         g_snprintf(vm->log, sizeof(vm->log), "%s/vm%u.log", options->out, i);
         g_snprintf(vm->address, sizeof(vm->address), "127.0.1.%u:%u", i + 1,
                    self->port);
-        load.addresses[i] = vm->address;
         unlink(vm->log);
         write_settings(self, vm);
         start_vm(vm);
     }
-    run_for(self, SOAK_START_MS);
-    self->is_started = true;
-    for (guint i = 0; i < self->vm_count; i++) {
-        write_settings(self, &self->vms[i]);
-    }
-    self->load_gen = LoadGen_New(&load);
 }
 
 static void
--- a/soak/vm_links.c
+++ b/soak/vm_links.c
@@ -111,7 +111,7 @@
     const VmLink *link = context;
     struct sockaddr_in to =
         get_address(VM_LINKS_VM_NET, link->vm, link->links->port);
-    struct sockaddr_in from;
+    struct sockaddr_in from = {0};
     socklen_t size = sizeof(from);
     uint8_t data[VM_LINKS_DATAGRAM_MAX];
     ssize_t length;
--- a/src/gate/edge.h
+++ b/src/gate/edge.h
@@ -27,7 +27,7 @@
     EdgeEndpoint callers; /* Listens for callers' requests. */
     EdgeEndpoint health;  /* Answers `ready_path` with 200 or 503. */
     const char *ready_path;
-    EdgeEndpoint peers; /* Other VMs, UDP and TCP; port 0 disables it. */
+    EdgeEndpoint peers;     /* Other VMs, UDP and TCP; port 0 disables it. */
     const char *advertised; /* As in GosOptions. */
     const char *seeds[GOS_SEEDS_MAX]; /* "IP:port" of other VMs' `peers`. */
     guint seed_count;
