Reject chunks whose offset or tokens exceed 32 bits

Cause: Eng_ParseChunk() cast the 64-bit offset and tokens of a worker's event to 32 bits. Offset counted as 0, and offset + tokens could wrap in deliver_chunk(), which then drops a new chunk as a repeated one.

Change: both must be whole numbers of at least 0 whose sum fits into 32 bits; tokens may still be absent.

The effect on callers was read, not run.

--- a/src/engine.c
+++ b/src/engine.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+static bool read_range(const json_t *root, uint32_t *offset, uint32_t *tokens);
 static json_t *format_common(const EngWork *work);
 static char *dump_and_free(json_t *body);
 
@@ -86,14 +87,10 @@
     choice = json_array_get(json_object_get(root, "choices"), 0);
     text = json_string_value(json_object_get(choice, "text"));
     reason = json_string_value(json_object_get(choice, "finish_reason"));
-    if (text == NULL || !json_is_integer(json_object_get(root, "offset"))) {
+    if (text == NULL || !read_range(root, &chunk->offset, &chunk->tokens)) {
         json_decref(root);
         return false;
     }
-    chunk->offset =
-        (uint32_t)json_integer_value(json_object_get(root, "offset"));
-    chunk->tokens =
-        (uint32_t)json_integer_value(json_object_get(root, "tokens"));
     chunk->text = strdup(text);
     chunk->finish_reason = reason != NULL ? strdup(reason) : NULL;
     json_decref(root);
@@ -129,6 +126,26 @@
     return refusal;
 }
 
+/* Reads the offset of a chunk and its tokens, which may be absent. Their sum
+   fits into 32 bits, so that no count of tokens wraps around. */
+static bool
+read_range(const json_t *root, uint32_t *offset, uint32_t *tokens)
+{
+    const json_t *first = json_object_get(root, "offset");
+    const json_t *count = json_object_get(root, "tokens");
+    json_int_t begin = json_integer_value(first);
+    json_int_t size = json_integer_value(count);
+
+    if (!json_is_integer(first) || begin < 0 || begin > UINT32_MAX ||
+        (count != NULL && !json_is_integer(count)) || size < 0 ||
+        size > UINT32_MAX - begin) {
+        return false;
+    }
+    *offset = (uint32_t)begin;
+    *tokens = (uint32_t)size;
+    return true;
+}
+
 static json_t *
 format_common(const EngWork *work)
 {
