--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -22,10 +22,9 @@
 /* A VM that was stopped for so long, or heard no message for it, is out of
    step. Messages and tables come each 250 ms or more often. */
 #define GOS_STEP_US (700 * CLK_US_PER_MS)
-/* The same for VMs that send each message to a random part of the others: of
-   15, eight get it, so that twelve in a row miss one VM once in 10,000 times.
-   */
-#define GOS_REMOTE_STEP_US (3 * CLK_US_PER_S)
+/* The same for VMs of other regions of a small fleet, which may send each
+   message to a random part of the others. */
+#define GOS_REMOTE_STEP_US (5 * CLK_US_PER_S)
 /* VMs that were heard within this time are missed once they are silent. */
 #define GOS_MISSED_US (60 * CLK_US_PER_S)
 #define GOS_MAJORITY_RATIO 0.6 /* Share of the VMs that is a majority. */
@@ -258,11 +257,10 @@
     LIST_FOREACH(peer, &gos->peers.list, links)
     {
         int64_t silent_us = now_us - peer->received_us;
-        int64_t most_us = gos->peers.is_mesh &&
-                                  !Peers_IsNear(&gos->peers, peer) &&
-                                  gos->peers.remote_count > PEERS_REMOTE_FANOUT
-                              ? GOS_REMOTE_STEP_US
-                              : GOS_STEP_US;
+        int64_t most_us =
+            gos->peers.is_mesh && peer->region != gos->peers.options.region
+                ? GOS_REMOTE_STEP_US
+                : GOS_STEP_US;
         if (peer->received_us == 0 || !is_expected(gos, peer)) {
             continue;
         }
--- a/src/gate/sse.h
+++ b/src/gate/sse.h
@@ -5,7 +5,7 @@
    line ends with CR, LF or CR LF, the last ID of an event counts, a line
    without a colon is a field with an empty value, and a line of an unknown
    field is passed over; others compare the start of a line. So only events
-   that all of them read alike are valid:
+   that both kinds read alike are valid:
 
    line             in a valid event
    version field    at most one, before all other lines; a number
--- a/src/gate/stream.c
+++ b/src/gate/stream.c
@@ -618,7 +618,8 @@
     const char *cause = Task_GetCause(silent, outcome, run);
 
     if (Task_HasAnswer(silent, outcome) && task->streaming &&
-        silent->reply.status == 200 && !Sse_IsInsideEvent(&silent->sse)) {
+        silent->reply.status == 200 && !silent->order.is_refused &&
+        !Sse_IsInsideEvent(&silent->sse)) {
         Successor_Cancel(task);
         on_run_end(silent, outcome);
         return;
--- a/src/gate/successor.c
+++ b/src/gate/successor.c
@@ -3,6 +3,8 @@
 #include "reservation.h"
 #include "task_wait.h"
 
+#include <string.h>
+
 static void include_worker(GateTask *task, FleetWorker *worker);
 
 bool
@@ -25,6 +27,7 @@
     task->silent = task->current;
     task->current =
         task->silent == &task->calls[0] ? &task->calls[1] : &task->calls[0];
+    memset(&task->current->order, 0, sizeof(task->current->order));
     task->runs++;
     /* The silent worker may have fetched the prompt's KV memory. */
     Reservation_ReleaseHandle(task, false);
