--- a/src/gate/end_check.c
+++ b/src/gate/end_check.c
@@ -52,7 +52,8 @@
 static void end_question(EndQuestion *question);
 static bool is_paused(const struct EndCheck *check);
 static int64_t get_waited(const struct EndCheck *check);
-static int64_t get_patience(const struct EndCheck *check);
+static int64_t get_patience(const struct EndCheck *check,
+                            bool may_go_on_elsewhere);
 static bool may_go_on(const GateTask *task);
 static void ask(struct EndCheck *check, bool older);
 static void fill_older(const struct EndCheck *check,
@@ -90,7 +91,7 @@
     }
     check->began_us = Task_Now(task);
     check->state.is_stream = task->route->kind == RTE_STREAM;
-    check->state.patience_us = get_patience(check);
+    check->state.patience_us = get_patience(check, may_go_on(task));
     check->state.settle_us = AnswerEnd_GetSettleTime(check->state.is_stream);
     check->state.knows_start = task->service->is_engine &&
                                call->born_ms != 0 &&
@@ -230,12 +231,11 @@
 }
 
 static int64_t
-get_patience(const struct EndCheck *check)
+get_patience(const struct EndCheck *check, bool may_go_on_elsewhere)
 {
-    const GateTask *task = check->call->task;
-    const RteRoute *route = task->route;
+    const RteRoute *route = check->call->task->route;
 
-    return AnswerEnd_GetPatience(check->state.is_stream, may_go_on(task),
+    return AnswerEnd_GetPatience(check->state.is_stream, may_go_on_elsewhere,
                                  (int64_t)route->slo_ms * CLK_US_PER_MS,
                                  (int64_t)route->gap_ms * CLK_US_PER_MS);
 }
@@ -548,6 +548,9 @@
         return;
     case ANSWER_END_CONFIRM:
         check->is_settling = true;
+        /* A worker that goes on is not replaced: only the caller's time
+           limits the questions. */
+        state->patience_us = get_patience(check, false);
         Loop_ArmTimerUs(check->timer,
                         MAX(state->settle_us - state->waited_us, 0));
         return;
--- a/tests/test_gate_end_check.cc
+++ b/tests/test_gate_end_check.cc
@@ -307,6 +307,31 @@
     }
 }
 
+/* The worker falls silent after an early sign, for a second. Another one need
+   not read the prompt. */
+TEST(GateEndCheck, WorkerThatIsSilentAfterAnEarlySignIsNotReplaced)
+{
+    GateRig rig;
+    rig.born_ms = 1000;
+    rig.SetRoute({RTE_STREAM, 3, true, 10000, 900}, true);
+    Worker *worker = rig.AddWorker(
+        {{StreamHead("") + Events(0, 2), ScriptedReply::KEEP},
+         {StreamHead("Transfer-Encoding: chunked\r\n") + "0\r\n\r\n"}},
+        FLEET_PHASE_DECODE);
+    Caller *caller = rig.Call(Prompt());
+    ASSERT_TRUE(rig.Until([&] { return !caller->text.empty(); }));
+    Worker *other = rig.AddWorker({Stream(3, 9)}, FLEET_PHASE_DECODE);
+    worker->EndLast(false);
+    rig.RunFor(100);
+    worker->is_silent = true;
+    rig.RunFor(1000);
+    worker->is_silent = false;
+    ASSERT_TRUE(rig.UntilEnd(caller));
+    EXPECT_TRUE(caller->IsComplete());
+    EXPECT_EQ(caller->DechunkedBody(), Events(0, 2));
+    EXPECT_TRUE(other->requests.empty());
+}
+
 struct LastMomentCase {
     const char *name;
     int64_t left_ms;  /* Of the caller's time as the answer ends. */
