Gossip: since when a VM is in step is a module of its own

Change: the functions that note whether this VM is in step move to gossip_step.c unchanged, but for names that are no longer static.

--- a/src/gate/gossip.c
+++ b/src/gate/gossip.c
@@ -18,22 +18,9 @@
 #define GOS_INTERVAL_MS 250
 /* Time from a change to the message about it. */
 #define GOS_UPDATE_DELAY_MS 30
-#define GOS_SEED_INTERVALS 8 /* Intervals between messages to all seeds. */
-/* A VM that was stopped for so long, or heard no message for it, is out of
-   step. Messages and tables come each 250 ms or more often. */
-#define GOS_STEP_US (700 * CLK_US_PER_MS)
-/* The same for VMs of other regions of a small fleet, which may send each
-   message to a random part of the others. */
-#define GOS_REMOTE_STEP_US (5 * CLK_US_PER_S)
-/* VMs that were heard within this time are missed once they are silent. */
-#define GOS_MISSED_US (60 * CLK_US_PER_S)
+#define GOS_SEED_INTERVALS 8   /* Intervals between messages to all seeds. */
 #define GOS_MAJORITY_RATIO 0.6 /* Share of the VMs that is a majority. */
 
-static bool has_other_seed(const Gos *gos);
-static void note_step(Gos *gos);
-static bool hears_others(const Gos *gos);
-static bool is_expected(const Gos *gos, const Peer *peer);
-static void note_stop(Gos *gos);
 static void on_readable(evutil_socket_t fd, short what, void *context);
 static void on_timer(evutil_socket_t fd, short what, void *context);
 static void on_table_timer(evutil_socket_t fd, short what, void *context);
@@ -98,7 +85,7 @@
     }
     gos->rand = g_rand_new_with_seed(options->seed);
     Gos_SetSeeds(gos, options->seeds, options->seed_count);
-    if (options->suspects != NULL && has_other_seed(gos)) {
+    if (options->suspects != NULL && Gos_HasOtherSeed(gos)) {
         Suspects_BeginLearning(options->suspects, Clk_Now(options->clk));
     }
     Report_Init(&gos->own);
@@ -217,100 +204,11 @@
            GOS_MAJORITY_RATIO * Gos_CountVms(gos);
 }
 
-int64_t
-Gos_GetStepTime(Gos *gos)
-{
-    note_step(gos);
-    return gos->in_step_us;
-}
-
-/* Notes whether this VM is in step. */
-static void
-note_step(Gos *gos)
-{
-    int64_t now_us = Clk_Now(gos->options.clk);
-
-    note_stop(gos);
-    if (now_us < gos->stopped_until_us || !hears_others(gos)) {
-        if (gos->in_step_us != INT64_MAX) {
-            Log_WriteJson(LOG_LEVEL_INFO, "vm_out_of_step",
-                          json_pack("{s:I}", "in_step_for_us",
-                                    (json_int_t)(now_us - gos->in_step_us)));
-        }
-        gos->in_step_us = INT64_MAX;
-    }
-    else if (gos->in_step_us == INT64_MAX) {
-        gos->in_step_us = now_us;
-        Log_WriteJson(LOG_LEVEL_INFO, "vm_in_step", json_object());
-    }
-}
-
-/* Whether messages come from all VMs from which they are expected. A VM that
-   stops says so. */
-static bool
-hears_others(const Gos *gos)
-{
-    int64_t now_us = Clk_Now(gos->options.clk);
-    const Peer *peer = NULL;
-    uint32_t heard = 0;
-
-    LIST_FOREACH(peer, &gos->peers.list, links)
-    {
-        int64_t silent_us = now_us - peer->received_us;
-        int64_t most_us =
-            gos->peers.is_mesh && peer->region != gos->peers.options.region
-                ? GOS_REMOTE_STEP_US
-                : GOS_STEP_US;
-        if (peer->received_us == 0 || !is_expected(gos, peer)) {
-            continue;
-        }
-        if (silent_us < most_us) {
-            heard++;
-        }
-        else if (silent_us < GOS_MISSED_US && !peer->is_stopping) {
-            return false;
-        }
-    }
-    return heard > 0 || (!gos->has_heard_others && !has_other_seed(gos));
-}
-
-/* Whether the peer sends messages each GOS_INTERVAL_MS. */
-static bool
-is_expected(const Gos *gos, const Peer *peer)
-{
-    HubsChoice hubs = Peers_GetHubs(&gos->peers);
-
-    if (gos->peers.is_mesh) {
-        return true;
-    }
-    return Hubs_Contains(&hubs, peer->address) ||
-           (Hubs_Contains(&hubs, gos->address) &&
-            peer->region == gos->peers.options.region);
-}
-
-/* Notes that the process did not run for a while. */
-static void
-note_stop(Gos *gos)
-{
-    int64_t now_us = Clk_Now(gos->options.clk);
-    int64_t suspended_us = Clk_GetSuspended(gos->options.clk);
-    int64_t stopped_us =
-        now_us - gos->ran_us + suspended_us - gos->suspended_us;
-
-    if (stopped_us >= GOS_STEP_US) {
-        gos->stopped_until_us = now_us + GOS_STEP_US;
-        Log_WriteJson(LOG_LEVEL_WARNING, "vm_was_stopped",
-                      json_pack("{s:I}", "for_us", (json_int_t)stopped_us));
-    }
-    gos->ran_us = now_us;
-    gos->suspended_us = suspended_us;
-}
-
 void
 Gos_ListHolders(const Gos *gos, Holders *holders)
 {
     Peers_ListHolders(&gos->peers, holders);
-    holders->is_alone = Gos_CountLivePeers(gos) == 0 && has_other_seed(gos);
+    holders->is_alone = Gos_CountLivePeers(gos) == 0 && Gos_HasOtherSeed(gos);
 }
 
 bool
@@ -329,9 +227,8 @@
                            count);
 }
 
-/* Whether this VM knows the address of another one. */
-static bool
-has_other_seed(const Gos *gos)
+bool
+Gos_HasOtherSeed(const Gos *gos)
 {
     for (size_t i = 0; i < GOS_SEEDS_MAX; i++) {
         if (gos->seeds[i] != 0 && gos->seeds[i] != gos->address) {
@@ -371,7 +268,7 @@
 
     (void)fd;
     (void)what;
-    note_step(gos);
+    Gos_NoteStep(gos);
     gos->update_pending = false;
     if (is_regular) {
         gos->regular_us = now_us + GOS_INTERVAL_MS * CLK_US_PER_MS;
--- a/src/gate/gossip_message.h
+++ b/src/gate/gossip_message.h
@@ -292,6 +292,10 @@
 
 /* Sends a packed message to a VM's address. */
 void Gos_SendTo(Gos *gos, uint64_t address, const GosMessage *message);
+/* Notes whether this VM is in step (gossip_step.c). */
+void Gos_NoteStep(Gos *gos);
+/* Whether this VM knows the address of another one. */
+bool Gos_HasOtherSeed(const Gos *gos);
 /* Stores the part of a region's table that a message carries. */
 void Gos_StoreTable(Gos *gos, const Gossip__News *news);
 /* Sends the tables that are due: this region's to all VMs that report to this
